workspace: Set down the layout, the core types and the design

Cause: the project starts from an empty tree; parallel work needs fixed crate boundaries, types and a page that states requirements and state ownership. Conclusion: crates can be filled in independently.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent role: one process beside each target.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `chestnutfork` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Versioned configuration of chestnutfork: patches, validation, deltas, audit records.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: replication, operators, subscribers.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry core: jobs, their queues, dispatches and answers.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: callers, jobs, dispatch.
--- /dev/null
+++ b/crates/events/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events of chestnutfork.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, team quotas and bounded fair queues.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load, answer checks and reports.
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated WebSocket links and HTTP helpers.
--- /dev/null
+++ b/crates/raft/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log as a pure state machine.
--- /dev/null
+++ b/crates/register/src/lib.rs
@@ -0,0 +1,1 @@
+//! Job register: claims and answers replicated in the memory of entries.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Target speeds, health, placement, and retry and hedge budgets.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process settings of chestnutfork, read from YAML and checked.
--- /dev/null
+++ b/crates/slots/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent core: slot credits, start records and drain.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for a target and for the platform.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, vote and snapshot files.
--- /dev/null
+++ b/crates/types/src/job.rs
@@ -0,0 +1,61 @@
+//! Jobs and tasks as callers submit them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ids::{JobId, ServiceName, TaskIndex, TeamName};
+
+/// One unit of work inside a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskSpec {
+    /// Opaque input, passed to the target unchanged.
+    pub payload: Bytes,
+    /// Run time that the caller declared; it is only a hint and often far off.
+    pub declared: Option<Duration>,
+}
+
+/// A validated submission of a job by a team.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobSpec {
+    /// Id of the job; a resubmission carries the same id.
+    pub id: JobId,
+    /// Service that the job belongs to.
+    pub service: ServiceName,
+    /// Team on whose quota the job runs.
+    pub team: TeamName,
+    /// Time from submission within which the answer is useful.
+    pub deadline: Duration,
+    /// Whether every task may start at most once.
+    ///
+    /// Set if the service is at-most-once or the request is marked non-idempotent.
+    pub at_most_once: bool,
+    /// Tasks of the job, all independent of each other.
+    pub tasks: Vec<TaskSpec>,
+}
+
+impl JobSpec {
+    /// Returns the indexes of the tasks in order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chestnutfork_types::{JobSpec, TaskSpec};
+    ///
+    /// let task = TaskSpec { payload: "x".into(), declared: None };
+    /// let job = JobSpec {
+    ///     id: 1,
+    ///     service: "desk".into(),
+    ///     team: "setters".into(),
+    ///     deadline: Duration::from_secs(1),
+    ///     at_most_once: true,
+    ///     tasks: vec![task.clone(), task],
+    /// };
+    /// assert_eq!(job.indexes().collect::<Vec<_>>(), [0, 1]);
+    /// ```
+    pub fn indexes(&self) -> impl Iterator<Item = TaskIndex> + use<> {
+        let count = TaskIndex::try_from(self.tasks.len()).unwrap_or(TaskIndex::MAX);
+        0..count
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,26 @@
+//! Core types of chestnutfork: ids, jobs, tasks, answers, policies and the messages between entry and agent.
+//!
+//! This crate is the bottom of the workspace. It holds plain data only: no sockets, no clock, no encoding. Decision
+//! crates, codecs and actors all build on these types.
+
+mod agent;
+mod answer;
+mod ids;
+mod job;
+mod policy;
+mod refusal;
+
+pub use agent::{
+    AgentToEntry, Announcement, AttemptOutcome, Dispatch, EntryToAgent, RefuseReason, Resolution, TaskResult,
+};
+pub use answer::{Answer, AnswerError, JobOutcome, TaskStatus};
+pub use ids::{
+    ConfigVersion, CreditId, FailureDomain, JobId, LogIndex, NodeName, OperatorName, PatchId, PoolName,
+    ProcessId, ReplicaId, ServiceName, TargetName, TaskIndex, TeamName, Term, ViewNumber, job_time,
+};
+pub use job::{JobSpec, TaskSpec};
+pub use policy::{
+    EjectionPolicy, HedgePolicy, Placement, RetryPolicy, ServicePolicy, ServicePolicyBuilder, Unconfirmed,
+    Weigh,
+};
+pub use refusal::{Execution, Refusal, RefusalCode};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wire types and codecs of chestnutfork.
