slots: Add the agent core

Cause: entries share the slots of a target and must know of every dispatch whether it started.

Change: `AgentCore` issues slot credits, starts at most one task for each, keeps results until they are acknowledged and answers `Resolve`. Free slots go to entries in proportion to their demand, else evenly; idle credits are recalled from entries without demand while another entry has tasks waiting. Credits end with a lost link, a lapsed announcement, a leaving target and a drain. A task whose result was dropped is answered as unknown, never as not started.

--- /dev/null
+++ b/crates/slots/src/core.rs
@@ -0,0 +1,398 @@
+//! State machine of the agent.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{
+    AgentToEntry, Announcement, AttemptOutcome, ConfigVersion, CreditId, PoolName, ProcessId, ServiceName,
+    TargetName, TaskResult,
+};
+use indexmap::IndexMap;
+
+use crate::builder::{AgentCoreBuilder, Settings};
+use crate::event::{Action, Event};
+use crate::ledger::Ledger;
+
+/// Target as it announced itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) name: TargetName,
+    pub(crate) pool: PoolName,
+    pub(crate) slots: u32,
+    pub(crate) leaving: bool,
+    /// Time at which the announcement lapses.
+    pub(crate) expires: Instant,
+    /// Whether the announcement has lapsed.
+    pub(crate) lapsed: bool,
+}
+
+/// Configuration in force.
+#[derive(Clone, Debug)]
+pub(crate) struct Config {
+    pub(crate) version: ConfigVersion,
+    pub(crate) confirmed: bool,
+    pub(crate) refusing: Vec<ServiceName>,
+}
+
+/// Entry that is connected or has tasks here.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Entry {
+    pub(crate) connected: bool,
+    /// Reported waiting tasks, less the credits granted since.
+    pub(crate) waiting: u32,
+    /// Time after which an unanswered recall counts as lost.
+    pub(crate) recall_until: Option<Instant>,
+}
+
+/// Agent core: divides the slots of one target among entries and records starts.
+#[derive(Clone, Debug)]
+pub struct AgentCore {
+    pub(crate) settings: Settings,
+    pub(crate) target: Option<Target>,
+    pub(crate) config: Option<Config>,
+    pub(crate) entries: IndexMap<ProcessId, Entry>,
+    pub(crate) ledger: Ledger,
+    pub(crate) draining: bool,
+    drained: bool,
+    pub(crate) next_renewal: Option<Instant>,
+    /// Lower bound of the expiry of idle credits and of results.
+    next_expiry: Option<Instant>,
+}
+
+impl AgentCore {
+    /// Starts the settings of an agent core in the given failure domain.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_slots::{AgentCore, Event};
+    ///
+    /// let mut core = AgentCore::builder("fd-1").build();
+    /// let mut actions = Vec::new();
+    /// core.handle(Instant::now(), Event::EntryUp { entry: 7 }, &mut actions);
+    /// assert!(actions.is_empty(), "nothing is announced before the target announces itself");
+    /// ```
+    #[must_use]
+    pub fn builder(failure_domain: impl Into<String>) -> AgentCoreBuilder {
+        AgentCoreBuilder::new(failure_domain.into())
+    }
+
+    pub(crate) fn from_settings(settings: Settings) -> Self {
+        Self {
+            settings,
+            target: None,
+            config: None,
+            entries: IndexMap::new(),
+            ledger: Ledger::default(),
+            draining: false,
+            drained: false,
+            next_renewal: None,
+            next_expiry: None,
+        }
+    }
+
+    /// Handles one event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
+        self.apply(now, event, actions);
+        self.balance(now, actions);
+        self.report_drained(actions);
+    }
+
+    /// Returns the time at which the next `Tick` is due, if any.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let lease = self
+            .target
+            .as_ref()
+            .filter(|target| !target.lapsed)
+            .map(|target| target.expires);
+        [lease, self.next_renewal, self.next_expiry]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Reports how many tasks run at the target.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.ledger.running.len()
+    }
+
+    /// Reports how many credits are issued and unused.
+    #[must_use]
+    pub fn idle_credits(&self) -> usize {
+        self.ledger.idle.len()
+    }
+
+    /// Reports whether credits may be issued and tasks started.
+    #[must_use]
+    pub fn is_accepting(&self) -> bool {
+        // A restarted agent serves nothing until control has confirmed a configuration once.
+        !self.draining && self.config.is_some() && self.live_slots() > 0
+    }
+
+    /// Returns the slots of the target, or zero while it is leaving or its announcement lapsed.
+    pub(crate) fn live_slots(&self) -> usize {
+        let live = self
+            .target
+            .as_ref()
+            .filter(|target| !target.leaving && !target.lapsed);
+        live.map_or(0, |target| target.slots as usize)
+    }
+
+    fn apply(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::TargetAnnounced {
+                target,
+                pool,
+                slots,
+                leaving,
+            } => {
+                let target = Target {
+                    name: target,
+                    pool,
+                    slots,
+                    leaving,
+                    expires: now + self.settings.announcement_lease,
+                    lapsed: false,
+                };
+                self.on_announced(target, actions);
+            }
+            Event::EntryUp { entry } => self.on_entry_up(entry, actions),
+            Event::EntryDown { entry } => self.on_entry_down(entry),
+            Event::EntryGone { entry } => self.on_entry_gone(entry),
+            Event::FromEntry { entry, message } => self.on_message(entry, message, actions),
+            Event::TaskEnded {
+                credit,
+                outcome,
+                run_time,
+            } => self.on_task_ended(now, credit, outcome, run_time, actions),
+            Event::ConfigState {
+                version,
+                confirmed,
+                refusing,
+            } => self.on_config(version, confirmed, refusing, actions),
+            Event::Drain => self.on_drain(actions),
+            Event::Tick => self.on_tick(now, actions),
+        }
+    }
+
+    fn on_announced(&mut self, target: Target, actions: &mut Vec<Action>) {
+        let changed = self.target.as_ref().is_none_or(|old| {
+            old.name != target.name
+                || old.pool != target.pool
+                || old.slots != target.slots
+                || old.leaving != target.leaving
+                || old.lapsed
+        });
+        self.target = Some(target);
+        if changed {
+            self.void_excess();
+            self.announce_all(actions);
+        }
+    }
+
+    /// Voids idle credits that no longer fit the slots, the youngest first.
+    fn void_excess(&mut self) {
+        if !self.is_accepting() {
+            self.ledger.idle.clear();
+            return;
+        }
+        let room = self.live_slots().saturating_sub(self.ledger.running.len());
+        self.ledger.idle.truncate(room);
+    }
+
+    fn on_entry_up(&mut self, entry: ProcessId, actions: &mut Vec<Action>) {
+        self.ledger.void_entry(entry);
+        let fresh = Entry {
+            connected: true,
+            ..Entry::default()
+        };
+        self.entries.insert(entry, fresh);
+        self.announce(entry, actions);
+        for kept in self.ledger.results.values() {
+            if kept.entry == entry {
+                let message = AgentToEntry::Result(kept.result.clone());
+                actions.push(Action::Send { entry, message });
+            }
+        }
+    }
+
+    /// Voids the idle credits of a lost link: a message of an earlier link is never accepted on a later one.
+    fn on_entry_down(&mut self, entry: ProcessId) {
+        self.ledger.void_entry(entry);
+        if self.ledger.has_tasks_of(entry) {
+            self.entries.insert(entry, Entry::default());
+        } else {
+            self.entries.swap_remove(&entry);
+        }
+    }
+
+    /// Drops the results of an entry; a connected entry keeps its state until its link is down.
+    fn on_entry_gone(&mut self, entry: ProcessId) {
+        if self.entries.get(&entry).is_some_and(|state| state.connected) {
+            return;
+        }
+        let results = &self.ledger.results;
+        let credits: Vec<CreditId> = results
+            .iter()
+            .filter(|(_, kept)| kept.entry == entry)
+            .map(|(&credit, _)| credit)
+            .collect();
+        for credit in credits {
+            self.ledger.forget(credit, self.settings.max_ended);
+        }
+        self.entries.swap_remove(&entry);
+    }
+
+    fn on_task_ended(
+        &mut self,
+        now: Instant,
+        credit: CreditId,
+        outcome: AttemptOutcome,
+        run_time: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.ledger.running.swap_remove(&credit) else {
+            return;
+        };
+        let Some(state) = self.entries.get(&task.entry) else {
+            // The entry is gone: nobody will ask for the result.
+            self.ledger.forget(credit, self.settings.max_ended);
+            return;
+        };
+        let connected = state.connected;
+        let mut result = TaskResult {
+            credit,
+            outcome,
+            run_time,
+            next: None,
+        };
+        let retention = self.settings.result_retention;
+        self.ledger.keep(now, task.entry, result.clone(), retention);
+        self.note_expiry(now + retention);
+        while self.ledger.results.len() > self.settings.max_results {
+            let Some((oldest, _)) = self.ledger.oldest_result() else {
+                break;
+            };
+            self.ledger.forget(oldest, self.settings.max_ended);
+        }
+        if connected {
+            // Only the first copy carries a credit; the kept copy may be sent on another link.
+            result.next = self.next_credit(now, task.entry);
+            let message = AgentToEntry::Result(result);
+            actions.push(Action::Send {
+                entry: task.entry,
+                message,
+            });
+        }
+    }
+
+    fn on_config(
+        &mut self,
+        version: ConfigVersion,
+        confirmed: bool,
+        refusing: Vec<ServiceName>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.config.is_none() && !confirmed {
+            return;
+        }
+        let old = self.config.as_ref().map(|config| config.version);
+        if old.is_some_and(|old| old > version) {
+            return;
+        }
+        self.config = Some(Config {
+            version,
+            confirmed,
+            refusing,
+        });
+        if old != Some(version) {
+            self.announce_all(actions);
+        }
+    }
+
+    fn on_drain(&mut self, actions: &mut Vec<Action>) {
+        if !self.draining {
+            self.draining = true;
+            self.ledger.idle.clear();
+            self.announce_all(actions);
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.next_renewal.is_some_and(|at| at <= now) {
+            self.renew(now, actions);
+            self.even_out(now, actions);
+            self.next_renewal = None;
+        }
+    }
+
+    /// Ends what has run out by now: the announcement, idle credits, results and recalls.
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(target) = &mut self.target
+            && !target.lapsed
+            && target.expires <= now
+        {
+            target.lapsed = true;
+            self.ledger.idle.clear();
+            self.announce_all(actions);
+        }
+        if self.next_expiry.is_none_or(|at| at > now) {
+            return;
+        }
+        self.ledger.idle.retain(|_, idle| idle.expires > now);
+        while let Some((credit, expires)) = self.ledger.oldest_result()
+            && expires <= now
+        {
+            self.ledger.forget(credit, self.settings.max_ended);
+        }
+        self.drop_unused_entries();
+        let idle = self.ledger.idle.values().map(|idle| idle.expires).min();
+        let result = self.ledger.oldest_result().map(|(_, expires)| expires);
+        self.next_expiry = [idle, result].into_iter().flatten().min();
+    }
+
+    fn drop_unused_entries(&mut self) {
+        let ledger = &self.ledger;
+        self.entries
+            .retain(|&entry, state| state.connected || ledger.has_tasks_of(entry));
+    }
+
+    pub(crate) fn note_expiry(&mut self, at: Instant) {
+        self.next_expiry = Some(self.next_expiry.map_or(at, |old| old.min(at)));
+    }
+
+    fn announce_all(&self, actions: &mut Vec<Action>) {
+        let connected = self.entries.iter().filter(|(_, state)| state.connected);
+        for (&entry, _) in connected {
+            self.announce(entry, actions);
+        }
+    }
+
+    /// Announces the target; a lapsed target is announced without slots.
+    fn announce(&self, entry: ProcessId, actions: &mut Vec<Action>) {
+        let Some(target) = &self.target else {
+            return;
+        };
+        let announcement = Announcement {
+            target: target.name.clone(),
+            pool: target.pool.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            slots: if target.lapsed { 0 } else { target.slots },
+            leaving: target.leaving || self.draining,
+            config: self.config.as_ref().map_or(0, |config| config.version),
+        };
+        let message = AgentToEntry::Announce(announcement);
+        actions.push(Action::Send { entry, message });
+    }
+
+    fn report_drained(&mut self, actions: &mut Vec<Action>) {
+        let idle = self.ledger.running.is_empty() && self.ledger.results.is_empty();
+        if self.draining && !self.drained && idle {
+            self.drained = true;
+            actions.push(Action::Drained);
+        }
+    }
+}
