--- /dev/null
+++ b/crates/net/src/dial.rs
@@ -0,0 +1,138 @@
+//! Keeps a link to one address open, with exponential backoff between attempts.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use chestnutfork_wire::Role;
+
+use crate::handshake;
+use crate::identity::{ClusterSecret, Identity};
+use crate::link::{LinkError, LinkHandler, MAX_FRAME_BYTES, Session};
+use crate::metrics::Metrics;
+
+/// Time within which a connection must be open and authenticated.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// First pause between two attempts.
+const BACKOFF_MIN: Duration = Duration::from_millis(50);
+/// Longest pause between two attempts.
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// A link that lasted this long resets the backoff.
+const STABLE_AFTER: Duration = Duration::from_secs(5);
+
+/// What a dialled link needs to know.
+#[derive(Clone, Debug)]
+pub struct DialConfig {
+    address: String,
+    me: Identity,
+    secret: ClusterSecret,
+    expect: Role,
+    metrics: Metrics,
+}
+
+/// Builder of [`DialConfig`].
+#[derive(Clone, Debug)]
+pub struct DialConfigBuilder {
+    cfg: DialConfig,
+}
+
+impl DialConfig {
+    /// Starts the configuration of a link to `address` (IP address and port).
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::{ClusterSecret, DialConfig, Identity};
+    /// use chestnutfork_wire::Role;
+    ///
+    /// let me = Identity { role: Role::Agent, name: "a1".into(), process: 1, address: String::new() };
+    /// let cfg = DialConfig::builder("127.0.0.1:7000", me, ClusterSecret::new("s")).expect(Role::Entry).build();
+    /// assert!(format!("{cfg:?}").contains("127.0.0.1:7000"));
+    /// ```
+    #[must_use]
+    pub fn builder(address: impl Into<String>, me: Identity, secret: ClusterSecret) -> DialConfigBuilder {
+        let cfg =
+            Self { address: address.into(), me, secret, expect: Role::Entry, metrics: Metrics::disabled() };
+        DialConfigBuilder { cfg }
+    }
+}
+
+impl DialConfigBuilder {
+    /// Sets the role that the peer must have; the default is [`Role::Entry`].
+    #[must_use]
+    pub fn expect(mut self, role: Role) -> Self {
+        self.cfg.expect = role;
+        self
+    }
+
+    /// Sets where bytes are counted.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.cfg.metrics = metrics;
+        self
+    }
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> DialConfig {
+        self.cfg
+    }
+}
+
+/// Running dialler; dropping it ends the link.
+#[derive(Debug)]
+pub struct Dialer {
+    task: JoinHandle<()>,
+}
+
+impl Drop for Dialer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Dials an address and keeps a link to it open until the returned dialler is dropped.
+///
+/// Failed attempts go to [`LinkHandler::closed`] with link number zero.
+pub fn dial<H: LinkHandler>(cfg: DialConfig, handler: H) -> Dialer {
+    Dialer { task: tokio::spawn(keep_open(cfg, handler)) }
+}
+
+async fn keep_open<H: LinkHandler>(cfg: DialConfig, handler: H) {
+    let mut backoff = BACKOFF_MIN;
+    loop {
+        let started = Instant::now();
+        match timeout(OPEN_TIMEOUT, open(&cfg)).await {
+            Ok(Ok(session)) => session.run(handler.clone()).await,
+            Ok(Err(error)) => handler.closed(0, error),
+            Err(_) => handler.closed(0, LinkError::Silent),
+        }
+        if started.elapsed() >= STABLE_AFTER {
+            backoff = BACKOFF_MIN;
+        }
+        // Full jitter keeps many agents from dialling a restarted entry at the same moment.
+        sleep(backoff.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+}
+
+async fn open(cfg: &DialConfig) -> Result<Session, LinkError> {
+    let stream = TcpStream::connect(&cfg.address).await?;
+    stream.set_nodelay(true)?;
+    let ws = WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES));
+    let url = format!("ws://{}/link", cfg.address);
+    let (mut socket, _) = client_async_with_config(url, stream, Some(ws)).await?;
+    let peer = handshake::dialling(&mut socket, &cfg.me, &cfg.secret).await?;
+    if peer.role != cfg.expect {
+        return Err(LinkError::WrongRole { role: format!("{:?}", peer.role) });
+    }
+    let peer = Identity { address: cfg.address.clone(), ..peer };
+    Ok(Session::new(peer, socket, cfg.metrics.clone()))
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,22 @@
-//! Authenticated WebSocket links and HTTP helpers.
+//! Authenticated WebSocket links between processes, and HTTP for callers and targets.
+//!
+//! A link is a pair of tasks that own one WebSocket connection. It authenticates both sides, batches messages into
+//! frames, sends heartbeats and notices a silent peer. Roles receive link events through a [`LinkHandler`] and send
+//! through a [`LinkSender`]; they never see a socket or an encoding buffer.
+
+mod dial;
+mod handshake;
+mod http;
+mod identity;
+mod link;
+mod listen;
+mod metrics;
+
+pub use dial::{DialConfig, DialConfigBuilder, Dialer, dial};
+pub use http::{
+    Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, http_client, json_response,
+};
+pub use identity::{ClusterSecret, Identity, random_process_id};
+pub use link::{LinkError, LinkHandler, LinkId, LinkSender, Session};
+pub use listen::{Listener, listen};
+pub use metrics::{Metrics, MetricsError};
--- /dev/null
+++ b/crates/net/src/link.rs
@@ -0,0 +1,263 @@
+//! One authenticated connection: batching, heartbeats and detection of silence.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+use chestnutfork_wire::{CodecError, PROTOCOL_VERSION, decode_frame, encode};
+
+use crate::identity::Identity;
+use crate::metrics::Metrics;
+
+/// Random number of one session of a link in this process.
+pub type LinkId = u64;
+
+/// Silence after which a side sends a heartbeat.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which a side closes the connection. Something between the two ends may have lost track of it, so that
+/// no error ever arrives.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Messages that may wait for a peer before the link is given up as stuck.
+const QUEUE_LIMIT: usize = 65_536;
+/// Messages taken from the queue in one step.
+const BATCH_LIMIT: usize = 256;
+/// Size at which a frame is sent even if more messages wait.
+const FRAME_TARGET_BYTES: usize = 256 * 1024;
+/// Largest frame that is accepted; it must hold the largest single message, a job's answer.
+pub(crate) const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// Reason why a link could not be opened or was closed.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The peer closed the connection.
+    #[error("the peer closed the connection; it is dialled again if it is still wanted")]
+    Closed,
+    /// Nothing arrived, or nothing could be sent, for too long.
+    #[error("the peer has been silent for {} s; the connection is dialled again", SILENCE_LIMIT.as_secs())]
+    Silent,
+    /// Too many messages wait for the peer.
+    #[error("more than {QUEUE_LIMIT} messages wait for the peer; find out why it reads too slowly")]
+    Overrun,
+    /// The peer did not prove the cluster secret.
+    #[error("the peer did not prove the cluster secret; set the same `cluster_secret` on both sides")]
+    Unauthenticated,
+    /// The peer has another role than expected.
+    #[error("the peer has the role {role}; check the address in the settings")]
+    WrongRole {
+        /// Role that the peer claimed.
+        role: String,
+    },
+    /// The peer runs another protocol version.
+    #[error("the peer speaks protocol version {theirs}, this process version {PROTOCOL_VERSION}; upgrade the older one")]
+    Version {
+        /// Version of the peer.
+        theirs: u32,
+    },
+    /// A message cannot be encoded or decoded.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// The connection failed.
+    #[error("the connection failed: {0}; it is dialled again")]
+    Socket(#[from] tungstenite::Error),
+    /// The connection could not be opened.
+    #[error("cannot connect: {0}; check that the peer runs and the address is right")]
+    Connect(#[from] std::io::Error),
+}
+
+impl LinkError {
+    /// Reports whether the peer failed to authenticate.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(chestnutfork_net::LinkError::Unauthenticated.is_unauthenticated());
+    /// ```
+    #[must_use]
+    pub fn is_unauthenticated(&self) -> bool {
+        matches!(self, Self::Unauthenticated)
+    }
+}
+
+/// Receiver of the events of links, usually a thin wrapper around an actor's mailbox.
+///
+/// The methods run on the link's tasks and must not block.
+pub trait LinkHandler: Clone + Send + Sync + 'static {
+    /// Messages that arrive.
+    type In: DeserializeOwned + Send + 'static;
+    /// Messages that are sent.
+    type Out: Serialize + Send + Sync + 'static;
+
+    /// Tells that a link is open and authenticated.
+    fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<Self::Out>);
+    /// Hands over messages in the order in which the peer sent them.
+    fn received(&self, link: LinkId, messages: Vec<Self::In>);
+    /// Tells that the link is closed; nothing of it arrives afterwards.
+    fn closed(&self, link: LinkId, error: LinkError);
+}
+
+/// Sending side of a link; dropping it closes the link after what is queued has been sent.
+pub struct LinkSender<Out> {
+    tx: mpsc::Sender<Out>,
+}
+
+impl<Out> Clone for LinkSender<Out> {
+    fn clone(&self) -> Self {
+        Self { tx: self.tx.clone() }
+    }
+}
+
+impl<Out> fmt::Debug for LinkSender<Out> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LinkSender").field("free", &self.tx.capacity()).finish()
+    }
+}
+
+impl<Out> LinkSender<Out> {
+    /// Queues a message and reports whether the link took it.
+    ///
+    /// A message to a closed or overrun link is dropped; the handler learns of the closure separately, so callers may
+    /// ignore the result.
+    pub fn send(&self, message: Out) -> bool {
+        self.tx.try_send(message).is_ok()
+    }
+}
+
+/// Authenticated connection that is not yet running.
+#[derive(Debug)]
+pub struct Session {
+    peer: Identity,
+    socket: WebSocketStream<TcpStream>,
+    metrics: Metrics,
+}
+
+impl Session {
+    pub(crate) fn new(peer: Identity, socket: WebSocketStream<TcpStream>, metrics: Metrics) -> Self {
+        Self { peer, socket, metrics }
+    }
+
+    /// Returns the identity that the peer proved.
+    #[must_use]
+    pub fn peer(&self) -> &Identity {
+        &self.peer
+    }
+
+    /// Runs the link until it closes; tells the handler first that it is open and last that it is closed.
+    ///
+    /// # Errors
+    ///
+    /// Never fails itself; the reason of the closure goes to the handler.
+    pub async fn run<H: LinkHandler>(self, handler: H) {
+        let link = rand::random();
+        let (tx, rx) = mpsc::channel(QUEUE_LIMIT);
+        let overrun = tx.clone().downgrade();
+        let (sink, stream) = self.socket.split();
+        handler.opened(link, self.peer, LinkSender { tx });
+        let mut writer = tokio::spawn(write_frames(sink, rx, self.metrics.clone()));
+        let error = tokio::select! {
+            error = read_frames(stream, link, &handler, &self.metrics) => error,
+            error = join(&mut writer) => error,
+            () = watch_queue(overrun) => LinkError::Overrun,
+        };
+        writer.abort();
+        handler.closed(link, error);
+    }
+}
+
+/// Waits for the writer; its failure is the failure of the link.
+async fn join(writer: &mut JoinHandle<LinkError>) -> LinkError {
+    writer.await.unwrap_or(LinkError::Closed)
+}
+
+/// Resolves once the queue towards the peer is full.
+async fn watch_queue<Out>(tx: mpsc::WeakSender<Out>) {
+    let mut interval = tokio::time::interval(HEARTBEAT_INTERVAL);
+    loop {
+        interval.tick().await;
+        let full = tx.upgrade().is_some_and(|tx| tx.capacity() == 0);
+        if full {
+            return;
+        }
+    }
+}
+
+/// Sends batches of messages as frames, and heartbeats in between.
+async fn write_frames<Out: Serialize>(
+    mut sink: SplitSink<WebSocketStream<TcpStream>, Message>,
+    mut rx: mpsc::Receiver<Out>,
+    metrics: Metrics,
+) -> LinkError {
+    let mut seq = 0_u64;
+    let mut batch = Vec::with_capacity(BATCH_LIMIT);
+    loop {
+        let taken = timeout(HEARTBEAT_INTERVAL, rx.recv_many(&mut batch, BATCH_LIMIT)).await;
+        if matches!(taken, Ok(0)) {
+            let _ = timeout(HEARTBEAT_INTERVAL, sink.close()).await;
+            return LinkError::Closed;
+        }
+        if let Err(error) = write_batch(&mut sink, &mut batch, &mut seq, &metrics).await {
+            return error;
+        }
+    }
+}
+
+/// Sends one batch as one or more frames; an empty batch is one empty frame.
+async fn write_batch<Out: Serialize>(
+    sink: &mut SplitSink<WebSocketStream<TcpStream>, Message>,
+    batch: &mut Vec<Out>,
+    seq: &mut u64,
+    metrics: &Metrics,
+) -> Result<(), LinkError> {
+    let mut messages = batch.drain(..).peekable();
+    loop {
+        let mut buf = Vec::new();
+        encode(&*seq, &mut buf)?;
+        while let Some(message) = messages.next_if(|_| buf.len() < FRAME_TARGET_BYTES) {
+            encode(&message, &mut buf)?;
+        }
+        *seq += 1;
+        metrics.link_sent(buf.len());
+        let sent = timeout(SILENCE_LIMIT, sink.send(Message::Binary(Bytes::from(buf)))).await;
+        sent.map_err(|_| LinkError::Silent)??;
+        if messages.peek().is_none() {
+            return Ok(());
+        }
+    }
+}
+
+/// Receives frames until the link fails, and hands their messages to the handler.
+async fn read_frames<H: LinkHandler>(
+    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+    link: LinkId,
+    handler: &H,
+    metrics: &Metrics,
+) -> LinkError {
+    let mut seq = 0_u64;
+    loop {
+        let bytes = match timeout(SILENCE_LIMIT, stream.next()).await {
+            Err(_) => return LinkError::Silent,
+            Ok(None | Some(Ok(Message::Close(_)))) => return LinkError::Closed,
+            Ok(Some(Err(error))) => return error.into(),
+            Ok(Some(Ok(Message::Binary(bytes)))) => bytes,
+            Ok(Some(Ok(_))) => continue,
+        };
+        metrics.link_received(bytes.len());
+        match decode_frame(&bytes, seq) {
+            Ok(messages) if messages.is_empty() => {}
+            Ok(messages) => handler.received(link, messages),
+            Err(error) => return error.into(),
+        }
+        seq += 1;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/handshake.rs
@@ -0,0 +1,64 @@
+//! Messages that open and authenticate a link.
+
+use serde::{Deserialize, Serialize};
+
+/// Version of the protocol between processes; both sides must have the same.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Role of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Accepts jobs from callers.
+    Entry,
+    /// Runs beside a target.
+    Agent,
+    /// Replicates configuration and views.
+    Control,
+}
+
+/// First message of the dialling side.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Protocol version of the dialling side.
+    pub version: u32,
+    /// Role of the dialling side.
+    pub role: Role,
+    /// Name of the dialling process.
+    pub name: String,
+    /// Incarnation of the dialling process.
+    pub process: u64,
+    /// Address where other processes reach the dialling side, or an empty string.
+    pub address: String,
+    /// Fresh random number of the dialling side.
+    pub nonce: [u8; 16],
+}
+
+/// Answer of the accepting side, with proof of the cluster secret.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Challenge {
+    /// Role of the accepting side.
+    pub role: Role,
+    /// Name of the accepting process.
+    pub name: String,
+    /// Incarnation of the accepting process.
+    pub process: u64,
+    /// Fresh random number of the accepting side.
+    pub nonce: [u8; 16],
+    /// HMAC-SHA-256 of the transcript under the cluster secret, for the accepting side.
+    pub proof: [u8; 32],
+}
+
+/// Proof of the cluster secret by the dialling side.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proof {
+    /// HMAC-SHA-256 of the transcript under the cluster secret, for the dialling side.
+    pub proof: [u8; 32],
+}
+
+/// Last message of the handshake; the accepting side has accepted the proof.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Protocol version of the accepting side.
+    pub version: u32,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,14 @@
-//! Wire types and codecs of chestnutfork.
+//! Wire types and codecs between the processes of chestnutfork, and the JSON bodies of callers.
+//!
+//! This is the only crate that knows an encoding. Every wire type mirrors a plain type of a decision crate and converts
+//! with `From` and `TryFrom`, so that decisions stay independent of the encoding.
+
+mod agent;
+mod caller;
+mod codec;
+mod handshake;
+
+pub use agent::{AgentToEntryWire, EntryToAgentWire};
+pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
+pub use codec::{CodecError, decode, decode_frame, encode};
+pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
