events: Declare the log events and their catalogue

Cause: the roles need numbered events with stable names, typed fields and a remedy for the operator before they can log anything.

Change: one macro declares each event once and makes one enum per group (process, link, config, entry, agent, control); `emit` writes it through spdlog-rs with structured key-values as text or JSON on standard error. Values that could be mistaken for other fields or lines are quoted. Failed writes are ignored. docs/EVENTS.md is made from the declarations by the example `events_page`; a test compares the two.

--- /dev/null
+++ b/crates/events/src/catalogue/link.rs
@@ -0,0 +1,63 @@
+//! Events of links between processes.
+
+use std::time::Duration;
+
+use crate::declaration::events;
+
+events! {
+    /// Events of links between processes.
+    pub enum LinkEvent<'a> {
+        2001 Opened "link_opened" Info "link opened" {
+            peer: &'a str = "Name of the peer.",
+            role: &'a str = "Role of the peer.",
+        }
+            meaning: "A link is authenticated and in use.",
+            remedy: "None.";
+        2002 Closed "link_closed" Info "link closed" {
+            peer: &'a str = "Name of the peer.",
+            role: &'a str = "Role of the peer.",
+            reason: &'a str = "Why the link ended.",
+        }
+            meaning: "A link ended; the dialling side opens it again.",
+            remedy: "None, unless it repeats: then check the peer and the network.";
+        2003 Silent "link_silent" Warn "link silent, reconnecting" {
+            peer: &'a str = "Name of the peer.",
+            role: &'a str = "Role of the peer.",
+            silent: Duration = "Time since the last message.",
+        }
+            meaning: "No message arrived within the heartbeat limit, so the link is closed and opened again.",
+            remedy: "If it repeats, check the peer's load and the network between the two failure domains.";
+        2004 AuthenticationFailed "link_authentication_failed" Error "link authentication failed" {
+            address: &'a str = "Address of the peer.",
+            reason: &'a str = "Which check failed.",
+        }
+            meaning: "The peer could not prove that it has the cluster secret.",
+            remedy: "Give both processes the same `cluster_secret`; if the address is unknown, find out who connects.";
+        2005 DialFailed "link_dial_failed" Warn "peer cannot be reached" {
+            address: &'a str = "Address of the peer.",
+            error: &'a str = "Error of the connection.",
+            retry: Duration = "Delay before the next attempt.",
+        }
+            meaning: "A connection to a peer failed; it is tried again with backoff.",
+            remedy: "If it lasts, check that the peer runs and that the address in the settings is right.";
+        2006 ProtocolError "link_protocol_error" Error "message of the peer cannot be used" {
+            peer: &'a str = "Name of the peer.",
+            error: &'a str = "What is wrong with the message.",
+        }
+            meaning: "A message could not be decoded or came out of sequence; the link is closed.",
+            remedy: "Check that both processes run compatible versions; otherwise report a bug.";
+        2007 Overloaded "link_overloaded" Warn "link closed because its send queue is full" {
+            peer: &'a str = "Name of the peer.",
+            role: &'a str = "Role of the peer.",
+            queued: u64 = "Messages in the send queue.",
+        }
+            meaning: "The peer reads too slowly, so the link is closed and opened again.",
+            remedy: "Check the load of the peer and the capacity of the network.";
+        2008 NameTaken "link_name_taken" Error "two processes use one name" {
+            peer: &'a str = "Name that both use.",
+            address: &'a str = "Address of the later process.",
+        }
+            meaning: "Two live processes of one role present the same name; the later one replaces the earlier.",
+            remedy: "Give each process its own `name` in its settings.";
+    }
+}
