limits: Add the fair queue, team quotas and admission

Change: `FairQueue` orders by deficit round robin over teams and earliest deadline first within a team, with logarithmic push and pop, and removes the tasks of one job without visiting the others (`retain_at`). `Admission` estimates the wait from the present queue and the learned run time, so it keeps no memory of an overload.

The service rate is the learned mean run time over the slots; a measured rate of starts is not used yet.

--- /dev/null
+++ b/crates/limits/src/fair_queue.rs
@@ -0,0 +1,492 @@
+//! Bounded queue with deficit round robin over teams and earliest deadline first within a team.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use chestnutfork_types::TeamName;
+use indexmap::IndexMap;
+
+use crate::violation::Violation;
+
+/// Deficit that a team receives with each turn unless it has another weight.
+const DEFAULT_WEIGHT: u32 = 1;
+
+/// Item that left the queue, with what is needed to put it back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Queued<T> {
+    /// Team that the item belongs to.
+    pub team: TeamName,
+    /// Time after which the item is useless.
+    pub deadline: Instant,
+    /// Queued item.
+    pub item: T,
+}
+
+/// Position of an item among those of its team: earlier deadlines first, then earlier arrivals.
+type Rank = (Instant, i64);
+
+/// Position in the order of turns.
+type Turn = i64;
+
+/// Items and round-robin state of one team.
+#[derive(Clone, Debug)]
+struct TeamQueue<T> {
+    items: BTreeMap<Rank, T>,
+    turn: Option<Turn>,
+    deficit: u32,
+    weight: u32,
+}
+
+impl<T> Default for TeamQueue<T> {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            turn: None,
+            deficit: 0,
+            weight: DEFAULT_WEIGHT,
+        }
+    }
+}
+
+/// Bounded queue that is fair between teams and deadline-ordered within a team.
+///
+/// Every item costs one unit of deficit. Pushing and popping cost a logarithm of the length. Teams are remembered
+/// after their last item has left, because their number is bounded by the configuration.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    max: usize,
+    len: usize,
+    teams: IndexMap<TeamName, TeamQueue<T>>,
+    /// Teams with items, in the order of their turns.
+    turns: BTreeMap<Turn, usize>,
+    next_back: i64,
+    next_front: i64,
+    /// Lower bound of all queued deadlines, so that `expire` is cheap while nothing is due.
+    earliest: Option<Instant>,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue for at most `max` items.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let queue: FairQueue<u32> = FairQueue::new(100);
+    /// assert!(queue.is_empty());
+    /// ```
+    #[must_use]
+    pub fn new(max: usize) -> Self {
+        Self {
+            max,
+            len: 0,
+            teams: IndexMap::new(),
+            turns: BTreeMap::new(),
+            next_back: 0,
+            next_front: -1,
+            earliest: None,
+        }
+    }
+
+    /// Changes the bound; items above a lowered bound stay queued.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue: FairQueue<u32> = FairQueue::new(100);
+    /// queue.set_max(50);
+    /// assert_eq!(queue.room(), 50);
+    /// ```
+    pub fn set_max(&mut self, max: usize) {
+        self.max = max;
+    }
+
+    /// Sets how many items a team may pop per turn; zero counts as one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.set_weight("a", 2);
+    /// for item in 0..3 {
+    ///     queue.push("a", deadline, item).unwrap();
+    /// }
+    /// queue.push("b", deadline, 9).unwrap();
+    /// let order: Vec<_> = std::iter::from_fn(|| queue.pop()).map(|queued| queued.item).collect();
+    /// assert_eq!(order, [0, 1, 9, 2]);
+    /// ```
+    pub fn set_weight(&mut self, team: &str, weight: u32) {
+        let index = self.team_index(team);
+        self.teams[index].weight = weight.max(1);
+    }
+
+    /// Appends an item to those of its team.
+    ///
+    /// # Errors
+    ///
+    /// Gives the item back if the queue is full.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(1);
+    /// assert_eq!(queue.push("setters", Instant::now(), 1), Ok(()));
+    /// assert_eq!(queue.push("setters", Instant::now(), 2), Err(2));
+    /// ```
+    pub fn push(&mut self, team: &str, deadline: Instant, item: T) -> Result<(), T> {
+        if self.len >= self.max {
+            return Err(item);
+        }
+        let index = self.team_index(team);
+        let rank = (deadline, self.next_back);
+        self.next_back += 1;
+        self.insert(index, rank, item);
+        if self.teams[index].turn.is_none() {
+            let turn = self.next_back;
+            self.next_back += 1;
+            self.set_turn(index, Some(turn));
+        }
+        self.settle();
+        Ok(())
+    }
+
+    /// Removes the next item: of the team whose turn it is, the one with the earliest deadline.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let now = Instant::now();
+    /// queue.push("setters", now + Duration::from_secs(2), "late").unwrap();
+    /// queue.push("setters", now + Duration::from_secs(1), "early").unwrap();
+    /// assert_eq!(queue.pop().unwrap().item, "early");
+    /// ```
+    pub fn pop(&mut self) -> Option<Queued<T>> {
+        let (_, &index) = self.turns.first_key_value()?;
+        let (name, team) = self.teams.get_index_mut(index)?;
+        let ((deadline, _), item) = team.items.pop_first()?;
+        let name = name.clone();
+        team.deficit = team.deficit.saturating_sub(1);
+        let spent = team.deficit == 0;
+        self.len -= 1;
+        if spent {
+            let turn = self.next_back;
+            self.next_back += 1;
+            self.set_turn(index, Some(turn));
+        }
+        self.drop_turn_if_empty(index);
+        self.settle();
+        Some(Queued {
+            team: name,
+            deadline,
+            item,
+        })
+    }
+
+    /// Returns the item that `pop` would remove.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// queue.push("setters", Instant::now(), 7).unwrap();
+    /// assert_eq!(queue.peek(), Some(&7));
+    /// ```
+    #[must_use]
+    pub fn peek(&self) -> Option<&T> {
+        let (_, &index) = self.turns.first_key_value()?;
+        let (_, item) = self.teams[index].items.first_key_value()?;
+        Some(item)
+    }
+
+    /// Puts a popped item back in front of its equals, and its team back to the first turn.
+    ///
+    /// A requeued item was admitted before, so it is accepted even if the queue is full.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// queue.push("setters", Instant::now(), 7).unwrap();
+    /// let queued = queue.pop().unwrap();
+    /// queue.requeue(queued);
+    /// assert_eq!(queue.peek(), Some(&7));
+    /// ```
+    pub fn requeue(&mut self, queued: Queued<T>) {
+        let index = self.team_index(&queued.team);
+        let rank = (queued.deadline, self.next_front);
+        self.next_front -= 1;
+        self.insert(index, rank, queued.item);
+        let team = &mut self.teams[index];
+        team.deficit = team.deficit.saturating_add(1);
+        let turn = self.next_front;
+        self.next_front -= 1;
+        self.set_turn(index, Some(turn));
+        self.settle();
+    }
+
+    /// Returns the number of queued items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Reports whether nothing is queued.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns how many items `push` would still accept.
+    #[must_use]
+    pub fn room(&self) -> usize {
+        self.max.saturating_sub(self.len)
+    }
+
+    /// Returns the number of items that a team has queued.
+    #[must_use]
+    pub fn team_len(&self, team: &str) -> usize {
+        self.teams.get(team).map_or(0, |team| team.items.len())
+    }
+
+    /// Returns the number of teams with queued items.
+    #[must_use]
+    pub fn active_teams(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Returns a time before which no item expires, for the caller's timer.
+    ///
+    /// It may lie before the earliest deadline; `expire` then corrects it.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.earliest
+    }
+
+    /// Moves all items whose deadline is at or before `now` to `out`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let now = Instant::now();
+    /// queue.push("setters", now, 1).unwrap();
+    /// queue.push("setters", now + Duration::from_secs(1), 2).unwrap();
+    /// let mut expired = Vec::new();
+    /// queue.expire(now, &mut expired);
+    /// assert_eq!(expired, [1]);
+    /// ```
+    pub fn expire(&mut self, now: Instant, out: &mut Vec<T>) {
+        if self.earliest.is_none_or(|earliest| earliest > now) {
+            return;
+        }
+        for index in 0..self.teams.len() {
+            let items = &mut self.teams[index].items;
+            while let Some(first) = items.first_entry().filter(|first| first.key().0 <= now) {
+                out.push(first.remove());
+                self.len -= 1;
+            }
+            self.drop_turn_if_empty(index);
+        }
+        self.earliest = self.first_deadline();
+        self.settle();
+    }
+
+    /// Moves all items that `keep` rejects to `removed`; it visits the whole queue.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// for item in 0..4 {
+    ///     queue.push("setters", Instant::now(), item).unwrap();
+    /// }
+    /// let mut removed = Vec::new();
+    /// queue.retain(|item| item % 2 == 0, &mut removed);
+    /// assert_eq!(removed, [1, 3]);
+    /// ```
+    pub fn retain(&mut self, mut keep: impl FnMut(&T) -> bool, removed: &mut Vec<T>) {
+        let before = removed.len();
+        for index in 0..self.teams.len() {
+            let items = &mut self.teams[index].items;
+            removed.extend(items.extract_if(.., |_, item| !keep(item)).map(|(_, item)| item));
+            self.drop_turn_if_empty(index);
+        }
+        self.len -= removed.len() - before;
+        self.settle();
+    }
+
+    /// Moves the items of one team and deadline that `keep` rejects to `removed`.
+    ///
+    /// All tasks of a job share team and deadline, so a wave of cancellations visits only the cancelled jobs and not
+    /// the whole queue each time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 1).unwrap();
+    /// queue.push("auditors", deadline, 2).unwrap();
+    /// let mut removed = Vec::new();
+    /// queue.retain_at("setters", deadline, |_| false, &mut removed);
+    /// assert_eq!((removed.as_slice(), queue.len()), ([1].as_slice(), 1));
+    /// ```
+    pub fn retain_at(
+        &mut self,
+        team: &str,
+        deadline: Instant,
+        mut keep: impl FnMut(&T) -> bool,
+        removed: &mut Vec<T>,
+    ) {
+        let Some(index) = self.teams.get_index_of(team) else {
+            return;
+        };
+        let before = removed.len();
+        let range = (deadline, i64::MIN)..=(deadline, i64::MAX);
+        let items = &mut self.teams[index].items;
+        removed.extend(
+            items
+                .extract_if(range, |_, item| !keep(item))
+                .map(|(_, item)| item),
+        );
+        self.len -= removed.len() - before;
+        self.drop_turn_if_empty(index);
+        self.settle();
+    }
+
+    /// Checks the invariants of the queue in time proportional to the number of teams.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation found.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let queue: FairQueue<u32> = FairQueue::new(100);
+    /// assert_eq!(queue.verify(), Ok(()));
+    /// ```
+    pub fn verify(&self) -> Result<(), Violation> {
+        let held = self.teams.values().map(|team| team.items.len()).sum();
+        if held != self.len {
+            return Err(Violation::QueueLength {
+                stored: self.len,
+                held,
+            });
+        }
+        for (index, (name, team)) in self.teams.iter().enumerate() {
+            self.verify_team(index, name, team)?;
+        }
+        let first = self.turns.first_key_value();
+        if let Some((_, &index)) = first
+            && self.teams[index].deficit == 0
+        {
+            let team = self.teams.get_index(index).map(|(name, _)| name.clone());
+            return Err(Violation::QueueDeficit {
+                team: team.unwrap_or_default(),
+            });
+        }
+        Ok(())
+    }
+
+    fn verify_team(&self, index: usize, name: &TeamName, team: &TeamQueue<T>) -> Result<(), Violation> {
+        let listed = team.turn.and_then(|turn| self.turns.get(&turn)) == Some(&index);
+        if listed == team.items.is_empty() || listed != team.turn.is_some() {
+            return Err(Violation::QueueTurn {
+                team: name.clone(),
+                held: team.items.len(),
+            });
+        }
+        let first = team.items.first_key_value().map(|((deadline, _), _)| *deadline);
+        if first.is_some_and(|first| self.earliest.is_none_or(|earliest| earliest > first)) {
+            return Err(Violation::QueueDeadline { team: name.clone() });
+        }
+        Ok(())
+    }
+
+    fn team_index(&mut self, team: &str) -> usize {
+        match self.teams.get_index_of(team) {
+            Some(index) => index,
+            None => self.teams.insert_full(team.to_owned(), TeamQueue::default()).0,
+        }
+    }
+
+    fn insert(&mut self, index: usize, rank: Rank, item: T) {
+        let (deadline, _) = rank;
+        self.teams[index].items.insert(rank, item);
+        self.len += 1;
+        let earliest = self.earliest.map_or(deadline, |earliest| earliest.min(deadline));
+        self.earliest = Some(earliest);
+    }
+
+    fn set_turn(&mut self, index: usize, turn: Option<Turn>) {
+        let previous = std::mem::replace(&mut self.teams[index].turn, turn);
+        if let Some(previous) = previous {
+            self.turns.remove(&previous);
+        }
+        if let Some(turn) = turn {
+            self.turns.insert(turn, index);
+        }
+    }
+
+    /// Ends the turns of a team without items; an idle team saves no deficit.
+    fn drop_turn_if_empty(&mut self, index: usize) {
+        if self.teams[index].items.is_empty() {
+            self.teams[index].deficit = 0;
+            self.set_turn(index, None);
+        }
+    }
+
+    /// Restores what every operation leaves behind: the first team in turn can pay, an empty queue has no deadline.
+    fn settle(&mut self) {
+        if self.len == 0 {
+            self.earliest = None;
+        }
+        if let Some((_, &index)) = self.turns.first_key_value() {
+            let team = &mut self.teams[index];
+            if team.deficit == 0 {
+                team.deficit = team.weight;
+            }
+        }
+        debug_assert_eq!(self.verify(), Ok(()));
+    }
+
+    fn first_deadline(&self) -> Option<Instant> {
+        let firsts = self
+            .teams
+            .values()
+            .filter_map(|team| team.items.first_key_value());
+        firsts.map(|((deadline, _), _)| *deadline).min()
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/admission.rs
@@ -0,0 +1,174 @@
+//! Tests of admission.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_limits::{Admission, AdmissionRequest};
+use chestnutfork_types::{Execution, RefusalCode, ServicePolicy};
+use quickcheck::{Gen, QuickCheck};
+
+const CALM: AdmissionRequest = AdmissionRequest {
+    tasks: 10,
+    declared: None,
+    deadline: Duration::from_secs(2),
+    queued: 0,
+    team_queued: 0,
+    active_teams: 0,
+    team_allowance: 100,
+    slots: 80,
+    fastest_speed: 1.0,
+};
+
+/// Returns a tester whose cases are the same in every run.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 1))
+}
+
+fn learned(run_time: Duration) -> Admission {
+    let mut admission = Admission::new();
+    for _ in 0..100 {
+        admission.on_end(run_time);
+    }
+    admission
+}
+
+fn code(req: &AdmissionRequest) -> Option<RefusalCode> {
+    let policy = ServicePolicy::builder("main").max_queue(1_000).build();
+    let admission = learned(Duration::from_millis(200));
+    let refusal = admission.check(Instant::now(), req, &policy).err()?;
+    assert_eq!(refusal.execution, Execution::NotRun);
+    Some(refusal.code)
+}
+
+/// Guards against a job that can be served being turned away.
+#[test]
+fn check_accepts_calm_job() {
+    assert_eq!(code(&CALM), None);
+}
+
+/// Guards against malformed jobs reaching the queue.
+#[test]
+fn check_refuses_bad_job() {
+    assert_eq!(
+        code(&AdmissionRequest { tasks: 0, ..CALM }),
+        Some(RefusalCode::BadJob)
+    );
+    assert_eq!(
+        code(&AdmissionRequest { tasks: 201, ..CALM }),
+        Some(RefusalCode::BadJob)
+    );
+    let deadline = Duration::from_hours(1);
+    assert_eq!(
+        code(&AdmissionRequest { deadline, ..CALM }),
+        Some(RefusalCode::BadJob)
+    );
+}
+
+/// Guards against queueing a job that no target can ever run.
+#[test]
+fn check_refuses_job_that_can_never_run() {
+    assert_eq!(
+        code(&AdmissionRequest { slots: 0, ..CALM }),
+        Some(RefusalCode::CanNeverRun)
+    );
+    let declared = Some(Duration::from_secs(3));
+    let slow = AdmissionRequest { declared, ..CALM };
+    assert_eq!(code(&slow), Some(RefusalCode::CanNeverRun));
+    assert_eq!(
+        code(&AdmissionRequest {
+            fastest_speed: 2.0,
+            ..slow
+        }),
+        None
+    );
+}
+
+/// Guards against accepting tasks that time out in the queue.
+#[test]
+fn check_refuses_unmeetable_deadline() {
+    let behind = AdmissionRequest {
+        queued: 900,
+        team_queued: 900,
+        active_teams: 1,
+        ..CALM
+    };
+    assert_eq!(code(&behind), Some(RefusalCode::DeadlineUnmeetable));
+    assert_eq!(
+        code(&AdmissionRequest {
+            deadline: Duration::ZERO,
+            ..CALM
+        }),
+        Some(RefusalCode::DeadlineUnmeetable)
+    );
+}
+
+/// Guards against one team's backlog refusing the jobs of another team, which is served in turn.
+#[test]
+fn check_accepts_team_without_backlog() {
+    assert_eq!(
+        code(&AdmissionRequest {
+            queued: 900,
+            active_teams: 1,
+            ..CALM
+        }),
+        None
+    );
+}
+
+/// Guards against a backlog behind a small quota filling the queue.
+#[test]
+fn check_refuses_exceeded_quota() {
+    assert_eq!(
+        code(&AdmissionRequest {
+            team_allowance: 0,
+            ..CALM
+        }),
+        Some(RefusalCode::QuotaExceeded)
+    );
+    let behind = AdmissionRequest {
+        queued: 100,
+        team_queued: 100,
+        team_allowance: 2,
+        ..CALM
+    };
+    assert_eq!(code(&behind), Some(RefusalCode::QuotaExceeded));
+}
+
+/// Guards against refusals that outlast a burst, and against a delay that is too short for the queue to drain.
+#[test]
+fn check_recovers_after_burst() {
+    let policy = ServicePolicy::builder("main").max_queue(1_000).build();
+    let admission = learned(Duration::from_millis(200));
+    let full = AdmissionRequest {
+        queued: 1_000,
+        ..CALM
+    };
+    let refusal = admission.check(Instant::now(), &full, &policy).unwrap_err();
+    let delay = refusal.retry_after.unwrap();
+    let drained = 1_000 - usize::try_from(delay.as_millis()).unwrap() * 80 / 200;
+    let after = AdmissionRequest {
+        queued: drained,
+        ..full
+    };
+    assert_eq!(admission.check(Instant::now(), &after, &policy), Ok(()));
+}
+
+/// Guards against a refusal for a lack of time that an emptier queue would not lift.
+#[test]
+fn shorter_queue_never_refuses_more() {
+    fn property(queued: u16, less: u16, tasks: u8, millis: u16) -> bool {
+        let tasks = usize::from(tasks % 200) + 1;
+        let deadline = Duration::from_millis(u64::from(millis) + 1);
+        let long = AdmissionRequest {
+            queued: usize::from(queued),
+            tasks,
+            deadline,
+            ..CALM
+        };
+        let short = AdmissionRequest {
+            queued: usize::from(queued.saturating_sub(less)),
+            ..long
+        };
+        code(&long).is_some() || code(&short).is_none()
+    }
+    seeded().quickcheck(property as fn(u16, u16, u8, u16) -> bool);
+}
