--- /dev/null
+++ b/crates/dispatch/src/agents.rs
@@ -0,0 +1,137 @@
+//! Agents that this entry has links to: their credits and the attempts in flight there.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use chestnutfork_routing::TargetIndex;
+use chestnutfork_types::{Announcement, CreditId, ProcessId};
+use indexmap::IndexMap;
+
+use crate::job::TaskRef;
+
+/// Part of a credit's lifetime during which the entry uses it; the rest covers the way to the agent.
+const USABLE_NUMERATOR: u32 = 3;
+const USABLE_DENOMINATOR: u32 = 4;
+
+/// Dispatch whose end is not known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) task: TaskRef,
+    pub(crate) started: Instant,
+    /// Whether the job still wants the result.
+    pub(crate) wanted: bool,
+    /// Index of the service.
+    pub(crate) service: usize,
+    /// Index of the team.
+    pub(crate) team: usize,
+}
+
+/// Agent known to this entry.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) target: TargetIndex,
+    pub(crate) announcement: Announcement,
+    pub(crate) linked: bool,
+    pub(crate) credits: VecDeque<CreditId>,
+    pub(crate) usable_until: Option<Instant>,
+    pub(crate) ttl: Duration,
+    pub(crate) attempts: IndexMap<CreditId, Attempt>,
+    /// Waiting tasks as last told to the agent.
+    pub(crate) told_demand: u32,
+    pub(crate) told_at: Option<Instant>,
+    /// Results to confirm.
+    pub(crate) acks: Vec<CreditId>,
+    pub(crate) acks_since: Option<Instant>,
+}
+
+impl Agent {
+    pub(crate) fn new(target: TargetIndex, announcement: Announcement) -> Self {
+        Self {
+            target,
+            announcement,
+            linked: true,
+            credits: VecDeque::new(),
+            usable_until: None,
+            ttl: Duration::ZERO,
+            attempts: IndexMap::new(),
+            told_demand: 0,
+            told_at: None,
+            acks: Vec::new(),
+            acks_since: None,
+        }
+    }
+
+    /// Sets the time until which the credits at hand are used.
+    pub(crate) fn renew(&mut self, now: Instant, ttl: Duration) {
+        self.ttl = ttl;
+        self.usable_until = Some(now + ttl * USABLE_NUMERATOR / USABLE_DENOMINATOR);
+    }
+
+    /// Drops all credits if their usable time is over, and reports whether any was dropped.
+    pub(crate) fn expire_credits(&mut self, now: Instant) -> bool {
+        let expired = self.usable_until.is_some_and(|until| until <= now);
+        if expired {
+            self.usable_until = None;
+            let had = !self.credits.is_empty();
+            self.credits.clear();
+            return had;
+        }
+        false
+    }
+
+    pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
+        self.acks.push(credit);
+        self.acks_since.get_or_insert(now);
+    }
+}
+
+/// Table of agents by incarnation.
+#[derive(Debug, Default)]
+pub(crate) struct Agents {
+    by_process: IndexMap<ProcessId, Agent>,
+    by_target: IndexMap<TargetIndex, ProcessId>,
+}
+
+impl Agents {
+    pub(crate) fn get(&self, agent: ProcessId) -> Option<&Agent> {
+        self.by_process.get(&agent)
+    }
+
+    pub(crate) fn get_mut(&mut self, agent: ProcessId) -> Option<&mut Agent> {
+        self.by_process.get_mut(&agent)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ProcessId, &Agent)> {
+        self.by_process.iter().map(|(&process, agent)| (process, agent))
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (ProcessId, &mut Agent)> {
+        self.by_process.iter_mut().map(|(&process, agent)| (process, agent))
+    }
+
+    pub(crate) fn insert(&mut self, process: ProcessId, agent: Agent) {
+        self.by_target.insert(agent.target, process);
+        self.by_process.insert(process, agent);
+    }
+
+    /// Removes an agent; its target keeps a newer incarnation if there is one.
+    pub(crate) fn remove(&mut self, process: ProcessId) -> Option<Agent> {
+        let agent = self.by_process.swap_remove(&process)?;
+        if self.by_target.get(&agent.target) == Some(&process) {
+            self.by_target.swap_remove(&agent.target);
+        }
+        Some(agent)
+    }
+
+    /// Returns the current incarnation of the agent beside a target.
+    pub(crate) fn at_target(&self, target: TargetIndex) -> Option<ProcessId> {
+        self.by_target.get(&target).copied()
+    }
+
+    /// Returns the incarnations of a target, by name, other than the given one.
+    pub(crate) fn others_of(&self, name: &str, except: ProcessId) -> Vec<ProcessId> {
+        let others = self.by_process.iter();
+        let others = others.filter(|(process, agent)| **process != except && agent.announcement.target == name);
+        others.map(|(&process, _)| process).collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/core.rs
@@ -0,0 +1,286 @@
+//! The state machine itself: state, event dispatch and wake-up times.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use chestnutfork_limits::Quotas;
+use chestnutfork_register as register;
+use chestnutfork_register::{Register, View};
+use chestnutfork_routing::Router;
+use chestnutfork_types::{JobId, ProcessId, ServiceName, TeamName};
+use indexmap::{IndexMap, IndexSet};
+
+use crate::agents::Agents;
+use crate::builder::EntryCoreBuilder;
+use crate::event::{Action, Event, PeerMessage, PolicyTable, Ticket};
+use crate::job::{AttemptId, Job};
+use crate::service::Service;
+use crate::waiting::Waiting;
+
+/// Interval at which entries tell each other the tasks in flight by team.
+pub(crate) const USAGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// State machine of an entry.
+#[derive(Debug)]
+pub struct EntryCore {
+    pub(crate) me: ProcessId,
+    pub(crate) register: Register,
+    pub(crate) router: Router,
+    pub(crate) quotas: Quotas,
+    pub(crate) policies_version: u64,
+    pub(crate) services: IndexMap<ServiceName, Service>,
+    pub(crate) teams: IndexSet<TeamName>,
+    pub(crate) agents: Agents,
+    pub(crate) peers: IndexSet<ProcessId>,
+    pub(crate) view: Option<View>,
+    pub(crate) jobs: IndexMap<JobId, Job>,
+    pub(crate) waiting: IndexMap<JobId, Waiting>,
+    pub(crate) tickets: IndexMap<Ticket, JobId>,
+    pub(crate) deadlines: BTreeSet<(Instant, JobId)>,
+    pub(crate) hedges: BTreeSet<(Instant, AttemptId)>,
+    pub(crate) lost_agents: BTreeSet<(Instant, ProcessId)>,
+    pub(crate) confirmed: bool,
+    pub(crate) draining: bool,
+    pub(crate) drained: bool,
+    pub(crate) next_usage: Instant,
+    /// Service that has the first turn when slots are given out.
+    pub(crate) first_service: usize,
+    /// End of a deliberate wait for a faster target.
+    pub(crate) placement_wakeup: Option<Instant>,
+    register_actions: Vec<register::Action>,
+}
+
+impl EntryCore {
+    /// Starts building the core of the entry with the given incarnation.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_dispatch::EntryCore;
+    ///
+    /// let core = EntryCore::builder(7).seed(1).build(Instant::now());
+    /// assert!(core.verify().is_empty());
+    /// ```
+    #[must_use]
+    pub fn builder(me: ProcessId) -> EntryCoreBuilder {
+        EntryCoreBuilder::new(me)
+    }
+
+    pub(crate) fn from_builder(builder: EntryCoreBuilder, now: Instant) -> Self {
+        let register = Register::builder(builder.me)
+            .retention(builder.retention)
+            .max_records(builder.max_records)
+            .build();
+        Self {
+            me: builder.me,
+            register,
+            router: Router::new(builder.seed),
+            quotas: Quotas::new(),
+            policies_version: 0,
+            services: IndexMap::new(),
+            teams: IndexSet::new(),
+            agents: Agents::default(),
+            peers: IndexSet::new(),
+            view: None,
+            jobs: IndexMap::new(),
+            waiting: IndexMap::new(),
+            tickets: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            hedges: BTreeSet::new(),
+            lost_agents: BTreeSet::new(),
+            confirmed: false,
+            draining: false,
+            drained: false,
+            next_usage: now,
+            first_service: 0,
+            placement_wakeup: None,
+            register_actions: Vec::new(),
+        }
+    }
+
+    /// Handles one event and appends the resulting actions, which must be carried out in order.
+    ///
+    /// `wall` is the time since the Unix epoch; it is compared only with the time part of job ids.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_dispatch::{Action, EntryCore, Event};
+    ///
+    /// let now = Instant::now();
+    /// let mut core = EntryCore::builder(7).build(now);
+    /// let mut actions = Vec::new();
+    /// core.handle(now, Duration::from_secs(1), Event::Drain, &mut actions);
+    /// assert_eq!(actions, [Action::Drained]);
+    /// ```
+    pub fn handle(&mut self, now: Instant, wall: Duration, event: Event, actions: &mut Vec<Action>) {
+        self.apply(now, wall, event, actions);
+        self.pump(now, actions);
+        self.report_drained(actions);
+        debug_assert!(self.verify().is_empty(), "{:?}", self.verify());
+    }
+
+    fn apply(&mut self, now: Instant, wall: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Submit { ticket, job, fresh_id } => self.submit(now, wall, ticket, job, fresh_id, actions),
+            Event::Abandon { ticket } => self.abandon(ticket),
+            Event::Cancel { ticket, job, team } => self.cancel(now, wall, ticket, job, &team, actions),
+            Event::AgentUp { agent } => self.agent_up(agent, actions),
+            Event::AgentMessage { agent, message } => self.agent_message(now, wall, agent, message, actions),
+            Event::AgentDown { agent } => self.agent_down(now, agent),
+            Event::PeerUp { peer } => self.peer_up(peer, actions),
+            Event::PeerMessage { peer, message } => self.peer_message(now, wall, peer, message, actions),
+            Event::PeerDown { peer } => self.peer_down(now, wall, peer, actions),
+            Event::ViewInstalled(view) => self.install_view(now, wall, view, actions),
+            Event::Policies(table) => self.install_policies(now, wall, table, actions),
+            Event::Confirmed(confirmed) => self.confirmed = confirmed,
+            Event::Drain => self.draining = true,
+            Event::Tick => self.tick(now, wall, actions),
+        }
+    }
+
+    /// Returns the time of the next [`Event::Tick`], if one is needed.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        [
+            self.register.next_wakeup(),
+            self.router.next_wakeup(),
+            self.placement_wakeup,
+            self.deadlines.first().map(|&(at, _)| at),
+            self.hedges.first().map(|&(at, _)| at),
+            self.lost_agents.first().map(|&(at, _)| at),
+            self.agents_wakeup(),
+            (!self.peers.is_empty()).then_some(self.next_usage),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Feeds the register and carries out its actions.
+    pub(crate) fn drive_register(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        event: register::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut pending = std::mem::take(&mut self.register_actions);
+        self.register.handle(now, wall, event, &mut pending);
+        for action in pending.drain(..) {
+            self.register_action(now, wall, action, actions);
+        }
+        self.register_actions = pending;
+    }
+
+    fn register_action(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        action: register::Action,
+        actions: &mut Vec<Action>,
+    ) {
+        match action {
+            register::Action::Send { peer, message } => {
+                actions.push(Action::ToPeer { peer, message: PeerMessage::Register(message) });
+            }
+            register::Action::Claimed { job } => self.claimed(now, job),
+            register::Action::Known { job, owner } => self.known(now, wall, job, owner, actions),
+            register::Action::Unknown { job } => self.proved_unknown(job, actions),
+            register::Action::Answered { job, answer } => self.answered(job, &answer, actions),
+            register::Action::Recorded { job, answer } => self.recorded(job, &answer, actions),
+            register::Action::Refused { job, refusal } => self.register_refused(job, &refusal, actions),
+            register::Action::Synced { view } => actions.push(Action::Synced { view }),
+        }
+    }
+
+    fn peer_up(&mut self, peer: ProcessId, actions: &mut Vec<Action>) {
+        self.peers.insert(peer);
+        self.rejoin(peer, actions);
+    }
+
+    fn peer_down(&mut self, now: Instant, wall: Duration, peer: ProcessId, actions: &mut Vec<Action>) {
+        self.peers.swap_remove(&peer);
+        self.drive_register(now, wall, register::Event::PeerDown { peer }, actions);
+    }
+
+    fn peer_message(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        peer: ProcessId,
+        message: PeerMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            PeerMessage::Register(message) => {
+                self.drive_register(now, wall, register::Event::FromPeer { peer, message }, actions);
+            }
+            PeerMessage::Join { job, digest } => self.join_request(peer, job, digest, actions),
+            PeerMessage::Joined { job, result } => self.joined(peer, job, result, actions),
+            PeerMessage::NotOwner { job } => self.not_owner(now, wall, peer, job, actions),
+            PeerMessage::Cancel { job, team } => self.cancel_owned(now, wall, job, &team, actions),
+            PeerMessage::Usage(usage) => {
+                let usage: Vec<_> = usage.into_iter().map(|usage| (usage.team, usage.in_flight)).collect();
+                self.quotas.on_peer_usage(peer, &usage, now);
+            }
+        }
+    }
+
+    fn install_view(&mut self, now: Instant, wall: Duration, view: View, actions: &mut Vec<Action>) {
+        if self.view.as_ref().is_some_and(|current| current.number >= view.number) {
+            return;
+        }
+        if let Some(former) = &self.view {
+            for &peer in former.members.iter().filter(|peer| !view.members.contains(peer)) {
+                self.quotas.peer_gone(peer);
+            }
+        }
+        let entries = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
+        self.quotas.set_entries(entries.max(1));
+        self.view = Some(view.clone());
+        self.drive_register(now, wall, register::Event::ViewInstalled(view), actions);
+        self.replace_lost_owners(now, wall, actions);
+    }
+
+    fn install_policies(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        table: PolicyTable,
+        actions: &mut Vec<Action>,
+    ) {
+        if table.version < self.policies_version {
+            return;
+        }
+        self.policies_version = table.version;
+        for service in self.services.values_mut() {
+            service.active = false;
+        }
+        for (name, policy) in table.services {
+            match self.services.get_mut(&name) {
+                Some(service) => service.update(policy),
+                None => drop(self.services.insert(name, Service::new(policy))),
+            }
+        }
+        let known: Vec<_> = self.teams.iter().cloned().collect();
+        for team in known {
+            let quota = table.quotas.iter().find(|quota| quota.team == team).map_or(0, |quota| quota.quota);
+            self.quotas.set_quota(&team, quota);
+        }
+        for quota in table.quotas {
+            self.quotas.set_quota(&quota.team, quota.quota);
+            self.teams.insert(quota.team);
+        }
+        self.drop_removed_services(now, wall, actions);
+    }
+
+    fn report_drained(&mut self, actions: &mut Vec<Action>) {
+        if self.draining && !self.drained && self.jobs.is_empty() && self.waiting.is_empty() {
+            self.drained = true;
+            actions.push(Action::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/finish.rs
@@ -0,0 +1,257 @@
+//! Ends of jobs: answers, refusals, cancellations and deadlines.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_register as register;
+use chestnutfork_types::{Answer, JobId, Refusal, RefusalCode, TaskIndex, TaskStatus};
+
+use crate::core::EntryCore;
+use crate::event::{Action, JobResult, PeerMessage, Ticket};
+use crate::job::{Job, Phase, TaskRef};
+
+/// Time behind the deadline for which a whole answer may wait for a majority of the register.
+const RECORD_GRACE: Duration = Duration::from_secs(2);
+
+impl EntryCore {
+    /// Builds the answer of a job whose tasks all have a final status.
+    pub(crate) fn finish(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.phase == Phase::Running) else {
+            return;
+        };
+        let statuses = job.tasks.iter().map(|task| task.status.clone().expect("all tasks are final"));
+        let answer = Answer::new(id, statuses.collect());
+        debug_assert_eq!(answer.verify(job.tasks.len()), Ok(()));
+        let (registered, at_most_once) = (job.registered, job.spec.at_most_once);
+        if registered && at_most_once {
+            job.phase = Phase::Recording;
+            self.deadlines.remove(&(job.deadline, id));
+            job.deadline = job.deadline.max(now) + RECORD_GRACE;
+            self.deadlines.insert((job.deadline, id));
+        } else {
+            self.reply_job(id, &Ok(answer.clone()), actions);
+        }
+        if registered {
+            self.drive_register(now, wall, register::Event::RecordAnswer { job: id, answer }, actions);
+        }
+    }
+
+    /// Removes a job from the table and its deadline from the timers.
+    pub(crate) fn remove_job(&mut self, id: JobId) -> Option<Job> {
+        let job = self.jobs.swap_remove(&id)?;
+        self.deadlines.remove(&(job.deadline, id));
+        if job.phase == Phase::Claiming {
+            if let Some(service) = self.services.get_mut(job.service()) {
+                service.claiming -= job.tasks.len();
+            }
+        }
+        Some(job)
+    }
+
+    /// Answers all callers of an owned job and forgets it.
+    pub(crate) fn reply_job(&mut self, id: JobId, result: &JobResult, actions: &mut Vec<Action>) {
+        let Some(job) = self.remove_job(id) else {
+            return;
+        };
+        for peer in job.joiners {
+            let message = PeerMessage::Joined { job: id, result: result.clone() };
+            actions.push(Action::ToPeer { peer, message });
+        }
+        self.reply_all(job.tickets, result, actions);
+    }
+
+    pub(crate) fn reply_all(&mut self, tickets: Vec<Ticket>, result: &JobResult, actions: &mut Vec<Action>) {
+        for ticket in tickets {
+            self.tickets.swap_remove(&ticket);
+            actions.push(Action::Reply { ticket, result: result.clone() });
+        }
+    }
+
+    /// Ends whatever waits for the given job at its deadline.
+    pub(crate) fn deadline_passed(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.waiting_expired(id, actions);
+            return;
+        };
+        match job.phase {
+            Phase::Claiming => {
+                let message = "no majority of the entries has answered before the deadline; submit the same job \
+                               again to learn its outcome";
+                self.reply_job(id, &Err(Refusal::unknown(RefusalCode::NoQuorum, message)), actions);
+            }
+            Phase::Running => self.settle_rest(now, wall, id, "the deadline passed", actions),
+            Phase::Recording => {
+                let message = "the answer could not be confirmed by a majority of the entries; submit the same \
+                               job again to learn its outcome";
+                self.reply_job(id, &Err(Refusal::unknown(RefusalCode::NoQuorum, message)), actions);
+            }
+        }
+    }
+
+    /// Gives every unfinished task of a running job the status that can be proved now.
+    fn settle_rest(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        reason: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let open: Vec<_> = job
+            .spec
+            .indexes()
+            .filter(|&index| job.tasks[usize::from(index)].status.is_none())
+            .map(|index| (index, self.status_now(job, index, reason)))
+            .collect();
+        self.stop_tasks(id, actions);
+        for (task, status) in open {
+            self.settle(now, wall, TaskRef { job: id, task }, status, actions);
+        }
+    }
+
+    /// Returns the status of an unfinished task if it ended now.
+    fn status_now(&self, job: &Job, index: TaskIndex, reason: &str) -> TaskStatus {
+        let task = &job.tasks[usize::from(index)];
+        if !task.live.is_empty() {
+            return TaskStatus::MayHaveRun { reason: reason.to_owned() };
+        }
+        task.fallback.clone().unwrap_or_else(|| TaskStatus::NotRun { reason: reason.to_owned() })
+    }
+
+    pub(crate) fn cancel(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        ticket: Ticket,
+        id: JobId,
+        team: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            if job.spec.team != team {
+                actions.push(Action::Reply { ticket, result: Err(unknown_job()) });
+                return;
+            }
+            job.tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+            self.cancel_owned(now, wall, id, team, actions);
+            return;
+        }
+        if let Some(waiting) = self.waiting.get_mut(&id).filter(|waiting| waiting.spec.team == team) {
+            waiting.tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+            for &peer in &self.peers {
+                let message = PeerMessage::Cancel { job: id, team: team.to_owned() };
+                actions.push(Action::ToPeer { peer, message });
+            }
+            return;
+        }
+        // The owner is not known here; every other entry is asked, and the caller learns the outcome by resubmission.
+        for &peer in &self.peers {
+            let message = PeerMessage::Cancel { job: id, team: team.to_owned() };
+            actions.push(Action::ToPeer { peer, message });
+        }
+        actions.push(Action::Reply { ticket, result: Err(unknown_job()) });
+    }
+
+    /// Cancels a job that this entry owns.
+    pub(crate) fn cancel_owned(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        team: &str,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.spec.team == team) else {
+            return;
+        };
+        if job.phase == Phase::Recording || job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        if job.phase == Phase::Claiming {
+            // Without a majority it is not known whether an earlier submission ran.
+            self.drive_register(now, wall, register::Event::Release { job: id }, actions);
+            let message = "the job was cancelled before it was claimed";
+            self.reply_job(id, &Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message)), actions);
+            return;
+        }
+        self.settle_queued(now, wall, id, actions);
+    }
+
+    /// Ends the queued tasks of a cancelled job and stops the running ones, which report their own end.
+    fn settle_queued(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let reason = "the job was cancelled";
+        let mut idle = Vec::new();
+        let mut running = Vec::new();
+        for index in job.spec.indexes() {
+            let task = &job.tasks[usize::from(index)];
+            if task.status.is_some() {
+                continue;
+            }
+            if task.live.is_empty() {
+                idle.push((index, self.status_now(job, index, reason)));
+            } else {
+                running.extend(task.live.iter().copied());
+            }
+        }
+        for attempt in running {
+            if self.agents.get(attempt.agent).is_some_and(|agent| agent.linked) {
+                let message = chestnutfork_types::EntryToAgent::Cancel { credit: attempt.credit };
+                actions.push(Action::ToAgent { agent: attempt.agent, message });
+            }
+        }
+        for (task, status) in idle {
+            self.settle(now, wall, TaskRef { job: id, task }, status, actions);
+        }
+    }
+
+    /// Ends the jobs of services that are no longer configured.
+    pub(crate) fn drop_removed_services(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
+        let removed: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.phase == Phase::Running)
+            .filter(|(_, job)| self.services.get(job.service()).is_none_or(|service| !service.active))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in removed {
+            // Running tasks finish; queued ones are not started under a configuration without their service.
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.cancelled = true;
+            }
+            self.settle_queued_only(now, wall, id, actions);
+        }
+    }
+
+    fn settle_queued_only(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let reason = "the service was removed from the configuration";
+        let idle: Vec<_> = job
+            .spec
+            .indexes()
+            .filter(|&index| {
+                let task = &job.tasks[usize::from(index)];
+                task.status.is_none() && task.live.is_empty()
+            })
+            .map(|index| (index, self.status_now(job, index, reason)))
+            .collect();
+        for (task, status) in idle {
+            self.settle(now, wall, TaskRef { job: id, task }, status, actions);
+        }
+    }
+}
+
+fn unknown_job() -> Refusal {
+    let message = "this entry does not run the job; the cancellation was passed on, submit the same job again to \
+                   learn its outcome";
+    Refusal::unknown(RefusalCode::OutcomeUnknown, message)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,25 @@
-//! Entry core: jobs, their queues, dispatches and answers.
+//! Entry core: owns jobs, dispatches their tasks and assembles their answers.
+//!
+//! The core is a state machine without sockets and without a clock. It composes the job register, routing and limits.
+//! The entry role feeds it events and carries out its actions; tests and randomised runs do the same with fakes.
+
+mod agents;
+mod attempts;
+mod builder;
+mod core;
+mod event;
+mod finish;
+mod job;
+mod pump;
+mod service;
+mod status;
+mod submit;
+mod timers;
+mod verify;
+mod waiting;
+
+pub use builder::EntryCoreBuilder;
+pub use core::EntryCore;
+pub use event::{Action, Event, JobResult, PeerMessage, PolicyTable, TeamQuota, TeamUsage, Ticket};
+pub use status::{EntryStatus, ServiceStatus, TargetStatus};
+pub use verify::Violation;
--- /dev/null
+++ b/crates/dispatch/src/pump.rs
@@ -0,0 +1,186 @@
+//! Binds queued tasks to targets with a free credit, and tells agents about unmet demand.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_routing::{Choice, PlacementRequest, TargetIndex};
+use chestnutfork_types::{Dispatch, EntryToAgent, PoolName, ProcessId};
+use indexmap::IndexMap;
+
+use crate::agents::Attempt;
+use crate::core::EntryCore;
+use crate::event::Action;
+use crate::job::{AttemptId, QueuedTask};
+
+/// Shortest time between two demand messages to an agent, unless demand starts or ends.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(5);
+/// Results that are confirmed together at the latest.
+const ACK_BATCH: usize = 32;
+
+/// Outcome of one attempt to place the next task of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Placed,
+    Blocked,
+}
+
+impl EntryCore {
+    /// Dispatches as many tasks as there are usable credits.
+    pub(crate) fn pump(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.placement_wakeup = None;
+        let count = self.services.len();
+        let mut blocked = vec![false; count];
+        // Services take turns, so that one with a long queue cannot keep a shared pool to itself.
+        while blocked.iter().any(|blocked| !blocked) {
+            for offset in 0..count {
+                let index = (self.first_service + offset) % count;
+                if !blocked[index] {
+                    blocked[index] = self.place_next(now, index, actions) == Step::Blocked;
+                }
+            }
+            self.first_service = (self.first_service + 1) % count.max(1);
+        }
+        self.tell_demand(now, actions);
+        self.flush_acks(now, actions);
+    }
+
+    fn place_next(&mut self, now: Instant, index: usize, actions: &mut Vec<Action>) -> Step {
+        let Self { services, quotas, router, jobs, .. } = self;
+        let (name, service) = services.get_index_mut(index).expect("the index is below the count");
+        if service.queue.is_empty() || service.in_flight >= service.policy.max_in_flight {
+            return Step::Blocked;
+        }
+        let allow = |team: &str| quotas.in_flight(team) < quotas.allowance(team);
+        let Some(&queued) = service.queue.peek_allowed(allow) else {
+            return Step::Blocked;
+        };
+        let job = &jobs[&queued.id.job];
+        let task = &job.tasks[usize::from(queued.id.task)];
+        let spec = &job.spec.tasks[usize::from(queued.id.task)];
+        let mut request = PlacementRequest {
+            service: name,
+            declared: spec.declared,
+            deadline: job.deadline,
+            remaining_tasks: u32::try_from(job.unfinished).unwrap_or(u32::MAX),
+            exclude: &task.avoid,
+        };
+        let mut choice = router.choose(now, &request, &service.policy);
+        if choice == Choice::NoTarget && !task.avoid.is_empty() && !queued.hedge {
+            request.exclude = &[];
+            choice = router.choose(now, &request, &service.policy);
+        }
+        match choice {
+            Choice::Use(target) => {
+                let popped = service.queue.pop_allowed(allow).expect("the queue has an allowed task");
+                debug_assert_eq!(popped.item, queued);
+                self.dispatch(now, index, queued, target, actions);
+                Step::Placed
+            }
+            Choice::Wait { until } => {
+                if let Some(until) = until.filter(|&until| until > now) {
+                    let earliest = self.placement_wakeup.map_or(until, |at| at.min(until));
+                    self.placement_wakeup = Some(earliest);
+                }
+                Step::Blocked
+            }
+            Choice::NoTarget => Step::Blocked,
+        }
+    }
+
+    /// Sends one task to the agent beside the target and spends a credit on it.
+    fn dispatch(
+        &mut self,
+        now: Instant,
+        service_index: usize,
+        queued: QueuedTask,
+        target: TargetIndex,
+        actions: &mut Vec<Action>,
+    ) {
+        let agent_id = self.agents.at_target(target).expect("the router chose a target with an agent");
+        let agent = self.agents.get_mut(agent_id).expect("the agent is in the table");
+        let credit = agent.credits.pop_back().expect("the router chose a target with a credit");
+        self.router.set_credits(target, count(agent.credits.len()));
+        let job = self.jobs.get_mut(&queued.id.job).expect("queued tasks belong to a job");
+        let attempt = AttemptId { agent: agent_id, credit };
+        let (service_name, service) =
+            self.services.get_index_mut(service_index).expect("the index is below the count");
+        let team = self.teams.get_index_of(&job.spec.team).unwrap_or_else(|| {
+            let (index, _) = self.teams.insert_full(job.spec.team.clone());
+            index
+        });
+        agent.attempts.insert(
+            credit,
+            Attempt { task: queued.id, started: now, wanted: true, service: service_index, team },
+        );
+        let acquired = self.quotas.try_acquire(&job.spec.team);
+        debug_assert!(acquired, "the team was allowed one more task");
+        service.in_flight += 1;
+        let task = &mut job.tasks[usize::from(queued.id.task)];
+        task.queued -= 1;
+        task.live.push(attempt);
+        task.attempts += 1;
+        if task.attempts == 1 {
+            service.budget.on_start();
+        }
+        self.router.on_start(now, target, service_name);
+        if !job.spec.at_most_once && !queued.hedge && service.policy.hedge.enabled {
+            if let Some(after) = self.router.hedge_after(service_name, target, &service.policy) {
+                self.hedges.insert((now + after, attempt));
+            }
+        }
+        let dispatch = Dispatch {
+            credit,
+            job: queued.id.job,
+            task: queued.id.task,
+            service: service_name.clone(),
+            remaining: job.deadline.saturating_duration_since(now),
+            payload: job.spec.tasks[usize::from(queued.id.task)].payload.clone(),
+        };
+        actions.push(Action::ToAgent { agent: agent_id, message: EntryToAgent::Dispatch(dispatch) });
+    }
+
+    /// Tells agents how many tasks of their pool wait, when that starts, ends, or changes by half.
+    fn tell_demand(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut waiting: IndexMap<&PoolName, u32> = IndexMap::new();
+        for service in self.services.values() {
+            *waiting.entry(&service.policy.pool).or_default() += count(service.queue.len());
+        }
+        for (process, agent) in self.agents.iter_mut().filter(|(_, agent)| agent.linked) {
+            let demand = waiting.get(&agent.announcement.pool).copied().unwrap_or(0);
+            let told = agent.told_demand;
+            let edge = (demand == 0) != (told == 0);
+            let changed = demand > told.saturating_mul(2) || demand < told / 2;
+            let due = agent.told_at.is_none_or(|at| now >= at + DEMAND_INTERVAL);
+            if edge || (changed && due) {
+                agent.told_demand = demand;
+                agent.told_at = Some(now);
+                let message = EntryToAgent::Demand { waiting: demand };
+                actions.push(Action::ToAgent { agent: process, message });
+            }
+        }
+    }
+
+    /// Confirms results in batches, so that agents can forget them.
+    fn flush_acks(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for (process, agent) in self.agents.iter_mut() {
+            let due = agent.acks_due().is_some_and(|due| due <= now);
+            if agent.linked && (due || agent.acks.len() >= ACK_BATCH) {
+                let credits = std::mem::take(&mut agent.acks);
+                agent.acks_since = None;
+                let message = EntryToAgent::Ack { credits };
+                actions.push(Action::ToAgent { agent: process, message });
+            }
+        }
+    }
+
+    /// Updates the number of usable credits of an agent's target.
+    pub(crate) fn sync_credits(&mut self, agent: ProcessId) {
+        if let Some(agent) = self.agents.get(agent) {
+            self.router.set_credits(agent.target, count(agent.credits.len()));
+        }
+    }
+}
+
+/// Converts a length to the counter type of messages.
+pub(crate) fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/dispatch/src/service.rs
@@ -0,0 +1,39 @@
+//! State of one service at this entry.
+
+use chestnutfork_limits::{Admission, FairQueue};
+use chestnutfork_routing::RetryBudget;
+use chestnutfork_types::ServicePolicy;
+
+use crate::job::QueuedTask;
+
+/// Service with its queue and its learned state.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) policy: ServicePolicy,
+    /// Whether the service is in the configuration in force.
+    pub(crate) active: bool,
+    pub(crate) queue: FairQueue<QueuedTask>,
+    pub(crate) admission: Admission,
+    pub(crate) budget: RetryBudget,
+    /// Tasks admitted but waiting for a claim; they count towards the queue limit.
+    pub(crate) claiming: usize,
+    /// Attempts without a known end.
+    pub(crate) in_flight: u32,
+}
+
+impl Service {
+    pub(crate) fn new(policy: ServicePolicy) -> Self {
+        // Admission enforces the limit before a job is claimed; a claimed job must never find the queue full.
+        let queue = FairQueue::new(usize::MAX);
+        let budget = RetryBudget::new(policy.retry.budget);
+        Self { policy, active: true, queue, admission: Admission::new(), budget, claiming: 0, in_flight: 0 }
+    }
+
+    pub(crate) fn update(&mut self, policy: ServicePolicy) {
+        if (policy.retry.budget - self.policy.retry.budget).abs() > f64::EPSILON {
+            self.budget = RetryBudget::new(policy.retry.budget);
+        }
+        self.policy = policy;
+        self.active = true;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/submit.rs
@@ -0,0 +1,426 @@
+//! Submissions: admission, claims, joins and takeovers.
+
+use std::hash::{Hash, Hasher};
+use std::time::{Duration, Instant};
+
+use chestnutfork_limits::AdmissionRequest;
+use chestnutfork_register as register;
+use chestnutfork_types::{
+    Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, Unconfirmed,
+};
+use siphasher::sip::SipHasher13;
+
+use crate::core::EntryCore;
+use crate::event::{Action, JobResult, PeerMessage, Ticket};
+use crate::job::{Job, Phase, QueuedTask, TaskRef};
+use crate::waiting::{WaitFor, Waiting};
+
+/// Time that callers keep waiting behind the deadline for another entry or the register.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
+/// Returns a digest of what a resubmission must have in common with the first submission.
+fn digest(job: &JobSpec) -> u64 {
+    let mut hasher = SipHasher13::new();
+    job.service.hash(&mut hasher);
+    job.team.hash(&mut hasher);
+    for task in &job.tasks {
+        task.payload.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+fn id_reused() -> Refusal {
+    let message = "the job id was used before with another content; use a new id for a new job";
+    Refusal::unknown(RefusalCode::IdReused, message)
+}
+
+impl EntryCore {
+    pub(crate) fn submit(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        ticket: Ticket,
+        job: JobSpec,
+        fresh_id: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let digest = digest(&job);
+        if self.attach(ticket, job.id, digest, actions) {
+            return;
+        }
+        match self.admit(now, &job) {
+            Ok(()) => self.own(now, wall, vec![ticket], job, digest, fresh_id, actions),
+            Err(refusal) if fresh_id => actions.push(Action::Reply { ticket, result: Err(refusal) }),
+            Err(refusal) => self.prove_not_run(now, wall, ticket, job, digest, refusal, actions),
+        }
+    }
+
+    /// Adds a caller to a job that is in progress at this entry, and reports whether there is one.
+    fn attach(&mut self, ticket: Ticket, id: JobId, digest: u64, actions: &mut Vec<Action>) -> bool {
+        let (known, tickets) = if let Some(job) = self.jobs.get_mut(&id) {
+            (job.digest, &mut job.tickets)
+        } else if let Some(waiting) = self.waiting.get_mut(&id) {
+            (waiting.digest, &mut waiting.tickets)
+        } else {
+            return false;
+        };
+        if known == digest {
+            tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+        } else {
+            actions.push(Action::Reply { ticket, result: Err(id_reused()) });
+        }
+        true
+    }
+
+    fn admit(&self, now: Instant, job: &JobSpec) -> Result<(), Refusal> {
+        if self.draining {
+            let message = "this entry is shutting down; submit to another entry";
+            return Err(Refusal::not_run(RefusalCode::Draining, message).retry_after(Duration::ZERO));
+        }
+        let Some(service) = self.services.get(&job.service).filter(|service| service.active) else {
+            let message = format!("service `{}` is not configured; check the name in the URL", job.service);
+            return Err(Refusal::not_run(RefusalCode::UnknownService, message));
+        };
+        let policy = &service.policy;
+        if !self.confirmed && policy.unconfirmed == Unconfirmed::Refuse {
+            let message = "the configuration is not confirmed by control; try another entry";
+            return Err(Refusal::not_run(RefusalCode::Unconfirmed, message)
+                .retry_after(Duration::from_millis(500)));
+        }
+        if self.router.pool_targets(&policy.pool) == 0 {
+            let message = format!("no target of pool `{}` is announced; start one", policy.pool);
+            return Err(Refusal::not_run(RefusalCode::CanNeverRun, message).retry_after(Duration::from_secs(1)));
+        }
+        let request = AdmissionRequest {
+            tasks: job.tasks.len(),
+            declared: job.tasks.iter().filter_map(|task| task.declared).max(),
+            deadline: job.deadline,
+            queued: service.queue.len() + service.claiming,
+            team_queued: service.queue.team_len(&job.team),
+            active_teams: service.queue.active_teams(),
+            team_allowance: self.quotas.allowance(&job.team),
+            slots: self.router.pool_slots(&policy.pool),
+            fastest_speed: 1.0,
+        };
+        service.admission.check(now, &request, policy)
+    }
+
+    /// Looks the job up before a refusal, because an earlier submission of it may have run.
+    #[expect(clippy::too_many_arguments, reason = "one argument for each part of a submission")]
+    fn prove_not_run(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        ticket: Ticket,
+        job: JobSpec,
+        digest: u64,
+        refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = job.id;
+        self.wait(now, vec![ticket], job, digest, WaitFor::Lookup(refusal));
+        self.drive_register(now, wall, register::Event::Lookup { job: id, digest }, actions);
+    }
+
+    fn wait(&mut self, now: Instant, tickets: Vec<Ticket>, spec: JobSpec, digest: u64, state: WaitFor) {
+        let id = spec.id;
+        for &ticket in &tickets {
+            self.tickets.insert(ticket, id);
+        }
+        let deadline = now + spec.deadline + ANSWER_GRACE;
+        self.deadlines.insert((deadline, id));
+        self.waiting.insert(id, Waiting { spec, digest, deadline, tickets, state });
+    }
+
+    fn stop_waiting(&mut self, id: JobId) -> Option<Waiting> {
+        let waiting = self.waiting.swap_remove(&id)?;
+        self.deadlines.remove(&(waiting.deadline, id));
+        Some(waiting)
+    }
+
+    /// Takes a job as its owner.
+    #[expect(clippy::too_many_arguments, reason = "one argument for each part of a submission")]
+    fn own(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        tickets: Vec<Ticket>,
+        spec: JobSpec,
+        digest: u64,
+        fresh_id: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let (id, tasks, at_most_once) = (spec.id, spec.tasks.len(), spec.at_most_once);
+        let deadline = now + spec.deadline;
+        for &ticket in &tickets {
+            self.tickets.insert(ticket, id);
+        }
+        if let Some(service) = self.services.get_mut(&spec.service) {
+            service.claiming += tasks;
+        }
+        let mut job = Job::new(spec, digest, deadline);
+        job.tickets = tickets;
+        job.registered = !fresh_id;
+        self.deadlines.insert((deadline, id));
+        self.jobs.insert(id, job);
+        // Nobody else knows an id that this entry has made, so it needs no claim.
+        if fresh_id || !at_most_once {
+            self.claimed(now, id);
+        }
+        if !fresh_id {
+            self.drive_register(now, wall, register::Event::Claim { job: id, digest, at_most_once }, actions);
+        }
+    }
+
+    /// Queues the tasks of a job that this entry may run.
+    pub(crate) fn claimed(&mut self, _now: Instant, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.phase == Phase::Claiming) else {
+            return;
+        };
+        job.phase = Phase::Running;
+        let Some(service) = self.services.get_mut(&job.spec.service) else {
+            return;
+        };
+        service.claiming -= job.tasks.len();
+        for index in job.spec.indexes() {
+            job.tasks[usize::from(index)].queued += 1;
+            let task = QueuedTask { id: TaskRef { job: id, task: index }, hedge: false };
+            let pushed = service.queue.push(&job.spec.team, job.deadline, task);
+            debug_assert!(pushed.is_ok(), "the queue has no limit of its own");
+        }
+    }
+
+    /// Turns a submission into a wait for the entry that owns the job.
+    pub(crate) fn known(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        owner: ProcessId,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.jobs.get(&id) {
+            let (phase, at_most_once) = (job.phase, job.spec.at_most_once);
+            match phase {
+                Phase::Claiming => self.disown(now, id, owner),
+                // Another entry runs the same idempotent job; one of them is enough.
+                Phase::Running if !at_most_once && self.peers.contains(&owner) => {
+                    self.stop_tasks(id, actions);
+                    self.disown(now, id, owner);
+                }
+                Phase::Running | Phase::Recording => return,
+            }
+        } else if let Some(waiting) = self.waiting.get_mut(&id) {
+            waiting.state = WaitFor::Owner(owner);
+        } else {
+            return;
+        }
+        self.follow_owner(now, wall, id, owner, actions);
+    }
+
+    /// Gives up an owned job of which nothing runs, and waits for the given owner in its place.
+    fn disown(&mut self, now: Instant, id: JobId, owner: ProcessId) {
+        let Some(job) = self.remove_job(id) else {
+            return;
+        };
+        let Job { spec, digest, tickets, joiners, .. } = job;
+        debug_assert!(joiners.is_empty() || !spec.at_most_once, "entries joined a job without an owner");
+        self.wait(now, tickets, spec, digest, WaitFor::Owner(owner));
+    }
+
+    /// Asks the owner for its answer, or replaces it if it is gone.
+    fn follow_owner(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        owner: ProcessId,
+        actions: &mut Vec<Action>,
+    ) {
+        let in_view = self.view.as_ref().is_some_and(|view| view.members.contains(&owner));
+        if owner != self.me && in_view {
+            let Some(waiting) = self.waiting.get(&id) else {
+                return;
+            };
+            let message = PeerMessage::Join { job: id, digest: waiting.digest };
+            actions.push(Action::ToPeer { peer: owner, message });
+        } else {
+            self.replace_owner(now, wall, id, actions);
+        }
+    }
+
+    /// Answers a job whose owner is gone: an idempotent one is run again, any other ends with the register's answer.
+    fn replace_owner(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.get_mut(&id) else {
+            return;
+        };
+        if waiting.spec.at_most_once {
+            waiting.state = WaitFor::Takeover;
+            let tasks = waiting.spec.tasks.len();
+            let digest = waiting.digest;
+            self.drive_register(now, wall, register::Event::TakeOver { job: id, digest, tasks }, actions);
+            return;
+        }
+        let Some(Waiting { spec, digest, deadline, tickets, .. }) = self.stop_waiting(id) else {
+            return;
+        };
+        let left = deadline.saturating_duration_since(now).saturating_sub(ANSWER_GRACE);
+        let spec = JobSpec { deadline: left, ..spec };
+        // The register already holds a claim, so the new run needs none; its answer is not replicated.
+        match self.admit(now, &spec) {
+            Ok(()) => self.own(now, wall, tickets, spec, digest, true, actions),
+            Err(refusal) => {
+                let refusal = Refusal::unknown(refusal.code, refusal.message);
+                self.reply_all(tickets, &Err(refusal), actions);
+            }
+        }
+    }
+
+    /// Replaces the owners that are not in the new view.
+    pub(crate) fn replace_lost_owners(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
+        let Some(view) = &self.view else {
+            return;
+        };
+        let lost: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| {
+                matches!(waiting.state, WaitFor::Owner(owner) if !view.members.contains(&owner))
+            })
+            .map(|(&id, _)| id)
+            .collect();
+        for id in lost {
+            self.replace_owner(now, wall, id, actions);
+        }
+    }
+
+    /// Repeats the joins at an owner whose link is back.
+    pub(crate) fn rejoin(&mut self, peer: ProcessId, actions: &mut Vec<Action>) {
+        for (&job, waiting) in &self.waiting {
+            if waiting.state == WaitFor::Owner(peer) {
+                let message = PeerMessage::Join { job, digest: waiting.digest };
+                actions.push(Action::ToPeer { peer, message });
+            }
+        }
+    }
+
+    pub(crate) fn join_request(
+        &mut self,
+        peer: ProcessId,
+        id: JobId,
+        digest: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            if job.digest == digest {
+                if !job.joiners.contains(&peer) {
+                    job.joiners.push(peer);
+                }
+                return;
+            }
+            let message = PeerMessage::Joined { job: id, result: Err(id_reused()) };
+            actions.push(Action::ToPeer { peer, message });
+            return;
+        }
+        let message = match self.register.answer(id) {
+            Some(answer) => PeerMessage::Joined { job: id, result: Ok(answer.clone()) },
+            None => PeerMessage::NotOwner { job: id },
+        };
+        actions.push(Action::ToPeer { peer, message });
+    }
+
+    pub(crate) fn joined(
+        &mut self,
+        peer: ProcessId,
+        id: JobId,
+        result: JobResult,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.waiting.get(&id).is_some_and(|waiting| waiting.state == WaitFor::Owner(peer)) {
+            self.answer_waiting(id, &result, actions);
+        }
+    }
+
+    pub(crate) fn not_owner(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        peer: ProcessId,
+        id: JobId,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.waiting.get(&id).is_some_and(|waiting| waiting.state == WaitFor::Owner(peer)) {
+            self.replace_owner(now, wall, id, actions);
+        }
+    }
+
+    /// Handles the proof that no entry has run the job.
+    pub(crate) fn proved_unknown(&mut self, id: JobId, actions: &mut Vec<Action>) {
+        let refusal = match self.waiting.get(&id).map(|waiting| &waiting.state) {
+            Some(WaitFor::Lookup(refusal)) => refusal.clone(),
+            _ => return,
+        };
+        self.answer_waiting(id, &Err(refusal), actions);
+    }
+
+    /// Handles an answer that the register holds.
+    pub(crate) fn answered(&mut self, id: JobId, answer: &Answer, actions: &mut Vec<Action>) {
+        if self.jobs.contains_key(&id) {
+            self.stop_tasks(id, actions);
+            self.reply_job(id, &Ok(answer.clone()), actions);
+        }
+        self.answer_waiting(id, &Ok(answer.clone()), actions);
+    }
+
+    /// Handles the register's confirmation of the single answer.
+    pub(crate) fn recorded(&mut self, id: JobId, answer: &Answer, actions: &mut Vec<Action>) {
+        if self.jobs.get(&id).is_some_and(|job| job.phase == Phase::Recording) {
+            self.reply_job(id, &Ok(answer.clone()), actions);
+        }
+        self.answer_waiting(id, &Ok(answer.clone()), actions);
+    }
+
+    /// Handles a refusal of the register.
+    pub(crate) fn register_refused(&mut self, id: JobId, refusal: &Refusal, actions: &mut Vec<Action>) {
+        // A running job is idempotent, or its answer cannot be recorded yet; its deadline ends it.
+        if self.jobs.get(&id).is_some_and(|job| job.phase == Phase::Claiming) {
+            self.reply_job(id, &Err(refusal.clone()), actions);
+        }
+        self.answer_waiting(id, &Err(refusal.clone()), actions);
+    }
+
+    fn answer_waiting(&mut self, id: JobId, result: &JobResult, actions: &mut Vec<Action>) {
+        if let Some(waiting) = self.stop_waiting(id) {
+            let result = checked(result, &waiting);
+            self.reply_all(waiting.tickets, &result, actions);
+        }
+    }
+
+    /// Ends a wait whose time is over.
+    pub(crate) fn waiting_expired(&mut self, id: JobId, actions: &mut Vec<Action>) {
+        let message = "the owner of the job has not answered in time; submit the same job again to learn its outcome";
+        let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown, message);
+        self.answer_waiting(id, &Err(refusal), actions);
+    }
+
+    pub(crate) fn abandon(&mut self, ticket: Ticket) {
+        let Some(id) = self.tickets.swap_remove(&ticket) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.tickets.retain(|&other| other != ticket);
+        }
+        if let Some(waiting) = self.waiting.get_mut(&id) {
+            waiting.tickets.retain(|&other| other != ticket);
+        }
+    }
+}
+
+/// Returns the result for a waiting caller; an answer must have a status for each of its tasks.
+fn checked(result: &JobResult, waiting: &Waiting) -> JobResult {
+    match result {
+        Ok(answer) if answer.tasks.len() != waiting.spec.tasks.len() => Err(id_reused()),
+        other => other.clone(),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/verify.rs
@@ -0,0 +1,145 @@
+//! Verifier of the entry core: checks the invariants of its state and reports all violations by name.
+
+use std::collections::HashMap;
+
+use chestnutfork_types::{JobId, ServiceName, TaskIndex};
+use thiserror::Error;
+
+use crate::core::EntryCore;
+use crate::job::Phase;
+
+/// Violation of an invariant of the entry core.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// A task of an at-most-once job has more than one attempt that may have started.
+    #[error("task {task} of at-most-once job {job:x} has {attempts} attempts that may have started")]
+    RepeatedStart {
+        /// Job.
+        job: JobId,
+        /// Task.
+        task: TaskIndex,
+        /// Attempts that may have started.
+        attempts: u32,
+    },
+    /// The number of unfinished tasks does not match their states.
+    #[error("job {job:x} counts {counted} unfinished tasks and has {actual}")]
+    Unfinished {
+        /// Job.
+        job: JobId,
+        /// Number in the job.
+        counted: usize,
+        /// Tasks without a status.
+        actual: usize,
+    },
+    /// An unfinished task of a running job is neither queued nor dispatched, so it would never end.
+    #[error("task {task} of job {job:x} is neither queued nor dispatched")]
+    Stranded {
+        /// Job.
+        job: JobId,
+        /// Task.
+        task: TaskIndex,
+    },
+    /// A running job has no timer for its deadline.
+    #[error("job {job:x} has no deadline timer")]
+    NoDeadline {
+        /// Job.
+        job: JobId,
+    },
+    /// The attempts in flight of a service do not match those at the agents.
+    #[error("service `{service}` counts {counted} attempts in flight and has {actual}")]
+    InFlight {
+        /// Service.
+        service: ServiceName,
+        /// Number in the service.
+        counted: u32,
+        /// Attempts at the agents.
+        actual: u32,
+    },
+    /// The queued tasks of a service do not match those of the jobs.
+    #[error("service `{service}` has {queued} queued tasks and its jobs have {actual}")]
+    Queued {
+        /// Service.
+        service: ServiceName,
+        /// Length of the queue.
+        queued: usize,
+        /// Queued copies of tasks.
+        actual: usize,
+    },
+    /// A job is owned and awaited at once.
+    #[error("job {job:x} is owned and awaited at the same time")]
+    OwnedAndAwaited {
+        /// Job.
+        job: JobId,
+    },
+}
+
+impl EntryCore {
+    /// Checks all invariants and returns the violations.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_dispatch::EntryCore;
+    ///
+    /// assert!(EntryCore::builder(7).build(Instant::now()).verify().is_empty());
+    /// ```
+    #[must_use]
+    pub fn verify(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        self.verify_jobs(&mut violations);
+        self.verify_services(&mut violations);
+        violations
+    }
+
+    fn verify_jobs(&self, violations: &mut Vec<Violation>) {
+        for (&id, job) in &self.jobs {
+            let actual = job.tasks.iter().filter(|task| task.status.is_none()).count();
+            if actual != job.unfinished {
+                violations.push(Violation::Unfinished { job: id, counted: job.unfinished, actual });
+            }
+            if !self.deadlines.contains(&(job.deadline, id)) {
+                violations.push(Violation::NoDeadline { job: id });
+            }
+            if self.waiting.contains_key(&id) {
+                violations.push(Violation::OwnedAndAwaited { job: id });
+            }
+            for (index, task) in job.spec.indexes().zip(&job.tasks) {
+                if job.spec.at_most_once && task.attempts > 1 {
+                    let attempts = task.attempts;
+                    violations.push(Violation::RepeatedStart { job: id, task: index, attempts });
+                }
+                let idle = task.status.is_none() && task.queued == 0 && task.live.is_empty();
+                if idle && job.phase != Phase::Claiming {
+                    violations.push(Violation::Stranded { job: id, task: index });
+                }
+            }
+        }
+    }
+
+    fn verify_services(&self, violations: &mut Vec<Violation>) {
+        let mut in_flight = vec![0_u32; self.services.len()];
+        for (_, agent) in self.agents.iter() {
+            for attempt in agent.attempts.values() {
+                in_flight[attempt.service] += 1;
+            }
+        }
+        let mut queued: HashMap<&str, usize> = HashMap::new();
+        for job in self.jobs.values() {
+            let copies: usize = job.tasks.iter().map(|task| usize::from(task.queued)).sum();
+            *queued.entry(job.service()).or_default() += copies;
+        }
+        for ((name, service), actual) in self.services.iter().zip(in_flight) {
+            if service.in_flight != actual {
+                let service_name = name.clone();
+                let counted = service.in_flight;
+                violations.push(Violation::InFlight { service: service_name, counted, actual });
+            }
+            let actual = queued.get(name.as_str()).copied().unwrap_or(0);
+            if service.queue.len() != actual {
+                let queued = service.queue.len();
+                violations.push(Violation::Queued { service: name.clone(), queued, actual });
+            }
+        }
+    }
+}
--- a/crates/limits/src/fair_queue.rs
+++ b/crates/limits/src/fair_queue.rs
@@ -175,7 +175,27 @@
     /// assert_eq!(queue.pop().unwrap().item, "early");
     /// ```
     pub fn pop(&mut self) -> Option<Queued<T>> {
-        let (_, &index) = self.turns.first_key_value()?;
+        self.pop_allowed(|_| true)
+    }
+
+    /// Removes the next item of the first team in turn that `allow` accepts.
+    ///
+    /// Teams that `allow` rejects, for example because their quota is used up, keep their turn.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// queue.push("setters", Instant::now(), 1).unwrap();
+    /// queue.push("auditors", Instant::now(), 2).unwrap();
+    /// assert_eq!(queue.pop_allowed(|team| team != "setters").unwrap().item, 2);
+    /// assert!(queue.pop_allowed(|_| false).is_none());
+    /// ```
+    pub fn pop_allowed(&mut self, allow: impl FnMut(&str) -> bool) -> Option<Queued<T>> {
+        let index = self.first_allowed(allow)?;
         let (name, team) = self.teams.get_index_mut(index)?;
         let ((deadline, _), item) = team.items.pop_first()?;
         let name = name.clone();
@@ -210,7 +230,24 @@
     /// ```
     #[must_use]
     pub fn peek(&self) -> Option<&T> {
-        let (_, &index) = self.turns.first_key_value()?;
+        self.peek_allowed(|_| true)
+    }
+
+    /// Returns the item that `pop_allowed` would remove.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// queue.push("setters", Instant::now(), 7).unwrap();
+    /// assert_eq!(queue.peek_allowed(|team| team == "auditors"), None);
+    /// ```
+    #[must_use]
+    pub fn peek_allowed(&self, allow: impl FnMut(&str) -> bool) -> Option<&T> {
+        let index = self.first_allowed(allow)?;
         let (_, item) = self.teams[index].items.first_key_value()?;
         Some(item)
     }
@@ -244,6 +281,15 @@
         self.settle();
     }
 
+    /// Returns the first team in turn that `allow` accepts.
+    fn first_allowed(&self, mut allow: impl FnMut(&str) -> bool) -> Option<usize> {
+        let mut in_turn = self.turns.values().copied();
+        in_turn.find(|&index| {
+            let (name, _) = self.teams.get_index(index).expect("a turn belongs to a team");
+            allow(name)
+        })
+    }
+
     /// Returns the number of queued items.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -9,6 +9,7 @@
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use chestnutfork_events::{LinkEvent, emit};
 use chestnutfork_wire::Role;
 
 use crate::handshake;
@@ -56,8 +57,13 @@
     /// ```
     #[must_use]
     pub fn builder(address: impl Into<String>, me: Identity, secret: ClusterSecret) -> DialConfigBuilder {
-        let cfg =
-            Self { address: address.into(), me, secret, expect: Role::Entry, metrics: Metrics::disabled() };
+        let cfg = Self {
+            address: address.into(),
+            me,
+            secret,
+            expect: Role::Entry,
+            metrics: Metrics::disabled(),
+        };
         DialConfigBuilder { cfg }
     }
 }
@@ -98,9 +104,11 @@
 
 /// Dials an address and keeps a link to it open until the returned dialler is dropped.
 ///
-/// Failed attempts go to [`LinkHandler::closed`] with link number zero.
+/// Failed attempts are logged; the handler hears only of links that were open.
 pub fn dial<H: LinkHandler>(cfg: DialConfig, handler: H) -> Dialer {
-    Dialer { task: tokio::spawn(keep_open(cfg, handler)) }
+    Dialer {
+        task: tokio::spawn(keep_open(cfg, handler)),
+    }
 }
 
 async fn keep_open<H: LinkHandler>(cfg: DialConfig, handler: H) {
@@ -109,18 +117,35 @@
         let started = Instant::now();
         match timeout(OPEN_TIMEOUT, open(&cfg)).await {
             Ok(Ok(session)) => session.run(handler.clone()).await,
-            Ok(Err(error)) => handler.closed(0, error),
-            Err(_) => handler.closed(0, LinkError::Silent),
+            Ok(Err(error)) => report_failure(&cfg, &error, backoff),
+            Err(_) => report_failure(&cfg, &LinkError::Silent, backoff),
         }
         if started.elapsed() >= STABLE_AFTER {
             backoff = BACKOFF_MIN;
         }
-        // Full jitter keeps many agents from dialling a restarted entry at the same moment.
-        sleep(backoff.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+        // Jitter keeps many agents from dialling a restarted entry at the same moment.
+        let jitter = rand::rng().random_range(0.5..1.0);
+        sleep(backoff.mul_f64(jitter)).await;
         backoff = (backoff * 2).min(BACKOFF_MAX);
     }
 }
 
+fn report_failure(cfg: &DialConfig, error: &LinkError, retry: Duration) {
+    let reason = error.to_string();
+    if error.is_unauthenticated() {
+        emit(&LinkEvent::AuthenticationFailed {
+            address: &cfg.address,
+            reason: &reason,
+        });
+    } else {
+        emit(&LinkEvent::DialFailed {
+            address: &cfg.address,
+            error: &reason,
+            retry,
+        });
+    }
+}
+
 async fn open(cfg: &DialConfig) -> Result<Session, LinkError> {
     let stream = TcpStream::connect(&cfg.address).await?;
     stream.set_nodelay(true)?;
@@ -131,8 +156,13 @@
     let (mut socket, _) = client_async_with_config(url, stream, Some(ws)).await?;
     let peer = handshake::dialling(&mut socket, &cfg.me, &cfg.secret).await?;
     if peer.role != cfg.expect {
-        return Err(LinkError::WrongRole { role: format!("{:?}", peer.role) });
+        return Err(LinkError::WrongRole {
+            role: peer.role.as_str(),
+        });
     }
-    let peer = Identity { address: cfg.address.clone(), ..peer };
+    let peer = Identity {
+        address: cfg.address.clone(),
+        ..peer
+    };
     Ok(Session::new(peer, socket, cfg.metrics.clone()))
 }
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -16,6 +16,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{self, Message};
 
+use chestnutfork_events::{LinkEvent, emit};
 use chestnutfork_wire::{CodecError, PROTOCOL_VERSION, decode_frame, encode};
 
 use crate::identity::Identity;
@@ -57,10 +58,12 @@
     #[error("the peer has the role {role}; check the address in the settings")]
     WrongRole {
         /// Role that the peer claimed.
-        role: String,
+        role: &'static str,
     },
     /// The peer runs another protocol version.
-    #[error("the peer speaks protocol version {theirs}, this process version {PROTOCOL_VERSION}; upgrade the older one")]
+    #[error(
+        "the peer speaks protocol version {theirs}, this process version {PROTOCOL_VERSION}; upgrade the older one"
+    )]
     Version {
         /// Version of the peer.
         theirs: u32,
@@ -120,7 +123,9 @@
 
 impl<Out> fmt::Debug for LinkSender<Out> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("LinkSender").field("free", &self.tx.capacity()).finish()
+        f.debug_struct("LinkSender")
+            .field("free", &self.tx.capacity())
+            .finish()
     }
 }
 
@@ -144,7 +149,11 @@
 
 impl Session {
     pub(crate) fn new(peer: Identity, socket: WebSocketStream<TcpStream>, metrics: Metrics) -> Self {
-        Self { peer, socket, metrics }
+        Self {
+            peer,
+            socket,
+            metrics,
+        }
     }
 
     /// Returns the identity that the peer proved.
@@ -155,14 +164,17 @@
 
     /// Runs the link until it closes; tells the handler first that it is open and last that it is closed.
     ///
-    /// # Errors
-    ///
-    /// Never fails itself; the reason of the closure goes to the handler.
+    /// The reason of the closure goes to the log and to the handler.
     pub async fn run<H: LinkHandler>(self, handler: H) {
         let link = rand::random();
         let (tx, rx) = mpsc::channel(QUEUE_LIMIT);
-        let overrun = tx.clone().downgrade();
+        let overrun = tx.downgrade();
         let (sink, stream) = self.socket.split();
+        let peer = self.peer.clone();
+        emit(&LinkEvent::Opened {
+            peer: &peer.name,
+            role: peer.role.as_str(),
+        });
         handler.opened(link, self.peer, LinkSender { tx });
         let mut writer = tokio::spawn(write_frames(sink, rx, self.metrics.clone()));
         let error = tokio::select! {
@@ -171,10 +183,42 @@
             () = watch_queue(overrun) => LinkError::Overrun,
         };
         writer.abort();
+        report_closed(&peer, &error);
         handler.closed(link, error);
     }
 }
 
+/// Logs the end of a link under the event for its reason.
+fn report_closed(peer: &Identity, error: &LinkError) {
+    let role = peer.role.as_str();
+    let reason = error.to_string();
+    match error {
+        LinkError::Silent => {
+            emit(&LinkEvent::Silent {
+                peer: &peer.name,
+                role,
+                silent: SILENCE_LIMIT,
+            });
+        }
+        LinkError::Overrun => {
+            emit(&LinkEvent::Overloaded {
+                peer: &peer.name,
+                role,
+                queued: QUEUE_LIMIT as u64,
+            });
+        }
+        LinkError::Codec(_) => emit(&LinkEvent::ProtocolError {
+            peer: &peer.name,
+            error: &reason,
+        }),
+        _ => emit(&LinkEvent::Closed {
+            peer: &peer.name,
+            role,
+            reason: &reason,
+        }),
+    }
+}
+
 /// Waits for the writer; its failure is the failure of the link.
 async fn join(writer: &mut JoinHandle<LinkError>) -> LinkError {
     writer.await.unwrap_or(LinkError::Closed)
--- a/crates/net/src/listen.rs
+++ b/crates/net/src/listen.rs
@@ -8,7 +8,7 @@
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-use chestnutfork_events::{Event, emit};
+use chestnutfork_events::{LinkEvent, emit};
 
 use crate::handshake;
 use crate::identity::{ClusterSecret, Identity};
@@ -58,7 +58,11 @@
                 match timeout(ACCEPT_TIMEOUT, open(stream, &me, &secret, metrics)).await {
                     Ok(Ok(session)) => on_session(session).await,
                     Ok(Err(error)) if error.is_unauthenticated() => {
-                        emit(Event::LinkAuthenticationFailed, &[("from", &from), ("error", &error)]);
+                        let (address, reason) = (from.to_string(), error.to_string());
+                        emit(&LinkEvent::AuthenticationFailed {
+                            address: &address,
+                            reason: &reason,
+                        });
                     }
                     Ok(Err(_)) | Err(_) => {}
                 }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -17,6 +17,24 @@
     Control,
 }
 
+impl Role {
+    /// Returns the name of the role, as in the command line.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(chestnutfork_wire::Role::Entry.as_str(), "entry");
+    /// ```
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Agent => "agent",
+            Self::Control => "control",
+        }
+    }
+}
+
 /// First message of the dialling side.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
