routing: Add learned placement, outlier ejection and the retry budget

Change: `Router` learns the relative slowness of each target on a logarithmic scale with clipped deviations and change detection (CUSUM), prefers the smallest expected cost, holds a task back when a faster credit is expected to finish it earlier, and ejects outliers with exponential backoff and single-task probation. The failure rate of the other targets counts, so a task that fails everywhere ejects nobody. `Random` is the baseline rule. `RetryBudget` is a token bucket.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,25 @@
 //! Target speeds, health, placement, and retry and hedge budgets.
+//!
+//! [`Router`] is a pure state machine: it learns from the starts and ends of attempts that an entry reports, and
+//! chooses a target for a task among those with a free credit. It takes the time as an argument, and the same sequence
+//! of calls with the same seed gives the same choices.
+
+mod budget;
+mod health;
+mod placement;
+mod pool;
+mod router;
+mod service;
+mod speed;
+mod status;
+mod target;
+mod verify;
+mod violation;
+
+pub use budget::RetryBudget;
+pub use health::AttemptKind;
+pub use placement::{Choice, PlacementRequest};
+pub use router::Router;
+pub use status::{TargetState, TargetStatus};
+pub use target::TargetIndex;
+pub use violation::Violation;
--- /dev/null
+++ b/crates/routing/src/status.rs
@@ -0,0 +1,80 @@
+//! Plain description of the router's state for status pages.
+
+use std::time::Instant;
+
+use chestnutfork_types::{FailureDomain, PoolName, TargetName};
+
+use crate::health::State;
+use crate::router::Router;
+use crate::target::Target;
+
+/// State of a target with regard to new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// Takes work.
+    Healthy,
+    /// Takes a single task, whose result decides.
+    Probation,
+    /// Takes no work for a time because of failures.
+    Ejected {
+        /// End of the ejection.
+        until: Instant,
+    },
+    /// Takes no new work because it is leaving.
+    Leaving,
+}
+
+/// Status of one target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetStatus {
+    /// Name of the target.
+    pub target: TargetName,
+    /// Pool of the target.
+    pub pool: PoolName,
+    /// Failure domain of the target.
+    pub failure_domain: FailureDomain,
+    /// State of the target.
+    pub state: TargetState,
+    /// Number of slots.
+    pub slots: u32,
+    /// Free credits at this entry.
+    pub free: u32,
+    /// Attempts of this entry in flight.
+    pub in_flight: u32,
+    /// Learned speed; a target of speed 2.0 takes half the average run time.
+    pub speed: f64,
+    /// Share of recent attempts that failed.
+    pub failure_rate: f64,
+}
+
+impl Router {
+    /// Describes all connected targets, in the order in which they first appeared.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<TargetStatus> {
+        let present = self.targets.iter().filter(|(_, target)| target.present);
+        present.map(|(name, target)| self.status(name, target)).collect()
+    }
+
+    fn status(&self, name: &TargetName, target: &Target) -> TargetStatus {
+        let state = match target.health.state() {
+            _ if target.leaving => TargetState::Leaving,
+            State::Healthy => TargetState::Healthy,
+            State::Probation { .. } => TargetState::Probation,
+            State::Ejected { until } => TargetState::Ejected { until },
+        };
+        TargetStatus {
+            target: name.clone(),
+            pool: self
+                .pools
+                .get_index(target.pool)
+                .map_or_else(String::new, |(name, _)| name.clone()),
+            failure_domain: self.domains[target.domain].clone(),
+            state,
+            slots: target.slots,
+            free: target.free,
+            in_flight: target.in_flight(),
+            speed: 1.0 / target.speed.slowness(),
+            failure_rate: target.health.failure_rate(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/verify.rs
@@ -0,0 +1,70 @@
+//! Verifier of the router's invariants.
+
+use chestnutfork_types::{PoolName, TargetName};
+
+use crate::pool::Pool;
+use crate::router::Router;
+use crate::target::{Target, TargetIndex};
+use crate::violation::Violation;
+
+impl Router {
+    /// Checks the invariants of the router in time proportional to the number of targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation found.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_routing::Router;
+    ///
+    /// assert_eq!(Router::new(1).verify(), Ok(()));
+    /// ```
+    pub fn verify(&self) -> Result<(), Violation> {
+        for (name, pool) in &self.pools {
+            self.verify_pool(name, pool)?;
+        }
+        for (index, (name, target)) in self.targets.iter().enumerate() {
+            self.verify_target(index, name, target)?;
+        }
+        Ok(())
+    }
+
+    fn verify_pool(&self, name: &PoolName, pool: &Pool) -> Result<(), Violation> {
+        let (ejected, limit) = (self.ejected(pool), pool.ejection_limit());
+        if ejected > limit {
+            let pool = name.clone();
+            return Err(Violation::EjectionLimit { pool, ejected, limit });
+        }
+        let slots = pool
+            .members
+            .iter()
+            .map(|&target| self.targets[target].slots)
+            .sum();
+        if slots != pool.slots {
+            return Err(Violation::PoolSlots {
+                pool: name.clone(),
+                counted: pool.slots,
+                slots,
+            });
+        }
+        Ok(())
+    }
+
+    fn verify_target(&self, index: TargetIndex, name: &TargetName, target: &Target) -> Result<(), Violation> {
+        let pool = &self.pools[target.pool];
+        let listed = target.open_at.is_some_and(|at| pool.open.get(at) == Some(&index));
+        if listed != target.is_open() || listed != target.open_at.is_some() {
+            return Err(Violation::OpenList { target: name.clone() });
+        }
+        if !target.speed.is_sound() {
+            return Err(Violation::Speed { target: name.clone() });
+        }
+        let due = target.health.wakeup();
+        if due.is_some_and(|due| self.wakeup.is_none_or(|wakeup| wakeup > due)) {
+            return Err(Violation::Wakeup { target: name.clone() });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/router.rs
@@ -0,0 +1,305 @@
+//! Tests of the router: membership, placement and health.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_routing::{AttemptKind, Choice, PlacementRequest, Router, TargetIndex, TargetState};
+use chestnutfork_types::{Placement, ServicePolicy};
+
+const SECOND: Duration = Duration::from_secs(1);
+const RUN_TIME: Duration = Duration::from_millis(100);
+
+/// Router with targets `t0`, `t1` and so on of 8 slots, all with free credits, and a virtual clock.
+struct Fixture {
+    router: Router,
+    now: Instant,
+    policy: ServicePolicy,
+}
+
+impl Fixture {
+    fn new(targets: usize) -> Self {
+        let mut fixture = Self {
+            router: Router::new(1),
+            now: Instant::now(),
+            policy: ServicePolicy::builder("main").build(),
+        };
+        for index in 0..targets {
+            let target = fixture.add(index);
+            fixture.router.set_credits(target, 8);
+        }
+        // The first choice makes the policy known.
+        fixture.choose(&[]);
+        fixture
+    }
+
+    fn add(&mut self, index: usize) -> TargetIndex {
+        let domain = format!("domain{}", index % 3);
+        self.router
+            .add_target(self.now, format!("t{index}"), "main".into(), domain, 8)
+    }
+
+    fn choose(&mut self, exclude: &[TargetIndex]) -> Choice {
+        let req = PlacementRequest {
+            service: "desk",
+            declared: None,
+            deadline: self.now + 30 * SECOND,
+            remaining_tasks: 1,
+            exclude,
+        };
+        self.router.choose(self.now, &req, &self.policy)
+    }
+
+    fn run(&mut self, target: TargetIndex, run_time: Duration, kind: AttemptKind) {
+        self.router.on_start(self.now, target, "desk");
+        self.now += run_time;
+        self.router.on_end(self.now, target, "desk", run_time, kind);
+    }
+
+    fn fail(&mut self, target: TargetIndex, times: usize) {
+        for _ in 0..times {
+            self.run(target, Duration::from_millis(1), AttemptKind::Failed);
+        }
+    }
+
+    fn state(&self, target: TargetIndex) -> TargetState {
+        self.router.snapshot()[target].state
+    }
+
+    fn is_ejected(&self, target: TargetIndex) -> bool {
+        matches!(self.state(target), TargetState::Ejected { .. })
+    }
+
+    /// Ends the ejection of a target and returns how long it lasted.
+    fn await_probation(&mut self) -> Duration {
+        let before = self.now;
+        self.now = self.router.next_wakeup().unwrap();
+        self.router.on_timer(self.now);
+        self.now - before
+    }
+}
+
+/// Guards against waiting for a pool that has no target.
+#[test]
+fn choose_reports_missing_pool() {
+    assert_eq!(Fixture::new(0).choose(&[]), Choice::NoTarget);
+}
+
+/// Guards against a dispatch without a credit.
+#[test]
+fn choose_waits_without_credit() {
+    let mut fixture = Fixture::new(1);
+    fixture.router.set_credits(0, 0);
+    assert_eq!(fixture.choose(&[]), Choice::Wait { until: None });
+}
+
+/// Guards against new work on a leaving target.
+#[test]
+fn choose_avoids_leaving_target() {
+    let mut fixture = Fixture::new(2);
+    fixture.router.set_leaving(0, true);
+    assert_eq!(fixture.choose(&[]), Choice::Use(1));
+    assert_eq!(fixture.choose(&[1]), Choice::NoTarget);
+    fixture.router.set_leaving(0, false);
+    assert_eq!(fixture.choose(&[1]), Choice::Use(0));
+}
+
+/// Guards against a slow target receiving work while a fast one is free.
+#[test]
+fn choose_prefers_learned_speed() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..50 {
+        fixture.run(0, 3 * RUN_TIME, AttemptKind::Completed);
+        fixture.run(1, 2 * RUN_TIME, AttemptKind::Completed);
+        fixture.run(2, RUN_TIME, AttemptKind::Completed);
+    }
+    assert_eq!(fixture.choose(&[]), Choice::Use(2));
+    assert_eq!(fixture.choose(&[2]), Choice::Use(1));
+}
+
+/// Guards against the last task of a job starting on a slow target just before a fast slot frees up, and against
+/// waiting for longer than that can gain.
+#[test]
+fn choose_holds_last_task_for_faster_target() {
+    let mut fixture = Fixture::new(2);
+    for _ in 0..50 {
+        fixture.run(0, 5 * RUN_TIME, AttemptKind::Completed);
+        fixture.run(1, RUN_TIME, AttemptKind::Completed);
+    }
+    fixture.router.set_credits(1, 0);
+    for _ in 0..8 {
+        fixture.router.on_start(fixture.now, 1, "desk");
+    }
+    let Choice::Wait { until: Some(until) } = fixture.choose(&[]) else {
+        panic!("the slow target was used");
+    };
+    assert_eq!(fixture.router.next_wakeup(), Some(until));
+    fixture.now = until;
+    fixture.router.on_timer(until);
+    assert_eq!(fixture.router.next_wakeup(), None);
+    assert_eq!(fixture.choose(&[]), Choice::Use(0));
+}
+
+/// Guards against idle capacity during a backlog because every task waits for the fast target.
+#[test]
+fn choose_uses_slow_target_in_backlog() {
+    let mut fixture = Fixture::new(2);
+    for _ in 0..50 {
+        fixture.run(0, 5 * RUN_TIME, AttemptKind::Completed);
+        fixture.run(1, RUN_TIME, AttemptKind::Completed);
+    }
+    fixture.router.set_credits(1, 0);
+    for _ in 0..8 {
+        fixture.router.on_start(fixture.now, 1, "desk");
+    }
+    fixture.router.set_waiting("main", 1_000);
+    assert_eq!(fixture.choose(&[]), Choice::Use(0));
+}
+
+/// Guards against a target that fails at once drawing more and more work because it is always free.
+#[test]
+fn eject_follows_consecutive_failures() {
+    let mut fixture = Fixture::new(3);
+    fixture.fail(0, 4);
+    assert!(!fixture.is_ejected(0));
+    fixture.fail(0, 1);
+    assert!(fixture.is_ejected(0));
+    for _ in 0..20 {
+        assert_ne!(fixture.choose(&[]), Choice::Use(0));
+    }
+}
+
+/// Guards against a target staying in use that fails most tasks but never many in a row.
+#[test]
+fn eject_follows_failure_rate() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..20 {
+        fixture.fail(0, 3);
+        fixture.run(0, RUN_TIME, AttemptKind::Completed);
+        if fixture.is_ejected(0) {
+            return;
+        }
+    }
+    panic!("a target with three failures in four attempts was kept");
+}
+
+/// Guards against losing capacity to a task that fails on every target.
+#[test]
+fn eject_spares_targets_that_fail_alike() {
+    let mut fixture = Fixture::new(6);
+    for round in 0..200 {
+        let kind = if round % 3 == 0 {
+            AttemptKind::Completed
+        } else {
+            AttemptKind::Failed
+        };
+        for target in 0..6 {
+            fixture.run(target, RUN_TIME, kind);
+        }
+    }
+    let ejected = (0..6).filter(|&target| fixture.is_ejected(target)).count();
+    assert_eq!(ejected, 0);
+}
+
+/// Guards against ejecting so many targets that the others are overwhelmed.
+#[test]
+fn eject_keeps_limit_of_pool() {
+    let mut fixture = Fixture::new(6);
+    for target in 0..4 {
+        fixture.fail(target, 10);
+    }
+    let ejected = (0..6).filter(|&target| fixture.is_ejected(target)).count();
+    assert_eq!(ejected, 2);
+    // Two fewer members allow one ejection less.
+    fixture.router.remove_target(4);
+    fixture.router.remove_target(5);
+    let left = fixture.router.snapshot();
+    let ejected = left
+        .iter()
+        .filter(|target| matches!(target.state, TargetState::Ejected { .. }));
+    assert_eq!(ejected.count(), 1);
+}
+
+/// Guards against a returning target that still fails drawing more than one task.
+#[test]
+fn probation_allows_single_task() {
+    let mut fixture = Fixture::new(3);
+    fixture.fail(0, 5);
+    fixture.await_probation();
+    assert_eq!(fixture.state(0), TargetState::Probation);
+    assert_eq!(fixture.choose(&[1, 2]), Choice::Use(0));
+    fixture.router.on_start(fixture.now, 0, "desk");
+    assert_eq!(fixture.choose(&[1, 2]), Choice::Wait { until: None });
+    fixture
+        .router
+        .on_end(fixture.now, 0, "desk", RUN_TIME, AttemptKind::Completed);
+    assert_eq!(fixture.state(0), TargetState::Healthy);
+}
+
+/// Guards against a target that keeps failing, or flaps, coming back at the same short interval for ever.
+#[test]
+fn ejection_doubles_on_repeat() {
+    let mut fixture = Fixture::new(3);
+    fixture.fail(0, 5);
+    let first = fixture.await_probation();
+    fixture.fail(0, 1);
+    let second = fixture.await_probation();
+    fixture.run(0, RUN_TIME, AttemptKind::Completed);
+    fixture.fail(0, 1);
+    assert!(fixture.is_ejected(0), "a flapping target needs fewer failures");
+    let third = fixture.await_probation();
+    assert!(second > first.mul_f64(1.9) && third > second.mul_f64(1.9));
+}
+
+/// Guards against a target shedding a bad record by reconnecting.
+#[test]
+fn add_target_restores_history() {
+    let mut fixture = Fixture::new(3);
+    fixture.fail(0, 5);
+    fixture.router.remove_target(0);
+    assert_eq!(fixture.add(0), 0);
+    assert!(fixture.is_ejected(0));
+}
+
+/// Guards against a change of speed going unnoticed for long; heavy-tailed run times hide it otherwise.
+#[test]
+fn speed_follows_sudden_change() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..100 {
+        for target in 0..3 {
+            fixture.run(target, RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    for _ in 0..6 {
+        fixture.run(0, 10 * RUN_TIME, AttemptKind::Completed);
+    }
+    assert!(fixture.router.snapshot()[0].speed < 0.3);
+}
+
+/// Guards against one extreme run time marking a target as slow.
+#[test]
+fn speed_withstands_single_outlier() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..100 {
+        for target in 0..3 {
+            fixture.run(target, RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    fixture.run(0, 1_000 * RUN_TIME, AttemptKind::Completed);
+    assert!(fixture.router.snapshot()[0].speed > 0.9);
+}
+
+/// Guards against the baseline of the measurements being anything but uniform.
+#[test]
+fn random_placement_is_uniform() {
+    let mut fixture = Fixture::new(4);
+    fixture.policy.placement = Placement::Random;
+    let mut counts = [0; 4];
+    for _ in 0..4_000 {
+        if let Choice::Use(target) = fixture.choose(&[]) {
+            counts[target] += 1;
+        }
+    }
+    assert!(
+        counts.iter().all(|count| (850..1_150).contains(count)),
+        "{counts:?}"
+    );
+}
