--- /dev/null
+++ b/crates/agent/src/actor.rs
@@ -0,0 +1,316 @@
+//! Actor that owns the agent core, the links to entries and the tasks in progress.
+
+use std::time::Duration;
+
+use chestnutfork_events::{AgentEvent, emit};
+use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
+use chestnutfork_slots::{Action, AgentCore, Event};
+use chestnutfork_types::{AgentToEntry, AttemptOutcome, CreditId, EntryToAgent, ProcessId};
+use chestnutfork_wire::AgentToEntryWire;
+use indexmap::IndexMap;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::oneshot;
+
+use crate::announce::TargetAnnouncement;
+use crate::links::EntryLinks;
+use crate::target::{TargetClient, TaskHandle};
+
+/// Message to the agent's actor.
+#[derive(Debug)]
+pub(crate) enum AgentMessage {
+    /// The target announced itself.
+    Target(TargetAnnouncement),
+    /// A link to an entry is open.
+    LinkUp {
+        link: LinkId,
+        entry: ProcessId,
+        tx: LinkSender<AgentToEntryWire>,
+    },
+    /// An entry sent messages.
+    FromEntry {
+        link: LinkId,
+        messages: Vec<EntryToAgent>,
+    },
+    /// A link to an entry is closed.
+    LinkDown { link: LinkId },
+    /// Addresses of the entries, from control or from the settings.
+    Entries(Vec<String>),
+    /// The configuration in force, or its confirmation, changed.
+    Config {
+        version: u64,
+        confirmed: bool,
+        refusing: Vec<String>,
+    },
+    /// A task ended at the target.
+    TaskEnded {
+        credit: CreditId,
+        outcome: AttemptOutcome,
+        run_time: Duration,
+    },
+    /// The timer fired.
+    Tick,
+    /// Stop taking work; the reply comes when nothing runs.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Actor that owns the agent core.
+#[derive(Debug)]
+pub(crate) struct AgentActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    pub(crate) core: AgentCore,
+    pub(crate) dial: DialTemplate,
+    pub(crate) target: TargetClient,
+    pub(crate) metrics: Metrics,
+}
+
+/// Everything of a dialled link but its address.
+#[derive(Clone, Debug)]
+pub(crate) struct DialTemplate {
+    pub(crate) me: chestnutfork_net::Identity,
+    pub(crate) secret: chestnutfork_net::ClusterSecret,
+    pub(crate) metrics: Metrics,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct State {
+    core: AgentCore,
+    me: ActorRef<AgentMessage>,
+    wakeup: Wakeup,
+    dial: DialTemplate,
+    dialers: IndexMap<String, Dialer>,
+    links: IndexMap<LinkId, ProcessId>,
+    senders: IndexMap<ProcessId, (LinkId, LinkSender<AgentToEntryWire>)>,
+    target: TargetClient,
+    tasks: IndexMap<CreditId, TaskHandle>,
+    metrics: Metrics,
+    drained: Vec<oneshot::Sender<()>>,
+    is_drained: bool,
+    actions: Vec<Action>,
+}
+
+impl Actor for AgentActor {
+    type Msg = AgentMessage;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<AgentMessage>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let ticker = me.clone();
+        let wakeup = Wakeup::start(move || drop(ticker.cast(AgentMessage::Tick)));
+        Ok(State {
+            core: arguments.core,
+            me,
+            wakeup,
+            dial: arguments.dial,
+            dialers: IndexMap::new(),
+            links: IndexMap::new(),
+            senders: IndexMap::new(),
+            target: arguments.target,
+            tasks: IndexMap::new(),
+            metrics: arguments.metrics,
+            drained: Vec::new(),
+            is_drained: false,
+            actions: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<AgentMessage>,
+        message: AgentMessage,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.receive(message);
+        state.wakeup.set(state.core.next_wakeup());
+        Ok(())
+    }
+}
+
+impl State {
+    fn receive(&mut self, message: AgentMessage) {
+        match message {
+            AgentMessage::Target(announcement) => self.target_announced(announcement),
+            AgentMessage::LinkUp { link, entry, tx } => self.link_up(link, entry, tx),
+            AgentMessage::FromEntry { link, messages } => self.from_entry(link, messages),
+            AgentMessage::LinkDown { link } => self.link_down(link),
+            AgentMessage::Entries(addresses) => self.set_entries(&addresses),
+            AgentMessage::Config {
+                version,
+                confirmed,
+                refusing,
+            } => {
+                self.step(Event::ConfigState {
+                    version,
+                    confirmed,
+                    refusing,
+                });
+            }
+            AgentMessage::TaskEnded {
+                credit,
+                outcome,
+                run_time,
+            } => {
+                self.tasks.swap_remove(&credit);
+                self.step(Event::TaskEnded {
+                    credit,
+                    outcome,
+                    run_time,
+                });
+            }
+            AgentMessage::Tick => self.step(Event::Tick),
+            AgentMessage::Drain(done) => {
+                self.drained.push(done);
+                self.step(Event::Drain);
+                self.report_drained();
+            }
+        }
+    }
+
+    fn target_announced(&mut self, announcement: TargetAnnouncement) {
+        let accepting = self.core.is_accepting();
+        self.target.set_address(announcement.address);
+        let TargetAnnouncement {
+            target,
+            pool,
+            slots,
+            leaving,
+            ..
+        } = announcement;
+        if !accepting && !leaving {
+            emit(&AgentEvent::TargetAnnounced {
+                target: &target,
+                pool: &pool,
+                slots: u64::from(slots),
+            });
+        } else if accepting && leaving {
+            emit(&AgentEvent::TargetLeaving {
+                target: &target,
+                running: self.core.running() as u64,
+            });
+        }
+        self.step(Event::TargetAnnounced {
+            target,
+            pool,
+            slots,
+            leaving,
+        });
+    }
+
+    fn link_up(&mut self, link: LinkId, entry: ProcessId, tx: LinkSender<AgentToEntryWire>) {
+        // A new link to the same incarnation replaces the old one, which may have gone silent.
+        if self.senders.contains_key(&entry) {
+            self.step(Event::EntryDown { entry });
+        }
+        self.links.insert(link, entry);
+        self.senders.insert(entry, (link, tx));
+        self.step(Event::EntryUp { entry });
+    }
+
+    fn link_down(&mut self, link: LinkId) {
+        let Some(entry) = self.links.swap_remove(&link) else {
+            return;
+        };
+        if self
+            .senders
+            .get(&entry)
+            .is_some_and(|&(current, _)| current == link)
+        {
+            self.senders.swap_remove(&entry);
+            self.step(Event::EntryDown { entry });
+        }
+    }
+
+    fn from_entry(&mut self, link: LinkId, messages: Vec<EntryToAgent>) {
+        let Some(&entry) = self.links.get(&link) else {
+            return;
+        };
+        // Messages of a replaced link are stale: the core has already treated that link as lost.
+        if self
+            .senders
+            .get(&entry)
+            .is_none_or(|&(current, _)| current != link)
+        {
+            return;
+        }
+        for message in messages {
+            self.step(Event::FromEntry { entry, message });
+        }
+    }
+
+    fn set_entries(&mut self, addresses: &[String]) {
+        self.dialers.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            if self.dialers.contains_key(address) {
+                continue;
+            }
+            let template = self.dial.clone();
+            let cfg = DialConfig::builder(address, template.me, template.secret)
+                .metrics(template.metrics)
+                .build();
+            let handler = EntryLinks {
+                actor: self.me.clone(),
+            };
+            self.dialers.insert(address.clone(), dial(cfg, handler));
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { entry, message } => {
+                if let AgentToEntry::Refused { .. } = message {
+                    self.metrics.count("agent.refused", 1);
+                }
+                if let Some((_, tx)) = self.senders.get(&entry) {
+                    tx.send(message.into());
+                }
+            }
+            Action::Start { dispatch, .. } => {
+                self.metrics.count("agent.starts", 1);
+                let credit = dispatch.credit;
+                let actor = self.me.clone();
+                let task = self.target.start(dispatch, move |outcome, run_time| {
+                    drop(actor.cast(AgentMessage::TaskEnded {
+                        credit,
+                        outcome,
+                        run_time,
+                    }));
+                });
+                self.tasks.insert(credit, task);
+            }
+            Action::Stop { credit } => {
+                if let Some(task) = self.tasks.get_mut(&credit) {
+                    task.stop();
+                }
+            }
+            Action::Drained => {
+                self.is_drained = true;
+                self.report_drained();
+            }
+        }
+    }
+
+    fn report_drained(&mut self) {
+        if self.is_drained {
+            for done in self.drained.drain(..) {
+                // The waiting side may have given up already.
+                let _ = done.send(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/announce.rs
@@ -0,0 +1,106 @@
+//! HTTP endpoint on which the target announces itself to its agent.
+
+use chestnutfork_events::{AgentEvent, emit};
+use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
+use chestnutfork_wire::RefusalBody;
+use hyper::{Method, Request, Response, StatusCode};
+use ractor::ActorRef;
+use serde::Deserialize;
+
+use crate::actor::AgentMessage;
+
+/// Largest number of slots that a target may announce.
+const MAX_SLOTS: u32 = 4_096;
+
+/// What the target tells about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct TargetAnnouncement {
+    pub(crate) target: String,
+    pub(crate) pool: String,
+    pub(crate) slots: u32,
+    /// Address where the target takes tasks.
+    pub(crate) address: String,
+    #[serde(default)]
+    pub(crate) leaving: bool,
+}
+
+impl TargetAnnouncement {
+    /// Returns what is wrong with the announcement, if anything.
+    fn problem(&self) -> Option<&'static str> {
+        if self.target.is_empty() || self.pool.is_empty() {
+            return Some("`target` and `pool` must not be empty");
+        }
+        if self.slots == 0 || self.slots > MAX_SLOTS {
+            return Some("`slots` must be between 1 and 4096");
+        }
+        if self.address.parse::<std::net::SocketAddr>().is_err() {
+            return Some("`address` must be an IP address with a port");
+        }
+        None
+    }
+}
+
+/// Handler of the announcement endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnounceEndpoint {
+    pub(crate) actor: ActorRef<AgentMessage>,
+    pub(crate) token: TargetToken,
+}
+
+/// Token that the target must present.
+#[derive(Clone, PartialEq, Eq)]
+pub(crate) struct TargetToken(pub(crate) String);
+
+impl std::fmt::Debug for TargetToken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("TargetToken([redacted])")
+    }
+}
+
+impl TargetToken {
+    /// Compares in time that does not depend on where the tokens differ.
+    fn matches(&self, presented: &str) -> bool {
+        let (known, presented) = (self.0.as_bytes(), presented.as_bytes());
+        let difference = known.iter().zip(presented).fold(0, |sum, (a, b)| sum | (a ^ b));
+        known.len() == presented.len() && difference == 0
+    }
+}
+
+impl HttpHandler for AnnounceEndpoint {
+    async fn handle(&self, req: Request<bytes::Bytes>) -> Response<Body> {
+        if req.method() != Method::POST || req.uri().path() != "/v1/announce" {
+            let body = RefusalBody::plain("not_found", "the only path is POST /v1/announce");
+            return json_response(StatusCode::NOT_FOUND, &body);
+        }
+        if !bearer_token(&req).is_some_and(|token| self.token.matches(token)) {
+            let reason = "the target token is missing or wrong";
+            emit(&AgentEvent::TargetRefused {
+                address: "target",
+                reason,
+            });
+            let body = RefusalBody::plain(
+                "unauthorized",
+                "present the agent's `target_token` as bearer token",
+            );
+            return json_response(StatusCode::UNAUTHORIZED, &body);
+        }
+        let announcement = match serde_json::from_slice::<TargetAnnouncement>(req.body()) {
+            Ok(announcement) => announcement,
+            Err(error) => {
+                let body = RefusalBody::plain("bad_announcement", error.to_string());
+                return json_response(StatusCode::BAD_REQUEST, &body);
+            }
+        };
+        if let Some(problem) = announcement.problem() {
+            emit(&AgentEvent::TargetRefused {
+                address: &announcement.address,
+                reason: problem,
+            });
+            let body = RefusalBody::plain("bad_announcement", problem);
+            return json_response(StatusCode::BAD_REQUEST, &body);
+        }
+        drop(self.actor.cast(AgentMessage::Target(announcement)));
+        json_response(StatusCode::OK, &serde_json::json!({}))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/links.rs
@@ -0,0 +1,37 @@
+//! Handler of the links to entries: hands their events to the agent's actor.
+
+use chestnutfork_net::{Identity, LinkError, LinkHandler, LinkId, LinkSender};
+use chestnutfork_types::EntryToAgent;
+use chestnutfork_wire::{AgentToEntryWire, EntryToAgentWire};
+use ractor::ActorRef;
+
+use crate::actor::AgentMessage;
+
+/// Handler of links to entries.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryLinks {
+    pub(crate) actor: ActorRef<AgentMessage>,
+}
+
+impl LinkHandler for EntryLinks {
+    type In = EntryToAgentWire;
+    type Out = AgentToEntryWire;
+
+    fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<AgentToEntryWire>) {
+        // A stopped actor needs no events; the same holds below.
+        drop(self.actor.cast(AgentMessage::LinkUp {
+            link,
+            entry: peer.process,
+            tx,
+        }));
+    }
+
+    fn received(&self, link: LinkId, messages: Vec<EntryToAgentWire>) {
+        let messages = messages.into_iter().map(EntryToAgent::from).collect();
+        drop(self.actor.cast(AgentMessage::FromEntry { link, messages }));
+    }
+
+    fn closed(&self, link: LinkId, _error: LinkError) {
+        drop(self.actor.cast(AgentMessage::LinkDown { link }));
+    }
+}
--- /dev/null
+++ b/crates/agent/src/target.rs
@@ -0,0 +1,161 @@
+//! HTTP towards the target: starts tasks, stops them, and classifies how they ended.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_net::{HttpClient, now};
+use chestnutfork_types::{AttemptOutcome, Dispatch};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use uuid::Uuid;
+
+/// Largest output of a task; a job's answer holds up to 200 of them.
+const MAX_OUTPUT_BYTES: usize = 256 * 1024;
+/// Longest reason of a failure that is passed on to the caller.
+const MAX_REASON_BYTES: usize = 512;
+/// Time for the target to confirm that a stopped task has ended.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Client of one target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetClient {
+    http: HttpClient,
+    address: String,
+}
+
+/// Handle of a task in progress.
+#[derive(Debug)]
+pub(crate) struct TaskHandle {
+    stop: watch::Sender<bool>,
+}
+
+impl TaskHandle {
+    /// Asks the target to stop the task; its end is still reported.
+    pub(crate) fn stop(&mut self) {
+        self.stop.send_replace(true);
+    }
+}
+
+impl TargetClient {
+    pub(crate) fn new(http: HttpClient) -> Self {
+        Self {
+            http,
+            address: String::new(),
+        }
+    }
+
+    pub(crate) fn set_address(&mut self, address: String) {
+        self.address = address;
+    }
+
+    /// Starts a task and calls `ended` exactly once when it has ended or its fate is unknown.
+    pub(crate) fn start(
+        &self,
+        dispatch: Dispatch,
+        ended: impl FnOnce(AttemptOutcome, Duration) + Send + 'static,
+    ) -> TaskHandle {
+        let (stop, stopped) = watch::channel(false);
+        let client = self.clone();
+        tokio::spawn(async move {
+            let started = now();
+            let outcome = client.run(dispatch, stopped).await;
+            ended(outcome, now().saturating_duration_since(started));
+        });
+        TaskHandle { stop }
+    }
+
+    async fn run(&self, dispatch: Dispatch, mut stopped: watch::Receiver<bool>) -> AttemptOutcome {
+        let limit = dispatch.remaining;
+        let path = format!("/task/{}/{}", Uuid::from_u128(dispatch.job), dispatch.task);
+        let request = match self.task_request(dispatch) {
+            Ok(request) => request,
+            Err(error) => {
+                let reason = format!("the target's address `{}` is unusable: {error}", self.address);
+                return AttemptOutcome::NotStarted { reason };
+            }
+        };
+        tokio::select! {
+            ended = timeout(limit, self.exchange(request)) => ended.unwrap_or_else(|_| AttemptOutcome::Unknown {
+                reason: "the deadline passed while the task ran".to_owned(),
+            }),
+            () = stop_requested(&mut stopped) => {
+                self.stop_task(&path).await;
+                AttemptOutcome::Unknown { reason: "the task was cancelled while it ran".to_owned() }
+            }
+        }
+    }
+
+    fn task_request(&self, dispatch: Dispatch) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}/task", self.address))
+            .header("x-chestnutfork-job", Uuid::from_u128(dispatch.job).to_string())
+            .header("x-chestnutfork-task", dispatch.task)
+            .header("x-chestnutfork-credit", dispatch.credit)
+            .header(
+                "x-chestnutfork-deadline-ms",
+                dispatch.remaining.as_millis().to_string(),
+            )
+            .body(Full::new(dispatch.payload))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> AttemptOutcome {
+        let response = match self.http.request(request).await {
+            Ok(response) => response,
+            // Without a connection the request provably never reached the target.
+            Err(error) if error.is_connect() => {
+                let reason = format!("the target cannot be reached: {error}");
+                return AttemptOutcome::NotStarted { reason };
+            }
+            Err(error) => {
+                let reason = format!("the connection to the target failed: {error}");
+                return AttemptOutcome::Unknown { reason };
+            }
+        };
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_OUTPUT_BYTES)
+            .collect()
+            .await;
+        match body {
+            Ok(body) if status == StatusCode::OK => AttemptOutcome::Completed {
+                output: body.to_bytes(),
+            },
+            Ok(body) => AttemptOutcome::Failed {
+                reason: failure_reason(status, &body.to_bytes()),
+            },
+            Err(error) => {
+                let reason = format!(
+                    "the output of the task was lost: {error}; it may hold at most {MAX_OUTPUT_BYTES} bytes"
+                );
+                AttemptOutcome::Unknown { reason }
+            }
+        }
+    }
+
+    /// Asks the target to stop a task and waits until it has confirmed that the task has ended.
+    async fn stop_task(&self, path: &str) {
+        let request = Request::builder()
+            .method(Method::DELETE)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(Bytes::new()));
+        if let Ok(request) = request {
+            // The task is reported as cancelled whether or not the target confirms.
+            let _ = timeout(STOP_TIMEOUT, self.http.request(request)).await;
+        }
+    }
+}
+
+/// Resolves once the task is to be stopped.
+async fn stop_requested(stopped: &mut watch::Receiver<bool>) {
+    if stopped.wait_for(|stop| *stop).await.is_err() {
+        // The handle is gone because the task has ended or the actor has stopped; the exchange decides.
+        std::future::pending::<()>().await;
+    }
+}
+
+fn failure_reason(status: StatusCode, body: &[u8]) -> String {
+    let text = String::from_utf8_lossy(&body[..body.len().min(MAX_REASON_BYTES)]);
+    format!("the target answered {}: {text}", status.as_u16())
+}
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -106,7 +106,9 @@
     }
 
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (ProcessId, &mut Agent)> {
-        self.by_process.iter_mut().map(|(&process, agent)| (process, agent))
+        self.by_process
+            .iter_mut()
+            .map(|(&process, agent)| (process, agent))
     }
 
     pub(crate) fn insert(&mut self, process: ProcessId, agent: Agent) {
@@ -131,7 +133,8 @@
     /// Returns the incarnations of a target, by name, other than the given one.
     pub(crate) fn others_of(&self, name: &str, except: ProcessId) -> Vec<ProcessId> {
         let others = self.by_process.iter();
-        let others = others.filter(|(process, agent)| **process != except && agent.announcement.target == name);
+        let others =
+            others.filter(|(process, agent)| **process != except && agent.announcement.target == name);
         others.map(|(&process, _)| process).collect()
     }
 }
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -30,7 +30,10 @@
         agent.told_at = None;
         let credits: Vec<_> = agent.attempts.keys().copied().collect();
         if !credits.is_empty() {
-            actions.push(Action::ToAgent { agent: process, message: EntryToAgent::Resolve { credits } });
+            actions.push(Action::ToAgent {
+                agent: process,
+                message: EntryToAgent::Resolve { credits },
+            });
         }
     }
 
@@ -68,10 +71,16 @@
             }
             AgentToEntry::Renew { ttl } => agent.renew(now, ttl),
             AgentToEntry::Recall { count } => {
-                let keep = agent.credits.len().saturating_sub(usize::try_from(count).unwrap_or(usize::MAX));
+                let keep = agent
+                    .credits
+                    .len()
+                    .saturating_sub(usize::try_from(count).unwrap_or(usize::MAX));
                 let credits: Vec<_> = agent.credits.drain(keep..).collect();
                 let message = EntryToAgent::Return { credits };
-                actions.push(Action::ToAgent { agent: process, message });
+                actions.push(Action::ToAgent {
+                    agent: process,
+                    message,
+                });
             }
             AgentToEntry::Result(result) => {
                 if let Some(next) = result.next {
@@ -80,20 +89,43 @@
                     agent.renew(now, ttl);
                 }
                 agent.confirm(now, result.credit);
-                self.attempt_ended(now, wall, process, result.credit, result.outcome, Some(result.run_time), actions);
+                self.attempt_ended(
+                    now,
+                    wall,
+                    process,
+                    result.credit,
+                    result.outcome,
+                    Some(result.run_time),
+                    actions,
+                );
             }
             AgentToEntry::Refused { credit, reason } => {
                 if reason == RefuseReason::Leaving {
                     let target = agent.target;
                     self.router.set_leaving(target, true);
                 }
-                self.not_started(now, wall, process, credit, "the agent refused the dispatch", actions);
+                self.not_started(
+                    now,
+                    wall,
+                    process,
+                    credit,
+                    "the agent refused the dispatch",
+                    actions,
+                );
             }
             AgentToEntry::Resolved { credit, state } => match state {
                 Resolution::Started => {}
                 Resolution::Finished(result) => {
                     agent.confirm(now, credit);
-                    self.attempt_ended(now, wall, process, credit, result.outcome, Some(result.run_time), actions);
+                    self.attempt_ended(
+                        now,
+                        wall,
+                        process,
+                        credit,
+                        result.outcome,
+                        Some(result.run_time),
+                        actions,
+                    );
                 }
                 Resolution::NeverStarted => {
                     self.not_started(now, wall, process, credit, "the dispatch was lost", actions);
@@ -150,7 +182,9 @@
         let target = agent.target;
         let credits: Vec<_> = agent.attempts.keys().copied().collect();
         for credit in credits {
-            let outcome = AttemptOutcome::Unknown { reason: "the agent of the target was lost".to_owned() };
+            let outcome = AttemptOutcome::Unknown {
+                reason: "the agent of the target was lost".to_owned(),
+            };
             self.attempt_ended(now, wall, process, credit, outcome, None, actions);
         }
         self.agents.remove(process);
@@ -173,14 +207,24 @@
         let repeatable: Vec<_> = agent
             .attempts
             .iter()
-            .filter(|(_, attempt)| self.jobs.get(&attempt.task.job).is_none_or(|job| !job.spec.at_most_once))
+            .filter(|(_, attempt)| {
+                self.jobs
+                    .get(&attempt.task.job)
+                    .is_none_or(|job| !job.spec.at_most_once)
+            })
             .map(|(&credit, _)| credit)
             .collect();
         for credit in repeatable {
-            let outcome = AttemptOutcome::Unknown { reason: "the link to the agent was lost".to_owned() };
+            let outcome = AttemptOutcome::Unknown {
+                reason: "the link to the agent was lost".to_owned(),
+            };
             self.attempt_ended(now, wall, process, credit, outcome, None, actions);
         }
-        if self.agents.get(process).is_some_and(|agent| agent.attempts.is_empty()) {
+        if self
+            .agents
+            .get(process)
+            .is_some_and(|agent| agent.attempts.is_empty())
+        {
             self.agents.remove(process);
         } else {
             self.lost_agents.insert((now + LINK_GRACE, process));
@@ -196,12 +240,17 @@
         reason: &str,
         actions: &mut Vec<Action>,
     ) {
-        let outcome = AttemptOutcome::NotStarted { reason: reason.to_owned() };
+        let outcome = AttemptOutcome::NotStarted {
+            reason: reason.to_owned(),
+        };
         self.attempt_ended(now, wall, process, credit, outcome, None, actions);
     }
 
     /// Ends an attempt once; a repeated or late end of the same attempt has no effect.
-    #[expect(clippy::too_many_arguments, reason = "the parts of a result are separate in several messages")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the parts of a result are separate in several messages"
+    )]
     fn attempt_ended(
         &mut self,
         now: Instant,
@@ -219,10 +268,15 @@
             return;
         };
         let target = agent.target;
-        let (name, service) =
-            self.services.get_index_mut(attempt.service).expect("services keep their index");
+        let (name, service) = self
+            .services
+            .get_index_mut(attempt.service)
+            .expect("services keep their index");
         service.in_flight -= 1;
-        let team = self.teams.get_index(attempt.team).expect("teams keep their index");
+        let team = self
+            .teams
+            .get_index(attempt.team)
+            .expect("teams keep their index");
         self.quotas.release(team);
         let run_time = run_time.unwrap_or_else(|| now.saturating_duration_since(attempt.started));
         let kind = attempt_kind(&outcome, attempt.wanted);
@@ -230,7 +284,10 @@
             service.admission.on_end(run_time);
         }
         self.router.on_end(now, target, name, run_time, kind);
-        let id = AttemptId { agent: process, credit };
+        let id = AttemptId {
+            agent: process,
+            credit,
+        };
         self.hedges.retain(|&(_, hedged)| hedged != id);
         let Some(job) = self.jobs.get_mut(&attempt.task.job) else {
             return;
@@ -307,7 +364,10 @@
 
     /// Starts a second attempt of a slow idempotent task if the budget allows it.
     pub(crate) fn hedge(&mut self, attempt: AttemptId) {
-        let Some(task) = self.agents.get(attempt.agent).and_then(|agent| agent.attempts.get(&attempt.credit))
+        let Some(task) = self
+            .agents
+            .get(attempt.agent)
+            .and_then(|agent| agent.attempts.get(&attempt.credit))
         else {
             return;
         };
@@ -320,7 +380,10 @@
         if task.status.is_some() || task.live.len() != 1 || task.queued > 0 {
             return;
         }
-        let budget = self.services.get_mut(&job.spec.service).map(|service| &mut service.budget);
+        let budget = self
+            .services
+            .get_mut(&job.spec.service)
+            .map(|service| &mut service.budget);
         if budget.is_some_and(|budget| budget.try_spend()) {
             task.avoid.extend(target);
             self.enqueue_again(id, true);
@@ -328,12 +391,17 @@
     }
 
     fn enqueue_again(&mut self, id: TaskRef, hedge: bool) {
-        let job = self.jobs.get_mut(&id.job).expect("the caller has looked up the job");
+        let job = self
+            .jobs
+            .get_mut(&id.job)
+            .expect("the caller has looked up the job");
         let Some(service) = self.services.get_mut(&job.spec.service) else {
             return;
         };
         job.tasks[usize::from(id.task)].queued += 1;
-        let pushed = service.queue.push(&job.spec.team, job.deadline, QueuedTask { id, hedge });
+        let pushed = service
+            .queue
+            .push(&job.spec.team, job.deadline, QueuedTask { id, hedge });
         debug_assert!(pushed.is_ok(), "the queue has no limit of its own");
     }
 
@@ -365,7 +433,12 @@
         if task.queued > 0 {
             if let Some(service) = self.services.get_mut(&job.spec.service) {
                 let mut removed = Vec::new();
-                service.queue.retain_at(&job.spec.team, job.deadline, |queued| queued.id != id, &mut removed);
+                service.queue.retain_at(
+                    &job.spec.team,
+                    job.deadline,
+                    |queued| queued.id != id,
+                    &mut removed,
+                );
             }
             task.queued = 0;
         }
@@ -382,7 +455,10 @@
                 attempt.wanted = false;
             }
             if entry.linked {
-                actions.push(Action::ToAgent { agent, message: EntryToAgent::Cancel { credit } });
+                actions.push(Action::ToAgent {
+                    agent,
+                    message: EntryToAgent::Cancel { credit },
+                });
             }
         }
     }
--- a/crates/dispatch/src/builder.rs
+++ b/crates/dispatch/src/builder.rs
@@ -17,7 +17,12 @@
 
 impl EntryCoreBuilder {
     pub(crate) fn new(me: ProcessId) -> Self {
-        Self { me, seed: me, retention: Duration::from_mins(10), max_records: 1_000_000 }
+        Self {
+            me,
+            seed: me,
+            retention: Duration::from_mins(10),
+            max_records: 1_000_000,
+        }
     }
 
     /// Sets the seed of random choices; the default is the process id.
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -116,7 +116,20 @@
     /// assert_eq!(actions, [Action::Drained]);
     /// ```
     pub fn handle(&mut self, now: Instant, wall: Duration, event: Event, actions: &mut Vec<Action>) {
-        self.apply(now, wall, event, actions);
+        self.handle_all(now, wall, [event], actions);
+    }
+
+    /// Handles events that arrived together and dispatches once after the last of them.
+    pub fn handle_all(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        events: impl IntoIterator<Item = Event>,
+        actions: &mut Vec<Action>,
+    ) {
+        for event in events {
+            self.apply(now, wall, event, actions);
+        }
         self.pump(now, actions);
         self.report_drained(actions);
         debug_assert!(self.verify().is_empty(), "{:?}", self.verify());
@@ -124,7 +137,11 @@
 
     fn apply(&mut self, now: Instant, wall: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Submit { ticket, job, fresh_id } => self.submit(now, wall, ticket, job, fresh_id, actions),
+            Event::Submit {
+                ticket,
+                job,
+                fresh_id,
+            } => self.submit(now, wall, ticket, job, fresh_id, actions),
             Event::Abandon { ticket } => self.abandon(ticket),
             Event::Cancel { ticket, job, team } => self.cancel(now, wall, ticket, job, &team, actions),
             Event::AgentUp { agent } => self.agent_up(agent, actions),
@@ -184,7 +201,10 @@
     ) {
         match action {
             register::Action::Send { peer, message } => {
-                actions.push(Action::ToPeer { peer, message: PeerMessage::Register(message) });
+                actions.push(Action::ToPeer {
+                    peer,
+                    message: PeerMessage::Register(message),
+                });
             }
             register::Action::Claimed { job } => self.claimed(now, job),
             register::Action::Known { job, owner } => self.known(now, wall, job, owner, actions),
@@ -223,14 +243,21 @@
             PeerMessage::NotOwner { job } => self.not_owner(now, wall, peer, job, actions),
             PeerMessage::Cancel { job, team } => self.cancel_owned(now, wall, job, &team, actions),
             PeerMessage::Usage(usage) => {
-                let usage: Vec<_> = usage.into_iter().map(|usage| (usage.team, usage.in_flight)).collect();
+                let usage: Vec<_> = usage
+                    .into_iter()
+                    .map(|usage| (usage.team, usage.in_flight))
+                    .collect();
                 self.quotas.on_peer_usage(peer, &usage, now);
             }
         }
     }
 
     fn install_view(&mut self, now: Instant, wall: Duration, view: View, actions: &mut Vec<Action>) {
-        if self.view.as_ref().is_some_and(|current| current.number >= view.number) {
+        if self
+            .view
+            .as_ref()
+            .is_some_and(|current| current.number >= view.number)
+        {
             return;
         }
         if let Some(former) = &self.view {
@@ -267,7 +294,11 @@
         }
         let known: Vec<_> = self.teams.iter().cloned().collect();
         for team in known {
-            let quota = table.quotas.iter().find(|quota| quota.team == team).map_or(0, |quota| quota.quota);
+            let quota = table
+                .quotas
+                .iter()
+                .find(|quota| quota.team == team)
+                .map_or(0, |quota| quota.quota);
             self.quotas.set_quota(&team, quota);
         }
         for quota in table.quotas {
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -18,7 +18,10 @@
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.phase == Phase::Running) else {
             return;
         };
-        let statuses = job.tasks.iter().map(|task| task.status.clone().expect("all tasks are final"));
+        let statuses = job
+            .tasks
+            .iter()
+            .map(|task| task.status.clone().expect("all tasks are final"));
         let answer = Answer::new(id, statuses.collect());
         debug_assert_eq!(answer.verify(job.tasks.len()), Ok(()));
         let (registered, at_most_once) = (job.registered, job.spec.at_most_once);
@@ -31,7 +34,12 @@
             self.reply_job(id, &Ok(answer.clone()), actions);
         }
         if registered {
-            self.drive_register(now, wall, register::Event::RecordAnswer { job: id, answer }, actions);
+            self.drive_register(
+                now,
+                wall,
+                register::Event::RecordAnswer { job: id, answer },
+                actions,
+            );
         }
     }
 
@@ -53,7 +61,10 @@
             return;
         };
         for peer in job.joiners {
-            let message = PeerMessage::Joined { job: id, result: result.clone() };
+            let message = PeerMessage::Joined {
+                job: id,
+                result: result.clone(),
+            };
             actions.push(Action::ToPeer { peer, message });
         }
         self.reply_all(job.tickets, result, actions);
@@ -62,12 +73,21 @@
     pub(crate) fn reply_all(&mut self, tickets: Vec<Ticket>, result: &JobResult, actions: &mut Vec<Action>) {
         for ticket in tickets {
             self.tickets.swap_remove(&ticket);
-            actions.push(Action::Reply { ticket, result: result.clone() });
+            actions.push(Action::Reply {
+                ticket,
+                result: result.clone(),
+            });
         }
     }
 
     /// Ends whatever waits for the given job at its deadline.
-    pub(crate) fn deadline_passed(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+    pub(crate) fn deadline_passed(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.get(&id) else {
             self.waiting_expired(id, actions);
             return;
@@ -76,13 +96,21 @@
             Phase::Claiming => {
                 let message = "no majority of the entries has answered before the deadline; submit the same job \
                                again to learn its outcome";
-                self.reply_job(id, &Err(Refusal::unknown(RefusalCode::NoQuorum, message)), actions);
+                self.reply_job(
+                    id,
+                    &Err(Refusal::unknown(RefusalCode::NoQuorum, message)),
+                    actions,
+                );
             }
             Phase::Running => self.settle_rest(now, wall, id, "the deadline passed", actions),
             Phase::Recording => {
                 let message = "the answer could not be confirmed by a majority of the entries; submit the same \
                                job again to learn its outcome";
-                self.reply_job(id, &Err(Refusal::unknown(RefusalCode::NoQuorum, message)), actions);
+                self.reply_job(
+                    id,
+                    &Err(Refusal::unknown(RefusalCode::NoQuorum, message)),
+                    actions,
+                );
             }
         }
     }
@@ -115,9 +143,13 @@
     fn status_now(&self, job: &Job, index: TaskIndex, reason: &str) -> TaskStatus {
         let task = &job.tasks[usize::from(index)];
         if !task.live.is_empty() {
-            return TaskStatus::MayHaveRun { reason: reason.to_owned() };
+            return TaskStatus::MayHaveRun {
+                reason: reason.to_owned(),
+            };
         }
-        task.fallback.clone().unwrap_or_else(|| TaskStatus::NotRun { reason: reason.to_owned() })
+        task.fallback.clone().unwrap_or_else(|| TaskStatus::NotRun {
+            reason: reason.to_owned(),
+        })
     }
 
     pub(crate) fn cancel(
@@ -131,7 +163,10 @@
     ) {
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.spec.team != team {
-                actions.push(Action::Reply { ticket, result: Err(unknown_job()) });
+                actions.push(Action::Reply {
+                    ticket,
+                    result: Err(unknown_job()),
+                });
                 return;
             }
             job.tickets.push(ticket);
@@ -139,21 +174,34 @@
             self.cancel_owned(now, wall, id, team, actions);
             return;
         }
-        if let Some(waiting) = self.waiting.get_mut(&id).filter(|waiting| waiting.spec.team == team) {
+        if let Some(waiting) = self
+            .waiting
+            .get_mut(&id)
+            .filter(|waiting| waiting.spec.team == team)
+        {
             waiting.tickets.push(ticket);
             self.tickets.insert(ticket, id);
             for &peer in &self.peers {
-                let message = PeerMessage::Cancel { job: id, team: team.to_owned() };
+                let message = PeerMessage::Cancel {
+                    job: id,
+                    team: team.to_owned(),
+                };
                 actions.push(Action::ToPeer { peer, message });
             }
             return;
         }
         // The owner is not known here; every other entry is asked, and the caller learns the outcome by resubmission.
         for &peer in &self.peers {
-            let message = PeerMessage::Cancel { job: id, team: team.to_owned() };
+            let message = PeerMessage::Cancel {
+                job: id,
+                team: team.to_owned(),
+            };
             actions.push(Action::ToPeer { peer, message });
         }
-        actions.push(Action::Reply { ticket, result: Err(unknown_job()) });
+        actions.push(Action::Reply {
+            ticket,
+            result: Err(unknown_job()),
+        });
     }
 
     /// Cancels a job that this entry owns.
@@ -176,7 +224,11 @@
             // Without a majority it is not known whether an earlier submission ran.
             self.drive_register(now, wall, register::Event::Release { job: id }, actions);
             let message = "the job was cancelled before it was claimed";
-            self.reply_job(id, &Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message)), actions);
+            self.reply_job(
+                id,
+                &Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message)),
+                actions,
+            );
             return;
         }
         self.settle_queued(now, wall, id, actions);
@@ -203,8 +255,13 @@
         }
         for attempt in running {
             if self.agents.get(attempt.agent).is_some_and(|agent| agent.linked) {
-                let message = chestnutfork_types::EntryToAgent::Cancel { credit: attempt.credit };
-                actions.push(Action::ToAgent { agent: attempt.agent, message });
+                let message = chestnutfork_types::EntryToAgent::Cancel {
+                    credit: attempt.credit,
+                };
+                actions.push(Action::ToAgent {
+                    agent: attempt.agent,
+                    message,
+                });
             }
         }
         for (task, status) in idle {
@@ -218,7 +275,11 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.phase == Phase::Running)
-            .filter(|(_, job)| self.services.get(job.service()).is_none_or(|service| !service.active))
+            .filter(|(_, job)| {
+                self.services
+                    .get(job.service())
+                    .is_none_or(|service| !service.active)
+            })
             .map(|(&id, _)| id)
             .collect();
         for id in removed {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -61,7 +61,15 @@
 
 impl Task {
     fn new() -> Self {
-        Self { status: None, queued: 0, live: Vec::new(), attempts: 0, not_started: 0, avoid: Vec::new(), fallback: None }
+        Self {
+            status: None,
+            queued: 0,
+            live: Vec::new(),
+            attempts: 0,
+            not_started: 0,
+            avoid: Vec::new(),
+            fallback: None,
+        }
     }
 }
 
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -44,8 +44,16 @@
     }
 
     fn place_next(&mut self, now: Instant, index: usize, actions: &mut Vec<Action>) -> Step {
-        let Self { services, quotas, router, jobs, .. } = self;
-        let (name, service) = services.get_index_mut(index).expect("the index is below the count");
+        let Self {
+            services,
+            quotas,
+            router,
+            jobs,
+            ..
+        } = self;
+        let (name, service) = services
+            .get_index_mut(index)
+            .expect("the index is below the count");
         if service.queue.is_empty() || service.in_flight >= service.policy.max_in_flight {
             return Step::Blocked;
         }
@@ -70,7 +78,10 @@
         }
         match choice {
             Choice::Use(target) => {
-                let popped = service.queue.pop_allowed(allow).expect("the queue has an allowed task");
+                let popped = service
+                    .queue
+                    .pop_allowed(allow)
+                    .expect("the queue has an allowed task");
                 debug_assert_eq!(popped.item, queued);
                 self.dispatch(now, index, queued, target, actions);
                 Step::Placed
@@ -95,21 +106,41 @@
         target: TargetIndex,
         actions: &mut Vec<Action>,
     ) {
-        let agent_id = self.agents.at_target(target).expect("the router chose a target with an agent");
+        let agent_id = self
+            .agents
+            .at_target(target)
+            .expect("the router chose a target with an agent");
         let agent = self.agents.get_mut(agent_id).expect("the agent is in the table");
-        let credit = agent.credits.pop_back().expect("the router chose a target with a credit");
+        let credit = agent
+            .credits
+            .pop_back()
+            .expect("the router chose a target with a credit");
         self.router.set_credits(target, count(agent.credits.len()));
-        let job = self.jobs.get_mut(&queued.id.job).expect("queued tasks belong to a job");
-        let attempt = AttemptId { agent: agent_id, credit };
-        let (service_name, service) =
-            self.services.get_index_mut(service_index).expect("the index is below the count");
+        let job = self
+            .jobs
+            .get_mut(&queued.id.job)
+            .expect("queued tasks belong to a job");
+        let attempt = AttemptId {
+            agent: agent_id,
+            credit,
+        };
+        let (service_name, service) = self
+            .services
+            .get_index_mut(service_index)
+            .expect("the index is below the count");
         let team = self.teams.get_index_of(&job.spec.team).unwrap_or_else(|| {
             let (index, _) = self.teams.insert_full(job.spec.team.clone());
             index
         });
         agent.attempts.insert(
             credit,
-            Attempt { task: queued.id, started: now, wanted: true, service: service_index, team },
+            Attempt {
+                task: queued.id,
+                started: now,
+                wanted: true,
+                service: service_index,
+                team,
+            },
         );
         let acquired = self.quotas.try_acquire(&job.spec.team);
         debug_assert!(acquired, "the team was allowed one more task");
@@ -135,7 +166,10 @@
             remaining: job.deadline.saturating_duration_since(now),
             payload: job.spec.tasks[usize::from(queued.id.task)].payload.clone(),
         };
-        actions.push(Action::ToAgent { agent: agent_id, message: EntryToAgent::Dispatch(dispatch) });
+        actions.push(Action::ToAgent {
+            agent: agent_id,
+            message: EntryToAgent::Dispatch(dispatch),
+        });
     }
 
     /// Tells agents how many tasks of their pool wait, when that starts, ends, or changes by half.
@@ -144,6 +178,9 @@
         for service in self.services.values() {
             *waiting.entry(&service.policy.pool).or_default() += count(service.queue.len());
         }
+        for (pool, &waiting) in &waiting {
+            self.router.set_waiting(pool, waiting);
+        }
         for (process, agent) in self.agents.iter_mut().filter(|(_, agent)| agent.linked) {
             let demand = waiting.get(&agent.announcement.pool).copied().unwrap_or(0);
             let told = agent.told_demand;
@@ -154,7 +191,10 @@
                 agent.told_demand = demand;
                 agent.told_at = Some(now);
                 let message = EntryToAgent::Demand { waiting: demand };
-                actions.push(Action::ToAgent { agent: process, message });
+                actions.push(Action::ToAgent {
+                    agent: process,
+                    message,
+                });
             }
         }
     }
@@ -167,7 +207,10 @@
                 let credits = std::mem::take(&mut agent.acks);
                 agent.acks_since = None;
                 let message = EntryToAgent::Ack { credits };
-                actions.push(Action::ToAgent { agent: process, message });
+                actions.push(Action::ToAgent {
+                    agent: process,
+                    message,
+                });
             }
         }
     }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -26,7 +26,15 @@
         // Admission enforces the limit before a job is claimed; a claimed job must never find the queue full.
         let queue = FairQueue::new(usize::MAX);
         let budget = RetryBudget::new(policy.retry.budget);
-        Self { policy, active: true, queue, admission: Admission::new(), budget, claiming: 0, in_flight: 0 }
+        Self {
+            policy,
+            active: true,
+            queue,
+            admission: Admission::new(),
+            budget,
+            claiming: 0,
+            in_flight: 0,
+        }
     }
 
     pub(crate) fn update(&mut self, policy: ServicePolicy) {
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -5,9 +5,7 @@
 
 use chestnutfork_limits::AdmissionRequest;
 use chestnutfork_register as register;
-use chestnutfork_types::{
-    Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, Unconfirmed,
-};
+use chestnutfork_types::{Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, Unconfirmed};
 use siphasher::sip::SipHasher13;
 
 use crate::core::EntryCore;
@@ -50,7 +48,10 @@
         }
         match self.admit(now, &job) {
             Ok(()) => self.own(now, wall, vec![ticket], job, digest, fresh_id, actions),
-            Err(refusal) if fresh_id => actions.push(Action::Reply { ticket, result: Err(refusal) }),
+            Err(refusal) if fresh_id => actions.push(Action::Reply {
+                ticket,
+                result: Err(refusal),
+            }),
             Err(refusal) => self.prove_not_run(now, wall, ticket, job, digest, refusal, actions),
         }
     }
@@ -68,7 +69,10 @@
             tickets.push(ticket);
             self.tickets.insert(ticket, id);
         } else {
-            actions.push(Action::Reply { ticket, result: Err(id_reused()) });
+            actions.push(Action::Reply {
+                ticket,
+                result: Err(id_reused()),
+            });
         }
         true
     }
@@ -79,18 +83,24 @@
             return Err(Refusal::not_run(RefusalCode::Draining, message).retry_after(Duration::ZERO));
         }
         let Some(service) = self.services.get(&job.service).filter(|service| service.active) else {
-            let message = format!("service `{}` is not configured; check the name in the URL", job.service);
+            let message = format!(
+                "service `{}` is not configured; check the name in the URL",
+                job.service
+            );
             return Err(Refusal::not_run(RefusalCode::UnknownService, message));
         };
         let policy = &service.policy;
         if !self.confirmed && policy.unconfirmed == Unconfirmed::Refuse {
             let message = "the configuration is not confirmed by control; try another entry";
-            return Err(Refusal::not_run(RefusalCode::Unconfirmed, message)
-                .retry_after(Duration::from_millis(500)));
+            return Err(
+                Refusal::not_run(RefusalCode::Unconfirmed, message).retry_after(Duration::from_millis(500))
+            );
         }
         if self.router.pool_targets(&policy.pool) == 0 {
             let message = format!("no target of pool `{}` is announced; start one", policy.pool);
-            return Err(Refusal::not_run(RefusalCode::CanNeverRun, message).retry_after(Duration::from_secs(1)));
+            return Err(
+                Refusal::not_run(RefusalCode::CanNeverRun, message).retry_after(Duration::from_secs(1))
+            );
         }
         let request = AdmissionRequest {
             tasks: job.tasks.len(),
@@ -101,13 +111,16 @@
             active_teams: service.queue.active_teams(),
             team_allowance: self.quotas.allowance(&job.team),
             slots: self.router.pool_slots(&policy.pool),
-            fastest_speed: 1.0,
+            fastest_speed: self.router.fastest_speed(&policy.pool),
         };
         service.admission.check(now, &request, policy)
     }
 
     /// Looks the job up before a refusal, because an earlier submission of it may have run.
-    #[expect(clippy::too_many_arguments, reason = "one argument for each part of a submission")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one argument for each part of a submission"
+    )]
     fn prove_not_run(
         &mut self,
         now: Instant,
@@ -130,7 +143,16 @@
         }
         let deadline = now + spec.deadline + ANSWER_GRACE;
         self.deadlines.insert((deadline, id));
-        self.waiting.insert(id, Waiting { spec, digest, deadline, tickets, state });
+        self.waiting.insert(
+            id,
+            Waiting {
+                spec,
+                digest,
+                deadline,
+                tickets,
+                state,
+            },
+        );
     }
 
     fn stop_waiting(&mut self, id: JobId) -> Option<Waiting> {
@@ -140,7 +162,10 @@
     }
 
     /// Takes a job as its owner.
-    #[expect(clippy::too_many_arguments, reason = "one argument for each part of a submission")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one argument for each part of a submission"
+    )]
     fn own(
         &mut self,
         now: Instant,
@@ -169,7 +194,16 @@
             self.claimed(now, id);
         }
         if !fresh_id {
-            self.drive_register(now, wall, register::Event::Claim { job: id, digest, at_most_once }, actions);
+            self.drive_register(
+                now,
+                wall,
+                register::Event::Claim {
+                    job: id,
+                    digest,
+                    at_most_once,
+                },
+                actions,
+            );
         }
     }
 
@@ -185,7 +219,10 @@
         service.claiming -= job.tasks.len();
         for index in job.spec.indexes() {
             job.tasks[usize::from(index)].queued += 1;
-            let task = QueuedTask { id: TaskRef { job: id, task: index }, hedge: false };
+            let task = QueuedTask {
+                id: TaskRef { job: id, task: index },
+                hedge: false,
+            };
             let pushed = service.queue.push(&job.spec.team, job.deadline, task);
             debug_assert!(pushed.is_ok(), "the queue has no limit of its own");
         }
@@ -224,8 +261,17 @@
         let Some(job) = self.remove_job(id) else {
             return;
         };
-        let Job { spec, digest, tickets, joiners, .. } = job;
-        debug_assert!(joiners.is_empty() || !spec.at_most_once, "entries joined a job without an owner");
+        let Job {
+            spec,
+            digest,
+            tickets,
+            joiners,
+            ..
+        } = job;
+        debug_assert!(
+            joiners.is_empty() || !spec.at_most_once,
+            "entries joined a job without an owner"
+        );
         self.wait(now, tickets, spec, digest, WaitFor::Owner(owner));
     }
 
@@ -238,12 +284,18 @@
         owner: ProcessId,
         actions: &mut Vec<Action>,
     ) {
-        let in_view = self.view.as_ref().is_some_and(|view| view.members.contains(&owner));
+        let in_view = self
+            .view
+            .as_ref()
+            .is_some_and(|view| view.members.contains(&owner));
         if owner != self.me && in_view {
             let Some(waiting) = self.waiting.get(&id) else {
                 return;
             };
-            let message = PeerMessage::Join { job: id, digest: waiting.digest };
+            let message = PeerMessage::Join {
+                job: id,
+                digest: waiting.digest,
+            };
             actions.push(Action::ToPeer { peer: owner, message });
         } else {
             self.replace_owner(now, wall, id, actions);
@@ -259,14 +311,35 @@
             waiting.state = WaitFor::Takeover;
             let tasks = waiting.spec.tasks.len();
             let digest = waiting.digest;
-            self.drive_register(now, wall, register::Event::TakeOver { job: id, digest, tasks }, actions);
+            self.drive_register(
+                now,
+                wall,
+                register::Event::TakeOver {
+                    job: id,
+                    digest,
+                    tasks,
+                },
+                actions,
+            );
             return;
         }
-        let Some(Waiting { spec, digest, deadline, tickets, .. }) = self.stop_waiting(id) else {
+        let Some(Waiting {
+            spec,
+            digest,
+            deadline,
+            tickets,
+            ..
+        }) = self.stop_waiting(id)
+        else {
             return;
         };
-        let left = deadline.saturating_duration_since(now).saturating_sub(ANSWER_GRACE);
-        let spec = JobSpec { deadline: left, ..spec };
+        let left = deadline
+            .saturating_duration_since(now)
+            .saturating_sub(ANSWER_GRACE);
+        let spec = JobSpec {
+            deadline: left,
+            ..spec
+        };
         // The register already holds a claim, so the new run needs none; its answer is not replicated.
         match self.admit(now, &spec) {
             Ok(()) => self.own(now, wall, tickets, spec, digest, true, actions),
@@ -299,7 +372,10 @@
     pub(crate) fn rejoin(&mut self, peer: ProcessId, actions: &mut Vec<Action>) {
         for (&job, waiting) in &self.waiting {
             if waiting.state == WaitFor::Owner(peer) {
-                let message = PeerMessage::Join { job, digest: waiting.digest };
+                let message = PeerMessage::Join {
+                    job,
+                    digest: waiting.digest,
+                };
                 actions.push(Action::ToPeer { peer, message });
             }
         }
@@ -319,12 +395,18 @@
                 }
                 return;
             }
-            let message = PeerMessage::Joined { job: id, result: Err(id_reused()) };
+            let message = PeerMessage::Joined {
+                job: id,
+                result: Err(id_reused()),
+            };
             actions.push(Action::ToPeer { peer, message });
             return;
         }
         let message = match self.register.answer(id) {
-            Some(answer) => PeerMessage::Joined { job: id, result: Ok(answer.clone()) },
+            Some(answer) => PeerMessage::Joined {
+                job: id,
+                result: Ok(answer.clone()),
+            },
             None => PeerMessage::NotOwner { job: id },
         };
         actions.push(Action::ToPeer { peer, message });
@@ -337,7 +419,11 @@
         result: JobResult,
         actions: &mut Vec<Action>,
     ) {
-        if self.waiting.get(&id).is_some_and(|waiting| waiting.state == WaitFor::Owner(peer)) {
+        if self
+            .waiting
+            .get(&id)
+            .is_some_and(|waiting| waiting.state == WaitFor::Owner(peer))
+        {
             self.answer_waiting(id, &result, actions);
         }
     }
@@ -350,7 +436,11 @@
         id: JobId,
         actions: &mut Vec<Action>,
     ) {
-        if self.waiting.get(&id).is_some_and(|waiting| waiting.state == WaitFor::Owner(peer)) {
+        if self
+            .waiting
+            .get(&id)
+            .is_some_and(|waiting| waiting.state == WaitFor::Owner(peer))
+        {
             self.replace_owner(now, wall, id, actions);
         }
     }
@@ -375,7 +465,11 @@
 
     /// Handles the register's confirmation of the single answer.
     pub(crate) fn recorded(&mut self, id: JobId, answer: &Answer, actions: &mut Vec<Action>) {
-        if self.jobs.get(&id).is_some_and(|job| job.phase == Phase::Recording) {
+        if self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.phase == Phase::Recording)
+        {
             self.reply_job(id, &Ok(answer.clone()), actions);
         }
         self.answer_waiting(id, &Ok(answer.clone()), actions);
@@ -399,7 +493,8 @@
 
     /// Ends a wait whose time is over.
     pub(crate) fn waiting_expired(&mut self, id: JobId, actions: &mut Vec<Action>) {
-        let message = "the owner of the job has not answered in time; submit the same job again to learn its outcome";
+        let message =
+            "the owner of the job has not answered in time; submit the same job again to learn its outcome";
         let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown, message);
         self.answer_waiting(id, &Err(refusal), actions);
     }
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -33,6 +33,7 @@
             self.lost_agents.remove(&(at, agent));
             self.agent_lost(now, wall, agent, actions);
         }
+        self.router.on_timer(now);
         self.expire_credits(now);
         self.exchange_usage(now, actions);
     }
@@ -57,13 +58,23 @@
             .map(|(team, in_flight)| TeamUsage { team, in_flight })
             .collect();
         for &peer in &self.peers {
-            actions.push(Action::ToPeer { peer, message: PeerMessage::Usage(usage.clone()) });
+            actions.push(Action::ToPeer {
+                peer,
+                message: PeerMessage::Usage(usage.clone()),
+            });
         }
     }
 
     /// Returns when credits expire or confirmations are due at any agent.
     pub(crate) fn agents_wakeup(&self) -> Option<Instant> {
-        let linked = self.agents.iter().map(|(_, agent)| agent).filter(|agent| agent.linked);
-        linked.flat_map(|agent| [agent.usable_until, agent.acks_due()]).flatten().min()
+        let linked = self
+            .agents
+            .iter()
+            .map(|(_, agent)| agent)
+            .filter(|agent| agent.linked);
+        linked
+            .flat_map(|agent| [agent.usable_until, agent.acks_due()])
+            .flatten()
+            .min()
     }
 }
--- a/crates/dispatch/src/verify.rs
+++ b/crates/dispatch/src/verify.rs
@@ -96,7 +96,11 @@
         for (&id, job) in &self.jobs {
             let actual = job.tasks.iter().filter(|task| task.status.is_none()).count();
             if actual != job.unfinished {
-                violations.push(Violation::Unfinished { job: id, counted: job.unfinished, actual });
+                violations.push(Violation::Unfinished {
+                    job: id,
+                    counted: job.unfinished,
+                    actual,
+                });
             }
             if !self.deadlines.contains(&(job.deadline, id)) {
                 violations.push(Violation::NoDeadline { job: id });
@@ -107,7 +111,11 @@
             for (index, task) in job.spec.indexes().zip(&job.tasks) {
                 if job.spec.at_most_once && task.attempts > 1 {
                     let attempts = task.attempts;
-                    violations.push(Violation::RepeatedStart { job: id, task: index, attempts });
+                    violations.push(Violation::RepeatedStart {
+                        job: id,
+                        task: index,
+                        attempts,
+                    });
                 }
                 let idle = task.status.is_none() && task.queued == 0 && task.live.is_empty();
                 if idle && job.phase != Phase::Claiming {
@@ -133,12 +141,20 @@
             if service.in_flight != actual {
                 let service_name = name.clone();
                 let counted = service.in_flight;
-                violations.push(Violation::InFlight { service: service_name, counted, actual });
+                violations.push(Violation::InFlight {
+                    service: service_name,
+                    counted,
+                    actual,
+                });
             }
             let actual = queued.get(name.as_str()).copied().unwrap_or(0);
             if service.queue.len() != actual {
                 let queued = service.queue.len();
-                violations.push(Violation::Queued { service: name.clone(), queued, actual });
+                violations.push(Violation::Queued {
+                    service: name.clone(),
+                    queued,
+                    actual,
+                });
             }
         }
     }
--- /dev/null
+++ b/crates/entry/src/actor.rs
@@ -0,0 +1,315 @@
+//! Actor that owns the entry core, its links and the callers that wait.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use chestnutfork_dispatch::{
+    Action, EntryCore, EntryStatus, Event, JobResult, PeerMessage, PolicyTable, Ticket,
+};
+use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
+use chestnutfork_register::View;
+use chestnutfork_types::{AgentToEntry, JobId, JobSpec, ProcessId, TeamName, ViewNumber};
+use chestnutfork_wire::{EntryToAgentWire, PeerMessageWire};
+use indexmap::IndexMap;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::oneshot;
+
+use crate::links::PeerLinks;
+
+/// Message to the entry's actor.
+#[derive(Debug)]
+pub(crate) enum EntryMessage {
+    /// A caller submits a job.
+    Submit { ticket: Ticket, job: JobSpec, fresh_id: bool, reply: oneshot::Sender<JobResult> },
+    /// A caller stopped waiting.
+    Abandon { ticket: Ticket },
+    /// A caller cancels a job.
+    Cancel { ticket: Ticket, job: JobId, team: TeamName, reply: oneshot::Sender<JobResult> },
+    /// A link from an agent is open.
+    AgentUp { link: LinkId, agent: ProcessId, tx: LinkSender<EntryToAgentWire> },
+    /// An agent sent messages.
+    FromAgent { link: LinkId, messages: Vec<AgentToEntry> },
+    /// A link from an agent is closed.
+    AgentDown { link: LinkId },
+    /// A link to another entry is open.
+    PeerUp { link: LinkId, peer: ProcessId, tx: LinkSender<PeerMessageWire> },
+    /// Another entry sent messages.
+    FromPeer { link: LinkId, messages: Vec<PeerMessage> },
+    /// A link to another entry is closed.
+    PeerDown { link: LinkId },
+    /// Entries to dial, by link address.
+    Peers(Vec<String>),
+    /// Control committed a view.
+    View(View),
+    /// A configuration version is in force.
+    Policies(PolicyTable),
+    /// The configuration became confirmed or unconfirmed.
+    Confirmed(bool),
+    /// The timer fired.
+    Tick,
+    /// Asks for the present state.
+    Status(oneshot::Sender<EntryStatus>),
+    /// Refuse new jobs; the reply comes when none is left.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Actor that owns the entry core.
+#[derive(Debug)]
+pub(crate) struct EntryActor;
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    pub(crate) core: EntryCore,
+    pub(crate) dial: DialTemplate,
+    pub(crate) metrics: Metrics,
+    pub(crate) synced: tokio::sync::watch::Sender<ViewNumber>,
+}
+
+/// Everything of a dialled link but its address.
+#[derive(Clone, Debug)]
+pub(crate) struct DialTemplate {
+    pub(crate) me: chestnutfork_net::Identity,
+    pub(crate) secret: chestnutfork_net::ClusterSecret,
+    pub(crate) metrics: Metrics,
+}
+
+/// Links of one kind, by session and by peer.
+#[derive(Debug)]
+struct Links<Out> {
+    peers: IndexMap<LinkId, ProcessId>,
+    senders: IndexMap<ProcessId, (LinkId, LinkSender<Out>)>,
+}
+
+impl<Out> Default for Links<Out> {
+    fn default() -> Self {
+        Self { peers: IndexMap::new(), senders: IndexMap::new() }
+    }
+}
+
+impl<Out> Links<Out> {
+    /// Adds a link and reports whether it replaces one to the same incarnation.
+    fn open(&mut self, link: LinkId, peer: ProcessId, tx: LinkSender<Out>) -> bool {
+        self.peers.insert(link, peer);
+        self.senders.insert(peer, (link, tx)).is_some()
+    }
+
+    /// Removes a link and returns its peer if no newer link to it is open.
+    fn close(&mut self, link: LinkId) -> Option<ProcessId> {
+        let peer = self.peers.swap_remove(&link)?;
+        let current = self.senders.get(&peer).is_some_and(|&(current, _)| current == link);
+        if !current {
+            return None;
+        }
+        self.senders.swap_remove(&peer);
+        Some(peer)
+    }
+
+    /// Returns the peer of a link if it is the current link to that peer.
+    fn peer(&self, link: LinkId) -> Option<ProcessId> {
+        let &peer = self.peers.get(&link)?;
+        let current = self.senders.get(&peer).is_some_and(|&(current, _)| current == link);
+        current.then_some(peer)
+    }
+
+    fn send(&self, peer: ProcessId, message: Out) {
+        if let Some((_, tx)) = self.senders.get(&peer) {
+            tx.send(message);
+        }
+    }
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct State {
+    core: EntryCore,
+    me: ActorRef<EntryMessage>,
+    wakeup: Wakeup,
+    agents: Links<EntryToAgentWire>,
+    peers: Links<PeerMessageWire>,
+    dial: DialTemplate,
+    dialers: IndexMap<String, Dialer>,
+    callers: IndexMap<Ticket, oneshot::Sender<JobResult>>,
+    metrics: Metrics,
+    synced: tokio::sync::watch::Sender<ViewNumber>,
+    drained: Vec<oneshot::Sender<()>>,
+    is_drained: bool,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+}
+
+impl Actor for EntryActor {
+    type Msg = EntryMessage;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<EntryMessage>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let ticker = me.clone();
+        let wakeup = Wakeup::start(move || drop(ticker.cast(EntryMessage::Tick)));
+        Ok(State {
+            core: arguments.core,
+            me,
+            wakeup,
+            agents: Links::default(),
+            peers: Links::default(),
+            dial: arguments.dial,
+            dialers: IndexMap::new(),
+            callers: IndexMap::new(),
+            metrics: arguments.metrics,
+            synced: arguments.synced,
+            drained: Vec::new(),
+            is_drained: false,
+            events: Vec::new(),
+            actions: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<EntryMessage>,
+        message: EntryMessage,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.receive(message);
+        state.step();
+        Ok(())
+    }
+}
+
+impl State {
+    /// Turns a message into events for the core.
+    fn receive(&mut self, message: EntryMessage) {
+        match message {
+            EntryMessage::Submit { ticket, job, fresh_id, reply } => {
+                self.callers.insert(ticket, reply);
+                self.events.push(Event::Submit { ticket, job, fresh_id });
+            }
+            EntryMessage::Abandon { ticket } => {
+                if self.callers.swap_remove(&ticket).is_some() {
+                    self.events.push(Event::Abandon { ticket });
+                }
+            }
+            EntryMessage::Cancel { ticket, job, team, reply } => {
+                self.callers.insert(ticket, reply);
+                self.events.push(Event::Cancel { ticket, job, team });
+            }
+            EntryMessage::AgentUp { link, agent, tx } => {
+                if self.agents.open(link, agent, tx) {
+                    self.events.push(Event::AgentDown { agent });
+                }
+                self.events.push(Event::AgentUp { agent });
+            }
+            EntryMessage::FromAgent { link, messages } => {
+                if let Some(agent) = self.agents.peer(link) {
+                    let events = messages.into_iter();
+                    self.events.extend(events.map(|message| Event::AgentMessage { agent, message }));
+                }
+            }
+            EntryMessage::AgentDown { link } => {
+                self.events.extend(self.agents.close(link).map(|agent| Event::AgentDown { agent }));
+            }
+            EntryMessage::PeerUp { link, peer, tx } => {
+                if self.peers.open(link, peer, tx) {
+                    self.events.push(Event::PeerDown { peer });
+                }
+                self.events.push(Event::PeerUp { peer });
+            }
+            EntryMessage::FromPeer { link, messages } => {
+                if let Some(peer) = self.peers.peer(link) {
+                    let events = messages.into_iter();
+                    self.events.extend(events.map(|message| Event::PeerMessage { peer, message }));
+                }
+            }
+            EntryMessage::PeerDown { link } => {
+                self.events.extend(self.peers.close(link).map(|peer| Event::PeerDown { peer }));
+            }
+            EntryMessage::Peers(addresses) => self.set_peers(&addresses),
+            EntryMessage::View(view) => self.events.push(Event::ViewInstalled(view)),
+            EntryMessage::Policies(table) => self.events.push(Event::Policies(table)),
+            EntryMessage::Confirmed(confirmed) => self.events.push(Event::Confirmed(confirmed)),
+            EntryMessage::Tick => self.events.push(Event::Tick),
+            EntryMessage::Status(reply) => {
+                // The asking side may have gone away.
+                let _ = reply.send(self.core.status());
+            }
+            EntryMessage::Drain(done) => {
+                self.drained.push(done);
+                self.events.push(Event::Drain);
+                if self.is_drained {
+                    self.report_drained();
+                }
+            }
+        }
+    }
+
+    fn set_peers(&mut self, addresses: &[String]) {
+        self.dialers.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            if self.dialers.contains_key(address) {
+                continue;
+            }
+            let template = self.dial.clone();
+            let cfg = DialConfig::builder(address, template.me, template.secret)
+                .metrics(template.metrics)
+                .build();
+            let handler = PeerLinks { actor: self.me.clone() };
+            self.dialers.insert(address.clone(), dial(cfg, handler));
+        }
+    }
+
+    /// Runs the collected events through the core and carries out its actions.
+    fn step(&mut self) {
+        if self.events.is_empty() {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle_all(now(), unix_time(), self.events.drain(..), &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+        self.wakeup.set(self.core.next_wakeup());
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::ToAgent { agent, message } => {
+                if let chestnutfork_types::EntryToAgent::Dispatch(_) = message {
+                    self.metrics.count("entry.dispatches", 1);
+                }
+                self.agents.send(agent, message.into());
+            }
+            Action::ToPeer { peer, message } => self.peers.send(peer, message.into()),
+            Action::Reply { ticket, result } => {
+                if let Err(refusal) = &result {
+                    self.metrics.count(&format!("entry.refusals.{}", refusal.code), 1);
+                }
+                if let Some(caller) = self.callers.swap_remove(&ticket) {
+                    // The caller may have gone away.
+                    let _ = caller.send(result);
+                }
+            }
+            Action::Synced { view } => {
+                self.synced.send_replace(view);
+            }
+            Action::Drained => {
+                self.is_drained = true;
+                self.report_drained();
+            }
+        }
+    }
+
+    fn report_drained(&mut self) {
+        for done in self.drained.drain(..) {
+            let _ = done.send(());
+        }
+    }
+}
+
+/// Returns the time since the Unix epoch; a clock before it counts as the epoch itself.
+pub(crate) fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,172 @@
+//! HTTP interface for callers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use chestnutfork_dispatch::{JobResult, Ticket};
+use chestnutfork_events::{EntryEvent, emit};
+use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
+use chestnutfork_types::{Execution, Refusal, RefusalCode, TeamName};
+use chestnutfork_wire::{AnswerBody, RefusalBody, SubmitBody, parse_job_id};
+use hyper::{Method, Request, Response, StatusCode};
+use ractor::ActorRef;
+use tokio::sync::{oneshot, watch};
+use uuid::Uuid;
+
+use crate::actor::EntryMessage;
+use crate::status::StatusBody;
+use crate::team::TeamTable;
+
+/// Handler of callers' requests.
+#[derive(Clone, Debug)]
+pub(crate) struct Front {
+    pub(crate) actor: ActorRef<EntryMessage>,
+    pub(crate) teams: watch::Receiver<Arc<TeamTable>>,
+    pub(crate) next_ticket: Arc<AtomicU64>,
+}
+
+/// Tells the actor that a caller has gone away before its answer.
+struct AbandonOnDrop {
+    actor: ActorRef<EntryMessage>,
+    ticket: Ticket,
+    answered: bool,
+}
+
+impl Drop for AbandonOnDrop {
+    fn drop(&mut self) {
+        if !self.answered {
+            drop(self.actor.cast(EntryMessage::Abandon { ticket: self.ticket }));
+        }
+    }
+}
+
+impl HttpHandler for Front {
+    async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        let parts: Vec<_> = path.trim_matches('/').split('/').collect();
+        match (req.method(), parts.as_slice()) {
+            (&Method::GET, ["v1", "health"]) => json_response(StatusCode::OK, &serde_json::json!({})),
+            (&Method::GET, ["v1", "status"]) => self.status(&req).await,
+            (&Method::POST, ["v1", "services", service, "jobs"]) => self.submit(&req, service).await,
+            (&Method::DELETE, ["v1", "services", _, "jobs", job]) => self.cancel(&req, job).await,
+            _ => {
+                let body = RefusalBody::plain("not_found", "there is no such path; see docs/API.md");
+                json_response(StatusCode::NOT_FOUND, &body)
+            }
+        }
+    }
+}
+
+impl Front {
+    fn authenticate(&self, req: &Request<Bytes>) -> Option<TeamName> {
+        let teams = self.teams.borrow();
+        let team = bearer_token(req).and_then(|token| teams.authenticate(token)).cloned();
+        if team.is_none() {
+            emit(&EntryEvent::CallerRejected { address: "caller", reason: "the team token is missing or unknown" });
+        }
+        team
+    }
+
+    async fn submit(&self, req: &Request<Bytes>, service: &str) -> Response<Body> {
+        let Some(team) = self.authenticate(req) else {
+            return unauthorized();
+        };
+        let submission = match SubmitBody::parse(req.body()) {
+            Ok(submission) => submission,
+            Err(error) => return refused(&error.refusal()),
+        };
+        let teams = Arc::clone(&self.teams.borrow());
+        // A job that the present configuration rules out may have run under an earlier one.
+        let rejected = |code, message: String| match submission.id {
+            Some(_) => refused(&Refusal::unknown(code, message)),
+            None => refused(&Refusal::not_run(code, message)),
+        };
+        let Some(policy) = teams.policy(service) else {
+            let message = format!("service `{service}` is not configured; check the name in the URL");
+            return rejected(RefusalCode::UnknownService, message);
+        };
+        if !teams.allows(&team, service) {
+            let message = format!("team `{team}` may not use service `{service}`; ask an operator to add it");
+            return rejected(RefusalCode::NotAllowed, message);
+        }
+        let fresh_id = submission.id.is_none();
+        let id = submission.id.unwrap_or_else(|| Uuid::now_v7().as_u128());
+        let job = submission.into_job(id, service.to_owned(), team, policy);
+        self.ask(|ticket, reply| EntryMessage::Submit { ticket, job, fresh_id, reply }).await
+    }
+
+    async fn cancel(&self, req: &Request<Bytes>, job: &str) -> Response<Body> {
+        let Some(team) = self.authenticate(req) else {
+            return unauthorized();
+        };
+        match parse_job_id(job) {
+            Ok(job) => self.ask(|ticket, reply| EntryMessage::Cancel { ticket, job, team, reply }).await,
+            Err(error) => refused(&error.refusal()),
+        }
+    }
+
+    async fn status(&self, req: &Request<Bytes>) -> Response<Body> {
+        if self.authenticate(req).is_none() {
+            return unauthorized();
+        }
+        let (reply, status) = oneshot::channel();
+        drop(self.actor.cast(EntryMessage::Status(reply)));
+        match status.await {
+            Ok(status) => json_response(StatusCode::OK, &StatusBody::from(status)),
+            Err(_) => refused(&stopped()),
+        }
+    }
+
+    /// Sends a message with a reply channel to the actor and turns the reply into a response.
+    async fn ask(
+        &self,
+        message: impl FnOnce(Ticket, oneshot::Sender<JobResult>) -> EntryMessage,
+    ) -> Response<Body> {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let (reply, result) = oneshot::channel();
+        let mut guard = AbandonOnDrop { actor: self.actor.clone(), ticket, answered: false };
+        drop(self.actor.cast(message(ticket, reply)));
+        let result = result.await;
+        guard.answered = true;
+        match result {
+            Ok(Ok(answer)) => json_response(StatusCode::OK, &AnswerBody::from(&answer)),
+            Ok(Err(refusal)) => refused(&refusal),
+            Err(_) => refused(&stopped()),
+        }
+    }
+}
+
+fn stopped() -> Refusal {
+    let message = "the entry stopped; submit the same job to another entry to learn its outcome";
+    Refusal::unknown(RefusalCode::Draining, message)
+}
+
+fn unauthorized() -> Response<Body> {
+    let body = RefusalBody::plain("unauthorized", "present the team's token as `Authorization: Bearer ...`");
+    json_response(StatusCode::UNAUTHORIZED, &body)
+}
+
+fn refused(refusal: &Refusal) -> Response<Body> {
+    let not_run = refusal.execution == Execution::NotRun;
+    emit(&EntryEvent::JobRefused { service: "", team: "", code: refusal.code.as_str(), not_run });
+    json_response(status_code(refusal.code), &RefusalBody::from(refusal))
+}
+
+/// Returns the HTTP status of a refusal.
+fn status_code(code: RefusalCode) -> StatusCode {
+    match code {
+        RefusalCode::BadJob | RefusalCode::BadJobId => StatusCode::BAD_REQUEST,
+        RefusalCode::NotAllowed => StatusCode::FORBIDDEN,
+        RefusalCode::UnknownService => StatusCode::NOT_FOUND,
+        RefusalCode::OutcomeUnknown | RefusalCode::IdReused => StatusCode::CONFLICT,
+        RefusalCode::CanNeverRun => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalCode::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
+        RefusalCode::DeadlineUnmeetable
+        | RefusalCode::QueueFull
+        | RefusalCode::RegisterFull
+        | RefusalCode::NoQuorum
+        | RefusalCode::Unconfirmed
+        | RefusalCode::Draining => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,267 @@
+//! Starts an entry and stops it gracefully.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use chestnutfork_dispatch::{EntryCore, PolicyTable};
+use chestnutfork_net::{
+    ClusterSecret, HttpServer, Identity, Listener, Metrics, Session, listen, now, random_process_id,
+};
+use chestnutfork_register::View;
+use chestnutfork_types::{NodeName, ProcessId, ViewNumber};
+use chestnutfork_wire::Role;
+use ractor::{Actor, ActorRef};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use crate::actor::{Arguments, DialTemplate, EntryActor, EntryMessage};
+use crate::front::Front;
+use crate::links::{AgentLinks, PeerLinks};
+use crate::team::TeamTable;
+
+/// Failure to start an entry.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// A listening address cannot be bound.
+    #[error("cannot listen on `{address}`: {source}; correct `listen` or `peer_listen`, or stop the process that uses it")]
+    Listen {
+        /// Address from the settings.
+        address: String,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The actor did not start.
+    #[error("the entry's actor did not start: {reason}; report this as a bug")]
+    Actor {
+        /// What the runtime reported.
+        reason: String,
+    },
+}
+
+/// Configuration of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryConfig {
+    name: NodeName,
+    listen: String,
+    peer_listen: String,
+    advertise: String,
+    secret: ClusterSecret,
+    retention: Duration,
+    max_records: usize,
+    metrics: Metrics,
+}
+
+/// Builder of [`EntryConfig`].
+#[derive(Clone, Debug)]
+pub struct EntryConfigBuilder {
+    cfg: EntryConfig,
+}
+
+impl EntryConfig {
+    /// Starts the configuration of the entry with the given name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_entry::EntryConfig;
+    /// use chestnutfork_net::ClusterSecret;
+    ///
+    /// let cfg = EntryConfig::builder("entry-1", ClusterSecret::new("s")).listen("127.0.0.1:0").build();
+    /// assert!(format!("{cfg:?}").contains("entry-1"));
+    /// ```
+    #[must_use]
+    pub fn builder(name: impl Into<NodeName>, secret: ClusterSecret) -> EntryConfigBuilder {
+        let cfg = Self {
+            name: name.into(),
+            listen: "127.0.0.1:0".to_owned(),
+            peer_listen: "127.0.0.1:0".to_owned(),
+            advertise: String::new(),
+            secret,
+            retention: Duration::from_mins(10),
+            max_records: 1_000_000,
+            metrics: Metrics::disabled(),
+        };
+        EntryConfigBuilder { cfg }
+    }
+}
+
+impl EntryConfigBuilder {
+    /// Sets the address for callers.
+    #[must_use]
+    pub fn listen(mut self, listen: impl Into<String>) -> Self {
+        self.cfg.listen = listen.into();
+        self
+    }
+
+    /// Sets the address for links of agents and entries.
+    #[must_use]
+    pub fn peer_listen(mut self, listen: impl Into<String>) -> Self {
+        self.cfg.peer_listen = listen.into();
+        self
+    }
+
+    /// Sets the link address that other processes use; the default is the one that is listened on.
+    #[must_use]
+    pub fn advertise(mut self, address: impl Into<String>) -> Self {
+        self.cfg.advertise = address.into();
+        self
+    }
+
+    /// Sets how long a job is remembered.
+    #[must_use]
+    pub fn retention(mut self, retention: Duration) -> Self {
+        self.cfg.retention = retention;
+        self
+    }
+
+    /// Sets how many jobs the register holds at most.
+    #[must_use]
+    pub fn max_records(mut self, max_records: usize) -> Self {
+        self.cfg.max_records = max_records;
+        self
+    }
+
+    /// Sets where metrics are counted.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.cfg.metrics = metrics;
+        self
+    }
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> EntryConfig {
+        self.cfg
+    }
+}
+
+/// Running entry.
+#[derive(Debug)]
+pub struct RunningEntry {
+    process: ProcessId,
+    server: HttpServer,
+    links: Listener,
+    link_address: String,
+    actor: ActorRef<EntryMessage>,
+    teams: watch::Sender<Arc<TeamTable>>,
+    synced: watch::Receiver<ViewNumber>,
+}
+
+impl RunningEntry {
+    /// Returns the address for callers.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address for links of agents and entries.
+    #[must_use]
+    pub fn link_address(&self) -> &str {
+        &self.link_address
+    }
+
+    /// Returns the incarnation of the entry.
+    #[must_use]
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Puts a configuration version in force.
+    pub fn set_policies(&self, policies: PolicyTable, teams: TeamTable) {
+        drop(self.actor.cast(EntryMessage::Policies(policies)));
+        self.teams.send_replace(Arc::new(teams));
+    }
+
+    /// Tells whether the configuration is confirmed.
+    pub fn set_confirmed(&self, confirmed: bool) {
+        drop(self.actor.cast(EntryMessage::Confirmed(confirmed)));
+    }
+
+    /// Installs a view and the link addresses of the entries that this one dials.
+    pub fn set_view(&self, view: View, dial: Vec<String>) {
+        drop(self.actor.cast(EntryMessage::Peers(dial)));
+        drop(self.actor.cast(EntryMessage::View(view)));
+    }
+
+    /// Returns the number of the latest view whose register this entry has copied.
+    #[must_use]
+    pub fn synced(&self) -> watch::Receiver<ViewNumber> {
+        self.synced.clone()
+    }
+
+    /// Refuses new jobs, waits until the known ones are answered, and stops.
+    ///
+    /// After `grace` it stops in any case.
+    pub async fn shutdown(self, grace: Duration) {
+        let (done, drained) = oneshot::channel();
+        if self.actor.cast(EntryMessage::Drain(done)).is_ok() {
+            let _ = timeout(grace, drained).await;
+        }
+        self.server.shutdown(Duration::from_secs(1)).await;
+        drop(self.links);
+        self.actor.stop(None);
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(self) {
+        self.actor.kill();
+    }
+}
+
+/// Starts an entry.
+///
+/// It refuses jobs until it has policies that are confirmed and, for at-most-once jobs, a view.
+///
+/// # Errors
+///
+/// Returns an error if a listening address cannot be bound.
+pub async fn start(cfg: EntryConfig) -> Result<RunningEntry, EntryError> {
+    let callers = bind(&cfg.listen).await?;
+    let peers = bind(&cfg.peer_listen).await?;
+    let local = peers.local_addr().map_err(|source| EntryError::Listen {
+        address: cfg.peer_listen.clone(),
+        source,
+    })?;
+    let link_address = if cfg.advertise.is_empty() { local.to_string() } else { cfg.advertise.clone() };
+    let process = random_process_id();
+    let me = Identity { role: Role::Entry, name: cfg.name.clone(), process, address: link_address.clone() };
+    let core =
+        EntryCore::builder(process).retention(cfg.retention).max_records(cfg.max_records).build(now());
+    let (synced_tx, synced) = watch::channel(0);
+    let dial = DialTemplate { me: me.clone(), secret: cfg.secret.clone(), metrics: cfg.metrics.clone() };
+    let arguments = Arguments { core, dial, metrics: cfg.metrics.clone(), synced: synced_tx };
+    let (actor, _) = Actor::spawn(None, EntryActor, arguments)
+        .await
+        .map_err(|error| EntryError::Actor { reason: error.to_string() })?;
+    let links = listen(peers, me, cfg.secret, cfg.metrics, {
+        let actor = actor.clone();
+        move |session| run_session(session, actor.clone())
+    });
+    let (teams, teams_rx) = watch::channel(Arc::new(TeamTable::default()));
+    let front = Front { actor: actor.clone(), teams: teams_rx, next_ticket: Arc::new(AtomicU64::new(0)) };
+    let server = HttpServer::builder(callers)
+        .serve(front)
+        .map_err(|source| EntryError::Listen { address: cfg.listen, source })?;
+    Ok(RunningEntry { process, server, links, link_address, actor, teams, synced })
+}
+
+async fn bind(address: &str) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| EntryError::Listen { address: address.to_owned(), source })
+}
+
+/// Runs an accepted link with the handler for the peer's role.
+async fn run_session(session: Session, actor: ActorRef<EntryMessage>) {
+    match session.peer().role {
+        Role::Agent => session.run(AgentLinks { actor }).await,
+        Role::Entry => session.run(PeerLinks { actor }).await,
+        // Control never dials an entry.
+        Role::Control => {}
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod listen;
 mod metrics;
+mod wakeup;
 
 pub use dial::{DialConfig, DialConfigBuilder, Dialer, dial};
 pub use http::{
@@ -21,3 +22,4 @@
 pub use link::{LinkError, LinkHandler, LinkId, LinkSender, Session};
 pub use listen::{Listener, listen};
 pub use metrics::{Metrics, MetricsError};
+pub use wakeup::{Wakeup, now};
