schema: Add declared keys with checks, defaults and reference tables

Cause: the configuration document and the process settings need the same things: unknown keys refused, ranges checked, all errors at once with key path and remedy, defaults, secrets never shown, and a reference page. Two copies of that code would drift apart.

Change: new crate `schema`; a key is declared once with path, kind, range, default and meaning. It works on `serde_json::Value` and has no I/O.

--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,33 @@
+//! Declared keys of a document, with the checks, defaults and reference pages that follow from them.
+//!
+//! Each key is declared once with its path, kind, range, default and meaning. The configuration document and the process
+//! settings both use this crate, so their errors and pages look alike. A path joins names with dots; `*` stands for the
+//! free names of a table.
+//!
+//! # Examples
+//!
+//! ```
+//! use chestnutfork_schema::{Key, Kind, Presence, check};
+//! use serde_json::json;
+//!
+//! const KEYS: &[Key] = &[Key {
+//!     path: "port",
+//!     kind: Kind::Integer { min: 1, max: 65_535, unit: "" },
+//!     presence: Presence::Required,
+//!     meaning: "Port to listen on.",
+//! }];
+//! let violations = check(KEYS, &json!({ "port": 0, "prot": 1 }));
+//! assert_eq!(violations.len(), 2);
+//! ```
+
+mod check;
+mod defaults;
+mod flatten;
+mod key;
+mod reference;
+
+pub use check::check;
+pub use defaults::with_defaults;
+pub use flatten::{REDACTED, flatten, redact};
+pub use key::{Key, Kind, NAME_MAX_LENGTH, Presence, Violation, ViolationKind, is_name, key_at};
+pub use reference::reference_table;
--- /dev/null
+++ b/crates/schema/tests/schema.rs
@@ -0,0 +1,111 @@
+//! Tests of checks, defaults and redaction.
+
+use chestnutfork_schema::{Key, Kind, Presence, ViolationKind, check, redact, with_defaults};
+use serde_json::json;
+
+const fn key(path: &'static str, kind: Kind, presence: Presence) -> Key {
+    Key {
+        path,
+        kind,
+        presence,
+        meaning: "A key.",
+    }
+}
+
+const KEYS: &[Key] = &[
+    key("name", Kind::Name, Presence::Required),
+    key("log", Kind::Section, Presence::Optional),
+    key(
+        "log.level",
+        Kind::Choice(&["info", "warn"]),
+        Presence::Default("\"info\""),
+    ),
+    key("log.target", Kind::Address, Presence::Required),
+    key("seeds", Kind::Addresses { min: 1, max: 3 }, Presence::Required),
+    key(
+        "ratio",
+        Kind::Number { min: 0.0, max: 1.0 },
+        Presence::Default("0.5"),
+    ),
+    key("teams", Kind::Table { max: 2 }, Presence::Optional),
+    key("teams.*", Kind::Section, Presence::Optional),
+    key(
+        "teams.*.quota",
+        Kind::Integer {
+            min: 1,
+            max: 10,
+            unit: "tasks",
+        },
+        Presence::Default("5"),
+    ),
+    key("teams.*.token", Kind::Sha256, Presence::Required),
+    key("teams.*.services", Kind::Names { max: 2 }, Presence::Optional),
+];
+
+/// Guards against a check that stops at the first error or misses a kind of error.
+#[test]
+fn check_reports_all_violations_with_paths() {
+    let document = json!({
+        "name": "two words",
+        "nmae": 1,
+        "log": { "level": "loud" },
+        "seeds": ["127.0.0.1:1", "localhost:2"],
+        "ratio": 1.5,
+        "teams": {
+            "a": { "quota": 0, "token": "plain-text-token", "services": ["x", "x"] },
+            "b c": 7,
+            "d": { "quota": 1.5, "token": "0".repeat(64) },
+        },
+    });
+    let violations = check(KEYS, &document);
+    let found: Vec<(&str, ViolationKind)> = violations
+        .iter()
+        .map(|violation| (violation.path.as_str(), violation.kind))
+        .collect();
+    let expected = [
+        ("nmae", ViolationKind::UnknownKey),
+        ("name", ViolationKind::NotAllowed),
+        ("log.level", ViolationKind::NotAllowed),
+        ("log.target", ViolationKind::Missing),
+        ("seeds", ViolationKind::NotAllowed),
+        ("ratio", ViolationKind::NotAllowed),
+        ("teams", ViolationKind::NotAllowed),
+        ("teams.a.quota", ViolationKind::NotAllowed),
+        ("teams.a.token", ViolationKind::NotAllowed),
+        ("teams.a.services", ViolationKind::NotAllowed),
+        ("teams.b c", ViolationKind::NotAllowed),
+        ("teams.b c", ViolationKind::NotAllowed),
+        ("teams.d.quota", ViolationKind::NotAllowed),
+    ];
+    assert_eq!(found, expected);
+}
+
+/// Guards against a secret in an error message or a shown document.
+#[test]
+fn secret_is_never_shown() {
+    let document = json!({ "teams": { "a": { "token": "plain-text-token" } } });
+    let messages: Vec<String> = check(KEYS, &document).iter().map(ToString::to_string).collect();
+    assert!(!messages.join("\n").contains("plain-text-token"));
+    assert!(!redact(KEYS, &document).to_string().contains("plain-text-token"));
+}
+
+/// Guards against defaults that miss absent sections or overwrite given values.
+#[test]
+fn with_defaults_fills_absent_keys_only() {
+    let document = json!({ "ratio": 0.1, "teams": { "a": {}, "b": { "quota": 2 } } });
+    let expected = json!({
+        "ratio": 0.1,
+        "log": { "level": "info" },
+        "teams": { "a": { "quota": 5 }, "b": { "quota": 2 } },
+    });
+    assert_eq!(with_defaults(KEYS, document), expected);
+}
+
+/// Guards against a crash on a document that is not an object.
+#[test]
+fn check_refuses_document_of_other_type() {
+    for document in [json!(null), json!([]), json!("x")] {
+        assert_eq!(check(KEYS, &document)[0].path, "document");
+        assert_eq!(with_defaults(KEYS, document.clone()), document);
+    }
+}
