config: Add the versioned configuration state machine

Cause: control needs a deterministic state machine for patches, and entries and agents need a configuration in force that never goes back.

Conclusion: control and subscribers can be built on this.

--- /dev/null
+++ b/crates/config/examples/configuration_page.rs
@@ -0,0 +1,5 @@
+//! Prints the text of `docs/CONFIGURATION.md`.
+
+fn main() {
+    print!("{}", chestnutfork_config::reference_page());
+}
--- /dev/null
+++ b/crates/config/src/error.rs
@@ -0,0 +1,47 @@
+//! Error of the crate.
+
+use chestnutfork_schema::Violation;
+use chestnutfork_types::ConfigVersion;
+use thiserror::Error;
+
+/// Error while stored or received configuration is read.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("configuration cannot be read: {kind}")]
+pub struct ConfigError {
+    /// What is wrong.
+    pub kind: ErrorKind,
+}
+
+/// Type of a [`ConfigError`].
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ErrorKind {
+    /// The bytes are not an encoding of the expected type.
+    #[error("{0}; check that both processes run compatible versions")]
+    Encoding(String),
+    /// Steps between the version in force and the update are missing.
+    #[error("update starts at version {first} but version {have} is in force; subscribe again with {have}")]
+    Gap {
+        /// Version in force.
+        have: ConfigVersion,
+        /// First version of the update.
+        first: ConfigVersion,
+    },
+    /// The document has errors, for example keys that this process does not know.
+    #[error("version {version} has {} errors, the first: {}; update this process", errors.len(), first(errors))]
+    Invalid {
+        /// Version of the document.
+        version: ConfigVersion,
+        /// All errors.
+        errors: Vec<Violation>,
+    },
+}
+
+fn first(errors: &[Violation]) -> String {
+    errors.first().map_or_else(String::new, ToString::to_string)
+}
+
+impl From<ErrorKind> for ConfigError {
+    fn from(kind: ErrorKind) -> Self {
+        Self { kind }
+    }
+}
--- /dev/null
+++ b/crates/config/src/page.rs
@@ -0,0 +1,57 @@
+//! The reference page `docs/CONFIGURATION.md`, made from the declarations.
+
+use chestnutfork_schema::reference_table;
+
+use crate::keys::KEYS;
+
+const INTRODUCTION: &str = "\
+# Configuration document
+
+The configuration is one versioned document that control replicates. Operators change it only by patches; see
+`docs/OPERATIONS.md`. A patch is a JSON merge patch (RFC 7396) against a numbered version: a member replaces the value,
+and `null` removes it, so that its default holds again. The whole resulting document is checked; every error names the
+key, the allowed values and the remedy. `NAME` stands for a name of 1 to 64 letters, digits, `_` or `-`.
+
+This page is made from the declarations in `crates/config/src/keys.rs`. Regenerate it with
+`cargo run -p chestnutfork-config --example configuration_page > docs/CONFIGURATION.md`.
+
+";
+
+const EXAMPLE: &str = r#"
+## Example
+
+```json
+{
+  "services": {
+    "desk": { "pool": "runners", "at_most_once": true, "weigh": "messages" },
+    "prices": {
+      "pool": "runners",
+      "at_most_once": false,
+      "weigh": "latency",
+      "hedge": { "enabled": true, "after": 2.5 }
+    }
+  },
+  "teams": {
+    "setters": {
+      "token_sha256": "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08",
+      "quota": 500,
+      "services": ["desk", "prices"]
+    }
+  }
+}
+```
+
+The hash of a token is made with `printf %s "$TOKEN" | sha256sum`.
+"#;
+
+/// Returns the text of `docs/CONFIGURATION.md`.
+///
+/// # Examples
+///
+/// ```
+/// assert!(chestnutfork_config::reference_page().contains("`services.NAME.pool`"));
+/// ```
+#[must_use]
+pub fn reference_page() -> String {
+    format!("{INTRODUCTION}{}{EXAMPLE}", reference_table(KEYS))
+}
--- a/crates/schema/src/check.rs
+++ b/crates/schema/src/check.rs
@@ -5,10 +5,10 @@
 
 use serde_json::{Map, Value};
 
-use crate::key::{Key, Kind, Presence, Violation, ViolationKind, is_name};
+use crate::key::{Key, Kind, NAME_MAX_LENGTH, Presence, Violation, ViolationKind, is_name};
 
-/// Largest number of characters of a value that an error repeats.
-const SHOWN_LENGTH: usize = 40;
+/// Largest number of characters of a value or name that an error repeats.
+const SHOWN_LENGTH: usize = NAME_MAX_LENGTH;
 
 /// Checks a document and returns all violations at once, in the order of the declarations.
 ///
@@ -76,7 +76,7 @@
             .collect();
         for name in members.keys() {
             if !declared.iter().any(|(known, _)| known == name) {
-                self.unknown(&join(path, name), &declared);
+                self.unknown(&join(path, &shortened(name)), &declared);
             }
         }
         for (name, key) in declared {
@@ -124,7 +124,7 @@
             return;
         };
         for (name, value) in members {
-            let path = join(path, name);
+            let path = join(path, &shortened(name));
             if !is_name(name) {
                 let message = format!("the name is not allowed; use {}", Kind::Name.expected());
                 self.push(&path, ViolationKind::NotAllowed, message);
@@ -142,9 +142,13 @@
 }
 
 fn shown(value: &Value) -> String {
-    let text = value.to_string();
+    shortened(&value.to_string())
+}
+
+/// Returns a text of bounded length, so that bad input cannot make errors of any size.
+fn shortened(text: &str) -> String {
     if text.chars().count() <= SHOWN_LENGTH {
-        return text;
+        return text.to_owned();
     }
     let start: String = text.chars().take(SHOWN_LENGTH).collect();
     format!("{start}...")
