--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,14 @@
-//! Stand-ins for a target and for the platform.
+//! Simulated counterparts of the system: a target that runs tasks, and the platform beneath workers.
+//!
+//! Both are small HTTP servers on loopback. A target runs tasks whose payload says how long they take, keeps a journal
+//! of every start and end, and can be told to misbehave while it runs. The journal is the independent record that
+//! experiments are judged by.
+
+mod error;
+mod target;
+
+pub use error::StandinError;
+pub use target::{
+    Behaviour, BehaviourChange, Journal, JournalEntry, Mode, RunOutcome, Target, TargetBuilder, TargetHandle,
+    TaskOutput, TaskPayload,
+};
