standin: Pause after a failed accept

Cause: the accept loop of a target repeated a failed accept at once and would spin while file descriptors are used up.

Change: it pauses 50 ms, like the server in net.

Conclusion: no thread spins while it waits.

--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use chestnutfork_types::TaskIndex;
@@ -17,6 +18,7 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep;
 use uuid::Uuid;
 
 use super::actor::{Message, Outside};
@@ -27,6 +29,9 @@
 /// Largest accepted request body.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
+/// Pause after a failed accept, which usually means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 type Reply = Response<Full<Bytes>>;
 
 /// What every connection needs.
@@ -50,13 +55,14 @@
     let graceful = GracefulShutdown::new();
     let mut number = 0;
     loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => continue,
-            },
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
             _ = &mut stop => break,
         };
+        let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
         number += 1;
         opened.send_replace(number);
         let watcher = graceful.watcher();
