load: Add the open-loop generator, the checks and the report

Cause: response time and wasted messages must be judged by what callers and targets saw, not by the dispatcher's own counters.

Change: a scenario in YAML is drawn into a plan from its seed. Every job is submitted at its planned time, with resubmissions to other entries, waves of cancellations and faults of targets. Each answer is checked for completeness, identity and consistency. After the run the answers are compared with the journals of the targets, and response times with an ideal schedule of the tasks that started. Reports come as text, JSON and SVG, and can be compared.

Conclusion: the path from end to end can be judged as soon as it exists.

--- /dev/null
+++ b/crates/load/src/judge.rs
@@ -0,0 +1,265 @@
+//! Judgement of a run: compares answers, journals and the ideal schedule.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use chestnutfork_standin::Journal;
+
+use crate::check::Verdict;
+use crate::ideal::{self, IdealTarget};
+use crate::journals::Ledger;
+use crate::number::{figure, length, to_millis};
+use crate::plan::PlannedJob;
+use crate::quantiles::Quantiles;
+use crate::report::{Report, Series};
+use crate::run::{Content, JobRun};
+use crate::scenario::Scenario;
+use crate::wire::{Execution, Status};
+
+/// Steps per unit of recorded response ratios.
+const RATIO_SCALE: f64 = 10_000.0;
+/// Steps per millisecond of recorded response times.
+const LATENCY_SCALE: f64 = 1_000.0;
+/// Number of examples of unreadable and lost replies that a report keeps.
+const MAX_EXAMPLES: usize = 5;
+
+/// Everything that a run is judged by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Judge<'a> {
+    /// Scenario of the run.
+    pub scenario: &'a Scenario,
+    /// Plan of the run.
+    pub jobs: &'a [PlannedJob],
+    /// What the caller saw.
+    pub runs: &'a [JobRun],
+    /// Journals before the run.
+    pub before: &'a [Journal],
+    /// Journals after the run.
+    pub journals: &'a [Journal],
+}
+
+/// Final word that the caller has on a job.
+#[derive(Clone, Copy, Debug)]
+enum Final<'a> {
+    /// First answer, and the time from the planned submission to it.
+    Answer(&'a Verdict, Duration),
+    /// The last reply says that nothing ran.
+    NotRun,
+    /// The last reply says that tasks may have run.
+    Unknown,
+    /// The last reply is unusable or missing.
+    Nothing,
+}
+
+impl Judge<'_> {
+    /// Returns the figures of the run.
+    pub fn report(&self) -> Report {
+        let ids: HashSet<_> = self.runs.iter().map(|run| run.id).collect();
+        let ledger = Ledger::new(self.journals, |job| ids.contains(job));
+        let mut report = Report {
+            name: self.scenario.name.clone(),
+            seed: self.scenario.seed,
+            jobs_submitted: self.jobs.len() as u64,
+            // A job whose task died at the caller has no run at all.
+            jobs_unanswered: (self.jobs.len() - self.runs.len()) as u64,
+            tasks_started: ledger.starts,
+            starts_after_leaving: ledger.after_leaving,
+            journal_dropped: ledger.dropped,
+            starts_per_s: starts_per_s(&ledger),
+            ..Report::default()
+        };
+        report.wasted.refused_dispatches = ledger.refused;
+        for run in self.runs {
+            self.count_replies(run, &mut report);
+            self.count_job(run, &ledger, &mut report);
+        }
+        let wasted = report.wasted;
+        report.wasted_messages = wasted.unused_starts + wasted.repeated_starts + wasted.refused_dispatches;
+        report.wasted_per_1000 = 1_000.0 * figure(report.wasted_messages) / figure(ledger.starts.max(1));
+        self.measure(&ledger, &mut report);
+        report
+    }
+
+    fn count_replies(&self, run: &JobRun, report: &mut Report) {
+        report.resubmissions += run.submissions.len().saturating_sub(1) as u64;
+        report.jobs_cancelled += u64::from(run.cancelled);
+        let at_most_once = self.scenario.at_most_once || self.jobs[run.index].non_idempotent;
+        let mut first = None;
+        for reply in &run.submissions {
+            match &reply.content {
+                Content::Answer(verdict) => {
+                    report.partial_answers += u64::from(verdict.partial);
+                    report.crossed_answers += u64::from(verdict.crossed);
+                    let changed = *first.get_or_insert(verdict.digest) != verdict.digest;
+                    report.changed_answers += u64::from(changed && at_most_once);
+                }
+                Content::Refusal { code, .. } => {
+                    *report.refusals.entry(code.clone()).or_default() += 1;
+                }
+                Content::Unreadable(reason) => {
+                    report.unreadable_replies += 1;
+                    example(report, reason);
+                }
+                Content::Lost(reason) => {
+                    report.lost_replies += 1;
+                    example(report, reason);
+                }
+            }
+        }
+    }
+
+    fn count_job(&self, run: &JobRun, ledger: &Ledger, report: &mut Report) {
+        let job = &self.jobs[run.index];
+        report.tasks_submitted += job.tasks.len() as u64;
+        let verdict = final_word(run);
+        match verdict {
+            Final::Answer(verdict, _) if verdict.completed() => report.jobs_completed += 1,
+            Final::Answer(verdict, _) if verdict.not_run() => report.jobs_not_run += 1,
+            Final::Answer(..) | Final::Unknown => report.jobs_failed += 1,
+            Final::NotRun => report.jobs_not_run += 1,
+            Final::Nothing => report.jobs_unanswered += 1,
+        }
+        let at_most_once = self.scenario.at_most_once || job.non_idempotent;
+        for index in 0..job.tasks.len() {
+            let record = ledger.task(run.id, index);
+            let repeated = record.starts.saturating_sub(1);
+            report.wasted.repeated_starts += repeated;
+            if at_most_once {
+                report.double_starts += repeated;
+            }
+            let started = u64::from(record.starts > 0);
+            let status = match verdict {
+                Final::Answer(verdict, _) => verdict.statuses.get(index).copied(),
+                Final::NotRun => Some(Status::NotRun),
+                Final::Unknown => Some(Status::MayHaveRun),
+                Final::Nothing => None,
+            };
+            match status {
+                Some(Status::Completed) => report.false_completed += u64::from(!record.completed),
+                Some(Status::NotRun) => report.false_not_run += started,
+                Some(Status::Failed | Status::MayHaveRun) => {}
+                None => report.unreported_starts += started,
+            }
+            if !matches!(status, Some(Status::Completed | Status::Failed)) {
+                report.wasted.unused_starts += started;
+                report.wasted.cancelled_starts += started * u64::from(run.cancelled);
+            }
+        }
+    }
+
+    /// Adds response times, response ratios and goodput.
+    fn measure(&self, ledger: &Ledger, report: &mut Report) {
+        let ideal = self.ideal(ledger);
+        let mut response_ms = Quantiles::new(LATENCY_SCALE);
+        let mut ideal_ms = Quantiles::new(LATENCY_SCALE);
+        let mut ratios = Quantiles::new(RATIO_SCALE);
+        let mut good_tasks = 0.0;
+        let mut good_work = 0.0;
+        for (run, ideal) in self.runs.iter().zip(ideal) {
+            let job = &self.jobs[run.index];
+            report.send_lag_max_ms = report.send_lag_max_ms.max(to_millis(run.send_lag));
+            let second = second_of(report, job.at);
+            second.jobs += 1;
+            let Final::Answer(verdict, after) = final_word(run) else {
+                continue;
+            };
+            if !verdict.completed() {
+                continue;
+            }
+            second.completed += 1;
+            second.worst_ms = second.worst_ms.max(to_millis(after));
+            response_ms.record(to_millis(after));
+            if let Some(ideal) = ideal.filter(|&ideal| ideal > 0.0) {
+                let ratio = after.as_secs_f64() / ideal;
+                second.worst_ratio = second.worst_ratio.max(ratio);
+                ideal_ms.record(ideal * 1_000.0);
+                ratios.record(ratio);
+            }
+            if after > Duration::from_millis(self.scenario.deadline_ms) {
+                report.jobs_late += 1;
+                continue;
+            }
+            good_tasks += length(job.tasks.len());
+            good_work += work_of(job).iter().sum::<f64>();
+        }
+        let span = self.scenario.duration().as_secs_f64();
+        report.goodput_tasks_per_s = good_tasks / span;
+        report.goodput_work_per_s = good_work / span;
+        report.response_ms = response_ms.latency();
+        report.ideal_ms = ideal_ms.latency();
+        report.response_ratio_p50 = ratios.at(0.5);
+        report.response_ratio_p90 = ratios.at(0.9);
+        report.response_ratio_p99 = ratios.at(0.99);
+        report.response_ratio_p999 = ratios.at(0.999);
+    }
+
+    /// Replays the tasks that started; returns the ideal response time of each run in seconds.
+    fn ideal(&self, ledger: &Ledger) -> Vec<Option<f64>> {
+        let faults = &self.scenario.faults;
+        let targets = self.before.iter().enumerate();
+        let targets = targets.map(|(position, journal)| IdealTarget::new(position, journal, faults));
+        let mut targets: Vec<IdealTarget> = targets.collect();
+        let jobs = self.runs.iter().map(|run| {
+            let job = &self.jobs[run.index];
+            let tasks = work_of(job).into_iter().enumerate();
+            let started = tasks.filter(|&(index, _)| ledger.task(run.id, index).starts > 0);
+            let work = started.map(|(_, work)| work).collect();
+            (job.at.as_secs_f64(), work)
+        });
+        let jobs: Vec<(f64, Vec<f64>)> = jobs.collect();
+        ideal::replay(&mut targets, &jobs)
+    }
+}
+
+fn final_word(run: &JobRun) -> Final<'_> {
+    for reply in &run.submissions {
+        if let Content::Answer(verdict) = &reply.content {
+            return Final::Answer(verdict, reply.after);
+        }
+    }
+    match run.submissions.last().map(|reply| &reply.content) {
+        Some(Content::Refusal { execution, .. }) => match execution {
+            Execution::NotRun => Final::NotRun,
+            Execution::Unknown => Final::Unknown,
+        },
+        _ => Final::Nothing,
+    }
+}
+
+/// Returns the run times of a job's tasks in seconds at speed 1.
+fn work_of(job: &PlannedJob) -> Vec<f64> {
+    job.tasks.iter().map(|task| task.run_ms / 1_000.0).collect()
+}
+
+fn second_of(report: &mut Report, at: Duration) -> &mut Series {
+    let second = at.as_secs();
+    if report.series.last().is_none_or(|last| last.second != second) {
+        report.series.push(Series {
+            second,
+            ..Series::default()
+        });
+    }
+    let last = report.series.len() - 1;
+    &mut report.series[last]
+}
+
+fn starts_per_s(ledger: &Ledger) -> f64 {
+    let first = ledger.start_times_us.iter().min();
+    let last = ledger.start_times_us.iter().max();
+    let (Some(first), Some(last)) = (first, last) else {
+        return 0.0;
+    };
+    let span = Duration::from_micros(last - first).as_secs_f64();
+    if span > 0.0 {
+        figure(ledger.starts) / span
+    } else {
+        0.0
+    }
+}
+
+fn example(report: &mut Report, reason: &str) {
+    let known = report.examples.iter().any(|example| example == reason);
+    if !known && report.examples.len() < MAX_EXAMPLES {
+        report.examples.push(reason.to_owned());
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,43 @@
 //! Open-loop load, answer checks and reports.
+//!
+//! [`run`] submits the jobs of a [`Scenario`] at their planned times whatever the system does, checks every answer, and
+//! afterwards compares the answers with the journals of the simulated targets. Its figures come only from what the
+//! caller and the targets saw, never from counters of the system under test.
+//!
+//! # What is counted
+//!
+//! - The *response time* of a job counts from its planned time to its first whole answer, so a stalled entry cannot hide
+//!   its delay.
+//! - The *ideal* replays the tasks that started, at the planned times of their jobs and with their true run times, on a
+//!   central queue without delay: each task goes to the slot on which it finishes earliest. A target with a fault that
+//!   makes it useless takes no tasks while the fault lasts. The response ratio of a completed job is its response time
+//!   over its ideal response time.
+//! - A *wasted message* is a start whose result is in no answer, a second or later start of the same task, or a dispatch
+//!   that the target refused. Starts of jobs that the caller cancelled count too, and are also listed apart.
+
+mod arrivals;
+mod check;
+mod client;
+mod compare;
+mod error;
+mod ideal;
+mod journals;
+mod judge;
+mod number;
+mod plan;
+mod plot;
+mod quantiles;
+mod report;
+mod run;
+mod scenario;
+mod wire;
+
+pub use compare::compare;
+pub use error::LoadError;
+pub use plot::svg;
+pub use report::{Broken, Latency, Report, Series, Wasted};
+pub use run::{Endpoints, HttpTargets, Targets, run};
+pub use scenario::{
+    Arrivals, Cancellations, Distribution, Fault, Local, LocalTargets, LongTasks, Rate, Resubmissions,
+    Scenario, ScenarioBuilder, WrongDeclarations,
+};
--- /dev/null
+++ b/crates/load/src/number.rs
@@ -0,0 +1,34 @@
+//! Conversions between counts, times and floating-point figures.
+
+use std::time::Duration;
+
+/// Converts a count to a figure.
+#[expect(clippy::cast_precision_loss, reason = "counts of a run stay far below 2^53")]
+pub(crate) fn figure(count: u64) -> f64 {
+    count as f64
+}
+
+/// Converts a length to a figure.
+pub(crate) fn length(len: usize) -> f64 {
+    figure(len as u64)
+}
+
+/// Converts a non-negative figure to a count, rounding to the nearest.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range first"
+)]
+pub(crate) fn count(figure: f64) -> u64 {
+    figure.round().clamp(0.0, 9.0e15) as u64
+}
+
+/// Converts milliseconds to a duration; negative and unrepresentable values give zero.
+pub(crate) fn from_millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
+}
+
+/// Converts a duration to milliseconds.
+pub(crate) fn to_millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/load/src/quantiles.rs
@@ -0,0 +1,48 @@
+//! Histograms of response times and response ratios.
+
+use hdrhistogram::Histogram;
+
+use crate::number::{count, figure};
+use crate::report::Latency;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Histogram of a non-negative figure with a fixed resolution.
+#[derive(Clone, Debug)]
+pub(crate) struct Quantiles {
+    histogram: Histogram<u64>,
+    scale: f64,
+}
+
+impl Quantiles {
+    /// Creates a histogram that records figures in steps of one part in `scale`.
+    pub fn new(scale: f64) -> Self {
+        // Three digits are within the range that the histogram supports.
+        #[expect(clippy::expect_used, reason = "the constant number of digits is valid")]
+        let histogram = Histogram::new(DIGITS).expect("3 digits are supported");
+        Self { histogram, scale }
+    }
+
+    /// Records a figure.
+    pub fn record(&mut self, value: f64) {
+        // A histogram that resizes itself takes every value.
+        self.histogram.record(count(value * self.scale)).ok();
+    }
+
+    /// Returns a quantile, or zero if nothing was recorded.
+    pub fn at(&self, quantile: f64) -> f64 {
+        figure(self.histogram.value_at_quantile(quantile)) / self.scale
+    }
+
+    /// Returns the usual quantiles.
+    pub fn latency(&self) -> Latency {
+        Latency {
+            p50: self.at(0.5),
+            p90: self.at(0.9),
+            p99: self.at(0.99),
+            p999: self.at(0.999),
+            max: figure(self.histogram.max()) / self.scale,
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,271 @@
+//! Figures of a run and the promises that they prove broken.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::LoadError;
+
+/// Quantiles of a latency in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Latency {
+    /// Median.
+    pub p50: f64,
+    /// 90th percentile.
+    pub p90: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+    /// Largest value.
+    pub max: f64,
+}
+
+/// Wasted messages by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wasted {
+    /// First starts of tasks whose result is in no answer.
+    pub unused_starts: u64,
+    /// Second and later starts of the same task.
+    pub repeated_starts: u64,
+    /// Dispatches that a target refused.
+    pub refused_dispatches: u64,
+    /// Those of the unused starts whose job the caller cancelled.
+    pub cancelled_starts: u64,
+}
+
+/// Figures of one second of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Series {
+    /// Second after the start of the run in which the jobs were planned.
+    pub second: u64,
+    /// Jobs planned in this second.
+    pub jobs: u64,
+    /// Those of the jobs that completed.
+    pub completed: u64,
+    /// Largest response time of the completed jobs in milliseconds.
+    pub worst_ms: f64,
+    /// Largest response ratio of the completed jobs.
+    pub worst_ratio: f64,
+}
+
+/// Promise that a run proves broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Requirement of the design.
+    pub requirement: &'static str,
+    /// Name of the figure that proves it.
+    pub figure: &'static str,
+    /// Value of the figure.
+    pub count: u64,
+}
+
+impl Display for Broken {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} = {}", self.requirement, self.figure, self.count)
+    }
+}
+
+/// Figures of a run, from what the caller and the targets saw.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the scenario.
+    pub name: String,
+    /// Seed of the scenario.
+    pub seed: u64,
+    /// Jobs that the caller submitted.
+    pub jobs_submitted: u64,
+    /// Jobs whose answer says that every task completed.
+    pub jobs_completed: u64,
+    /// Jobs whose answer says that a task failed or may have run, or whose refusal says that the outcome is unknown.
+    pub jobs_failed: u64,
+    /// Jobs that were refused or answered as not run.
+    pub jobs_not_run: u64,
+    /// Jobs without any usable reply.
+    pub jobs_unanswered: u64,
+    /// Completed jobs that were answered after their deadline.
+    pub jobs_late: u64,
+    /// Jobs that the caller cancelled.
+    pub jobs_cancelled: u64,
+    /// Submissions of jobs that had been submitted before.
+    pub resubmissions: u64,
+    /// Tasks of all submitted jobs.
+    pub tasks_submitted: u64,
+    /// Starts in the targets' journals.
+    pub tasks_started: u64,
+    /// Second and later starts of tasks that must start at most once.
+    pub double_starts: u64,
+    /// Answers that lack tasks or contradict themselves.
+    pub partial_answers: u64,
+    /// Answers that contain another request's id, task or output.
+    pub crossed_answers: u64,
+    /// Answers that differ from an earlier answer of the same at-most-once job.
+    pub changed_answers: u64,
+    /// Tasks reported as not run that did start.
+    pub false_not_run: u64,
+    /// Tasks reported as completed that no target completed.
+    pub false_completed: u64,
+    /// Started tasks of jobs without any usable reply.
+    pub unreported_starts: u64,
+    /// Replies that are neither an answer nor a refusal.
+    pub unreadable_replies: u64,
+    /// Submissions without a reply.
+    pub lost_replies: u64,
+    /// Starts at targets more than 3 s after they began to leave.
+    pub starts_after_leaving: u64,
+    /// Entries missing from full journals; above 0 the other figures are incomplete.
+    pub journal_dropped: u64,
+    /// Wasted messages of all kinds.
+    pub wasted_messages: u64,
+    /// Wasted messages per 1,000 starts.
+    pub wasted_per_1000: f64,
+    /// Wasted messages by kind.
+    pub wasted: Wasted,
+    /// Median response ratio of completed jobs.
+    pub response_ratio_p50: f64,
+    /// 90th percentile of the response ratio.
+    pub response_ratio_p90: f64,
+    /// 99th percentile of the response ratio.
+    pub response_ratio_p99: f64,
+    /// 99.9th percentile of the response ratio.
+    pub response_ratio_p999: f64,
+    /// Response time of completed jobs in milliseconds, from the planned submission.
+    pub response_ms: Latency,
+    /// Ideal response time of the same jobs in milliseconds.
+    pub ideal_ms: Latency,
+    /// Tasks of jobs completed before their deadline, per second of arrivals.
+    pub goodput_tasks_per_s: f64,
+    /// Run time at speed 1 of jobs completed before their deadline, in seconds per second of arrivals.
+    pub goodput_work_per_s: f64,
+    /// Starts per second between the first and the last start.
+    pub starts_per_s: f64,
+    /// Largest delay of a submission behind the plan in milliseconds; large values show an overloaded caller.
+    pub send_lag_max_ms: f64,
+    /// Refusals by code.
+    pub refusals: BTreeMap<String, u64>,
+    /// Some reasons of unreadable and lost replies.
+    pub examples: Vec<String>,
+    /// Figures by second.
+    pub series: Vec<Series>,
+}
+
+impl Report {
+    /// Parses a report in JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not a report.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let report = chestnutfork_load::Report::default();
+    /// let text = serde_json::to_string(&report).unwrap();
+    /// assert_eq!(chestnutfork_load::Report::parse(&text)?, report);
+    /// # Ok::<(), chestnutfork_load::LoadError>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, LoadError> {
+        serde_json::from_str(text).map_err(|e| LoadError::BadReport {
+            reason: e.to_string(),
+        })
+    }
+
+    /// Returns the promises that the run proves broken.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut report = chestnutfork_load::Report::default();
+    /// assert!(report.broken_promises().is_empty());
+    /// report.double_starts = 1;
+    /// assert_eq!(report.broken_promises()[0].requirement, "R1");
+    /// ```
+    #[must_use]
+    pub fn broken_promises(&self) -> Vec<Broken> {
+        let checks = [
+            ("R1", "double_starts", self.double_starts),
+            ("R2", "partial_answers", self.partial_answers),
+            ("R2", "false_completed", self.false_completed),
+            ("R3", "crossed_answers", self.crossed_answers),
+            ("R3", "changed_answers", self.changed_answers),
+            ("R3", "jobs_unanswered", self.jobs_unanswered),
+            ("R3", "unreadable_replies", self.unreadable_replies),
+            ("R4", "false_not_run", self.false_not_run),
+            ("R4", "unreported_starts", self.unreported_starts),
+            ("R6", "starts_after_leaving", self.starts_after_leaving),
+            ("journals are complete", "journal_dropped", self.journal_dropped),
+        ];
+        let broken = checks.into_iter().filter(|&(_, _, count)| count > 0);
+        let broken = broken.map(|(requirement, figure, count)| Broken {
+            requirement,
+            figure,
+            count,
+        });
+        broken.collect()
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} (seed {})", self.name, self.seed)?;
+        writeln!(
+            f,
+            "  jobs      {} submitted: {} completed, {} failed, {} not run, {} unanswered; {} late, {} cancelled",
+            self.jobs_submitted,
+            self.jobs_completed,
+            self.jobs_failed,
+            self.jobs_not_run,
+            self.jobs_unanswered,
+            self.jobs_late,
+            self.jobs_cancelled
+        )?;
+        writeln!(
+            f,
+            "  tasks     {} submitted, {} started, {:.0} starts/s; {} resubmissions",
+            self.tasks_submitted, self.tasks_started, self.starts_per_s, self.resubmissions
+        )?;
+        let response = self.response_ms;
+        writeln!(
+            f,
+            "  response  p50 {:.0} ms, p99 {:.0} ms, p999 {:.0} ms, max {:.0} ms",
+            response.p50, response.p99, response.p999, response.max
+        )?;
+        writeln!(
+            f,
+            "  to ideal  p50 {:.3}, p99 {:.3}, p999 {:.3}",
+            self.response_ratio_p50, self.response_ratio_p99, self.response_ratio_p999
+        )?;
+        writeln!(
+            f,
+            "  goodput   {:.1} tasks/s, {:.2} s of run time per s",
+            self.goodput_tasks_per_s, self.goodput_work_per_s
+        )?;
+        let wasted = self.wasted;
+        writeln!(
+            f,
+            "  wasted    {} messages, {:.2} per 1,000 starts ({} unused, of them {} cancelled; {} repeated, {} refused)",
+            self.wasted_messages,
+            self.wasted_per_1000,
+            wasted.unused_starts,
+            wasted.cancelled_starts,
+            wasted.repeated_starts,
+            wasted.refused_dispatches
+        )?;
+        for (code, count) in &self.refusals {
+            writeln!(f, "  refused   {count} x {code}")?;
+        }
+        for example in &self.examples {
+            writeln!(f, "  example   {example}")?;
+        }
+        let broken = self.broken_promises();
+        if broken.is_empty() {
+            return write!(f, "  promises  kept");
+        }
+        write!(f, "  promises  BROKEN")?;
+        for broken in broken {
+            write!(f, "\n    {broken}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/tests/scenario.rs
@@ -0,0 +1,44 @@
+//! Checks the format of scenarios.
+
+use chestnutfork_load::{LoadError, Scenario};
+
+/// Guards against a mistyped key that silently falls back to its default.
+#[test]
+fn parse_scenario_rejects_unknown_key() {
+    let error = Scenario::parse("duration: 5").unwrap_err().to_string();
+    assert!(error.contains("duration"), "{error}");
+    assert!(error.contains("examples/scenarios"), "{error}");
+}
+
+/// Guards against unusable values that only show during a run.
+#[test]
+fn parse_scenario_rejects_bad_values() {
+    let cases = [
+        ("duration_ms: 0", "duration_ms"),
+        ("duration_ms: 99999999", "duration_ms"),
+        ("failing: 1.5", "failing"),
+        ("arrivals: {poisson: {jobs_per_s: 0}}", "arrivals.jobs_per_s"),
+        ("job_tasks: {fixed: 0}", "job_tasks"),
+        ("run_ms: {log_uniform: {min: 0, max: 5}}", "run_ms"),
+        ("run_ms: {uniform: {min: 9, max: 5}}", "run_ms"),
+        (
+            "wrong_declarations: {share: 0.5, factor: 0}",
+            "wrong_declarations.factor",
+        ),
+        (
+            "cancellations: {share: 1, delay_ms: {fixed: 1}, wave_every_ms: 0}",
+            "cancellations.wave_every_ms",
+        ),
+        (
+            "faults: [{at_ms: 1, target: 0, change: {speed: -1}}]",
+            "faults.change",
+        ),
+        ("local: {control: 3, entries: 2, targets: []}", "local.targets"),
+    ];
+    for (text, expected) in cases {
+        let Err(LoadError::BadKey { key, .. }) = Scenario::parse(text) else {
+            panic!("`{text}` was accepted or failed otherwise");
+        };
+        assert_eq!(key, expected, "{text}");
+    }
+}
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -56,8 +56,13 @@
     /// ```
     #[must_use]
     pub fn builder(address: impl Into<String>, me: Identity, secret: ClusterSecret) -> DialConfigBuilder {
-        let cfg =
-            Self { address: address.into(), me, secret, expect: Role::Entry, metrics: Metrics::disabled() };
+        let cfg = Self {
+            address: address.into(),
+            me,
+            secret,
+            expect: Role::Entry,
+            metrics: Metrics::disabled(),
+        };
         DialConfigBuilder { cfg }
     }
 }
@@ -100,7 +105,9 @@
 ///
 /// Failed attempts go to [`LinkHandler::closed`] with link number zero.
 pub fn dial<H: LinkHandler>(cfg: DialConfig, handler: H) -> Dialer {
-    Dialer { task: tokio::spawn(keep_open(cfg, handler)) }
+    Dialer {
+        task: tokio::spawn(keep_open(cfg, handler)),
+    }
 }
 
 async fn keep_open<H: LinkHandler>(cfg: DialConfig, handler: H) {
@@ -131,8 +138,13 @@
     let (mut socket, _) = client_async_with_config(url, stream, Some(ws)).await?;
     let peer = handshake::dialling(&mut socket, &cfg.me, &cfg.secret).await?;
     if peer.role != cfg.expect {
-        return Err(LinkError::WrongRole { role: format!("{:?}", peer.role) });
+        return Err(LinkError::WrongRole {
+            role: format!("{:?}", peer.role),
+        });
     }
-    let peer = Identity { address: cfg.address.clone(), ..peer };
+    let peer = Identity {
+        address: cfg.address.clone(),
+        ..peer
+    };
     Ok(Session::new(peer, socket, cfg.metrics.clone()))
 }
--- a/crates/net/src/handshake.rs
+++ b/crates/net/src/handshake.rs
@@ -31,7 +31,10 @@
 fn transcript(side: Side, hello: &Hello, challenge: &Challenge) -> Result<Vec<u8>, LinkError> {
     let mut buf = vec![side as u8];
     encode(hello, &mut buf)?;
-    let bare = Challenge { proof: [0; 32], ..challenge.clone() };
+    let bare = Challenge {
+        proof: [0; 32],
+        ..challenge.clone()
+    };
     encode(&bare, &mut buf)?;
     Ok(buf)
 }
@@ -68,7 +71,10 @@
     };
     send(socket, &hello).await?;
     let challenge: Challenge = receive(socket).await?;
-    if !secret.check(&transcript(Side::Accepting, &hello, &challenge)?, &challenge.proof) {
+    if !secret.check(
+        &transcript(Side::Accepting, &hello, &challenge)?,
+        &challenge.proof,
+    ) {
         return Err(LinkError::Unauthenticated);
     }
     let proof = secret.prove(&transcript(Side::Dialling, &hello, &challenge)?);
@@ -104,8 +110,19 @@
     if !secret.check(&transcript(Side::Dialling, &hello, &challenge)?, &proof) {
         return Err(LinkError::Unauthenticated);
     }
-    send(socket, &Welcome { version: PROTOCOL_VERSION }).await?;
-    Ok(Identity { role: hello.role, name: hello.name, process: hello.process, address: hello.address })
+    send(
+        socket,
+        &Welcome {
+            version: PROTOCOL_VERSION,
+        },
+    )
+    .await?;
+    Ok(Identity {
+        role: hello.role,
+        name: hello.name,
+        process: hello.process,
+        address: hello.address,
+    })
 }
 
 fn check_version(version: u32) -> Result<(), LinkError> {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -78,7 +78,10 @@
     /// Starts building a server on a bound socket.
     #[must_use]
     pub fn builder(socket: TcpListener) -> HttpServerBuilder {
-        HttpServerBuilder { socket, limits: HttpLimits::default() }
+        HttpServerBuilder {
+            socket,
+            limits: HttpLimits::default(),
+        }
     }
 
     /// Returns the address that the server listens on.
@@ -116,7 +119,12 @@
             accept_loop(self.socket, self.limits, handler, stopped).await;
             let _ = done_tx.send(());
         });
-        Ok(HttpServer { address, stop, done, task })
+        Ok(HttpServer {
+            address,
+            stop,
+            done,
+            task,
+        })
     }
 }
 
@@ -171,15 +179,24 @@
         Ok(Ok(body)) => handler.handle(Request::from_parts(parts, body.to_bytes())).await,
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             let message = format!("the body exceeds {} bytes; split the job", limits.max_body);
-            json_response(StatusCode::PAYLOAD_TOO_LARGE, &RefusalBody::plain("body_too_large", message))
+            json_response(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                &RefusalBody::plain("body_too_large", message),
+            )
         }
         Ok(Err(error)) => {
             let message = format!("the body is incomplete: {error}; send the request again");
-            json_response(StatusCode::BAD_REQUEST, &RefusalBody::plain("body_incomplete", message))
+            json_response(
+                StatusCode::BAD_REQUEST,
+                &RefusalBody::plain("body_incomplete", message),
+            )
         }
         Err(_) => {
             let message = "the body did not arrive in time; send the request again";
-            json_response(StatusCode::REQUEST_TIMEOUT, &RefusalBody::plain("body_timeout", message))
+            json_response(
+                StatusCode::REQUEST_TIMEOUT,
+                &RefusalBody::plain("body_timeout", message),
+            )
         }
     }
 }
@@ -197,7 +214,10 @@
     let mut response = Response::new(Full::new(Bytes::from(bytes)));
     *response.status_mut() = status;
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    headers.insert(
+        CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
     if status == StatusCode::SERVICE_UNAVAILABLE {
         headers.insert(RETRY_AFTER, hyper::header::HeaderValue::from_static("1"));
     }
@@ -213,7 +233,11 @@
 /// assert_eq!(chestnutfork_net::bearer_token(&req), Some("abc"));
 /// ```
 pub fn bearer_token<B>(req: &Request<B>) -> Option<&str> {
-    req.headers().get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+    req.headers()
+        .get(AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
 }
 
 /// Builds a client that never sends a request twice.
@@ -232,5 +256,7 @@
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect_timeout));
     // By default the client repeats a request whose reused connection closed; that could start a task twice.
-    Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector)
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build(connector)
 }
--- a/crates/net/src/identity.rs
+++ b/crates/net/src/identity.rs
@@ -55,8 +55,7 @@
     }
 
     fn mac(&self, transcript: &[u8]) -> Hmac<Sha256> {
-        let mut mac =
-            Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC accepts keys of any length");
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC accepts keys of any length");
         mac.update(transcript);
         mac
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use dial::{DialConfig, DialConfigBuilder, Dialer, dial};
 pub use http::{
-    Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, http_client, json_response,
+    Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, http_client,
+    json_response,
 };
 pub use identity::{ClusterSecret, Identity, random_process_id};
 pub use link::{LinkError, LinkHandler, LinkId, LinkSender, Session};
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -60,7 +60,9 @@
         role: String,
     },
     /// The peer runs another protocol version.
-    #[error("the peer speaks protocol version {theirs}, this process version {PROTOCOL_VERSION}; upgrade the older one")]
+    #[error(
+        "the peer speaks protocol version {theirs}, this process version {PROTOCOL_VERSION}; upgrade the older one"
+    )]
     Version {
         /// Version of the peer.
         theirs: u32,
@@ -120,7 +122,9 @@
 
 impl<Out> fmt::Debug for LinkSender<Out> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("LinkSender").field("free", &self.tx.capacity()).finish()
+        f.debug_struct("LinkSender")
+            .field("free", &self.tx.capacity())
+            .finish()
     }
 }
 
@@ -144,7 +148,11 @@
 
 impl Session {
     pub(crate) fn new(peer: Identity, socket: WebSocketStream<TcpStream>, metrics: Metrics) -> Self {
-        Self { peer, socket, metrics }
+        Self {
+            peer,
+            socket,
+            metrics,
+        }
     }
 
     /// Returns the identity that the peer proved.
--- a/crates/net/src/listen.rs
+++ b/crates/net/src/listen.rs
@@ -58,7 +58,10 @@
                 match timeout(ACCEPT_TIMEOUT, open(stream, &me, &secret, metrics)).await {
                     Ok(Ok(session)) => on_session(session).await,
                     Ok(Err(error)) if error.is_unauthenticated() => {
-                        emit(Event::LinkAuthenticationFailed, &[("from", &from), ("error", &error)]);
+                        emit(
+                            Event::LinkAuthenticationFailed,
+                            &[("from", &from), ("error", &error)],
+                        );
                     }
                     Ok(Err(_)) | Err(_) => {}
                 }
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -39,7 +39,9 @@
     /// ```
     #[must_use]
     pub fn disabled() -> Self {
-        Self { client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)) }
+        Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)),
+        }
     }
 
     /// Builds a handle that sends to a statsd address over UDP from a background thread.
@@ -56,12 +58,19 @@
     /// # Ok::<(), chestnutfork_net::MetricsError>(())
     /// ```
     pub fn statsd(address: &str) -> Result<Self, MetricsError> {
-        let fail = |reason: String| MetricsError::Address { address: address.to_owned(), reason };
+        let fail = |reason: String| MetricsError::Address {
+            address: address.to_owned(),
+            reason,
+        };
         let socket = UdpSocket::bind("0.0.0.0:0").map_err(|error| fail(error.to_string()))?;
-        socket.set_nonblocking(true).map_err(|error| fail(error.to_string()))?;
+        socket
+            .set_nonblocking(true)
+            .map_err(|error| fail(error.to_string()))?;
         let udp = UdpMetricSink::from(address, socket).map_err(|error| fail(error.to_string()))?;
         let sink = QueuingMetricSink::from(udp);
-        Ok(Self { client: Arc::new(StatsdClient::from_sink(PREFIX, sink)) })
+        Ok(Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, sink)),
+        })
     }
 
     /// Adds to a counter.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,7 +1,7 @@
 //! CBOR encoding of frames, with bounded input.
 
-use serde::de::DeserializeOwned;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 /// Failure to encode or decode a message.
@@ -102,5 +102,7 @@
 
 /// Decodes the first value of the bytes and moves past it.
 fn decode_next<T: DeserializeOwned>(rest: &mut &[u8]) -> Result<T, CodecError> {
-    ciborium::from_reader(rest).map_err(|error| CodecError::Decode { reason: error.to_string() })
+    ciborium::from_reader(rest).map_err(|error| CodecError::Decode {
+        reason: error.to_string(),
+    })
 }
--- a/crates/wire/tests/agent.rs
+++ b/crates/wire/tests/agent.rs
@@ -117,7 +117,10 @@
 /// Guards against a decoder that panics or accepts trailing garbage types on arbitrary bytes.
 #[test]
 fn decode_survives_arbitrary_bytes() {
-    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes arguments by value")]
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes arguments by value"
+    )]
     fn property(bytes: Vec<u8>) -> bool {
         let _ = decode_frame::<AgentToEntryWire>(&bytes, 0);
         let _ = decode::<EntryToAgentWire>(&bytes);
--- a/crates/wire/tests/caller.rs
+++ b/crates/wire/tests/caller.rs
@@ -50,7 +50,10 @@
 /// Guards against a parser that panics on arbitrary input.
 #[test]
 fn parse_survives_arbitrary_bytes() {
-    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes arguments by value")]
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck passes arguments by value"
+    )]
     fn property(bytes: Vec<u8>) -> bool {
         let _ = SubmitBody::parse(&bytes);
         true
