standin: Add a simulated platform and its client

Cause: workers are leased from a platform that reports usage with a lag and gives notice of leaving; the system needs that interface without a real one.

Change: the trait WorkerPlatform names what the system needs, HttpPlatform implements it, and Platform serves it: leases with expiry, lagged usage, checkpoint, throttle and stop of a task, and numbered notices.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,9 +5,15 @@
 //! experiments are judged by.
 
 mod error;
+mod platform;
+mod reply;
 mod target;
 
 pub use error::StandinError;
+pub use platform::{
+    HttpPlatform, Lease, LeaseId, LeaseRequest, Notice, Platform, PlatformBuilder, PlatformError,
+    PlatformHandle, TaskAction, TaskRef, Usage, Worker, WorkerPlatform,
+};
 pub use target::{
     Behaviour, BehaviourChange, Journal, JournalEntry, Mode, RunOutcome, Target, TargetBuilder, TargetHandle,
     TaskOutput, TaskPayload,
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -3,19 +3,14 @@
 use std::convert::Infallible;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
 use chestnutfork_types::TaskIndex;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
-use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
@@ -25,14 +20,7 @@
 use super::behaviour::{BehaviourChange, Mode};
 use super::payload::{TaskOutput, TaskPayload};
 use super::state::{Order, RunEnd};
-
-/// Largest accepted request body.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
-/// Pause after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-type Reply = Response<Full<Bytes>>;
+use crate::reply::{ACCEPT_PAUSE, Reply, json, read_json, text};
 
 /// What every connection needs.
 #[derive(Clone, Debug)]
@@ -237,32 +225,6 @@
         .map_err(|_| format!("header {name} has the bad value `{text}`"))
 }
 
-async fn read_json<T: serde::de::DeserializeOwned>(body: Incoming) -> Result<T, String> {
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let bytes = collected
-        .map_err(|e| format!("cannot read the body: {e}"))?
-        .to_bytes();
-    serde_json::from_slice(&bytes).map_err(|e| format!("cannot read the body as JSON: {e}"))
-}
-
-fn json<T: Serialize>(value: &T) -> Reply {
-    match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut reply = Response::new(Full::new(Bytes::from(body)));
-            let kind = hyper::header::HeaderValue::from_static("application/json");
-            reply.headers_mut().insert(CONTENT_TYPE, kind);
-            reply
-        }
-        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("cannot encode: {e}")),
-    }
-}
-
-fn text(status: StatusCode, message: impl Into<String>) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(message.into())));
-    *reply.status_mut() = status;
-    reply
-}
-
 fn stopped() -> Reply {
     text(StatusCode::SERVICE_UNAVAILABLE, "the target has stopped")
 }
