entry, agent, register, cli: Run the first whole path

Cause: the roles had no common path, and a refusal before a claim could not be called "not run" without asking whether an earlier submission had run. Change: entry and agent actors over authenticated links, wire types between entries, lookups and content digests in the register, a local set of processes and the quickstart command.

--- a/crates/agent/src/actor.rs
+++ b/crates/agent/src/actor.rs
@@ -5,7 +5,9 @@
 use chestnutfork_events::{AgentEvent, emit};
 use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
 use chestnutfork_slots::{Action, AgentCore, Event};
-use chestnutfork_types::{AgentToEntry, AttemptOutcome, CreditId, EntryToAgent, ProcessId};
+use chestnutfork_types::{
+    AgentToEntry, AttemptOutcome, ConfigVersion, CreditId, EntryToAgent, ProcessId, ServiceName,
+};
 use chestnutfork_wire::AgentToEntryWire;
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -37,9 +39,9 @@
     Entries(Vec<String>),
     /// The configuration in force, or its confirmation, changed.
     Config {
-        version: u64,
+        version: ConfigVersion,
         confirmed: bool,
-        refusing: Vec<String>,
+        refusing: Vec<ServiceName>,
     },
     /// A task ended at the target.
     TaskEnded {
@@ -138,7 +140,7 @@
         match message {
             AgentMessage::Target(announcement) => self.target_announced(announcement),
             AgentMessage::LinkUp { link, entry, tx } => self.link_up(link, entry, tx),
-            AgentMessage::FromEntry { link, messages } => self.from_entry(link, messages),
+            AgentMessage::FromEntry { link, messages } => self.entry_messages(link, messages),
             AgentMessage::LinkDown { link } => self.link_down(link),
             AgentMessage::Entries(addresses) => self.set_entries(&addresses),
             AgentMessage::Config {
@@ -227,7 +229,7 @@
         }
     }
 
-    fn from_entry(&mut self, link: LinkId, messages: Vec<EntryToAgent>) {
+    fn entry_messages(&mut self, link: LinkId, messages: Vec<EntryToAgent>) {
         let Some(&entry) = self.links.get(&link) else {
             return;
         };
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,7 @@
 
 use chestnutfork_net::{ClusterSecret, HttpServer, Identity, Metrics, http_client, random_process_id};
 use chestnutfork_slots::AgentCore;
-use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
+use chestnutfork_types::{ConfigVersion, FailureDomain, NodeName, ProcessId, ServiceName};
 use chestnutfork_wire::Role;
 use ractor::{Actor, ActorRef};
 use thiserror::Error;
@@ -149,6 +149,20 @@
         self.process
     }
 
+    /// Replaces the link addresses of the entries to dial.
+    pub fn set_entries(&self, entries: Vec<String>) {
+        drop(self.actor.cast(AgentMessage::Entries(entries)));
+    }
+
+    /// Tells the configuration version in force, whether it is confirmed, and the services that need confirmation.
+    pub fn set_config(&self, version: ConfigVersion, confirmed: bool, refusing: Vec<ServiceName>) {
+        drop(self.actor.cast(AgentMessage::Config {
+            version,
+            confirmed,
+            refusing,
+        }));
+    }
+
     /// Refuses new work, waits until running tasks have ended and their results are confirmed, and stops.
     ///
     /// After `grace` it stops in any case; results that are not confirmed by then are lost.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,18 @@
-//! The `chestnutfork` command.
+//! The `chestnutfork` command: every role and tool in one binary.
 
-fn main() {}
+mod cli;
+mod quickstart;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}; check the limits on threads and open files");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(cli::run(&matches))
+}
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -384,7 +384,7 @@
             .services
             .get_mut(&job.spec.service)
             .map(|service| &mut service.budget);
-        if budget.is_some_and(|budget| budget.try_spend()) {
+        if budget.is_some_and(chestnutfork_routing::RetryBudget::try_spend) {
             task.avoid.extend(target);
             self.enqueue_again(id, true);
         }
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -67,7 +67,7 @@
         EntryCoreBuilder::new(me)
     }
 
-    pub(crate) fn from_builder(builder: EntryCoreBuilder, now: Instant) -> Self {
+    pub(crate) fn from_builder(builder: &EntryCoreBuilder, now: Instant) -> Self {
         let register = Register::builder(builder.me)
             .retention(builder.retention)
             .max_records(builder.max_records)
@@ -206,7 +206,7 @@
                     message: PeerMessage::Register(message),
                 });
             }
-            register::Action::Claimed { job } => self.claimed(now, job),
+            register::Action::Claimed { job } => self.claimed(now, wall, job, actions),
             register::Action::Known { job, owner } => self.known(now, wall, job, owner, actions),
             register::Action::Unknown { job } => self.proved_unknown(job, actions),
             register::Action::Answered { job, answer } => self.answered(job, &answer, actions),
@@ -239,7 +239,7 @@
                 self.drive_register(now, wall, register::Event::FromPeer { peer, message }, actions);
             }
             PeerMessage::Join { job, digest } => self.join_request(peer, job, digest, actions),
-            PeerMessage::Joined { job, result } => self.joined(peer, job, result, actions),
+            PeerMessage::Joined { job, result } => self.joined(peer, job, &result, actions),
             PeerMessage::NotOwner { job } => self.not_owner(now, wall, peer, job, actions),
             PeerMessage::Cancel { job, team } => self.cancel_owned(now, wall, job, &team, actions),
             PeerMessage::Usage(usage) => {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerMessage {
     /// Message of the job register.
-    Register(register::Message),
+    Register(register::PeerMessage),
     /// Asks the owner of a job for its answer when it is there.
     Join {
         /// Job in question.
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -24,7 +24,7 @@
             .map(|task| task.status.clone().expect("all tasks are final"));
         let answer = Answer::new(id, statuses.collect());
         debug_assert_eq!(answer.verify(job.tasks.len()), Ok(()));
-        let (registered, at_most_once) = (job.registered, job.spec.at_most_once);
+        let (registered, at_most_once, digest) = (job.registered, job.spec.at_most_once, job.digest);
         if registered && at_most_once {
             job.phase = Phase::Recording;
             self.deadlines.remove(&(job.deadline, id));
@@ -37,7 +37,11 @@
             self.drive_register(
                 now,
                 wall,
-                register::Event::RecordAnswer { job: id, answer },
+                register::Event::RecordAnswer {
+                    job: id,
+                    digest,
+                    answer,
+                },
                 actions,
             );
         }
@@ -47,10 +51,10 @@
     pub(crate) fn remove_job(&mut self, id: JobId) -> Option<Job> {
         let job = self.jobs.swap_remove(&id)?;
         self.deadlines.remove(&(job.deadline, id));
-        if job.phase == Phase::Claiming {
-            if let Some(service) = self.services.get_mut(job.service()) {
-                service.claiming -= job.tasks.len();
-            }
+        if job.phase == Phase::Claiming
+            && let Some(service) = self.services.get_mut(job.service())
+        {
+            service.claiming -= job.tasks.len();
         }
         Some(job)
     }
@@ -131,7 +135,7 @@
             .spec
             .indexes()
             .filter(|&index| job.tasks[usize::from(index)].status.is_none())
-            .map(|index| (index, self.status_now(job, index, reason)))
+            .map(|index| (index, status_now(job, index, reason)))
             .collect();
         self.stop_tasks(id, actions);
         for (task, status) in open {
@@ -139,19 +143,6 @@
         }
     }
 
-    /// Returns the status of an unfinished task if it ended now.
-    fn status_now(&self, job: &Job, index: TaskIndex, reason: &str) -> TaskStatus {
-        let task = &job.tasks[usize::from(index)];
-        if !task.live.is_empty() {
-            return TaskStatus::MayHaveRun {
-                reason: reason.to_owned(),
-            };
-        }
-        task.fallback.clone().unwrap_or_else(|| TaskStatus::NotRun {
-            reason: reason.to_owned(),
-        })
-    }
-
     pub(crate) fn cancel(
         &mut self,
         now: Instant,
@@ -220,22 +211,20 @@
             return;
         }
         job.cancelled = true;
-        if job.phase == Phase::Claiming {
-            // Without a majority it is not known whether an earlier submission ran.
-            self.drive_register(now, wall, register::Event::Release { job: id }, actions);
-            let message = "the job was cancelled before it was claimed";
-            self.reply_job(
-                id,
-                &Err(Refusal::unknown(RefusalCode::OutcomeUnknown, message)),
-                actions,
-            );
-            return;
+        // A job that is not claimed yet ends when the claim is granted or refused: only then is it known to be new.
+        if job.phase == Phase::Running {
+            self.settle_queued(now, wall, id, actions);
         }
-        self.settle_queued(now, wall, id, actions);
     }
 
     /// Ends the queued tasks of a cancelled job and stops the running ones, which report their own end.
-    fn settle_queued(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
+    pub(crate) fn settle_queued(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -248,7 +237,7 @@
                 continue;
             }
             if task.live.is_empty() {
-                idle.push((index, self.status_now(job, index, reason)));
+                idle.push((index, status_now(job, index, reason)));
             } else {
                 running.extend(task.live.iter().copied());
             }
@@ -303,7 +292,7 @@
                 let task = &job.tasks[usize::from(index)];
                 task.status.is_none() && task.live.is_empty()
             })
-            .map(|index| (index, self.status_now(job, index, reason)))
+            .map(|index| (index, status_now(job, index, reason)))
             .collect();
         for (task, status) in idle {
             self.settle(now, wall, TaskRef { job: id, task }, status, actions);
@@ -311,6 +300,19 @@
     }
 }
 
+/// Returns the status of an unfinished task if it ended now.
+fn status_now(job: &Job, index: TaskIndex, reason: &str) -> TaskStatus {
+    let task = &job.tasks[usize::from(index)];
+    if !task.live.is_empty() {
+        return TaskStatus::MayHaveRun {
+            reason: reason.to_owned(),
+        };
+    }
+    task.fallback.clone().unwrap_or_else(|| TaskStatus::NotRun {
+        reason: reason.to_owned(),
+    })
+}
+
 fn unknown_job() -> Refusal {
     let message = "this entry does not run the job; the cancellation was passed on, submit the same job again to \
                    learn its outcome";
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -5,7 +5,7 @@
 
 use chestnutfork_limits::AdmissionRequest;
 use chestnutfork_register as register;
-use chestnutfork_types::{Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, Unconfirmed};
+use chestnutfork_types::{Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, TaskIndex, Unconfirmed};
 use siphasher::sip::SipHasher13;
 
 use crate::core::EntryCore;
@@ -191,7 +191,7 @@
         self.jobs.insert(id, job);
         // Nobody else knows an id that this entry has made, so it needs no claim.
         if fresh_id || !at_most_once {
-            self.claimed(now, id);
+            self.claimed(now, wall, id, actions);
         }
         if !fresh_id {
             self.drive_register(
@@ -208,7 +208,7 @@
     }
 
     /// Queues the tasks of a job that this entry may run.
-    pub(crate) fn claimed(&mut self, _now: Instant, id: JobId) {
+    pub(crate) fn claimed(&mut self, now: Instant, wall: Duration, id: JobId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.phase == Phase::Claiming) else {
             return;
         };
@@ -226,6 +226,9 @@
             let pushed = service.queue.push(&job.spec.team, job.deadline, task);
             debug_assert!(pushed.is_ok(), "the queue has no limit of its own");
         }
+        if job.cancelled {
+            self.settle_queued(now, wall, id, actions);
+        }
     }
 
     /// Turns a submission into a wait for the entry that owns the job.
@@ -309,7 +312,7 @@
         };
         if waiting.spec.at_most_once {
             waiting.state = WaitFor::Takeover;
-            let tasks = waiting.spec.tasks.len();
+            let tasks = TaskIndex::try_from(waiting.spec.tasks.len()).unwrap_or(TaskIndex::MAX);
             let digest = waiting.digest;
             self.drive_register(
                 now,
@@ -416,7 +419,7 @@
         &mut self,
         peer: ProcessId,
         id: JobId,
-        result: JobResult,
+        result: &JobResult,
         actions: &mut Vec<Action>,
     ) {
         if self
@@ -424,7 +427,7 @@
             .get(&id)
             .is_some_and(|waiting| waiting.state == WaitFor::Owner(peer))
         {
-            self.answer_waiting(id, &result, actions);
+            self.answer_waiting(id, result, actions);
         }
     }
 
--- a/crates/register/src/answers.rs
+++ b/crates/register/src/answers.rs
@@ -16,6 +16,7 @@
 /// Answer that this entry tries to record.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposal {
+    digest: u64,
     owner: ProcessId,
     /// Answer to propose if no other one is found.
     value: Answer,
@@ -34,11 +35,12 @@
         &mut self,
         now: Instant,
         job: JobId,
+        digest: u64,
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
         let won = self.fates.get(&job) == Some(&Fate::Won);
-        self.propose(now, job, answer, won, actions);
+        self.propose(now, job, digest, answer, won, actions);
     }
 
     /// Proposes that every task may have run; a recorded answer takes precedence.
@@ -46,6 +48,7 @@
         &mut self,
         now: Instant,
         job: JobId,
+        digest: u64,
         tasks: TaskIndex,
         actions: &mut Vec<Action>,
     ) {
@@ -53,13 +56,14 @@
             reason: "the entry that owned the job is gone".into(),
         };
         let answer = Answer::new(job, vec![status; usize::from(tasks)]);
-        self.propose(now, job, answer, false, actions);
+        self.propose(now, job, digest, answer, false, actions);
     }
 
     fn propose(
         &mut self,
         now: Instant,
         job: JobId,
+        digest: u64,
         value: Answer,
         as_owner: bool,
         actions: &mut Vec<Action>,
@@ -80,6 +84,7 @@
         let me = self.settings.me;
         let resend = self.first_resend(now);
         let proposal = Proposal {
+            digest,
             owner: self.table.record(job).map_or(me, |record| record.owner),
             accepting: as_owner.then(|| value.clone()),
             value,
@@ -118,16 +123,16 @@
         let Some(proposal) = self.proposals.get(&job) else {
             return;
         };
-        let (owner, ballot) = (proposal.owner, proposal.ballot);
+        let (digest, owner, ballot) = (proposal.digest, proposal.owner, proposal.ballot);
         let accepting = proposal.accepting.clone();
         for peer in self.others(&proposal.voters) {
-            let message = self.ballot_message(job, owner, ballot, accepting.clone());
+            let message = self.ballot_message(job, digest, owner, ballot, accepting.clone());
             actions.push(Action::Send { peer, message });
         }
         if !self.proposals[&job].voters.contains(&me) {
             let vote = match &accepting {
-                Some(answer) => self.table.accept(job, owner, ballot, answer),
-                None => self.table.prepare(job, owner, ballot),
+                Some(answer) => self.table.accept(job, digest, owner, ballot, answer),
+                None => self.table.prepare(job, digest, owner, ballot),
             };
             self.on_vote(now, me, job, (ballot, accepting.is_some()), vote, actions);
         }
@@ -136,6 +141,7 @@
     fn ballot_message(
         &self,
         job: JobId,
+        digest: u64,
         owner: ProcessId,
         ballot: Ballot,
         accepting: Option<Answer>,
@@ -145,6 +151,7 @@
             Some(answer) => PeerMessage::Accept {
                 view,
                 job,
+                digest,
                 owner,
                 ballot,
                 answer,
@@ -152,6 +159,7 @@
             None => PeerMessage::Prepare {
                 view,
                 job,
+                digest,
                 owner,
                 ballot,
             },
@@ -168,19 +176,24 @@
     ) {
         match message {
             PeerMessage::Prepare {
-                job, owner, ballot, ..
+                job,
+                digest,
+                owner,
+                ballot,
+                ..
             } => {
-                let vote = self.table.prepare(job, owner, ballot);
+                let vote = self.table.prepare(job, digest, owner, ballot);
                 self.reply(peer, job, (ballot, false), vote, actions);
             }
             PeerMessage::Accept {
                 job,
+                digest,
                 owner,
                 ballot,
                 answer,
                 ..
             } => {
-                let vote = self.table.accept(job, owner, ballot, &answer);
+                let vote = self.table.accept(job, digest, owner, ballot, &answer);
                 self.reply(peer, job, (ballot, true), vote, actions);
             }
             PeerMessage::Promise {
@@ -328,6 +341,13 @@
         actions: &mut Vec<Action>,
     ) {
         self.on_claim_denied(peer, job, denial, actions);
+        self.on_lookup_denied(job, denial, actions);
+        if denial == Denial::DigestMismatch && self.proposals.swap_remove(&job).is_some() {
+            actions.push(Action::Refused {
+                job,
+                refusal: denial.refusal(),
+            });
+        }
         let Some(proposal) = self.proposals.get_mut(&job) else {
             return;
         };
--- a/crates/register/src/claims.rs
+++ b/crates/register/src/claims.rs
@@ -12,6 +12,7 @@
 /// Claim of this entry that has no quorum yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
+    digest: u64,
     at_most_once: bool,
     until: Instant,
     pub(crate) grants: Vec<ProcessId>,
@@ -34,19 +35,21 @@
         now: Instant,
         wall: Duration,
         job: JobId,
+        digest: u64,
         at_most_once: bool,
         actions: &mut Vec<Action>,
     ) {
         if self.claims.contains_key(&job) {
             return;
         }
-        if let Some(action) = self.settled_claim(wall, job) {
+        if let Some(action) = self.settled_claim(wall, job, digest) {
             actions.push(action);
             return;
         }
         let until = now + self.settings.claim_timeout;
         let resend = self.first_resend(now);
         let claim = Claim {
+            digest,
             at_most_once,
             until,
             grants: Vec::new(),
@@ -59,8 +62,16 @@
     }
 
     /// Returns the result of a claim that needs no vote, if it has one.
-    fn settled_claim(&self, wall: Duration, job: JobId) -> Option<Action> {
+    pub(crate) fn settled_claim(&self, wall: Duration, job: JobId, digest: u64) -> Option<Action> {
         let me = self.settings.me;
+        if self
+            .table
+            .record(job)
+            .is_some_and(|record| record.digest != digest)
+        {
+            let refusal = id_reused();
+            return Some(Action::Refused { job, refusal });
+        }
         if job_time(job) > wall + self.settings.max_ahead {
             // An entry with a faster clock may have accepted the job.
             let message = "the job id lies ahead of the clock; synchronise the clocks";
@@ -102,7 +113,11 @@
         };
         let view = self.view_number().unwrap_or_default();
         for peer in self.others(&claim.grants) {
-            let message = PeerMessage::Claim { view, job };
+            let message = PeerMessage::Claim {
+                view,
+                job,
+                digest: claim.digest,
+            };
             actions.push(Action::Send { peer, message });
         }
     }
@@ -110,7 +125,10 @@
     /// Lets this entry's replica vote on the own claim.
     fn vote_for_own(&mut self, job: JobId, actions: &mut Vec<Action>) {
         let me = self.settings.me;
-        match self.table.claim(job, me) {
+        let Some(claim) = self.claims.get(&job) else {
+            return;
+        };
+        match self.table.claim(job, claim.digest, me) {
             ClaimVote::Granted => self.on_granted(me, job, actions),
             ClaimVote::Known(owner) => self.on_known(me, job, owner, actions),
             ClaimVote::Denied(denial) => self.on_claim_denied(me, job, denial, actions),
@@ -118,7 +136,13 @@
     }
 
     /// Votes on the claim of another member.
-    pub(crate) fn on_peer_claim(&mut self, peer: ProcessId, job: JobId, actions: &mut Vec<Action>) {
+    pub(crate) fn on_peer_claim(
+        &mut self,
+        peer: ProcessId,
+        job: JobId,
+        digest: u64,
+        actions: &mut Vec<Action>,
+    ) {
         // Of two claimants without a quorum the smaller one goes on. Only the claimant itself can withdraw, because
         // only it knows that it has dispatched nothing.
         if !self.claims.contains_key(&job) {
@@ -127,7 +151,7 @@
             self.withdraw(job, peer, actions);
         }
         let view = self.view_number().unwrap_or_default();
-        let message = match self.table.claim(job, peer) {
+        let message = match self.table.claim(job, digest, peer) {
             ClaimVote::Granted => PeerMessage::Granted { view, job },
             ClaimVote::Known(owner) => PeerMessage::Known { view, job, owner },
             ClaimVote::Denied(denial) => PeerMessage::Denied { view, job, denial },
@@ -142,10 +166,11 @@
         if !claim.grants.contains(&peer) {
             claim.grants.push(peer);
         }
+        let digest = claim.digest;
         if self.view.as_ref().is_some_and(|view| view.decides(&claim.grants)) {
             self.claims.swap_remove(&job);
             self.fates.insert(job, Fate::Won);
-            self.table.own(job, self.settings.me);
+            self.table.own(job, digest, self.settings.me);
             actions.push(Action::Claimed { job });
         }
     }
@@ -196,7 +221,9 @@
         }
         let denials = claim.denials.len();
         let below_floor = claim.denials.iter().any(|&(_, why)| why == Denial::BelowFloor);
-        if self.is_hopeless(denials) {
+        if denial == Denial::DigestMismatch {
+            self.give_up_claim(job, id_reused(), actions);
+        } else if self.is_hopeless(denials) {
             // In a settled view the members without a record intersect every quorum, so no claim was granted.
             let settled = self.view.as_ref().is_some_and(|view| view.settled);
             let refusal = match (below_floor, settled) {
@@ -268,13 +295,19 @@
     Refusal::unknown(RefusalCode::OutcomeUnknown, message)
 }
 
-fn register_full(refuse: fn(RefusalCode, &'static str) -> Refusal) -> Refusal {
+/// Builds the refusal of a job whose id was used for another submission.
+pub(crate) fn id_reused() -> Refusal {
+    let message = "the job id was used before with another content; use a new id for a new job";
+    Refusal::unknown(RefusalCode::IdReused, message)
+}
+
+pub(crate) fn register_full(refuse: fn(RefusalCode, &'static str) -> Refusal) -> Refusal {
     let message = "the job register is full; retry later or raise `register.max_records`";
     refuse(RefusalCode::RegisterFull, message).retry_after(Duration::from_secs(1))
 }
 
 /// Builds the refusal of a claim without quorum; another entry may hold and run the job.
-fn no_quorum() -> Refusal {
+pub(crate) fn no_quorum() -> Refusal {
     let message = "no majority of entries answered the claim; retry with the same job id";
     Refusal::unknown(RefusalCode::NoQuorum, message).retry_after(Duration::from_millis(500))
 }
--- a/crates/register/src/event.rs
+++ b/crates/register/src/event.rs
@@ -12,6 +12,8 @@
     Claim {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Whether the job waits for the grant; other jobs run without it.
         at_most_once: bool,
     },
@@ -19,13 +21,24 @@
     RecordAnswer {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Answer to record.
         answer: Answer,
     },
+    /// A submission of the job is about to be refused; it is "not run" only if no claim has been granted.
+    Lookup {
+        /// Job in question.
+        job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
     /// The owner of a job that a caller waits for here is gone.
     TakeOver {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Number of tasks of the job.
         tasks: TaskIndex,
     },
@@ -69,6 +82,11 @@
         /// Owner to join, or to take over from.
         owner: ProcessId,
     },
+    /// No claim of the looked-up job has been granted, so nothing of it has started.
+    Unknown {
+        /// Job in question.
+        job: JobId,
+    },
     /// The claimed job already has its answer.
     Answered {
         /// Job in question.
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -8,6 +8,7 @@
 mod builder;
 mod claims;
 mod event;
+mod lookups;
 mod message;
 mod register;
 mod sync;
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -26,6 +26,8 @@
 pub struct Record {
     /// Job in question.
     pub job: JobId,
+    /// Digest of the first submission; another submission must not use the same id.
+    pub digest: u64,
     /// Entry that claimed the job first at this replica.
     pub owner: ProcessId,
     /// Another entry that claimed the job, known from a copy; no claim is granted any more.
@@ -43,6 +45,8 @@
     BelowFloor,
     /// The table is full and has no record of the job.
     Full,
+    /// The id was used for another submission.
+    DigestMismatch,
 }
 
 /// Message between registers; a replica takes only those of its own view.
@@ -54,6 +58,32 @@
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
+    /// Asks whether the job is known.
+    Lookup {
+        /// View of the sender.
+        view: ViewNumber,
+        /// Job in question.
+        job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+        /// Number of the lookup at the sender; an answer to an earlier one may be out of date.
+        lookup: u64,
+    },
+    /// Answers a lookup.
+    Found {
+        /// View of the sender.
+        view: ViewNumber,
+        /// Job in question.
+        job: JobId,
+        /// Number of the lookup.
+        lookup: u64,
+        /// Known claimant, unless the replica has no record of the job or only a claim of the asking entry.
+        owner: Option<ProcessId>,
+        /// Whether the replica has a claim of the asking entry.
+        own_claim: bool,
     },
     /// Grants a claim.
     Granted {
@@ -86,6 +116,8 @@
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Owner of the job as the sender knows it.
         owner: ProcessId,
         /// Ballot to promise.
@@ -108,6 +140,8 @@
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Owner of the job as the sender knows it.
         owner: ProcessId,
         /// Ballot of the proposal.
@@ -165,12 +199,14 @@
     /// # Examples
     ///
     /// ```
-    /// assert_eq!(chestnutfork_register::PeerMessage::Claim { view: 3, job: 1 }.view(), 3);
+    /// assert_eq!(chestnutfork_register::PeerMessage::Claim { view: 3, job: 1, digest: 5 }.view(), 3);
     /// ```
     #[must_use]
     pub fn view(&self) -> ViewNumber {
         match self {
             Self::Claim { view, .. }
+            | Self::Lookup { view, .. }
+            | Self::Found { view, .. }
             | Self::Granted { view, .. }
             | Self::Known { view, .. }
             | Self::Denied { view, .. }
--- a/crates/register/src/register.rs
+++ b/crates/register/src/register.rs
@@ -10,6 +10,7 @@
 use crate::builder::{RegisterBuilder, Settings};
 use crate::claims::{Claim, Fate};
 use crate::event::{Action, Event};
+use crate::lookups::Lookup;
 use crate::message::PeerMessage;
 use crate::sync::Sync;
 use crate::table::Table;
@@ -34,6 +35,9 @@
     /// Outcomes of own claims; they outlive the record, so that a job is not claimed twice.
     pub(crate) fates: BTreeMap<JobId, Fate>,
     pub(crate) claims: IndexMap<JobId, Claim>,
+    pub(crate) lookups: IndexMap<JobId, Lookup>,
+    /// Number of the latest lookup.
+    pub(crate) last_lookup: u64,
     pub(crate) proposals: IndexMap<JobId, Proposal>,
     pub(crate) sync: Option<Sync>,
     pub(crate) synced: Option<ViewNumber>,
@@ -58,7 +62,7 @@
     /// let mut actions = Vec::new();
     /// register.handle(now, wall, Event::ViewInstalled(View::first(1, vec![10])), &mut actions);
     /// let job = 1_700_000_000_000 << 80;
-    /// register.handle(now, wall, Event::Claim { job, at_most_once: true }, &mut actions);
+    /// register.handle(now, wall, Event::Claim { job, digest: 5, at_most_once: true }, &mut actions);
     /// assert_eq!(actions, [Action::Claimed { job }]);
     /// ```
     #[must_use]
@@ -73,6 +77,8 @@
             view: None,
             fates: BTreeMap::new(),
             claims: IndexMap::new(),
+            lookups: IndexMap::new(),
+            last_lookup: 0,
             proposals: IndexMap::new(),
             sync: None,
             synced: None,
@@ -91,9 +97,18 @@
         self.prune(now, actions);
         self.run_timers(now, actions);
         match event {
-            Event::Claim { job, at_most_once } => self.on_claim(now, wall, job, at_most_once, actions),
-            Event::RecordAnswer { job, answer } => self.on_record_answer(now, job, answer, actions),
-            Event::TakeOver { job, tasks } => self.on_take_over(now, job, tasks, actions),
+            Event::Claim {
+                job,
+                digest,
+                at_most_once,
+            } => {
+                self.on_claim(now, wall, job, digest, at_most_once, actions);
+            }
+            Event::Lookup { job, digest } => self.on_lookup(now, wall, job, digest, actions),
+            Event::RecordAnswer { job, digest, answer } => {
+                self.on_record_answer(now, job, digest, answer, actions);
+            }
+            Event::TakeOver { job, digest, tasks } => self.on_take_over(now, job, digest, tasks, actions),
             Event::FromPeer { peer, message } => self.on_message(now, peer, message, actions),
             Event::ViewInstalled(view) => self.on_view(now, view, actions),
             // Unanswered messages are resent on timers, over whatever link is then up.
@@ -145,10 +160,16 @@
         self.table.rows.len()
     }
 
+    /// Reports whether a claim or a lookup of the job is under way.
+    #[must_use]
+    pub fn is_pending(&self, job: JobId) -> bool {
+        self.claims.contains_key(&job) || self.lookups.contains_key(&job)
+    }
+
     /// Reports whether no claim, answer or copy is under way.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.claims.is_empty() && self.proposals.is_empty() && self.sync.is_none()
+        self.claims.is_empty() && self.lookups.is_empty() && self.proposals.is_empty() && self.sync.is_none()
     }
 
     pub(crate) fn is_member(&self) -> bool {
@@ -206,6 +227,7 @@
         self.view = Some(view);
         self.start_sync(now, actions);
         self.restart_claims(now, actions);
+        self.restart_lookups(now, actions);
         self.restart_proposals(now, actions);
     }
 
@@ -234,7 +256,21 @@
                 self.on_chunk(now, peer, (after, upto, done), records, actions);
             }
             _ if !self.is_member() || !self.has_member(peer) => {}
-            PeerMessage::Claim { job, .. } => self.on_peer_claim(peer, job, actions),
+            PeerMessage::Claim { job, digest, .. } => self.on_peer_claim(peer, job, digest, actions),
+            PeerMessage::Lookup {
+                job, digest, lookup, ..
+            } => {
+                self.on_peer_lookup(peer, job, digest, lookup, actions);
+            }
+            PeerMessage::Found {
+                job,
+                lookup,
+                owner,
+                own_claim,
+                ..
+            } => {
+                self.on_found(peer, job, lookup, (owner, own_claim), actions);
+            }
             PeerMessage::Granted { job, .. } => self.on_granted(peer, job, actions),
             PeerMessage::Known { job, owner, .. } => self.on_known(peer, job, owner, actions),
             PeerMessage::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
@@ -249,6 +285,7 @@
         }
         self.next_due = None;
         self.run_claim_timers(now, actions);
+        self.run_lookup_timers(now, actions);
         self.run_proposal_timers(now, actions);
         self.run_sync_timers(now, actions);
     }
--- a/crates/register/src/table.rs
+++ b/crates/register/src/table.rs
@@ -24,6 +24,17 @@
     Denied(Denial),
 }
 
+/// Answer to a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LookupVote {
+    /// There is no record of the job.
+    NotKnown,
+    /// The only record is a claim of the asking entry, and nobody has begun to take the job over.
+    OwnClaim,
+    Known(ProcessId),
+    Denied(Denial),
+}
+
 /// Vote on a ballot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum BallotVote {
@@ -81,20 +92,39 @@
     }
 
     /// Votes on a claim; it is granted only if no other claimant is known and no takeover has begun.
-    pub(crate) fn claim(&mut self, job: JobId, owner: ProcessId) -> ClaimVote {
+    pub(crate) fn claim(&mut self, job: JobId, digest: u64, owner: ProcessId) -> ClaimVote {
         if self.is_below_floor(job) {
             return ClaimVote::Denied(Denial::BelowFloor);
         }
         if let Some(record) = self.record(job) {
-            return vote_on_claim(record, owner);
+            return vote_on_claim(record, digest, owner);
         }
         if self.is_full() {
             return ClaimVote::Denied(Denial::Full);
         }
-        self.insert(new_record(job, owner));
+        self.insert(new_record(job, digest, owner));
         ClaimVote::Granted
     }
 
+    /// Answers a lookup.
+    pub(crate) fn lookup(&self, job: JobId, digest: u64, asker: ProcessId) -> LookupVote {
+        if self.is_below_floor(job) {
+            return LookupVote::Denied(Denial::BelowFloor);
+        }
+        match self.record(job) {
+            None => LookupVote::NotKnown,
+            Some(record) if record.digest != digest => LookupVote::Denied(Denial::DigestMismatch),
+            Some(record) if record.owner != asker => LookupVote::Known(record.owner),
+            Some(Record {
+                rival: Some(rival), ..
+            }) => LookupVote::Known(*rival),
+            Some(record) if record.promised > Ballot::OWNER || record.accepted.is_some() => {
+                LookupVote::Known(asker)
+            }
+            Some(_) => LookupVote::OwnClaim,
+        }
+    }
+
     /// Hands the own record of a withdrawn claim to another claimant.
     pub(crate) fn yield_to(&mut self, job: JobId, from: ProcessId, to: ProcessId) {
         let held = self.rows.get_mut(&job).filter(|row| row.record.owner == from);
@@ -109,9 +139,9 @@
     }
 
     /// Records a granted claim even where this replica did not grant it; a quorum outvoted the recorded claimant.
-    pub(crate) fn own(&mut self, job: JobId, owner: ProcessId) {
+    pub(crate) fn own(&mut self, job: JobId, digest: u64, owner: ProcessId) {
         let Some(row) = self.rows.get_mut(&job) else {
-            self.insert(new_record(job, owner));
+            self.insert(new_record(job, digest, owner));
             return;
         };
         if row.record.owner != owner {
@@ -122,19 +152,26 @@
     }
 
     /// Promises a ballot, unless a larger one is promised.
-    pub(crate) fn prepare(&mut self, job: JobId, owner: ProcessId, ballot: Ballot) -> BallotVote {
-        self.vote(job, owner, ballot, |_| {})
+    pub(crate) fn prepare(
+        &mut self,
+        job: JobId,
+        digest: u64,
+        owner: ProcessId,
+        ballot: Ballot,
+    ) -> BallotVote {
+        self.vote(job, digest, owner, ballot, |_| {})
     }
 
     /// Accepts an answer, unless a larger ballot is promised.
     pub(crate) fn accept(
         &mut self,
         job: JobId,
+        digest: u64,
         owner: ProcessId,
         ballot: Ballot,
         answer: &Answer,
     ) -> BallotVote {
-        self.vote(job, owner, ballot, |record| {
+        self.vote(job, digest, owner, ballot, |record| {
             record.accepted = Some((ballot, answer.clone()));
         })
     }
@@ -142,6 +179,7 @@
     fn vote(
         &mut self,
         job: JobId,
+        digest: u64,
         owner: ProcessId,
         ballot: Ballot,
         change: impl FnOnce(&mut Record),
@@ -151,9 +189,12 @@
         }
         // The bound does not apply here: a quorum of other tables already holds the job.
         if !self.rows.contains_key(&job) {
-            self.insert(new_record(job, owner));
+            self.insert(new_record(job, digest, owner));
         }
         let row = self.rows.get_mut(&job).expect("record was just inserted");
+        if row.record.digest != digest {
+            return BallotVote::Denied(Denial::DigestMismatch);
+        }
         if ballot < row.record.promised {
             return BallotVote::Rejected(row.record.promised);
         }
@@ -259,9 +300,10 @@
     accepted.map(|(_, answer)| answer)
 }
 
-fn new_record(job: JobId, owner: ProcessId) -> Record {
+fn new_record(job: JobId, digest: u64, owner: ProcessId) -> Record {
     Record {
         job,
+        digest,
         owner,
         rival: None,
         promised: Ballot::OWNER,
@@ -269,7 +311,10 @@
     }
 }
 
-fn vote_on_claim(record: &Record, claimant: ProcessId) -> ClaimVote {
+fn vote_on_claim(record: &Record, digest: u64, claimant: ProcessId) -> ClaimVote {
+    if record.digest != digest {
+        return ClaimVote::Denied(Denial::DigestMismatch);
+    }
     if record.owner != claimant {
         return ClaimVote::Known(record.owner);
     }
--- a/crates/register/tests/random.rs
+++ b/crates/register/tests/random.rs
@@ -33,3 +33,14 @@
 fn random_run_notices_unsettled_views() {
     assert!((0..SEEDS).any(|seed| sim::run(seed, Broken::SettleAtOnce).is_err()));
 }
+
+/// Guards against "not run" for a started job: a lookup that began before its entry had copied the register, or that
+/// met a record with two claimants (found by these seeds).
+#[test]
+fn random_run_keeps_lookups_true() {
+    for seed in [502, 823, 2275, 9130] {
+        if let Err(message) = sim::run(seed, Broken::Nothing) {
+            panic!("{message}");
+        }
+    }
+}
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -6,6 +6,8 @@
 use chestnutfork_register::{Action, Ballot, Event, PeerMessage, Record, Register, View};
 use chestnutfork_types::{Answer, Execution, JobId, ProcessId, RefusalCode, TaskStatus};
 
+/// Digest of every submission but those of another content.
+const DIGEST: u64 = 5;
 const WALL: Duration = Duration::from_secs(1_700_000_000);
 
 /// Registers on a network that delivers at once and in order.
@@ -73,7 +75,14 @@
 
     fn claim(&mut self, id: ProcessId, job: JobId) -> Vec<Action> {
         let at_most_once = true;
-        self.run(id, Event::Claim { job, at_most_once })
+        self.run(
+            id,
+            Event::Claim {
+                job,
+                digest: DIGEST,
+                at_most_once,
+            },
+        )
     }
 
     fn pass(&mut self, time: Duration) {
@@ -194,6 +203,7 @@
     bench.claim(4, job);
     let record = Record {
         job,
+        digest: DIGEST,
         owner: 9,
         rival: None,
         promised: Ballot::OWNER,
@@ -219,7 +229,14 @@
     let mut bench = Bench::new(&[1, 2, 3]);
     let job = job(0);
     bench.claim(1, job);
-    let taken = bench.run(2, Event::TakeOver { job, tasks: 1 });
+    let taken = bench.run(
+        2,
+        Event::TakeOver {
+            job,
+            digest: DIGEST,
+            tasks: 1,
+        },
+    );
     let [Action::Recorded { answer: failed, .. }] = &taken[..] else {
         panic!("the takeover records an answer, got {taken:?}");
     };
@@ -228,6 +245,7 @@
         1,
         Event::RecordAnswer {
             job,
+            digest: DIGEST,
             answer: answer(job),
         },
     );
@@ -256,6 +274,7 @@
         1,
         Event::RecordAnswer {
             job,
+            digest: DIGEST,
             answer: answer.clone(),
         },
     );
@@ -267,7 +286,14 @@
         }]
     );
     bench.down = vec![1];
-    let taken = bench.run(3, Event::TakeOver { job, tasks: 1 });
+    let taken = bench.run(
+        3,
+        Event::TakeOver {
+            job,
+            digest: DIGEST,
+            tasks: 1,
+        },
+    );
     assert_eq!(taken, [Action::Recorded { job, answer }]);
 }
 
@@ -306,3 +332,68 @@
         Some((RefusalCode::OutcomeUnknown, Execution::Unknown))
     );
 }
+
+/// Guards against "not run" for a job that another entry has claimed.
+#[test]
+fn lookup_finds_claimed_job() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    assert_eq!(
+        bench.run(2, Event::Lookup { job, digest: DIGEST }),
+        [Action::Unknown { job }]
+    );
+    bench.claim(1, job);
+    assert_eq!(
+        bench.run(2, Event::Lookup { job, digest: DIGEST }),
+        [Action::Known { job, owner: 1 }]
+    );
+}
+
+/// Guards against "not run" where a majority cannot be asked.
+#[test]
+fn lookup_without_majority_is_unknown() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    bench.down = vec![1, 3];
+    assert_eq!(
+        bench.run(
+            2,
+            Event::Lookup {
+                job: job(0),
+                digest: DIGEST
+            }
+        ),
+        []
+    );
+    bench.pass(Duration::from_secs(1));
+    let refused = bench.seen.last().map(|(_, action)| action.clone());
+    assert_eq!(
+        refusal(&Vec::from_iter(refused)),
+        Some((RefusalCode::NoQuorum, Execution::Unknown))
+    );
+}
+
+/// Guards against the answer of one submission for a caller of another that uses the same id.
+#[test]
+fn claim_rejects_reused_id() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    bench.claim(1, job);
+    let claim = Event::Claim {
+        job,
+        digest: DIGEST + 1,
+        at_most_once: true,
+    };
+    let reused = Some((RefusalCode::IdReused, Execution::Unknown));
+    assert_eq!(refusal(&bench.run(2, claim)), reused);
+    let lookup = Event::Lookup {
+        job,
+        digest: DIGEST + 1,
+    };
+    assert_eq!(refusal(&bench.run(3, lookup)), reused);
+    let takeover = Event::TakeOver {
+        job,
+        digest: DIGEST + 1,
+        tasks: 1,
+    };
+    assert_eq!(refusal(&bench.run(2, takeover)), reused);
+}
--- a/crates/register/tests/sim/mod.rs
+++ b/crates/register/tests/sim/mod.rs
@@ -20,6 +20,8 @@
 const RETENTION: Duration = Duration::from_mins(1);
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 const ID_SHIFT: u32 = 80;
+/// Digest of every submission; resubmissions have the same content.
+const DIGEST: u64 = 5;
 
 /// Rule that a run breaks on purpose, to show that its checks notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +43,7 @@
     pub answers: u64,
     pub takeovers: u64,
     pub refusals: u64,
+    pub not_known: u64,
     pub views: u64,
     pub lost_registers: u64,
     pub crashes: u64,
@@ -109,6 +112,8 @@
     leases: BTreeMap<ProcessId, Duration>,
     synced: BTreeSet<(ProcessId, u64)>,
     starts: HashMap<JobId, ProcessId>,
+    /// Lookups under way, and whether the job had started when they began.
+    lookups: HashMap<(ProcessId, JobId), bool>,
     answers: HashMap<JobId, Answer>,
     figures: Figures,
 }
@@ -140,6 +145,7 @@
             leases: BTreeMap::new(),
             synced: BTreeSet::new(),
             starts: HashMap::new(),
+            lookups: HashMap::new(),
             answers: HashMap::new(),
             figures: Figures::default(),
         };
@@ -237,7 +243,14 @@
             Step::Finish { process, job } => {
                 let output = format!("{process}").into();
                 let answer = Answer::new(job, vec![TaskStatus::Completed { output }]);
-                self.event(process, Event::RecordAnswer { job, answer })?;
+                self.event(
+                    process,
+                    Event::RecordAnswer {
+                        job,
+                        digest: DIGEST,
+                        answer,
+                    },
+                )?;
             }
             Step::Joined { process, job, owner } => self.joined(process, job, owner)?,
             Step::Control => self.control(),
@@ -317,13 +330,19 @@
             Action::Send { peer, message } => self.send(process, peer, &message),
             Action::Claimed { job } => self.start_job(process, job)?,
             Action::Known { job, owner } => {
+                self.lookups.remove(&(process, job));
                 let delay = self.millis(1, 300);
                 self.push(delay, Step::Joined { process, job, owner });
             }
             Action::Answered { job, answer } | Action::Recorded { job, answer } => {
+                self.lookups.remove(&(process, job));
                 self.answered(process, job, answer)?;
             }
-            Action::Refused { job, refusal } => self.refused(job, &refusal)?,
+            Action::Refused { job, refusal } => {
+                self.lookups.remove(&(process, job));
+                self.refused(job, &refusal)?;
+            }
+            Action::Unknown { job } => self.not_known(process, job)?,
             Action::Synced { view } => {
                 let delay = self.millis(1, 50);
                 if self.sees_control(process) {
@@ -378,6 +397,17 @@
         }
     }
 
+    /// Checks that a job had not started when the lookup that found no record of it began.
+    fn not_known(&mut self, process: ProcessId, job: JobId) -> Result<(), String> {
+        self.figures.not_known += 1;
+        if self.lookups.remove(&(process, job)) == Some(true) {
+            return Err(format!(
+                "job {job:x} had started but {process} is told that it is not known"
+            ));
+        }
+        Ok(())
+    }
+
     fn refused(&mut self, job: JobId, refusal: &Refusal) -> Result<(), String> {
         self.figures.refusals += 1;
         if refusal.execution == Execution::NotRun && self.starts.contains_key(&job) {
@@ -390,8 +420,7 @@
         let all: Vec<ProcessId> = self.nodes.keys().copied().collect();
         if !all.is_empty() {
             let process = all[self.rng.random_range(0..all.len())];
-            let at_most_once = true;
-            self.event(process, Event::Claim { job, at_most_once })?;
+            self.claim_or_look_up(process, job)?;
         }
         if attempts > 1 {
             let delay = if self.chance(40) {
@@ -405,6 +434,28 @@
         Ok(())
     }
 
+    /// Claims a job, or looks it up as an entry does before it refuses; an entry does one of them at a time.
+    fn claim_or_look_up(&mut self, process: ProcessId, job: JobId) -> Result<(), String> {
+        if self.nodes[&process].register.is_pending(job) {
+            return Ok(());
+        }
+        let digest = DIGEST;
+        if self.chance(20) {
+            self.lookups
+                .insert((process, job), self.starts.contains_key(&job));
+            return self.event(process, Event::Lookup { job, digest });
+        }
+        let at_most_once = true;
+        self.event(
+            process,
+            Event::Claim {
+                job,
+                digest,
+                at_most_once,
+            },
+        )
+    }
+
     /// Stands in for a joined caller: takes over when the owner is gone, and sometimes when it only seems so.
     fn joined(&mut self, process: ProcessId, job: JobId, owner: ProcessId) -> Result<(), String> {
         let Some(node) = self.nodes.get(&process) else {
@@ -416,7 +467,14 @@
             .is_some_and(|view| view.members.contains(&owner));
         if process == owner || !listed || self.chance(15) {
             self.figures.takeovers += 1;
-            return self.event(process, Event::TakeOver { job, tasks: 1 });
+            return self.event(
+                process,
+                Event::TakeOver {
+                    job,
+                    digest: DIGEST,
+                    tasks: 1,
+                },
+            );
         }
         if !self.answers.contains_key(&job) {
             let delay = self.millis(100, 900);
@@ -544,6 +602,7 @@
         self.answers += other.answers;
         self.takeovers += other.takeovers;
         self.refusals += other.refusals;
+        self.not_known += other.not_known;
         self.views += other.views;
         self.lost_registers += other.lost_registers;
         self.crashes += other.crashes;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,8 +7,10 @@
 mod caller;
 mod codec;
 mod handshake;
+mod peer;
 
 pub use agent::{AgentToEntryWire, EntryToAgentWire};
 pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
 pub use codec::{CodecError, decode, decode_frame, encode};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
+pub use peer::{PeerMessageWire, PeerWireError};
