settings: Read and check the process settings

Cause: each role needs settings from YAML that fail with a clear error before anything starts.

Change: settings of entry, agent, control and simulated target, declared once; docs/SETTINGS.md follows from the declarations. A file is checked as a whole; each problem names file, key path and remedy. Secrets come inline or from a file and print as [redacted]. Builders fill the same tree as a file and go through the same checks. Annotated examples are in examples/.

Conclusion: roles and quickstart can use it; `effective` serves `check`.

--- a/crates/events/src/format.rs
+++ b/crates/events/src/format.rs
@@ -22,6 +22,21 @@
 }
 
 impl Format {
+    /// Returns the name used in settings.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(chestnutfork_events::Format::Json.as_str(), "json");
+    /// ```
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        }
+    }
+
     /// Returns the format of a name used in settings.
     ///
     /// # Examples
--- /dev/null
+++ b/crates/settings/examples/settings_page.rs
@@ -0,0 +1,5 @@
+//! Prints the text of `docs/SETTINGS.md`.
+
+fn main() {
+    print!("{}", chestnutfork_settings::reference_page());
+}
--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,27 @@
+//! Error of the crate.
+
+use std::fmt;
+
+use chestnutfork_schema::Violation;
+use thiserror::Error;
+
+/// Settings that cannot be used, with all problems.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub struct SettingsError {
+    /// File of the settings, or where they were built.
+    pub file: String,
+    /// All problems, each with its key path and remedy.
+    pub problems: Vec<Violation>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, problem) in self.problems.iter().enumerate() {
+            if position > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{}: {problem}", self.file)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,42 @@
 //! Process settings of chestnutfork, read from YAML and checked.
+//!
+//! Every setting is declared once with key path, kind, range, default and meaning; `docs/SETTINGS.md` follows from the
+//! declarations. A file is checked as a whole, and all problems are reported at once. Builders construct the same settings
+//! in code and go through the same checks.
+//!
+//! # Examples
+//!
+//! ```
+//! use chestnutfork_settings::EntrySettings;
+//!
+//! let settings = EntrySettings::builder("entry-1", "fd-a")
+//!     .listen("127.0.0.1:7000".parse()?)
+//!     .peer_listen("127.0.0.1:7001".parse()?)
+//!     .control(&["127.0.0.1:7101".parse()?])
+//!     .cluster_secret("0123456789abcdef")
+//!     .build()?;
+//! assert_eq!(settings.register.max_records, 1_000_000);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod builder;
+mod error;
+mod keys;
+mod page;
+mod process;
+mod read;
+mod role;
+mod roles;
+mod secret;
+
+pub use builder::{AgentBuilder, ControlBuilder, EntryBuilder, TargetBuilder};
+pub use error::SettingsError;
+pub use keys::keys;
+pub use page::reference_page;
+pub use process::{LogSettings, ProcessSettings};
+pub use read::effective;
+pub use role::{Role, Settings};
+pub use roles::{
+    AgentSettings, ControlSettings, EntrySettings, InitialMember, Operator, RegisterSettings, TargetSettings,
+};
+pub use secret::Secret;
--- /dev/null
+++ b/crates/settings/src/process.rs
@@ -0,0 +1,67 @@
+//! Settings that every role has.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chestnutfork_events::{Format, Severity};
+use chestnutfork_schema::Violation;
+use chestnutfork_types::NodeName;
+use serde::Deserialize;
+
+/// Log output of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least severity that is logged.
+    pub level: Severity,
+    /// Format of log lines.
+    pub format: Format,
+}
+
+/// Settings that every role has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessSettings {
+    /// Name of the process.
+    pub name: NodeName,
+    /// Longest wait for work in flight at shutdown.
+    pub shutdown_grace: Duration,
+    /// Log output.
+    pub log: LogSettings,
+    /// Address of a `StatsD` receiver.
+    pub statsd: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ProcessModel {
+    name: String,
+    shutdown_grace_ms: u64,
+    log: LogModel,
+    metrics: MetricsModel,
+}
+
+#[derive(Deserialize)]
+struct LogModel {
+    level: String,
+    format: String,
+}
+
+#[derive(Deserialize)]
+struct MetricsModel {
+    statsd: Option<SocketAddr>,
+}
+
+impl TryFrom<ProcessModel> for ProcessSettings {
+    type Error = Violation;
+
+    fn try_from(model: ProcessModel) -> Result<Self, Violation> {
+        let level = Severity::from_name(&model.log.level)
+            .ok_or_else(|| Violation::inconsistent("log.level", "is unknown; use info"))?;
+        let format = Format::from_name(&model.log.format)
+            .ok_or_else(|| Violation::inconsistent("log.format", "is unknown; use text"))?;
+        Ok(Self {
+            name: model.name,
+            shutdown_grace: Duration::from_millis(model.shutdown_grace_ms),
+            log: LogSettings { level, format },
+            statsd: model.metrics.statsd,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/roles/agent.rs
@@ -0,0 +1,99 @@
+//! Settings of an agent.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use chestnutfork_schema::Violation;
+use chestnutfork_types::FailureDomain;
+use serde::Deserialize;
+
+use crate::builder::AgentBuilder;
+use crate::error::SettingsError;
+use crate::process::ProcessSettings;
+use crate::read::{RoleModel, load};
+use crate::role::Role;
+use crate::secret::Secret;
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Settings that every role has.
+    pub process: ProcessSettings,
+    /// Failure domain of the worker.
+    pub failure_domain: FailureDomain,
+    /// Loopback address for announcements of the target.
+    pub listen: SocketAddr,
+    /// Addresses of control processes.
+    pub control: Vec<SocketAddr>,
+    /// Secret shared by all processes.
+    pub cluster_secret: Secret,
+    /// Token that the target shows.
+    pub target_token: Secret,
+}
+
+impl AgentSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems of the file at once.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(chestnutfork_settings::AgentSettings::load("absent.yaml".as_ref()).is_err());
+    /// ```
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        load::<AgentModel>(path)
+    }
+
+    /// Starts settings in code; they have the same defaults and checks as a file.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let error = chestnutfork_settings::AgentSettings::builder("agent-1", "fd-a").build().unwrap_err();
+    /// assert!(error.problems.iter().any(|problem| problem.path == "target_token"));
+    /// ```
+    #[must_use]
+    pub fn builder(name: &str, failure_domain: &str) -> AgentBuilder {
+        AgentBuilder::new(name, failure_domain)
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct AgentModel {
+    failure_domain: String,
+    listen: SocketAddr,
+    control: Vec<SocketAddr>,
+    cluster_secret: String,
+    target_token: String,
+}
+
+impl RoleModel for AgentModel {
+    type Settings = AgentSettings;
+
+    const ROLE: Role = Role::Agent;
+
+    fn contradictions(&self, _process: &ProcessSettings) -> Vec<Violation> {
+        if self.listen.ip().is_loopback() {
+            return Vec::new();
+        }
+        let message = format!(
+            "{} can be reached from other machines; set it to a loopback address",
+            self.listen
+        );
+        vec![Violation::inconsistent("listen", message)]
+    }
+
+    fn settings(self, process: ProcessSettings, _folder: &Path) -> AgentSettings {
+        AgentSettings {
+            process,
+            failure_domain: self.failure_domain,
+            listen: self.listen,
+            control: self.control,
+            cluster_secret: Secret::new(self.cluster_secret),
+            target_token: Secret::new(self.target_token),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,259 @@
+//! Tests of reading, checking and building settings.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use chestnutfork_events::{Format, Severity};
+use chestnutfork_settings::{
+    AgentSettings, ControlSettings, EntrySettings, Role, Settings, TargetSettings, effective, reference_page,
+};
+use quickcheck::{Gen, QuickCheck};
+use tempfile::TempDir;
+
+const HASH: &str = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+const SECRET: &str = "0123456789abcdef";
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn file(folder: &TempDir, text: &str) -> PathBuf {
+    let path = folder.path().join("settings.yaml");
+    fs::write(&path, text).expect("folder is writable");
+    path
+}
+
+/// Guards against a reference page that no longer matches the declarations.
+#[test]
+fn reference_page_matches_declarations() {
+    let page = fs::read_to_string(root().join("docs/SETTINGS.md")).expect("docs/SETTINGS.md exists");
+    assert!(
+        page == reference_page(),
+        "regenerate the page: cargo run -p chestnutfork-settings --example settings_page > docs/SETTINGS.md"
+    );
+}
+
+/// Guards against an example file that the program refuses, and against secrets in the shown settings.
+#[test]
+fn load_accepts_examples() {
+    for role in Role::ALL {
+        let path = root().join("examples").join(format!("{}.yaml", role.as_str()));
+        let settings = Settings::load(role, &path).expect("example is valid");
+        let shown = effective(role, &path).expect("example is valid");
+        for text in [format!("{settings:?}"), shown] {
+            assert!(!text.contains("change-me") && !text.contains(HASH), "{text}");
+            assert!(text.contains("[redacted]"));
+        }
+    }
+}
+
+/// Guards against a check that stops at the first problem, or names no file, key or remedy.
+#[test]
+fn load_reports_all_problems_at_once() {
+    let folder = TempDir::new().expect("folder is created");
+    let text = "
+name: entry 1
+peer_listen: 0.0.0.0:7001
+contrl: [127.0.0.1:7101]
+cluster_secret: short
+register: {max_records: 0}
+log: {level: loud}
+";
+    let path = file(&folder, text);
+    let error = EntrySettings::load(&path).expect_err("settings have problems");
+    let paths: Vec<&str> = error
+        .problems
+        .iter()
+        .map(|problem| problem.path.as_str())
+        .collect();
+    let expected = [
+        "contrl",
+        "name",
+        "log.level",
+        "failure_domain",
+        "listen",
+        "control",
+        "cluster_secret",
+        "register.max_records",
+    ];
+    assert_eq!(paths, expected);
+    let lines = error.to_string();
+    assert_eq!(lines.lines().count(), expected.len());
+    assert!(
+        lines
+            .lines()
+            .all(|line| line.starts_with(&path.display().to_string()))
+    );
+    assert!(
+        lines.contains("register.max_records: 0 is not allowed; set it to an integer from 1 to 100000000")
+    );
+    assert!(!lines.contains("short"));
+}
+
+/// Guards against settings that contradict each other.
+#[test]
+fn load_rejects_contradictions() {
+    let folder = TempDir::new().expect("folder is created");
+    let text = format!(
+        "
+name: control-1
+failure_domain: fd-a
+listen: 127.0.0.1:7100
+peer_listen: 0.0.0.0:7101
+cluster_secret: {SECRET}
+data_dir: data
+initial_members: {{control-2: 127.0.0.1:7201, control-3: 127.0.0.1:7201}}
+operators: {{ann: {{token_sha256: {HASH}}}, bob: {{token_sha256: {HASH}}}}}
+"
+    );
+    let error = ControlSettings::load(&file(&folder, &text)).expect_err("settings have problems");
+    let paths: Vec<&str> = error
+        .problems
+        .iter()
+        .map(|problem| problem.path.as_str())
+        .collect();
+    let expected = [
+        "advertise.peers",
+        "initial_members",
+        "initial_members.control-3",
+        "operators.bob.token_sha256",
+    ];
+    assert_eq!(paths, expected);
+
+    let agent = AgentSettings::builder("agent-1", "fd-a")
+        .listen("0.0.0.0:7400".parse().expect("address is valid"))
+        .control(&[address(7101)])
+        .cluster_secret(SECRET)
+        .target_token(SECRET)
+        .build();
+    assert_eq!(
+        agent.expect_err("listen is not loopback").problems[0].path,
+        "listen"
+    );
+}
+
+/// Guards against a key given twice, of which one would silently win, and against text that is no YAML.
+#[test]
+fn load_rejects_unusable_yaml() {
+    let folder = TempDir::new().expect("folder is created");
+    for text in ["name: a\nname: b\n", "name: [", "- a\n", "\u{0}"] {
+        let error = EntrySettings::load(&file(&folder, text)).expect_err("text is not usable");
+        assert_eq!(error.problems[0].path, "document", "{text}");
+    }
+}
+
+/// Guards against a secret file that is read with its line end, from the wrong folder, or beside an inline secret.
+#[test]
+fn load_reads_secret_from_file() {
+    let folder = TempDir::new().expect("folder is created");
+    fs::write(folder.path().join("secret"), format!("{SECRET}\n")).expect("folder is writable");
+    fs::write(folder.path().join("short"), "abc\n").expect("folder is writable");
+    let base = "
+name: agent-1
+failure_domain: fd-a
+listen: 127.0.0.1:7400
+control: [127.0.0.1:7101]
+cluster_secret_file: secret
+";
+    let load = |more: &str| AgentSettings::load(&file(&folder, &format!("{base}{more}")));
+    let settings = load("target_token_file: secret").expect("settings are valid");
+    assert_eq!(settings.cluster_secret.expose(), SECRET);
+    assert_eq!(settings.target_token.expose(), SECRET);
+    let cases = [
+        ("target_token_file: absent", "target_token_file"),
+        ("target_token_file: short", "target_token_file"),
+        ("target_token_file: 7", "target_token_file"),
+        ("", "target_token"),
+        (
+            "target_token_file: secret\ntarget_token: 0123456789abcdef",
+            "target_token",
+        ),
+    ];
+    for (more, path) in cases {
+        let error = load(more).expect_err("secret is not usable");
+        assert!(
+            error.problems.iter().all(|problem| problem.path == path),
+            "{more}: {error}"
+        );
+    }
+}
+
+/// Guards against builders whose settings differ from those of a file.
+#[test]
+fn builder_equals_file() {
+    let examples = root().join("examples");
+    let secret = "change-me-change-me";
+    let token = "change-me-target-token";
+    let seeds = [address(7101), address(7201), address(7301)];
+    let entry = EntrySettings::builder("entry-1", "fd-a")
+        .listen(address(7000))
+        .peer_listen(address(7001))
+        .control(&seeds)
+        .cluster_secret(secret)
+        .max_records(1_000_000)
+        .retention(Duration::from_mins(10))
+        .shutdown_grace(Duration::from_secs(30))
+        .log_level(Severity::Info)
+        .log_format(Format::Json)
+        .build();
+    assert_eq!(entry, EntrySettings::load(&examples.join("entry.yaml")));
+    let agent = AgentSettings::builder("agent-1", "fd-a")
+        .listen(address(7400))
+        .control(&seeds)
+        .cluster_secret(secret)
+        .target_token(token)
+        .build();
+    assert_eq!(agent, AgentSettings::load(&examples.join("agent.yaml")));
+    let control = ControlSettings::builder("control-1", "fd-a")
+        .listen(address(7100))
+        .peer_listen(address(7101))
+        .cluster_secret(secret)
+        .data_dir(&examples.join("data/control-1"))
+        .initial_member("control-1", address(7101))
+        .initial_member("control-2", address(7201))
+        .initial_member("control-3", address(7301))
+        .operator("ann", HASH)
+        .log_format(Format::Json)
+        .build();
+    assert_eq!(control, ControlSettings::load(&examples.join("control.yaml")));
+    let target = TargetSettings::builder("target-1")
+        .listen(address(7401))
+        .agent(address(7400))
+        .target_token(token)
+        .pool("runners")
+        .build();
+    assert_eq!(target, TargetSettings::load(&examples.join("target.yaml")));
+}
+
+/// Guards against a panic on any text in a settings file.
+#[test]
+fn load_never_panics() {
+    fn property(text: String, key: u8) -> bool {
+        let folder = TempDir::new().expect("folder is created");
+        let names = [
+            "name",
+            "control",
+            "register",
+            "initial_members",
+            "operators",
+            "log",
+            "cluster_secret_file",
+        ];
+        let keyed = format!("{}: {text}\n", names[usize::from(key) % names.len()]);
+        [text, keyed].iter().all(|text| {
+            let path = file(&folder, text);
+            Role::ALL
+                .into_iter()
+                .all(|role| Settings::load(role, &path).is_err())
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 0x5e77))
+        .quickcheck(property as fn(String, u8) -> bool);
+}
