operator: Add the operator interface, its client and its commands

Cause: operators need to send patches and read status, audit trail and configuration; control needs the JSON bodies for them.

Change: new crate `operator`. `body` has the bodies with conversions from the types of `config`. The client tries each control address, follows the `leader` of a 421 or 503 answer, and resends after a lost answer, with the same patch id. It tells "not served" from "outcome unknown". The commands patch, status, audit, config and replace print tables or JSON; control characters of other people's texts are replaced.

--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,20 @@
+//! Operator interface of control: JSON bodies, client and commands.
+//!
+//! [`body`] holds the bodies that control and its operators exchange over HTTP. [`OperatorClient`] tries each control
+//! address, follows the leader and resends a request whose answer was lost. [`OperatorCommand`] runs the subcommands
+//! `patch`, `status`, `audit`, `config` and `replace`.
+
+pub mod body;
+mod client;
+mod command;
+mod error;
+mod file;
+mod options;
+mod render;
+mod table;
+
+pub use client::{OperatorClient, OperatorClientBuilder};
+pub use command::{OperatorCommand, Output, OutputFormat};
+pub use error::{ErrorKind, OperatorError};
+pub use file::read_patch_file;
+pub use options::{Invocation, TOKEN_VARIABLE, parse, subcommands};
--- /dev/null
+++ b/crates/operator/src/options.rs
@@ -0,0 +1,221 @@
+//! Command line of the operator commands.
+
+use std::ffi::OsString;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use chestnutfork_types::{ConfigVersion, ReplicaId};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use uuid::Uuid;
+
+use crate::client::OperatorClient;
+use crate::command::{OperatorCommand, OutputFormat};
+use crate::error::{ErrorKind, OperatorError};
+
+/// Environment variable with the operator token, used if `--token-file` is absent.
+pub const TOKEN_VARIABLE: &str = "CHESTNUTFORK_TOKEN";
+
+/// Command with all that it needs to run.
+#[derive(Clone, Debug)]
+pub struct Invocation {
+    /// The command.
+    pub command: OperatorCommand,
+    /// Client of the control processes.
+    pub client: OperatorClient,
+    /// Format of the output.
+    pub format: OutputFormat,
+}
+
+/// Returns the subcommands of operators, for the command line of the binary.
+///
+/// # Examples
+///
+/// ```
+/// let names: Vec<String> =
+///     chestnutfork_operator::subcommands().iter().map(|command| command.get_name().to_owned()).collect();
+/// assert_eq!(names, ["patch", "status", "audit", "config", "replace"]);
+/// ```
+#[must_use]
+pub fn subcommands() -> Vec<Command> {
+    let patch = Command::new("patch")
+        .about("Sends a patch of the configuration")
+        .arg(
+            Arg::new("file")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("File with the JSON merge patch, in YAML or JSON"),
+        )
+        .arg(version("base", "Version that the patch is made against").required(true))
+        .arg(reason())
+        .arg(
+            Arg::new("id")
+                .long("id")
+                .value_parser(value_parser!(Uuid))
+                .help("Id of the patch, to repeat a command whose outcome is unknown"),
+        )
+        .arg(
+            Arg::new("dry-run")
+                .long("dry-run")
+                .action(ArgAction::SetTrue)
+                .help("Asks for the verdict without changing anything"),
+        );
+    let audit = Command::new("audit")
+        .about("Shows the audit trail")
+        .arg(version("since", "Shows records of later versions only").default_value("0"));
+    let replace = Command::new("replace")
+        .about("Swaps a lost control process for a new one")
+        .arg(replica("old", "Replica to remove"))
+        .arg(replica("new", "Replica to admit"))
+        .arg(reason());
+    let status = Command::new("status").about("Shows the state of control, entries and agents");
+    let config = Command::new("config").about("Shows the current configuration, with secrets redacted");
+    [patch, status, audit, config, replace]
+        .into_iter()
+        .map(|command| command.args(common()))
+        .collect()
+}
+
+fn common() -> [Arg; 4] {
+    [
+        Arg::new("control")
+            .long("control")
+            .required(true)
+            .action(ArgAction::Append)
+            .value_delimiter(',')
+            .value_parser(value_parser!(SocketAddr))
+            .help("Operator address of a control process; give several"),
+        Arg::new("token-file")
+            .long("token-file")
+            .value_parser(value_parser!(PathBuf))
+            .help("File with the operator token; without it CHESTNUTFORK_TOKEN is used"),
+        Arg::new("output")
+            .long("output")
+            .value_parser(["text", "json"])
+            .default_value("text")
+            .help("Format of the output"),
+        Arg::new("timeout-ms")
+            .long("timeout-ms")
+            .value_parser(value_parser!(u64).range(1..=600_000))
+            .default_value("5000")
+            .help("Time that one control process has to answer"),
+    ]
+}
+
+fn version(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(ConfigVersion))
+        .help(help)
+}
+
+fn replica(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .required(true)
+        .value_parser(value_parser!(ReplicaId))
+        .help(help)
+}
+
+fn reason() -> Arg {
+    Arg::new("reason")
+        .long("reason")
+        .required(true)
+        .help("Reason for the audit trail")
+}
+
+/// Returns the invocation of a matched subcommand, or `None` if it is not an operator command.
+///
+/// `variable` is the value of the environment variable [`TOKEN_VARIABLE`].
+///
+/// # Errors
+///
+/// Fails if the token is missing or unreadable.
+///
+/// # Examples
+///
+/// ```
+/// use chestnutfork_operator::{OperatorCommand, parse, subcommands};
+///
+/// let matches = clap::Command::new("chestnutfork")
+///     .subcommands(subcommands())
+///     .get_matches_from(["chestnutfork", "status", "--control", "127.0.0.1:7100"]);
+/// let (name, matches) = matches.subcommand().unwrap();
+/// let invocation = parse(name, matches, Some("token".into()))?.unwrap();
+/// assert_eq!(invocation.command, OperatorCommand::Status);
+/// # Ok::<(), chestnutfork_operator::OperatorError>(())
+/// ```
+pub fn parse(
+    name: &str,
+    matches: &ArgMatches,
+    variable: Option<OsString>,
+) -> Result<Option<Invocation>, OperatorError> {
+    let Some(command) = command(name, matches) else {
+        return Ok(None);
+    };
+    let addresses: Vec<SocketAddr> = matches
+        .get_many::<SocketAddr>("control")
+        .into_iter()
+        .flatten()
+        .copied()
+        .collect();
+    let timeout = matches.get_one::<u64>("timeout-ms").copied();
+    let json = matches
+        .get_one::<String>("output")
+        .is_some_and(|format| format == "json");
+    let client = OperatorClient::builder(&addresses, &token(matches, variable)?)
+        .timeout(Duration::from_millis(timeout.unwrap_or_default()))
+        .build()?;
+    let format = if json {
+        OutputFormat::Json
+    } else {
+        OutputFormat::Text
+    };
+    Ok(Some(Invocation {
+        command,
+        client,
+        format,
+    }))
+}
+
+fn command(name: &str, matches: &ArgMatches) -> Option<OperatorCommand> {
+    Some(match name {
+        "patch" => OperatorCommand::Patch {
+            file: matches.get_one::<PathBuf>("file")?.clone(),
+            base: *matches.get_one::<ConfigVersion>("base")?,
+            reason: matches.get_one::<String>("reason")?.clone(),
+            id: matches.get_one::<Uuid>("id").copied(),
+            dry_run: matches.get_flag("dry-run"),
+        },
+        "status" => OperatorCommand::Status,
+        "audit" => OperatorCommand::Audit {
+            since: *matches.get_one::<ConfigVersion>("since")?,
+        },
+        "config" => OperatorCommand::Config,
+        "replace" => OperatorCommand::Replace {
+            old: *matches.get_one::<ReplicaId>("old")?,
+            new: *matches.get_one::<ReplicaId>("new")?,
+            reason: matches.get_one::<String>("reason")?.clone(),
+        },
+        _ => return None,
+    })
+}
+
+fn token(matches: &ArgMatches, variable: Option<OsString>) -> Result<String, OperatorError> {
+    let fail = |problem: String| ErrorKind::Option {
+        option: "token-file".to_owned(),
+        problem,
+    };
+    let text = match matches.get_one::<PathBuf>("token-file") {
+        Some(path) => fs::read_to_string(path).map_err(|error| {
+            fail(format!(
+                "cannot be read ({error}); check the path and its permissions"
+            ))
+        })?,
+        None => variable
+            .and_then(|variable| variable.into_string().ok())
+            .ok_or_else(|| fail(format!("is missing; give it or set {TOKEN_VARIABLE}")))?,
+    };
+    Ok(text.trim().to_owned())
+}
