events: Add the operations page and the glossary

Cause: operators need procedures and the remedy of each alarm, and readers need the terms.

Change: docs/OPERATIONS.md (deploy, change, audit trail, rolling upgrade, replacing a control VM, losing a failure domain, disk faults, alarms) and docs/GLOSSARY.md. The alarm table is made from the declared events; a test compares it.

No procedure was run end to end, because the roles are not finished; the page says so.

Conclusion: the procedures must be run once control serves operators.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -25,5 +25,5 @@
 pub use declaration::{Declaration, Event, Field, FieldKind, Severity};
 pub use format::Format;
 pub use output::{InitError, emit, init, init_with_writer};
-pub use page::catalogue_page;
+pub use page::{alarm_table, catalogue_page};
 pub use time::rfc3339;
--- a/crates/events/src/page.rs
+++ b/crates/events/src/page.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::Write as _;
 
-use crate::catalogue::{GROUPS, Group};
-use crate::declaration::Declaration;
+use crate::catalogue::{GROUPS, Group, declarations};
+use crate::declaration::{Declaration, Severity};
 
 const INTRODUCTION: &str = "\
 # Log events
@@ -32,6 +32,29 @@
     page
 }
 
+/// Returns the table of all alarms with their remedies, which `docs/OPERATIONS.md` contains.
+///
+/// # Examples
+///
+/// ```
+/// assert!(chestnutfork_events::alarm_table().contains("| 6020 `disk_full` | error |"));
+/// ```
+#[must_use]
+pub fn alarm_table() -> String {
+    let mut table = String::from("| event | severity | meaning | remedy |\n| --- | --- | --- | --- |\n");
+    for event in declarations().filter(|event| event.severity >= Severity::Warn) {
+        let severity = event.severity.as_str();
+        write_line(
+            &mut table,
+            format_args!(
+                "| {} `{}` | {severity} | {} | {} |",
+                event.number, event.name, event.meaning, event.remedy
+            ),
+        );
+    }
+    table
+}
+
 fn push_group(page: &mut String, group: &Group) {
     let last = group.first + 999;
     write_line(
--- a/crates/events/tests/catalogue.rs
+++ b/crates/events/tests/catalogue.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::Path;
 
-use chestnutfork_events::{Event, GROUPS, LinkEvent, Severity, catalogue_page, declarations};
+use chestnutfork_events::{Event, GROUPS, LinkEvent, Severity, alarm_table, catalogue_page, declarations};
 
 /// Guards against a catalogue page that no longer matches the declarations.
 #[test]
@@ -17,6 +17,17 @@
     );
 }
 
+/// Guards against an alarm without its remedy on the operations page.
+#[test]
+fn operations_page_contains_alarm_table() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let page = fs::read_to_string(path).expect("docs/OPERATIONS.md exists");
+    assert!(
+        page.contains(&alarm_table()),
+        "replace the table by the output of: cargo run -p chestnutfork-events --example alarm_table"
+    );
+}
+
 /// Guards against a number or name that two events share.
 #[test]
 fn declarations_have_unique_numbers_and_names() {
