events: Write log lines on a thread of their own

Cause: a log reader that stops would block each actor that logs, and with it the whole process.

Change: lines go through a queue of 8,192 to a thread that writes them. When the queue is full, events are dropped and counted, and event 1010 reports the count as soon as there is room.

Conclusion: a stopped log reader costs log lines only.

--- a/crates/events/src/catalogue/process.rs
+++ b/crates/events/src/catalogue/process.rs
@@ -63,5 +63,10 @@
         }
             meaning: "The process got a second signal, or its grace period ended, with work in flight.",
             remedy: "Raise `shutdown_grace_ms`, and let the platform wait longer before it kills the process.";
+        1010 LogDropped "log_dropped" Warn "log events dropped" {
+            events: u64 = "Number of events that were not written.",
+        }
+            meaning: "The reader of the log was too slow or stopped, so events were dropped instead of blocking the process.",
+            remedy: "Check the reader of standard error; raise `log.level` if there are too many events.";
     }
 }
--- a/crates/events/src/format.rs
+++ b/crates/events/src/format.rs
@@ -9,7 +9,7 @@
 use crate::time::rfc3339;
 
 /// Names of the key-values that identify the event; they are not data fields.
-const EVENT_KEY: &str = "event";
+pub(crate) const EVENT_KEY: &str = "event";
 const NAME_KEY: &str = "name";
 
 /// Format of log lines.
--- a/crates/events/src/output.rs
+++ b/crates/events/src/output.rs
@@ -1,15 +1,25 @@
 //! Set-up of the log output and the function that logs an event.
 
 use std::io::Write;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use spdlog::sink::{Sink, StdStream, StdStreamSink, WriteSink};
+use spdlog::error::SendToChannelErrorDropped;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink, WriteSink};
 use spdlog::terminal_style::StyleMode;
-use spdlog::{ErrorHandler, LevelFilter, Logger};
+use spdlog::{ErrorHandler, LevelFilter, Logger, RecordOwned, ThreadPool};
 use thiserror::Error;
 
+use crate::catalogue::ProcessEvent;
 use crate::declaration::{Event, Severity};
-use crate::format::{Format, LineFormatter};
+use crate::format::{EVENT_KEY, Format, LineFormatter};
+
+/// Events that wait for the writer; further ones are dropped and counted.
+const QUEUE_CAPACITY: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+
+/// Events that were dropped since the last report, because the queue was full.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Error while the log output is set up.
 #[derive(Debug, Error)]
@@ -21,8 +31,9 @@
 
 /// Logs an event if its severity passes the level filter.
 ///
-/// A process that has not called [`init`] logs with spdlog's defaults. Failed writes are ignored, because a process must
-/// not end for want of a log reader.
+/// A process that has not called [`init`] logs with spdlog's defaults. After [`init`], a thread of its own writes the
+/// lines, so a log reader that has stopped cannot block the caller: when the queue is full, events are dropped, and their
+/// number is logged later. Failed writes are ignored, because a process must not end for want of a log reader.
 ///
 /// # Examples
 ///
@@ -32,7 +43,39 @@
 /// emit(&ProcessEvent::Started { role: "entry", node: "entry-1", process: 7 });
 /// ```
 pub fn emit<E: Event>(event: &E) {
-    event.log(&spdlog::default_logger());
+    let logger = spdlog::default_logger();
+    if DROPPED.load(Ordering::Relaxed) > 0 {
+        report_dropped(&logger);
+    }
+    event.log(&logger);
+}
+
+/// Logs the number of dropped events; if that is dropped as well, the count is restored.
+fn report_dropped(logger: &Logger) {
+    let events = DROPPED.swap(0, Ordering::Relaxed);
+    if events > 0 {
+        ProcessEvent::LogDropped { events }.log(logger);
+    }
+}
+
+/// Counts an event that found no room in the queue.
+fn count_dropped(error: &spdlog::Error) {
+    if let spdlog::Error::SendToChannel(_, SendToChannelErrorDropped::Record(record)) = error {
+        DROPPED.fetch_add(dropped_events(record), Ordering::Relaxed);
+    }
+}
+
+/// Returns how many events a dropped record stands for: a report stands for those that it counts.
+fn dropped_events(record: &RecordOwned) -> u64 {
+    let value = |name: &str| {
+        let mut values = record.key_values().into_iter();
+        values.find_map(|(key, value)| (key.as_str() == name).then(|| value.to_u64())?)
+    };
+    let report = ProcessEvent::LogDropped { events: 0 };
+    if value(EVENT_KEY) == Some(u64::from(report.declaration().number)) {
+        return value("events").unwrap_or(0);
+    }
+    1
 }
 
 /// Sends the events of the process to standard error, from the given severity upwards.
@@ -87,11 +130,17 @@
 }
 
 fn install(sink: Arc<dyn Sink>, least: Severity) -> Result<(), InitError> {
+    let queue = ThreadPool::builder().capacity(QUEUE_CAPACITY).build_arc()?;
+    let queued = AsyncPoolSink::builder()
+        .sink(sink)
+        .thread_pool(queue)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(ErrorHandler::new(|_| {}))
+        .build_arc()?;
     let logger = Logger::builder()
         .level_filter(LevelFilter::MoreSevereEqual(least.level()))
-        .flush_level_filter(LevelFilter::All)
-        .error_handler(ErrorHandler::new(|_| {}))
-        .sink(sink)
+        .error_handler(ErrorHandler::new(|error| count_dropped(&error)))
+        .sink(queued)
         .build_arc()?;
     spdlog::set_default_logger(logger);
     Ok(())
--- a/crates/events/tests/output.rs
+++ b/crates/events/tests/output.rs
@@ -33,14 +33,33 @@
     }
 }
 
+/// Writer that waits for the test before each write.
+struct StoppedWriter {
+    go: Receiver<()>,
+    lines: Sender<Vec<u8>>,
+}
+
+impl Write for StoppedWriter {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let _ = self.go.recv();
+        let _ = self.lines.send(buf.to_vec());
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 fn capture(least: Severity, format: Format) -> Receiver<Vec<u8>> {
     let (tx, rx) = channel();
     init_with_writer(ChannelWriter(tx), least, format).expect("logger is built");
     rx
 }
 
-fn text(rx: &Receiver<Vec<u8>>) -> String {
-    let bytes: Vec<u8> = rx.try_iter().flatten().collect();
+/// Waits for the next line.
+fn line(rx: &Receiver<Vec<u8>>) -> String {
+    let bytes = rx.recv().expect("writer is open");
     String::from_utf8(bytes).expect("output is UTF-8")
 }
 
@@ -51,14 +70,22 @@
     not_run: true,
 };
 
-/// Guards against a panic without set-up or with a broken reader, lost fields, forged lines and an ignored filter.
+/// Guards against a panic without set-up, lost fields, forged lines, an ignored filter, and a broken or stopped reader
+/// that ends or blocks the process.
 #[test]
 fn emit_writes_structured_lines() {
     emit(&LinkEvent::Opened {
         peer: "a",
         role: "entry",
     });
+    json_lines_hold_fields();
+    text_lines_are_quoted_and_filtered();
+    init_with_writer(BrokenWriter, Severity::Debug, Format::Text).expect("logger is built");
+    emit(&REFUSED);
+    stopped_reader_does_not_block();
+}
 
+fn json_lines_hold_fields() {
     let rx = capture(Severity::Debug, Format::Json);
     emit(&REFUSED);
     emit(&LinkEvent::Silent {
@@ -66,31 +93,58 @@
         role: "entry",
         silent: Duration::from_secs(3),
     });
-    let lines: Vec<serde_json::Value> = text(&rx)
-        .lines()
-        .map(|line| serde_json::from_str(line).expect("line is JSON"))
-        .collect();
-    assert_eq!(lines.len(), 2);
+    let lines = [line(&rx), line(&rx)].map(|line| {
+        let value: serde_json::Value = serde_json::from_str(&line).expect("line is JSON");
+        value
+    });
     assert_eq!(lines[0]["event"], 4006);
     assert_eq!(lines[0]["name"], "job_refused");
     assert_eq!(lines[0]["fields"]["service"], "desk\nforged=1");
     assert_eq!(lines[0]["fields"]["not_run"], true);
     assert_eq!(lines[1]["level"], "warn");
     assert_eq!(lines[1]["fields"]["silent"], 3000);
+}
 
+fn text_lines_are_quoted_and_filtered() {
     let rx = capture(Severity::Info, Format::Text);
     emit(&REFUSED);
-    assert_eq!(text(&rx), "");
     emit(&ConfigEvent::Confirmed {
         version: 7,
         from: "x y=\n",
     });
-    let line = text(&rx);
+    let line = line(&rx);
     assert_eq!(line.lines().count(), 1);
-    assert!(line.contains(
-        " INFO     3003 configuration_confirmed: configuration confirmed again version=7 from=\"x y=\\n\""
-    ));
+    let expected =
+        " INFO     3003 configuration_confirmed: configuration confirmed again version=7 from=\"x y=\\n\"";
+    assert!(line.contains(expected), "{line}");
+}
 
-    init_with_writer(BrokenWriter, Severity::Debug, Format::Text).expect("logger is built");
+/// Events that the queue holds at least.
+const QUEUED: u64 = 8_192;
+/// Events emitted while the reader has stopped.
+const EMITTED: u64 = 20_000;
+
+fn stopped_reader_does_not_block() {
+    let (go, stopped) = channel();
+    let (lines, rx) = channel();
+    let writer = StoppedWriter { go: stopped, lines };
+    init_with_writer(writer, Severity::Debug, Format::Json).expect("logger is built");
+    for _ in 0..EMITTED {
+        emit(&REFUSED);
+    }
+    drop(go);
+    let first: Vec<String> = (0..QUEUED).map(|_| line(&rx)).collect();
+    assert!(first.iter().all(|line| line.contains("job_refused")));
     emit(&REFUSED);
+    let mut written = QUEUED;
+    let report = loop {
+        let line = line(&rx);
+        if line.contains("log_dropped") {
+            break line;
+        }
+        written += 1;
+    };
+    let report: serde_json::Value = serde_json::from_str(&report).expect("line is JSON");
+    assert_eq!(report["fields"]["events"], EMITTED - written);
+    assert!(line(&rx).contains("job_refused"));
 }
