--- a/crates/config/src/encoding.rs
+++ b/crates/config/src/encoding.rs
@@ -16,8 +16,21 @@
 use crate::update::{Step, Update};
 use crate::validate::validate;
 
+/// Format of commands and snapshots; it rises with each change of the rules by which patches are judged.
+///
+/// A replica that judged a patch by older rules than the others would drift apart from them without notice, so it must
+/// refuse the command instead.
+const FORMAT: u32 = 1;
+
+/// Reads only the format, which all formats have.
+#[derive(Deserialize)]
+struct FormatModel {
+    format: u32,
+}
+
 #[derive(Serialize, Deserialize)]
 struct StoreModel {
+    format: u32,
     version: ConfigVersion,
     document: Value,
     history: Vec<StepModel>,
@@ -87,6 +100,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct CommandModel {
+    format: u32,
     base: ConfigVersion,
     patch: PatchId,
     operator: String,
@@ -115,6 +129,7 @@
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
         encode(&StoreModel {
+            format: FORMAT,
             version: self.version,
             document: self.value.clone(),
             history: self.history.iter().cloned().map(Into::into).collect(),
@@ -127,7 +142,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are damaged or the document is not valid for this process.
+    /// Fails if the bytes are damaged or of a newer format, or the document is not valid for this process.
     ///
     /// # Examples
     ///
@@ -135,6 +150,7 @@
     /// assert!(chestnutfork_config::ConfigStore::restore(b"no snapshot").is_err());
     /// ```
     pub fn restore(bytes: &[u8]) -> Result<Self, ConfigError> {
+        check_format(bytes)?;
         let model: StoreModel = decode(bytes)?;
         let version = model.version;
         let document = validate(&model.document).map_err(|errors| ErrorKind::Invalid { version, errors })?;
@@ -166,6 +182,7 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         encode(&CommandModel {
+            format: FORMAT,
             base: self.patch.base,
             patch: self.patch.id,
             operator: self.patch.operator.clone(),
@@ -179,7 +196,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are damaged.
+    /// Fails if the bytes are damaged or of a newer format. A replica must then stop, not skip the command.
     ///
     /// # Examples
     ///
@@ -187,6 +204,7 @@
     /// assert!(chestnutfork_config::PatchCommand::decode(b"").is_err());
     /// ```
     pub fn decode(bytes: &[u8]) -> Result<Self, ConfigError> {
+        check_format(bytes)?;
         let model: CommandModel = decode(bytes)?;
         let patch = Patch {
             base: model.base,
@@ -243,6 +261,15 @@
     serde_json::from_slice(bytes).map_err(|error| ErrorKind::Encoding(error.to_string()).into())
 }
 
+fn check_format(bytes: &[u8]) -> Result<(), ConfigError> {
+    let model: FormatModel = decode(bytes)?;
+    if model.format <= FORMAT {
+        return Ok(());
+    }
+    let found = model.format;
+    Err(ErrorKind::NewerFormat { found, known: FORMAT }.into())
+}
+
 fn milliseconds(time: SystemTime) -> u64 {
     let since = time
         .duration_since(SystemTime::UNIX_EPOCH)
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -18,6 +18,14 @@
     /// The bytes are not an encoding of the expected type.
     #[error("{0}; check that both processes run compatible versions")]
     Encoding(String),
+    /// A later version of the program wrote the bytes.
+    #[error("format {found} is newer than the known format {known}; update this process")]
+    NewerFormat {
+        /// Format of the bytes.
+        found: u32,
+        /// Latest format that this process knows.
+        known: u32,
+    },
     /// Steps between the version in force and the update are missing.
     #[error("update starts at version {first} but version {have} is in force; subscribe again with {have}")]
     Gap {
--- a/crates/config/tests/store.rs
+++ b/crates/config/tests/store.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use chestnutfork_config::{
-    AppliedConfig, ConfigError, ConfigStore, ErrorKind, HISTORY_LIMIT, PATCH_MEMORY, Step, Update, Verdict,
+    AppliedConfig, ConfigError, ConfigStore, ErrorKind, HISTORY_LIMIT, PATCH_MEMORY, PatchCommand, Step,
+    Update, Verdict,
 };
 use common::command;
 use serde_json::{Value, json};
@@ -157,3 +158,20 @@
         Some(5)
     );
 }
+
+/// Guards against a replica that judges a command by older rules than the others and drifts apart from them.
+#[test]
+fn decode_refuses_newer_format() {
+    let newer = |bytes: Vec<u8>| {
+        let text = String::from_utf8(bytes).expect("encoding is text");
+        text.replacen("\"format\":1", "\"format\":2,\"more\":true", 1)
+            .into_bytes()
+    };
+    let expected = ConfigError {
+        kind: ErrorKind::NewerFormat { found: 2, known: 1 },
+    };
+    let bytes = newer(command(0, 1, service("desk", 1)).encode());
+    assert_eq!(PatchCommand::decode(&bytes), Err(expected.clone()));
+    let bytes = newer(ConfigStore::default().snapshot());
+    assert_eq!(ConfigStore::restore(&bytes), Err(expected));
+}
