--- /dev/null
+++ b/crates/raft/src/election.rs
@@ -0,0 +1,169 @@
+//! Pre-votes, votes and the start of a term.
+
+use std::time::Instant;
+
+use chestnutfork_types::{LogIndex, ReplicaId, Term};
+
+use crate::event::Action;
+use crate::message::MessageBody;
+use crate::raft::{Raft, Role};
+
+/// Last term and last index of a log; the larger pair is the more complete log.
+pub(crate) type LogEnd = (Term, LogIndex);
+
+impl Raft {
+    /// Reports whether the replica is still bound to a leader that it heard recently.
+    pub(crate) fn in_lease(&self, now: Instant) -> bool {
+        if self.role == Role::Leader {
+            return true;
+        }
+        let heard = self.leader_heard_at.filter(|_| self.leader.is_some());
+        heard.is_some_and(|at| now < at + self.cfg.election_timeout)
+    }
+
+    /// Starts an election, unless this replica has no vote.
+    pub(crate) fn on_election_timeout(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.leader = None;
+        if !self.membership().is_voter(self.cfg.id) {
+            self.reset_election_deadline(now);
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.votes = vec![self.cfg.id];
+        self.reset_election_deadline(now);
+        if self.has_won() {
+            self.campaign(now, false, actions);
+            return;
+        }
+        let (last_term, last_index) = self.log_end();
+        let body = MessageBody::PreVote {
+            last_index,
+            last_term,
+        };
+        self.send_to_voters(self.hard.term + 1, &body, actions);
+    }
+
+    /// Starts an election at the request of the leader, without a pre-vote.
+    pub(crate) fn on_timeout_now(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let votes = self.membership().is_voter(self.cfg.id);
+        if votes && self.role != Role::Leader {
+            self.campaign(now, true, actions);
+        }
+    }
+
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        end: LogEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let granted =
+            self.may_vote() && term > self.hard.term && !self.in_lease(now) && end >= self.log_end();
+        let reply_term = if granted { term } else { self.hard.term };
+        self.send_at(from, reply_term, MessageBody::PreVoteReply { granted }, actions);
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.become_follower(now, term, None, actions);
+            }
+            return;
+        }
+        if self.role != Role::PreCandidate || term != self.hard.term + 1 {
+            return;
+        }
+        self.count_vote(from);
+        if self.has_won() {
+            self.campaign(now, false, actions);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, now: Instant, from: ReplicaId, end: LogEnd, actions: &mut Vec<Action>) {
+        let free = self.hard.vote.is_none_or(|vote| vote == from) || self.cfg.vote_twice;
+        let granted = self.may_vote() && free && end >= self.log_end();
+        if granted {
+            self.hard.vote = Some(from);
+            self.reset_election_deadline(now);
+        }
+        self.send(from, MessageBody::VoteReply { granted }, actions);
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        granted: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.role != Role::Candidate || !granted {
+            return;
+        }
+        self.count_vote(from);
+        if self.has_won() {
+            self.become_leader(now, actions);
+        }
+    }
+
+    fn campaign(&mut self, now: Instant, transfer: bool, actions: &mut Vec<Action>) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.incoming = None;
+        self.hard.term += 1;
+        self.hard.vote = Some(self.cfg.id);
+        self.votes = vec![self.cfg.id];
+        self.reset_election_deadline(now);
+        if self.has_won() {
+            self.become_leader(now, actions);
+            return;
+        }
+        let (last_term, last_index) = self.log_end();
+        let body = MessageBody::Vote {
+            last_index,
+            last_term,
+            transfer,
+        };
+        self.send_to_voters(self.hard.term, &body, actions);
+    }
+
+    /// Reports whether this replica knows itself as a member.
+    ///
+    /// A replica whose disk was lost has a new id that no member set names, so it never votes. A learner
+    /// votes when asked, because its own promotion may not have reached it yet.
+    fn may_vote(&self) -> bool {
+        self.membership().contains(self.cfg.id)
+    }
+
+    fn count_vote(&mut self, from: ReplicaId) {
+        if self.membership().is_voter(from) && !self.votes.contains(&from) {
+            self.votes.push(from);
+        }
+    }
+
+    fn has_won(&self) -> bool {
+        let members = self.membership();
+        let count = self.votes.iter().filter(|&&id| members.is_voter(id)).count();
+        count >= members.quorum()
+    }
+
+    fn log_end(&self) -> LogEnd {
+        (self.log.last_term(), self.log.last_index())
+    }
+
+    fn send_to_voters(&mut self, term: Term, body: &MessageBody, actions: &mut Vec<Action>) {
+        for to in self.membership().voters.clone() {
+            if to != self.cfg.id {
+                self.send_at(to, term, body.clone(), actions);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/src/follower.rs
@@ -0,0 +1,188 @@
+//! Messages of a leader: entries, heartbeats and snapshots.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use chestnutfork_types::{LogIndex, ReplicaId, Term};
+
+use crate::entry::{Entry, Snapshot, SnapshotMeta};
+use crate::event::Action;
+use crate::message::MessageBody;
+use crate::raft::{Raft, Role};
+
+/// Snapshot that arrives in parts.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    meta: SnapshotMeta,
+    total: u64,
+    buf: Vec<u8>,
+}
+
+impl Incoming {
+    fn len(&self) -> u64 {
+        self.buf.len() as u64
+    }
+}
+
+impl Raft {
+    /// Follows the sender, which is the leader of the current term, and takes in its message.
+    pub(crate) fn on_leader_message(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        body: MessageBody,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.role == Role::Leader {
+            // Two leaders in a term are impossible; the verifier reports them, and no entry is taken here.
+            return;
+        }
+        self.role = Role::Follower;
+        self.leader = Some(from);
+        self.leader_heard_at = Some(now);
+        self.votes.clear();
+        self.reset_election_deadline(now);
+        match body {
+            MessageBody::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            } => {
+                let matched = self.append(prev_index, prev_term, &entries, actions);
+                let reply = match matched {
+                    Some(matched) => MessageBody::Accepted { matched, round },
+                    None => self.rejection(prev_index, prev_term, round),
+                };
+                self.send(from, reply, actions);
+                let known = matched.unwrap_or(0).min(commit);
+                self.commit_to(known, actions);
+            }
+            MessageBody::SnapshotChunk {
+                meta,
+                offset,
+                total,
+                chunk,
+                round,
+            } => {
+                if let Some(reply) = self.take_chunk(meta, offset, total, &chunk, round, actions) {
+                    self.send(from, reply, actions);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Appends the entries if the position before them matches, and returns the last matching position.
+    fn append(
+        &mut self,
+        prev_index: LogIndex,
+        prev_term: Term,
+        entries: &[Entry],
+        actions: &mut Vec<Action>,
+    ) -> Option<LogIndex> {
+        if prev_index < self.commit {
+            // Everything committed matches the log of any leader.
+            return Some(self.commit);
+        }
+        if self.log.term_at(prev_index) != Some(prev_term) {
+            return None;
+        }
+        self.append_new(entries, actions);
+        Some(prev_index + entries.len() as u64)
+    }
+
+    /// Builds a rejection that lets the leader skip all positions that cannot match.
+    fn rejection(&self, prev_index: LogIndex, prev_term: Term, round: u64) -> MessageBody {
+        let hint_index = self.log.floor_by_term(prev_index, prev_term);
+        let hint_term = self.log.term_at(hint_index).unwrap_or(0);
+        MessageBody::Rejected {
+            prev_index,
+            hint_index,
+            hint_term,
+            round,
+        }
+    }
+
+    /// Appends the entries from the first one that the log does not have yet.
+    fn append_new(&mut self, entries: &[Entry], actions: &mut Vec<Action>) {
+        let known = entries
+            .iter()
+            .take_while(|entry| self.log.term_at(entry.index) == Some(entry.term))
+            .count();
+        let new = &entries[known..];
+        if new.is_empty() {
+            return;
+        }
+        self.log.append(new);
+        self.push(Action::AppendLog(new.to_vec()), actions);
+    }
+
+    /// Takes in a part of a snapshot and installs the snapshot when it is whole.
+    fn take_chunk(
+        &mut self,
+        meta: SnapshotMeta,
+        offset: u64,
+        total: u64,
+        chunk: &Bytes,
+        round: u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<MessageBody> {
+        if meta.index <= self.commit {
+            self.incoming = None;
+            let matched = self.commit;
+            return Some(MessageBody::Accepted { matched, round });
+        }
+        if total > self.cfg.max_snapshot_bytes {
+            return None;
+        }
+        let index = meta.index;
+        let incoming = self.incoming_for(meta, total);
+        if incoming.len() == offset && offset + chunk.len() as u64 <= total {
+            incoming.buf.extend_from_slice(chunk);
+        }
+        let offset = incoming.len();
+        if offset < total {
+            return Some(MessageBody::SnapshotNext { index, offset, round });
+        }
+        self.install_incoming(actions);
+        Some(MessageBody::Accepted {
+            matched: index,
+            round,
+        })
+    }
+
+    fn incoming_for(&mut self, meta: SnapshotMeta, total: u64) -> &mut Incoming {
+        let same = |old: &Incoming| old.meta == meta && old.total == total;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = None;
+        }
+        self.incoming.get_or_insert_with(|| Incoming {
+            meta,
+            total,
+            buf: Vec::new(),
+        })
+    }
+
+    fn install_incoming(&mut self, actions: &mut Vec<Action>) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        let meta = incoming.meta;
+        let data = Bytes::from(incoming.buf);
+        let keep_suffix = self.log.term_at(meta.index) == Some(meta.term);
+        self.commit = meta.index;
+        let snapshot = Snapshot { meta, data };
+        self.log.install(snapshot.clone(), keep_suffix);
+        let saved = snapshot.clone();
+        self.push(
+            Action::SaveSnapshot {
+                snapshot: saved,
+                keep_suffix,
+            },
+            actions,
+        );
+        self.push(Action::Restore(snapshot), actions);
+    }
+}
--- /dev/null
+++ b/crates/raft/src/leader.rs
@@ -0,0 +1,483 @@
+//! Replication by a leader: appends, heartbeats, snapshots and the quorum check.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use chestnutfork_types::{LogIndex, ReplicaId, Term};
+
+use crate::entry::{Entry, Payload};
+use crate::event::{Action, ReadId};
+use crate::message::MessageBody;
+use crate::peer::{Mode, Peer};
+use crate::raft::{Raft, Role};
+
+/// Largest number of unfinished quorum checks whose start is remembered; reads start one each.
+const MAX_ROUNDS: usize = 1024;
+
+/// Read that waits for a quorum check.
+#[derive(Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) id: ReadId,
+    pub(crate) round: u64,
+}
+
+/// Hand-over of leadership in progress.
+#[derive(Debug)]
+pub(crate) struct Transfer {
+    pub(crate) to: ReplicaId,
+    pub(crate) deadline: Instant,
+}
+
+/// State that only a leader has.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    pub(crate) peers: Vec<Peer>,
+    /// Position of the first entry of this leader's term.
+    pub(crate) first_index: LogIndex,
+    pub(crate) heartbeat_at: Instant,
+    /// Number of the latest quorum check.
+    pub(crate) round: u64,
+    /// Starts of the quorum checks that no quorum has answered yet.
+    rounds: VecDeque<(u64, Instant)>,
+    pub(crate) reads: VecDeque<PendingRead>,
+    pub(crate) transfer: Option<Transfer>,
+    /// Bytes of the entries that are not committed yet.
+    pub(crate) uncommitted_bytes: usize,
+}
+
+impl Raft {
+    /// Takes up leadership of the current term and appends its first entry.
+    pub(crate) fn become_leader(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.role = Role::Leader;
+        self.leader = Some(self.cfg.id);
+        self.votes.clear();
+        self.incoming = None;
+        let first_index = self.log.last_index() + 1;
+        let uncommitted = self.log.range(self.commit + 1, self.log.last_index());
+        self.leadership = Some(Leadership {
+            peers: Vec::new(),
+            first_index,
+            heartbeat_at: now,
+            round: 0,
+            rounds: VecDeque::new(),
+            reads: VecDeque::new(),
+            transfer: None,
+            uncommitted_bytes: uncommitted.iter().map(|entry| entry.payload.size()).sum(),
+        });
+        self.sync_peers(now, first_index);
+        self.append_as_leader(now, vec![Payload::Empty], actions);
+        self.start_round(now, actions);
+    }
+
+    /// Makes the list of peers match the latest member set.
+    pub(crate) fn sync_peers(&mut self, now: Instant, next: LogIndex) {
+        let own = self.cfg.id;
+        let members = self.log.membership();
+        let Some(lead) = self.leadership.as_mut() else {
+            return;
+        };
+        lead.peers.retain(|peer| members.contains(peer.id));
+        for id in members.members().filter(|&id| id != own) {
+            if !lead.peers.iter().any(|peer| peer.id == id) {
+                lead.peers.push(Peer::new(id, next, now));
+            }
+        }
+    }
+
+    /// Appends entries of the current term and sends them to the peers.
+    pub(crate) fn append_as_leader(
+        &mut self,
+        now: Instant,
+        payloads: Vec<Payload>,
+        actions: &mut Vec<Action>,
+    ) {
+        let first = self.log.last_index() + 1;
+        let term = self.hard.term;
+        let entry = |(index, payload)| Entry { index, term, payload };
+        let entries: Vec<Entry> = (first..).zip(payloads).map(entry).collect();
+        let bytes: usize = entries.iter().map(|entry| entry.payload.size()).sum();
+        if let Some(lead) = self.leadership.as_mut() {
+            lead.uncommitted_bytes += bytes;
+        }
+        self.log.append(&entries);
+        self.push(Action::AppendLog(entries), actions);
+        self.after_append(now, actions);
+    }
+
+    /// Sends what was appended; a group of one voter commits it at once.
+    pub(crate) fn after_append(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.pump_all(now, actions);
+        self.advance_commit(now, actions);
+    }
+
+    /// Steps down without a quorum, and otherwise starts the next quorum check.
+    pub(crate) fn on_heartbeat_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.hears_quorum(now) {
+            self.become_follower(now, self.hard.term, None, actions);
+            return;
+        }
+        if let Some(lead) = self.leadership.as_mut() {
+            lead.transfer.take_if(|transfer| now >= transfer.deadline);
+        }
+        self.start_round(now, actions);
+        self.continue_transfer(actions);
+        self.advance_swap(now, actions);
+    }
+
+    /// Sends a heartbeat to every peer; the replies prove leadership at some time after `now`.
+    pub(crate) fn start_round(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let heartbeat = self.cfg.heartbeat;
+        let Some(lead) = self.leadership.as_mut() else {
+            return;
+        };
+        lead.round += 1;
+        lead.heartbeat_at = now + heartbeat;
+        lead.rounds.push_back((lead.round, now));
+        if lead.rounds.len() > MAX_ROUNDS {
+            lead.rounds.pop_front();
+        }
+        for at in 0..lead.peers.len() {
+            self.send_heartbeat(at, now, actions);
+        }
+        self.confirm_rounds(actions);
+    }
+
+    /// Sends the current commit index without starting a quorum check.
+    fn announce_commit(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let count = self.leadership.as_ref().map_or(0, |lead| lead.peers.len());
+        for at in 0..count {
+            let replicates = self.peer(at).is_some_and(|peer| peer.mode == Mode::Replicate);
+            if replicates {
+                self.send_heartbeat(at, now, actions);
+            }
+        }
+    }
+
+    fn send_heartbeat(&mut self, at: usize, now: Instant, actions: &mut Vec<Action>) {
+        self.start_snapshot_if_compacted(at, now);
+        self.resend_chunk(at, now, actions);
+        let Some((lead, peer)) = self
+            .leadership
+            .as_ref()
+            .and_then(|lead| Some((lead, lead.peers.get(at)?)))
+        else {
+            return;
+        };
+        let round = lead.round;
+        let to = peer.id;
+        let prev = peer.next - 1;
+        let known = self
+            .log
+            .term_at(prev)
+            .filter(|_| !matches!(peer.mode, Mode::Snapshot { .. }));
+        // Position zero matches any log, so a peer that needs a snapshot answers with its commit index.
+        let (prev_index, prev_term) = known.map_or((0, 0), |term| (prev, term));
+        let commit = if known.is_some() { self.commit } else { 0 };
+        let body = MessageBody::Append {
+            prev_index,
+            prev_term,
+            entries: Vec::new(),
+            commit,
+            round,
+        };
+        self.send(to, body, actions);
+    }
+
+    /// Turns to the snapshot for a peer whose next entries are compacted.
+    ///
+    /// A heartbeat to such a peer names position zero and is never rejected, so a full window of lost messages
+    /// would otherwise stay full.
+    fn start_snapshot_if_compacted(&mut self, at: usize, now: Instant) {
+        let patience = self.cfg.election_timeout;
+        let base = self.log.base_index();
+        let peer = self.leadership.as_mut().and_then(|lead| lead.peers.get_mut(at));
+        let compacted = |peer: &&mut Peer| peer.next <= base && !matches!(peer.mode, Mode::Snapshot { .. });
+        if let Some(peer) = peer.filter(compacted) {
+            let sent_at = now.checked_sub(patience).unwrap_or(now);
+            peer.start_snapshot(base, sent_at);
+        }
+    }
+
+    fn peer(&self, at: usize) -> Option<&Peer> {
+        self.leadership.as_ref()?.peers.get(at)
+    }
+
+    fn pump_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let count = self.leadership.as_ref().map_or(0, |lead| lead.peers.len());
+        for at in 0..count {
+            self.pump(at, now, actions);
+        }
+    }
+
+    /// Sends entries to a peer until its window is full or nothing is left.
+    pub(crate) fn pump(&mut self, at: usize, now: Instant, actions: &mut Vec<Action>) {
+        while let Some((to, body)) = self.next_append(at, now) {
+            self.send(to, body, actions);
+        }
+    }
+
+    fn next_append(&mut self, at: usize, now: Instant) -> Option<(ReplicaId, MessageBody)> {
+        let lead = self.leadership.as_mut()?;
+        let round = lead.round;
+        let peer = lead.peers.get_mut(at)?;
+        if peer.next > self.log.last_index() || !peer.may_send(self.cfg.max_in_flight) {
+            return None;
+        }
+        let prev_index = peer.next - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            let index = self.log.base_index();
+            peer.start_snapshot(index, now);
+            return self.snapshot_chunk(at);
+        };
+        let entries = self.log.batch(peer.next, self.cfg.max_message_bytes).to_vec();
+        peer.sent(prev_index + entries.len() as u64);
+        let body = MessageBody::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        Some((peer.id, body))
+    }
+
+    /// Builds the part of the snapshot that a peer waits for.
+    fn snapshot_chunk(&self, at: usize) -> Option<(ReplicaId, MessageBody)> {
+        let lead = self.leadership.as_ref()?;
+        let peer = lead.peers.get(at)?;
+        let Mode::Snapshot { offset, .. } = peer.mode else {
+            return None;
+        };
+        let snapshot = self.log.snapshot();
+        let total = snapshot.data.len();
+        let start = usize::try_from(offset).unwrap_or(total).min(total);
+        let end = start.saturating_add(self.cfg.max_message_bytes).min(total);
+        let body = MessageBody::SnapshotChunk {
+            meta: snapshot.meta.clone(),
+            offset,
+            total: total as u64,
+            chunk: snapshot.data.slice(start..end),
+            round: lead.round,
+        };
+        Some((peer.id, body))
+    }
+
+    /// Sends a snapshot part again that was not answered for an election timeout.
+    fn resend_chunk(&mut self, at: usize, now: Instant, actions: &mut Vec<Action>) {
+        let base = self.log.base_index();
+        let patience = self.cfg.election_timeout;
+        let peer = self.leadership.as_mut().and_then(|lead| lead.peers.get_mut(at));
+        let Some(peer) = peer else {
+            return;
+        };
+        let Mode::Snapshot {
+            index,
+            offset,
+            sent_at,
+        } = &mut peer.mode
+        else {
+            return;
+        };
+        if now < *sent_at + patience {
+            return;
+        }
+        if *index != base {
+            *index = base;
+            *offset = 0;
+        }
+        *sent_at = now;
+        if let Some((to, body)) = self.snapshot_chunk(at) {
+            self.send(to, body, actions);
+        }
+    }
+
+    /// Notes a reply of this term and returns the position of the peer.
+    fn heard(&mut self, now: Instant, from: ReplicaId, round: u64) -> Option<usize> {
+        let lead = self.leadership.as_mut()?;
+        let at = lead.peers.iter().position(|peer| peer.id == from)?;
+        let peer = &mut lead.peers[at];
+        peer.heard_at = now;
+        peer.round = peer.round.max(round);
+        Some(at)
+    }
+
+    pub(crate) fn on_accepted(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        matched: LogIndex,
+        round: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.heard(now, from, round) else {
+            return;
+        };
+        let last = self.log.last_index();
+        let peer = self.leadership.as_mut().and_then(|lead| lead.peers.get_mut(at));
+        let advanced = peer.is_some_and(|peer| peer.accept(matched.min(last)));
+        self.confirm_rounds(actions);
+        self.pump(at, now, actions);
+        if advanced {
+            self.continue_transfer(actions);
+            self.advance_commit(now, actions);
+            self.advance_swap(now, actions);
+        }
+    }
+
+    pub(crate) fn on_rejected(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        prev_index: LogIndex,
+        hint: (LogIndex, Term),
+        round: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.heard(now, from, round) else {
+            return;
+        };
+        let (hint_index, hint_term) = hint;
+        let next = self.next_after_rejection(hint_index, hint_term);
+        if let Some(peer) = self.leadership.as_mut().and_then(|lead| lead.peers.get_mut(at))
+            && peer.is_current_rejection(prev_index)
+        {
+            peer.probe(next);
+        }
+        self.confirm_rounds(actions);
+        self.pump(at, now, actions);
+    }
+
+    /// Returns the first position to send to a peer after its hint.
+    ///
+    /// The result is at or below the snapshot's position if only the snapshot can help the peer.
+    fn next_after_rejection(&self, hint_index: LogIndex, hint_term: Term) -> LogIndex {
+        let base = self.log.base_index();
+        if hint_index < base {
+            return hint_index + 1;
+        }
+        let floor = self.log.floor_by_term(hint_index, hint_term);
+        let conflicts = self.log.term_at(floor).is_some_and(|term| term > hint_term);
+        if conflicts { floor } else { floor + 1 }
+    }
+
+    pub(crate) fn on_snapshot_next(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        index: LogIndex,
+        offset: u64,
+        round: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.heard(now, from, round) else {
+            return;
+        };
+        self.confirm_rounds(actions);
+        let base = self.log.base_index();
+        let peer = self.leadership.as_mut().and_then(|lead| lead.peers.get_mut(at));
+        let Some(peer) = peer else {
+            return;
+        };
+        let Mode::Snapshot { index: current, .. } = peer.mode else {
+            return;
+        };
+        if current != index {
+            return;
+        }
+        // The snapshot was replaced by a newer one, which starts from its beginning.
+        let offset = if index == base { offset } else { 0 };
+        peer.mode = Mode::Snapshot {
+            index: base,
+            offset,
+            sent_at: now,
+        };
+        if let Some((to, body)) = self.snapshot_chunk(at) {
+            self.send(to, body, actions);
+        }
+    }
+
+    /// Commits what a majority of the voters holds, if it ends in an entry of this term.
+    pub(crate) fn advance_commit(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let index = self.quorum_value(self.log.last_index(), |peer| peer.matched);
+        let own_term = self.log.term_at(index) == Some(self.hard.term);
+        if index <= self.commit || !own_term {
+            return;
+        }
+        let committed = self.log.range(self.commit + 1, index);
+        let bytes: usize = committed.iter().map(|entry| entry.payload.size()).sum();
+        if let Some(lead) = self.leadership.as_mut() {
+            lead.uncommitted_bytes = lead.uncommitted_bytes.saturating_sub(bytes);
+        }
+        self.commit_to(index, actions);
+        self.announce_commit(now, actions);
+        let removed = !self.membership().is_voter(self.cfg.id);
+        if removed && self.log.membership_index() <= self.commit {
+            self.leave(now, actions);
+            return;
+        }
+        self.confirm_rounds(actions);
+        self.advance_swap(now, actions);
+    }
+
+    /// Gives up leadership after the removal of this replica is committed.
+    fn leave(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(to) = self.best_successor(now) {
+            self.send(to, MessageBody::TimeoutNow, actions);
+        }
+        self.become_follower(now, self.hard.term, None, actions);
+    }
+
+    /// Reports the latest quorum check that a majority has answered, and the reads that waited for it.
+    fn confirm_rounds(&mut self, actions: &mut Vec<Action>) {
+        let Some(lead) = self.leadership.as_ref() else {
+            return;
+        };
+        let round = self.quorum_value(lead.round, |peer| peer.round);
+        let commit = self.commit;
+        // Before its first entry is committed, a leader does not know all that is committed.
+        if commit < lead.first_index {
+            return;
+        }
+        let Some(lead) = self.leadership.as_mut() else {
+            return;
+        };
+        let mut since = None;
+        while let Some((_, at)) = lead.rounds.pop_front_if(|(number, _)| *number <= round) {
+            since = Some(at);
+        }
+        while let Some(read) = lead.reads.pop_front_if(|read| read.round <= round) {
+            actions.push(Action::ReadReady {
+                id: read.id,
+                index: commit,
+            });
+        }
+        if let Some(since) = since {
+            actions.push(Action::QuorumConfirmed { since, commit });
+        }
+    }
+
+    /// Returns the highest value that a majority of the voters has reached.
+    fn quorum_value(&self, own: u64, value: impl Fn(&Peer) -> u64) -> u64 {
+        let Some(lead) = self.leadership.as_ref() else {
+            return 0;
+        };
+        let members = self.log.membership();
+        let voting = lead.peers.iter().filter(|peer| members.is_voter(peer.id));
+        let mut values: Vec<u64> = voting.map(value).collect();
+        if members.is_voter(self.cfg.id) {
+            values.push(own);
+        }
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(members.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    /// Reports whether a majority of the voters answered within an election timeout.
+    fn hears_quorum(&self, now: Instant) -> bool {
+        let heard = |peer: &Peer| u64::from(self.is_alive(peer, now));
+        self.quorum_value(1, heard) == 1
+    }
+
+    pub(crate) fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
+        now < peer.heard_at + self.cfg.election_timeout
+    }
+}
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -1,1 +1,29 @@
 //! Replicated log as a pure state machine.
+//!
+//! [`Raft`] has no clock, no sockets and no files. A driver passes it the time and an [`Event`], and executes
+//! the [`Action`]s that it pushes, strictly in order. The driver must sync every persist action
+//! (see [`Action::is_persist`]) before it executes any action behind it; it may collect the actions of several
+//! events and sync their persist actions once. If persisting fails, the driver drops all actions from the failed
+//! one on and reports [`Event::StorageFailed`] with the state that is durable.
+
+mod change;
+mod config;
+mod election;
+mod entry;
+mod event;
+mod follower;
+mod leader;
+mod log;
+mod membership;
+mod message;
+mod peer;
+mod raft;
+mod verify;
+
+pub use config::{Config, ConfigBuilder, ConfigError};
+pub use entry::{Durable, DurableError, Entry, HardState, Payload, Snapshot, SnapshotMeta};
+pub use event::{Action, Event, Proposal, ReadId, RefusedBecause, RequestId};
+pub use membership::{ChangeError, Membership, MembershipChange, Swap};
+pub use message::{Message, MessageBody};
+pub use raft::{Raft, Role};
+pub use verify::{Verifier, Violation};
--- /dev/null
+++ b/crates/raft/src/membership.rs
@@ -0,0 +1,234 @@
+//! Member sets, quorums and the changes that keep quorums overlapping.
+
+use chestnutfork_types::ReplicaId;
+use thiserror::Error;
+
+/// Replacement of a voter by a new replica, in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Swap {
+    /// Voter that leaves.
+    pub remove: ReplicaId,
+    /// Replica that takes its place.
+    pub add: ReplicaId,
+}
+
+/// Members of the group in force from one log position on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Membership {
+    /// Replicas that vote and count for the quorum, sorted.
+    pub voters: Vec<ReplicaId>,
+    /// Replicas that receive the log but do not count, sorted.
+    pub learners: Vec<ReplicaId>,
+    /// Replacement that the leader carries on step by step.
+    pub swap: Option<Swap>,
+}
+
+/// Change of the members that an operator asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipChange {
+    /// Adds a replica that receives the log without a vote.
+    AddLearner(ReplicaId),
+    /// Turns a learner into a voter.
+    Promote(ReplicaId),
+    /// Removes a voter or learner.
+    Remove(ReplicaId),
+    /// Adds a learner, promotes it once it has caught up, then removes the replaced voter.
+    Replace(Swap),
+}
+
+/// Reason why a change of the members is not possible.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ChangeError {
+    /// The replica is a member already.
+    #[error("replica {0:016x} is a member already; name the id of a newly formatted data folder")]
+    AlreadyMember(ReplicaId),
+    /// The replica is not a member.
+    #[error("replica {0:016x} is not a member; list the members with `chestnutfork status`")]
+    NotMember(ReplicaId),
+    /// The replica does not vote.
+    #[error("replica {0:016x} is not a voter; list the members with `chestnutfork status`")]
+    NotVoter(ReplicaId),
+    /// The change would leave the group without a voter.
+    #[error("replica {0:016x} is the last voter; add another one first")]
+    LastVoter(ReplicaId),
+    /// Another change is not finished.
+    #[error("another membership change is in progress; retry when it is finished")]
+    InProgress,
+}
+
+impl Membership {
+    /// Builds a member set of voters only.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_raft::Membership;
+    ///
+    /// let members = Membership::of_voters([3, 1, 2]);
+    /// assert_eq!(members.voters, [1, 2, 3]);
+    /// assert_eq!(members.quorum(), 2);
+    /// ```
+    #[must_use]
+    pub fn of_voters(voters: impl IntoIterator<Item = ReplicaId>) -> Self {
+        let mut voters: Vec<ReplicaId> = voters.into_iter().collect();
+        voters.sort_unstable();
+        voters.dedup();
+        Self {
+            voters,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of voters that form a majority.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_raft::Membership;
+    ///
+    /// assert_eq!(Membership::of_voters([1, 2, 3, 4]).quorum(), 3);
+    /// ```
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Reports whether the replica votes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_raft::Membership;
+    ///
+    /// assert!(Membership::of_voters([1]).is_voter(1));
+    /// ```
+    #[must_use]
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.voters.binary_search(&id).is_ok()
+    }
+
+    /// Reports whether the replica is a voter or a learner.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_raft::Membership;
+    ///
+    /// assert!(!Membership::of_voters([1]).contains(2));
+    /// ```
+    #[must_use]
+    pub fn contains(&self, id: ReplicaId) -> bool {
+        self.is_voter(id) || self.learners.contains(&id)
+    }
+
+    /// Iterates over voters, then learners.
+    pub fn members(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.voters.iter().chain(&self.learners).copied()
+    }
+
+    /// Returns the member set after a change.
+    ///
+    /// Each step adds or removes at most one voter, so any majority before it overlaps any majority after it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the change does not apply to these members.
+    pub fn changed(&self, change: MembershipChange) -> Result<Self, ChangeError> {
+        if let Some(swap) = self.swap {
+            return self.changed_in_swap(swap, change);
+        }
+        match change {
+            MembershipChange::AddLearner(id) => self.with_learner(id),
+            MembershipChange::Promote(id) => self.with_promoted(id),
+            MembershipChange::Remove(id) => self.without(id),
+            MembershipChange::Replace(swap) => self.with_swap(swap),
+        }
+    }
+
+    /// Returns the next step of the replacement in progress, if there is one.
+    ///
+    /// A dead voter is removed before the promotion: with it as a fourth voter, the loss of the new replica
+    /// before the last step would leave two of four voters and no quorum.
+    pub(crate) fn next_swap_step(&self, remove_first: bool) -> Option<Self> {
+        let swap = self.swap?;
+        let promotes = self.learners.contains(&swap.add);
+        let removes = self.is_voter(swap.remove);
+        let mut next = self.clone();
+        if promotes && !(removes && remove_first) {
+            next = next.with_promoted(swap.add).ok()?;
+        } else {
+            next.voters.retain(|&id| id != swap.remove);
+        }
+        if !(promotes && removes) {
+            next.swap = None;
+        }
+        Some(next)
+    }
+
+    /// Allows only to cancel a replacement, or to name another new replica, while the new one is a learner.
+    ///
+    /// Without this, the loss of the new replica would block every later change.
+    fn changed_in_swap(&self, swap: Swap, change: MembershipChange) -> Result<Self, ChangeError> {
+        if !self.learners.contains(&swap.add) {
+            return Err(ChangeError::InProgress);
+        }
+        let mut cancelled = self.without(swap.add)?;
+        cancelled.swap = None;
+        match change {
+            MembershipChange::Remove(id) if id == swap.add => Ok(cancelled),
+            MembershipChange::Replace(other) if other.remove == swap.remove => {
+                let mut next = cancelled.with_learner(other.add)?;
+                next.swap = Some(other);
+                Ok(next)
+            }
+            _ => Err(ChangeError::InProgress),
+        }
+    }
+
+    fn with_learner(&self, id: ReplicaId) -> Result<Self, ChangeError> {
+        if self.contains(id) {
+            return Err(ChangeError::AlreadyMember(id));
+        }
+        let mut next = self.clone();
+        next.learners.push(id);
+        next.learners.sort_unstable();
+        Ok(next)
+    }
+
+    fn with_promoted(&self, id: ReplicaId) -> Result<Self, ChangeError> {
+        if !self.learners.contains(&id) {
+            return Err(ChangeError::NotMember(id));
+        }
+        let mut next = self.clone();
+        next.learners.retain(|&learner| learner != id);
+        next.voters.push(id);
+        next.voters.sort_unstable();
+        Ok(next)
+    }
+
+    fn without(&self, id: ReplicaId) -> Result<Self, ChangeError> {
+        if !self.contains(id) {
+            return Err(ChangeError::NotMember(id));
+        }
+        if self.voters == [id] {
+            return Err(ChangeError::LastVoter(id));
+        }
+        let mut next = self.clone();
+        next.voters.retain(|&voter| voter != id);
+        next.learners.retain(|&learner| learner != id);
+        Ok(next)
+    }
+
+    fn with_swap(&self, swap: Swap) -> Result<Self, ChangeError> {
+        if !self.is_voter(swap.remove) {
+            return Err(ChangeError::NotVoter(swap.remove));
+        }
+        let mut next = if self.learners.contains(&swap.add) {
+            self.clone()
+        } else {
+            self.with_learner(swap.add)?
+        };
+        next.swap = Some(swap);
+        Ok(next)
+    }
+}
--- /dev/null
+++ b/crates/raft/src/peer.rs
@@ -0,0 +1,122 @@
+//! What a leader knows about one other replica.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use chestnutfork_types::{LogIndex, ReplicaId};
+
+/// How a leader sends the log to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// One message at a time, until the position where the logs match is found.
+    Probe {
+        /// Whether a message is unanswered.
+        waiting: bool,
+    },
+    /// A window of messages without waiting for each reply.
+    Replicate,
+    /// One snapshot part at a time.
+    Snapshot {
+        /// Position of the snapshot that is being sent.
+        index: LogIndex,
+        /// Bytes that the peer has.
+        offset: u64,
+        /// Time of the last part.
+        sent_at: Instant,
+    },
+}
+
+/// Progress of one peer.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) id: ReplicaId,
+    /// Last position known to match, durable at the peer.
+    pub(crate) matched: LogIndex,
+    /// Next position to send.
+    pub(crate) next: LogIndex,
+    pub(crate) mode: Mode,
+    /// Last positions of the unanswered append messages.
+    pub(crate) in_flight: VecDeque<LogIndex>,
+    /// Time of the last reply of this term.
+    pub(crate) heard_at: Instant,
+    /// Latest quorum check that the peer answered.
+    pub(crate) round: u64,
+}
+
+impl Peer {
+    pub(crate) fn new(id: ReplicaId, next: LogIndex, now: Instant) -> Self {
+        Self {
+            id,
+            matched: 0,
+            next,
+            mode: Mode::Probe { waiting: false },
+            in_flight: VecDeque::new(),
+            heard_at: now,
+            round: 0,
+        }
+    }
+
+    /// Takes in a confirmed position and reports whether it is new.
+    pub(crate) fn accept(&mut self, matched: LogIndex) -> bool {
+        while self.in_flight.front().is_some_and(|&last| last <= matched) {
+            self.in_flight.pop_front();
+        }
+        let advanced = matched > self.matched;
+        self.matched = self.matched.max(matched);
+        self.next = self.next.max(self.matched + 1);
+        match self.mode {
+            Mode::Probe { .. } if matched + 1 >= self.next => self.mode = Mode::Replicate,
+            Mode::Probe { .. } => self.mode = Mode::Probe { waiting: false },
+            Mode::Snapshot { index, .. } if self.matched >= index => self.probe(self.matched + 1),
+            _ => {}
+        }
+        advanced
+    }
+
+    /// Goes back to one message at a time from a position.
+    pub(crate) fn probe(&mut self, next: LogIndex) {
+        self.in_flight.clear();
+        self.next = next.max(self.matched + 1);
+        self.mode = Mode::Probe { waiting: false };
+    }
+
+    /// Sends the snapshot at a position from its beginning.
+    pub(crate) fn start_snapshot(&mut self, index: LogIndex, sent_at: Instant) {
+        self.in_flight.clear();
+        self.mode = Mode::Snapshot {
+            index,
+            offset: 0,
+            sent_at,
+        };
+    }
+
+    /// Reports whether a rejection is about the latest state and not an old message.
+    pub(crate) fn is_current_rejection(&self, prev_index: LogIndex) -> bool {
+        match self.mode {
+            Mode::Probe { .. } => prev_index + 1 == self.next,
+            Mode::Replicate => prev_index > self.matched && prev_index < self.next,
+            Mode::Snapshot { .. } => false,
+        }
+    }
+
+    /// Reports whether another append message may be sent.
+    pub(crate) fn may_send(&self, max_in_flight: usize) -> bool {
+        match self.mode {
+            Mode::Probe { waiting } => !waiting,
+            Mode::Replicate => self.in_flight.len() < max_in_flight,
+            Mode::Snapshot { .. } => false,
+        }
+    }
+
+    /// Notes an append message that ends at a position.
+    pub(crate) fn sent(&mut self, last: LogIndex) {
+        match self.mode {
+            Mode::Probe { .. } => self.mode = Mode::Probe { waiting: true },
+            Mode::Replicate => {
+                self.next = last + 1;
+                self.in_flight.push_back(last);
+            }
+            Mode::Snapshot { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/src/raft.rs
@@ -0,0 +1,485 @@
+//! State of a replica and the dispatch of its events.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_types::{LogIndex, ReplicaId, Term};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::config::Config;
+use crate::entry::{Durable, DurableError, Entry, HardState, Snapshot, SnapshotMeta};
+use crate::event::{Action, Event, RefusedBecause};
+use crate::follower::Incoming;
+use crate::leader::Leadership;
+use crate::log::Log;
+use crate::membership::Membership;
+use crate::message::{Message, MessageBody};
+
+/// Time until the next wake-up of a replica that waits for its storage; any event wakes it sooner.
+const STORAGE_WAIT: Duration = Duration::from_hours(1);
+
+/// Role of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks whether an election could be won.
+    PreCandidate,
+    /// Collects votes.
+    Candidate,
+    /// Orders the log.
+    Leader,
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Raft {
+    pub(crate) cfg: Config,
+    pub(crate) rng: StdRng,
+    pub(crate) hard: HardState,
+    /// Term and vote as last given to the driver to persist.
+    hard_saved: HardState,
+    pub(crate) log: Log,
+    pub(crate) commit: LogIndex,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<ReplicaId>,
+    /// Time of the last message of the leader.
+    pub(crate) leader_heard_at: Option<Instant>,
+    pub(crate) election_deadline: Instant,
+    /// Replicas that granted the current vote or pre-vote.
+    pub(crate) votes: Vec<ReplicaId>,
+    /// State that only a leader has.
+    pub(crate) leadership: Option<Leadership>,
+    /// Snapshot that is arriving in parts.
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) storage_ok: bool,
+}
+
+impl Raft {
+    /// Starts a replica from its durable state.
+    ///
+    /// The driver restores the state machine from the snapshot itself; entries behind it are applied again
+    /// when they are known to be committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first contradiction in the durable state.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_raft::{Config, Durable, Membership, Raft, Role};
+    ///
+    /// let mut durable = Durable::default();
+    /// durable.snapshot.meta.membership = Membership::of_voters([1]);
+    /// let cfg = Config::builder(1).build()?;
+    /// let raft = Raft::new(cfg, durable, Instant::now())?;
+    /// assert_eq!(raft.role(), Role::Follower);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn new(cfg: Config, durable: Durable, now: Instant) -> Result<Self, DurableError> {
+        durable.check()?;
+        let rng = StdRng::seed_from_u64(cfg.seed);
+        let commit = durable.snapshot.meta.index;
+        let mut raft = Self {
+            cfg,
+            rng,
+            hard: durable.hard_state,
+            hard_saved: durable.hard_state,
+            log: Log::new(durable.snapshot, durable.entries),
+            commit,
+            role: Role::Follower,
+            leader: None,
+            leader_heard_at: None,
+            election_deadline: now,
+            votes: Vec::new(),
+            leadership: None,
+            incoming: None,
+            storage_ok: true,
+        };
+        raft.reset_election_deadline(now);
+        Ok(raft)
+    }
+
+    /// Takes in one event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        let before = (self.role, self.hard.term, self.leader);
+        match event {
+            Event::StorageFailed { durable, applied } => {
+                self.on_storage_failed(now, durable, applied, actions);
+            }
+            Event::StorageReady => self.on_storage_ready(now),
+            event if self.storage_ok => self.dispatch(now, event, actions),
+            event => refuse(event, RefusedBecause::NotLeader { leader: None }, actions),
+        }
+        self.flush_hard(actions);
+        let after = (self.role, self.hard.term, self.leader);
+        if before != after {
+            let (role, term, leader) = after;
+            actions.push(Action::RoleChanged { role, term, leader });
+        }
+    }
+
+    /// Returns the time at which the replica wants a [`Event::Tick`].
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        self.leadership
+            .as_ref()
+            .map_or(self.election_deadline, |lead| lead.heartbeat_at)
+    }
+
+    /// Returns the id of this replica.
+    #[must_use]
+    pub fn id(&self) -> ReplicaId {
+        self.cfg.id
+    }
+
+    /// Returns the role.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns the current term.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the leader of the current term as far as known.
+    #[must_use]
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Returns the last committed position that is known here.
+    #[must_use]
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Returns the last position of the log.
+    #[must_use]
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// Returns the latest member set, committed or not.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// Returns the latest snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> &Snapshot {
+        self.log.snapshot()
+    }
+
+    /// Returns the entries behind the latest snapshot.
+    #[must_use]
+    pub fn entries(&self) -> &[Entry] {
+        self.log.entries()
+    }
+
+    /// Reports whether the storage accepts writes as far as known.
+    #[must_use]
+    pub fn storage_ok(&self) -> bool {
+        self.storage_ok
+    }
+
+    /// Returns what the storage must hold after all persist actions so far.
+    #[must_use]
+    pub fn durable(&self) -> Durable {
+        Durable {
+            hard_state: self.hard_saved,
+            snapshot: self.log.snapshot().clone(),
+            entries: self.log.entries().to_vec(),
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.on_tick(now, actions),
+            Event::Message(message) => self.on_message(now, message, actions),
+            Event::Propose(proposals) => self.on_propose(now, proposals, actions),
+            Event::ProposeMembership { id, change } => self.on_change(now, id, change, actions),
+            Event::Read { id } => self.on_read(now, id, actions),
+            Event::TransferLeadership { to } => self.on_transfer(now, to, actions),
+            Event::Compact { index, data } => self.on_compact(index, data, actions),
+            Event::StorageFailed { .. } | Event::StorageReady => {}
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.next_wakeup() {
+            return;
+        }
+        match self.role {
+            Role::Leader => self.on_heartbeat_due(now, actions),
+            _ => self.on_election_timeout(now, actions),
+        }
+    }
+
+    fn on_message(&mut self, now: Instant, message: Message, actions: &mut Vec<Action>) {
+        let from = message.from;
+        if message.to != self.cfg.id || from == self.cfg.id {
+            return;
+        }
+        match message.body {
+            MessageBody::PreVote {
+                last_index,
+                last_term,
+            } => {
+                self.on_pre_vote(now, from, message.term, (last_term, last_index), actions);
+            }
+            MessageBody::PreVoteReply { granted } => {
+                self.on_pre_vote_reply(now, from, message.term, granted, actions);
+            }
+            body => {
+                if self.enter_term(now, from, message.term, &body, actions) {
+                    self.on_current_message(now, from, body, actions);
+                }
+            }
+        }
+    }
+
+    /// Compares terms and reports whether the message belongs to the current one.
+    fn enter_term(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: Term,
+        body: &MessageBody,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if term < self.hard.term {
+            self.answer_stale(from, body, actions);
+            return false;
+        }
+        if term > self.hard.term {
+            let forced = matches!(body, MessageBody::Vote { transfer: true, .. });
+            let vote = matches!(body, MessageBody::Vote { .. });
+            // A replica that returns with a higher term must not depose a leader that a quorum still follows.
+            if vote && !forced && self.in_lease(now) {
+                return false;
+            }
+            self.become_follower(now, term, None, actions);
+        }
+        true
+    }
+
+    /// Tells the sender of an old term about the current one, so that an old leader steps down.
+    fn answer_stale(&mut self, from: ReplicaId, body: &MessageBody, actions: &mut Vec<Action>) {
+        let reply = match *body {
+            MessageBody::Append {
+                prev_index, round, ..
+            } => MessageBody::Rejected {
+                prev_index,
+                hint_index: 0,
+                hint_term: 0,
+                round,
+            },
+            MessageBody::SnapshotChunk {
+                ref meta,
+                offset,
+                round,
+                ..
+            } => MessageBody::SnapshotNext {
+                index: meta.index,
+                offset,
+                round,
+            },
+            MessageBody::Vote { .. } => MessageBody::VoteReply { granted: false },
+            _ => return,
+        };
+        self.send(from, reply, actions);
+    }
+
+    fn on_current_message(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        body: MessageBody,
+        actions: &mut Vec<Action>,
+    ) {
+        match body {
+            MessageBody::Vote {
+                last_index,
+                last_term,
+                ..
+            } => self.on_vote(now, from, (last_term, last_index), actions),
+            MessageBody::VoteReply { granted } => self.on_vote_reply(now, from, granted, actions),
+            MessageBody::TimeoutNow => self.on_timeout_now(now, actions),
+            MessageBody::Append { .. } | MessageBody::SnapshotChunk { .. } => {
+                self.on_leader_message(now, from, body, actions);
+            }
+            MessageBody::Accepted { matched, round } => self.on_accepted(now, from, matched, round, actions),
+            MessageBody::Rejected {
+                prev_index,
+                hint_index,
+                hint_term,
+                round,
+            } => self.on_rejected(now, from, prev_index, (hint_index, hint_term), round, actions),
+            MessageBody::SnapshotNext { index, offset, round } => {
+                self.on_snapshot_next(now, from, index, offset, round, actions);
+            }
+            MessageBody::PreVote { .. } | MessageBody::PreVoteReply { .. } => {}
+        }
+    }
+
+    /// Gives up any other role and waits for a leader.
+    pub(crate) fn become_follower(
+        &mut self,
+        now: Instant,
+        term: Term,
+        leader: Option<ReplicaId>,
+        actions: &mut Vec<Action>,
+    ) {
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.incoming = None;
+            self.leader_heard_at = None;
+        }
+        self.resign(actions);
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.reset_election_deadline(now);
+    }
+
+    /// Drops the state of a leader and refuses the reads that wait.
+    fn resign(&mut self, actions: &mut Vec<Action>) {
+        let Some(lead) = self.leadership.take() else {
+            return;
+        };
+        let because = RefusedBecause::NotLeader { leader: None };
+        let reads = lead.reads.into_iter();
+        actions.extend(reads.map(|read| Action::ReadRefused { id: read.id, because }));
+    }
+
+    /// Goes back to the durable state, gives up leadership and waits for the storage.
+    fn on_storage_failed(
+        &mut self,
+        now: Instant,
+        durable: Durable,
+        applied: LogIndex,
+        actions: &mut Vec<Action>,
+    ) {
+        let successor = self.best_successor(now);
+        let term = self.hard_saved.term;
+        self.resign(actions);
+        self.hard = durable.hard_state;
+        self.hard_saved = durable.hard_state;
+        self.log = Log::new(durable.snapshot, durable.entries);
+        self.commit = applied.max(self.log.base_index());
+        self.role = Role::Follower;
+        self.leader = None;
+        self.leader_heard_at = None;
+        self.votes.clear();
+        self.incoming = None;
+        self.storage_ok = false;
+        self.election_deadline = now + STORAGE_WAIT;
+        // Handing over needs no write here and saves the others an election timeout.
+        if let Some(to) = successor.filter(|_| term == self.hard.term) {
+            self.send(to, MessageBody::TimeoutNow, actions);
+        }
+    }
+
+    fn on_storage_ready(&mut self, now: Instant) {
+        if !self.storage_ok {
+            self.storage_ok = true;
+            self.reset_election_deadline(now);
+        }
+    }
+
+    /// Replaces the log up to an applied position by a snapshot.
+    fn on_compact(&mut self, index: LogIndex, data: Bytes, actions: &mut Vec<Action>) {
+        if index <= self.log.base_index() || index > self.commit {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let membership = self.log.membership_at(index).clone();
+        let meta = SnapshotMeta {
+            index,
+            term,
+            membership,
+        };
+        let snapshot = Snapshot { meta, data };
+        self.log.install(snapshot.clone(), true);
+        let keep_suffix = true;
+        self.push(
+            Action::SaveSnapshot {
+                snapshot,
+                keep_suffix,
+            },
+            actions,
+        );
+    }
+
+    /// Commits up to a position and has the new entries applied.
+    pub(crate) fn commit_to(&mut self, index: LogIndex, actions: &mut Vec<Action>) {
+        if index <= self.commit {
+            return;
+        }
+        let entries = self.log.range(self.commit + 1, index).to_vec();
+        self.commit = index;
+        self.push(Action::Apply(entries), actions);
+    }
+
+    pub(crate) fn reset_election_deadline(&mut self, now: Instant) {
+        let base = self.cfg.election_timeout;
+        let spread = self.rng.random_range(Duration::ZERO..base);
+        self.election_deadline = now + base + spread;
+    }
+
+    pub(crate) fn send(&mut self, to: ReplicaId, body: MessageBody, actions: &mut Vec<Action>) {
+        let term = self.hard.term;
+        self.send_at(to, term, body, actions);
+    }
+
+    pub(crate) fn send_at(
+        &mut self,
+        to: ReplicaId,
+        term: Term,
+        body: MessageBody,
+        actions: &mut Vec<Action>,
+    ) {
+        let from = self.cfg.id;
+        let message = Message { from, to, term, body };
+        self.push(Action::Send(message), actions);
+    }
+
+    /// Pushes an action behind any change of term or vote that is not persisted yet.
+    pub(crate) fn push(&mut self, action: Action, actions: &mut Vec<Action>) {
+        self.flush_hard(actions);
+        actions.push(action);
+    }
+
+    fn flush_hard(&mut self, actions: &mut Vec<Action>) {
+        if self.hard != self.hard_saved {
+            self.hard_saved = self.hard;
+            actions.push(Action::SaveHardState(self.hard));
+        }
+    }
+}
+
+/// Refuses the requests of an event; messages and ticks are dropped.
+fn refuse(event: Event, because: RefusedBecause, actions: &mut Vec<Action>) {
+    match event {
+        Event::Propose(proposals) => {
+            let refused = proposals.into_iter();
+            actions.extend(refused.map(|proposal| Action::Refused {
+                id: proposal.id,
+                because,
+            }));
+        }
+        Event::ProposeMembership { id, .. } => actions.push(Action::Refused { id, because }),
+        Event::Read { id } => actions.push(Action::ReadRefused { id, because }),
+        _ => {}
+    }
+}
