storage: Add the durable store of a control replica

Cause: raft may act on its term, vote and log only once they are durable.

A write of many changes is one checksummed frame and one sync. A torn tail is cut off; a damaged record in front of whole ones, a missing log and a missing identity are typed errors with file, offset and remedy. After a failed write the log is rewritten into a new file, because the state of the old tail is unknown. The file operations are the trait `Folder`, so the same code runs on `MemoryFolder` with torn writes, full disk and damage.

Damage to the very last frame after its sync cannot be told from a torn write.

--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,372 @@
+//! Durable state of one replica in the files of one folder.
+
+use chestnutfork_types::ReplicaId;
+
+use crate::error::StorageError;
+use crate::folder::Folder;
+use crate::frame;
+use crate::record::{self, Change, HardState, LogRecord, Record, SnapshotRecord, Stored};
+
+const IDENTITY_FILE: &str = "replica";
+const SNAPSHOT_FILE: &str = "snapshot";
+const LOG_PREFIX: &str = "log-";
+
+/// Durable state of one replica.
+pub trait LogStore {
+    /// Returns the identity that the folder got when it was formatted.
+    fn replica_id(&self) -> ReplicaId;
+
+    /// Reads all that is durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StorageError::Corrupt`] or [`StorageError::Gap`] for damaged files.
+    fn load(&mut self) -> Result<Stored, StorageError>;
+
+    /// Makes changes durable in order, with one sync for all that are not snapshots.
+    ///
+    /// # Errors
+    ///
+    /// After an error, a prefix of the changes may be durable; [`LogStore::load`] tells. The store must be
+    /// repaired before the next write.
+    fn write(&mut self, changes: &[Change]) -> Result<(), StorageError>;
+
+    /// Makes the store writable after an error, by rewriting the log into a new file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same kind of error while its cause lasts.
+    fn repair(&mut self) -> Result<(), StorageError>;
+}
+
+/// Store over the files of a folder.
+#[derive(Debug)]
+pub struct FileStore<F> {
+    folder: F,
+    replica: ReplicaId,
+    /// Number of the log file in use.
+    sequence: u64,
+    /// Position behind the last synced frame of the log file.
+    end: u64,
+    /// Whether a write failed, so that the tail of the log file is unknown.
+    failed: bool,
+}
+
+impl<F: Folder> FileStore<F> {
+    /// Opens a folder, and formats it with a new identity if it is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns errors of the operating system, and [`StorageError::Corrupt`], [`StorageError::Gap`] or
+    /// [`StorageError::NoIdentity`] for damaged folders.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_storage::{FileStore, LogStore, MemoryFolder};
+    ///
+    /// let store = FileStore::open_or_format(MemoryFolder::default(), 42)?;
+    /// let reopened = FileStore::open_or_format(store.into_folder(), 7)?;
+    /// assert_eq!(reopened.replica_id(), 42);
+    /// # Ok::<(), chestnutfork_storage::StorageError>(())
+    /// ```
+    pub fn open_or_format(folder: F, new_id: ReplicaId) -> Result<Self, StorageError> {
+        let mut store = Self {
+            folder,
+            replica: new_id,
+            sequence: 0,
+            end: 0,
+            failed: false,
+        };
+        let names = store.list()?;
+        if names.iter().any(|name| name == IDENTITY_FILE) {
+            store.replica = store.read_identity()?;
+            store.open_log(&names)?;
+        } else {
+            store.format(&names)?;
+        }
+        Ok(store)
+    }
+
+    /// Ends the use of the folder and returns it.
+    #[must_use]
+    pub fn into_folder(self) -> F {
+        self.folder
+    }
+
+    /// Returns the folder, so that tests can inject faults.
+    pub fn folder_mut(&mut self) -> &mut F {
+        &mut self.folder
+    }
+
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        let names = self.folder.list();
+        names.map_err(|source| StorageError::from_io(".", source))
+    }
+
+    /// Writes an empty log, then the identity, so that an identity without a log always means a lost vote.
+    fn format(&mut self, names: &[String]) -> Result<(), StorageError> {
+        match names {
+            [] => self.start_log(&Stored::default())?,
+            // An earlier format stopped between the two files.
+            [name] if *name == log_name(1) => self.open_log(names)?,
+            _ => return Err(StorageError::NoIdentity),
+        }
+        if self.read_stored()? != Stored::default() {
+            return Err(StorageError::NoIdentity);
+        }
+        self.write_identity()
+    }
+
+    fn read_identity(&self) -> Result<ReplicaId, StorageError> {
+        let content = self.read_single(IDENTITY_FILE)?;
+        let bytes = <[u8; 8]>::try_from(content.as_slice()).map_err(|_| corrupt(IDENTITY_FILE, 0))?;
+        Ok(ReplicaId::from_le_bytes(bytes))
+    }
+
+    fn write_identity(&mut self) -> Result<(), StorageError> {
+        let id = self.replica.to_le_bytes();
+        self.replace_single(IDENTITY_FILE, &id)
+    }
+
+    /// Reads a file of one frame.
+    fn read_single(&self, name: &str) -> Result<Vec<u8>, StorageError> {
+        let file = self.read(name)?;
+        let scan = frame::scan(&file);
+        let whole = scan.end == file.len() as u64;
+        match scan.frames.as_slice() {
+            [(_, content)] if whole => Ok(content.to_vec()),
+            _ => Err(corrupt(name, scan.end)),
+        }
+    }
+
+    fn replace_single(&mut self, name: &str, content: &[u8]) -> Result<(), StorageError> {
+        let mut buf = Vec::with_capacity(content.len() + 16);
+        frame::encode(0, content, &mut buf);
+        let replaced = self.folder.replace(name, &buf);
+        replaced.map_err(|source| StorageError::from_io(name, source))
+    }
+
+    fn read(&self, name: &str) -> Result<Vec<u8>, StorageError> {
+        let file = self.folder.read(name);
+        file.map_err(|source| StorageError::from_io(name, source))
+    }
+
+    /// Opens the newest log file, cuts off a torn tail, and removes older files.
+    fn open_log(&mut self, names: &[String]) -> Result<(), StorageError> {
+        let numbers = names.iter().filter_map(|name| log_number(name));
+        self.sequence = numbers.max().ok_or(StorageError::NoLog)?;
+        let name = log_name(self.sequence);
+        let file = self.read(&name)?;
+        let scan = frame::scan(&file);
+        if scan.corrupt {
+            return Err(corrupt(&name, scan.end));
+        }
+        self.end = scan.end;
+        if self.end < file.len() as u64 {
+            let truncated = self.folder.truncate(&name, self.end);
+            truncated.map_err(|source| StorageError::from_io(&name, source))?;
+        }
+        self.read_stored()?;
+        self.remove_old_logs();
+        Ok(())
+    }
+
+    fn read_stored(&self) -> Result<Stored, StorageError> {
+        let snapshot = self.read_snapshot()?;
+        let name = log_name(self.sequence);
+        let mut file = self.read(&name)?;
+        file.truncate(usize::try_from(self.end).unwrap_or(usize::MAX));
+        let scan = frame::scan(&file);
+        if scan.end < self.end {
+            return Err(corrupt(&name, scan.end));
+        }
+        let mut replay = Replay::default();
+        for (offset, content) in scan.frames {
+            let records = record::decode_log(content).ok_or_else(|| corrupt(&name, offset))?;
+            for record in records {
+                replay.take(&name, record)?;
+            }
+        }
+        replay.finish(&name, snapshot)
+    }
+
+    fn read_snapshot(&self) -> Result<SnapshotRecord, StorageError> {
+        let exists = self.list()?.iter().any(|name| name == SNAPSHOT_FILE);
+        if !exists {
+            return Ok(SnapshotRecord::default());
+        }
+        let content = self.read_single(SNAPSHOT_FILE)?;
+        record::decode_snapshot(&content).ok_or_else(|| corrupt(SNAPSHOT_FILE, 0))
+    }
+
+    /// Writes a new log file with the state, makes it the one in use, and removes the old ones.
+    fn start_log(&mut self, stored: &Stored) -> Result<(), StorageError> {
+        let mut content = Vec::new();
+        record::encode_hard_state(stored.hard_state, &mut content);
+        for entry in &stored.entries {
+            record::encode_entry(entry, &mut content);
+        }
+        let mut buf = Vec::with_capacity(content.len() + 16);
+        frame::encode(0, &content, &mut buf);
+        let sequence = self.sequence + 1;
+        let name = log_name(sequence);
+        let replaced = self.folder.replace(&name, &buf);
+        replaced.map_err(|source| StorageError::from_io(&name, source))?;
+        self.sequence = sequence;
+        self.end = buf.len() as u64;
+        self.failed = false;
+        self.remove_old_logs();
+        Ok(())
+    }
+
+    /// Removes log files that are not in use; one that stays is removed at the next start.
+    fn remove_old_logs(&mut self) {
+        let names = self.list().unwrap_or_default();
+        for name in names {
+            if log_number(&name).is_some_and(|number| number < self.sequence) {
+                let _ = self.folder.remove(&name);
+            }
+        }
+    }
+
+    /// Writes one frame to the log file and syncs it.
+    fn append(&mut self, content: &[u8]) -> Result<(), StorageError> {
+        if content.is_empty() {
+            return Ok(());
+        }
+        let name = log_name(self.sequence);
+        let mut buf = Vec::with_capacity(content.len() + 16);
+        frame::encode(self.end, content, &mut buf);
+        if let Err(source) = self.folder.write_at(&name, self.end, &buf) {
+            // The part that was written must not lie in front of later frames.
+            let _ = self.folder.truncate(&name, self.end);
+            return Err(StorageError::from_io(&name, source));
+        }
+        self.end += buf.len() as u64;
+        Ok(())
+    }
+
+    /// Replaces the snapshot, then starts a log file with only the entries behind it.
+    fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        let content = record::encode_snapshot(snapshot);
+        self.replace_single(SNAPSHOT_FILE, &content)?;
+        let stored = self.read_stored()?;
+        self.start_log(&stored)
+    }
+
+    fn write_all(&mut self, changes: &[Change]) -> Result<(), StorageError> {
+        let mut pending = Vec::new();
+        for change in changes {
+            match change {
+                Change::HardState(hard_state) => record::encode_hard_state(*hard_state, &mut pending),
+                Change::Append(entries) => {
+                    for entry in entries {
+                        record::encode_entry(entry, &mut pending);
+                    }
+                }
+                Change::Snapshot(snapshot) => {
+                    self.append(&std::mem::take(&mut pending))?;
+                    self.save_snapshot(snapshot)?;
+                }
+            }
+        }
+        self.append(&pending)
+    }
+}
+
+impl<F: Folder> LogStore for FileStore<F> {
+    fn replica_id(&self) -> ReplicaId {
+        self.replica
+    }
+
+    fn load(&mut self) -> Result<Stored, StorageError> {
+        self.read_stored()
+    }
+
+    fn write(&mut self, changes: &[Change]) -> Result<(), StorageError> {
+        if self.failed {
+            self.repair()?;
+        }
+        let written = self.write_all(changes);
+        self.failed = written.is_err();
+        written
+    }
+
+    fn repair(&mut self) -> Result<(), StorageError> {
+        // After a failed sync the state of the file's tail is unknown, so a new file takes its place.
+        let stored = self.read_stored()?;
+        self.start_log(&stored)
+    }
+}
+
+/// State of the log while its records are read.
+#[derive(Debug, Default)]
+struct Replay {
+    hard_state: HardState,
+    entries: Vec<Record>,
+}
+
+impl Replay {
+    fn take(&mut self, file: &str, record: LogRecord) -> Result<(), StorageError> {
+        match record {
+            LogRecord::HardState(hard_state) => self.hard_state = hard_state,
+            LogRecord::Entry(entry) => {
+                let keep = self
+                    .entries
+                    .iter()
+                    .take_while(|old| old.index < entry.index)
+                    .count();
+                self.entries.truncate(keep);
+                if let Some(last) = self.entries.last() {
+                    check_follows(file, last.index + 1, entry.index)?;
+                }
+                self.entries.push(entry);
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops the entries that the snapshot covers, and all of them if the snapshot contradicts the log.
+    fn finish(mut self, file: &str, snapshot: SnapshotRecord) -> Result<Stored, StorageError> {
+        let index = snapshot.index;
+        let first = self.entries.first().map_or(index + 1, |entry| entry.index);
+        if first <= index {
+            let matches = |entry: &Record| entry.index == index && entry.term == snapshot.term;
+            if self.entries.iter().any(matches) {
+                self.entries.retain(|entry| entry.index > index);
+            } else {
+                self.entries.clear();
+            }
+        } else {
+            check_follows(file, index + 1, first)?;
+        }
+        Ok(Stored {
+            hard_state: self.hard_state,
+            snapshot,
+            entries: self.entries,
+        })
+    }
+}
+
+fn check_follows(file: &str, expected: u64, got: u64) -> Result<(), StorageError> {
+    if expected == got {
+        return Ok(());
+    }
+    let file = file.to_owned();
+    Err(StorageError::Gap { file, expected, got })
+}
+
+fn corrupt(file: &str, offset: u64) -> StorageError {
+    let file = file.to_owned();
+    StorageError::Corrupt { file, offset }
+}
+
+fn log_name(sequence: u64) -> String {
+    format!("{LOG_PREFIX}{sequence:016x}")
+}
+
+fn log_number(name: &str) -> Option<u64> {
+    let number = name.strip_prefix(LOG_PREFIX)?;
+    u64::from_str_radix(number, 16).ok()
+}
