wire: Add the messages of control replicas, subscribers and operators

Cause: control needs an encoding for the replicated log, for its subscribers and for operators.

Change: three modules. `raft` mirrors the messages of the replicated log and the records that replicas store, and refuses entries with a gap, which the log takes for granted. `operator` has the JSON bodies.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,8 +7,20 @@
 mod caller;
 mod codec;
 mod handshake;
+mod operator;
+mod raft;
+mod subscription;
 
 pub use agent::{AgentToEntryWire, EntryToAgentWire};
 pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
 pub use codec::{CodecError, decode, decode_frame, encode};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
+pub use operator::{
+    AcceptedBody, AuditBody, ConfigBody, DifferenceBody, MemberBody, OperatorBodyError, OperatorErrorBody,
+    PatchBody, ReplaceBody, StatusBody, SubscriberBody, SwapBody, VerdictBody, ViolationBody,
+};
+pub use raft::{
+    MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
+    ReplicaHelloWire, ReplicaMessageWire,
+};
+pub use subscription::{ConfirmWire, ControlMessageWire, EntryInfoWire, SubscriberMessageWire, ViewWire};
--- /dev/null
+++ b/crates/wire/src/raft.rs
@@ -0,0 +1,480 @@
+//! Wire types of the messages between control replicas, and of the records that a replica stores.
+//!
+//! Field names are one letter long because CBOR repeats them in every message.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_raft::{Entry, Membership, Message, MessageBody, Payload, SnapshotMeta, Swap};
+use serde::{Deserialize, Serialize};
+
+use crate::codec::{CodecError, decode, encode};
+use crate::subscription::EntryInfoWire;
+
+/// Message between control replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaMessageWire {
+    /// Tells who the sender is, first on every link and after its formation.
+    #[serde(rename = "h")]
+    Hello(ReplicaHelloWire),
+    /// Carries a message of the replicated log.
+    #[serde(rename = "r")]
+    Raft(RaftWire),
+    /// Asks the leader for a confirmation.
+    #[serde(rename = "p")]
+    Probe(u64),
+    /// Answers a probe.
+    #[serde(rename = "c")]
+    Confirm(ReplicaConfirmWire),
+    /// Passes on lease renewals of the sender's subscribers.
+    #[serde(rename = "n")]
+    Renewals(Vec<RenewalWire>),
+    /// Passes on a request of an operator: number, operator and request.
+    #[serde(rename = "q")]
+    Request(u64, String, OperatorRequestWire),
+    /// Answers a request of an operator: number, HTTP status and JSON body.
+    #[serde(rename = "a")]
+    Answer(u64, u16, Bytes),
+}
+
+/// Identity of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaHelloWire {
+    /// Id of the sender's data folder.
+    #[serde(rename = "i")]
+    pub replica: u64,
+    /// Members that the sender knows; empty before the formation.
+    #[serde(rename = "m")]
+    pub members: Vec<u64>,
+    /// Whether the members are those of the formation.
+    #[serde(rename = "f")]
+    pub initial: bool,
+    /// Address of the sender's operator interface.
+    #[serde(rename = "o")]
+    pub operators: String,
+}
+
+/// Confirmation by the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaConfirmWire {
+    /// Number of the probe.
+    #[serde(rename = "p")]
+    pub probe: u64,
+    /// Version that was current at the quorum check.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Time from the quorum check to the arrival of the probe, in microseconds.
+    #[serde(rename = "u")]
+    pub age_us: u64,
+}
+
+/// Lease renewal of a subscriber.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewalWire {
+    /// The subscriber.
+    #[serde(rename = "e")]
+    pub info: EntryInfoWire,
+    /// Whether the subscriber is an entry.
+    #[serde(rename = "r")]
+    pub is_entry: bool,
+    /// Version in force at the subscriber.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Latest view whose register the subscriber has copied.
+    #[serde(rename = "s")]
+    pub synced: u64,
+    /// Time since the subscriber's renewal, in microseconds.
+    #[serde(rename = "u")]
+    pub age_us: u64,
+    /// Whether the subscriber is leaving.
+    #[serde(rename = "l")]
+    pub leaving: bool,
+}
+
+/// Request of an operator that a follower passes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorRequestWire {
+    /// Submits a patch: base, id, reason, JSON body, and whether it is a dry run.
+    #[serde(rename = "p")]
+    Patch(u64, u128, String, Bytes, bool),
+    /// Asks for the state of the group and of its subscribers.
+    #[serde(rename = "s")]
+    Status,
+    /// Asks for the audit records above a version.
+    #[serde(rename = "a")]
+    Audit(u64),
+    /// Asks for the configuration document.
+    #[serde(rename = "c")]
+    Config,
+    /// Replaces a control member: old and new replica.
+    #[serde(rename = "r")]
+    Replace(u64, u64),
+}
+
+/// Wire form of [`Message`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RaftWire {
+    #[serde(rename = "f")]
+    from: u64,
+    #[serde(rename = "t")]
+    to: u64,
+    #[serde(rename = "n")]
+    term: u64,
+    #[serde(rename = "b")]
+    body: RaftBodyWire,
+}
+
+/// Wire form of [`MessageBody`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum RaftBodyWire {
+    #[serde(rename = "p")]
+    PreVote(u64, u64),
+    #[serde(rename = "q")]
+    PreVoteReply(bool),
+    #[serde(rename = "v")]
+    Vote(u64, u64, bool),
+    #[serde(rename = "w")]
+    VoteReply(bool),
+    #[serde(rename = "a")]
+    Append {
+        #[serde(rename = "i")]
+        prev_index: u64,
+        #[serde(rename = "t")]
+        prev_term: u64,
+        #[serde(rename = "e")]
+        entries: Vec<EntryWire>,
+        #[serde(rename = "c")]
+        commit: u64,
+        #[serde(rename = "r")]
+        round: u64,
+    },
+    #[serde(rename = "o")]
+    Accepted(u64, u64),
+    #[serde(rename = "x")]
+    Rejected(u64, u64, u64, u64),
+    #[serde(rename = "s")]
+    SnapshotChunk {
+        #[serde(rename = "m")]
+        meta: SnapshotMetaWire,
+        #[serde(rename = "o")]
+        offset: u64,
+        #[serde(rename = "t")]
+        total: u64,
+        #[serde(rename = "d")]
+        chunk: Bytes,
+        #[serde(rename = "r")]
+        round: u64,
+    },
+    #[serde(rename = "n")]
+    SnapshotNext(u64, u64, u64),
+    #[serde(rename = "z")]
+    TimeoutNow,
+}
+
+/// Wire form of [`Entry`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EntryWire(u64, u64, PayloadWire);
+
+/// Wire form of [`Payload`], also in the log file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PayloadWire {
+    /// Nothing.
+    #[serde(rename = "e")]
+    Empty,
+    /// Command for the state machine.
+    #[serde(rename = "c")]
+    Command(Bytes),
+    /// Member set.
+    #[serde(rename = "m")]
+    Membership(MembershipWire),
+}
+
+/// Wire form of [`Membership`], also in the snapshot file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipWire {
+    #[serde(rename = "v")]
+    voters: Vec<u64>,
+    #[serde(rename = "l")]
+    learners: Vec<u64>,
+    #[serde(rename = "s")]
+    swap: Option<(u64, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SnapshotMetaWire(u64, u64, MembershipWire);
+
+impl PayloadWire {
+    /// Returns the encoding for the log file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Encode`] if the payload has no encoding.
+    pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
+        let mut buf = Vec::new();
+        encode(self, &mut buf)?;
+        Ok(buf.into())
+    }
+
+    /// Reads the encoding from the log file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Decode`] if the bytes are malformed.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
+        decode(bytes)
+    }
+}
+
+impl MembershipWire {
+    /// Returns the encoding for the snapshot file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Encode`] if the member set has no encoding.
+    pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
+        let mut buf = Vec::new();
+        encode(self, &mut buf)?;
+        Ok(buf.into())
+    }
+
+    /// Reads the encoding from the snapshot file; no bytes are an empty member set.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::Decode`] if the bytes are malformed.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        decode(bytes)
+    }
+}
+
+/// Returns a duration in microseconds, for the wire.
+pub(crate) fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<Membership> for MembershipWire {
+    fn from(members: Membership) -> Self {
+        Self {
+            voters: members.voters,
+            learners: members.learners,
+            swap: members.swap.map(|swap| (swap.remove, swap.add)),
+        }
+    }
+}
+
+impl From<MembershipWire> for Membership {
+    fn from(wire: MembershipWire) -> Self {
+        let mut members = Self::of_voters(wire.voters);
+        members.learners = wire.learners;
+        members.learners.sort_unstable();
+        members.swap = wire.swap.map(|(remove, add)| Swap { remove, add });
+        members
+    }
+}
+
+impl From<Payload> for PayloadWire {
+    fn from(payload: Payload) -> Self {
+        match payload {
+            Payload::Empty => Self::Empty,
+            Payload::Command(command) => Self::Command(command),
+            Payload::Membership(members) => Self::Membership(members.into()),
+        }
+    }
+}
+
+impl From<PayloadWire> for Payload {
+    fn from(wire: PayloadWire) -> Self {
+        match wire {
+            PayloadWire::Empty => Self::Empty,
+            PayloadWire::Command(command) => Self::Command(command),
+            PayloadWire::Membership(members) => Self::Membership(members.into()),
+        }
+    }
+}
+
+impl From<Entry> for EntryWire {
+    fn from(entry: Entry) -> Self {
+        Self(entry.index, entry.term, entry.payload.into())
+    }
+}
+
+impl From<EntryWire> for Entry {
+    fn from(EntryWire(index, term, payload): EntryWire) -> Self {
+        Self {
+            index,
+            term,
+            payload: payload.into(),
+        }
+    }
+}
+
+impl From<SnapshotMeta> for SnapshotMetaWire {
+    fn from(meta: SnapshotMeta) -> Self {
+        Self(meta.index, meta.term, meta.membership.into())
+    }
+}
+
+impl From<SnapshotMetaWire> for SnapshotMeta {
+    fn from(SnapshotMetaWire(index, term, members): SnapshotMetaWire) -> Self {
+        Self {
+            index,
+            term,
+            membership: members.into(),
+        }
+    }
+}
+
+impl From<Message> for RaftWire {
+    fn from(message: Message) -> Self {
+        Self {
+            from: message.from,
+            to: message.to,
+            term: message.term,
+            body: message.body.into(),
+        }
+    }
+}
+
+impl TryFrom<RaftWire> for Message {
+    type Error = CodecError;
+
+    fn try_from(wire: RaftWire) -> Result<Self, CodecError> {
+        let body = MessageBody::from(wire.body);
+        check_entries(&body)?;
+        Ok(Self {
+            from: wire.from,
+            to: wire.to,
+            term: wire.term,
+            body,
+        })
+    }
+}
+
+/// Checks that the entries of a message follow each other, as the log takes for granted.
+fn check_entries(body: &MessageBody) -> Result<(), CodecError> {
+    let MessageBody::Append {
+        prev_index, entries, ..
+    } = body
+    else {
+        return Ok(());
+    };
+    let first = prev_index.checked_add(1);
+    let follows = entries
+        .iter()
+        .zip(first.unwrap_or(u64::MAX)..)
+        .all(|(entry, index)| entry.index == index);
+    if follows && first.is_some() {
+        return Ok(());
+    }
+    let reason = "entries of the replicated log have a gap".to_owned();
+    Err(CodecError::Decode { reason })
+}
+
+impl From<MessageBody> for RaftBodyWire {
+    fn from(body: MessageBody) -> Self {
+        match body {
+            MessageBody::PreVote {
+                last_index,
+                last_term,
+            } => Self::PreVote(last_index, last_term),
+            MessageBody::PreVoteReply { granted } => Self::PreVoteReply(granted),
+            MessageBody::Vote {
+                last_index,
+                last_term,
+                transfer,
+            } => Self::Vote(last_index, last_term, transfer),
+            MessageBody::VoteReply { granted } => Self::VoteReply(granted),
+            MessageBody::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            } => Self::Append {
+                prev_index,
+                prev_term,
+                entries: entries.into_iter().map(Into::into).collect(),
+                commit,
+                round,
+            },
+            MessageBody::Accepted { matched, round } => Self::Accepted(matched, round),
+            MessageBody::Rejected {
+                prev_index,
+                hint_index,
+                hint_term,
+                round,
+            } => Self::Rejected(prev_index, hint_index, hint_term, round),
+            MessageBody::SnapshotChunk {
+                meta,
+                offset,
+                total,
+                chunk,
+                round,
+            } => Self::SnapshotChunk {
+                meta: meta.into(),
+                offset,
+                total,
+                chunk,
+                round,
+            },
+            MessageBody::SnapshotNext { index, offset, round } => Self::SnapshotNext(index, offset, round),
+            MessageBody::TimeoutNow => Self::TimeoutNow,
+        }
+    }
+}
+
+impl From<RaftBodyWire> for MessageBody {
+    fn from(wire: RaftBodyWire) -> Self {
+        match wire {
+            RaftBodyWire::PreVote(last_index, last_term) => Self::PreVote {
+                last_index,
+                last_term,
+            },
+            RaftBodyWire::PreVoteReply(granted) => Self::PreVoteReply { granted },
+            RaftBodyWire::Vote(last_index, last_term, transfer) => Self::Vote {
+                last_index,
+                last_term,
+                transfer,
+            },
+            RaftBodyWire::VoteReply(granted) => Self::VoteReply { granted },
+            RaftBodyWire::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            } => Self::Append {
+                prev_index,
+                prev_term,
+                entries: entries.into_iter().map(Into::into).collect(),
+                commit,
+                round,
+            },
+            RaftBodyWire::Accepted(matched, round) => Self::Accepted { matched, round },
+            RaftBodyWire::Rejected(prev_index, hint_index, hint_term, round) => Self::Rejected {
+                prev_index,
+                hint_index,
+                hint_term,
+                round,
+            },
+            RaftBodyWire::SnapshotChunk {
+                meta,
+                offset,
+                total,
+                chunk,
+                round,
+            } => Self::SnapshotChunk {
+                meta: meta.into(),
+                offset,
+                total,
+                chunk,
+                round,
+            },
+            RaftBodyWire::SnapshotNext(index, offset, round) => Self::SnapshotNext { index, offset, round },
+            RaftBodyWire::TimeoutNow => Self::TimeoutNow,
+        }
+    }
+}
