control: Add the core of the control role

Cause: the decisions of control must be testable without sockets, files and a clock.

Change: `ControlCore` composes the replicated log, the configuration state machine, entry leases and views, subscriptions, confirmations, operator requests with forwarding, and the initial formation. It queues events while a batch is written, so one sync covers all of them. A follower's confirmation counts back from the time at which it asked the leader, so a delayed message never looks young. An invalid patch is refused only after a proof of leadership; every other one goes through the log, so a resend gets the first verdict.

--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,475 @@
+//! Core of control: the replicated log, its state machine, subscribers and operators, without sockets and files.
+//!
+//! The driver passes events to [`ControlCore::handle`], which only queues what concerns the log. [`ControlCore::begin`]
+//! then returns the changes to persist, one batch for all queued events, and [`ControlCore::finish`] returns the outputs
+//! once they are durable. While a batch is written, further events queue up for the next one (group commit).
+
+use std::time::{Duration, Instant, SystemTime};
+
+use chestnutfork_raft::{
+    Action, Config, Event as RaftEvent, Membership, Message, Proposal, Raft, Role, Snapshot,
+};
+use chestnutfork_storage::{Change, Stored};
+use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
+
+use crate::error::ControlError;
+use crate::formation::{self, Formation};
+use crate::leases::Leases;
+use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, ReplicaHello, SubscriberMessage};
+use crate::peers::Peers;
+use crate::persist;
+use crate::requests::Requests;
+use crate::state::{Applied, State};
+use crate::subscribers::Subscribers;
+
+/// Interval of the duties beside the log: probes, renewals, leases, views and time-outs.
+const DUTY_INTERVAL: Duration = Duration::from_millis(500);
+/// Applied entries after which the log is replaced by a snapshot.
+const COMPACT_ENTRIES: u64 = 1_000;
+
+/// Version that was current at a quorum check.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Confirmed {
+    pub(crate) version: ConfigVersion,
+    pub(crate) at: Instant,
+}
+
+/// What a control process is started with.
+#[derive(Clone, Debug)]
+pub struct CoreConfig {
+    /// Name from the settings.
+    pub name: NodeName,
+    /// Names of the initial members.
+    pub initial_members: Vec<NodeName>,
+    /// Address of the operator interface, for other control processes to name.
+    pub operators: String,
+    /// Timing and limits of the replicated log.
+    pub raft: Config,
+}
+
+/// Control without sockets and files.
+#[derive(Debug)]
+pub struct ControlCore {
+    pub(crate) cfg: CoreConfig,
+    pub(crate) raft: Raft,
+    pub(crate) state: State,
+    pub(crate) peers: Peers,
+    pub(crate) subscribers: Subscribers,
+    pub(crate) leases: Leases,
+    pub(crate) requests: Requests,
+    /// Latest confirmation by this leader's own quorum check, or by the leader's answer to a probe.
+    pub(crate) confirmed: Option<Confirmed>,
+    /// Latest probe and the time at which it was sent.
+    pub(crate) probe: (ProbeId, Instant),
+    duty_at: Instant,
+    /// Events for the log that no batch has taken yet.
+    queue: Vec<RaftEvent>,
+    proposals: Vec<Proposal>,
+    /// Member set of the formation that no batch has persisted yet.
+    to_form: Option<Membership>,
+    /// Actions that wait for the batch in progress to be durable.
+    actions: Vec<Action>,
+    /// Outputs that do not depend on the log.
+    pub(crate) outputs: Vec<Output>,
+    /// Position of the latest snapshot of the state machine.
+    compacted: LogIndex,
+    was_leader: bool,
+    formation: Option<Formation>,
+}
+
+impl ControlCore {
+    /// Starts from the stored state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stored state was written by another version or contradicts itself.
+    pub fn new(cfg: CoreConfig, stored: Stored, now: Instant) -> Result<Self, ControlError> {
+        let durable = persist::durable(stored)?;
+        let meta = &durable.snapshot.meta;
+        let compacted = meta.index;
+        let state = State::from_bytes(&durable.snapshot.data, compacted)?;
+        let raft = Raft::new(cfg.raft.clone(), durable, now)?;
+        Ok(Self {
+            cfg,
+            raft,
+            state,
+            peers: Peers::default(),
+            subscribers: Subscribers::default(),
+            leases: Leases::default(),
+            requests: Requests::default(),
+            confirmed: None,
+            probe: (0, now),
+            duty_at: now,
+            queue: Vec::new(),
+            proposals: Vec::new(),
+            to_form: None,
+            actions: Vec::new(),
+            outputs: Vec::new(),
+            compacted,
+            was_leader: false,
+            formation: None,
+        })
+    }
+
+    /// Returns the id of this replica.
+    #[must_use]
+    pub fn replica(&self) -> ReplicaId {
+        self.raft.id()
+    }
+
+    /// Reports whether this replica leads.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        self.raft.role() == Role::Leader
+    }
+
+    /// Returns the accepted version of the configuration as far as this replica knows.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.state.config.version()
+    }
+
+    /// Returns the replicated log, for verifiers and tests.
+    #[must_use]
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// Returns the time at which the core wants an [`Event::Tick`].
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        self.raft.next_wakeup().min(self.duty_at)
+    }
+
+    /// Takes in one event.
+    pub fn handle(&mut self, now: Instant, wall: SystemTime, event: Event) {
+        match event {
+            Event::Tick => self.on_tick(now, wall),
+            Event::PeerUp { link, name } => {
+                self.peers.up(link, name);
+                let hello = self.hello();
+                self.outputs.push(Output::ToPeer(link, hello));
+            }
+            Event::PeerDown { link } => self.peers.down(link),
+            Event::FromPeer { link, messages } => {
+                for message in messages {
+                    self.on_peer_message(now, wall, link, message);
+                }
+            }
+            Event::SubscriberUp { link, identity } => self.subscribers.up(link, identity),
+            Event::SubscriberDown { link } => self.subscribers.down(link),
+            Event::FromSubscriber { link, messages } => {
+                for message in messages {
+                    self.on_subscriber_message(now, link, &message);
+                }
+            }
+            Event::Operator {
+                ticket,
+                operator,
+                request,
+            } => self.on_operator(now, wall, ticket, operator, request),
+            Event::Shutdown => self.queue.push(RaftEvent::TransferLeadership { to: None }),
+            Event::StorageReady => self.queue.push(RaftEvent::StorageReady),
+        }
+    }
+
+    /// Reports whether a batch is due.
+    #[must_use]
+    pub fn has_work(&self) -> bool {
+        let queued = !(self.queue.is_empty() && self.proposals.is_empty() && self.outputs.is_empty());
+        queued || self.to_form.is_some()
+    }
+
+    /// Runs the queued events and returns the changes to persist before [`ControlCore::finish`].
+    pub fn begin(&mut self, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if let Some(members) = self.to_form.take() {
+            changes.extend(self.form(now, members));
+        }
+        let mut events = std::mem::take(&mut self.queue);
+        if !self.proposals.is_empty() {
+            events.push(RaftEvent::Propose(std::mem::take(&mut self.proposals)));
+        }
+        let mut actions = Vec::new();
+        for event in events {
+            self.raft.handle(now, event, &mut actions);
+        }
+        changes.extend(actions.iter().filter_map(persist::change));
+        actions.retain(|action| !action.is_persist());
+        self.actions.append(&mut actions);
+        changes
+    }
+
+    /// Executes what waited for the changes to be durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a committed entry was written by another version; the process must stop then.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        outputs: &mut Vec<Output>,
+    ) -> Result<(), ControlError> {
+        for action in std::mem::take(&mut self.actions) {
+            self.act(now, wall, action)?;
+        }
+        self.compact_if_due();
+        outputs.append(&mut self.outputs);
+        Ok(())
+    }
+
+    /// Goes back to the durable state after a failed write; nothing that waited for it takes effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stored state cannot be read.
+    pub fn fail(
+        &mut self,
+        now: Instant,
+        stored: Stored,
+        outputs: &mut Vec<Output>,
+    ) -> Result<(), ControlError> {
+        let durable = persist::durable(stored)?;
+        let applied = self.state.index;
+        self.actions.clear();
+        let mut actions = Vec::new();
+        let event = RaftEvent::StorageFailed { durable, applied };
+        self.raft.handle(now, event, &mut actions);
+        self.actions = actions;
+        self.confirmed = None;
+        self.formation = None;
+        self.forget_requests();
+        self.finish(now, SystemTime::UNIX_EPOCH, outputs)
+    }
+
+    fn on_tick(&mut self, now: Instant, wall: SystemTime) {
+        if now >= self.raft.next_wakeup() {
+            self.queue.push(RaftEvent::Tick);
+        }
+        if now < self.duty_at {
+            return;
+        }
+        self.duty_at = now + DUTY_INTERVAL;
+        self.check_formation();
+        self.probe_leader(now);
+        self.pass_on_renewals(now);
+        self.expire_requests(now);
+        if self.is_leader() {
+            self.lead(now, wall);
+        }
+    }
+
+    fn on_peer_message(&mut self, now: Instant, wall: SystemTime, link: u64, message: PeerMessage) {
+        match message {
+            PeerMessage::Hello(hello) => {
+                self.peers.hello(link, hello);
+                self.check_formation();
+            }
+            PeerMessage::Raft(message) => self.queue.push(RaftEvent::Message(message)),
+            PeerMessage::Probe(probe) => self.on_probe(now, link, probe),
+            PeerMessage::Confirm(confirmation) => self.on_confirm(confirmation),
+            PeerMessage::Renewals(renewals) => {
+                for renewal in renewals {
+                    self.leases.renew(now, renewal);
+                }
+            }
+            PeerMessage::Request {
+                id,
+                operator,
+                request,
+            } => self.on_forwarded(now, wall, link, id, operator, request),
+            PeerMessage::Answer { id, reply } => self.on_forward_answer(id, reply),
+        }
+    }
+
+    fn on_subscriber_message(&mut self, now: Instant, link: u64, message: &SubscriberMessage) {
+        match *message {
+            SubscriberMessage::Subscribe(have) => {
+                self.subscribers
+                    .subscribe(link, have, &self.state, &mut self.outputs);
+            }
+            SubscriberMessage::Ack(version) => self.subscribers.ack(link, version),
+            SubscriberMessage::Renew {
+                probe,
+                version,
+                synced,
+            } => {
+                self.subscribers.renew(now, link, version, synced);
+                self.confirm_subscriber(now, link, probe);
+            }
+            SubscriberMessage::Leaving => self.subscribers.leave(now, link),
+        }
+    }
+
+    /// Executes one action of the log, after everything in front of it is durable.
+    fn act(&mut self, now: Instant, wall: SystemTime, action: Action) -> Result<(), ControlError> {
+        match action {
+            Action::Send(message) => self.send(message),
+            Action::Apply(entries) => {
+                // After a failed write, the log may hand out entries again that were applied before.
+                let known = self.state.index;
+                for entry in entries.into_iter().filter(|entry| entry.index > known) {
+                    let applied = self.state.apply(&entry)?;
+                    self.on_applied(now, entry.index, entry.term, applied);
+                }
+            }
+            Action::Restore(snapshot) => self.restore(&snapshot)?,
+            Action::Proposed { id, index, term } => self.requests.proposed(id, index, term),
+            Action::ReadReady { id, .. } => self.on_read_ready(wall, id),
+            Action::Refused { id, because } | Action::ReadRefused { id, because } => {
+                self.on_refused(id, because);
+            }
+            Action::QuorumConfirmed { since, .. } => {
+                let version = self.version();
+                self.confirmed = Some(Confirmed { version, at: since });
+            }
+            Action::RoleChanged { role, term, leader } => self.on_role(now, role, term, leader),
+            Action::SaveHardState(_) | Action::AppendLog(_) | Action::SaveSnapshot { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, message: Message) {
+        if let Some(link) = self.peers.link(message.to) {
+            self.outputs
+                .push(Output::ToPeer(link, PeerMessage::Raft(message)));
+        }
+    }
+
+    fn on_applied(&mut self, now: Instant, index: LogIndex, term: u64, applied: Applied) {
+        match &applied {
+            Applied::Verdict(patch, verdict) => {
+                if self.is_leader() {
+                    let (patch, verdict) = (patch.clone(), verdict.clone());
+                    self.outputs
+                        .push(Output::Notice(Notice::Verdict { patch, verdict }));
+                }
+                if let Some(version) = verdict.accepted_version() {
+                    self.leases.rolled_out(now, version);
+                }
+                self.subscribers.distribute(&self.state, &mut self.outputs);
+            }
+            Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
+            Applied::Nothing => {}
+        }
+        self.answer_applied(index, term, applied);
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
+        let index = snapshot.meta.index;
+        self.state = State::from_bytes(&snapshot.data, index)?;
+        self.compacted = index;
+        self.subscribers.distribute(&self.state, &mut self.outputs);
+        self.subscribers.distribute_view(&self.state, &mut self.outputs);
+        Ok(())
+    }
+
+    fn compact_if_due(&mut self) {
+        let index = self.state.index;
+        if index < self.compacted + COMPACT_ENTRIES {
+            return;
+        }
+        self.compacted = index;
+        let data = self.state.to_bytes();
+        self.queue.push(RaftEvent::Compact { index, data });
+    }
+
+    fn on_role(&mut self, now: Instant, role: Role, term: u64, leader: Option<ReplicaId>) {
+        let leads = role == Role::Leader;
+        if self.was_leader && !leads {
+            self.outputs.push(Output::Notice(Notice::LeadershipLost { term }));
+        }
+        if !self.was_leader && leads {
+            let entries = self.state.view.as_ref().map_or(&[][..], |record| &record.entries);
+            self.leases.start(now, entries);
+        }
+        self.was_leader = leads;
+        if role == Role::Candidate {
+            self.outputs
+                .push(Output::Notice(Notice::ElectionStarted { term }));
+        }
+        if let Some(leader) = leader {
+            let leader = self.name_of(leader);
+            self.outputs
+                .push(Output::Notice(Notice::LeaderChanged { term, leader }));
+        }
+    }
+
+    /// Returns the name of a replica as far as known, or its id.
+    pub(crate) fn name_of(&self, replica: ReplicaId) -> String {
+        if replica == self.replica() {
+            return self.cfg.name.clone();
+        }
+        let name = self.peers.name(replica);
+        name.map_or_else(|| format!("{replica:016x}"), str::to_owned)
+    }
+
+    pub(crate) fn hello(&self) -> PeerMessage {
+        let members = self.raft.membership();
+        PeerMessage::Hello(ReplicaHello {
+            replica: self.replica(),
+            members: members.voters.clone(),
+            initial: self.raft.snapshot().meta.index == 0,
+            operators: self.cfg.operators.clone(),
+        })
+    }
+
+    /// Looks whether the member set can be formed, as long as this replica has none.
+    fn check_formation(&mut self) {
+        if !self.raft.membership().voters.is_empty() || self.to_form.is_some() {
+            return;
+        }
+        let decided = formation::decide(
+            &self.cfg.name,
+            self.replica(),
+            &self.cfg.initial_members,
+            self.peers.hellos(),
+        );
+        if self.formation.as_ref() == Some(&decided) {
+            return;
+        }
+        match &decided {
+            Formation::Ready(members) => self.to_form = Some(members.clone()),
+            Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
+            Formation::Waiting { missing } => {
+                let missing = missing.clone();
+                self.outputs.push(Output::Notice(Notice::Forming { missing }));
+            }
+        }
+        self.formation = Some(decided);
+    }
+
+    /// Starts the replicated log with the initial member set.
+    fn form(&mut self, now: Instant, members: Membership) -> Option<Change> {
+        let mut durable = self.raft.durable();
+        if durable.snapshot.meta.index > 0 || !self.raft.storage_ok() {
+            self.formation = None;
+            return None;
+        }
+        durable.snapshot.meta.membership = members;
+        let change = Change::Snapshot(persist::snapshot_record(&durable.snapshot));
+        let raft = Raft::new(self.cfg.raft.clone(), durable, now).ok()?;
+        self.raft = raft;
+        let members = self.raft.membership().voters.len() as u64;
+        self.outputs.push(Output::Notice(Notice::Formed { members }));
+        // The others adopt the set if they have missed a member's introduction.
+        let hello = self.hello();
+        for link in self.peers.links() {
+            self.outputs.push(Output::ToPeer(link, hello.clone()));
+        }
+        Some(change)
+    }
+
+    pub(crate) fn read(&mut self, id: u64) {
+        self.queue.push(RaftEvent::Read { id });
+    }
+
+    pub(crate) fn propose(&mut self, proposal: Proposal) {
+        self.proposals.push(proposal);
+    }
+
+    pub(crate) fn change_members(&mut self, id: u64, change: chestnutfork_raft::MembershipChange) {
+        self.queue.push(RaftEvent::ProposeMembership { id, change });
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,27 @@
 //! The control role: replication, operators, subscribers.
+//!
+//! [`ControlCore`] holds all decisions and has no sockets and no files. Around it, one actor owns the core and the
+//! links, one thread owns the data folder, and HTTP tasks pass requests of operators on to the actor.
+
+mod answer;
+mod confirm;
+mod convert;
+mod core;
+mod error;
+mod formation;
+mod leases;
+mod message;
+mod operators;
+mod peers;
+mod persist;
+mod requests;
+mod state;
+mod subscribers;
+mod views;
+
+pub use crate::core::{ControlCore, CoreConfig};
+pub use error::ControlError;
+pub use message::{
+    Confirmation, ControlMessage, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage, ProbeId,
+    Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
+};
--- /dev/null
+++ b/crates/control/src/operators.rs
@@ -0,0 +1,257 @@
+//! Requests of operators: forwarding, proposals and answers.
+
+use std::time::{Instant, SystemTime};
+
+use chestnutfork_config::{Patch, PatchCommand, Verdict};
+use chestnutfork_net::LinkId;
+use chestnutfork_raft::{MembershipChange, Proposal, RefusedBecause, Swap};
+use chestnutfork_types::{ConfigVersion, LogIndex, OperatorName, Term};
+use chestnutfork_wire::{AuditBody, ConfigBody, MemberBody, StatusBody, SubscriberBody, SwapBody};
+
+use crate::answer::Answer;
+use crate::core::ControlCore;
+use crate::message::{Notice, OperatorRequest, Output, PeerMessage, Reply, RequestId};
+use crate::requests::Origin;
+use crate::state::{Applied, Command};
+
+impl ControlCore {
+    /// Takes in a request of an operator at this process.
+    pub(crate) fn on_operator(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        ticket: RequestId,
+        operator: OperatorName,
+        request: OperatorRequest,
+    ) {
+        let origin = Origin::Http(ticket);
+        if self.is_leader() {
+            self.accept(now, wall, origin, operator, request);
+            return;
+        }
+        let Some(link) = self.leader_link() else {
+            self.refuse(origin, RefusedBecause::NotLeader { leader: None });
+            return;
+        };
+        let added = self.requests.add(now, origin, operator.clone(), request.clone());
+        match added {
+            Some(id) => {
+                let request = PeerMessage::Request {
+                    id,
+                    operator,
+                    request,
+                };
+                self.outputs.push(Output::ToPeer(link, request));
+            }
+            None => self.refuse(origin, RefusedBecause::Overloaded),
+        }
+    }
+
+    /// Takes in a request that a follower passed on; it is never passed on again.
+    pub(crate) fn on_forwarded(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        link: LinkId,
+        id: RequestId,
+        operator: OperatorName,
+        request: OperatorRequest,
+    ) {
+        let origin = Origin::Peer(link, id);
+        if self.is_leader() {
+            self.accept(now, wall, origin, operator, request);
+        } else {
+            self.refuse(origin, RefusedBecause::NotLeader { leader: None });
+        }
+    }
+
+    pub(crate) fn on_forward_answer(&mut self, id: RequestId, reply: Reply) {
+        if let Some(pending) = self.requests.take(id) {
+            self.deliver(pending.origin, reply);
+        }
+    }
+
+    /// Starts a request at the leader.
+    fn accept(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        origin: Origin,
+        operator: OperatorName,
+        request: OperatorRequest,
+    ) {
+        let Some(id) = self.requests.add(now, origin, operator, request.clone()) else {
+            self.refuse(origin, RefusedBecause::Overloaded);
+            return;
+        };
+        match request {
+            OperatorRequest::Patch {
+                patch,
+                dry_run: false,
+            } if !self.is_invalid(&patch) => {
+                self.propose_patch(wall, id, patch);
+            }
+            OperatorRequest::Replace { remove, add } => {
+                let change = MembershipChange::Replace(Swap { remove, add });
+                self.change_members(id, change);
+            }
+            _ => self.read(id),
+        }
+    }
+
+    fn is_invalid(&self, patch: &Patch) -> bool {
+        matches!(self.state.config.dry_run(patch), Verdict::Invalid { .. })
+    }
+
+    fn propose_patch(&mut self, wall: SystemTime, id: RequestId, patch: Patch) {
+        let command = Command::Patch(PatchCommand { patch, time: wall });
+        let command = command.to_bytes();
+        self.propose(Proposal { id, command });
+    }
+
+    /// Answers a read, now that this replica has proved that it leads.
+    pub(crate) fn on_read_ready(&mut self, wall: SystemTime, id: RequestId) {
+        let Some(pending) = self.requests.get(id).cloned() else {
+            return;
+        };
+        let answer = match pending.request {
+            // The patch may have become valid by entries that were applied since it arrived.
+            OperatorRequest::Patch {
+                patch,
+                dry_run: false,
+            } if !self.is_invalid(&patch) => {
+                self.propose_patch(wall, id, patch);
+                return;
+            }
+            OperatorRequest::Patch { patch, .. } => Answer::Verdict(self.state.config.dry_run(&patch)),
+            OperatorRequest::Status => Answer::Status(self.status()),
+            OperatorRequest::Audit { since } => Answer::Audit(self.audit(since)),
+            OperatorRequest::Config => Answer::Config(ConfigBody {
+                version: self.version(),
+                document: self.state.config.redacted(),
+            }),
+            OperatorRequest::Replace { .. } => return,
+        };
+        self.requests.take(id);
+        self.answer(pending.origin, answer);
+    }
+
+    /// Answers the request whose proposal lay at a committed position.
+    pub(crate) fn answer_applied(&mut self, index: LogIndex, term: Term, applied: Applied) {
+        let Some(pending) = self.requests.take_at(index) else {
+            return;
+        };
+        let won = pending.position == Some((index, term));
+        let answer = match (applied, &pending.request) {
+            (Applied::Verdict(_, verdict), OperatorRequest::Patch { .. }) if won => Answer::Verdict(verdict),
+            (_, &OperatorRequest::Replace { remove, add }) if won => {
+                let operator = pending.operator.clone();
+                let notice = Notice::MemberReplaced {
+                    remove,
+                    add,
+                    operator,
+                };
+                self.outputs.push(Output::Notice(notice));
+                Answer::Replacing
+            }
+            // Another leader's entry took the position, so the proposal is lost for good.
+            _ => Answer::Unavailable {
+                reason: "leadership changed before the change was accepted; send the request again",
+                leader: self.leader_address(),
+            },
+        };
+        self.answer(pending.origin, answer);
+    }
+
+    pub(crate) fn on_refused(&mut self, id: RequestId, because: RefusedBecause) {
+        if let Some(pending) = self.requests.take(id) {
+            self.refuse(pending.origin, because);
+        }
+    }
+
+    /// Answers requests that waited too long.
+    pub(crate) fn expire_requests(&mut self, now: Instant) {
+        for pending in self.requests.expire(now) {
+            self.answer(pending.origin, Answer::Unknown);
+        }
+    }
+
+    /// Answers all requests after a failed write.
+    pub(crate) fn forget_requests(&mut self) {
+        for pending in self.requests.take_all() {
+            self.answer(pending.origin, Answer::Unknown);
+        }
+    }
+
+    fn refuse(&mut self, origin: Origin, because: RefusedBecause) {
+        let leader = self.leader_address();
+        self.answer(origin, Answer::refused(because, leader));
+    }
+
+    fn answer(&mut self, origin: Origin, answer: Answer) {
+        self.deliver(origin, answer.into_reply());
+    }
+
+    fn deliver(&mut self, origin: Origin, reply: Reply) {
+        let output = match origin {
+            Origin::Http(ticket) => Output::Reply(ticket, reply),
+            Origin::Peer(link, id) => Output::ToPeer(link, PeerMessage::Answer { id, reply }),
+        };
+        self.outputs.push(output);
+    }
+
+    fn leader_address(&self) -> Option<String> {
+        let leader = self.raft.leader()?;
+        self.peers.operators(leader).map(str::to_owned)
+    }
+
+    fn status(&self) -> StatusBody {
+        let members = self.raft.membership();
+        let others = self.peers.replicas().filter(|&id| !members.contains(id));
+        let listed = members.members().chain(others);
+        let member = |id| MemberBody {
+            replica: format!("{id:016x}"),
+            name: (id == self.replica() || self.peers.link(id).is_some()).then(|| self.name_of(id)),
+            voter: members.is_voter(id),
+            member: members.contains(id),
+        };
+        let subscriber = |lease: &crate::leases::Lease| SubscriberBody {
+            name: lease.info.name.clone(),
+            role: if lease.is_entry { "entry" } else { "agent" }.to_owned(),
+            version: lease.version,
+        };
+        StatusBody {
+            leader: self.cfg.name.clone(),
+            term: self.raft.term(),
+            commit: self.raft.commit(),
+            version: self.version(),
+            view: self.state.view_number(),
+            members: listed.map(member).collect(),
+            replacing: members.swap.map(|swap| SwapBody {
+                remove: format!("{:016x}", swap.remove),
+                add: format!("{:016x}", swap.add),
+            }),
+            subscribers: self.leases.live().map(subscriber).collect(),
+        }
+    }
+
+    /// Returns the audit records above a version, with where each version is in force now.
+    fn audit(&self, since: ConfigVersion) -> Vec<AuditBody> {
+        let subscribers = self.leases.live().count() as u64;
+        let records = self.state.config.audit_since(since).cloned();
+        let body = |record: chestnutfork_config::AuditRecord| {
+            let version = record.version;
+            let in_force = self
+                .leases
+                .live()
+                .filter(|lease| lease.version >= version)
+                .count();
+            AuditBody {
+                in_force: in_force as u64,
+                subscribers,
+                ..AuditBody::from(record)
+            }
+        };
+        records.map(body).collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,112 @@
+//! State machine that the group replicates: the configuration and the entry view.
+
+use bytes::Bytes;
+use chestnutfork_config::{ConfigStore, Patch, PatchCommand, Verdict};
+use chestnutfork_raft::{Entry, Payload};
+use chestnutfork_types::LogIndex;
+use chestnutfork_wire::{CommandWire, StateWire, ViewWire};
+
+use crate::error::ControlError;
+use crate::message::ViewRecord;
+
+/// Command of the replicated log.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Command {
+    /// A patch of an operator.
+    Patch(PatchCommand),
+    /// The next view of the entries.
+    View(ViewRecord),
+}
+
+/// What a committed entry did.
+#[derive(Debug)]
+pub(crate) enum Applied {
+    /// Nothing that others see.
+    Nothing,
+    /// A patch got its verdict.
+    Verdict(Patch, Verdict),
+    /// A view is in force.
+    View,
+}
+
+/// Replicated state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct State {
+    pub(crate) config: ConfigStore,
+    pub(crate) view: Option<ViewRecord>,
+    /// Last applied position.
+    pub(crate) index: LogIndex,
+}
+
+impl Command {
+    pub(crate) fn to_bytes(&self) -> Bytes {
+        let wire = match self {
+            Self::Patch(command) => CommandWire::Patch(command.encode().into()),
+            Self::View(record) => CommandWire::View(ViewWire::from(record.clone())),
+        };
+        wire.to_bytes()
+            .expect("numbers, strings and bytes have an encoding")
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Result<Self, ControlError> {
+        Ok(match CommandWire::from_bytes(bytes)? {
+            CommandWire::Patch(command) => Self::Patch(PatchCommand::decode(&command)?),
+            CommandWire::View(view) => Self::View(view.into()),
+        })
+    }
+}
+
+impl State {
+    /// Applies a committed entry; one that this version cannot read stops the replica.
+    pub(crate) fn apply(&mut self, entry: &Entry) -> Result<Applied, ControlError> {
+        self.index = entry.index;
+        let Payload::Command(bytes) = &entry.payload else {
+            return Ok(Applied::Nothing);
+        };
+        Ok(match Command::from_bytes(bytes)? {
+            Command::Patch(command) => {
+                let verdict = self.config.apply(&command);
+                Applied::Verdict(command.patch, verdict)
+            }
+            Command::View(record) => self.apply_view(record),
+        })
+    }
+
+    /// Puts a view in force if it follows the present one; two leaders may have proposed the same number.
+    fn apply_view(&mut self, record: ViewRecord) -> Applied {
+        if record.view.number != self.view_number() + 1 {
+            return Applied::Nothing;
+        }
+        self.view = Some(record);
+        Applied::View
+    }
+
+    pub(crate) fn view_number(&self) -> u64 {
+        self.view.as_ref().map_or(0, |record| record.view.number)
+    }
+
+    pub(crate) fn to_bytes(&self) -> Bytes {
+        let wire = StateWire {
+            config: self.config.snapshot().into(),
+            view: self.view.clone().map(ViewWire::from),
+        };
+        wire.to_bytes()
+            .expect("numbers, strings and bytes have an encoding")
+    }
+
+    /// Reads a snapshot; no bytes are the state before the first entry.
+    pub(crate) fn from_bytes(bytes: &[u8], index: LogIndex) -> Result<Self, ControlError> {
+        if bytes.is_empty() {
+            return Ok(Self {
+                index,
+                ..Self::default()
+            });
+        }
+        let wire = StateWire::from_bytes(bytes)?;
+        Ok(Self {
+            config: ConfigStore::restore(&wire.config)?,
+            view: wire.view.map(Into::into),
+            index,
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/subscribers.rs
@@ -0,0 +1,134 @@
+//! Links to entries and agents: what was sent to each and what it has in force.
+
+use std::time::Instant;
+
+use chestnutfork_net::LinkId;
+use chestnutfork_types::{ConfigVersion, ViewNumber};
+use indexmap::IndexMap;
+
+use crate::message::{ControlMessage, Output, Renewal, SubscriberIdentity};
+use crate::state::State;
+
+/// One subscriber.
+#[derive(Debug)]
+struct Subscriber {
+    identity: SubscriberIdentity,
+    /// Version up to which updates were sent, once it has subscribed.
+    sent: Option<ConfigVersion>,
+    version: ConfigVersion,
+    synced: ViewNumber,
+    /// Time of a renewal that was not passed on yet.
+    renewed_at: Option<Instant>,
+    leaving: bool,
+}
+
+/// Subscribers of this control process.
+#[derive(Debug, Default)]
+pub(crate) struct Subscribers {
+    links: IndexMap<LinkId, Subscriber>,
+}
+
+impl Subscribers {
+    pub(crate) fn up(&mut self, link: LinkId, identity: SubscriberIdentity) {
+        let subscriber = Subscriber {
+            identity,
+            sent: None,
+            version: 0,
+            synced: 0,
+            renewed_at: None,
+            leaving: false,
+        };
+        self.links.insert(link, subscriber);
+    }
+
+    pub(crate) fn down(&mut self, link: LinkId) {
+        self.links.swap_remove(&link);
+    }
+
+    /// Sends what a subscriber lacks from a version on, and the view.
+    pub(crate) fn subscribe(
+        &mut self,
+        link: LinkId,
+        have: ConfigVersion,
+        state: &State,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(subscriber) = self.links.get_mut(&link) else {
+            return;
+        };
+        subscriber.sent = Some(have);
+        subscriber.version = have;
+        send_update(link, subscriber, state, outputs);
+        send_view(link, state, outputs);
+    }
+
+    pub(crate) fn ack(&mut self, link: LinkId, version: ConfigVersion) {
+        if let Some(subscriber) = self.links.get_mut(&link) {
+            subscriber.version = subscriber.version.max(version);
+        }
+    }
+
+    pub(crate) fn renew(&mut self, now: Instant, link: LinkId, version: ConfigVersion, synced: ViewNumber) {
+        self.ack(link, version);
+        if let Some(subscriber) = self.links.get_mut(&link) {
+            subscriber.synced = synced;
+            subscriber.renewed_at = Some(now);
+        }
+    }
+
+    pub(crate) fn leave(&mut self, now: Instant, link: LinkId) {
+        if let Some(subscriber) = self.links.get_mut(&link) {
+            subscriber.leaving = true;
+            subscriber.renewed_at = Some(now);
+        }
+    }
+
+    /// Sends new versions to all that have subscribed.
+    pub(crate) fn distribute(&mut self, state: &State, outputs: &mut Vec<Output>) {
+        for (&link, subscriber) in &mut self.links {
+            send_update(link, subscriber, state, outputs);
+        }
+    }
+
+    pub(crate) fn distribute_view(&self, state: &State, outputs: &mut Vec<Output>) {
+        for (&link, subscriber) in &self.links {
+            if subscriber.sent.is_some() {
+                send_view(link, state, outputs);
+            }
+        }
+    }
+
+    /// Takes the renewals that arrived since the last call.
+    pub(crate) fn take_renewals(&mut self, now: Instant) -> Vec<Renewal> {
+        let renewed = self.links.values_mut().filter_map(|subscriber| {
+            let renewed_at = subscriber.renewed_at.take()?;
+            Some(Renewal {
+                info: subscriber.identity.info.clone(),
+                is_entry: subscriber.identity.is_entry,
+                version: subscriber.version,
+                synced: subscriber.synced,
+                age: now.saturating_duration_since(renewed_at),
+                leaving: subscriber.leaving,
+            })
+        });
+        renewed.collect()
+    }
+}
+
+fn send_update(link: LinkId, subscriber: &mut Subscriber, state: &State, outputs: &mut Vec<Output>) {
+    let Some(sent) = subscriber.sent else {
+        return;
+    };
+    // A subscriber with a later version than this replica gets nothing, so its version never falls.
+    if let Some(update) = state.config.update_since(sent) {
+        subscriber.sent = Some(update.version());
+        let update = ControlMessage::Update(update.encode().into());
+        outputs.push(Output::ToSubscriber(link, update));
+    }
+}
+
+fn send_view(link: LinkId, state: &State, outputs: &mut Vec<Output>) {
+    if let Some(record) = &state.view {
+        outputs.push(Output::ToSubscriber(link, ControlMessage::View(record.clone())));
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,10 +17,10 @@
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
 pub use operator::{
     AcceptedBody, AuditBody, ConfigBody, DifferenceBody, MemberBody, OperatorBodyError, OperatorErrorBody,
-    PatchBody, ReplaceBody, StatusBody, SubscriberBody, SwapBody, VerdictBody, ViolationBody,
+    PatchBody, ReplaceBody, StatusBody, SubscriberBody, SwapBody, VerdictBody, ViolationBody, operator_json,
 };
 pub use raft::{
-    MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
-    ReplicaHelloWire, ReplicaMessageWire,
+    CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
+    ReplicaHelloWire, ReplicaMessageWire, StateWire,
 };
 pub use subscription::{ConfirmWire, ControlMessageWire, EntryInfoWire, SubscriberMessageWire, ViewWire};
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -32,6 +32,21 @@
     },
 }
 
+/// Returns the JSON of a body for operators.
+///
+/// # Examples
+///
+/// ```
+/// use chestnutfork_wire::{AcceptedBody, operator_json};
+///
+/// let json = operator_json(&AcceptedBody { message: "begun".into() });
+/// assert_eq!(json, br#"{"message":"begun"}"#);
+/// ```
+#[must_use]
+pub fn operator_json<T: Serialize>(body: &T) -> Vec<u8> {
+    serde_json::to_vec(body).expect("bodies have string keys only")
+}
+
 /// Body of a patch.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wire/src/raft.rs
+++ b/crates/wire/src/raft.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{CodecError, decode, encode};
-use crate::subscription::EntryInfoWire;
+use crate::subscription::{EntryInfoWire, ViewWire};
 
 /// Message between control replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -203,53 +203,57 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct SnapshotMetaWire(u64, u64, MembershipWire);
 
-impl PayloadWire {
-    /// Returns the encoding for the log file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CodecError::Encode`] if the payload has no encoding.
-    pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
-        let mut buf = Vec::new();
-        encode(self, &mut buf)?;
-        Ok(buf.into())
-    }
-
-    /// Reads the encoding from the log file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CodecError::Decode`] if the bytes are malformed.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
-        decode(bytes)
-    }
+/// Command in the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CommandWire {
+    /// Patch of an operator, in the encoding of the crate `config`.
+    #[serde(rename = "p")]
+    Patch(Bytes),
+    /// Next view of the entries.
+    #[serde(rename = "v")]
+    View(ViewWire),
 }
 
-impl MembershipWire {
-    /// Returns the encoding for the snapshot file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CodecError::Encode`] if the member set has no encoding.
-    pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
-        let mut buf = Vec::new();
-        encode(self, &mut buf)?;
-        Ok(buf.into())
-    }
+/// State machine in a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateWire {
+    /// Configuration, in the encoding of the crate `config`.
+    #[serde(rename = "c")]
+    pub config: Bytes,
+    /// View of the entries.
+    #[serde(rename = "v")]
+    pub view: Option<ViewWire>,
+}
 
-    /// Reads the encoding from the snapshot file; no bytes are an empty member set.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`CodecError::Decode`] if the bytes are malformed.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
-        if bytes.is_empty() {
-            return Ok(Self::default());
+/// Declares the encoding of a stored record.
+macro_rules! stored {
+    ($($name:ident),*) => {$(
+        impl $name {
+            /// Returns the encoding for the log or snapshot file.
+            ///
+            /// # Errors
+            ///
+            /// Returns [`CodecError::Encode`] if the record has no encoding.
+            pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
+                let mut buf = Vec::new();
+                encode(self, &mut buf)?;
+                Ok(buf.into())
+            }
+
+            /// Reads the encoding from the log or snapshot file.
+            ///
+            /// # Errors
+            ///
+            /// Returns [`CodecError::Decode`] if the bytes are malformed.
+            pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
+                decode(bytes)
+            }
         }
-        decode(bytes)
-    }
+    )*};
 }
 
+stored!(PayloadWire, MembershipWire, CommandWire, StateWire);
+
 /// Returns a duration in microseconds, for the wire.
 pub(crate) fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
