routing: Learn run times by declared class, and add the placement experiment

Cause: a few long tasks decide the tail of the response time. Without an idea of the size of a task they land on slow targets, and the learned rule was worse than random at p99.

Change: `examples/placement` runs the real router, queue, admission and retry budget in virtual time against an ideal schedule that knows all run times and speeds. The router learns the run time of tasks with similar declarations (half octaves, shrunk to the service's mean), through the new `on_attempt_end`, and weighs a wait for a faster credit with it. The experiment queues a job's tasks longest declaration first.

--- /dev/null
+++ b/crates/routing/examples/placement/main.rs
@@ -0,0 +1,205 @@
+//! Measures placement rules against an ideal schedule, on the real decision code in virtual time.
+//!
+//! Usage: `placement [--seed N] [--seeds N] [--seconds N] [scenario...]`. docs/MEASUREMENTS.md defines the columns.
+
+mod ideal;
+mod sim;
+mod workload;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use chestnutfork_types::{Placement, RetryPolicy, ServicePolicy};
+
+use sim::{Outcome, Sim};
+use workload::{Defect, Fault, Job, Scenario};
+
+/// Jobs that arrive earlier count neither for the policies nor for the ideal, in seconds.
+const WARM_UP: f64 = 60.0;
+
+struct Args {
+    seed: u64,
+    seeds: u64,
+    seconds: f64,
+    names: Vec<String>,
+}
+
+fn args() -> Args {
+    let mut args = Args {
+        seed: 1,
+        seeds: 3,
+        seconds: 600.0,
+        names: Vec::new(),
+    };
+    let mut words = std::env::args().skip(1);
+    while let Some(word) = words.next() {
+        let mut number = || {
+            words
+                .next()
+                .and_then(|text| text.parse().ok())
+                .expect("a number follows")
+        };
+        match word.as_str() {
+            "--seed" => args.seed = number(),
+            "--seeds" => args.seeds = number(),
+            "--seconds" => args.seconds = f64::from(u32::try_from(number()).expect("a few hours at most")),
+            _ => args.names.push(word),
+        }
+    }
+    args
+}
+
+fn scenario(name: &'static str, load: f64, faults: &[(usize, f64, f64, Defect)]) -> Scenario {
+    let faults = faults.iter().map(|&(target, from, until, defect)| Fault {
+        target,
+        from,
+        until,
+        defect,
+    });
+    Scenario {
+        name,
+        load: vec![(0.0, load)],
+        deadline: Duration::from_secs(30),
+        faults: faults.collect(),
+    }
+}
+
+fn scenarios(end: f64) -> Vec<Scenario> {
+    let black_hole = (4, 100.0, end, Defect::FailAtOnce);
+    let straggler = (2, 100.0, end, Defect::Slow(8.0));
+    let deadline = Duration::from_secs(5);
+    let flapping: Vec<_> = (10..1_000).map(|n| f64::from(n) * 10.0).collect();
+    let flapping: Vec<_> = flapping
+        .iter()
+        .map(|&at| (4, at, at + 5.0, Defect::FailAtOnce))
+        .collect();
+    let leaving: Vec<_> = (0..8_u8)
+        .map(|n| (usize::from(n), 80.0 + 60.0 * f64::from(n)))
+        .collect();
+    let leaving: Vec<_> = leaving
+        .iter()
+        .map(|&(target, at)| (target, at, at + 40.0, Defect::Leaving))
+        .collect();
+    vec![
+        scenario("calm", 0.7, &[]),
+        scenario("light", 0.3, &[]),
+        Scenario {
+            deadline,
+            ..scenario("capacity", 1.0, &[])
+        },
+        Scenario {
+            deadline,
+            ..scenario("overload", 2.0, &[])
+        },
+        Scenario {
+            deadline,
+            load: vec![(0.0, 0.7), (120.0, 2.0), (140.0, 0.7)],
+            ..scenario("burst", 0.7, &[])
+        },
+        scenario("straggler", 0.7, &[straggler]),
+        scenario("black-hole", 0.7, &[black_hole]),
+        scenario("black-hole-straggler", 0.6, &[black_hole, straggler]),
+        scenario("hang", 0.7, &[(4, 100.0, 300.0, Defect::Hang)]),
+        scenario("flapping", 0.7, &flapping),
+        scenario("leaving", 0.7, &leaving),
+    ]
+}
+
+fn policy(placement: Placement) -> ServicePolicy {
+    let retry = RetryPolicy {
+        max_attempts: 3,
+        budget: 0.1,
+    };
+    let builder = ServicePolicy::builder("main").at_most_once(false);
+    builder.placement(placement).retry(retry).build()
+}
+
+/// Sums and samples over all seeds of one scenario and policy.
+#[derive(Default)]
+struct Totals {
+    real: Vec<f64>,
+    ideal: Vec<f64>,
+    ratios: Vec<f64>,
+    outcome: Outcome,
+}
+
+impl Totals {
+    fn add(&mut self, scenario: &Scenario, jobs: &[Job], outcome: &Outcome) {
+        let completed: HashSet<usize> = outcome.completed.iter().map(|(index, _)| *index).collect();
+        let kept: Vec<usize> = (0..jobs.len())
+            .filter(|index| completed.contains(index))
+            .collect();
+        let chosen: Vec<&Job> = kept.iter().map(|&index| &jobs[index]).collect();
+        let ideal = ideal::response_times(&chosen, scenario);
+        let mut real = outcome.completed.clone();
+        real.sort_by_key(|(index, _)| *index);
+        for ((index, real), ideal) in real.into_iter().zip(ideal) {
+            if jobs[index].arrival >= WARM_UP {
+                self.real.push(real);
+                self.ideal.push(ideal);
+                self.ratios.push(real / ideal);
+            }
+        }
+        self.outcome.failed += outcome.failed;
+        self.outcome.refused += outcome.refused;
+        self.outcome.tasks += outcome.tasks;
+        self.outcome.wasted += outcome.wasted;
+        self.outcome.useful += outcome.useful;
+    }
+
+    fn print(&mut self, scenario: &str, policy: &str, seconds: f64) {
+        for samples in [&mut self.real, &mut self.ideal, &mut self.ratios] {
+            samples.sort_by(f64::total_cmp);
+        }
+        let ratio = |q| quantile(&self.real, q) / quantile(&self.ideal, q);
+        let wasted = 1_000.0 * count(self.outcome.wasted) / count(self.outcome.tasks);
+        let goodput = self.outcome.useful / seconds / workload::capacity();
+        println!(
+            "{scenario:<21} {policy:<8} {:>6.3} {:>6.3} {:>6.3}  {:>6.3} {:>6.3}  {:>7.3} {:>6} {:>6}  {:>6.3}",
+            ratio(0.5),
+            ratio(0.99),
+            ratio(0.999),
+            quantile(&self.ratios, 0.99),
+            quantile(&self.real, 0.99),
+            wasted,
+            self.outcome.failed,
+            self.outcome.refused,
+            goodput,
+        );
+    }
+}
+
+fn count(n: usize) -> f64 {
+    f64::from(u32::try_from(n).expect("counts are small"))
+}
+
+fn quantile(sorted: &[f64], q: f64) -> f64 {
+    let rank = (1..=sorted.len()).find(|&rank| count(rank) >= q * count(sorted.len()));
+    rank.map_or(f64::NAN, |rank| sorted[rank - 1])
+}
+
+fn main() {
+    let args = args();
+    println!(
+        "{:<21} {:<8} {:>6} {:>6} {:>6}  {:>6} {:>6}  {:>7} {:>6} {:>6}  {:>6}",
+        "scenario", "policy", "p50", "p99", "p99.9", "job99", "p99 s", "wasted", "failed", "refus.", "goodp."
+    );
+    for scenario in scenarios(args.seconds) {
+        if !args.names.is_empty() && !args.names.iter().any(|name| name == scenario.name) {
+            continue;
+        }
+        for (name, placement) in [("random", Placement::Random), ("learned", Placement::Learned)] {
+            let mut totals = Totals::default();
+            for seed in args.seed..args.seed + args.seeds {
+                let jobs = workload::jobs(&scenario, args.seconds, seed);
+                let outcome = Sim::new(&scenario, &jobs, policy(placement), seed).run();
+                totals.add(&scenario, &jobs, &outcome);
+            }
+            totals.print(
+                scenario.name,
+                name,
+                args.seconds * count(usize::try_from(args.seeds).expect("few")),
+            );
+        }
+    }
+}
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -4,6 +4,8 @@
 
 use chestnutfork_types::EjectionPolicy;
 
+use crate::target::TargetIndex;
+
 /// Weight of one result in the failure rate; it averages over about twenty results.
 const RATE_WEIGHT: f64 = 0.1;
 /// Failure rate that ejects a target that fails now and then.
@@ -34,6 +36,21 @@
     Cancelled,
 }
 
+/// End of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptEnd<'a> {
+    /// Target of the attempt.
+    pub target: TargetIndex,
+    /// Service of the task.
+    pub service: &'a str,
+    /// Run time that the caller declared for the task.
+    pub declared: Option<Duration>,
+    /// Time from the start at the target to the end.
+    pub run_time: Duration,
+    /// How the attempt ended.
+    pub kind: AttemptKind,
+}
+
 /// State of a target with regard to its results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum State {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,7 +17,7 @@
 mod violation;
 
 pub use budget::RetryBudget;
-pub use health::AttemptKind;
+pub use health::{AttemptEnd, AttemptKind};
 pub use placement::{Choice, PlacementRequest};
 pub use router::Router;
 pub use status::{TargetState, TargetStatus};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -54,8 +54,10 @@
     /// Targets that may take the task now; never empty.
     pub(crate) candidates: &'a [TargetIndex],
     pub(crate) exclude: &'a [TargetIndex],
-    /// Expected run time in seconds on a target of average speed, if known.
+    /// Expected run time of the task in seconds on a target of average speed, if known.
     pub(crate) run_time: Option<f64>,
+    /// Mean run time of the service's tasks in seconds on a target of average speed, if known.
+    pub(crate) mean: Option<f64>,
     /// Tasks that compete for the next credits, this one included.
     pub(crate) waiting: u32,
     pub(crate) deadline: Instant,
@@ -122,7 +124,7 @@
     let run_time = view.run_time?;
     let (rate, faster) = faster_credits(view, cost)?;
     let gain = run_time * (cost - faster);
-    let wait = f64::from(view.waiting) * run_time / rate;
+    let wait = f64::from(view.waiting) * view.mean? / rate;
     if wait >= gain {
         return None;
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::health::{AttemptKind, Verdict};
+use crate::health::{AttemptEnd, AttemptKind, Verdict};
 use crate::placement::{Choice, Learned, Pick, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
@@ -204,13 +204,15 @@
                 until: self.next_admission(index, req.exclude),
             };
         }
+        let run_times = self.services.get(req.service);
         let view = View {
             now,
             targets: &self.targets,
             pool,
             candidates: &self.candidates,
             exclude: req.exclude,
-            run_time: self.services.get(req.service).and_then(RunTimes::mean),
+            run_time: run_times.and_then(|run_times| run_times.expected(req.declared)),
+            mean: run_times.and_then(RunTimes::mean),
             waiting: pool.waiting.unwrap_or(req.remaining_tasks).max(1),
             deadline: req.deadline,
         };
@@ -225,7 +227,7 @@
         self.pools[row.pool].add_in_flight(row.domain);
     }
 
-    /// Records the end of an attempt and learns from it.
+    /// Records the end of an attempt of a task without a declared run time.
     pub fn on_end(
         &mut self,
         now: Instant,
@@ -234,15 +236,27 @@
         run_time: Duration,
         kind: AttemptKind,
     ) {
+        let end = AttemptEnd {
+            target,
+            service,
+            declared: None,
+            run_time,
+            kind,
+        };
+        self.on_attempt_end(now, &end);
+    }
+
+    /// Records the end of an attempt and learns from it.
+    pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
         self.on_timer(now);
-        let row = &mut self.targets[target];
-        if row.on_end(now, run_time) {
+        let row = &mut self.targets[end.target];
+        if row.on_end(now, end.run_time) {
             self.pools[row.pool].remove_in_flight(row.domain, 1);
         }
-        if kind == AttemptKind::Completed {
-            self.learn_run_time(target, service, run_time);
+        if end.kind == AttemptKind::Completed {
+            self.learn_run_time(end);
         }
-        self.learn_result(now, target, kind);
+        self.learn_result(now, end.target, end.kind);
         self.check();
     }
 
@@ -421,18 +435,18 @@
         }
     }
 
-    fn learn_run_time(&mut self, target: TargetIndex, service: &str, run_time: Duration) {
-        let row = &mut self.targets[target];
-        let index = match self.services.get_index_of(service) {
+    fn learn_run_time(&mut self, end: &AttemptEnd<'_>) {
+        let row = &mut self.targets[end.target];
+        let index = match self.services.get_index_of(end.service) {
             Some(index) => index,
             None => {
                 self.services
-                    .insert_full(service.to_owned(), RunTimes::default())
+                    .insert_full(end.service.to_owned(), RunTimes::default())
                     .0
             }
         };
         let run_times = &mut self.services[index];
-        let deviation = run_times.observe(run_time, row.speed.log());
+        let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
         row.speed.observe(deviation, run_times.spread());
     }
 
