routing: Report the placement experiment against three ideals

Cause: the ideal that knows target speeds also chooses faster targets than any central queue of equal slots; one ratio alone says little.

Change: the experiment reports the ratio to a central queue of average targets (run times of an average target, independent of the policy), to a replay of the measured run times on equal slots, and to an oracle that knows the speeds.

--- a/crates/routing/examples/placement/main.rs
+++ b/crates/routing/examples/placement/main.rs
@@ -6,11 +6,11 @@
 mod sim;
 mod workload;
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use chestnutfork_types::{Placement, RetryPolicy, ServicePolicy};
 
+use ideal::Speeds;
 use sim::{Outcome, Sim};
 use workload::{Defect, Fault, Job, Scenario};
 
@@ -118,28 +118,42 @@
 #[derive(Default)]
 struct Totals {
     real: Vec<f64>,
-    ideal: Vec<f64>,
-    ratios: Vec<f64>,
+    /// Central queue, run times of an average target, all targets of average speed.
+    average: Vec<f64>,
+    /// Central queue, run times as measured, all targets alike.
+    replay: Vec<f64>,
+    /// Central queue that knows the true speeds.
+    oracle: Vec<f64>,
     outcome: Outcome,
 }
 
 impl Totals {
-    fn add(&mut self, scenario: &Scenario, jobs: &[Job], outcome: &Outcome) {
-        let completed: HashSet<usize> = outcome.completed.iter().map(|(index, _)| *index).collect();
-        let kept: Vec<usize> = (0..jobs.len())
-            .filter(|index| completed.contains(index))
+    fn add(&mut self, scenario: &Scenario, jobs: &[Job], mut outcome: Outcome) {
+        outcome.completed.sort_by_key(|completed| completed.job);
+        let kept: Vec<&Job> = outcome
+            .completed
+            .iter()
+            .map(|completed| &jobs[completed.job])
             .collect();
-        let chosen: Vec<&Job> = kept.iter().map(|&index| &jobs[index]).collect();
-        let ideal = ideal::response_times(&chosen, scenario);
-        let mut real = outcome.completed.clone();
-        real.sort_by_key(|(index, _)| *index);
-        for ((index, real), ideal) in real.into_iter().zip(ideal) {
-            if jobs[index].arrival >= WARM_UP {
-                self.real.push(real);
-                self.ideal.push(ideal);
-                self.ratios.push(real / ideal);
-            }
-        }
+        let sizes: Vec<Vec<f64>> = kept
+            .iter()
+            .map(|job| job.tasks.iter().map(|task| task.size).collect())
+            .collect();
+        let measured: Vec<Vec<f64>> = outcome
+            .completed
+            .iter()
+            .map(|completed| completed.run_times.clone())
+            .collect();
+        let real: Vec<f64> = outcome.completed.iter().map(|completed| completed.time).collect();
+        let warm = kept.partition_point(|job| job.arrival < WARM_UP);
+        let ideal = |sizes, speeds| ideal::response_times(&kept, sizes, scenario, speeds);
+        self.real.extend_from_slice(&real[warm..]);
+        self.average
+            .extend_from_slice(&ideal(&sizes, Speeds::Average)[warm..]);
+        self.replay
+            .extend_from_slice(&ideal(&measured, Speeds::Average)[warm..]);
+        self.oracle
+            .extend_from_slice(&ideal(&sizes, Speeds::True)[warm..]);
         self.outcome.failed += outcome.failed;
         self.outcome.refused += outcome.refused;
         self.outcome.tasks += outcome.tasks;
@@ -148,23 +162,28 @@
     }
 
     fn print(&mut self, scenario: &str, policy: &str, seconds: f64) {
-        for samples in [&mut self.real, &mut self.ideal, &mut self.ratios] {
+        for samples in [
+            &mut self.real,
+            &mut self.average,
+            &mut self.replay,
+            &mut self.oracle,
+        ] {
             samples.sort_by(f64::total_cmp);
         }
-        let ratio = |q| quantile(&self.real, q) / quantile(&self.ideal, q);
+        print!("{scenario:<21} {policy:<8}");
+        for ideal in [&self.average, &self.replay, &self.oracle] {
+            for q in [0.5, 0.99, 0.999] {
+                print!(" {:>6.3}", quantile(&self.real, q) / quantile(ideal, q));
+            }
+            print!(" ");
+        }
         let wasted = 1_000.0 * count(self.outcome.wasted) / count(self.outcome.tasks);
         let goodput = self.outcome.useful / seconds / workload::capacity();
         println!(
-            "{scenario:<21} {policy:<8} {:>6.3} {:>6.3} {:>6.3}  {:>6.3} {:>6.3}  {:>7.3} {:>6} {:>6}  {:>6.3}",
-            ratio(0.5),
-            ratio(0.99),
-            ratio(0.999),
-            quantile(&self.ratios, 0.99),
+            " {:>6.3} {wasted:>7.3} {:>6} {:>6} {goodput:>6.3}",
             quantile(&self.real, 0.99),
-            wasted,
             self.outcome.failed,
             self.outcome.refused,
-            goodput,
         );
     }
 }
@@ -181,8 +200,16 @@
 fn main() {
     let args = args();
     println!(
-        "{:<21} {:<8} {:>6} {:>6} {:>6}  {:>6} {:>6}  {:>7} {:>6} {:>6}  {:>6}",
-        "scenario", "policy", "p50", "p99", "p99.9", "job99", "p99 s", "wasted", "failed", "refus.", "goodp."
+        "{:<30}{:<23}{:<23}{:<23}",
+        "response time relative to:", "average", "replay", "oracle"
+    );
+    print!("{:<21} {:<8}", "scenario", "policy");
+    for _ in 0..3 {
+        print!(" {:>6} {:>6} {:>6} ", "p50", "p99", "p99.9");
+    }
+    println!(
+        " {:>6} {:>7} {:>6} {:>6} {:>6}",
+        "p99 s", "wasted", "failed", "refus.", "goodp."
     );
     for scenario in scenarios(args.seconds) {
         if !args.names.is_empty() && !args.names.iter().any(|name| name == scenario.name) {
@@ -193,7 +220,7 @@
             for seed in args.seed..args.seed + args.seeds {
                 let jobs = workload::jobs(&scenario, args.seconds, seed);
                 let outcome = Sim::new(&scenario, &jobs, policy(placement), seed).run();
-                totals.add(&scenario, &jobs, &outcome);
+                totals.add(&scenario, &jobs, outcome);
             }
             totals.print(
                 scenario.name,
--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -23,6 +23,7 @@
 struct JobState {
     unfinished: u32,
     failed: bool,
+    run_times: Vec<f64>,
 }
 
 /// Waiting task.
@@ -52,11 +53,22 @@
     Timer,
 }
 
+/// Job that completed in time.
+#[derive(Clone, Debug)]
+pub struct Completed {
+    /// Index of the job.
+    pub job: usize,
+    /// Response time in seconds.
+    pub time: f64,
+    /// Run times of the job's tasks in seconds, as measured on their targets.
+    pub run_times: Vec<f64>,
+}
+
 /// What a run counted.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// Index and response time in seconds of every job that completed in time.
-    pub completed: Vec<(usize, f64)>,
+    /// Jobs that completed in time.
+    pub completed: Vec<Completed>,
     /// Jobs that were accepted and did not complete in time.
     pub failed: usize,
     /// Jobs that were refused.
@@ -235,6 +247,8 @@
         self.router.on_attempt_end(self.now, &end);
         self.admission.on_end(run_time);
         if kind == AttemptKind::Completed {
+            let state = &mut self.states[waiting.item.job];
+            state.run_times.push(run_time.as_secs_f64());
             self.end_task(waiting.item.job, true);
         } else {
             self.outcome.wasted += 1;
@@ -265,7 +279,12 @@
         if self.states[index].failed || time > self.scenario.deadline.as_secs_f64() {
             self.outcome.failed += 1;
         } else {
-            self.outcome.completed.push((index, time));
+            let run_times = std::mem::take(&mut self.states[index].run_times);
+            self.outcome.completed.push(Completed {
+                job: index,
+                time,
+                run_times,
+            });
             self.outcome.useful += job.tasks.iter().map(|task| task.size).sum::<f64>();
         }
     }
