routing: Detect changes of speed later, and count the queue behind a full line

Cause: learned speeds jumped by a factor of three without a cause. The first results after a batch of starts are those of short tasks, and change detection took them for a faster target. Behind 64 held tasks, the experiment forced the next ones onto whatever was free.

Change: change detection ignores 1.25 mean deviations per result and triggers at 8 (was 0.75 and 5). In the experiment the whole queue counts as ahead once the line is full.

A straggler of speed one eighth still receives short tasks in bursts.

--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -19,7 +19,7 @@
 const FAIL_TIME: Duration = Duration::from_millis(1);
 
 /// Most tasks that are held back for faster targets.
-const MAX_HELD: u32 = 64;
+const MAX_HELD: usize = 64;
 
 /// State of one job in the run.
 #[derive(Clone, Debug, Default)]
@@ -304,14 +304,15 @@
         self.dispatch_held();
         while let Some(next) = self.queue.peek() {
             let next = next.clone();
-            let ahead = u32::try_from(self.queue.held_len()).expect("the line is short");
-            let place = (ahead < MAX_HELD).then_some(Place { ahead, since: None });
-            match self.choose(&next, place) {
+            let held = self.queue.held_len();
+            // Behind a full line the whole queue competes for the faster targets.
+            let ahead = if held < MAX_HELD { held } else { self.queue.len() };
+            match self.choose(&next, ahead, None) {
                 Choice::Use(target) => {
                     let queued = self.queue.pop().expect("peeked before");
                     self.begin(queued, target);
                 }
-                Choice::Wait { until: Some(_) } if place.is_some() => {
+                Choice::Wait { until: Some(_) } if held < MAX_HELD => {
                     self.queue.hold(self.now);
                 }
                 Choice::Wait { .. } => return,
@@ -327,11 +328,7 @@
         let mut at = 0;
         while let Some((next, since)) = self.queue.held(at) {
             let next = next.clone();
-            let place = Place {
-                ahead: u32::try_from(at).expect("the line is short"),
-                since: Some(since),
-            };
-            match self.choose(&next, Some(place)) {
+            match self.choose(&next, at, Some(since)) {
                 Choice::Use(target) => {
                     let queued = self.queue.take_held(at).expect("seen before");
                     self.begin(queued, target);
@@ -345,7 +342,9 @@
         }
     }
 
-    fn choose(&mut self, next: &Waiting, place: Option<Place>) -> Choice {
+    fn choose(&mut self, next: &Waiting, ahead: usize, since: Option<Instant>) -> Choice {
+        let ahead = u32::try_from(ahead).expect("the queue is bounded");
+        let place = Place { ahead, since };
         let req = PlacementRequest {
             service: SERVICE,
             declared: Some(self.jobs[next.job].tasks[next.task].declared),
@@ -353,10 +352,7 @@
             remaining_tasks: self.states[next.job].unfinished,
             exclude: &next.failed_on,
         };
-        match place {
-            Some(place) => self.router.choose_or_hold(self.now, &req, place, &self.policy),
-            None => self.router.choose(self.now, &req, &self.policy),
-        }
+        self.router.choose_or_hold(self.now, &req, place, &self.policy)
     }
 
     fn begin(&mut self, waiting: Queued<Waiting>, target: TargetIndex) {
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -7,9 +7,12 @@
 /// Largest deviation that one observation counts with, in mean absolute deviations; run times have heavy tails.
 const CLIP: f64 = 3.0;
 /// Deviation per observation that change detection ignores, in mean absolute deviations.
-const CHANGE_SLACK: f64 = 0.75;
-/// Accumulated deviation that counts as a change of speed; about one false alarm in ten thousand observations.
-const CHANGE_THRESHOLD: f64 = 5.0;
+const CHANGE_SLACK: f64 = 1.25;
+/// Accumulated deviation that counts as a change of speed.
+///
+/// The first results after a batch of starts are those of short tasks, so lower values take a batch for a change: in
+/// the placement experiment a slack of 0.75 with a threshold of 5 made speeds jump by a factor of three.
+const CHANGE_THRESHOLD: f64 = 8.0;
 /// Observations that the estimate counts for after a change of speed.
 const CHANGE_MEMORY: f64 = 5.0;
 /// Bound of the learned logarithm, a factor of about 1,000 either way.
