limits: Count arrivals and the run time of the last tasks in admission

Cause: under overload, jobs were accepted up to a wait of their whole deadline. Later jobs of other teams then took turns with their tasks, and about a third of the accepted jobs failed after most of their work was done.

Change: the expected wait grows with the load of recently accepted tasks (`on_accept`, memory 2 s), and six mean run times, but at most 0.4 of the deadline, must be left for the last tasks. An empty queue always accepts.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -10,6 +10,14 @@
 const MEAN_WEIGHT: f64 = 0.02;
 /// Run time assumed before the first observation, in seconds; most tasks take 50 ms to 1 s.
 const INITIAL_RUN_TIME: f64 = 0.3;
+/// Time over which the rate of arrivals is taken.
+const ARRIVAL_MEMORY: Duration = Duration::from_secs(2);
+/// Largest load that the expected wait counts with; beyond it the queue grows without bound.
+const MAX_LOAD: f64 = 0.95;
+/// Mean run times that must be left after the expected wait for the last tasks of the job to finish.
+const FINISH_MARGIN: f64 = 6.0;
+/// Largest part of the deadline that the margin takes, so that jobs with short deadlines can still queue.
+const MAX_MARGIN: f64 = 0.4;
 /// Shortest delay that a refusal asks for, so that refused callers do not return at once.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Longest delay that a refusal asks for, because the estimate is worthless further ahead.
@@ -45,6 +53,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Admission {
     mean: f64,
+    /// Tasks admitted per second of late.
+    arrivals: f64,
+    /// Time up to which `arrivals` has decayed.
+    arrivals_at: Option<Instant>,
     /// Observations so far, counted up to where they no longer change the weight of the next.
     observed: u32,
 }
@@ -69,6 +81,8 @@
     pub fn new() -> Self {
         Self {
             mean: INITIAL_RUN_TIME,
+            arrivals: 0.0,
+            arrivals_at: None,
             observed: 0,
         }
     }
@@ -93,6 +107,14 @@
         debug_assert_eq!(self.verify(), Ok(()));
     }
 
+    /// Records that a job of `tasks` tasks was accepted.
+    ///
+    /// Later jobs of other teams take turns with the tasks that wait, so the wait depends on the rate of arrivals.
+    pub fn on_accept(&mut self, now: Instant, tasks: usize) {
+        self.arrivals = self.arrivals_by(now) + count(tasks) / ARRIVAL_MEMORY.as_secs_f64();
+        self.arrivals_at = Some(now);
+    }
+
     /// Returns the learned mean run time.
     #[must_use]
     pub fn mean_run_time(&self) -> Duration {
@@ -128,17 +150,12 @@
     /// let refusal = Admission::new().check(Instant::now(), &req, &policy).unwrap_err();
     /// assert_eq!(refusal.code, RefusalCode::QueueFull);
     /// ```
-    pub fn check(
-        &self,
-        _now: Instant,
-        req: &AdmissionRequest,
-        policy: &ServicePolicy,
-    ) -> Result<(), Refusal> {
+    pub fn check(&self, now: Instant, req: &AdmissionRequest, policy: &ServicePolicy) -> Result<(), Refusal> {
         check_shape(req, policy)?;
         check_runnable(req)?;
         self.check_room(req, policy)?;
         self.check_quota(req)?;
-        self.check_deadline(req)
+        self.check_deadline(now, req)
     }
 
     /// Returns the expected time until the last task of the job starts.
@@ -149,7 +166,7 @@
     /// # Examples
     ///
     /// ```
-    /// use std::time::Duration;
+    /// use std::time::{Duration, Instant};
     /// use chestnutfork_limits::{Admission, AdmissionRequest};
     ///
     /// let mut admission = Admission::new();
@@ -165,14 +182,17 @@
     ///     slots: 8,
     ///     fastest_speed: 1.0,
     /// };
-    /// assert_eq!(admission.expected_wait(&req), Duration::from_secs(1));
+    /// assert_eq!(admission.expected_wait(Instant::now(), &req), Duration::from_secs(1));
     /// ```
     #[must_use]
-    pub fn expected_wait(&self, req: &AdmissionRequest) -> Duration {
+    pub fn expected_wait(&self, now: Instant, req: &AdmissionRequest) -> Duration {
         let own = req.team_queued + req.tasks;
         let teams = req.active_teams.max(1);
-        let ahead = (own * teams).min(req.queued + req.tasks) - 1;
-        self.time_for(ahead, req.slots)
+        let in_turn = self.time_for(own * teams - 1, req.slots);
+        let queue = self.time_for(req.queued + req.tasks - 1, req.slots);
+        let load = self.arrivals_by(now) * self.mean / f64::from(req.slots.max(1));
+        let growth = 1.0 - load.clamp(0.0, MAX_LOAD);
+        in_turn.min(queue.div_f64(growth))
     }
 
     /// Checks that the learned run time is usable.
@@ -190,11 +210,18 @@
 
     /// Returns the time in which `slots` slots start `tasks` tasks.
     fn time_for(&self, tasks: usize, slots: u32) -> Duration {
-        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-        let seconds = f64::from(tasks) * self.mean / f64::from(slots.max(1));
+        let seconds = count(tasks) * self.mean / f64::from(slots.max(1));
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
+    /// Returns the rate of accepted tasks, decayed until `now`.
+    fn arrivals_by(&self, now: Instant) -> f64 {
+        let age = self
+            .arrivals_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.arrivals * (-age.as_secs_f64() / ARRIVAL_MEMORY.as_secs_f64()).exp()
+    }
+
     fn check_room(&self, req: &AdmissionRequest, policy: &ServicePolicy) -> Result<(), Refusal> {
         let max = usize::try_from(policy.max_queue).unwrap_or(usize::MAX);
         let excess = (req.queued + req.tasks).saturating_sub(max);
@@ -223,9 +250,10 @@
         Err(Refusal::not_run(RefusalCode::QuotaExceeded, message).retry_after(delay))
     }
 
-    fn check_deadline(&self, req: &AdmissionRequest) -> Result<(), Refusal> {
-        let wait = self.expected_wait(req);
-        if wait <= req.deadline {
+    fn check_deadline(&self, now: Instant, req: &AdmissionRequest) -> Result<(), Refusal> {
+        let wait = self.expected_wait(now, req);
+        let run = Duration::from_secs_f64(self.mean * FINISH_MARGIN).min(req.deadline.mul_f64(MAX_MARGIN));
+        if req.queued == 0 || wait + run <= req.deadline {
             return Ok(());
         }
         let message = format!(
@@ -285,6 +313,10 @@
     Err(Refusal::not_run(RefusalCode::CanNeverRun, message))
 }
 
+fn count(tasks: usize) -> f64 {
+    f64::from(u32::try_from(tasks).unwrap_or(u32::MAX))
+}
+
 fn bounded(delay: Duration) -> Duration {
     delay.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -114,6 +114,26 @@
     );
 }
 
+/// Guards against accepting jobs that the arrivals of other teams then push beyond their deadline.
+#[test]
+fn check_refuses_more_under_arrivals() {
+    let now = Instant::now();
+    let policy = ServicePolicy::builder("main").max_queue(1_000).build();
+    let mut admission = learned(Duration::from_millis(200));
+    let req = AdmissionRequest {
+        queued: 300,
+        team_queued: 60,
+        active_teams: 10,
+        ..CALM
+    };
+    assert_eq!(admission.check(now, &req, &policy), Ok(()));
+    admission.on_accept(now, 700);
+    let refusal = admission.check(now, &req, &policy).unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::DeadlineUnmeetable);
+    let later = now + Duration::from_secs(10);
+    assert_eq!(admission.check(later, &req, &policy), Ok(()));
+}
+
 /// Guards against a backlog behind a small quota filling the queue.
 #[test]
 fn check_refuses_exceeded_quota() {
--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -200,6 +200,7 @@
             self.outcome.refused += 1;
             return;
         }
+        self.admission.on_accept(self.now, job.tasks.len());
         self.outcome.tasks += job.tasks.len();
         self.states[index].unfinished = u32::try_from(job.tasks.len()).expect("jobs are small");
         let deadline = self.now + self.scenario.deadline;
