--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -20,6 +20,8 @@
     pub(crate) started: Instant,
     /// Whether the job still wants the result.
     pub(crate) wanted: bool,
+    /// Run time that the caller declared.
+    pub(crate) declared: Option<Duration>,
     /// Index of the service.
     pub(crate) service: usize,
     /// Index of the team.
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -1,11 +1,14 @@
 //! Submissions: admission, claims, joins and takeovers.
 
+use std::cmp::Reverse;
 use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use chestnutfork_limits::AdmissionRequest;
 use chestnutfork_register as register;
-use chestnutfork_types::{Answer, JobId, JobSpec, ProcessId, Refusal, RefusalCode, TaskIndex, Unconfirmed};
+use chestnutfork_types::{
+    Answer, JobId, JobSpec, Placement, ProcessId, Refusal, RefusalCode, TaskIndex, Unconfirmed,
+};
 use siphasher::sip::SipHasher13;
 
 use crate::core::EntryCore;
@@ -217,7 +220,13 @@
             return;
         };
         service.claiming -= job.tasks.len();
-        for index in job.spec.indexes() {
+        service.admission.on_accept(now, job.tasks.len());
+        // Long tasks first: a long task that starts last decides the response time of the job.
+        let mut order: Vec<_> = job.spec.indexes().collect();
+        if service.policy.placement == Placement::Learned {
+            order.sort_by_key(|&index| Reverse(job.spec.tasks[usize::from(index)].declared));
+        }
+        for index in order {
             job.tasks[usize::from(index)].queued += 1;
             let task = QueuedTask {
                 id: TaskRef { job: id, task: index },
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,8 +9,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::health::{AttemptKind, Verdict};
-use crate::placement::{Choice, Learned, Pick, PlacementRequest, Random, Rule, View};
+use crate::health::{AttemptEnd, AttemptKind, Verdict};
+use crate::placement::{Choice, Learned, Pick, Place, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
 use crate::target::{PoolIndex, Target, TargetIndex};
@@ -162,20 +162,35 @@
         self.refresh_open(target);
     }
 
-    /// Tells how many tasks wait for credits of a pool, the one that `choose` is asked about included.
+    /// Chooses a target for a task that must not forgo a free credit.
+    pub fn choose(&mut self, now: Instant, req: &PlacementRequest<'_>, policy: &ServicePolicy) -> Choice {
+        self.choose_with_place(now, req, None, policy)
+    }
+
+    /// Chooses a target for a task that may be held back until a faster target has a credit.
     ///
-    /// Without it, `choose` takes the unfinished tasks of the job for the number that waits.
-    pub fn set_waiting(&mut self, pool: &str, waiting: u32) {
-        if let Some(pool) = self.pools.get_mut(pool) {
-            pool.waiting = Some(waiting);
-        }
+    /// The answer `Wait` with a time then means that free credits may be left for other tasks. The caller keeps the
+    /// task in a line, asks for the tasks in the line first, and goes on with the tasks behind it.
+    pub fn choose_or_hold(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+        place: Place,
+        policy: &ServicePolicy,
+    ) -> Choice {
+        self.choose_with_place(now, req, Some(place), policy)
     }
 
-    /// Chooses a target for a task.
-    pub fn choose(&mut self, now: Instant, req: &PlacementRequest<'_>, policy: &ServicePolicy) -> Choice {
+    fn choose_with_place(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+        place: Option<Place>,
+        policy: &ServicePolicy,
+    ) -> Choice {
         match policy.placement {
-            Placement::Random => self.choose_by(&Random, now, req, policy),
-            Placement::Learned => self.choose_by(&Learned, now, req, policy),
+            Placement::Random => self.choose_by(&Random, now, req, place, policy),
+            Placement::Learned => self.choose_by(&Learned, now, req, place, policy),
         }
     }
 
@@ -184,6 +199,7 @@
         rule: &R,
         now: Instant,
         req: &PlacementRequest<'_>,
+        place: Option<Place>,
         policy: &ServicePolicy,
     ) -> Choice {
         self.on_timer(now);
@@ -204,18 +220,20 @@
                 until: self.next_admission(index, req.exclude),
             };
         }
+        let run_times = self.services.get(req.service);
         let view = View {
             now,
             targets: &self.targets,
             pool,
             candidates: &self.candidates,
             exclude: req.exclude,
-            run_time: self.services.get(req.service).and_then(RunTimes::mean),
-            waiting: pool.waiting.unwrap_or(req.remaining_tasks).max(1),
+            run_time: run_times.and_then(|run_times| run_times.expected(req.declared)),
+            mean: run_times.and_then(RunTimes::mean),
+            place,
             deadline: req.deadline,
         };
         let pick = rule.pick(&view, &mut self.rng);
-        self.settle(index, now, pick)
+        self.settle(index, pick)
     }
 
     /// Records the start of an attempt.
@@ -225,7 +243,7 @@
         self.pools[row.pool].add_in_flight(row.domain);
     }
 
-    /// Records the end of an attempt and learns from it.
+    /// Records the end of an attempt of a task without a declared run time.
     pub fn on_end(
         &mut self,
         now: Instant,
@@ -234,15 +252,27 @@
         run_time: Duration,
         kind: AttemptKind,
     ) {
+        let end = AttemptEnd {
+            target,
+            service,
+            declared: None,
+            run_time,
+            kind,
+        };
+        self.on_attempt_end(now, &end);
+    }
+
+    /// Records the end of an attempt and learns from it.
+    pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
         self.on_timer(now);
-        let row = &mut self.targets[target];
-        if row.on_end(now, run_time) {
+        let row = &mut self.targets[end.target];
+        if row.on_end(now, end.run_time) {
             self.pools[row.pool].remove_in_flight(row.domain, 1);
         }
-        if kind == AttemptKind::Completed {
-            self.learn_run_time(target, service, run_time);
+        if end.kind == AttemptKind::Completed {
+            self.learn_run_time(end);
         }
-        self.learn_result(now, target, kind);
+        self.learn_result(now, end.target, end.kind);
         self.check();
     }
 
@@ -326,17 +356,14 @@
         index
     }
 
-    /// Turns a rule's decision into an answer and keeps track of a deliberate wait.
-    fn settle(&mut self, pool: PoolIndex, now: Instant, pick: Pick) -> Choice {
-        let pool = &mut self.pools[pool];
+    /// Turns a rule's decision into an answer and remembers when the next deliberate wait ends.
+    fn settle(&mut self, pool: PoolIndex, pick: Pick) -> Choice {
         match pick {
-            Pick::Use(target) => {
-                pool.release_hold();
-                Choice::Use(target)
-            }
+            Pick::Use(target) => Choice::Use(target),
             Pick::Hold { until } => {
-                pool.held_since.get_or_insert(now);
-                pool.held_until = Some(until);
+                let pool = &mut self.pools[pool];
+                let earliest = pool.held_until.map_or(until, |earliest| earliest.min(until));
+                pool.held_until = Some(earliest);
                 Choice::Wait { until: Some(until) }
             }
         }
@@ -421,18 +448,18 @@
         }
     }
 
-    fn learn_run_time(&mut self, target: TargetIndex, service: &str, run_time: Duration) {
-        let row = &mut self.targets[target];
-        let index = match self.services.get_index_of(service) {
+    fn learn_run_time(&mut self, end: &AttemptEnd<'_>) {
+        let row = &mut self.targets[end.target];
+        let index = match self.services.get_index_of(end.service) {
             Some(index) => index,
             None => {
                 self.services
-                    .insert_full(service.to_owned(), RunTimes::default())
+                    .insert_full(end.service.to_owned(), RunTimes::default())
                     .0
             }
         };
         let run_times = &mut self.services[index];
-        let deviation = run_times.observe(run_time, row.speed.log());
+        let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
         row.speed.observe(deviation, run_times.spread());
     }
 
