--- a/crates/load/src/ideal.rs
+++ b/crates/load/src/ideal.rs
@@ -1,6 +1,7 @@
 //! Ideal schedule: a central queue without delay that knows the true run times and speeds.
 
 use std::cmp::Ordering;
+use std::time::Duration;
 
 use crate::number::figure;
 use crate::scenario::Fault;
@@ -8,7 +9,7 @@
 
 /// Target as the ideal schedule sees it; times are in seconds after the start of the run.
 #[derive(Clone, Debug)]
-pub(crate) struct IdealTarget {
+struct IdealTarget {
     /// Time at which each slot becomes free.
     free: Vec<f64>,
     /// Speed from each time on; speed 0 starts no tasks.
@@ -17,7 +18,7 @@
 
 impl IdealTarget {
     /// Creates the target at `position` from its journal at the start of the run and the faults of the scenario.
-    pub fn new(position: usize, journal: &Journal, faults: &[Fault]) -> Self {
+    fn new(position: usize, journal: &Journal, faults: &[Fault]) -> Self {
         let mut speed = journal.speed;
         let mut useful = true;
         let mut speeds = vec![(0.0, speed)];
@@ -60,23 +61,45 @@
     }
 }
 
-/// Returns the response time in seconds of every job; a job without tasks has none.
+/// Job in an ideal schedule.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct IdealJob {
+    /// Arrival after the start of the run.
+    pub at: Duration,
+    /// Run times of the tasks at speed 1.
+    pub run_times: Vec<Duration>,
+}
+
+/// Returns the response time of every job in the ideal schedule; a job that cannot run has none.
+///
+/// The jobs are in order of arrival. Each task goes to the slot on which it ends earliest, given the tasks placed before
+/// it. Slots and speeds come from the journals at the start of the run; a target takes no tasks while a fault makes it
+/// useless.
+///
+/// # Examples
 ///
-/// Jobs are `(arrival, run times at speed 1)` in order of arrival, all in seconds. Each task goes to the slot on which
-/// it ends earliest, given the tasks placed before it.
-pub(crate) fn replay(targets: &mut [IdealTarget], jobs: &[(f64, Vec<f64>)]) -> Vec<Option<f64>> {
-    let mut responses = Vec::with_capacity(jobs.len());
-    for (at, tasks) in jobs {
+/// ```
+/// use std::time::Duration;
+/// use chestnutfork_load::{IdealJob, ideal_responses};
+///
+/// let job = IdealJob { at: Duration::ZERO, run_times: vec![Duration::from_secs(1)] };
+/// assert_eq!(ideal_responses(&[], &[], &[job]), [None]);
+/// ```
+#[must_use]
+pub fn ideal_responses(targets: &[Journal], faults: &[Fault], jobs: &[IdealJob]) -> Vec<Option<Duration>> {
+    let targets = targets.iter().enumerate();
+    let targets = targets.map(|(position, journal)| IdealTarget::new(position, journal, faults));
+    let mut targets: Vec<IdealTarget> = targets.collect();
+    let responses = jobs.iter().map(|job| {
+        let at = job.at.as_secs_f64();
         let mut last: Option<f64> = None;
-        for &work in tasks {
-            let Some(end) = place(targets, *at, work) else {
-                continue;
-            };
+        for run_time in &job.run_times {
+            let end = place(&mut targets, at, run_time.as_secs_f64())?;
             last = Some(last.map_or(end, |last| last.max(end)));
         }
-        responses.push(last.map(|end| end - at));
-    }
-    responses
+        Duration::try_from_secs_f64(last? - at).ok()
+    });
+    responses.collect()
 }
 
 fn place(targets: &mut [IdealTarget], at: f64, work: f64) -> Option<f64> {
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -166,3 +166,17 @@
     assert_eq!(broken(&report), []);
     assert_eq!(report.jobs_failed, report.jobs_submitted);
 }
+
+/// Guards against plans that differ between runs with one seed, which could not be compared.
+#[tokio::test]
+async fn run_repeats_plan_of_seed() {
+    let instant = || {
+        let scenario = scenario().job_tasks(Distribution::Uniform { min: 1.0, max: 50.0 });
+        scenario.run_ms(Distribution::Fixed(0.0))
+    };
+    let first = run_against(Lie::None, instant().seed(7)).await;
+    let second = run_against(Lie::None, instant().seed(7)).await;
+    let other = run_against(Lie::None, instant().seed(8)).await;
+    assert_eq!(first.tasks_submitted, second.tasks_submitted);
+    assert_ne!(first.tasks_submitted, other.tasks_submitted);
+}
--- a/crates/load/tests/scenario.rs
+++ b/crates/load/tests/scenario.rs
@@ -42,3 +42,17 @@
         assert_eq!(key, expected, "{text}");
     }
 }
+
+/// Guards against example files that fall behind the format.
+#[test]
+fn parse_scenario_accepts_examples() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/scenarios");
+    let mut count = 0;
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+        Scenario::parse(&text).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        count += 1;
+    }
+    assert!(count >= 10, "only {count} examples");
+}
