--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -9,6 +9,7 @@
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use chestnutfork_events::{LinkEvent, emit};
 use chestnutfork_wire::Role;
 
 use crate::handshake;
@@ -103,7 +104,7 @@
 
 /// Dials an address and keeps a link to it open until the returned dialler is dropped.
 ///
-/// Failed attempts go to [`LinkHandler::closed`] with link number zero.
+/// Failed attempts are logged; the handler hears only of links that were open.
 pub fn dial<H: LinkHandler>(cfg: DialConfig, handler: H) -> Dialer {
     Dialer {
         task: tokio::spawn(keep_open(cfg, handler)),
@@ -116,18 +117,35 @@
         let started = Instant::now();
         match timeout(OPEN_TIMEOUT, open(&cfg)).await {
             Ok(Ok(session)) => session.run(handler.clone()).await,
-            Ok(Err(error)) => handler.closed(0, error),
-            Err(_) => handler.closed(0, LinkError::Silent),
+            Ok(Err(error)) => report_failure(&cfg, &error, backoff),
+            Err(_) => report_failure(&cfg, &LinkError::Silent, backoff),
         }
         if started.elapsed() >= STABLE_AFTER {
             backoff = BACKOFF_MIN;
         }
-        // Full jitter keeps many agents from dialling a restarted entry at the same moment.
-        sleep(backoff.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+        // Jitter keeps many agents from dialling a restarted entry at the same moment.
+        let jitter = rand::rng().random_range(0.5..1.0);
+        sleep(backoff.mul_f64(jitter)).await;
         backoff = (backoff * 2).min(BACKOFF_MAX);
     }
 }
 
+fn report_failure(cfg: &DialConfig, error: &LinkError, retry: Duration) {
+    let reason = error.to_string();
+    if error.is_unauthenticated() {
+        emit(&LinkEvent::AuthenticationFailed {
+            address: &cfg.address,
+            reason: &reason,
+        });
+    } else {
+        emit(&LinkEvent::DialFailed {
+            address: &cfg.address,
+            error: &reason,
+            retry,
+        });
+    }
+}
+
 async fn open(cfg: &DialConfig) -> Result<Session, LinkError> {
     let stream = TcpStream::connect(&cfg.address).await?;
     stream.set_nodelay(true)?;
@@ -139,7 +157,7 @@
     let peer = handshake::dialling(&mut socket, &cfg.me, &cfg.secret).await?;
     if peer.role != cfg.expect {
         return Err(LinkError::WrongRole {
-            role: format!("{:?}", peer.role),
+            role: peer.role.as_str(),
         });
     }
     let peer = Identity {
