--- /dev/null
+++ b/crates/subscriber/src/actor.rs
@@ -0,0 +1,394 @@
+//! Actor that owns the subscription and the link to control.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutfork_config::{Confirmation, Document, Update};
+use chestnutfork_events::{ConfigEvent, emit};
+use chestnutfork_net::{
+    ClusterSecret, DialConfig, Dialer, Identity, LinkId, LinkSender, Metrics, Wakeup, dial, now,
+};
+use chestnutfork_register::View;
+use chestnutfork_types::{ConfigVersion, NodeName, ViewNumber};
+use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire, ViewWire};
+use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
+
+use crate::core::SubscriberCore;
+use crate::event::{Action, ControlView, EntryInfo, Event};
+use crate::links::ControlLink;
+
+/// Receiver of what control says; the methods run in the subscription's actor and must not block.
+pub trait SubscriptionHandler: Send + Sync + 'static {
+    /// Puts a configuration version in force.
+    fn configured(&self, version: ConfigVersion, document: Arc<Document>);
+    /// Tells whether the version in force is confirmed.
+    fn confirmed(&self, confirmed: bool);
+    /// Passes the view of the entries on.
+    fn viewed(&self, view: ControlView);
+}
+
+/// Configuration of a subscription.
+#[derive(Clone, Debug)]
+pub struct SubscriptionConfig {
+    me: Identity,
+    secret: ClusterSecret,
+    controls: Vec<String>,
+    renew_every: Duration,
+    metrics: Metrics,
+}
+
+/// Builder of [`SubscriptionConfig`].
+#[derive(Clone, Debug)]
+pub struct SubscriptionConfigBuilder {
+    cfg: SubscriptionConfig,
+}
+
+impl SubscriptionConfig {
+    /// Starts the configuration of a subscription of this process to any of the given control processes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chestnutfork_net::{ClusterSecret, Identity};
+    /// use chestnutfork_subscriber::SubscriptionConfig;
+    /// use chestnutfork_wire::Role;
+    ///
+    /// let me = Identity { role: Role::Agent, name: "a1".into(), process: 1, address: String::new() };
+    /// let cfg = SubscriptionConfig::builder(me, ClusterSecret::new("s"), vec!["127.0.0.1:7000".into()])
+    ///     .renew_every(Duration::from_secs(2))
+    ///     .build();
+    /// assert!(format!("{cfg:?}").contains("7000"));
+    /// ```
+    #[must_use]
+    pub fn builder(me: Identity, secret: ClusterSecret, controls: Vec<String>) -> SubscriptionConfigBuilder {
+        let renew_every = Duration::from_secs(2);
+        let cfg = Self {
+            me,
+            secret,
+            controls,
+            renew_every,
+            metrics: Metrics::disabled(),
+        };
+        SubscriptionConfigBuilder { cfg }
+    }
+}
+
+impl SubscriptionConfigBuilder {
+    /// Sets the interval between renewals of the lease.
+    #[must_use]
+    pub fn renew_every(mut self, interval: Duration) -> Self {
+        self.cfg.renew_every = interval;
+        self
+    }
+
+    /// Sets where bytes are counted.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Metrics) -> Self {
+        self.cfg.metrics = metrics;
+        self
+    }
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> SubscriptionConfig {
+        self.cfg
+    }
+}
+
+/// Message to the subscription's actor.
+#[derive(Debug)]
+pub(crate) enum SubscriberMessage {
+    LinkUp {
+        link: LinkId,
+        control: usize,
+        name: NodeName,
+        tx: LinkSender<SubscriberMessageWire>,
+    },
+    FromControl {
+        link: LinkId,
+        messages: Vec<ControlMessageWire>,
+    },
+    LinkDown {
+        link: LinkId,
+    },
+    Synced(ViewNumber),
+    Leave,
+    Tick,
+}
+
+/// Running subscription; it ends when it is left or its process ends.
+#[derive(Clone, Debug)]
+pub struct Subscription {
+    actor: ActorRef<SubscriberMessage>,
+}
+
+impl Subscription {
+    /// Tells control that this entry has copied the register of a view.
+    pub fn synced(&self, view: ViewNumber) {
+        drop(self.actor.cast(SubscriberMessage::Synced(view)));
+    }
+
+    /// Ends the lease at once, so that control need not wait for it to expire.
+    pub fn leave(&self) {
+        drop(self.actor.cast(SubscriberMessage::Leave));
+    }
+
+    /// Stops without a word, as a crash would.
+    pub fn kill(&self) {
+        self.actor.kill();
+    }
+}
+
+/// Subscribes to control and keeps the subscription alive.
+///
+/// # Errors
+///
+/// Returns an error if the actor cannot start.
+///
+/// # Panics
+///
+/// Panics if the configuration names no control process.
+pub async fn subscribe<H: SubscriptionHandler>(
+    cfg: SubscriptionConfig,
+    handler: H,
+) -> Result<Subscription, SpawnErr> {
+    let (actor, _) = Actor::spawn(None, SubscriberActor(std::marker::PhantomData), (cfg, handler)).await?;
+    Ok(Subscription { actor })
+}
+
+struct SubscriberActor<H>(std::marker::PhantomData<fn(H)>);
+
+struct State<H> {
+    core: SubscriberCore,
+    cfg: SubscriptionConfig,
+    handler: H,
+    me: ActorRef<SubscriberMessage>,
+    wakeup: Wakeup,
+    dialer: Dialer,
+    link: Option<(LinkId, LinkSender<SubscriberMessageWire>)>,
+    control: NodeName,
+    actions: Vec<Action>,
+}
+
+impl<H: SubscriptionHandler> Actor for SubscriberActor<H> {
+    type Msg = SubscriberMessage;
+    type State = State<H>;
+    type Arguments = (SubscriptionConfig, H);
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<SubscriberMessage>,
+        (cfg, handler): Self::Arguments,
+    ) -> Result<State<H>, ActorProcessingErr> {
+        // Processes spread over the control processes by their random incarnation.
+        let first = usize::try_from(cfg.me.process % cfg.controls.len() as u64).unwrap_or(0);
+        let core = SubscriberCore::new(cfg.controls.len(), first, cfg.renew_every, now());
+        let ticker = me.clone();
+        let wakeup = Wakeup::start(move || drop(ticker.cast(SubscriberMessage::Tick)));
+        wakeup.set(core.next_wakeup());
+        let dialer = dial_control(&cfg, core.current(), &me);
+        let control = cfg.controls[core.current()].clone();
+        Ok(State {
+            core,
+            cfg,
+            handler,
+            me,
+            wakeup,
+            dialer,
+            link: None,
+            control,
+            actions: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        me: ActorRef<SubscriberMessage>,
+        message: SubscriberMessage,
+        state: &mut State<H>,
+    ) -> Result<(), ActorProcessingErr> {
+        if matches!(message, SubscriberMessage::Leave) {
+            state.send(SubscriberMessageWire::Leaving);
+            me.stop(None);
+            return Ok(());
+        }
+        state.receive(message);
+        state.wakeup.set(state.core.next_wakeup());
+        Ok(())
+    }
+}
+
+fn dial_control(cfg: &SubscriptionConfig, control: usize, actor: &ActorRef<SubscriberMessage>) -> Dialer {
+    let address = cfg.controls[control].clone();
+    let dial_cfg = DialConfig::builder(address, cfg.me.clone(), cfg.secret.clone())
+        .expect(Role::Control)
+        .metrics(cfg.metrics.clone())
+        .build();
+    dial(
+        dial_cfg,
+        ControlLink {
+            actor: actor.clone(),
+            control,
+        },
+    )
+}
+
+impl<H: SubscriptionHandler> State<H> {
+    fn receive(&mut self, message: SubscriberMessage) {
+        match message {
+            SubscriberMessage::LinkUp {
+                link,
+                control,
+                name,
+                tx,
+            } => {
+                // A link to a control process that was given up may still have been on its way.
+                if control == self.core.current() {
+                    self.link = Some((link, tx));
+                    self.note_control(name);
+                    self.step(Event::LinkUp);
+                }
+            }
+            SubscriberMessage::FromControl { link, messages } => {
+                for message in messages {
+                    if self.is_current(link) {
+                        self.from_control(message);
+                    }
+                }
+            }
+            SubscriberMessage::LinkDown { link } => {
+                if self.is_current(link) {
+                    self.link = None;
+                    self.step(Event::LinkDown);
+                }
+            }
+            SubscriberMessage::Synced(view) => self.step(Event::Synced(view)),
+            SubscriberMessage::Tick => self.step(Event::Tick),
+            SubscriberMessage::Leave => {}
+        }
+    }
+
+    fn is_current(&self, link: LinkId) -> bool {
+        self.link.as_ref().is_some_and(|&(current, _)| current == link)
+    }
+
+    fn note_control(&mut self, name: NodeName) {
+        if self.control != name {
+            emit(&ConfigEvent::ControlChanged {
+                from: &self.control,
+                to: &name,
+            });
+            self.control = name;
+        }
+    }
+
+    fn from_control(&mut self, message: ControlMessageWire) {
+        match message {
+            ControlMessageWire::Update(bytes) => match Update::decode(&bytes) {
+                Ok(update) => self.step(Event::Update(update)),
+                Err(error) => self.report_unusable(0, &error.to_string()),
+            },
+            ControlMessageWire::Confirm(confirm) => self.step(Event::Confirm {
+                probe: confirm.probe(),
+                version: confirm.version(),
+                age: confirm.age(),
+            }),
+            ControlMessageWire::View(view) => self.step(Event::View(control_view(view))),
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Dial(control) => {
+                self.link = None;
+                self.dialer = dial_control(&self.cfg, control, &self.me);
+            }
+            Action::Subscribe(version) => self.send(SubscriberMessageWire::Subscribe(version)),
+            Action::Ack(version) => self.send(SubscriberMessageWire::Ack(version)),
+            Action::Renew {
+                probe,
+                version,
+                synced,
+            } => {
+                self.send(SubscriberMessageWire::Renew {
+                    probe,
+                    version,
+                    synced,
+                });
+            }
+            Action::Configure { version, document } => {
+                emit(&ConfigEvent::Applied {
+                    version,
+                    from: &self.control,
+                    snapshot: false,
+                });
+                self.handler.configured(version, Arc::new(document));
+            }
+            Action::Confirmed(state) => self.report_confirmation(state),
+            Action::View(view) => self.handler.viewed(view),
+            Action::Unusable { version, reason } => self.report_unusable(version, &reason),
+        }
+    }
+
+    fn report_confirmation(&self, state: Confirmation) {
+        let confirmed = state == Confirmation::Confirmed;
+        let version = self.core.version();
+        if confirmed {
+            emit(&ConfigEvent::Confirmed {
+                version,
+                from: &self.control,
+            });
+        } else {
+            let age = chestnutfork_config::CONFIRMATION_BOUND;
+            emit(&ConfigEvent::Unconfirmed {
+                version,
+                age,
+                from: &self.control,
+            });
+        }
+        self.handler.confirmed(confirmed);
+    }
+
+    fn report_unusable(&self, version: ConfigVersion, error: &str) {
+        emit(&ConfigEvent::Unusable { version, error });
+    }
+
+    fn send(&self, message: SubscriberMessageWire) {
+        if let Some((_, tx)) = &self.link {
+            tx.send(message);
+        }
+    }
+}
+
+/// Converts a view from its wire form.
+fn control_view(wire: ViewWire) -> ControlView {
+    let view = View {
+        number: wire.number,
+        members: wire.members,
+        learners: wire.learners,
+        floor: wire.floor_ms.map(Duration::from_millis),
+        settled: wire.settled,
+        base: usize::try_from(wire.base).unwrap_or(usize::MAX),
+        kept: wire.kept,
+    };
+    let entries = wire.entries.into_iter();
+    let entries = entries.map(|entry| EntryInfo {
+        process: entry.process,
+        name: entry.name,
+        address: entry.address,
+    });
+    ControlView {
+        view,
+        entries: entries.collect(),
+    }
+}
--- /dev/null
+++ b/crates/subscriber/src/links.rs
@@ -0,0 +1,38 @@
+//! Handler of the link to control.
+
+use chestnutfork_net::{Identity, LinkError, LinkHandler, LinkId, LinkSender};
+use chestnutfork_wire::{ControlMessageWire, SubscriberMessageWire};
+use ractor::ActorRef;
+
+use crate::actor::SubscriberMessage;
+
+/// Handler of the link to the control process at one position of the list.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlLink {
+    pub(crate) actor: ActorRef<SubscriberMessage>,
+    pub(crate) control: usize,
+}
+
+impl LinkHandler for ControlLink {
+    type In = ControlMessageWire;
+    type Out = SubscriberMessageWire;
+
+    fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<SubscriberMessageWire>) {
+        // A stopped actor needs no events; the same holds below.
+        let message = SubscriberMessage::LinkUp {
+            link,
+            control: self.control,
+            name: peer.name,
+            tx,
+        };
+        drop(self.actor.cast(message));
+    }
+
+    fn received(&self, link: LinkId, messages: Vec<ControlMessageWire>) {
+        drop(self.actor.cast(SubscriberMessage::FromControl { link, messages }));
+    }
+
+    fn closed(&self, link: LinkId, _error: LinkError) {
+        drop(self.actor.cast(SubscriberMessage::LinkDown { link }));
+    }
+}
