control: Add the actor, links, files and the operator interface

Cause: the core needs a process around it.

Change: one actor owns the core and the senders of its links. A thread owns the data folder; while it writes a batch, events queue for the next one, and no timer is armed. Operators use HTTP with bearer tokens. A failed write is retried every second by rewriting the log. Verdicts are logged once, by the leader that answers; a restart that applies old entries again logged them a second time before. A graceful stop hands leadership over first.

Conclusion: the role runs; entries and agents still need their side of the subscription.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -339,13 +339,10 @@
 
     fn on_applied(&mut self, now: Instant, index: LogIndex, term: u64, applied: Applied) {
         match &applied {
-            Applied::Verdict(patch, verdict) => {
-                if self.is_leader() {
-                    let (patch, verdict) = (patch.clone(), verdict.clone());
-                    self.outputs
-                        .push(Output::Notice(Notice::Verdict { patch, verdict }));
-                }
-                if let Some(version) = verdict.accepted_version() {
+            Applied::Verdict(verdict) => {
+                // Entries of earlier terms are applied again after a restart and are old by then.
+                let version = verdict.accepted_version().filter(|_| term == self.raft.term());
+                if let Some(version) = version {
                     self.leases.rolled_out(now, version);
                 }
                 self.subscribers.distribute(&self.state, &mut self.outputs);
@@ -433,8 +430,13 @@
             Formation::Ready(members) => self.to_form = Some(members.clone()),
             Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
             Formation::Waiting { missing } => {
-                let missing = missing.clone();
-                self.outputs.push(Output::Notice(Notice::Forming { missing }));
+                let members = self.cfg.initial_members.len() as u64;
+                let notice = Notice::Forming {
+                    known: members.saturating_sub(missing.len() as u64),
+                    members,
+                    missing: missing.clone(),
+                };
+                self.outputs.push(Output::Notice(notice));
             }
         }
         self.formation = Some(decided);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,21 +7,30 @@
 mod confirm;
 mod convert;
 mod core;
+mod disk;
 mod error;
 mod formation;
+mod front;
 mod leases;
+mod links;
 mod message;
+mod notices;
 mod operators;
 mod peers;
 mod persist;
+mod replica;
 mod requests;
+mod run;
 mod state;
 mod subscribers;
 mod views;
 
 pub use crate::core::{ControlCore, CoreConfig};
 pub use error::ControlError;
+pub use front::Operator;
 pub use message::{
     Confirmation, ControlMessage, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage, ProbeId,
     Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
 };
+pub use replica::ReplicaStatus;
+pub use run::{ControlConfig, ControlConfigBuilder, Member, RunningControl, start};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -264,6 +264,10 @@
     },
     /// Not all initial members have answered.
     Forming {
+        /// Number of members that answered, this one included.
+        known: u64,
+        /// Number of initial members.
+        members: u64,
         /// Names of the missing members.
         missing: Vec<NodeName>,
     },
@@ -308,8 +312,17 @@
         view: ViewNumber,
         /// Number of members.
         members: u64,
-        /// Floor in milliseconds, if the register was lost.
-        floor_ms: Option<u64>,
+    },
+    /// A view was proposed whose floor is raised, because too many entries were lost.
+    ViewUnsafe {
+        /// Its number.
+        view: ViewNumber,
+        /// Members of the last settled view that are left.
+        survivors: u64,
+        /// Members that were needed.
+        needed: u64,
+        /// Floor of the job ids in milliseconds since the Unix epoch.
+        floor_ms: u64,
     },
     /// A lease ended.
     NodeLost {
--- /dev/null
+++ b/crates/control/src/notices.rs
@@ -0,0 +1,99 @@
+//! Notices of the core as numbered log events.
+
+use chestnutfork_config::{Patch, Verdict};
+use chestnutfork_events::{ControlEvent, emit};
+use chestnutfork_types::ReplicaId;
+
+use crate::message::Notice;
+
+/// Logs a notice of the replica with the given name.
+pub(crate) fn log(node: &str, replica: ReplicaId, notice: &Notice) {
+    match notice {
+        Notice::Formed { members } => emit(&ControlEvent::Formed {
+            replica,
+            members: *members,
+            node,
+        }),
+        Notice::Forming {
+            known,
+            members,
+            missing,
+        } => emit(&ControlEvent::Forming {
+            known: *known,
+            members: *members,
+            missing: &missing.join(", "),
+        }),
+        Notice::NotMember => emit(&ControlEvent::NotMember { replica, node }),
+        Notice::ElectionStarted { term } => emit(&ControlEvent::ElectionStarted { term: *term, node }),
+        Notice::LeaderChanged { term, leader } => emit(&ControlEvent::LeaderChanged { term: *term, leader }),
+        Notice::LeadershipLost { term } => emit(&ControlEvent::LeadershipLost {
+            term: *term,
+            reason: "it lost its quorum, its disk or its term, or it handed over",
+        }),
+        Notice::MemberReplaced {
+            remove,
+            add,
+            operator,
+        } => emit(&ControlEvent::MemberReplaced {
+            old: *remove,
+            new: *add,
+            operator,
+        }),
+        Notice::Verdict { patch, verdict } => log_verdict(patch, verdict),
+        Notice::ViewProposed { view, members } => emit(&ControlEvent::ViewProposed {
+            view: *view,
+            members: *members,
+            reason: "the entries with a lease, or those with a whole register, changed",
+        }),
+        Notice::ViewUnsafe {
+            view,
+            survivors,
+            needed,
+            floor_ms,
+        } => emit(&ControlEvent::ViewUnsafe {
+            view: *view,
+            survivors: *survivors,
+            needed: *needed,
+            floor_ms: *floor_ms,
+            reason: "entries whose leases ended",
+        }),
+        Notice::NodeLost { name, is_entry } => emit(&ControlEvent::NodeLost {
+            node: name,
+            role: if *is_entry { "entry" } else { "agent" },
+        }),
+        Notice::RolloutLate {
+            version,
+            behind,
+            first,
+        } => emit(&ControlEvent::RolloutLate {
+            version: *version,
+            behind: *behind,
+            first,
+        }),
+    }
+}
+
+fn log_verdict(patch: &Patch, verdict: &Verdict) {
+    let id = format!("{:032x}", patch.id);
+    let operator = &patch.operator;
+    match verdict {
+        Verdict::Accepted { version, .. } => emit(&ControlEvent::PatchAccepted {
+            operator,
+            patch: &id,
+            base: patch.base,
+            version: *version,
+        }),
+        Verdict::Conflict { current, .. } => emit(&ControlEvent::PatchConflict {
+            operator,
+            patch: &id,
+            base: patch.base,
+            version: *current,
+        }),
+        Verdict::Invalid { errors } => emit(&ControlEvent::PatchRefused {
+            operator,
+            patch: &id,
+            errors: errors.len() as u64,
+            first: &errors.first().map_or_else(String::new, ToString::to_string),
+        }),
+    }
+}
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -143,7 +143,14 @@
         };
         let won = pending.position == Some((index, term));
         let answer = match (applied, &pending.request) {
-            (Applied::Verdict(_, verdict), OperatorRequest::Patch { .. }) if won => Answer::Verdict(verdict),
+            (Applied::Verdict(verdict), OperatorRequest::Patch { patch, .. }) if won => {
+                let notice = Notice::Verdict {
+                    patch: patch.clone(),
+                    verdict: verdict.clone(),
+                };
+                self.outputs.push(Output::Notice(notice));
+                Answer::Verdict(verdict)
+            }
             (_, &OperatorRequest::Replace { remove, add }) if won => {
                 let operator = pending.operator.clone();
                 let notice = Notice::MemberReplaced {
@@ -207,7 +214,11 @@
 
     fn status(&self) -> StatusBody {
         let members = self.raft.membership();
-        let others = self.peers.replicas().filter(|&id| !members.contains(id));
+        let others = self
+            .peers
+            .replicas()
+            .into_iter()
+            .filter(|&id| !members.contains(id));
         let listed = members.members().chain(others);
         let member = |id| MemberBody {
             replica: format!("{id:016x}"),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -6,35 +6,44 @@
 
 use crate::message::ReplicaHello;
 
+/// One link.
+#[derive(Debug)]
+struct Peer {
+    name: NodeName,
+    /// Replica at the other end, once it introduced itself.
+    replica: Option<ReplicaId>,
+}
+
 /// Open links to other control processes, and what was told over them.
+///
+/// Two processes may have two links, because each dials the other; the later one is used.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    links: IndexMap<LinkId, NodeName>,
-    /// Latest link to each replica that introduced itself.
-    replicas: IndexMap<ReplicaId, LinkId>,
+    links: IndexMap<LinkId, Peer>,
     hellos: IndexMap<NodeName, ReplicaHello>,
 }
 
 impl Peers {
     pub(crate) fn up(&mut self, link: LinkId, name: NodeName) {
-        self.links.insert(link, name);
+        let replica = None;
+        self.links.insert(link, Peer { name, replica });
     }
 
     pub(crate) fn down(&mut self, link: LinkId) {
-        self.links.swap_remove(&link);
-        self.replicas.retain(|_, at| *at != link);
+        self.links.shift_remove(&link);
     }
 
     pub(crate) fn hello(&mut self, link: LinkId, hello: ReplicaHello) {
-        let Some(name) = self.links.get(&link) else {
-            return;
-        };
-        self.replicas.insert(hello.replica, link);
-        self.hellos.insert(name.clone(), hello);
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.replica = Some(hello.replica);
+            self.hellos.insert(peer.name.clone(), hello);
+        }
     }
 
     pub(crate) fn link(&self, replica: ReplicaId) -> Option<LinkId> {
-        self.replicas.get(&replica).copied()
+        let mut links = self.links.iter().rev();
+        let found = links.find(|(_, peer)| peer.replica == Some(replica));
+        found.map(|(&link, _)| link)
     }
 
     pub(crate) fn links(&self) -> impl Iterator<Item = LinkId> + '_ {
@@ -47,8 +56,8 @@
 
     /// Returns the name of a replica with an open link.
     pub(crate) fn name(&self, replica: ReplicaId) -> Option<&str> {
-        let link = self.replicas.get(&replica)?;
-        self.links.get(link).map(String::as_str)
+        let link = self.link(replica)?;
+        self.links.get(&link).map(|peer| peer.name.as_str())
     }
 
     /// Returns the operator address of a replica, also after its link has closed.
@@ -58,8 +67,11 @@
         Some(&hello.operators)
     }
 
-    /// Iterates over the replicas with an open link.
-    pub(crate) fn replicas(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        self.replicas.keys().copied()
+    /// Returns the replicas with an open link, in the order of their ids.
+    pub(crate) fn replicas(&self) -> Vec<ReplicaId> {
+        let mut replicas: Vec<ReplicaId> = self.links.values().filter_map(|peer| peer.replica).collect();
+        replicas.sort_unstable();
+        replicas.dedup();
+        replicas
     }
 }
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,325 @@
+//! Actor that owns the core, the senders of its links, and the operators that wait.
+
+use std::marker::PhantomData;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, SystemTime};
+
+use chestnutfork_events::{ControlEvent, emit};
+use chestnutfork_net::{LinkId, LinkSender, Wakeup, now};
+use chestnutfork_storage::{LogStore, StorageError, Stored};
+use chestnutfork_types::{ConfigVersion, NodeName, OperatorName};
+use chestnutfork_wire::{ControlMessageWire, ReplicaMessageWire};
+use indexmap::IndexMap;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::core::ControlCore;
+use crate::disk::{self, DiskReply, DiskRequest};
+use crate::error::ControlError;
+use crate::message::{Event, OperatorRequest, Output, Reply, RequestId, SubscriberIdentity};
+use crate::notices;
+
+/// Interval between two attempts to write to a full or broken disk.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
+
+/// State of a replica, for tests and the quickstart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaStatus {
+    /// Whether the replica leads.
+    pub leads: bool,
+    /// Accepted version of the configuration as far as the replica knows.
+    pub version: ConfigVersion,
+    /// Id of the data folder.
+    pub replica: u64,
+}
+
+/// Message to the actor.
+#[derive(Debug)]
+pub(crate) enum ReplicaMessage {
+    /// An event for the core.
+    Event(Event),
+    /// A link to another control process is open.
+    PeerUp {
+        link: LinkId,
+        name: NodeName,
+        tx: LinkSender<ReplicaMessageWire>,
+    },
+    /// A link to another control process is closed.
+    PeerDown { link: LinkId },
+    /// A link to an entry or agent is open.
+    SubscriberUp {
+        link: LinkId,
+        identity: SubscriberIdentity,
+        tx: LinkSender<ControlMessageWire>,
+    },
+    /// A link to an entry or agent is closed.
+    SubscriberDown { link: LinkId },
+    /// An operator sent a request.
+    Operator {
+        operator: OperatorName,
+        request: OperatorRequest,
+        reply: oneshot::Sender<Reply>,
+    },
+    /// The disk answered.
+    Disk(DiskReply),
+    /// It is time to try the disk again.
+    Repair,
+    /// The timer fired.
+    Tick,
+    /// Asks for the present state.
+    Status(oneshot::Sender<ReplicaStatus>),
+    /// Hand over leadership; the reply comes when this replica does not lead.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Actor that owns the core; `S` is the store that its disk thread owns.
+pub(crate) struct ReplicaActor<S>(PhantomData<fn() -> S>);
+
+impl<S> ReplicaActor<S> {
+    pub(crate) fn new() -> Self {
+        Self(PhantomData)
+    }
+}
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct Arguments<S> {
+    pub(crate) name: NodeName,
+    pub(crate) core: ControlCore,
+    pub(crate) store: S,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct ReplicaState {
+    me: ActorRef<ReplicaMessage>,
+    name: NodeName,
+    core: ControlCore,
+    disk: Sender<DiskRequest>,
+    /// Whether a batch is being written.
+    writing: bool,
+    wakeup: Wakeup,
+    peers: IndexMap<LinkId, LinkSender<ReplicaMessageWire>>,
+    subscribers: IndexMap<LinkId, LinkSender<ControlMessageWire>>,
+    operators: IndexMap<RequestId, oneshot::Sender<Reply>>,
+    next_ticket: RequestId,
+    drained: Vec<oneshot::Sender<()>>,
+    outputs: Vec<Output>,
+}
+
+fn start_state<S>(me: ActorRef<ReplicaMessage>, arguments: Arguments<S>) -> ReplicaState
+where
+    S: LogStore + Send + 'static,
+{
+    let ticker = me.clone();
+    let wakeup = Wakeup::start(move || drop(ticker.cast(ReplicaMessage::Tick)));
+    let answered = me.clone();
+    let disk = disk::start(arguments.store, move |reply| {
+        drop(answered.cast(ReplicaMessage::Disk(reply)));
+    });
+    ReplicaState {
+        me,
+        name: arguments.name,
+        core: arguments.core,
+        disk,
+        writing: false,
+        wakeup,
+        peers: IndexMap::new(),
+        subscribers: IndexMap::new(),
+        operators: IndexMap::new(),
+        next_ticket: 0,
+        drained: Vec::new(),
+        outputs: Vec::new(),
+    }
+}
+
+impl<S: LogStore + Send + 'static> Actor for ReplicaActor<S> {
+    type Msg = ReplicaMessage;
+    type State = ReplicaState;
+    type Arguments = Arguments<S>;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<ReplicaMessage>,
+        arguments: Arguments<S>,
+    ) -> Result<ReplicaState, ActorProcessingErr> {
+        let mut state = start_state(me, arguments);
+        state.step()?;
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<ReplicaMessage>,
+        message: ReplicaMessage,
+        state: &mut ReplicaState,
+    ) -> Result<(), ActorProcessingErr> {
+        state.receive(message)?;
+        state.step()?;
+        Ok(())
+    }
+}
+
+impl ReplicaState {
+    fn receive(&mut self, message: ReplicaMessage) -> Result<(), ControlError> {
+        match message {
+            ReplicaMessage::Event(event) => self.event(event),
+            ReplicaMessage::Tick => self.event(Event::Tick),
+            ReplicaMessage::PeerUp { link, name, tx } => {
+                self.peers.insert(link, tx);
+                self.event(Event::PeerUp { link, name });
+            }
+            ReplicaMessage::PeerDown { link } => {
+                self.peers.swap_remove(&link);
+                self.event(Event::PeerDown { link });
+            }
+            ReplicaMessage::SubscriberUp { link, identity, tx } => {
+                self.subscribers.insert(link, tx);
+                self.event(Event::SubscriberUp { link, identity });
+            }
+            ReplicaMessage::SubscriberDown { link } => {
+                self.subscribers.swap_remove(&link);
+                self.event(Event::SubscriberDown { link });
+            }
+            ReplicaMessage::Operator {
+                operator,
+                request,
+                reply,
+            } => self.operator(operator, request, reply),
+            ReplicaMessage::Disk(reply) => self.disk_answered(reply)?,
+            ReplicaMessage::Repair => self.ask_disk(DiskRequest::Repair),
+            ReplicaMessage::Status(reply) => {
+                // The asking side may have gone away.
+                let _ = reply.send(self.status());
+            }
+            ReplicaMessage::Drain(reply) => {
+                self.drained.push(reply);
+                self.event(Event::Shutdown);
+            }
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, event: Event) {
+        self.core.handle(now(), SystemTime::now(), event);
+    }
+
+    fn operator(&mut self, operator: OperatorName, request: OperatorRequest, reply: oneshot::Sender<Reply>) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.operators.insert(ticket, reply);
+        self.event(Event::Operator {
+            ticket,
+            operator,
+            request,
+        });
+    }
+
+    fn status(&self) -> ReplicaStatus {
+        ReplicaStatus {
+            leads: self.core.is_leader(),
+            version: self.core.version(),
+            replica: self.core.replica(),
+        }
+    }
+
+    fn disk_answered(&mut self, reply: DiskReply) -> Result<(), ControlError> {
+        match reply {
+            DiskReply::Written => {
+                self.writing = false;
+                self.core.finish(now(), SystemTime::now(), &mut self.outputs)?;
+            }
+            DiskReply::Failed { error, stored } => {
+                self.writing = false;
+                self.write_failed(&error, stored)?;
+            }
+            DiskReply::Repaired => {
+                emit(&ControlEvent::DiskResumed { path: "log" });
+                self.event(Event::StorageReady);
+            }
+            DiskReply::StillBroken => self.repair_later(),
+        }
+        Ok(())
+    }
+
+    fn write_failed(
+        &mut self,
+        error: &StorageError,
+        stored: Result<Stored, StorageError>,
+    ) -> Result<(), ControlError> {
+        let reason = error.to_string();
+        emit(&ControlEvent::DiskFull {
+            path: "log",
+            error: &reason,
+        });
+        self.core.fail(now(), stored?, &mut self.outputs)?;
+        self.repair_later();
+        Ok(())
+    }
+
+    fn repair_later(&self) {
+        let me = self.me.clone();
+        tokio::spawn(async move {
+            sleep(REPAIR_INTERVAL).await;
+            drop(me.cast(ReplicaMessage::Repair));
+        });
+    }
+
+    fn ask_disk(&self, request: DiskRequest) {
+        // The thread ends only with this actor.
+        let _ = self.disk.send(request);
+    }
+
+    /// Runs batches until one has to be written, and executes the outputs.
+    fn step(&mut self) -> Result<(), ControlError> {
+        while !self.writing && self.core.has_work() {
+            let changes = self.core.begin(now());
+            if changes.is_empty() {
+                self.core.finish(now(), SystemTime::now(), &mut self.outputs)?;
+            } else {
+                self.writing = true;
+                self.ask_disk(DiskRequest::Write(changes));
+            }
+        }
+        for output in std::mem::take(&mut self.outputs) {
+            self.execute(output);
+        }
+        self.answer_drained();
+        // While a batch is written, ticks could do nothing; the end of the write continues.
+        let wakeup = (!self.writing).then(|| self.core.next_wakeup());
+        self.wakeup.set(wakeup);
+        Ok(())
+    }
+
+    fn execute(&mut self, output: Output) {
+        match output {
+            Output::ToPeer(link, message) => {
+                if let Some(tx) = self.peers.get(&link) {
+                    tx.send(message.into());
+                }
+            }
+            Output::ToSubscriber(link, message) => {
+                if let Some(tx) = self.subscribers.get(&link) {
+                    tx.send(message.into());
+                }
+            }
+            Output::Reply(ticket, reply) => {
+                if let Some(tx) = self.operators.swap_remove(&ticket) {
+                    // The operator may have gone away.
+                    let _ = tx.send(reply);
+                }
+            }
+            Output::Notice(notice) => notices::log(&self.name, self.core.replica(), &notice),
+        }
+    }
+
+    fn answer_drained(&mut self) {
+        if self.core.is_leader() {
+            return;
+        }
+        for reply in self.drained.drain(..) {
+            let _ = reply.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/run.rs
@@ -0,0 +1,311 @@
+//! Starts a control process and stops it gracefully.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chestnutfork_net::{
+    ClusterSecret, DialConfig, Dialer, HttpServer, Identity, Listener, Metrics, dial, listen, now,
+    random_process_id,
+};
+use chestnutfork_raft::Config;
+use chestnutfork_storage::{FileStore, Folder, LogStore};
+use chestnutfork_types::NodeName;
+use chestnutfork_wire::Role;
+use ractor::{Actor, ActorRef};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::core::{ControlCore, CoreConfig};
+use crate::error::ControlError;
+use crate::front::{Front, Operator};
+use crate::links::{PeerLinks, run_session};
+use crate::replica::{Arguments, ReplicaActor, ReplicaMessage, ReplicaStatus};
+
+/// Control process that forms the replica set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name from its settings.
+    pub name: NodeName,
+    /// Address for links.
+    pub address: String,
+}
+
+/// Configuration of a control process.
+#[derive(Debug)]
+pub struct ControlConfig {
+    name: NodeName,
+    secret: ClusterSecret,
+    listen: String,
+    links: Option<TcpListener>,
+    peer_listen: String,
+    advertise_peers: String,
+    advertise_operators: String,
+    members: Vec<Member>,
+    operators: Vec<Operator>,
+    heartbeat: Duration,
+    election_timeout: Duration,
+    metrics: Metrics,
+}
+
+/// Builder of [`ControlConfig`].
+#[derive(Debug)]
+pub struct ControlConfigBuilder {
+    cfg: ControlConfig,
+}
+
+impl ControlConfig {
+    /// Starts the configuration of the control process with the given name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_control::ControlConfig;
+    /// use chestnutfork_net::ClusterSecret;
+    ///
+    /// let cfg = ControlConfig::builder("control-1", ClusterSecret::new("s")).build();
+    /// assert!(format!("{cfg:?}").contains("control-1"));
+    /// ```
+    #[must_use]
+    pub fn builder(name: impl Into<NodeName>, secret: ClusterSecret) -> ControlConfigBuilder {
+        let cfg = Self {
+            name: name.into(),
+            secret,
+            listen: "127.0.0.1:0".to_owned(),
+            links: None,
+            peer_listen: "127.0.0.1:0".to_owned(),
+            advertise_peers: String::new(),
+            advertise_operators: String::new(),
+            members: Vec::new(),
+            operators: Vec::new(),
+            heartbeat: Duration::from_millis(200),
+            election_timeout: Duration::from_secs(1),
+            metrics: Metrics::disabled(),
+        };
+        ControlConfigBuilder { cfg }
+    }
+}
+
+/// Declares one chainable setter of the builder.
+macro_rules! setter {
+    ($(#[$doc:meta])* $name:ident: $type:ty) => {
+        $(#[$doc])*
+        #[must_use]
+        pub fn $name(mut self, $name: impl Into<$type>) -> Self {
+            self.cfg.$name = $name.into();
+            self
+        }
+    };
+}
+
+impl ControlConfigBuilder {
+    setter!(
+        /// Sets the address for operators.
+        listen: String
+    );
+    setter!(
+        /// Sets the address for links.
+        peer_listen: String
+    );
+    setter!(
+        /// Sets the address under which other processes reach this one; the default is the bound address.
+        advertise_peers: String
+    );
+    setter!(
+        /// Sets the address under which operators reach this process; the default is the bound address.
+        advertise_operators: String
+    );
+    setter!(
+        /// Sets the control processes that form the replica set, this one included.
+        members: Vec<Member>
+    );
+    setter!(
+        /// Sets the operators.
+        operators: Vec<Operator>
+    );
+    setter!(
+        /// Sets the interval between heartbeats of the leader.
+        heartbeat: Duration
+    );
+    setter!(
+        /// Sets the shortest time without a leader before an election.
+        election_timeout: Duration
+    );
+    setter!(
+        /// Sets where metrics are counted.
+        metrics: Metrics
+    );
+
+    /// Sets a bound socket for links, in place of the address.
+    #[must_use]
+    pub fn links(mut self, socket: TcpListener) -> Self {
+        self.cfg.links = Some(socket);
+        self
+    }
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> ControlConfig {
+        self.cfg
+    }
+}
+
+/// Running control process.
+#[derive(Debug)]
+pub struct RunningControl {
+    server: HttpServer,
+    listener: Listener,
+    dialers: Vec<Dialer>,
+    link_address: String,
+    actor: ActorRef<ReplicaMessage>,
+}
+
+impl RunningControl {
+    /// Returns the address for operators.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address for links.
+    #[must_use]
+    pub fn link_address(&self) -> &str {
+        &self.link_address
+    }
+
+    /// Returns the state of the replica, or nothing if it has stopped.
+    pub async fn status(&self) -> Option<ReplicaStatus> {
+        let (reply, status) = oneshot::channel();
+        self.actor.cast(ReplicaMessage::Status(reply)).ok()?;
+        status.await.ok()
+    }
+
+    /// Hands leadership over, answers the operators that wait, and stops.
+    ///
+    /// After `grace` it stops in any case.
+    pub async fn shutdown(self, grace: Duration) {
+        let (done, drained) = oneshot::channel();
+        if self.actor.cast(ReplicaMessage::Drain(done)).is_ok() {
+            let _ = timeout(grace, drained).await;
+        }
+        self.server.shutdown(Duration::from_secs(1)).await;
+        drop(self.listener);
+        drop(self.dialers);
+        self.actor.stop(None);
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(self) {
+        self.actor.kill();
+    }
+}
+
+/// Starts a control process on a data folder, which it formats if it is empty.
+///
+/// # Errors
+///
+/// Returns an error if the folder cannot be used or an address cannot be bound.
+pub async fn start<F>(cfg: ControlConfig, folder: F) -> Result<RunningControl, ControlError>
+where
+    F: Folder + Send + 'static,
+{
+    let operators_socket = bind(&cfg.listen).await?;
+    let links = match cfg.links {
+        Some(socket) => socket,
+        None => bind(&cfg.peer_listen).await?,
+    };
+    let link_address = advertised(&cfg.advertise_peers, &links, &cfg.peer_listen)?;
+    let operators_address = advertised(&cfg.advertise_operators, &operators_socket, &cfg.listen)?;
+    let mut store = FileStore::open_or_format(folder, rand::random())?;
+    let raft = Config::builder(store.replica_id())
+        .seed(rand::random())
+        .heartbeat(cfg.heartbeat)
+        .election_timeout(cfg.election_timeout)
+        .build()?;
+    let core = CoreConfig {
+        name: cfg.name.clone(),
+        initial_members: cfg.members.iter().map(|member| member.name.clone()).collect(),
+        operators: operators_address,
+        raft,
+    };
+    let core = ControlCore::new(core, store.load()?, now())?;
+    let arguments = Arguments {
+        name: cfg.name.clone(),
+        core,
+        store,
+    };
+    let (actor, _) = Actor::spawn(None, ReplicaActor::new(), arguments)
+        .await
+        .map_err(|error| ControlError::Actor {
+            reason: error.to_string(),
+        })?;
+    let me = Identity {
+        role: Role::Control,
+        name: cfg.name.clone(),
+        process: random_process_id(),
+        address: link_address.clone(),
+    };
+    let dialers = dial_members(&cfg.members, &me, &cfg.secret, &cfg.metrics, &actor);
+    let accepted = actor.clone();
+    let listener = listen(links, me, cfg.secret, cfg.metrics, move |session| {
+        run_session(session, accepted.clone())
+    });
+    let front = Front {
+        actor: actor.clone(),
+        operators: cfg.operators,
+    };
+    let server = HttpServer::builder(operators_socket).serve(front);
+    let server = server.map_err(|source| ControlError::Listen {
+        address: cfg.listen,
+        source,
+    })?;
+    Ok(RunningControl {
+        server,
+        listener,
+        dialers,
+        link_address,
+        actor,
+    })
+}
+
+/// Dials all other members.
+///
+/// Both sides dial, because a replacement VM has a name that the others do not list.
+fn dial_members(
+    members: &[Member],
+    me: &Identity,
+    secret: &ClusterSecret,
+    metrics: &Metrics,
+    actor: &ActorRef<ReplicaMessage>,
+) -> Vec<Dialer> {
+    let others = members.iter().filter(|member| member.name != me.name);
+    let dialers = others.map(|member| {
+        let cfg = DialConfig::builder(&member.address, me.clone(), secret.clone())
+            .expect(Role::Control)
+            .metrics(metrics.clone())
+            .build();
+        let actor = actor.clone();
+        dial(cfg, PeerLinks { actor })
+    });
+    dialers.collect()
+}
+
+fn advertised(setting: &str, socket: &TcpListener, address: &str) -> Result<String, ControlError> {
+    if !setting.is_empty() {
+        return Ok(setting.to_owned());
+    }
+    let local = socket.local_addr().map_err(|source| ControlError::Listen {
+        address: address.to_owned(),
+        source,
+    })?;
+    Ok(local.to_string())
+}
+
+async fn bind(address: &str) -> Result<TcpListener, ControlError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| ControlError::Listen {
+            address: address.to_owned(),
+            source,
+        })
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,7 +1,7 @@
 //! State machine that the group replicates: the configuration and the entry view.
 
 use bytes::Bytes;
-use chestnutfork_config::{ConfigStore, Patch, PatchCommand, Verdict};
+use chestnutfork_config::{ConfigStore, PatchCommand, Verdict};
 use chestnutfork_raft::{Entry, Payload};
 use chestnutfork_types::LogIndex;
 use chestnutfork_wire::{CommandWire, StateWire, ViewWire};
@@ -24,7 +24,7 @@
     /// Nothing that others see.
     Nothing,
     /// A patch got its verdict.
-    Verdict(Patch, Verdict),
+    Verdict(Verdict),
     /// A view is in force.
     View,
 }
@@ -66,7 +66,7 @@
         Ok(match Command::from_bytes(bytes)? {
             Command::Patch(command) => {
                 let verdict = self.config.apply(&command);
-                Applied::Verdict(command.patch, verdict)
+                Applied::Verdict(verdict)
             }
             Command::View(record) => self.apply_view(record),
         })
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -61,17 +61,33 @@
         let listed =
             |info: &EntryInfo| view.members.contains(&info.process) || view.learners.contains(&info.process);
         let entries = entries.into_iter().filter(listed).collect();
+        self.announce_view(&view, &alive);
+        let command = Command::View(ViewRecord { view, entries }).to_bytes();
+        let id = NO_REQUEST;
+        self.propose(Proposal { id, command });
+    }
+
+    fn announce_view(&mut self, view: &View, alive: &[ProcessId]) {
         let notice = Notice::ViewProposed {
             view: view.number,
             members: view.members.len() as u64,
-            floor_ms: view
-                .floor
-                .map(|floor| u64::try_from(floor.as_millis()).unwrap_or(u64::MAX)),
         };
         self.outputs.push(Output::Notice(notice));
-        let command = Command::View(ViewRecord { view, entries }).to_bytes();
-        let id = NO_REQUEST;
-        self.propose(Proposal { id, command });
+        let Some(old) = self.state.view.as_ref().map(|record| &record.view) else {
+            return;
+        };
+        let Some(floor) = view.floor.filter(|&floor| Some(floor) != old.floor) else {
+            return;
+        };
+        let survivors = old.kept.iter().filter(|id| alive.contains(id)).count();
+        let quorum = old.base / 2 + 1;
+        let notice = Notice::ViewUnsafe {
+            view: view.number,
+            survivors: survivors as u64,
+            needed: (old.base - quorum + 1) as u64,
+            floor_ms: u64::try_from(floor.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.outputs.push(Output::Notice(notice));
     }
 
     fn next_view(&self, wall: SystemTime, alive: &[ProcessId]) -> Option<View> {
--- /dev/null
+++ b/crates/control/tests/processes.rs
@@ -0,0 +1,250 @@
+//! Control processes on loopback, with files on disk, operators over HTTP and a subscriber over a link.
+
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_config::{TokenHash, Update};
+use chestnutfork_control::{ControlConfig, Member, Operator, RunningControl, start};
+use chestnutfork_net::{
+    ClusterSecret, DialConfig, Dialer, HttpClient, Identity, LinkError, LinkHandler, LinkId, LinkSender,
+    Metrics, dial, http_client,
+};
+use chestnutfork_storage::DiskFolder;
+use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+
+/// Bound of every wait; the test takes a fraction of it, and fails only if a process never gets there.
+const PATIENCE: Duration = Duration::from_mins(1);
+const POLL: Duration = Duration::from_millis(20);
+
+fn secret() -> ClusterSecret {
+    ClusterSecret::new("test secret")
+}
+
+async fn start_one(name: &str, folder: &Path, links: TcpListener, members: &[Member]) -> RunningControl {
+    let operator = Operator {
+        name: "ann".into(),
+        token: TokenHash::of("token of ann"),
+    };
+    let cfg = ControlConfig::builder(name, secret())
+        .links(links)
+        .members(members)
+        .operators(vec![operator])
+        .build();
+    let folder = DiskFolder::open(folder).unwrap();
+    start(cfg, folder).await.unwrap()
+}
+
+async fn bind(address: &str) -> TcpListener {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(socket) => return socket,
+            // A killed process may still hold the address for a moment.
+            Err(_) if Instant::now() < give_up => sleep(POLL).await,
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+async fn send(
+    client: &HttpClient,
+    control: &RunningControl,
+    path: &str,
+    token: &str,
+    body: Option<&Value>,
+) -> (u16, Value) {
+    let method = if body.is_some() { "POST" } else { "GET" };
+    let body = body.map_or_else(Bytes::new, |body| Bytes::from(body.to_string()));
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{}{path}", control.address()))
+        .header("authorization", format!("Bearer {token}"))
+        .body(Full::new(body))
+        .unwrap();
+    let response = client.request(req).await.unwrap();
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+/// Sends a request until it is answered by a leader.
+async fn ask(
+    client: &HttpClient,
+    control: &RunningControl,
+    path: &str,
+    body: Option<&Value>,
+) -> (u16, Value) {
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        let answer = send(client, control, path, "token of ann", body).await;
+        if answer.0 < 500 || Instant::now() > give_up {
+            return answer;
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// Returns the position of the process that leads, once one does.
+async fn leader(group: &[RunningControl]) -> usize {
+    let give_up = Instant::now() + PATIENCE;
+    while Instant::now() < give_up {
+        for (index, control) in group.iter().enumerate() {
+            if control.status().await.is_some_and(|status| status.leads) {
+                return index;
+            }
+        }
+        sleep(POLL).await;
+    }
+    panic!("no process leads");
+}
+
+fn patch(base: u64, id: u8) -> Value {
+    json!({
+        "base": base,
+        "patch_id": format!("018f0000-0000-7000-8000-0000000000{id:02x}"),
+        "reason": "test",
+        "body": { "services": { format!("desk{id}"): { "pool": "main" } } },
+    })
+}
+
+#[derive(Clone)]
+struct Subscriber {
+    events: mpsc::UnboundedSender<ControlMessageWire>,
+}
+
+impl LinkHandler for Subscriber {
+    type In = ControlMessageWire;
+    type Out = SubscriberMessageWire;
+
+    fn opened(&self, _link: LinkId, _peer: Identity, tx: LinkSender<SubscriberMessageWire>) {
+        tx.send(SubscriberMessageWire::Subscribe(0));
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            while !events.is_closed() {
+                tx.send(SubscriberMessageWire::Renew {
+                    probe: 5,
+                    version: 0,
+                    synced: 0,
+                });
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+
+    fn received(&self, _link: LinkId, messages: Vec<ControlMessageWire>) {
+        for message in messages {
+            let _ = self.events.send(message);
+        }
+    }
+
+    fn closed(&self, _link: LinkId, _error: LinkError) {}
+}
+
+fn subscribe(control: &RunningControl) -> (Dialer, mpsc::UnboundedReceiver<ControlMessageWire>) {
+    let (events, rx) = mpsc::unbounded_channel();
+    let me = Identity {
+        role: Role::Entry,
+        name: "entry-1".into(),
+        process: 77,
+        address: "127.0.0.1:9".into(),
+    };
+    let cfg = DialConfig::builder(control.link_address(), me, secret())
+        .expect(Role::Control)
+        .metrics(Metrics::disabled())
+        .build();
+    (dial(cfg, Subscriber { events }), rx)
+}
+
+/// Waits for a version and its confirmation and a view, in any order.
+async fn see_version(rx: &mut mpsc::UnboundedReceiver<ControlMessageWire>, wanted: u64) {
+    let (mut version, mut confirmed, mut viewed) = (0, false, false);
+    while version < wanted || !confirmed || !viewed {
+        match rx.recv().await.expect("control runs") {
+            ControlMessageWire::Update(update) => version = Update::decode(&update).unwrap().version(),
+            ControlMessageWire::Confirm(confirm) => {
+                confirmed |= confirm.probe() == 5 && confirm.version() == wanted;
+            }
+            ControlMessageWire::View(_) => viewed = true,
+        }
+    }
+}
+
+/// Guards against a group that works with fakes but not with sockets and files, also over restarts of all members.
+#[tokio::test]
+async fn start_three_processes_keep_configuration() {
+    let dir = tempfile::tempdir().unwrap();
+    let client = http_client(Duration::from_secs(1));
+    let mut sockets = Vec::new();
+    let mut members = Vec::new();
+    for index in 0..3 {
+        let socket = bind("127.0.0.1:0").await;
+        members.push(Member {
+            name: format!("control-{index}"),
+            address: socket.local_addr().unwrap().to_string(),
+        });
+        sockets.push(socket);
+    }
+    let mut group = Vec::new();
+    for (member, socket) in members.iter().zip(sockets) {
+        group.push(start_one(&member.name, &dir.path().join(&member.name), socket, &members).await);
+    }
+
+    // Each operator sends to another process, so at least two requests are passed on.
+    for (index, control) in group.iter().enumerate() {
+        let index = u8::try_from(index).unwrap();
+        let (status, body) = ask(
+            &client,
+            control,
+            "/v1/patches",
+            Some(&patch(u64::from(index), index)),
+        )
+        .await;
+        assert_eq!((status, &body["version"]), (200, &json!(index + 1)), "{body}");
+    }
+    let (status, body) = ask(&client, &group[1], "/v1/patches", Some(&patch(0, 9))).await;
+    assert_eq!((status, &body["verdict"]), (409, &json!("conflict")));
+    assert_eq!(send(&client, &group[0], "/v1/status", "wrong", None).await.0, 401);
+
+    let (dialer, mut rx) = subscribe(&group[2]);
+    see_version(&mut rx, 3).await;
+    drop(dialer);
+
+    // A graceful shutdown of the leader hands over; a kill does not.
+    let addresses: Vec<String> = group
+        .iter()
+        .map(|control| control.link_address().to_owned())
+        .collect();
+    let leader = leader(&group).await;
+    group.remove(leader).shutdown(Duration::from_secs(5)).await;
+    let (status, body) = ask(&client, &group[0], "/v1/patches", Some(&patch(3, 4))).await;
+    assert_eq!(status, 200, "{body}");
+    for control in group.drain(..) {
+        control.kill();
+    }
+    for (member, address) in members.iter().zip(&addresses) {
+        let folder = dir.path().join(&member.name);
+        let socket = bind(address).await;
+        let give_up = Instant::now() + PATIENCE;
+        while DiskFolder::open(&folder).is_err() && Instant::now() < give_up {
+            sleep(POLL).await;
+        }
+        group.push(start_one(&member.name, &folder, socket, &members).await);
+    }
+    let (status, body) = ask(&client, &group[0], "/v1/audit?since=2", None).await;
+    assert_eq!(status, 200);
+    let versions: Vec<&Value> = body
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|record| &record["version"])
+        .collect();
+    assert_eq!(versions, [&json!(3), &json!(4)]);
+    assert_eq!(body[0]["operator"], json!("ann"));
+}
