--- a/crates/events/src/format.rs
+++ b/crates/events/src/format.rs
@@ -9,7 +9,7 @@
 use crate::time::rfc3339;
 
 /// Names of the key-values that identify the event; they are not data fields.
-const EVENT_KEY: &str = "event";
+pub(crate) const EVENT_KEY: &str = "event";
 const NAME_KEY: &str = "name";
 
 /// Format of log lines.
@@ -22,6 +22,21 @@
 }
 
 impl Format {
+    /// Returns the name used in settings.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(chestnutfork_events::Format::Json.as_str(), "json");
+    /// ```
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        }
+    }
+
     /// Returns the format of a name used in settings.
     ///
     /// # Examples
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod handshake;
 mod operator;
+mod peer;
 mod raft;
 mod subscription;
 
@@ -19,6 +20,7 @@
     AcceptedBody, AuditBody, ConfigBody, DifferenceBody, MemberBody, OperatorBodyError, OperatorErrorBody,
     PatchBody, ReplaceBody, StatusBody, SubscriberBody, SwapBody, VerdictBody, ViolationBody, operator_json,
 };
+pub use peer::{PeerMessageWire, PeerWireError};
 pub use raft::{
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
     ReplicaHelloWire, ReplicaMessageWire, StateWire,
