control, wire, raft: Use the operator interface of the operator crate

Cause: the operator crate defines the JSON bodies and the client; control had a second set in `wire`.

Change: control answers with the bodies of `operator`, and the module `wire::operator` is gone. A replacement that was begun or finished before answers the present state. Status lists candidates and lost replicas with their log positions, for which `Raft::progress` is new. Subscribers tell their failure domain.

Conclusion: `chestnutfork patch` and the other commands can talk to control.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -2,10 +2,11 @@
 
 use bytes::Bytes;
 use chestnutfork_config::Verdict;
-use chestnutfork_raft::RefusedBecause;
-use chestnutfork_wire::{
-    AcceptedBody, AuditBody, ConfigBody, OperatorErrorBody, StatusBody, VerdictBody, operator_json,
+use chestnutfork_operator::body::{
+    AuditBody, ConfigBody, ErrorBody, OUTCOME_UNKNOWN, StatusBody, VerdictBody,
 };
+use chestnutfork_raft::RefusedBecause;
+use serde::Serialize;
 
 use crate::message::Reply;
 
@@ -14,13 +15,12 @@
 pub(crate) enum Answer {
     Verdict(Verdict),
     Status(StatusBody),
-    Audit(Vec<AuditBody>),
+    Audit(AuditBody),
     Config(ConfigBody),
-    /// A replacement began.
-    Replacing,
     /// Nothing was done; the request can be sent again.
     Unavailable {
         reason: &'static str,
+        /// Operator address of the leader as far as known.
         leader: Option<String>,
     },
     /// The request may have been done; the same patch id tells.
@@ -50,41 +50,39 @@
     pub(crate) fn into_reply(self) -> Reply {
         match self {
             Self::Verdict(verdict) => {
-                let status = match verdict {
-                    Verdict::Accepted { .. } => 200,
-                    Verdict::Conflict { .. } => 409,
-                    Verdict::Invalid { .. } => 422,
-                };
-                reply(status, operator_json(&VerdictBody::from(verdict)))
-            }
-            Self::Status(status) => reply(200, operator_json(&status)),
-            Self::Audit(records) => reply(200, operator_json(&records)),
-            Self::Config(config) => reply(200, operator_json(&config)),
-            Self::Replacing => {
-                let message = "replacement begun; `chestnutfork status` shows its progress".to_owned();
-                reply(202, operator_json(&AcceptedBody { message }))
+                let body = VerdictBody::from(verdict);
+                reply(body.status(), &body)
             }
-            Self::Unavailable { reason, leader } => error(503, "unavailable", reason.to_owned(), leader),
+            Self::Status(status) => reply(200, &status),
+            Self::Audit(records) => reply(200, &records),
+            Self::Config(config) => reply(200, &config),
+            Self::Unavailable { reason, leader } => unavailable(reason, leader),
             Self::Unknown => {
                 let message = "the outcome is not known yet; send the request again with the same patch id";
-                error(504, "outcome_unknown", message.to_owned(), None)
+                error(503, OUTCOME_UNKNOWN, message)
             }
-            Self::Refused(message) => error(409, "refused", message, None),
+            Self::Refused(message) => error(409, "refused", message),
         }
     }
 }
 
-fn reply(status: u16, body: Vec<u8>) -> Reply {
-    let body = Bytes::from(body);
-    Reply { status, body }
+fn unavailable(reason: &str, leader: Option<String>) -> Reply {
+    let body = ErrorBody::new("unavailable", reason);
+    // An operator address that is a host name cannot be passed on in the body.
+    let leader = leader.and_then(|leader| leader.parse().ok());
+    let body = match leader {
+        Some(leader) => body.with_leader(leader),
+        None => body,
+    };
+    reply(503, &body)
 }
 
-pub(crate) fn error(status: u16, code: &str, message: String, leader: Option<String>) -> Reply {
-    let code = code.to_owned();
-    let body = OperatorErrorBody {
-        code,
-        message,
-        leader,
-    };
-    reply(status, operator_json(&body))
+pub(crate) fn error(status: u16, code: &str, message: impl Into<String>) -> Reply {
+    reply(status, &ErrorBody::new(code, message))
+}
+
+fn reply<T: Serialize>(status: u16, body: &T) -> Reply {
+    let body = serde_json::to_vec(body).expect("bodies have string keys only");
+    let body = Bytes::from(body);
+    Reply { status, body }
 }
--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -26,6 +26,7 @@
             process: info.process,
             name: info.name,
             address: info.address,
+            failure_domain: info.failure_domain,
         }
     }
 }
@@ -36,6 +37,7 @@
             process: wire.process,
             name: wire.name,
             address: wire.address,
+            failure_domain: wire.failure_domain,
         }
     }
 }
@@ -110,7 +112,7 @@
             OperatorRequest::Status => Self::Status,
             OperatorRequest::Audit { since } => Self::Audit(since),
             OperatorRequest::Config => Self::Config,
-            OperatorRequest::Replace { remove, add } => Self::Replace(remove, add),
+            OperatorRequest::Replace { remove, add, reason } => Self::Replace(remove, add, reason),
         }
     }
 }
@@ -134,7 +136,7 @@
         OperatorRequestWire::Status => OperatorRequest::Status,
         OperatorRequestWire::Audit(since) => OperatorRequest::Audit { since },
         OperatorRequestWire::Config => OperatorRequest::Config,
-        OperatorRequestWire::Replace(remove, add) => OperatorRequest::Replace { remove, add },
+        OperatorRequestWire::Replace(remove, add, reason) => OperatorRequest::Replace { remove, add, reason },
     })
 }
 
@@ -202,7 +204,9 @@
 impl From<SubscriberMessageWire> for SubscriberMessage {
     fn from(wire: SubscriberMessageWire) -> Self {
         match wire {
-            SubscriberMessageWire::Subscribe(version) => Self::Subscribe(version),
+            SubscriberMessageWire::Subscribe { have, failure_domain } => {
+                Self::Subscribe { have, failure_domain }
+            }
             SubscriberMessageWire::Ack(version) => Self::Ack(version),
             SubscriberMessageWire::Renew {
                 probe,
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -145,8 +145,8 @@
     pub fn handle(&mut self, now: Instant, wall: SystemTime, event: Event) {
         match event {
             Event::Tick => self.on_tick(now, wall),
-            Event::PeerUp { link, name } => {
-                self.peers.up(link, name);
+            Event::PeerUp { link, name, address } => {
+                self.peers.up(link, name, address);
                 let hello = self.hello();
                 self.outputs.push(Output::ToPeer(link, hello));
             }
@@ -160,7 +160,7 @@
             Event::SubscriberDown { link } => self.subscribers.down(link),
             Event::FromSubscriber { link, messages } => {
                 for message in messages {
-                    self.on_subscriber_message(now, link, &message);
+                    self.on_subscriber_message(now, link, message);
                 }
             }
             Event::Operator {
@@ -283,9 +283,10 @@
         }
     }
 
-    fn on_subscriber_message(&mut self, now: Instant, link: u64, message: &SubscriberMessage) {
-        match *message {
-            SubscriberMessage::Subscribe(have) => {
+    fn on_subscriber_message(&mut self, now: Instant, link: u64, message: SubscriberMessage) {
+        match message {
+            SubscriberMessage::Subscribe { have, failure_domain } => {
+                self.subscribers.located(link, failure_domain);
                 self.subscribers
                     .subscribe(link, have, &self.state, &mut self.outputs);
             }
@@ -316,7 +317,7 @@
             }
             Action::Restore(snapshot) => self.restore(&snapshot)?,
             Action::Proposed { id, index, term } => self.requests.proposed(id, index, term),
-            Action::ReadReady { id, .. } => self.on_read_ready(wall, id),
+            Action::ReadReady { id, .. } => self.on_read_ready(now, wall, id),
             Action::Refused { id, because } | Action::ReadRefused { id, because } => {
                 self.on_refused(id, because);
             }
@@ -350,7 +351,7 @@
             Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
             Applied::Nothing => {}
         }
-        self.answer_applied(index, term, applied);
+        self.answer_applied(now, index, term, applied);
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,11 +1,13 @@
 //! HTTP interface of operators.
 
 use bytes::Bytes;
-use chestnutfork_config::{Patch, TokenHash};
+use chestnutfork_config::TokenHash;
 use chestnutfork_events::{ControlEvent, emit};
 use chestnutfork_net::{Body, HttpHandler, bearer_token};
+use chestnutfork_operator::body::{
+    AUDIT_PATH, CONFIG_PATH, PATCHES_PATH, PatchBody, REPLACE_PATH, ReplaceBody, STATUS_PATH,
+};
 use chestnutfork_types::OperatorName;
-use chestnutfork_wire::{OperatorBodyError, PatchBody, ReplaceBody};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
@@ -57,16 +59,19 @@
 
     async fn route(&self, operator: OperatorName, req: &Request<Bytes>) -> Reply {
         let request = match (req.method(), req.uri().path()) {
-            (&Method::POST, "/v1/patches") => patch(&operator, req.body()),
-            (&Method::POST, "/v1/replace") => replace(req.body()),
-            (&Method::GET, "/v1/status") => Ok(OperatorRequest::Status),
-            (&Method::GET, "/v1/config") => Ok(OperatorRequest::Config),
-            (&Method::GET, "/v1/audit") => Ok(audit(req.uri().query().unwrap_or_default())),
-            _ => return error(404, "not_found", "no such path; see docs/API.md".to_owned(), None),
+            (&Method::POST, PATCHES_PATH) => patch(&operator, req.body()),
+            (&Method::POST, REPLACE_PATH) => replace(req.body()),
+            (&Method::GET, STATUS_PATH) => Ok(OperatorRequest::Status),
+            (&Method::GET, CONFIG_PATH) => Ok(OperatorRequest::Config),
+            (&Method::GET, AUDIT_PATH) => Ok(audit(req.uri().query().unwrap_or_default())),
+            _ => return error(404, "not_found", "no such path; see docs/OPERATIONS.md"),
         };
         match request {
             Ok(request) => self.ask(operator, request).await,
-            Err(problem) => error(400, "bad_request", problem.to_string(), None),
+            Err(problem) => {
+                let message = format!("the body has another form: {problem}; see docs/OPERATIONS.md");
+                error(400, "bad_request", message)
+            }
         }
     }
 
@@ -81,28 +86,25 @@
         let answer = if sent { answer.await.ok() } else { None };
         answer.unwrap_or_else(|| {
             let message = "this process is stopping; send the request with the same patch id to another one";
-            error(503, "stopping", message.to_owned(), None)
+            error(503, "stopping", message)
         })
     }
 }
 
-fn patch(operator: &str, body: &[u8]) -> Result<OperatorRequest, OperatorBodyError> {
-    let body = PatchBody::parse(body)?;
-    let id = body.id()?;
+fn patch(operator: &OperatorName, body: &[u8]) -> serde_json::Result<OperatorRequest> {
+    let body: PatchBody = serde_json::from_slice(body)?;
     let dry_run = body.dry_run;
-    let patch = Patch {
-        base: body.base,
-        id,
-        operator: operator.to_owned(),
-        reason: body.reason,
-        body: body.body,
-    };
+    let patch = body.into_patch(operator.clone());
     Ok(OperatorRequest::Patch { patch, dry_run })
 }
 
-fn replace(body: &[u8]) -> Result<OperatorRequest, OperatorBodyError> {
-    let (remove, add) = ReplaceBody::parse(body)?.replicas()?;
-    Ok(OperatorRequest::Replace { remove, add })
+fn replace(body: &[u8]) -> serde_json::Result<OperatorRequest> {
+    let body: ReplaceBody = serde_json::from_slice(body)?;
+    Ok(OperatorRequest::Replace {
+        remove: body.old,
+        add: body.new,
+        reason: body.reason,
+    })
 }
 
 /// Reads `since=N`; without it, all records are wanted.
@@ -119,7 +121,7 @@
         address: "",
         reason: "no bearer token of a known operator",
     });
-    error(401, "not_authenticated", message.to_owned(), None)
+    error(401, "not_authenticated", message)
 }
 
 fn response(reply: Reply) -> Response<Body> {
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -21,6 +21,7 @@
     pub(crate) is_entry: bool,
     pub(crate) version: ConfigVersion,
     pub(crate) synced: ViewNumber,
+    pub(crate) renewed_at: Instant,
     expires: Instant,
 }
 
@@ -43,6 +44,7 @@
                 is_entry: true,
                 version: 0,
                 synced: 0,
+                renewed_at: now,
                 // Subscribers first have to find a control process that has a link to this leader.
                 expires: now + 2 * ENTRY_LEASE,
             };
@@ -70,6 +72,7 @@
             is_entry: renewal.is_entry,
             version: renewal.version,
             synced: renewal.synced,
+            renewed_at: now.checked_sub(renewal.age).unwrap_or(now),
             expires,
         };
         self.leases.insert(process, lease);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod persist;
 mod replica;
+mod report;
 mod requests;
 mod run;
 mod state;
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -20,8 +20,7 @@
 
     fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<ReplicaMessageWire>) {
         // A stopped actor needs no events; the same holds below.
-        let name = peer.name;
-        drop(self.actor.cast(ReplicaMessage::PeerUp { link, name, tx }));
+        drop(self.actor.cast(ReplicaMessage::PeerUp { link, peer, tx }));
     }
 
     fn received(&self, link: LinkId, messages: Vec<ReplicaMessageWire>) {
@@ -68,6 +67,7 @@
                 process: peer.process,
                 name: peer.name,
                 address: peer.address,
+                failure_domain: String::new(),
             },
         };
         drop(
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -7,7 +7,9 @@
 use chestnutfork_net::LinkId;
 use chestnutfork_raft::Message;
 use chestnutfork_register::View;
-use chestnutfork_types::{ConfigVersion, NodeName, OperatorName, ProcessId, ReplicaId, ViewNumber};
+use chestnutfork_types::{
+    ConfigVersion, FailureDomain, NodeName, OperatorName, ProcessId, ReplicaId, ViewNumber,
+};
 
 /// Number of a request within one control process.
 pub type RequestId = u64;
@@ -36,6 +38,8 @@
     pub name: NodeName,
     /// Address for links; empty for agents.
     pub address: String,
+    /// Failure domain from the settings.
+    pub failure_domain: FailureDomain,
 }
 
 /// Renewal of the lease of an entry or agent.
@@ -80,6 +84,8 @@
         remove: ReplicaId,
         /// Replica that takes its place.
         add: ReplicaId,
+        /// Reason for the log.
+        reason: String,
     },
 }
 
@@ -138,7 +144,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubscriberMessage {
     /// Asks for everything newer than a version.
-    Subscribe(ConfigVersion),
+    Subscribe {
+        /// Version in force.
+        have: ConfigVersion,
+        /// Failure domain of the sender.
+        failure_domain: FailureDomain,
+    },
     /// Tells which version is in force.
     Ack(ConfigVersion),
     /// Renews the lease and asks for a confirmation.
@@ -194,6 +205,8 @@
         link: LinkId,
         /// Name of the process.
         name: NodeName,
+        /// Address of the process for links.
+        address: String,
     },
     /// A link to another control process is closed.
     PeerDown {
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -4,9 +4,9 @@
 
 use chestnutfork_config::{Patch, PatchCommand, Verdict};
 use chestnutfork_net::LinkId;
+use chestnutfork_operator::body::ConfigBody;
 use chestnutfork_raft::{MembershipChange, Proposal, RefusedBecause, Swap};
-use chestnutfork_types::{ConfigVersion, LogIndex, OperatorName, Term};
-use chestnutfork_wire::{AuditBody, ConfigBody, MemberBody, StatusBody, SubscriberBody, SwapBody};
+use chestnutfork_types::{LogIndex, OperatorName, ReplicaId, Term};
 
 use crate::answer::Answer;
 use crate::core::ControlCore;
@@ -91,7 +91,8 @@
             } if !self.is_invalid(&patch) => {
                 self.propose_patch(wall, id, patch);
             }
-            OperatorRequest::Replace { remove, add } => {
+            // A replacement that was begun or finished before is answered with its present state.
+            OperatorRequest::Replace { remove, add, .. } if !self.is_replaced(remove, add) => {
                 let change = MembershipChange::Replace(Swap { remove, add });
                 self.change_members(id, change);
             }
@@ -99,6 +100,12 @@
         }
     }
 
+    fn is_replaced(&self, remove: ReplicaId, add: ReplicaId) -> bool {
+        let members = self.raft.membership();
+        let finished = members.is_voter(add) && !members.contains(remove);
+        finished || members.swap == Some(Swap { remove, add })
+    }
+
     fn is_invalid(&self, patch: &Patch) -> bool {
         matches!(self.state.config.dry_run(patch), Verdict::Invalid { .. })
     }
@@ -110,7 +117,7 @@
     }
 
     /// Answers a read, now that this replica has proved that it leads.
-    pub(crate) fn on_read_ready(&mut self, wall: SystemTime, id: RequestId) {
+    pub(crate) fn on_read_ready(&mut self, now: Instant, wall: SystemTime, id: RequestId) {
         let Some(pending) = self.requests.get(id).cloned() else {
             return;
         };
@@ -124,20 +131,19 @@
                 return;
             }
             OperatorRequest::Patch { patch, .. } => Answer::Verdict(self.state.config.dry_run(&patch)),
-            OperatorRequest::Status => Answer::Status(self.status()),
+            OperatorRequest::Status | OperatorRequest::Replace { .. } => Answer::Status(self.status(now)),
             OperatorRequest::Audit { since } => Answer::Audit(self.audit(since)),
             OperatorRequest::Config => Answer::Config(ConfigBody {
                 version: self.version(),
                 document: self.state.config.redacted(),
             }),
-            OperatorRequest::Replace { .. } => return,
         };
         self.requests.take(id);
         self.answer(pending.origin, answer);
     }
 
     /// Answers the request whose proposal lay at a committed position.
-    pub(crate) fn answer_applied(&mut self, index: LogIndex, term: Term, applied: Applied) {
+    pub(crate) fn answer_applied(&mut self, now: Instant, index: LogIndex, term: Term, applied: Applied) {
         let Some(pending) = self.requests.take_at(index) else {
             return;
         };
@@ -151,7 +157,7 @@
                 self.outputs.push(Output::Notice(notice));
                 Answer::Verdict(verdict)
             }
-            (_, &OperatorRequest::Replace { remove, add }) if won => {
+            (_, &OperatorRequest::Replace { remove, add, .. }) if won => {
                 let operator = pending.operator.clone();
                 let notice = Notice::MemberReplaced {
                     remove,
@@ -159,7 +165,7 @@
                     operator,
                 };
                 self.outputs.push(Output::Notice(notice));
-                Answer::Replacing
+                Answer::Status(self.status(now))
             }
             // Another leader's entry took the position, so the proposal is lost for good.
             _ => Answer::Unavailable {
@@ -211,58 +217,4 @@
         let leader = self.raft.leader()?;
         self.peers.operators(leader).map(str::to_owned)
     }
-
-    fn status(&self) -> StatusBody {
-        let members = self.raft.membership();
-        let others = self
-            .peers
-            .replicas()
-            .into_iter()
-            .filter(|&id| !members.contains(id));
-        let listed = members.members().chain(others);
-        let member = |id| MemberBody {
-            replica: format!("{id:016x}"),
-            name: (id == self.replica() || self.peers.link(id).is_some()).then(|| self.name_of(id)),
-            voter: members.is_voter(id),
-            member: members.contains(id),
-        };
-        let subscriber = |lease: &crate::leases::Lease| SubscriberBody {
-            name: lease.info.name.clone(),
-            role: if lease.is_entry { "entry" } else { "agent" }.to_owned(),
-            version: lease.version,
-        };
-        StatusBody {
-            leader: self.cfg.name.clone(),
-            term: self.raft.term(),
-            commit: self.raft.commit(),
-            version: self.version(),
-            view: self.state.view_number(),
-            members: listed.map(member).collect(),
-            replacing: members.swap.map(|swap| SwapBody {
-                remove: format!("{:016x}", swap.remove),
-                add: format!("{:016x}", swap.add),
-            }),
-            subscribers: self.leases.live().map(subscriber).collect(),
-        }
-    }
-
-    /// Returns the audit records above a version, with where each version is in force now.
-    fn audit(&self, since: ConfigVersion) -> Vec<AuditBody> {
-        let subscribers = self.leases.live().count() as u64;
-        let records = self.state.config.audit_since(since).cloned();
-        let body = |record: chestnutfork_config::AuditRecord| {
-            let version = record.version;
-            let in_force = self
-                .leases
-                .live()
-                .filter(|lease| lease.version >= version)
-                .count();
-            AuditBody {
-                in_force: in_force as u64,
-                subscribers,
-                ..AuditBody::from(record)
-            }
-        };
-        records.map(body).collect()
-    }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -10,6 +10,7 @@
 #[derive(Debug)]
 struct Peer {
     name: NodeName,
+    address: String,
     /// Replica at the other end, once it introduced itself.
     replica: Option<ReplicaId>,
 }
@@ -21,12 +22,19 @@
 pub(crate) struct Peers {
     links: IndexMap<LinkId, Peer>,
     hellos: IndexMap<NodeName, ReplicaHello>,
+    /// Every replica that ever introduced itself, with its name.
+    names: IndexMap<ReplicaId, NodeName>,
 }
 
 impl Peers {
-    pub(crate) fn up(&mut self, link: LinkId, name: NodeName) {
+    pub(crate) fn up(&mut self, link: LinkId, name: NodeName, address: String) {
         let replica = None;
-        self.links.insert(link, Peer { name, replica });
+        let peer = Peer {
+            name,
+            address,
+            replica,
+        };
+        self.links.insert(link, peer);
     }
 
     pub(crate) fn down(&mut self, link: LinkId) {
@@ -36,6 +44,7 @@
     pub(crate) fn hello(&mut self, link: LinkId, hello: ReplicaHello) {
         if let Some(peer) = self.links.get_mut(&link) {
             peer.replica = Some(hello.replica);
+            self.names.insert(hello.replica, peer.name.clone());
             self.hellos.insert(peer.name.clone(), hello);
         }
     }
@@ -54,10 +63,15 @@
         &self.hellos
     }
 
-    /// Returns the name of a replica with an open link.
+    /// Returns the name of a replica, also after its link has closed.
     pub(crate) fn name(&self, replica: ReplicaId) -> Option<&str> {
+        self.names.get(&replica).map(String::as_str)
+    }
+
+    /// Returns the address for links of a replica with an open link.
+    pub(crate) fn address(&self, replica: ReplicaId) -> Option<&str> {
         let link = self.link(replica)?;
-        self.links.get(&link).map(|peer| peer.name.as_str())
+        self.links.get(&link).map(|peer| peer.address.as_str())
     }
 
     /// Returns the operator address of a replica, also after its link has closed.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use chestnutfork_events::{ControlEvent, emit};
-use chestnutfork_net::{LinkId, LinkSender, Wakeup, now};
+use chestnutfork_net::{Identity, LinkId, LinkSender, Wakeup, now};
 use chestnutfork_storage::{LogStore, StorageError, Stored};
 use chestnutfork_types::{ConfigVersion, NodeName, OperatorName};
 use chestnutfork_wire::{ControlMessageWire, ReplicaMessageWire};
@@ -42,7 +42,7 @@
     /// A link to another control process is open.
     PeerUp {
         link: LinkId,
-        name: NodeName,
+        peer: Identity,
         tx: LinkSender<ReplicaMessageWire>,
     },
     /// A link to another control process is closed.
@@ -166,9 +166,10 @@
         match message {
             ReplicaMessage::Event(event) => self.event(event),
             ReplicaMessage::Tick => self.event(Event::Tick),
-            ReplicaMessage::PeerUp { link, name, tx } => {
+            ReplicaMessage::PeerUp { link, peer, tx } => {
                 self.peers.insert(link, tx);
-                self.event(Event::PeerUp { link, name });
+                let Identity { name, address, .. } = peer;
+                self.event(Event::PeerUp { link, name, address });
             }
             ReplicaMessage::PeerDown { link } => {
                 self.peers.swap_remove(&link);
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use chestnutfork_net::LinkId;
-use chestnutfork_types::{ConfigVersion, ViewNumber};
+use chestnutfork_types::{ConfigVersion, FailureDomain, ViewNumber};
 use indexmap::IndexMap;
 
 use crate::message::{ControlMessage, Output, Renewal, SubscriberIdentity};
@@ -45,6 +45,13 @@
         self.links.swap_remove(&link);
     }
 
+    /// Notes where a subscriber runs.
+    pub(crate) fn located(&mut self, link: LinkId, failure_domain: FailureDomain) {
+        if let Some(subscriber) = self.links.get_mut(&link) {
+            subscriber.identity.info.failure_domain = failure_domain;
+        }
+    }
+
     /// Sends what a subscriber lacks from a version on, and the view.
     pub(crate) fn subscribe(
         &mut self,
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -25,5 +25,5 @@
 pub use event::{Action, Event, Proposal, ReadId, RefusedBecause, RequestId};
 pub use membership::{ChangeError, Membership, MembershipChange, Swap};
 pub use message::{Message, MessageBody};
-pub use raft::{Raft, Role};
+pub use raft::{Progress, Raft, Role};
 pub use verify::{Verifier, Violation};
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -32,6 +32,17 @@
     Leader,
 }
 
+/// What a leader knows about another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The member.
+    pub replica: ReplicaId,
+    /// Last position that it has acknowledged.
+    pub matched: LogIndex,
+    /// Whether it replied within an election timeout.
+    pub alive: bool,
+}
+
 /// One replica of the log.
 #[derive(Debug)]
 pub struct Raft {
@@ -184,6 +195,18 @@
         self.log.entries()
     }
 
+    /// Returns what this leader knows about each other member; other roles know nothing.
+    #[must_use]
+    pub fn progress(&self, now: Instant) -> Vec<Progress> {
+        let peers = self.leadership.iter().flat_map(|lead| &lead.peers);
+        let progress = peers.map(|peer| Progress {
+            replica: peer.id,
+            matched: peer.matched,
+            alive: self.is_alive(peer, now),
+        });
+        progress.collect()
+    }
+
     /// Reports whether the storage accepts writes as far as known.
     #[must_use]
     pub fn storage_ok(&self) -> bool {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,7 +7,6 @@
 mod caller;
 mod codec;
 mod handshake;
-mod operator;
 mod peer;
 mod raft;
 mod subscription;
@@ -16,10 +15,6 @@
 pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
 pub use codec::{CodecError, decode, decode_frame, encode};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
-pub use operator::{
-    AcceptedBody, AuditBody, ConfigBody, DifferenceBody, MemberBody, OperatorBodyError, OperatorErrorBody,
-    PatchBody, ReplaceBody, StatusBody, SubscriberBody, SwapBody, VerdictBody, ViolationBody, operator_json,
-};
 pub use peer::{PeerMessageWire, PeerWireError};
 pub use raft::{
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
--- a/crates/wire/src/raft.rs
+++ b/crates/wire/src/raft.rs
@@ -106,9 +106,9 @@
     /// Asks for the configuration document.
     #[serde(rename = "c")]
     Config,
-    /// Replaces a control member: old and new replica.
+    /// Replaces a control member: old and new replica, and the reason.
     #[serde(rename = "r")]
-    Replace(u64, u64),
+    Replace(u64, u64, String),
 }
 
 /// Wire form of [`Message`].
--- a/crates/wire/src/subscription.rs
+++ b/crates/wire/src/subscription.rs
@@ -12,7 +12,14 @@
 pub enum SubscriberMessageWire {
     /// Asks for everything newer than a version; first on every link, and again after a missing update.
     #[serde(rename = "s")]
-    Subscribe(u64),
+    Subscribe {
+        /// Version in force.
+        #[serde(rename = "v")]
+        have: u64,
+        /// Failure domain of the sender.
+        #[serde(rename = "d")]
+        failure_domain: String,
+    },
     /// Tells which version is in force.
     #[serde(rename = "a")]
     Ack(u64),
@@ -115,6 +122,9 @@
     /// Address for links.
     #[serde(rename = "a")]
     pub address: String,
+    /// Failure domain.
+    #[serde(rename = "d")]
+    pub failure_domain: String,
 }
 
 /// View of the entries.
