--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -145,8 +145,8 @@
     pub fn handle(&mut self, now: Instant, wall: SystemTime, event: Event) {
         match event {
             Event::Tick => self.on_tick(now, wall),
-            Event::PeerUp { link, name } => {
-                self.peers.up(link, name);
+            Event::PeerUp { link, name, address } => {
+                self.peers.up(link, name, address);
                 let hello = self.hello();
                 self.outputs.push(Output::ToPeer(link, hello));
             }
@@ -160,7 +160,7 @@
             Event::SubscriberDown { link } => self.subscribers.down(link),
             Event::FromSubscriber { link, messages } => {
                 for message in messages {
-                    self.on_subscriber_message(now, link, &message);
+                    self.on_subscriber_message(now, link, message);
                 }
             }
             Event::Operator {
@@ -283,9 +283,10 @@
         }
     }
 
-    fn on_subscriber_message(&mut self, now: Instant, link: u64, message: &SubscriberMessage) {
-        match *message {
-            SubscriberMessage::Subscribe(have) => {
+    fn on_subscriber_message(&mut self, now: Instant, link: u64, message: SubscriberMessage) {
+        match message {
+            SubscriberMessage::Subscribe { have, failure_domain } => {
+                self.subscribers.located(link, failure_domain);
                 self.subscribers
                     .subscribe(link, have, &self.state, &mut self.outputs);
             }
@@ -316,7 +317,7 @@
             }
             Action::Restore(snapshot) => self.restore(&snapshot)?,
             Action::Proposed { id, index, term } => self.requests.proposed(id, index, term),
-            Action::ReadReady { id, .. } => self.on_read_ready(wall, id),
+            Action::ReadReady { id, .. } => self.on_read_ready(now, wall, id),
             Action::Refused { id, because } | Action::ReadRefused { id, because } => {
                 self.on_refused(id, because);
             }
@@ -339,13 +340,10 @@
 
     fn on_applied(&mut self, now: Instant, index: LogIndex, term: u64, applied: Applied) {
         match &applied {
-            Applied::Verdict(patch, verdict) => {
-                if self.is_leader() {
-                    let (patch, verdict) = (patch.clone(), verdict.clone());
-                    self.outputs
-                        .push(Output::Notice(Notice::Verdict { patch, verdict }));
-                }
-                if let Some(version) = verdict.accepted_version() {
+            Applied::Verdict(verdict) => {
+                // Entries of earlier terms are applied again after a restart and are old by then.
+                let version = verdict.accepted_version().filter(|_| term == self.raft.term());
+                if let Some(version) = version {
                     self.leases.rolled_out(now, version);
                 }
                 self.subscribers.distribute(&self.state, &mut self.outputs);
@@ -353,7 +351,7 @@
             Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
             Applied::Nothing => {}
         }
-        self.answer_applied(index, term, applied);
+        self.answer_applied(now, index, term, applied);
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
@@ -433,8 +431,13 @@
             Formation::Ready(members) => self.to_form = Some(members.clone()),
             Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
             Formation::Waiting { missing } => {
-                let missing = missing.clone();
-                self.outputs.push(Output::Notice(Notice::Forming { missing }));
+                let members = self.cfg.initial_members.len() as u64;
+                let notice = Notice::Forming {
+                    known: members.saturating_sub(missing.len() as u64),
+                    members,
+                    missing: missing.clone(),
+                };
+                self.outputs.push(Output::Notice(notice));
             }
         }
         self.formation = Some(decided);
--- /dev/null
+++ b/crates/control/src/front.rs
@@ -0,0 +1,137 @@
+//! HTTP interface of operators.
+
+use bytes::Bytes;
+use chestnutfork_config::TokenHash;
+use chestnutfork_events::{ControlEvent, emit};
+use chestnutfork_net::{Body, HttpHandler, bearer_token};
+use chestnutfork_operator::body::{
+    AUDIT_PATH, CONFIG_PATH, PATCHES_PATH, PatchBody, REPLACE_PATH, ReplaceBody, STATUS_PATH,
+};
+use chestnutfork_types::OperatorName;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use ractor::ActorRef;
+use tokio::sync::oneshot;
+
+use crate::answer::error;
+use crate::message::{OperatorRequest, Reply};
+use crate::replica::ReplicaMessage;
+
+/// Operator who may send requests.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// Name for the audit trail.
+    pub name: OperatorName,
+    /// Hash of the bearer token.
+    pub token: TokenHash,
+}
+
+/// Handler of the requests of operators.
+#[derive(Clone, Debug)]
+pub(crate) struct Front {
+    pub(crate) actor: ActorRef<ReplicaMessage>,
+    pub(crate) operators: Vec<Operator>,
+}
+
+impl HttpHandler for Front {
+    async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
+        let reply = match self.authenticate(&req) {
+            Some(operator) => self.route(operator, &req).await,
+            None => reject(),
+        };
+        response(reply)
+    }
+}
+
+impl Front {
+    /// Returns the operator of the bearer token; all tokens are compared, each in constant time.
+    fn authenticate(&self, req: &Request<Bytes>) -> Option<OperatorName> {
+        let token = TokenHash::of(bearer_token(req)?);
+        let mut found = None;
+        for operator in &self.operators {
+            if operator.token.matches(&token) {
+                found = Some(operator.name.clone());
+            }
+        }
+        found
+    }
+
+    async fn route(&self, operator: OperatorName, req: &Request<Bytes>) -> Reply {
+        let request = match (req.method(), req.uri().path()) {
+            (&Method::POST, PATCHES_PATH) => patch(&operator, req.body()),
+            (&Method::POST, REPLACE_PATH) => replace(req.body()),
+            (&Method::GET, STATUS_PATH) => Ok(OperatorRequest::Status),
+            (&Method::GET, CONFIG_PATH) => Ok(OperatorRequest::Config),
+            (&Method::GET, AUDIT_PATH) => Ok(audit(req.uri().query().unwrap_or_default())),
+            _ => return error(404, "not_found", "no such path; see docs/OPERATIONS.md"),
+        };
+        match request {
+            Ok(request) => self.ask(operator, request).await,
+            Err(problem) => {
+                let message = format!("the body has another form: {problem}; see docs/OPERATIONS.md");
+                error(400, "bad_request", message)
+            }
+        }
+    }
+
+    async fn ask(&self, operator: OperatorName, request: OperatorRequest) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        let message = ReplicaMessage::Operator {
+            operator,
+            request,
+            reply,
+        };
+        let sent = self.actor.cast(message).is_ok();
+        let answer = if sent { answer.await.ok() } else { None };
+        answer.unwrap_or_else(|| {
+            let message = "this process is stopping; send the request with the same patch id to another one";
+            error(503, "stopping", message)
+        })
+    }
+}
+
+fn patch(operator: &OperatorName, body: &[u8]) -> serde_json::Result<OperatorRequest> {
+    let body: PatchBody = serde_json::from_slice(body)?;
+    let dry_run = body.dry_run;
+    let patch = body.into_patch(operator.clone());
+    Ok(OperatorRequest::Patch { patch, dry_run })
+}
+
+fn replace(body: &[u8]) -> serde_json::Result<OperatorRequest> {
+    let body: ReplaceBody = serde_json::from_slice(body)?;
+    Ok(OperatorRequest::Replace {
+        remove: body.old,
+        add: body.new,
+        reason: body.reason,
+    })
+}
+
+/// Reads `since=N`; without it, all records are wanted.
+fn audit(query: &str) -> OperatorRequest {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let since = pairs.find(|(key, _)| *key == "since").map(|(_, value)| value);
+    let since = since.and_then(|value| value.parse().ok()).unwrap_or(0);
+    OperatorRequest::Audit { since }
+}
+
+fn reject() -> Reply {
+    let message = "the bearer token belongs to no operator; see `operators` in control's settings";
+    emit(&ControlEvent::OperatorRejected {
+        address: "",
+        reason: "no bearer token of a known operator",
+    });
+    error(401, "not_authenticated", message)
+}
+
+fn response(reply: Reply) -> Response<Body> {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    response
+}
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -7,7 +7,9 @@
 use chestnutfork_net::LinkId;
 use chestnutfork_raft::Message;
 use chestnutfork_register::View;
-use chestnutfork_types::{ConfigVersion, NodeName, OperatorName, ProcessId, ReplicaId, ViewNumber};
+use chestnutfork_types::{
+    ConfigVersion, FailureDomain, NodeName, OperatorName, ProcessId, ReplicaId, ViewNumber,
+};
 
 /// Number of a request within one control process.
 pub type RequestId = u64;
@@ -36,6 +38,8 @@
     pub name: NodeName,
     /// Address for links; empty for agents.
     pub address: String,
+    /// Failure domain from the settings.
+    pub failure_domain: FailureDomain,
 }
 
 /// Renewal of the lease of an entry or agent.
@@ -80,6 +84,8 @@
         remove: ReplicaId,
         /// Replica that takes its place.
         add: ReplicaId,
+        /// Reason for the log.
+        reason: String,
     },
 }
 
@@ -138,7 +144,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubscriberMessage {
     /// Asks for everything newer than a version.
-    Subscribe(ConfigVersion),
+    Subscribe {
+        /// Version in force.
+        have: ConfigVersion,
+        /// Failure domain of the sender.
+        failure_domain: FailureDomain,
+    },
     /// Tells which version is in force.
     Ack(ConfigVersion),
     /// Renews the lease and asks for a confirmation.
@@ -194,6 +205,8 @@
         link: LinkId,
         /// Name of the process.
         name: NodeName,
+        /// Address of the process for links.
+        address: String,
     },
     /// A link to another control process is closed.
     PeerDown {
@@ -264,6 +277,10 @@
     },
     /// Not all initial members have answered.
     Forming {
+        /// Number of members that answered, this one included.
+        known: u64,
+        /// Number of initial members.
+        members: u64,
         /// Names of the missing members.
         missing: Vec<NodeName>,
     },
@@ -308,8 +325,17 @@
         view: ViewNumber,
         /// Number of members.
         members: u64,
-        /// Floor in milliseconds, if the register was lost.
-        floor_ms: Option<u64>,
+    },
+    /// A view was proposed whose floor is raised, because too many entries were lost.
+    ViewUnsafe {
+        /// Its number.
+        view: ViewNumber,
+        /// Members of the last settled view that are left.
+        survivors: u64,
+        /// Members that were needed.
+        needed: u64,
+        /// Floor of the job ids in milliseconds since the Unix epoch.
+        floor_ms: u64,
     },
     /// A lease ended.
     NodeLost {
