routing: Eject targets that are several times slower than most others

Cause: a straggler of speed one eighth received short tasks in every burst, and a long task with a short declaration on it exceeded its deadline.

Change: a target more than four times slower than half of its pool is ejected like a failing one, within the same limit; failing targets take precedence. A new target is taken for as fast as the mean of its pool. The learning half of the router moves to `learning.rs`.

--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -71,10 +71,19 @@
     Eject,
 }
 
+/// Why a target is ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    Failures,
+    Slowness,
+}
+
 /// Health of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
     state: State,
+    /// Cause of the last ejection.
+    cause: Cause,
     consecutive: u32,
     rate: f64,
     results: u32,
@@ -88,6 +97,7 @@
     fn default() -> Self {
         Self {
             state: State::Healthy,
+            cause: Cause::Failures,
             consecutive: 0,
             rate: 0.0,
             results: 0,
@@ -110,6 +120,10 @@
         matches!(self.state, State::Ejected { .. })
     }
 
+    pub(crate) fn is_ejected_for_slowness(&self) -> bool {
+        self.is_ejected() && self.cause == Cause::Slowness
+    }
+
     pub(crate) fn failure_rate(&self) -> f64 {
         self.rate
     }
@@ -167,9 +181,10 @@
     }
 
     /// Takes the target out of use, twice as long with every repeat.
-    pub(crate) fn eject(&mut self, now: Instant, policy: &EjectionPolicy) {
+    pub(crate) fn eject(&mut self, now: Instant, policy: &EjectionPolicy, cause: Cause) {
         let time = self.next_pause(policy);
         self.state = State::Ejected { until: now + time };
+        self.cause = cause;
         self.forgive_at = Some(now + time * (FORGIVE_AFTER + 1));
     }
 
--- /dev/null
+++ b/crates/routing/src/learning.rs
@@ -0,0 +1,153 @@
+//! What the router learns from the ends of attempts: run times, speeds and health.
+
+use std::time::{Duration, Instant};
+
+use crate::health::{AttemptEnd, AttemptKind, Cause, Verdict};
+use crate::router::Router;
+use crate::service::RunTimes;
+use crate::target::{PoolIndex, TargetIndex};
+
+/// How many times slower than most others a target must be to be ejected for it.
+///
+/// Such a target adds little capacity, and one wrongly declared task on it can exceed its deadline.
+const SLOW_OUTLIER: f64 = 4.0;
+
+impl Router {
+    /// Records the start of an attempt.
+    pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
+        let row = &mut self.targets[target];
+        row.on_start(now);
+        self.pools[row.pool].add_in_flight(row.domain);
+    }
+
+    /// Records the end of an attempt of a task without a declared run time.
+    pub fn on_end(
+        &mut self,
+        now: Instant,
+        target: TargetIndex,
+        service: &str,
+        run_time: Duration,
+        kind: AttemptKind,
+    ) {
+        let end = AttemptEnd {
+            target,
+            service,
+            declared: None,
+            run_time,
+            kind,
+        };
+        self.on_attempt_end(now, &end);
+    }
+
+    /// Records the end of an attempt and learns from it.
+    pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
+        self.on_timer(now);
+        let row = &mut self.targets[end.target];
+        if row.on_end(now, end.run_time) {
+            self.pools[row.pool].remove_in_flight(row.domain, 1);
+        }
+        self.learn_result(now, end.target, end.kind);
+        if end.kind == AttemptKind::Completed {
+            self.learn_run_time(now, end);
+        }
+        self.check();
+    }
+
+    fn learn_run_time(&mut self, now: Instant, end: &AttemptEnd<'_>) {
+        let row = &mut self.targets[end.target];
+        let index = match self.services.get_index_of(end.service) {
+            Some(index) => index,
+            None => {
+                self.services
+                    .insert_full(end.service.to_owned(), RunTimes::default())
+                    .0
+            }
+        };
+        let run_times = &mut self.services[index];
+        let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
+        row.speed.observe(deviation, run_times.spread());
+        // A target that is recovering is faster than its estimate, and needs results to show it.
+        let admitted = !row.health.is_ejected();
+        if deviation > 0.0 && admitted && self.is_slow_outlier(end.target) {
+            self.eject_slow(now, end.target);
+        }
+    }
+
+    fn learn_result(&mut self, now: Instant, target: TargetIndex, kind: AttemptKind) {
+        let index = self.targets[target].pool;
+        let Some(policy) = self.pools[index].ejection else {
+            return;
+        };
+        let others = match kind {
+            AttemptKind::Completed | AttemptKind::Cancelled => 0.0,
+            _ => self.failure_rate_of_others(target),
+        };
+        let health = &mut self.targets[target].health;
+        if health.on_result(now, kind, &policy, others) == Verdict::Keep {
+            return;
+        }
+        if self.can_eject(target) || self.readmit_slow(index) {
+            self.targets[target].health.eject(now, &policy, Cause::Failures);
+        } else {
+            self.targets[target].health.pause(now, &policy);
+        }
+        self.note_wakeup(target);
+    }
+
+    /// Ejects a target for its speed, if the pool can spare it.
+    fn eject_slow(&mut self, now: Instant, target: TargetIndex) {
+        let Some(policy) = self.pools[self.targets[target].pool].ejection else {
+            return;
+        };
+        if self.can_eject(target) {
+            self.targets[target].health.eject(now, &policy, Cause::Slowness);
+            self.note_wakeup(target);
+        }
+    }
+
+    /// Reports whether a member of a pool can be ejected within the limit.
+    fn can_eject(&self, target: TargetIndex) -> bool {
+        let row = &self.targets[target];
+        let pool = &self.pools[row.pool];
+        row.is_member() && self.ejected(pool) < pool.ejection_limit()
+    }
+
+    /// Readmits a target that is only slow, in favour of one that fails.
+    fn readmit_slow(&mut self, pool: PoolIndex) -> bool {
+        let mut members = self.pools[pool].members.iter().copied();
+        let Some(slow) = members.find(|&target| self.targets[target].health.is_ejected_for_slowness()) else {
+            return false;
+        };
+        self.targets[slow].health.readmit();
+        true
+    }
+
+    fn note_wakeup(&mut self, target: TargetIndex) {
+        let due = self.targets[target].health.wakeup();
+        self.wakeup = self.wakeup.into_iter().chain(due).min();
+    }
+
+    /// Reports whether a target is several times slower than most members of its pool.
+    fn is_slow_outlier(&self, target: TargetIndex) -> bool {
+        let row = &self.targets[target];
+        let limit = row.speed.slowness() / SLOW_OUTLIER;
+        let members = &self.pools[row.pool].members;
+        let faster = members
+            .iter()
+            .filter(|&&member| self.targets[member].speed.slowness() < limit);
+        faster.count() * 2 > members.len()
+    }
+
+    /// Returns the mean failure rate of the other members of a target's pool.
+    fn failure_rate_of_others(&self, target: TargetIndex) -> f64 {
+        let pool = &self.pools[self.targets[target].pool];
+        let others = pool.members.iter().filter(|&&other| other != target);
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for &other in others {
+            sum += self.targets[other].health.failure_rate();
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod health;
+mod learning;
 mod placement;
 mod pool;
 mod router;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,10 +9,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::health::{AttemptEnd, AttemptKind, Verdict};
 use crate::placement::{Choice, Learned, Pick, Place, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
+use crate::speed::Speed;
 use crate::target::{PoolIndex, Target, TargetIndex};
 
 /// Chooses targets for tasks and learns from how the attempts end.
@@ -25,7 +25,7 @@
     pub(crate) targets: IndexMap<TargetName, Target>,
     pub(crate) pools: IndexMap<PoolName, Pool>,
     pub(crate) domains: IndexSet<FailureDomain>,
-    services: IndexMap<ServiceName, RunTimes>,
+    pub(crate) services: IndexMap<ServiceName, RunTimes>,
     /// Earliest end of an ejection or a pause.
     pub(crate) wakeup: Option<Instant>,
     /// Reused by `choose`.
@@ -86,11 +86,7 @@
                 self.remove_target(index);
                 index
             }
-            None => {
-                self.targets
-                    .insert_full(target, Target::new(pool, domain, slots))
-                    .0
-            }
+            None => self.insert(target, Target::new(pool, domain, slots)),
         };
         let target = &mut self.targets[index];
         target.pool = pool;
@@ -236,46 +232,6 @@
         self.settle(index, pick)
     }
 
-    /// Records the start of an attempt.
-    pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
-        let row = &mut self.targets[target];
-        row.on_start(now);
-        self.pools[row.pool].add_in_flight(row.domain);
-    }
-
-    /// Records the end of an attempt of a task without a declared run time.
-    pub fn on_end(
-        &mut self,
-        now: Instant,
-        target: TargetIndex,
-        service: &str,
-        run_time: Duration,
-        kind: AttemptKind,
-    ) {
-        let end = AttemptEnd {
-            target,
-            service,
-            declared: None,
-            run_time,
-            kind,
-        };
-        self.on_attempt_end(now, &end);
-    }
-
-    /// Records the end of an attempt and learns from it.
-    pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
-        self.on_timer(now);
-        let row = &mut self.targets[end.target];
-        if row.on_end(now, end.run_time) {
-            self.pools[row.pool].remove_in_flight(row.domain, 1);
-        }
-        if end.kind == AttemptKind::Completed {
-            self.learn_run_time(end);
-        }
-        self.learn_result(now, end.target, end.kind);
-        self.check();
-    }
-
     /// Returns the slots of a pool's connected targets that are not leaving.
     #[must_use]
     pub fn pool_slots(&self, pool: &str) -> u32 {
@@ -345,7 +301,7 @@
         holds.chain(self.wakeup).min()
     }
 
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         debug_assert_eq!(self.verify(), Ok(()));
     }
 
@@ -448,56 +404,14 @@
         }
     }
 
-    fn learn_run_time(&mut self, end: &AttemptEnd<'_>) {
-        let row = &mut self.targets[end.target];
-        let index = match self.services.get_index_of(end.service) {
-            Some(index) => index,
-            None => {
-                self.services
-                    .insert_full(end.service.to_owned(), RunTimes::default())
-                    .0
-            }
-        };
-        let run_times = &mut self.services[index];
-        let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
-        row.speed.observe(deviation, run_times.spread());
-    }
-
-    fn learn_result(&mut self, now: Instant, target: TargetIndex, kind: AttemptKind) {
-        let index = self.targets[target].pool;
-        let Some(policy) = self.pools[index].ejection else {
-            return;
-        };
-        let others = match kind {
-            AttemptKind::Completed | AttemptKind::Cancelled => 0.0,
-            _ => self.failure_rate_of_others(target),
-        };
-        let health = &mut self.targets[target].health;
-        if health.on_result(now, kind, &policy, others) == Verdict::Keep {
-            return;
-        }
-        let pool = &self.pools[index];
-        let spare = self.ejected(pool) < pool.ejection_limit();
-        let health = &mut self.targets[target].health;
-        if spare && self.pools[index].members.contains(&target) {
-            health.eject(now, &policy);
-        } else {
-            health.pause(now, &policy);
-        }
-        let due = health.wakeup();
-        self.wakeup = self.wakeup.into_iter().chain(due).min();
-    }
-
-    /// Returns the mean failure rate of the other members of a target's pool.
-    fn failure_rate_of_others(&self, target: TargetIndex) -> f64 {
-        let pool = &self.pools[self.targets[target].pool];
-        let others = pool.members.iter().filter(|&&other| other != target);
-        let mut sum = 0.0;
-        let mut count = 0.0;
-        for &other in others {
-            sum += self.targets[other].health.failure_rate();
-            count += 1.0;
+    /// Inserts a target of an unknown name, which is taken for as fast as the other members of its pool.
+    fn insert(&mut self, name: TargetName, mut target: Target) -> TargetIndex {
+        let members = self.pools[target.pool].members.iter();
+        let logs = members.map(|&member| self.targets[member].speed.log());
+        let (sum, count) = logs.fold((0.0, 0.0), |(sum, count), log| (sum + log, count + 1.0));
+        if count > 0.0 {
+            target.speed = Speed::starting_at(sum / count);
         }
-        if count > 0.0 { sum / count } else { 0.0 }
+        self.targets.insert_full(name, target).0
     }
 }
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -63,6 +63,15 @@
 }
 
 impl Speed {
+    /// Returns a speed without observations that is taken for the given logarithmic slowness.
+    pub(crate) fn starting_at(log: f64) -> Self {
+        Self {
+            log,
+            factor: log.exp(),
+            ..Self::default()
+        }
+    }
+
     /// Returns the factor by which the target stretches run times.
     pub(crate) fn slowness(&self) -> f64 {
         self.factor
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -303,6 +303,46 @@
     assert!(fixture.router.snapshot()[0].speed > 0.9);
 }
 
+/// Guards against a straggler that receives tasks in every burst, and against slow targets taking the places of
+/// failing ones among the ejected.
+#[test]
+fn eject_prefers_failing_to_slow() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..20 {
+        for target in 1..3 {
+            fixture.run(target, RUN_TIME, AttemptKind::Completed);
+        }
+        if !fixture.is_ejected(0) {
+            fixture.run(0, 10 * RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    assert!(fixture.is_ejected(0));
+    fixture.fail(1, 5);
+    assert!(fixture.is_ejected(1));
+    assert_eq!(fixture.state(0), TargetState::Probation);
+}
+
+/// Guards against a straggler staying out of use after it has recovered.
+#[test]
+fn probation_restores_recovered_straggler() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..20 {
+        for target in 0..3 {
+            let factor = if target == 0 { 10 } else { 1 };
+            fixture.run(target, factor * RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    for _ in 0..30 {
+        fixture.now += 100 * SECOND;
+        fixture.router.on_timer(fixture.now);
+        if !fixture.is_ejected(0) {
+            fixture.run(0, RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    assert_eq!(fixture.state(0), TargetState::Healthy);
+    assert!(fixture.router.snapshot()[0].speed > 0.5);
+}
+
 /// Guards against the baseline of the measurements being anything but uniform.
 #[test]
 fn random_placement_is_uniform() {
