--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,9 @@
 //! of calls with the same seed gives the same choices.
 
 mod budget;
+mod classes;
 mod health;
+mod learning;
 mod placement;
 mod pool;
 mod router;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,10 +9,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::health::{AttemptEnd, AttemptKind, Verdict};
+use crate::classes::class_of;
 use crate::placement::{Choice, Learned, Pick, Place, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
+use crate::speed::Speed;
 use crate::target::{PoolIndex, Target, TargetIndex};
 
 /// Chooses targets for tasks and learns from how the attempts end.
@@ -25,11 +26,9 @@
     pub(crate) targets: IndexMap<TargetName, Target>,
     pub(crate) pools: IndexMap<PoolName, Pool>,
     pub(crate) domains: IndexSet<FailureDomain>,
-    services: IndexMap<ServiceName, RunTimes>,
+    pub(crate) services: IndexMap<ServiceName, RunTimes>,
     /// Earliest end of an ejection or a pause.
     pub(crate) wakeup: Option<Instant>,
-    /// Reused by `choose`.
-    candidates: Vec<TargetIndex>,
 }
 
 impl Router {
@@ -51,7 +50,6 @@
             domains: IndexSet::new(),
             services: IndexMap::new(),
             wakeup: None,
-            candidates: Vec::new(),
         }
     }
 
@@ -86,11 +84,7 @@
                 self.remove_target(index);
                 index
             }
-            None => {
-                self.targets
-                    .insert_full(target, Target::new(pool, domain, slots))
-                    .0
-            }
+            None => self.insert(target, Target::new(pool, domain, slots)),
         };
         let target = &mut self.targets[index];
         target.pool = pool;
@@ -111,7 +105,7 @@
         row.present = false;
         row.reset();
         self.pools[row.pool].remove_in_flight(row.domain, in_flight);
-        self.refresh_open(target);
+        self.refresh(target);
         self.check();
     }
 
@@ -126,7 +120,7 @@
         }
         self.targets[target].leaving = leaving;
         if leaving {
-            self.refresh_open(target);
+            self.refresh(target);
         } else {
             self.join(target);
         }
@@ -159,7 +153,7 @@
     /// ```
     pub fn set_credits(&mut self, target: TargetIndex, free: u32) {
         self.targets[target].free = free;
-        self.refresh_open(target);
+        self.refresh(target);
     }
 
     /// Chooses a target for a task that must not forgo a free credit.
@@ -211,21 +205,11 @@
         if pool.members.iter().all(|target| req.exclude.contains(target)) {
             return Choice::NoTarget;
         }
-        self.candidates.clear();
-        let allowed = pool.open.iter().filter(|target| !req.exclude.contains(target));
-        let admitting = allowed.filter(|&&target| self.targets[target].admits(now));
-        self.candidates.extend(admitting);
-        if self.candidates.is_empty() {
-            return Choice::Wait {
-                until: self.next_admission(index, req.exclude),
-            };
-        }
         let run_times = self.services.get(req.service);
         let view = View {
             now,
             targets: &self.targets,
             pool,
-            candidates: &self.candidates,
             exclude: req.exclude,
             run_time: run_times.and_then(|run_times| run_times.expected(req.declared)),
             mean: run_times.and_then(RunTimes::mean),
@@ -233,47 +217,7 @@
             deadline: req.deadline,
         };
         let pick = rule.pick(&view, &mut self.rng);
-        self.settle(index, pick)
-    }
-
-    /// Records the start of an attempt.
-    pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
-        let row = &mut self.targets[target];
-        row.on_start(now);
-        self.pools[row.pool].add_in_flight(row.domain);
-    }
-
-    /// Records the end of an attempt of a task without a declared run time.
-    pub fn on_end(
-        &mut self,
-        now: Instant,
-        target: TargetIndex,
-        service: &str,
-        run_time: Duration,
-        kind: AttemptKind,
-    ) {
-        let end = AttemptEnd {
-            target,
-            service,
-            declared: None,
-            run_time,
-            kind,
-        };
-        self.on_attempt_end(now, &end);
-    }
-
-    /// Records the end of an attempt and learns from it.
-    pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
-        self.on_timer(now);
-        let row = &mut self.targets[end.target];
-        if row.on_end(now, end.run_time) {
-            self.pools[row.pool].remove_in_flight(row.domain, 1);
-        }
-        if end.kind == AttemptKind::Completed {
-            self.learn_run_time(end);
-        }
-        self.learn_result(now, end.target, end.kind);
-        self.check();
+        self.settle(index, pick, req.exclude)
     }
 
     /// Returns the slots of a pool's connected targets that are not leaving.
@@ -345,7 +289,7 @@
         holds.chain(self.wakeup).min()
     }
 
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         debug_assert_eq!(self.verify(), Ok(()));
     }
 
@@ -357,9 +301,12 @@
     }
 
     /// Turns a rule's decision into an answer and remembers when the next deliberate wait ends.
-    fn settle(&mut self, pool: PoolIndex, pick: Pick) -> Choice {
+    fn settle(&mut self, pool: PoolIndex, pick: Pick, exclude: &[TargetIndex]) -> Choice {
         match pick {
             Pick::Use(target) => Choice::Use(target),
+            Pick::Nothing => Choice::Wait {
+                until: self.next_admission(pool, exclude),
+            },
             Pick::Hold { until } => {
                 let pool = &mut self.pools[pool];
                 let earliest = pool.held_until.map_or(until, |earliest| earliest.min(until));
@@ -371,11 +318,10 @@
 
     /// Returns when a target with free credits ends its ejection or pause.
     fn next_admission(&self, pool: PoolIndex, exclude: &[TargetIndex]) -> Option<Instant> {
-        let open = self.pools[pool]
-            .open
-            .iter()
-            .filter(|target| !exclude.contains(target));
-        open.filter_map(|&target| self.targets[target].health.wakeup())
+        let open = self.pools[pool].classes.open();
+        let allowed = open.filter(|target| !exclude.contains(target));
+        allowed
+            .filter_map(|target| self.targets[target].health.wakeup())
             .min()
     }
 
@@ -393,7 +339,7 @@
         pool.members.push(target);
         pool.slots += row.slots;
         let pool = row.pool;
-        self.refresh_open(target);
+        self.refresh(target);
         self.readmit_surplus(pool);
     }
 
@@ -410,23 +356,30 @@
         self.readmit_surplus(index);
     }
 
-    /// Lists the target among those with free credits, or not.
-    fn refresh_open(&mut self, target: TargetIndex) {
+    /// Brings the listing of a target in its pool up to date.
+    pub(crate) fn refresh(&mut self, target: TargetIndex) {
         let row = &mut self.targets[target];
-        let pool = &mut self.pools[row.pool];
-        match (row.is_open(), row.open_at) {
-            (true, None) => {
-                row.open_at = Some(pool.open.len());
-                pool.open.push(target);
-            }
-            (false, Some(at)) => {
-                row.open_at = None;
-                pool.open.swap_remove(at);
-                if let Some(&moved) = pool.open.get(at) {
-                    self.targets[moved].open_at = Some(at);
-                }
-            }
-            _ => {}
+        let (class, open, busy) = (class_of(row.cost()), row.is_open(), row.busy());
+        let member = row.is_member();
+        let classes = &mut self.pools[row.pool].classes;
+        if let Some(listing) = &mut row.listing
+            && member
+            && (listing.class, listing.open_at.is_some()) == (class, open)
+        {
+            classes.set_busy(listing, busy);
+            return;
+        }
+        let moved = row.listing.take().and_then(|listing| {
+            let moved = classes.remove(listing)?;
+            Some((moved, listing.open_at))
+        });
+        if member {
+            row.listing = Some(classes.insert(target, class, open, busy));
+        }
+        if let Some((moved, open_at)) = moved
+            && let Some(listing) = &mut self.targets[moved].listing
+        {
+            listing.open_at = open_at;
         }
     }
 
@@ -448,56 +401,14 @@
         }
     }
 
-    fn learn_run_time(&mut self, end: &AttemptEnd<'_>) {
-        let row = &mut self.targets[end.target];
-        let index = match self.services.get_index_of(end.service) {
-            Some(index) => index,
-            None => {
-                self.services
-                    .insert_full(end.service.to_owned(), RunTimes::default())
-                    .0
-            }
-        };
-        let run_times = &mut self.services[index];
-        let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
-        row.speed.observe(deviation, run_times.spread());
-    }
-
-    fn learn_result(&mut self, now: Instant, target: TargetIndex, kind: AttemptKind) {
-        let index = self.targets[target].pool;
-        let Some(policy) = self.pools[index].ejection else {
-            return;
-        };
-        let others = match kind {
-            AttemptKind::Completed | AttemptKind::Cancelled => 0.0,
-            _ => self.failure_rate_of_others(target),
-        };
-        let health = &mut self.targets[target].health;
-        if health.on_result(now, kind, &policy, others) == Verdict::Keep {
-            return;
-        }
-        let pool = &self.pools[index];
-        let spare = self.ejected(pool) < pool.ejection_limit();
-        let health = &mut self.targets[target].health;
-        if spare && self.pools[index].members.contains(&target) {
-            health.eject(now, &policy);
-        } else {
-            health.pause(now, &policy);
-        }
-        let due = health.wakeup();
-        self.wakeup = self.wakeup.into_iter().chain(due).min();
-    }
-
-    /// Returns the mean failure rate of the other members of a target's pool.
-    fn failure_rate_of_others(&self, target: TargetIndex) -> f64 {
-        let pool = &self.pools[self.targets[target].pool];
-        let others = pool.members.iter().filter(|&&other| other != target);
-        let mut sum = 0.0;
-        let mut count = 0.0;
-        for &other in others {
-            sum += self.targets[other].health.failure_rate();
-            count += 1.0;
+    /// Inserts a target of an unknown name, which is taken for as fast as the other members of its pool.
+    fn insert(&mut self, name: TargetName, mut target: Target) -> TargetIndex {
+        let members = self.pools[target.pool].members.iter();
+        let logs = members.map(|&member| self.targets[member].speed.log());
+        let (sum, count) = logs.fold((0.0, 0.0), |(sum, count), log| (sum + log, count + 1.0));
+        if count > 0.0 {
+            target.speed = Speed::starting_at(sum / count);
         }
-        if count > 0.0 { sum / count } else { 0.0 }
+        self.targets.insert_full(name, target).0
     }
 }
