--- a/crates/entry/src/actor.rs
+++ b/crates/entry/src/actor.rs
@@ -19,21 +19,45 @@
 #[derive(Debug)]
 pub(crate) enum EntryMessage {
     /// A caller submits a job.
-    Submit { ticket: Ticket, job: JobSpec, fresh_id: bool, reply: oneshot::Sender<JobResult> },
+    Submit {
+        ticket: Ticket,
+        job: JobSpec,
+        fresh_id: bool,
+        reply: oneshot::Sender<JobResult>,
+    },
     /// A caller stopped waiting.
     Abandon { ticket: Ticket },
     /// A caller cancels a job.
-    Cancel { ticket: Ticket, job: JobId, team: TeamName, reply: oneshot::Sender<JobResult> },
+    Cancel {
+        ticket: Ticket,
+        job: JobId,
+        team: TeamName,
+        reply: oneshot::Sender<JobResult>,
+    },
     /// A link from an agent is open.
-    AgentUp { link: LinkId, agent: ProcessId, tx: LinkSender<EntryToAgentWire> },
+    AgentUp {
+        link: LinkId,
+        agent: ProcessId,
+        tx: LinkSender<EntryToAgentWire>,
+    },
     /// An agent sent messages.
-    FromAgent { link: LinkId, messages: Vec<AgentToEntry> },
+    FromAgent {
+        link: LinkId,
+        messages: Vec<AgentToEntry>,
+    },
     /// A link from an agent is closed.
     AgentDown { link: LinkId },
     /// A link to another entry is open.
-    PeerUp { link: LinkId, peer: ProcessId, tx: LinkSender<PeerMessageWire> },
+    PeerUp {
+        link: LinkId,
+        peer: ProcessId,
+        tx: LinkSender<PeerMessageWire>,
+    },
     /// Another entry sent messages.
-    FromPeer { link: LinkId, messages: Vec<PeerMessage> },
+    FromPeer {
+        link: LinkId,
+        messages: Vec<PeerMessage>,
+    },
     /// A link to another entry is closed.
     PeerDown { link: LinkId },
     /// Entries to dial, by link address.
@@ -82,7 +106,10 @@
 
 impl<Out> Default for Links<Out> {
     fn default() -> Self {
-        Self { peers: IndexMap::new(), senders: IndexMap::new() }
+        Self {
+            peers: IndexMap::new(),
+            senders: IndexMap::new(),
+        }
     }
 }
 
@@ -96,7 +123,10 @@
     /// Removes a link and returns its peer if no newer link to it is open.
     fn close(&mut self, link: LinkId) -> Option<ProcessId> {
         let peer = self.peers.swap_remove(&link)?;
-        let current = self.senders.get(&peer).is_some_and(|&(current, _)| current == link);
+        let current = self
+            .senders
+            .get(&peer)
+            .is_some_and(|&(current, _)| current == link);
         if !current {
             return None;
         }
@@ -107,7 +137,10 @@
     /// Returns the peer of a link if it is the current link to that peer.
     fn peer(&self, link: LinkId) -> Option<ProcessId> {
         let &peer = self.peers.get(&link)?;
-        let current = self.senders.get(&peer).is_some_and(|&(current, _)| current == link);
+        let current = self
+            .senders
+            .get(&peer)
+            .is_some_and(|&(current, _)| current == link);
         current.then_some(peer)
     }
 
@@ -183,16 +216,30 @@
     /// Turns a message into events for the core.
     fn receive(&mut self, message: EntryMessage) {
         match message {
-            EntryMessage::Submit { ticket, job, fresh_id, reply } => {
+            EntryMessage::Submit {
+                ticket,
+                job,
+                fresh_id,
+                reply,
+            } => {
                 self.callers.insert(ticket, reply);
-                self.events.push(Event::Submit { ticket, job, fresh_id });
+                self.events.push(Event::Submit {
+                    ticket,
+                    job,
+                    fresh_id,
+                });
             }
             EntryMessage::Abandon { ticket } => {
                 if self.callers.swap_remove(&ticket).is_some() {
                     self.events.push(Event::Abandon { ticket });
                 }
             }
-            EntryMessage::Cancel { ticket, job, team, reply } => {
+            EntryMessage::Cancel {
+                ticket,
+                job,
+                team,
+                reply,
+            } => {
                 self.callers.insert(ticket, reply);
                 self.events.push(Event::Cancel { ticket, job, team });
             }
@@ -205,11 +252,13 @@
             EntryMessage::FromAgent { link, messages } => {
                 if let Some(agent) = self.agents.peer(link) {
                     let events = messages.into_iter();
-                    self.events.extend(events.map(|message| Event::AgentMessage { agent, message }));
+                    self.events
+                        .extend(events.map(|message| Event::AgentMessage { agent, message }));
                 }
             }
             EntryMessage::AgentDown { link } => {
-                self.events.extend(self.agents.close(link).map(|agent| Event::AgentDown { agent }));
+                self.events
+                    .extend(self.agents.close(link).map(|agent| Event::AgentDown { agent }));
             }
             EntryMessage::PeerUp { link, peer, tx } => {
                 if self.peers.open(link, peer, tx) {
@@ -220,11 +269,13 @@
             EntryMessage::FromPeer { link, messages } => {
                 if let Some(peer) = self.peers.peer(link) {
                     let events = messages.into_iter();
-                    self.events.extend(events.map(|message| Event::PeerMessage { peer, message }));
+                    self.events
+                        .extend(events.map(|message| Event::PeerMessage { peer, message }));
                 }
             }
             EntryMessage::PeerDown { link } => {
-                self.events.extend(self.peers.close(link).map(|peer| Event::PeerDown { peer }));
+                self.events
+                    .extend(self.peers.close(link).map(|peer| Event::PeerDown { peer }));
             }
             EntryMessage::Peers(addresses) => self.set_peers(&addresses),
             EntryMessage::View(view) => self.events.push(Event::ViewInstalled(view)),
@@ -255,7 +306,9 @@
             let cfg = DialConfig::builder(address, template.me, template.secret)
                 .metrics(template.metrics)
                 .build();
-            let handler = PeerLinks { actor: self.me.clone() };
+            let handler = PeerLinks {
+                actor: self.me.clone(),
+            };
             self.dialers.insert(address.clone(), dial(cfg, handler));
         }
     }
@@ -266,7 +319,8 @@
             return;
         }
         let mut actions = std::mem::take(&mut self.actions);
-        self.core.handle_all(now(), unix_time(), self.events.drain(..), &mut actions);
+        self.core
+            .handle_all(now(), unix_time(), self.events.drain(..), &mut actions);
         for action in actions.drain(..) {
             self.perform(action);
         }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -61,9 +61,14 @@
 impl Front {
     fn authenticate(&self, req: &Request<Bytes>) -> Option<TeamName> {
         let teams = self.teams.borrow();
-        let team = bearer_token(req).and_then(|token| teams.authenticate(token)).cloned();
+        let team = bearer_token(req)
+            .and_then(|token| teams.authenticate(token))
+            .cloned();
         if team.is_none() {
-            emit(&EntryEvent::CallerRejected { address: "caller", reason: "the team token is missing or unknown" });
+            emit(&EntryEvent::CallerRejected {
+                address: "caller",
+                reason: "the team token is missing or unknown",
+            });
         }
         team
     }
@@ -93,7 +98,13 @@
         let fresh_id = submission.id.is_none();
         let id = submission.id.unwrap_or_else(|| Uuid::now_v7().as_u128());
         let job = submission.into_job(id, service.to_owned(), team, policy);
-        self.ask(|ticket, reply| EntryMessage::Submit { ticket, job, fresh_id, reply }).await
+        self.ask(|ticket, reply| EntryMessage::Submit {
+            ticket,
+            job,
+            fresh_id,
+            reply,
+        })
+        .await
     }
 
     async fn cancel(&self, req: &Request<Bytes>, job: &str) -> Response<Body> {
@@ -101,7 +112,15 @@
             return unauthorized();
         };
         match parse_job_id(job) {
-            Ok(job) => self.ask(|ticket, reply| EntryMessage::Cancel { ticket, job, team, reply }).await,
+            Ok(job) => {
+                self.ask(|ticket, reply| EntryMessage::Cancel {
+                    ticket,
+                    job,
+                    team,
+                    reply,
+                })
+                .await
+            }
             Err(error) => refused(&error.refusal()),
         }
     }
@@ -125,7 +144,11 @@
     ) -> Response<Body> {
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
         let (reply, result) = oneshot::channel();
-        let mut guard = AbandonOnDrop { actor: self.actor.clone(), ticket, answered: false };
+        let mut guard = AbandonOnDrop {
+            actor: self.actor.clone(),
+            ticket,
+            answered: false,
+        };
         drop(self.actor.cast(message(ticket, reply)));
         let result = result.await;
         guard.answered = true;
@@ -143,13 +166,21 @@
 }
 
 fn unauthorized() -> Response<Body> {
-    let body = RefusalBody::plain("unauthorized", "present the team's token as `Authorization: Bearer ...`");
+    let body = RefusalBody::plain(
+        "unauthorized",
+        "present the team's token as `Authorization: Bearer ...`",
+    );
     json_response(StatusCode::UNAUTHORIZED, &body)
 }
 
 fn refused(refusal: &Refusal) -> Response<Body> {
     let not_run = refusal.execution == Execution::NotRun;
-    emit(&EntryEvent::JobRefused { service: "", team: "", code: refusal.code.as_str(), not_run });
+    emit(&EntryEvent::JobRefused {
+        service: "",
+        team: "",
+        code: refusal.code.as_str(),
+        not_run,
+    });
     json_response(status_code(refusal.code), &RefusalBody::from(refusal))
 }
 
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -20,7 +20,11 @@
 
     fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<EntryToAgentWire>) {
         // A stopped actor needs no events; the same holds below.
-        drop(self.actor.cast(EntryMessage::AgentUp { link, agent: peer.process, tx }));
+        drop(self.actor.cast(EntryMessage::AgentUp {
+            link,
+            agent: peer.process,
+            tx,
+        }));
     }
 
     fn received(&self, link: LinkId, messages: Vec<AgentToEntryWire>) {
@@ -44,12 +48,19 @@
     type Out = PeerMessageWire;
 
     fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<PeerMessageWire>) {
-        drop(self.actor.cast(EntryMessage::PeerUp { link, peer: peer.process, tx }));
+        drop(self.actor.cast(EntryMessage::PeerUp {
+            link,
+            peer: peer.process,
+            tx,
+        }));
     }
 
     fn received(&self, link: LinkId, messages: Vec<PeerMessageWire>) {
         // A message that this version cannot represent is dropped; the register retransmits or times out.
-        let messages = messages.into_iter().filter_map(|wire| PeerMessage::try_from(wire).ok()).collect();
+        let messages = messages
+            .into_iter()
+            .filter_map(|wire| PeerMessage::try_from(wire).ok())
+            .collect();
         drop(self.actor.cast(EntryMessage::FromPeer { link, messages }));
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -28,7 +28,9 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// A listening address cannot be bound.
-    #[error("cannot listen on `{address}`: {source}; correct `listen` or `peer_listen`, or stop the process that uses it")]
+    #[error(
+        "cannot listen on `{address}`: {source}; correct `listen` or `peer_listen`, or stop the process that uses it"
+    )]
     Listen {
         /// Address from the settings.
         address: String,
@@ -227,33 +229,73 @@
         address: cfg.peer_listen.clone(),
         source,
     })?;
-    let link_address = if cfg.advertise.is_empty() { local.to_string() } else { cfg.advertise.clone() };
+    let link_address = if cfg.advertise.is_empty() {
+        local.to_string()
+    } else {
+        cfg.advertise.clone()
+    };
     let process = random_process_id();
-    let me = Identity { role: Role::Entry, name: cfg.name.clone(), process, address: link_address.clone() };
-    let core =
-        EntryCore::builder(process).retention(cfg.retention).max_records(cfg.max_records).build(now());
+    let me = Identity {
+        role: Role::Entry,
+        name: cfg.name.clone(),
+        process,
+        address: link_address.clone(),
+    };
+    let core = EntryCore::builder(process)
+        .retention(cfg.retention)
+        .max_records(cfg.max_records)
+        .build(now());
     let (synced_tx, synced) = watch::channel(0);
-    let dial = DialTemplate { me: me.clone(), secret: cfg.secret.clone(), metrics: cfg.metrics.clone() };
-    let arguments = Arguments { core, dial, metrics: cfg.metrics.clone(), synced: synced_tx };
+    let dial = DialTemplate {
+        me: me.clone(),
+        secret: cfg.secret.clone(),
+        metrics: cfg.metrics.clone(),
+    };
+    let arguments = Arguments {
+        core,
+        dial,
+        metrics: cfg.metrics.clone(),
+        synced: synced_tx,
+    };
     let (actor, _) = Actor::spawn(None, EntryActor, arguments)
         .await
-        .map_err(|error| EntryError::Actor { reason: error.to_string() })?;
+        .map_err(|error| EntryError::Actor {
+            reason: error.to_string(),
+        })?;
     let links = listen(peers, me, cfg.secret, cfg.metrics, {
         let actor = actor.clone();
         move |session| run_session(session, actor.clone())
     });
     let (teams, teams_rx) = watch::channel(Arc::new(TeamTable::default()));
-    let front = Front { actor: actor.clone(), teams: teams_rx, next_ticket: Arc::new(AtomicU64::new(0)) };
+    let front = Front {
+        actor: actor.clone(),
+        teams: teams_rx,
+        next_ticket: Arc::new(AtomicU64::new(0)),
+    };
     let server = HttpServer::builder(callers)
         .serve(front)
-        .map_err(|source| EntryError::Listen { address: cfg.listen, source })?;
-    Ok(RunningEntry { process, server, links, link_address, actor, teams, synced })
+        .map_err(|source| EntryError::Listen {
+            address: cfg.listen,
+            source,
+        })?;
+    Ok(RunningEntry {
+        process,
+        server,
+        links,
+        link_address,
+        actor,
+        teams,
+        synced,
+    })
 }
 
 async fn bind(address: &str) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address)
         .await
-        .map_err(|source| EntryError::Listen { address: address.to_owned(), source })
+        .map_err(|source| EntryError::Listen {
+            address: address.to_owned(),
+            source,
+        })
 }
 
 /// Runs an accepted link with the handler for the peer's role.
--- a/crates/entry/src/team.rs
+++ b/crates/entry/src/team.rs
@@ -38,7 +38,10 @@
 impl fmt::Debug for TeamTable {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let teams: Vec<_> = self.teams.iter().map(|team| &team.name).collect();
-        f.debug_struct("TeamTable").field("teams", &teams).field("services", &self.policies.len()).finish()
+        f.debug_struct("TeamTable")
+            .field("teams", &teams)
+            .field("services", &self.policies.len())
+            .finish()
     }
 }
 
@@ -55,7 +58,10 @@
     /// ```
     #[must_use]
     pub fn new(policies: IndexMap<ServiceName, ServicePolicy>) -> Self {
-        Self { teams: Vec::new(), policies }
+        Self {
+            teams: Vec::new(),
+            policies,
+        }
     }
 
     /// Adds a team with the SHA-256 of its token in hexadecimal digits.
@@ -82,7 +88,11 @@
         let Some(token) = parse_hash(token_sha256) else {
             return Err(TeamTableError::BadHash { team: name });
         };
-        self.teams.push(Team { name, token, services });
+        self.teams.push(Team {
+            name,
+            token,
+            services,
+        });
         Ok(())
     }
 
--- a/crates/register/src/answers.rs
+++ b/crates/register/src/answers.rs
@@ -5,18 +5,18 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{Answer, JobId, ProcessId, TaskIndex, TaskStatus};
+use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, TaskStatus};
 
-use crate::claims::{Fate, outcome_unknown};
+use crate::claims::{Fate, id_reused, outcome_unknown};
 use crate::event::Action;
-use crate::message::{Ballot, Denial, PeerMessage};
+use crate::message::{Ballot, Denial, Message};
 use crate::register::{Register, Resend};
-use crate::table::BallotVote;
+use crate::table::{BallotVote, Subject};
 
 /// Answer that this entry tries to record.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposal {
-    owner: ProcessId,
+    subject: Subject,
     /// Answer to propose if no other one is found.
     value: Answer,
     pub(crate) ballot: Ballot,
@@ -38,28 +38,29 @@
         actions: &mut Vec<Action>,
     ) {
         let won = self.fates.get(&job) == Some(&Fate::Won);
-        self.propose(now, job, answer, won, actions);
+        let digest = self.table.record(job).map_or(0, |record| record.digest);
+        self.propose(now, (job, digest), answer, won, actions);
     }
 
     /// Proposes that every task may have run; a recorded answer takes precedence.
     pub(crate) fn on_take_over(
         &mut self,
         now: Instant,
-        job: JobId,
-        tasks: TaskIndex,
+        (job, digest): (JobId, u64),
+        tasks: usize,
         actions: &mut Vec<Action>,
     ) {
         let status = TaskStatus::MayHaveRun {
             reason: "the entry that owned the job is gone".into(),
         };
-        let answer = Answer::new(job, vec![status; usize::from(tasks)]);
-        self.propose(now, job, answer, false, actions);
+        let answer = Answer::new(job, vec![status; tasks]);
+        self.propose(now, (job, digest), answer, false, actions);
     }
 
     fn propose(
         &mut self,
         now: Instant,
-        job: JobId,
+        (job, digest): (JobId, u64),
         value: Answer,
         as_owner: bool,
         actions: &mut Vec<Action>,
@@ -80,7 +81,11 @@
         let me = self.settings.me;
         let resend = self.first_resend(now);
         let proposal = Proposal {
-            owner: self.table.record(job).map_or(me, |record| record.owner),
+            subject: Subject {
+                job,
+                digest,
+                owner: self.table.record(job).map_or(me, |record| record.owner),
+            },
             accepting: as_owner.then(|| value.clone()),
             value,
             ballot: if as_owner {
@@ -118,40 +123,37 @@
         let Some(proposal) = self.proposals.get(&job) else {
             return;
         };
-        let (owner, ballot) = (proposal.owner, proposal.ballot);
+        let (subject, ballot) = (proposal.subject, proposal.ballot);
         let accepting = proposal.accepting.clone();
         for peer in self.others(&proposal.voters) {
-            let message = self.ballot_message(job, owner, ballot, accepting.clone());
+            let message = self.ballot_message(subject, ballot, accepting.clone());
             actions.push(Action::Send { peer, message });
         }
         if !self.proposals[&job].voters.contains(&me) {
             let vote = match &accepting {
-                Some(answer) => self.table.accept(job, owner, ballot, answer),
-                None => self.table.prepare(job, owner, ballot),
+                Some(answer) => self.table.accept(subject, ballot, answer),
+                None => self.table.prepare(subject, ballot),
             };
             self.on_vote(now, me, job, (ballot, accepting.is_some()), vote, actions);
         }
     }
 
-    fn ballot_message(
-        &self,
-        job: JobId,
-        owner: ProcessId,
-        ballot: Ballot,
-        accepting: Option<Answer>,
-    ) -> PeerMessage {
+    fn ballot_message(&self, subject: Subject, ballot: Ballot, accepting: Option<Answer>) -> Message {
+        let Subject { job, digest, owner } = subject;
         let view = self.view_number().unwrap_or_default();
         match accepting {
-            Some(answer) => PeerMessage::Accept {
+            Some(answer) => Message::Accept {
                 view,
                 job,
+                digest,
                 owner,
                 ballot,
                 answer,
             },
-            None => PeerMessage::Prepare {
+            None => Message::Prepare {
                 view,
                 job,
+                digest,
                 owner,
                 ballot,
             },
@@ -163,27 +165,32 @@
         &mut self,
         now: Instant,
         peer: ProcessId,
-        message: PeerMessage,
+        message: Message,
         actions: &mut Vec<Action>,
     ) {
         match message {
-            PeerMessage::Prepare {
-                job, owner, ballot, ..
+            Message::Prepare {
+                job,
+                digest,
+                owner,
+                ballot,
+                ..
             } => {
-                let vote = self.table.prepare(job, owner, ballot);
+                let vote = self.table.prepare(Subject { job, digest, owner }, ballot);
                 self.reply(peer, job, (ballot, false), vote, actions);
             }
-            PeerMessage::Accept {
+            Message::Accept {
                 job,
+                digest,
                 owner,
                 ballot,
                 answer,
                 ..
             } => {
-                let vote = self.table.accept(job, owner, ballot, &answer);
+                let vote = self.table.accept(Subject { job, digest, owner }, ballot, &answer);
                 self.reply(peer, job, (ballot, true), vote, actions);
             }
-            PeerMessage::Promise {
+            Message::Promise {
                 job,
                 ballot,
                 accepted,
@@ -196,10 +203,10 @@
                 BallotVote::Yes(accepted),
                 actions,
             ),
-            PeerMessage::Accepted { job, ballot, .. } => {
+            Message::Accepted { job, ballot, .. } => {
                 self.on_vote(now, peer, job, (ballot, true), BallotVote::Yes(None), actions);
             }
-            PeerMessage::Rejected {
+            Message::Rejected {
                 job,
                 ballot,
                 promised,
@@ -220,20 +227,20 @@
     ) {
         let view = self.view_number().unwrap_or_default();
         let message = match vote {
-            BallotVote::Yes(_) if accept => PeerMessage::Accepted { view, job, ballot },
-            BallotVote::Yes(accepted) => PeerMessage::Promise {
+            BallotVote::Yes(_) if accept => Message::Accepted { view, job, ballot },
+            BallotVote::Yes(accepted) => Message::Promise {
                 view,
                 job,
                 ballot,
                 accepted,
             },
-            BallotVote::Rejected(promised) => PeerMessage::Rejected {
+            BallotVote::Rejected(promised) => Message::Rejected {
                 view,
                 job,
                 ballot,
                 promised,
             },
-            BallotVote::Denied(denial) => PeerMessage::Denied { view, job, denial },
+            BallotVote::Denied(denial) => Message::Denied { view, job, denial },
         };
         actions.push(Action::Send { peer, message });
     }
@@ -328,21 +335,25 @@
         actions: &mut Vec<Action>,
     ) {
         self.on_claim_denied(peer, job, denial, actions);
+        self.on_lookup_denied(job, denial, actions);
         let Some(proposal) = self.proposals.get_mut(&job) else {
             return;
         };
+        if denial == Denial::Reused {
+            self.give_up_proposal(job, id_reused(), actions);
+            return;
+        }
         if !proposal.denials.contains(&peer) {
             proposal.denials.push(peer);
         }
         let denials = proposal.denials.len();
         if self.is_hopeless(denials) {
-            self.give_up_proposal(job, actions);
+            self.give_up_proposal(job, outcome_unknown(), actions);
         }
     }
 
-    fn give_up_proposal(&mut self, job: JobId, actions: &mut Vec<Action>) {
+    fn give_up_proposal(&mut self, job: JobId, refusal: Refusal, actions: &mut Vec<Action>) {
         self.proposals.swap_remove(&job);
-        let refusal = outcome_unknown();
         actions.push(Action::Refused { job, refusal });
     }
 
@@ -351,7 +362,7 @@
         let jobs: Vec<JobId> = self.proposals.keys().copied().collect();
         for job in jobs {
             if self.table.is_below_floor(job) {
-                self.give_up_proposal(job, actions);
+                self.give_up_proposal(job, outcome_unknown(), actions);
             }
         }
     }
--- a/crates/register/src/claims.rs
+++ b/crates/register/src/claims.rs
@@ -5,13 +5,14 @@
 use chestnutfork_types::{JobId, ProcessId, Refusal, RefusalCode, job_time};
 
 use crate::event::Action;
-use crate::message::{Denial, PeerMessage};
+use crate::message::{Denial, Message};
 use crate::register::{Register, Resend};
 use crate::table::ClaimVote;
 
 /// Claim of this entry that has no quorum yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
+    pub(crate) digest: u64,
     at_most_once: bool,
     until: Instant,
     pub(crate) grants: Vec<ProcessId>,
@@ -33,20 +34,21 @@
         &mut self,
         now: Instant,
         wall: Duration,
-        job: JobId,
+        (job, digest): (JobId, u64),
         at_most_once: bool,
         actions: &mut Vec<Action>,
     ) {
         if self.claims.contains_key(&job) {
             return;
         }
-        if let Some(action) = self.settled_claim(wall, job) {
+        if let Some(action) = self.settled_claim(wall, job, digest) {
             actions.push(action);
             return;
         }
         let until = now + self.settings.claim_timeout;
         let resend = self.first_resend(now);
         let claim = Claim {
+            digest,
             at_most_once,
             until,
             grants: Vec::new(),
@@ -59,7 +61,18 @@
     }
 
     /// Returns the result of a claim that needs no vote, if it has one.
-    fn settled_claim(&self, wall: Duration, job: JobId) -> Option<Action> {
+    fn settled_claim(&self, wall: Duration, job: JobId, digest: u64) -> Option<Action> {
+        if let Some(action) = self.known_outcome(wall, job, digest) {
+            return Some(action);
+        }
+        // A full table alone is left to the vote, which proves that no other entry runs the job.
+        let full = self.fates.len() + self.claims.len() >= self.settings.max_records;
+        let refusal = register_full(Refusal::unknown);
+        full.then_some(Action::Refused { job, refusal })
+    }
+
+    /// Returns what this entry knows of a job without asking others.
+    pub(crate) fn known_outcome(&self, wall: Duration, job: JobId, digest: u64) -> Option<Action> {
         let me = self.settings.me;
         if job_time(job) > wall + self.settings.max_ahead {
             // An entry with a faster clock may have accepted the job.
@@ -71,6 +84,11 @@
             let refusal = outcome_unknown();
             return Some(Action::Refused { job, refusal });
         }
+        let record = self.table.record(job);
+        if record.is_some_and(|record| record.digest != digest) {
+            let refusal = id_reused();
+            return Some(Action::Refused { job, refusal });
+        }
         if let Some(answer) = self.table.decided(job) {
             let answer = answer.clone();
             return Some(Action::Answered { job, answer });
@@ -80,15 +98,9 @@
             Some(&Fate::Withdrawn(owner)) => return Some(Action::Known { job, owner }),
             None => {}
         }
-        let full = self.fates.len() + self.claims.len() >= self.settings.max_records;
-        let record = self.table.record(job);
-        if let Some(record) = record.filter(|record| record.owner != me) {
-            let owner = record.owner;
-            return Some(Action::Known { job, owner });
-        }
-        // A full table alone is left to the vote, which proves that no other entry runs the job.
-        let refusal = register_full(Refusal::unknown);
-        full.then_some(Action::Refused { job, refusal })
+        let other = record.filter(|record| record.owner != me)?;
+        let owner = other.owner;
+        Some(Action::Known { job, owner })
     }
 
     /// Asks the members that have not granted a claim, this entry first.
@@ -101,8 +113,9 @@
             return;
         };
         let view = self.view_number().unwrap_or_default();
+        let digest = claim.digest;
         for peer in self.others(&claim.grants) {
-            let message = PeerMessage::Claim { view, job };
+            let message = Message::Claim { view, job, digest };
             actions.push(Action::Send { peer, message });
         }
     }
@@ -110,7 +123,10 @@
     /// Lets this entry's replica vote on the own claim.
     fn vote_for_own(&mut self, job: JobId, actions: &mut Vec<Action>) {
         let me = self.settings.me;
-        match self.table.claim(job, me) {
+        let Some(digest) = self.claims.get(&job).map(|claim| claim.digest) else {
+            return;
+        };
+        match self.table.claim(job, digest, me) {
             ClaimVote::Granted => self.on_granted(me, job, actions),
             ClaimVote::Known(owner) => self.on_known(me, job, owner, actions),
             ClaimVote::Denied(denial) => self.on_claim_denied(me, job, denial, actions),
@@ -118,19 +134,29 @@
     }
 
     /// Votes on the claim of another member.
-    pub(crate) fn on_peer_claim(&mut self, peer: ProcessId, job: JobId, actions: &mut Vec<Action>) {
+    pub(crate) fn on_peer_claim(
+        &mut self,
+        peer: ProcessId,
+        job: JobId,
+        digest: u64,
+        actions: &mut Vec<Action>,
+    ) {
         // Of two claimants without a quorum the smaller one goes on. Only the claimant itself can withdraw, because
         // only it knows that it has dispatched nothing.
-        if !self.claims.contains_key(&job) {
-            self.release_abandoned(job, peer);
-        } else if peer < self.settings.me {
+        let same = self
+            .table
+            .record(job)
+            .is_some_and(|record| record.digest == digest);
+        if same && self.is_abandoned(job) {
+            self.table.yield_to(job, self.settings.me, peer);
+        } else if same && self.claims.contains_key(&job) && peer < self.settings.me {
             self.withdraw(job, peer, actions);
         }
         let view = self.view_number().unwrap_or_default();
-        let message = match self.table.claim(job, peer) {
-            ClaimVote::Granted => PeerMessage::Granted { view, job },
-            ClaimVote::Known(owner) => PeerMessage::Known { view, job, owner },
-            ClaimVote::Denied(denial) => PeerMessage::Denied { view, job, denial },
+        let message = match self.table.claim(job, digest, peer) {
+            ClaimVote::Granted => Message::Granted { view, job },
+            ClaimVote::Known(owner) => Message::Known { view, job, owner },
+            ClaimVote::Denied(denial) => Message::Denied { view, job, denial },
         };
         actions.push(Action::Send { peer, message });
     }
@@ -143,9 +169,10 @@
             claim.grants.push(peer);
         }
         if self.view.as_ref().is_some_and(|view| view.decides(&claim.grants)) {
+            let digest = claim.digest;
             self.claims.swap_remove(&job);
             self.fates.insert(job, Fate::Won);
-            self.table.own(job, self.settings.me);
+            self.table.own(job, digest, self.settings.me);
             actions.push(Action::Claimed { job });
         }
     }
@@ -174,11 +201,10 @@
         actions.push(Action::Known { job, owner });
     }
 
-    /// Hands over the record of a claim that was given up without a quorum, so that the job can still run.
-    fn release_abandoned(&mut self, job: JobId, peer: ProcessId) {
-        if !self.fates.contains_key(&job) {
-            self.table.yield_to(job, self.settings.me, peer);
-        }
+    /// Reports whether an own claim was given up without a quorum, so that nothing was dispatched.
+    pub(crate) fn is_abandoned(&self, job: JobId) -> bool {
+        let own = self.table.record(job).map(|record| record.owner) == Some(self.settings.me);
+        own && !self.claims.contains_key(&job) && !self.fates.contains_key(&job)
     }
 
     pub(crate) fn on_claim_denied(
@@ -191,6 +217,10 @@
         let Some(claim) = self.claims.get_mut(&job) else {
             return;
         };
+        if denial == Denial::Reused {
+            self.give_up_claim(job, id_reused(), actions);
+            return;
+        }
         if !claim.denials.iter().any(|(from, _)| *from == peer) {
             claim.denials.push((peer, denial));
         }
@@ -268,13 +298,18 @@
     Refusal::unknown(RefusalCode::OutcomeUnknown, message)
 }
 
-fn register_full(refuse: fn(RefusalCode, &'static str) -> Refusal) -> Refusal {
+pub(crate) fn id_reused() -> Refusal {
+    let message = "the job id was used before with another content; use a new id for a new job";
+    Refusal::unknown(RefusalCode::IdReused, message)
+}
+
+pub(crate) fn register_full(refuse: fn(RefusalCode, &'static str) -> Refusal) -> Refusal {
     let message = "the job register is full; retry later or raise `register.max_records`";
     refuse(RefusalCode::RegisterFull, message).retry_after(Duration::from_secs(1))
 }
 
-/// Builds the refusal of a claim without quorum; another entry may hold and run the job.
-fn no_quorum() -> Refusal {
+/// Builds the refusal of a claim or lookup without quorum; another entry may hold and run the job.
+pub(crate) fn no_quorum() -> Refusal {
     let message = "no majority of entries answered the claim; retry with the same job id";
     Refusal::unknown(RefusalCode::NoQuorum, message).retry_after(Duration::from_millis(500))
 }
--- a/crates/register/src/event.rs
+++ b/crates/register/src/event.rs
@@ -1,8 +1,8 @@
 //! Events that the register takes and actions that it asks for.
 
-use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, TaskIndex, ViewNumber};
+use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, ViewNumber};
 
-use crate::message::PeerMessage;
+use crate::message::Message;
 use crate::view::View;
 
 /// Input of the register.
@@ -12,9 +12,23 @@
     Claim {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission, by which a reused id is told from a resubmission.
+        digest: u64,
         /// Whether the job waits for the grant; other jobs run without it.
         at_most_once: bool,
     },
+    /// A submission is to be refused: is the job unknown, so that "not run" is true?
+    Lookup {
+        /// Job in question.
+        job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
+    /// A claim that has no quorum yet is given up.
+    Release {
+        /// Job in question.
+        job: JobId,
+    },
     /// A job of this entry has its answer.
     RecordAnswer {
         /// Job in question.
@@ -26,15 +40,17 @@
     TakeOver {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Number of tasks of the job.
-        tasks: TaskIndex,
+        tasks: usize,
     },
     /// Another entry sent a message.
     FromPeer {
         /// Sender.
         peer: ProcessId,
         /// Message.
-        message: PeerMessage,
+        message: Message,
     },
     /// Control committed a view.
     ViewInstalled(View),
@@ -55,7 +71,7 @@
         /// Receiver.
         peer: ProcessId,
         /// Message.
-        message: PeerMessage,
+        message: Message,
     },
     /// The job is new and belongs to this entry.
     Claimed {
@@ -69,6 +85,11 @@
         /// Owner to join, or to take over from.
         owner: ProcessId,
     },
+    /// The job that was looked up was unknown to a quorum, so no entry had started it.
+    Unknown {
+        /// Job in question.
+        job: JobId,
+    },
     /// The claimed job already has its answer.
     Answered {
         /// Job in question.
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -8,6 +8,7 @@
 mod builder;
 mod claims;
 mod event;
+mod lookup;
 mod message;
 mod register;
 mod sync;
@@ -17,7 +18,7 @@
 
 pub use builder::RegisterBuilder;
 pub use event::{Action, Event};
-pub use message::{Ballot, Denial, PeerMessage, Record};
+pub use message::{Ballot, Denial, Message, Record};
 pub use register::Register;
 pub use verify::Violation;
 pub use view::View;
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -26,6 +26,8 @@
 pub struct Record {
     /// Job in question.
     pub job: JobId,
+    /// Digest of the submission; another submission under the same id has another one.
+    pub digest: u64,
     /// Entry that claimed the job first at this replica.
     pub owner: ProcessId,
     /// Another entry that claimed the job, known from a copy; no claim is granted any more.
@@ -43,17 +45,37 @@
     BelowFloor,
     /// The table is full and has no record of the job.
     Full,
+    /// The job is known with another content.
+    Reused,
 }
 
 /// Message between registers; a replica takes only those of its own view.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PeerMessage {
+pub enum Message {
     /// Asks for the job on behalf of the sender.
     Claim {
         /// View of the sender.
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
+    /// Asks whether the job is known, without claiming it.
+    Lookup {
+        /// View of the sender.
+        view: ViewNumber,
+        /// Job in question.
+        job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
+    /// Answers a lookup: the job is not known here.
+    Absent {
+        /// View of the sender.
+        view: ViewNumber,
+        /// Job in question.
+        job: JobId,
     },
     /// Grants a claim.
     Granted {
@@ -62,7 +84,7 @@
         /// Job in question.
         job: JobId,
     },
-    /// Answers a claim with another claimant, or with the claimant itself if its job was taken over.
+    /// Answers a claim or a lookup with another claimant, or with the claimant itself if its job was taken over.
     Known {
         /// View of the sender.
         view: ViewNumber,
@@ -86,6 +108,8 @@
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Owner of the job as the sender knows it.
         owner: ProcessId,
         /// Ballot to promise.
@@ -108,6 +132,8 @@
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Owner of the job as the sender knows it.
         owner: ProcessId,
         /// Ballot of the proposal.
@@ -159,19 +185,21 @@
     },
 }
 
-impl PeerMessage {
+impl Message {
     /// Returns the view that the sender was in.
     ///
     /// # Examples
     ///
     /// ```
-    /// assert_eq!(chestnutfork_register::PeerMessage::Claim { view: 3, job: 1 }.view(), 3);
+    /// assert_eq!(chestnutfork_register::Message::Claim { view: 3, job: 1, digest: 0 }.view(), 3);
     /// ```
     #[must_use]
     pub fn view(&self) -> ViewNumber {
         match self {
             Self::Claim { view, .. }
             | Self::Granted { view, .. }
+            | Self::Lookup { view, .. }
+            | Self::Absent { view, .. }
             | Self::Known { view, .. }
             | Self::Denied { view, .. }
             | Self::Prepare { view, .. }
--- a/crates/register/src/register.rs
+++ b/crates/register/src/register.rs
@@ -10,7 +10,8 @@
 use crate::builder::{RegisterBuilder, Settings};
 use crate::claims::{Claim, Fate};
 use crate::event::{Action, Event};
-use crate::message::PeerMessage;
+use crate::lookup::Lookup;
+use crate::message::Message;
 use crate::sync::Sync;
 use crate::table::Table;
 use crate::view::View;
@@ -34,6 +35,7 @@
     /// Outcomes of own claims; they outlive the record, so that a job is not claimed twice.
     pub(crate) fates: BTreeMap<JobId, Fate>,
     pub(crate) claims: IndexMap<JobId, Claim>,
+    pub(crate) lookups: IndexMap<JobId, Lookup>,
     pub(crate) proposals: IndexMap<JobId, Proposal>,
     pub(crate) sync: Option<Sync>,
     pub(crate) synced: Option<ViewNumber>,
@@ -58,7 +60,7 @@
     /// let mut actions = Vec::new();
     /// register.handle(now, wall, Event::ViewInstalled(View::first(1, vec![10])), &mut actions);
     /// let job = 1_700_000_000_000 << 80;
-    /// register.handle(now, wall, Event::Claim { job, at_most_once: true }, &mut actions);
+    /// register.handle(now, wall, Event::Claim { job, digest: 0, at_most_once: true }, &mut actions);
     /// assert_eq!(actions, [Action::Claimed { job }]);
     /// ```
     #[must_use]
@@ -73,6 +75,7 @@
             view: None,
             fates: BTreeMap::new(),
             claims: IndexMap::new(),
+            lookups: IndexMap::new(),
             proposals: IndexMap::new(),
             sync: None,
             synced: None,
@@ -91,9 +94,15 @@
         self.prune(now, actions);
         self.run_timers(now, actions);
         match event {
-            Event::Claim { job, at_most_once } => self.on_claim(now, wall, job, at_most_once, actions),
+            Event::Claim {
+                job,
+                digest,
+                at_most_once,
+            } => self.on_claim(now, wall, (job, digest), at_most_once, actions),
+            Event::Lookup { job, digest } => self.on_lookup(now, wall, (job, digest), actions),
+            Event::Release { job } => drop(self.claims.swap_remove(&job)),
             Event::RecordAnswer { job, answer } => self.on_record_answer(now, job, answer, actions),
-            Event::TakeOver { job, tasks } => self.on_take_over(now, job, tasks, actions),
+            Event::TakeOver { job, digest, tasks } => self.on_take_over(now, (job, digest), tasks, actions),
             Event::FromPeer { peer, message } => self.on_message(now, peer, message, actions),
             Event::ViewInstalled(view) => self.on_view(now, view, actions),
             // Unanswered messages are resent on timers, over whatever link is then up.
@@ -145,10 +154,10 @@
         self.table.rows.len()
     }
 
-    /// Reports whether no claim, answer or copy is under way.
+    /// Reports whether no claim, lookup, answer or copy is under way.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.claims.is_empty() && self.proposals.is_empty() && self.sync.is_none()
+        self.claims.is_empty() && self.lookups.is_empty() && self.proposals.is_empty() && self.sync.is_none()
     }
 
     pub(crate) fn is_member(&self) -> bool {
@@ -206,11 +215,12 @@
         self.view = Some(view);
         self.start_sync(now, actions);
         self.restart_claims(now, actions);
+        self.restart_lookups(now, actions);
         self.restart_proposals(now, actions);
     }
 
     /// Takes a message of the current view from an entry in it; all others are ignored.
-    fn on_message(&mut self, now: Instant, peer: ProcessId, message: PeerMessage, actions: &mut Vec<Action>) {
+    fn on_message(&mut self, now: Instant, peer: ProcessId, message: Message, actions: &mut Vec<Action>) {
         let Some(view) = &self.view else {
             return;
         };
@@ -219,10 +229,10 @@
         }
         let learner = view.learners.contains(&peer);
         match message {
-            PeerMessage::Pull { after, .. } if learner || self.has_member(peer) => {
+            Message::Pull { after, .. } if learner || self.has_member(peer) => {
                 self.on_pull(peer, after, actions);
             }
-            PeerMessage::Chunk {
+            Message::Chunk {
                 after,
                 upto,
                 done,
@@ -234,10 +244,15 @@
                 self.on_chunk(now, peer, (after, upto, done), records, actions);
             }
             _ if !self.is_member() || !self.has_member(peer) => {}
-            PeerMessage::Claim { job, .. } => self.on_peer_claim(peer, job, actions),
-            PeerMessage::Granted { job, .. } => self.on_granted(peer, job, actions),
-            PeerMessage::Known { job, owner, .. } => self.on_known(peer, job, owner, actions),
-            PeerMessage::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
+            Message::Claim { job, digest, .. } => self.on_peer_claim(peer, job, digest, actions),
+            Message::Lookup { job, digest, .. } => self.on_peer_lookup(peer, job, digest, actions),
+            Message::Absent { job, .. } => self.on_absent(peer, job, actions),
+            Message::Granted { job, .. } => self.on_granted(peer, job, actions),
+            Message::Known { job, owner, .. } => {
+                self.on_lookup_known(job, owner, actions);
+                self.on_known(peer, job, owner, actions);
+            }
+            Message::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
             message => self.on_ballot_message(now, peer, message, actions),
         }
     }
@@ -249,6 +264,7 @@
         }
         self.next_due = None;
         self.run_claim_timers(now, actions);
+        self.run_lookup_timers(now, actions);
         self.run_proposal_timers(now, actions);
         self.run_sync_timers(now, actions);
     }
--- a/crates/register/src/sync.rs
+++ b/crates/register/src/sync.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::event::Action;
-use crate::message::{PeerMessage, Record};
+use crate::message::{Message, Record};
 use crate::register::{Register, Resend};
 
 /// Copy under way.
@@ -46,14 +46,14 @@
     fn pull(&self, peer: ProcessId, actions: &mut Vec<Action>) {
         let view = self.view_number().unwrap_or_default();
         let after = self.copied.get(&peer).copied().unwrap_or_default();
-        let message = PeerMessage::Pull { view, after };
+        let message = Message::Pull { view, after };
         actions.push(Action::Send { peer, message });
     }
 
     pub(crate) fn on_pull(&self, peer: ProcessId, after: u64, actions: &mut Vec<Action>) {
         let view = self.view_number().unwrap_or_default();
         let changes = self.table.changes(after, self.settings.chunk_records);
-        let message = PeerMessage::Chunk {
+        let message = Message::Chunk {
             view,
             after,
             upto: changes.upto,
--- a/crates/register/src/table.rs
+++ b/crates/register/src/table.rs
@@ -16,6 +16,14 @@
     pub(crate) decided: bool,
 }
 
+/// Job under vote, with what a replica records if it does not know the job yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Subject {
+    pub(crate) job: JobId,
+    pub(crate) digest: u64,
+    pub(crate) owner: ProcessId,
+}
+
 /// Vote on a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ClaimVote {
@@ -81,20 +89,29 @@
     }
 
     /// Votes on a claim; it is granted only if no other claimant is known and no takeover has begun.
-    pub(crate) fn claim(&mut self, job: JobId, owner: ProcessId) -> ClaimVote {
+    pub(crate) fn claim(&mut self, job: JobId, digest: u64, owner: ProcessId) -> ClaimVote {
         if self.is_below_floor(job) {
             return ClaimVote::Denied(Denial::BelowFloor);
         }
         if let Some(record) = self.record(job) {
-            return vote_on_claim(record, owner);
+            return vote_on_claim(record, digest, owner);
         }
         if self.is_full() {
             return ClaimVote::Denied(Denial::Full);
         }
-        self.insert(new_record(job, owner));
+        self.insert(new_record(job, digest, owner));
         ClaimVote::Granted
     }
 
+    /// Votes on a lookup as on a claim, but records nothing.
+    pub(crate) fn lookup(&self, job: JobId, digest: u64, asker: ProcessId) -> ClaimVote {
+        if self.is_below_floor(job) {
+            return ClaimVote::Denied(Denial::BelowFloor);
+        }
+        let record = self.record(job);
+        record.map_or(ClaimVote::Granted, |record| vote_on_claim(record, digest, asker))
+    }
+
     /// Hands the own record of a withdrawn claim to another claimant.
     pub(crate) fn yield_to(&mut self, job: JobId, from: ProcessId, to: ProcessId) {
         let held = self.rows.get_mut(&job).filter(|row| row.record.owner == from);
@@ -109,51 +126,44 @@
     }
 
     /// Records a granted claim even where this replica did not grant it; a quorum outvoted the recorded claimant.
-    pub(crate) fn own(&mut self, job: JobId, owner: ProcessId) {
+    pub(crate) fn own(&mut self, job: JobId, digest: u64, owner: ProcessId) {
         let Some(row) = self.rows.get_mut(&job) else {
-            self.insert(new_record(job, owner));
+            self.insert(new_record(job, digest, owner));
             return;
         };
         if row.record.owner != owner {
             row.record.rival = Some(row.record.owner);
             row.record.owner = owner;
+            row.record.digest = digest;
             self.touch(job);
         }
     }
 
     /// Promises a ballot, unless a larger one is promised.
-    pub(crate) fn prepare(&mut self, job: JobId, owner: ProcessId, ballot: Ballot) -> BallotVote {
-        self.vote(job, owner, ballot, |_| {})
+    pub(crate) fn prepare(&mut self, subject: Subject, ballot: Ballot) -> BallotVote {
+        self.vote(subject, ballot, |_| {})
     }
 
     /// Accepts an answer, unless a larger ballot is promised.
-    pub(crate) fn accept(
-        &mut self,
-        job: JobId,
-        owner: ProcessId,
-        ballot: Ballot,
-        answer: &Answer,
-    ) -> BallotVote {
-        self.vote(job, owner, ballot, |record| {
+    pub(crate) fn accept(&mut self, subject: Subject, ballot: Ballot, answer: &Answer) -> BallotVote {
+        self.vote(subject, ballot, |record| {
             record.accepted = Some((ballot, answer.clone()));
         })
     }
 
-    fn vote(
-        &mut self,
-        job: JobId,
-        owner: ProcessId,
-        ballot: Ballot,
-        change: impl FnOnce(&mut Record),
-    ) -> BallotVote {
+    fn vote(&mut self, subject: Subject, ballot: Ballot, change: impl FnOnce(&mut Record)) -> BallotVote {
+        let Subject { job, digest, owner } = subject;
         if self.is_below_floor(job) {
             return BallotVote::Denied(Denial::BelowFloor);
         }
         // The bound does not apply here: a quorum of other tables already holds the job.
         if !self.rows.contains_key(&job) {
-            self.insert(new_record(job, owner));
+            self.insert(new_record(job, digest, owner));
         }
         let row = self.rows.get_mut(&job).expect("record was just inserted");
+        if row.record.digest != digest {
+            return BallotVote::Denied(Denial::Reused);
+        }
         if ballot < row.record.promised {
             return BallotVote::Rejected(row.record.promised);
         }
@@ -259,9 +269,10 @@
     accepted.map(|(_, answer)| answer)
 }
 
-fn new_record(job: JobId, owner: ProcessId) -> Record {
+fn new_record(job: JobId, digest: u64, owner: ProcessId) -> Record {
     Record {
         job,
+        digest,
         owner,
         rival: None,
         promised: Ballot::OWNER,
@@ -269,7 +280,10 @@
     }
 }
 
-fn vote_on_claim(record: &Record, claimant: ProcessId) -> ClaimVote {
+fn vote_on_claim(record: &Record, digest: u64, claimant: ProcessId) -> ClaimVote {
+    if record.digest != digest {
+        return ClaimVote::Denied(Denial::Reused);
+    }
     if record.owner != claimant {
         return ClaimVote::Known(record.owner);
     }
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use chestnutfork_register::{Action, Ballot, Event, PeerMessage, Record, Register, View};
+use chestnutfork_register::{Action, Ballot, Event, Message, Record, Register, View};
 use chestnutfork_types::{Answer, Execution, JobId, ProcessId, RefusalCode, TaskStatus};
 
 const WALL: Duration = Duration::from_secs(1_700_000_000);
@@ -73,7 +73,14 @@
 
     fn claim(&mut self, id: ProcessId, job: JobId) -> Vec<Action> {
         let at_most_once = true;
-        self.run(id, Event::Claim { job, at_most_once })
+        self.run(
+            id,
+            Event::Claim {
+                job,
+                digest: 0,
+                at_most_once,
+            },
+        )
     }
 
     fn pass(&mut self, time: Duration) {
@@ -194,12 +201,13 @@
     bench.claim(4, job);
     let record = Record {
         job,
+        digest: 0,
         owner: 9,
         rival: None,
         promised: Ballot::OWNER,
         accepted: None,
     };
-    let message = PeerMessage::Chunk {
+    let message = Message::Chunk {
         view: 2,
         after: 0,
         upto: 1,
@@ -219,7 +227,14 @@
     let mut bench = Bench::new(&[1, 2, 3]);
     let job = job(0);
     bench.claim(1, job);
-    let taken = bench.run(2, Event::TakeOver { job, tasks: 1 });
+    let taken = bench.run(
+        2,
+        Event::TakeOver {
+            job,
+            digest: 0,
+            tasks: 1,
+        },
+    );
     let [Action::Recorded { answer: failed, .. }] = &taken[..] else {
         panic!("the takeover records an answer, got {taken:?}");
     };
@@ -267,10 +282,72 @@
         }]
     );
     bench.down = vec![1];
-    let taken = bench.run(3, Event::TakeOver { job, tasks: 1 });
+    let taken = bench.run(
+        3,
+        Event::TakeOver {
+            job,
+            digest: 0,
+            tasks: 1,
+        },
+    );
     assert_eq!(taken, [Action::Recorded { job, answer }]);
 }
 
+/// Guards against "not run" for a job that another entry runs, and against a claim left by a lookup.
+#[test]
+fn lookup_proves_unknown_job() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    assert_eq!(
+        bench.run(2, Event::Lookup { job, digest: 0 }),
+        [Action::Unknown { job }]
+    );
+    assert_eq!(bench.claim(1, job), [Action::Claimed { job }]);
+    assert_eq!(
+        bench.run(2, Event::Lookup { job, digest: 0 }),
+        [Action::Known { job, owner: 1 }]
+    );
+}
+
+/// Guards against an answer for another content under the same id.
+#[test]
+fn claim_refuses_reused_id() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    bench.claim(1, job);
+    let other = Event::Claim {
+        job,
+        digest: 7,
+        at_most_once: true,
+    };
+    let reused = Some((RefusalCode::IdReused, Execution::Unknown));
+    assert_eq!(refusal(&bench.run(2, other)), reused);
+    assert_eq!(refusal(&bench.run(3, Event::Lookup { job, digest: 7 })), reused);
+    assert_eq!(
+        refusal(&bench.run(
+            3,
+            Event::TakeOver {
+                job,
+                digest: 7,
+                tasks: 1
+            }
+        )),
+        reused
+    );
+}
+
+/// Guards against a cancelled claim that keeps the job from ever running.
+#[test]
+fn release_lets_other_entry_claim() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    bench.down = vec![2, 3];
+    bench.claim(1, job);
+    bench.run(1, Event::Release { job });
+    bench.down.clear();
+    assert_eq!(bench.claim(2, job), [Action::Claimed { job }]);
+}
+
 /// Guards against a learner that votes without the records, and a report to control that is lost for good.
 #[test]
 fn learner_copies_before_it_votes() {
--- a/crates/register/tests/sim/mod.rs
+++ b/crates/register/tests/sim/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use chestnutfork_register::{Action, Event, PeerMessage, Register, View};
+use chestnutfork_register::{Action, Event, Message, Register, View};
 use chestnutfork_types::{Answer, Execution, JobId, ProcessId, Refusal, TaskStatus};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -41,6 +41,7 @@
     pub answers: u64,
     pub takeovers: u64,
     pub refusals: u64,
+    pub proofs: u64,
     pub views: u64,
     pub lost_registers: u64,
     pub crashes: u64,
@@ -50,7 +51,7 @@
     Deliver {
         from: ProcessId,
         to: ProcessId,
-        message: PeerMessage,
+        message: Message,
     },
     Wake {
         process: ProcessId,
@@ -110,6 +111,8 @@
     synced: BTreeSet<(ProcessId, u64)>,
     starts: HashMap<JobId, ProcessId>,
     answers: HashMap<JobId, Answer>,
+    /// Lookups of jobs that had not started when they were asked for.
+    looked: BTreeSet<(ProcessId, JobId)>,
     figures: Figures,
 }
 
@@ -141,6 +144,7 @@
             synced: BTreeSet::new(),
             starts: HashMap::new(),
             answers: HashMap::new(),
+            looked: BTreeSet::new(),
             figures: Figures::default(),
         };
         let members: Vec<ProcessId> = (0..machines).map(|machine| sim.start(machine)).collect();
@@ -320,6 +324,7 @@
                 let delay = self.millis(1, 300);
                 self.push(delay, Step::Joined { process, job, owner });
             }
+            Action::Unknown { job } => self.unknown(process, job)?,
             Action::Answered { job, answer } | Action::Recorded { job, answer } => {
                 self.answered(process, job, answer)?;
             }
@@ -334,7 +339,7 @@
         Ok(())
     }
 
-    fn send(&mut self, from: ProcessId, to: ProcessId, message: &PeerMessage) {
+    fn send(&mut self, from: ProcessId, to: ProcessId, message: &Message) {
         let calm = self.now > FAULTS;
         if !calm && self.chance(4) {
             return;
@@ -386,12 +391,35 @@
         Ok(())
     }
 
+    /// Checks the proof that no entry had started the job when it was looked up.
+    fn unknown(&mut self, process: ProcessId, job: JobId) -> Result<(), String> {
+        self.figures.proofs += 1;
+        if self.looked.remove(&(process, job)) {
+            return Ok(());
+        }
+        Err(format!("job {job:x} had started but is proved unknown"))
+    }
+
     fn submit(&mut self, job: JobId, attempts: u32) -> Result<(), String> {
         let all: Vec<ProcessId> = self.nodes.keys().copied().collect();
         if !all.is_empty() {
             let process = all[self.rng.random_range(0..all.len())];
-            let at_most_once = true;
-            self.event(process, Event::Claim { job, at_most_once })?;
+            if self.chance(15) {
+                if !self.starts.contains_key(&job) {
+                    self.looked.insert((process, job));
+                }
+                self.event(process, Event::Lookup { job, digest: 0 })?;
+            } else {
+                let at_most_once = true;
+                self.event(
+                    process,
+                    Event::Claim {
+                        job,
+                        digest: 0,
+                        at_most_once,
+                    },
+                )?;
+            }
         }
         if attempts > 1 {
             let delay = if self.chance(40) {
@@ -416,7 +444,14 @@
             .is_some_and(|view| view.members.contains(&owner));
         if process == owner || !listed || self.chance(15) {
             self.figures.takeovers += 1;
-            return self.event(process, Event::TakeOver { job, tasks: 1 });
+            return self.event(
+                process,
+                Event::TakeOver {
+                    job,
+                    digest: 0,
+                    tasks: 1,
+                },
+            );
         }
         if !self.answers.contains_key(&job) {
             let delay = self.millis(100, 900);
@@ -544,6 +579,7 @@
         self.answers += other.answers;
         self.takeovers += other.takeovers;
         self.refusals += other.refusals;
+        self.proofs += other.proofs;
         self.views += other.views;
         self.lost_registers += other.lost_registers;
         self.crashes += other.crashes;
