slots: Divide free slots by reported demand, not by what is left of it

Cause: the core counted granted credits off the reported demand. Entries report demand only when it changes by half, so an entry with a steady queue lost its share to one that reports more often.

Change: the division uses the demand as reported; only recalls use what is left of it.

Conclusion: entries share targets by their queues.

--- a/crates/slots/src/balance.rs
+++ b/crates/slots/src/balance.rs
@@ -41,7 +41,7 @@
         let expires = now + self.settings.credit_ttl;
         self.note_expiry(expires);
         if let Some(state) = self.entries.get_mut(&entry) {
-            state.waiting = state.waiting.saturating_sub(1);
+            state.unmet = state.unmet.saturating_sub(1);
         }
         self.ledger.issue(entry, expires)
     }
@@ -92,7 +92,7 @@
     /// Recalls idle credits from entries without demand while another entry has unmet demand.
     fn recall_unused(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let demand = self.entries.values().filter(|state| state.connected);
-        let mut unmet: usize = demand.map(|state| state.waiting as usize).sum();
+        let mut unmet: usize = demand.map(|state| state.unmet as usize).sum();
         if unmet == 0 {
             return;
         }
--- a/crates/slots/src/core.rs
+++ b/crates/slots/src/core.rs
@@ -37,8 +37,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Entry {
     pub(crate) connected: bool,
-    /// Reported waiting tasks, less the credits granted since.
+    /// Waiting tasks as the entry reported them last; free slots are divided by it.
     pub(crate) waiting: u32,
+    /// Reported waiting tasks, less the credits granted since; as many credits are recalled from others.
+    pub(crate) unmet: u32,
     /// Time after which an unanswered recall counts as lost.
     pub(crate) recall_until: Option<Instant>,
 }
--- a/crates/slots/src/messages.rs
+++ b/crates/slots/src/messages.rs
@@ -17,7 +17,10 @@
             return;
         };
         match message {
-            EntryToAgent::Demand { waiting } => state.waiting = waiting,
+            EntryToAgent::Demand { waiting } => {
+                state.waiting = waiting;
+                state.unmet = waiting;
+            }
             EntryToAgent::Return { credits } => {
                 state.recall_until = None;
                 self.on_return(entry, &credits);
--- a/crates/slots/tests/core.rs
+++ b/crates/slots/tests/core.rs
@@ -197,6 +197,40 @@
     assert!(matches!(&sent(&actions, 2)[..], [AgentToEntry::Grant { credits, .. }] if credits == &[2]));
 }
 
+/// Guards against an entry with a steady queue that starves beside one that reports its demand more often.
+#[test]
+fn steady_demand_keeps_its_share() {
+    let mut bench = Bench::new(4, &[1, 2]);
+    bench.send(1, EntryToAgent::Demand { waiting: 9 });
+    let mut starts = [0, 0];
+    let mut spend = |bench: &mut Bench, entry: ProcessId, credit: CreditId| {
+        assert!(is_started(&bench.dispatch(entry, credit)));
+        starts[usize::from(entry != 1)] += 1;
+    };
+    let mut held: Vec<(ProcessId, CreditId)> = vec![(1, 1), (2, 2), (1, 3), (2, 4)];
+    for _ in 0..60 {
+        bench.send(2, EntryToAgent::Demand { waiting: 9 });
+        let (entry, credit) = held.remove(0);
+        spend(&mut bench, entry, credit);
+        for action in bench.end(credit) {
+            let Action::Send { entry, message } = action else {
+                continue;
+            };
+            match message {
+                AgentToEntry::Grant { credits, .. } => {
+                    held.extend(credits.into_iter().map(|credit| (entry, credit)));
+                }
+                AgentToEntry::Result(result) => held.extend(result.next.map(|credit| (entry, credit))),
+                _ => {}
+            }
+        }
+    }
+    assert!(
+        starts.iter().all(|&count| count > 20),
+        "starts by entry: {starts:?}"
+    );
+}
+
 /// Guards against idle credits that an entry without demand holds back.
 #[test]
 fn demand_recalls_unused_credits() {
