--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -214,7 +214,7 @@
                     message: PeerMessage::Register(message),
                 });
             }
-            register::Action::Claimed { job } => self.claimed(now, job),
+            register::Action::Claimed { job } => self.claimed(now, wall, job, actions),
             register::Action::Known { job, owner } => self.known(now, wall, job, owner, actions),
             register::Action::Unknown { job } => self.proved_unknown(job, actions),
             register::Action::Answered { job, answer } => self.answered(job, &answer, actions),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -190,6 +190,15 @@
         drop(self.actor.cast(EntryMessage::View(view)));
     }
 
+    /// Returns the number of targets whose agents have a link to this entry.
+    pub async fn linked_targets(&self) -> usize {
+        let (reply, status) = oneshot::channel();
+        drop(self.actor.cast(EntryMessage::Status(reply)));
+        status.await.map_or(0, |status| {
+            status.targets.iter().filter(|target| target.linked).count()
+        })
+    }
+
     /// Returns the number of the latest view whose register this entry has copied.
     #[must_use]
     pub fn synced(&self) -> watch::Receiver<ViewNumber> {
--- a/crates/register/examples/random_run.rs
+++ b/crates/register/examples/register_run.rs
@@ -1,4 +1,4 @@
-//! Randomised run over the register: `random_run --seed N --count K [--broken takeover|settle]`.
+//! Randomised run over the register: `register_run --seed N --count K [--broken takeover|settle]`.
 
 #[path = "../tests/sim/mod.rs"]
 mod sim;
--- a/crates/register/src/answers.rs
+++ b/crates/register/src/answers.rs
@@ -5,18 +5,19 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, TaskStatus};
+use chestnutfork_types::{Answer, JobId, ProcessId, TaskIndex, TaskStatus};
 
-use crate::claims::{Fate, id_reused, outcome_unknown};
+use crate::claims::{Fate, outcome_unknown};
 use crate::event::Action;
-use crate::message::{Ballot, Denial, Message};
+use crate::message::{Ballot, Denial, PeerMessage};
 use crate::register::{Register, Resend};
-use crate::table::{BallotVote, Subject};
+use crate::table::BallotVote;
 
 /// Answer that this entry tries to record.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposal {
-    subject: Subject,
+    digest: u64,
+    owner: ProcessId,
     /// Answer to propose if no other one is found.
     value: Answer,
     pub(crate) ballot: Ballot,
@@ -34,33 +35,35 @@
         &mut self,
         now: Instant,
         job: JobId,
+        digest: u64,
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
         let won = self.fates.get(&job) == Some(&Fate::Won);
-        let digest = self.table.record(job).map_or(0, |record| record.digest);
-        self.propose(now, (job, digest), answer, won, actions);
+        self.propose(now, job, digest, answer, won, actions);
     }
 
     /// Proposes that every task may have run; a recorded answer takes precedence.
     pub(crate) fn on_take_over(
         &mut self,
         now: Instant,
-        (job, digest): (JobId, u64),
-        tasks: usize,
+        job: JobId,
+        digest: u64,
+        tasks: TaskIndex,
         actions: &mut Vec<Action>,
     ) {
         let status = TaskStatus::MayHaveRun {
             reason: "the entry that owned the job is gone".into(),
         };
-        let answer = Answer::new(job, vec![status; tasks]);
-        self.propose(now, (job, digest), answer, false, actions);
+        let answer = Answer::new(job, vec![status; usize::from(tasks)]);
+        self.propose(now, job, digest, answer, false, actions);
     }
 
     fn propose(
         &mut self,
         now: Instant,
-        (job, digest): (JobId, u64),
+        job: JobId,
+        digest: u64,
         value: Answer,
         as_owner: bool,
         actions: &mut Vec<Action>,
@@ -81,11 +84,8 @@
         let me = self.settings.me;
         let resend = self.first_resend(now);
         let proposal = Proposal {
-            subject: Subject {
-                job,
-                digest,
-                owner: self.table.record(job).map_or(me, |record| record.owner),
-            },
+            digest,
+            owner: self.table.record(job).map_or(me, |record| record.owner),
             accepting: as_owner.then(|| value.clone()),
             value,
             ballot: if as_owner {
@@ -123,26 +123,32 @@
         let Some(proposal) = self.proposals.get(&job) else {
             return;
         };
-        let (subject, ballot) = (proposal.subject, proposal.ballot);
+        let (digest, owner, ballot) = (proposal.digest, proposal.owner, proposal.ballot);
         let accepting = proposal.accepting.clone();
         for peer in self.others(&proposal.voters) {
-            let message = self.ballot_message(subject, ballot, accepting.clone());
+            let message = self.ballot_message(job, digest, owner, ballot, accepting.clone());
             actions.push(Action::Send { peer, message });
         }
         if !self.proposals[&job].voters.contains(&me) {
             let vote = match &accepting {
-                Some(answer) => self.table.accept(subject, ballot, answer),
-                None => self.table.prepare(subject, ballot),
+                Some(answer) => self.table.accept(job, digest, owner, ballot, answer),
+                None => self.table.prepare(job, digest, owner, ballot),
             };
             self.on_vote(now, me, job, (ballot, accepting.is_some()), vote, actions);
         }
     }
 
-    fn ballot_message(&self, subject: Subject, ballot: Ballot, accepting: Option<Answer>) -> Message {
-        let Subject { job, digest, owner } = subject;
+    fn ballot_message(
+        &self,
+        job: JobId,
+        digest: u64,
+        owner: ProcessId,
+        ballot: Ballot,
+        accepting: Option<Answer>,
+    ) -> PeerMessage {
         let view = self.view_number().unwrap_or_default();
         match accepting {
-            Some(answer) => Message::Accept {
+            Some(answer) => PeerMessage::Accept {
                 view,
                 job,
                 digest,
@@ -150,7 +156,7 @@
                 ballot,
                 answer,
             },
-            None => Message::Prepare {
+            None => PeerMessage::Prepare {
                 view,
                 job,
                 digest,
@@ -165,21 +171,21 @@
         &mut self,
         now: Instant,
         peer: ProcessId,
-        message: Message,
+        message: PeerMessage,
         actions: &mut Vec<Action>,
     ) {
         match message {
-            Message::Prepare {
+            PeerMessage::Prepare {
                 job,
                 digest,
                 owner,
                 ballot,
                 ..
             } => {
-                let vote = self.table.prepare(Subject { job, digest, owner }, ballot);
+                let vote = self.table.prepare(job, digest, owner, ballot);
                 self.reply(peer, job, (ballot, false), vote, actions);
             }
-            Message::Accept {
+            PeerMessage::Accept {
                 job,
                 digest,
                 owner,
@@ -187,10 +193,10 @@
                 answer,
                 ..
             } => {
-                let vote = self.table.accept(Subject { job, digest, owner }, ballot, &answer);
+                let vote = self.table.accept(job, digest, owner, ballot, &answer);
                 self.reply(peer, job, (ballot, true), vote, actions);
             }
-            Message::Promise {
+            PeerMessage::Promise {
                 job,
                 ballot,
                 accepted,
@@ -203,10 +209,10 @@
                 BallotVote::Yes(accepted),
                 actions,
             ),
-            Message::Accepted { job, ballot, .. } => {
+            PeerMessage::Accepted { job, ballot, .. } => {
                 self.on_vote(now, peer, job, (ballot, true), BallotVote::Yes(None), actions);
             }
-            Message::Rejected {
+            PeerMessage::Rejected {
                 job,
                 ballot,
                 promised,
@@ -227,20 +233,20 @@
     ) {
         let view = self.view_number().unwrap_or_default();
         let message = match vote {
-            BallotVote::Yes(_) if accept => Message::Accepted { view, job, ballot },
-            BallotVote::Yes(accepted) => Message::Promise {
+            BallotVote::Yes(_) if accept => PeerMessage::Accepted { view, job, ballot },
+            BallotVote::Yes(accepted) => PeerMessage::Promise {
                 view,
                 job,
                 ballot,
                 accepted,
             },
-            BallotVote::Rejected(promised) => Message::Rejected {
+            BallotVote::Rejected(promised) => PeerMessage::Rejected {
                 view,
                 job,
                 ballot,
                 promised,
             },
-            BallotVote::Denied(denial) => Message::Denied { view, job, denial },
+            BallotVote::Denied(denial) => PeerMessage::Denied { view, job, denial },
         };
         actions.push(Action::Send { peer, message });
     }
@@ -336,24 +342,27 @@
     ) {
         self.on_claim_denied(peer, job, denial, actions);
         self.on_lookup_denied(job, denial, actions);
+        if denial == Denial::DigestMismatch && self.proposals.swap_remove(&job).is_some() {
+            actions.push(Action::Refused {
+                job,
+                refusal: denial.refusal(),
+            });
+        }
         let Some(proposal) = self.proposals.get_mut(&job) else {
             return;
         };
-        if denial == Denial::Reused {
-            self.give_up_proposal(job, id_reused(), actions);
-            return;
-        }
         if !proposal.denials.contains(&peer) {
             proposal.denials.push(peer);
         }
         let denials = proposal.denials.len();
         if self.is_hopeless(denials) {
-            self.give_up_proposal(job, outcome_unknown(), actions);
+            self.give_up_proposal(job, actions);
         }
     }
 
-    fn give_up_proposal(&mut self, job: JobId, refusal: Refusal, actions: &mut Vec<Action>) {
+    fn give_up_proposal(&mut self, job: JobId, actions: &mut Vec<Action>) {
         self.proposals.swap_remove(&job);
+        let refusal = outcome_unknown();
         actions.push(Action::Refused { job, refusal });
     }
 
@@ -362,7 +371,7 @@
         let jobs: Vec<JobId> = self.proposals.keys().copied().collect();
         for job in jobs {
             if self.table.is_below_floor(job) {
-                self.give_up_proposal(job, outcome_unknown(), actions);
+                self.give_up_proposal(job, actions);
             }
         }
     }
--- a/crates/register/src/event.rs
+++ b/crates/register/src/event.rs
@@ -1,8 +1,8 @@
 //! Events that the register takes and actions that it asks for.
 
-use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, ViewNumber};
+use chestnutfork_types::{Answer, JobId, ProcessId, Refusal, TaskIndex, ViewNumber};
 
-use crate::message::Message;
+use crate::message::PeerMessage;
 use crate::view::View;
 
 /// Input of the register.
@@ -12,18 +12,11 @@
     Claim {
         /// Job in question.
         job: JobId,
-        /// Digest of the submission, by which a reused id is told from a resubmission.
+        /// Digest of the submission.
         digest: u64,
         /// Whether the job waits for the grant; other jobs run without it.
         at_most_once: bool,
     },
-    /// A submission is to be refused: is the job unknown, so that "not run" is true?
-    Lookup {
-        /// Job in question.
-        job: JobId,
-        /// Digest of the submission.
-        digest: u64,
-    },
     /// A claim that has no quorum yet is given up.
     Release {
         /// Job in question.
@@ -33,9 +26,18 @@
     RecordAnswer {
         /// Job in question.
         job: JobId,
+        /// Digest of the submission.
+        digest: u64,
         /// Answer to record.
         answer: Answer,
     },
+    /// A submission of the job is about to be refused; it is "not run" only if no claim has been granted.
+    Lookup {
+        /// Job in question.
+        job: JobId,
+        /// Digest of the submission.
+        digest: u64,
+    },
     /// The owner of a job that a caller waits for here is gone.
     TakeOver {
         /// Job in question.
@@ -43,14 +45,14 @@
         /// Digest of the submission.
         digest: u64,
         /// Number of tasks of the job.
-        tasks: usize,
+        tasks: TaskIndex,
     },
     /// Another entry sent a message.
     FromPeer {
         /// Sender.
         peer: ProcessId,
         /// Message.
-        message: Message,
+        message: PeerMessage,
     },
     /// Control committed a view.
     ViewInstalled(View),
@@ -71,7 +73,7 @@
         /// Receiver.
         peer: ProcessId,
         /// Message.
-        message: Message,
+        message: PeerMessage,
     },
     /// The job is new and belongs to this entry.
     Claimed {
@@ -85,7 +87,7 @@
         /// Owner to join, or to take over from.
         owner: ProcessId,
     },
-    /// The job that was looked up was unknown to a quorum, so no entry had started it.
+    /// No claim of the looked-up job has been granted, so nothing of it has started.
     Unknown {
         /// Job in question.
         job: JobId,
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -26,7 +26,7 @@
 pub struct Record {
     /// Job in question.
     pub job: JobId,
-    /// Digest of the submission; another submission under the same id has another one.
+    /// Digest of the first submission; another submission must not use the same id.
     pub digest: u64,
     /// Entry that claimed the job first at this replica.
     pub owner: ProcessId,
@@ -45,13 +45,13 @@
     BelowFloor,
     /// The table is full and has no record of the job.
     Full,
-    /// The job is known with another content.
-    Reused,
+    /// The id was used for another submission.
+    DigestMismatch,
 }
 
 /// Message between registers; a replica takes only those of its own view.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Message {
+pub enum PeerMessage {
     /// Asks for the job on behalf of the sender.
     Claim {
         /// View of the sender.
@@ -61,7 +61,7 @@
         /// Digest of the submission.
         digest: u64,
     },
-    /// Asks whether the job is known, without claiming it.
+    /// Asks whether the job is known.
     Lookup {
         /// View of the sender.
         view: ViewNumber,
@@ -69,13 +69,21 @@
         job: JobId,
         /// Digest of the submission.
         digest: u64,
+        /// Number of the lookup at the sender; an answer to an earlier one may be out of date.
+        lookup: u64,
     },
-    /// Answers a lookup: the job is not known here.
-    Absent {
+    /// Answers a lookup.
+    Found {
         /// View of the sender.
         view: ViewNumber,
         /// Job in question.
         job: JobId,
+        /// Number of the lookup.
+        lookup: u64,
+        /// Known claimant, unless the replica has no record of the job or only a claim of the asking entry.
+        owner: Option<ProcessId>,
+        /// Whether the replica has a claim of the asking entry.
+        own_claim: bool,
     },
     /// Grants a claim.
     Granted {
@@ -84,7 +92,7 @@
         /// Job in question.
         job: JobId,
     },
-    /// Answers a claim or a lookup with another claimant, or with the claimant itself if its job was taken over.
+    /// Answers a claim with another claimant, or with the claimant itself if its job was taken over.
     Known {
         /// View of the sender.
         view: ViewNumber,
@@ -185,21 +193,21 @@
     },
 }
 
-impl Message {
+impl PeerMessage {
     /// Returns the view that the sender was in.
     ///
     /// # Examples
     ///
     /// ```
-    /// assert_eq!(chestnutfork_register::Message::Claim { view: 3, job: 1, digest: 0 }.view(), 3);
+    /// assert_eq!(chestnutfork_register::PeerMessage::Claim { view: 3, job: 1, digest: 5 }.view(), 3);
     /// ```
     #[must_use]
     pub fn view(&self) -> ViewNumber {
         match self {
             Self::Claim { view, .. }
-            | Self::Granted { view, .. }
             | Self::Lookup { view, .. }
-            | Self::Absent { view, .. }
+            | Self::Found { view, .. }
+            | Self::Granted { view, .. }
             | Self::Known { view, .. }
             | Self::Denied { view, .. }
             | Self::Prepare { view, .. }
--- a/crates/register/src/register.rs
+++ b/crates/register/src/register.rs
@@ -10,8 +10,8 @@
 use crate::builder::{RegisterBuilder, Settings};
 use crate::claims::{Claim, Fate};
 use crate::event::{Action, Event};
-use crate::lookup::Lookup;
-use crate::message::Message;
+use crate::lookups::Lookup;
+use crate::message::PeerMessage;
 use crate::sync::Sync;
 use crate::table::Table;
 use crate::view::View;
@@ -36,6 +36,8 @@
     pub(crate) fates: BTreeMap<JobId, Fate>,
     pub(crate) claims: IndexMap<JobId, Claim>,
     pub(crate) lookups: IndexMap<JobId, Lookup>,
+    /// Number of the latest lookup.
+    pub(crate) last_lookup: u64,
     pub(crate) proposals: IndexMap<JobId, Proposal>,
     pub(crate) sync: Option<Sync>,
     pub(crate) synced: Option<ViewNumber>,
@@ -60,7 +62,7 @@
     /// let mut actions = Vec::new();
     /// register.handle(now, wall, Event::ViewInstalled(View::first(1, vec![10])), &mut actions);
     /// let job = 1_700_000_000_000 << 80;
-    /// register.handle(now, wall, Event::Claim { job, digest: 0, at_most_once: true }, &mut actions);
+    /// register.handle(now, wall, Event::Claim { job, digest: 5, at_most_once: true }, &mut actions);
     /// assert_eq!(actions, [Action::Claimed { job }]);
     /// ```
     #[must_use]
@@ -76,6 +78,7 @@
             fates: BTreeMap::new(),
             claims: IndexMap::new(),
             lookups: IndexMap::new(),
+            last_lookup: 0,
             proposals: IndexMap::new(),
             sync: None,
             synced: None,
@@ -98,11 +101,15 @@
                 job,
                 digest,
                 at_most_once,
-            } => self.on_claim(now, wall, (job, digest), at_most_once, actions),
-            Event::Lookup { job, digest } => self.on_lookup(now, wall, (job, digest), actions),
+            } => {
+                self.on_claim(now, wall, job, digest, at_most_once, actions);
+            }
             Event::Release { job } => drop(self.claims.swap_remove(&job)),
-            Event::RecordAnswer { job, answer } => self.on_record_answer(now, job, answer, actions),
-            Event::TakeOver { job, digest, tasks } => self.on_take_over(now, (job, digest), tasks, actions),
+            Event::Lookup { job, digest } => self.on_lookup(now, wall, job, digest, actions),
+            Event::RecordAnswer { job, digest, answer } => {
+                self.on_record_answer(now, job, digest, answer, actions);
+            }
+            Event::TakeOver { job, digest, tasks } => self.on_take_over(now, job, digest, tasks, actions),
             Event::FromPeer { peer, message } => self.on_message(now, peer, message, actions),
             Event::ViewInstalled(view) => self.on_view(now, view, actions),
             // Unanswered messages are resent on timers, over whatever link is then up.
@@ -154,7 +161,13 @@
         self.table.rows.len()
     }
 
-    /// Reports whether no claim, lookup, answer or copy is under way.
+    /// Reports whether a claim or a lookup of the job is under way.
+    #[must_use]
+    pub fn is_pending(&self, job: JobId) -> bool {
+        self.claims.contains_key(&job) || self.lookups.contains_key(&job)
+    }
+
+    /// Reports whether no claim, answer or copy is under way.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.claims.is_empty() && self.lookups.is_empty() && self.proposals.is_empty() && self.sync.is_none()
@@ -220,7 +233,7 @@
     }
 
     /// Takes a message of the current view from an entry in it; all others are ignored.
-    fn on_message(&mut self, now: Instant, peer: ProcessId, message: Message, actions: &mut Vec<Action>) {
+    fn on_message(&mut self, now: Instant, peer: ProcessId, message: PeerMessage, actions: &mut Vec<Action>) {
         let Some(view) = &self.view else {
             return;
         };
@@ -229,10 +242,10 @@
         }
         let learner = view.learners.contains(&peer);
         match message {
-            Message::Pull { after, .. } if learner || self.has_member(peer) => {
+            PeerMessage::Pull { after, .. } if learner || self.has_member(peer) => {
                 self.on_pull(peer, after, actions);
             }
-            Message::Chunk {
+            PeerMessage::Chunk {
                 after,
                 upto,
                 done,
@@ -244,15 +257,24 @@
                 self.on_chunk(now, peer, (after, upto, done), records, actions);
             }
             _ if !self.is_member() || !self.has_member(peer) => {}
-            Message::Claim { job, digest, .. } => self.on_peer_claim(peer, job, digest, actions),
-            Message::Lookup { job, digest, .. } => self.on_peer_lookup(peer, job, digest, actions),
-            Message::Absent { job, .. } => self.on_absent(peer, job, actions),
-            Message::Granted { job, .. } => self.on_granted(peer, job, actions),
-            Message::Known { job, owner, .. } => {
-                self.on_lookup_known(job, owner, actions);
-                self.on_known(peer, job, owner, actions);
+            PeerMessage::Claim { job, digest, .. } => self.on_peer_claim(peer, job, digest, actions),
+            PeerMessage::Lookup {
+                job, digest, lookup, ..
+            } => {
+                self.on_peer_lookup(peer, job, digest, lookup, actions);
+            }
+            PeerMessage::Found {
+                job,
+                lookup,
+                owner,
+                own_claim,
+                ..
+            } => {
+                self.on_found(peer, job, lookup, (owner, own_claim), actions);
             }
-            Message::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
+            PeerMessage::Granted { job, .. } => self.on_granted(peer, job, actions),
+            PeerMessage::Known { job, owner, .. } => self.on_known(peer, job, owner, actions),
+            PeerMessage::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
             message => self.on_ballot_message(now, peer, message, actions),
         }
     }
--- a/crates/register/src/table.rs
+++ b/crates/register/src/table.rs
@@ -16,14 +16,6 @@
     pub(crate) decided: bool,
 }
 
-/// Job under vote, with what a replica records if it does not know the job yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Subject {
-    pub(crate) job: JobId,
-    pub(crate) digest: u64,
-    pub(crate) owner: ProcessId,
-}
-
 /// Vote on a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ClaimVote {
@@ -32,6 +24,17 @@
     Denied(Denial),
 }
 
+/// Answer to a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LookupVote {
+    /// There is no record of the job.
+    NotKnown,
+    /// The only record is a claim of the asking entry, and nobody has begun to take the job over.
+    OwnClaim,
+    Known(ProcessId),
+    Denied(Denial),
+}
+
 /// Vote on a ballot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum BallotVote {
@@ -103,13 +106,23 @@
         ClaimVote::Granted
     }
 
-    /// Votes on a lookup as on a claim, but records nothing.
-    pub(crate) fn lookup(&self, job: JobId, digest: u64, asker: ProcessId) -> ClaimVote {
+    /// Answers a lookup.
+    pub(crate) fn lookup(&self, job: JobId, digest: u64, asker: ProcessId) -> LookupVote {
         if self.is_below_floor(job) {
-            return ClaimVote::Denied(Denial::BelowFloor);
+            return LookupVote::Denied(Denial::BelowFloor);
+        }
+        match self.record(job) {
+            None => LookupVote::NotKnown,
+            Some(record) if record.digest != digest => LookupVote::Denied(Denial::DigestMismatch),
+            Some(record) if record.owner != asker => LookupVote::Known(record.owner),
+            Some(Record {
+                rival: Some(rival), ..
+            }) => LookupVote::Known(*rival),
+            Some(record) if record.promised > Ballot::OWNER || record.accepted.is_some() => {
+                LookupVote::Known(asker)
+            }
+            Some(_) => LookupVote::OwnClaim,
         }
-        let record = self.record(job);
-        record.map_or(ClaimVote::Granted, |record| vote_on_claim(record, digest, asker))
     }
 
     /// Hands the own record of a withdrawn claim to another claimant.
@@ -134,25 +147,43 @@
         if row.record.owner != owner {
             row.record.rival = Some(row.record.owner);
             row.record.owner = owner;
-            row.record.digest = digest;
             self.touch(job);
         }
     }
 
     /// Promises a ballot, unless a larger one is promised.
-    pub(crate) fn prepare(&mut self, subject: Subject, ballot: Ballot) -> BallotVote {
-        self.vote(subject, ballot, |_| {})
+    pub(crate) fn prepare(
+        &mut self,
+        job: JobId,
+        digest: u64,
+        owner: ProcessId,
+        ballot: Ballot,
+    ) -> BallotVote {
+        self.vote(job, digest, owner, ballot, |_| {})
     }
 
     /// Accepts an answer, unless a larger ballot is promised.
-    pub(crate) fn accept(&mut self, subject: Subject, ballot: Ballot, answer: &Answer) -> BallotVote {
-        self.vote(subject, ballot, |record| {
+    pub(crate) fn accept(
+        &mut self,
+        job: JobId,
+        digest: u64,
+        owner: ProcessId,
+        ballot: Ballot,
+        answer: &Answer,
+    ) -> BallotVote {
+        self.vote(job, digest, owner, ballot, |record| {
             record.accepted = Some((ballot, answer.clone()));
         })
     }
 
-    fn vote(&mut self, subject: Subject, ballot: Ballot, change: impl FnOnce(&mut Record)) -> BallotVote {
-        let Subject { job, digest, owner } = subject;
+    fn vote(
+        &mut self,
+        job: JobId,
+        digest: u64,
+        owner: ProcessId,
+        ballot: Ballot,
+        change: impl FnOnce(&mut Record),
+    ) -> BallotVote {
         if self.is_below_floor(job) {
             return BallotVote::Denied(Denial::BelowFloor);
         }
@@ -162,7 +193,7 @@
         }
         let row = self.rows.get_mut(&job).expect("record was just inserted");
         if row.record.digest != digest {
-            return BallotVote::Denied(Denial::Reused);
+            return BallotVote::Denied(Denial::DigestMismatch);
         }
         if ballot < row.record.promised {
             return BallotVote::Rejected(row.record.promised);
@@ -282,7 +313,7 @@
 
 fn vote_on_claim(record: &Record, digest: u64, claimant: ProcessId) -> ClaimVote {
     if record.digest != digest {
-        return ClaimVote::Denied(Denial::Reused);
+        return ClaimVote::Denied(Denial::DigestMismatch);
     }
     if record.owner != claimant {
         return ClaimVote::Known(record.owner);
