dispatch: Let the randomised run end every replaced session

The fake network forgot to tell the agent of the end of a session that was replaced by one that never came up; a real link closes after 3 s of silence.

Change: the fake network remembers the sides that have not noticed the end of a former session.

--- a/crates/dispatch/tests/sim/net.rs
+++ b/crates/dispatch/tests/sim/net.rs
@@ -29,6 +29,8 @@
     session: u64,
     /// Sides at which the session is up.
     up: Vec<ProcessId>,
+    /// Sides that have not noticed the end of a former session.
+    late: Vec<ProcessId>,
     /// Whether a message was lost, so that nothing arrives any more.
     dead: bool,
     /// Latest arrivals at the smaller and at the larger process.
@@ -72,9 +74,10 @@
         link.session = session;
         link.dead = false;
         link.arrivals = [now; 2];
-        // A side that has not noticed the end of the former session learns it with the new one.
-        let late = std::mem::take(&mut link.up);
-        for at in late {
+        // A side that has not noticed the end of the former session learns it before the new one, or with it.
+        let up = std::mem::take(&mut link.up);
+        link.late.extend(up);
+        for at in link.late.clone() {
             let other = if at == key.0 { key.1 } else { key.0 };
             if self.chance(50) {
                 self.push(
@@ -202,6 +205,7 @@
             return Ok(());
         };
         link.up.push(at);
+        link.late.retain(|&side| side != at);
         self.notice_up(at, other)
     }
 
@@ -210,12 +214,17 @@
         let Some(link) = self.links.get_mut(&key(at, other)) else {
             return Ok(());
         };
+        if session > 0 && link.session != session {
+            return Ok(());
+        }
+        let (up, late) = (link.up.contains(&at), link.late.contains(&at));
+        link.late.retain(|&side| side != at);
         if session > 0 {
-            if link.session != session || !link.up.contains(&at) {
-                return Ok(());
-            }
             link.up.retain(|&side| side != at);
         }
+        if !late && (!up || session == 0) {
+            return Ok(());
+        }
         self.notice_down(at, other)
     }
 
