--- a/crates/register/tests/random.rs
+++ b/crates/register/tests/random.rs
@@ -1,4 +1,4 @@
-//! Fixed set of randomised runs; `examples/random_run.rs` runs as many as one likes.
+//! Fixed set of randomised runs; `examples/register_run.rs` runs as many as one likes.
 
 mod sim;
 
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -397,3 +397,15 @@
     };
     assert_eq!(refusal(&bench.run(2, takeover)), reused);
 }
+
+/// Guards against a claim that was given up and keeps the job from ever running.
+#[test]
+fn release_lets_other_entry_claim() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let job = job(0);
+    bench.down = vec![2, 3];
+    bench.claim(1, job);
+    bench.run(1, Event::Release { job });
+    bench.down.clear();
+    assert_eq!(bench.claim(2, job), [Action::Claimed { job }]);
+}
--- a/crates/subscriber/src/actor.rs
+++ b/crates/subscriber/src/actor.rs
@@ -9,7 +9,7 @@
     ClusterSecret, DialConfig, Dialer, Identity, LinkId, LinkSender, Metrics, Wakeup, dial, now,
 };
 use chestnutfork_register::View;
-use chestnutfork_types::{ConfigVersion, NodeName, ViewNumber};
+use chestnutfork_types::{ConfigVersion, FailureDomain, NodeName, ViewNumber};
 use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire, ViewWire};
 use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 
@@ -33,6 +33,7 @@
     me: Identity,
     secret: ClusterSecret,
     controls: Vec<String>,
+    failure_domain: FailureDomain,
     renew_every: Duration,
     metrics: Metrics,
 }
@@ -67,6 +68,7 @@
             me,
             secret,
             controls,
+            failure_domain: String::new(),
             renew_every,
             metrics: Metrics::disabled(),
         };
@@ -75,6 +77,13 @@
 }
 
 impl SubscriptionConfigBuilder {
+    /// Sets the failure domain of this process.
+    #[must_use]
+    pub fn failure_domain(mut self, failure_domain: impl Into<FailureDomain>) -> Self {
+        self.cfg.failure_domain = failure_domain.into();
+        self
+    }
+
     /// Sets the interval between renewals of the lease.
     #[must_use]
     pub fn renew_every(mut self, interval: Duration) -> Self {
@@ -253,7 +262,7 @@
             SubscriberMessage::FromControl { link, messages } => {
                 for message in messages {
                     if self.is_current(link) {
-                        self.from_control(message);
+                        self.control_message(message);
                     }
                 }
             }
@@ -283,11 +292,14 @@
         }
     }
 
-    fn from_control(&mut self, message: ControlMessageWire) {
+    fn control_message(&mut self, message: ControlMessageWire) {
         match message {
             ControlMessageWire::Update(bytes) => match Update::decode(&bytes) {
                 Ok(update) => self.step(Event::Update(update)),
-                Err(error) => self.report_unusable(0, &error.to_string()),
+                Err(error) => emit(&ConfigEvent::Unusable {
+                    version: 0,
+                    error: &error.to_string(),
+                }),
             },
             ControlMessageWire::Confirm(confirm) => self.step(Event::Confirm {
                 probe: confirm.probe(),
@@ -313,7 +325,10 @@
                 self.link = None;
                 self.dialer = dial_control(&self.cfg, control, &self.me);
             }
-            Action::Subscribe(version) => self.send(SubscriberMessageWire::Subscribe(version)),
+            Action::Subscribe(version) => self.send(SubscriberMessageWire::Subscribe {
+                have: version,
+                failure_domain: self.cfg.failure_domain.clone(),
+            }),
             Action::Ack(version) => self.send(SubscriberMessageWire::Ack(version)),
             Action::Renew {
                 probe,
@@ -336,7 +351,10 @@
             }
             Action::Confirmed(state) => self.report_confirmation(state),
             Action::View(view) => self.handler.viewed(view),
-            Action::Unusable { version, reason } => self.report_unusable(version, &reason),
+            Action::Unusable { version, reason } => emit(&ConfigEvent::Unusable {
+                version,
+                error: &reason,
+            }),
         }
     }
 
@@ -359,10 +377,6 @@
         self.handler.confirmed(confirmed);
     }
 
-    fn report_unusable(&self, version: ConfigVersion, error: &str) {
-        emit(&ConfigEvent::Unusable { version, error });
-    }
-
     fn send(&self, message: SubscriberMessageWire) {
         if let Some((_, tx)) = &self.link {
             tx.send(message);
--- a/crates/subscriber/src/core.rs
+++ b/crates/subscriber/src/core.rs
@@ -132,7 +132,7 @@
             Ok(Change::Ignored) => {}
             // An update was lost; control sends what is missing, or the whole document.
             Err(error) if matches!(error.kind, ErrorKind::Gap { .. }) => {
-                actions.push(Action::Subscribe(self.applied.version()))
+                actions.push(Action::Subscribe(self.applied.version()));
             }
             Err(error) => {
                 let (version, reason) = (update.version(), error.to_string());
