entry, agent, local: Take configuration, view and leases from control

Cause: the first path was wired by hand; no configuration change or loss of an entry reached the processes. Change: entry and agent subscribe to control; the local set runs three control processes on disk folders, applies its configuration by a patch and waits until every entry has credits of every target.

--- a/crates/agent/src/actor.rs
+++ b/crates/agent/src/actor.rs
@@ -5,6 +5,7 @@
 use chestnutfork_events::{AgentEvent, emit};
 use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
 use chestnutfork_slots::{Action, AgentCore, Event};
+use chestnutfork_subscriber::EntryInfo;
 use chestnutfork_types::{
     AgentToEntry, AttemptOutcome, ConfigVersion, CreditId, EntryToAgent, ProcessId, ServiceName,
 };
@@ -17,6 +18,14 @@
 use crate::links::EntryLinks;
 use crate::target::{TargetClient, TaskHandle};
 
+/// Entry at the other end of a link.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryLink {
+    pub(crate) process: ProcessId,
+    /// Address that was dialled.
+    pub(crate) address: String,
+}
+
 /// Message to the agent's actor.
 #[derive(Debug)]
 pub(crate) enum AgentMessage {
@@ -25,7 +34,7 @@
     /// A link to an entry is open.
     LinkUp {
         link: LinkId,
-        entry: ProcessId,
+        entry: EntryLink,
         tx: LinkSender<AgentToEntryWire>,
     },
     /// An entry sent messages.
@@ -35,14 +44,15 @@
     },
     /// A link to an entry is closed.
     LinkDown { link: LinkId },
-    /// Addresses of the entries, from control or from the settings.
-    Entries(Vec<String>),
-    /// The configuration in force, or its confirmation, changed.
-    Config {
+    /// Entries of the current view.
+    Entries(Vec<EntryInfo>),
+    /// A configuration version is in force.
+    Configured {
         version: ConfigVersion,
-        confirmed: bool,
         refusing: Vec<ServiceName>,
     },
+    /// The configuration became confirmed or unconfirmed.
+    Confirmed(bool),
     /// A task ended at the target.
     TaskEnded {
         credit: CreditId,
@@ -76,6 +86,14 @@
     pub(crate) metrics: Metrics,
 }
 
+/// Configuration as the core needs it.
+#[derive(Clone, Debug, Default)]
+struct ConfigState {
+    version: ConfigVersion,
+    confirmed: bool,
+    refusing: Vec<ServiceName>,
+}
+
 /// State of the actor.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -84,9 +102,14 @@
     wakeup: Wakeup,
     dial: DialTemplate,
     dialers: IndexMap<String, Dialer>,
-    links: IndexMap<LinkId, ProcessId>,
+    links: IndexMap<LinkId, EntryLink>,
     senders: IndexMap<ProcessId, (LinkId, LinkSender<AgentToEntryWire>)>,
+    /// Entries of the current view.
+    entries: Vec<EntryInfo>,
+    config: ConfigState,
     target: TargetClient,
+    /// Whether the target was leaving when it announced itself last.
+    announced: Option<bool>,
     tasks: IndexMap<CreditId, TaskHandle>,
     metrics: Metrics,
     drained: Vec<oneshot::Sender<()>>,
@@ -114,7 +137,10 @@
             dialers: IndexMap::new(),
             links: IndexMap::new(),
             senders: IndexMap::new(),
+            entries: Vec::new(),
+            config: ConfigState::default(),
             target: arguments.target,
+            announced: None,
             tasks: IndexMap::new(),
             metrics: arguments.metrics,
             drained: Vec::new(),
@@ -142,17 +168,15 @@
             AgentMessage::LinkUp { link, entry, tx } => self.link_up(link, entry, tx),
             AgentMessage::FromEntry { link, messages } => self.entry_messages(link, messages),
             AgentMessage::LinkDown { link } => self.link_down(link),
-            AgentMessage::Entries(addresses) => self.set_entries(&addresses),
-            AgentMessage::Config {
-                version,
-                confirmed,
-                refusing,
-            } => {
-                self.step(Event::ConfigState {
-                    version,
-                    confirmed,
-                    refusing,
-                });
+            AgentMessage::Entries(entries) => self.set_entries(entries),
+            AgentMessage::Configured { version, refusing } => {
+                self.config.version = version;
+                self.config.refusing = refusing;
+                self.pass_config();
+            }
+            AgentMessage::Confirmed(confirmed) => {
+                self.config.confirmed = confirmed;
+                self.pass_config();
             }
             AgentMessage::TaskEnded {
                 credit,
@@ -176,7 +200,6 @@
     }
 
     fn target_announced(&mut self, announcement: TargetAnnouncement) {
-        let accepting = self.core.is_accepting();
         self.target.set_address(announcement.address);
         let TargetAnnouncement {
             target,
@@ -185,17 +208,20 @@
             leaving,
             ..
         } = announcement;
-        if !accepting && !leaving {
-            emit(&AgentEvent::TargetAnnounced {
-                target: &target,
-                pool: &pool,
-                slots: u64::from(slots),
-            });
-        } else if accepting && leaving {
-            emit(&AgentEvent::TargetLeaving {
-                target: &target,
-                running: self.core.running() as u64,
-            });
+        if self.announced != Some(leaving) {
+            self.announced = Some(leaving);
+            if leaving {
+                emit(&AgentEvent::TargetLeaving {
+                    target: &target,
+                    running: self.core.running() as u64,
+                });
+            } else {
+                emit(&AgentEvent::TargetAnnounced {
+                    target: &target,
+                    pool: &pool,
+                    slots: u64::from(slots),
+                });
+            }
         }
         self.step(Event::TargetAnnounced {
             target,
@@ -205,18 +231,19 @@
         });
     }
 
-    fn link_up(&mut self, link: LinkId, entry: ProcessId, tx: LinkSender<AgentToEntryWire>) {
+    fn link_up(&mut self, link: LinkId, entry: EntryLink, tx: LinkSender<AgentToEntryWire>) {
+        let process = entry.process;
         // A new link to the same incarnation replaces the old one, which may have gone silent.
-        if self.senders.contains_key(&entry) {
-            self.step(Event::EntryDown { entry });
+        if self.senders.contains_key(&process) {
+            self.step(Event::EntryDown { entry: process });
         }
         self.links.insert(link, entry);
-        self.senders.insert(entry, (link, tx));
-        self.step(Event::EntryUp { entry });
+        self.senders.insert(process, (link, tx));
+        self.step(Event::EntryUp { entry: process });
     }
 
     fn link_down(&mut self, link: LinkId) {
-        let Some(entry) = self.links.swap_remove(&link) else {
+        let Some(EntryLink { process: entry, .. }) = self.links.swap_remove(&link) else {
             return;
         };
         if self
@@ -226,11 +253,15 @@
         {
             self.senders.swap_remove(&entry);
             self.step(Event::EntryDown { entry });
+            if !self.entries.iter().any(|listed| listed.process == entry) {
+                self.step(Event::EntryGone { entry });
+            }
         }
+        self.drop_unused_dialers();
     }
 
     fn entry_messages(&mut self, link: LinkId, messages: Vec<EntryToAgent>) {
-        let Some(&entry) = self.links.get(&link) else {
+        let Some(&EntryLink { process: entry, .. }) = self.links.get(&link) else {
             return;
         };
         // Messages of a replaced link are stale: the core has already treated that link as lost.
@@ -246,23 +277,60 @@
         }
     }
 
-    fn set_entries(&mut self, addresses: &[String]) {
-        self.dialers.retain(|address, _| addresses.contains(address));
+    fn pass_config(&mut self) {
+        let ConfigState {
+            version,
+            confirmed,
+            refusing,
+        } = self.config.clone();
+        self.step(Event::ConfigState {
+            version,
+            confirmed,
+            refusing,
+        });
+    }
+
+    /// Dials new entries and forgets those that left the view.
+    fn set_entries(&mut self, entries: Vec<EntryInfo>) {
+        let gone = self.entries.iter().map(|entry| entry.process);
+        let gone: Vec<_> = gone
+            .filter(|&former| !entries.iter().any(|entry| entry.process == former))
+            .collect();
+        self.entries = entries;
+        for entry in gone {
+            self.step(Event::EntryGone { entry });
+        }
+        self.drop_unused_dialers();
+        let addresses: Vec<_> = self.entries.iter().map(|entry| entry.address.clone()).collect();
         for address in addresses {
-            if self.dialers.contains_key(address) {
-                continue;
+            if !self.dialers.contains_key(&address) {
+                let template = self.dial.clone();
+                let cfg = DialConfig::builder(&address, template.me, template.secret)
+                    .metrics(template.metrics)
+                    .build();
+                let handler = EntryLinks {
+                    actor: self.me.clone(),
+                };
+                self.dialers.insert(address, dial(cfg, handler));
             }
-            let template = self.dial.clone();
-            let cfg = DialConfig::builder(address, template.me, template.secret)
-                .metrics(template.metrics)
-                .build();
-            let handler = EntryLinks {
-                actor: self.me.clone(),
-            };
-            self.dialers.insert(address.clone(), dial(cfg, handler));
         }
     }
 
+    /// Stops dialling addresses outside the view, but keeps open links: an entry that only lost its lease still waits
+    /// for results.
+    fn drop_unused_dialers(&mut self) {
+        let Self {
+            dialers,
+            entries,
+            links,
+            ..
+        } = self;
+        dialers.retain(|address, _| {
+            let listed = entries.iter().any(|entry| entry.address == *address);
+            listed || links.values().any(|link| link.address == *address)
+        });
+    }
+
     fn step(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.core.handle(now(), event, &mut actions);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod actor;
 mod announce;
+mod control;
 mod links;
 mod run;
 mod target;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -5,7 +5,7 @@
 use chestnutfork_wire::{AgentToEntryWire, EntryToAgentWire};
 use ractor::ActorRef;
 
-use crate::actor::AgentMessage;
+use crate::actor::{AgentMessage, EntryLink};
 
 /// Handler of links to entries.
 #[derive(Clone, Debug)]
@@ -18,12 +18,12 @@
     type Out = AgentToEntryWire;
 
     fn opened(&self, link: LinkId, peer: Identity, tx: LinkSender<AgentToEntryWire>) {
+        let entry = EntryLink {
+            process: peer.process,
+            address: peer.address,
+        };
         // A stopped actor needs no events; the same holds below.
-        drop(self.actor.cast(AgentMessage::LinkUp {
-            link,
-            entry: peer.process,
-            tx,
-        }));
+        drop(self.actor.cast(AgentMessage::LinkUp { link, entry, tx }));
     }
 
     fn received(&self, link: LinkId, messages: Vec<EntryToAgentWire>) {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,8 @@
 
 use chestnutfork_net::{ClusterSecret, HttpServer, Identity, Metrics, http_client, random_process_id};
 use chestnutfork_slots::AgentCore;
-use chestnutfork_types::{ConfigVersion, FailureDomain, NodeName, ProcessId, ServiceName};
+use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
+use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
 use chestnutfork_wire::Role;
 use ractor::{Actor, ActorRef};
 use thiserror::Error;
@@ -16,11 +17,16 @@
 
 use crate::actor::{AgentActor, AgentMessage, Arguments, DialTemplate};
 use crate::announce::{AnnounceEndpoint, TargetToken};
+use crate::control::ControlHandler;
 use crate::target::TargetClient;
 
 /// Time to open a connection to the target on the same VM.
 const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Interval between renewals of the lease, each of which asks for a confirmation of the configuration. At 1,100 agents
+/// a longer interval would save control little, and two lost renewals must fit into the 5 s before a change of control.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Failure to start an agent.
 #[derive(Debug, Error)]
 pub enum AgentError {
@@ -32,6 +38,9 @@
         /// What the system reported.
         source: io::Error,
     },
+    /// No control process is named.
+    #[error("no control process is named; set `control` to the link addresses of the control processes")]
+    NoControl,
     /// The actor did not start.
     #[error("the agent's actor did not start: {reason}; report this as a bug")]
     Actor {
@@ -48,7 +57,7 @@
     listen: String,
     secret: ClusterSecret,
     target_token: String,
-    entries: Vec<String>,
+    controls: Vec<String>,
     metrics: Metrics,
 }
 
@@ -78,7 +87,7 @@
             listen: "127.0.0.1:0".to_owned(),
             secret,
             target_token: String::new(),
-            entries: Vec::new(),
+            controls: Vec::new(),
             metrics: Metrics::disabled(),
         };
         AgentConfigBuilder { cfg }
@@ -107,10 +116,10 @@
         self
     }
 
-    /// Sets the link addresses of entries to dial before control has named any.
+    /// Sets the link addresses of the control processes, at least one.
     #[must_use]
-    pub fn entries(mut self, entries: Vec<String>) -> Self {
-        self.cfg.entries = entries;
+    pub fn controls(mut self, controls: Vec<String>) -> Self {
+        self.cfg.controls = controls;
         self
     }
 
@@ -134,6 +143,7 @@
     process: ProcessId,
     server: HttpServer,
     actor: ActorRef<AgentMessage>,
+    subscription: Subscription,
 }
 
 impl RunningAgent {
@@ -149,20 +159,6 @@
         self.process
     }
 
-    /// Replaces the link addresses of the entries to dial.
-    pub fn set_entries(&self, entries: Vec<String>) {
-        drop(self.actor.cast(AgentMessage::Entries(entries)));
-    }
-
-    /// Tells the configuration version in force, whether it is confirmed, and the services that need confirmation.
-    pub fn set_config(&self, version: ConfigVersion, confirmed: bool, refusing: Vec<ServiceName>) {
-        drop(self.actor.cast(AgentMessage::Config {
-            version,
-            confirmed,
-            refusing,
-        }));
-    }
-
     /// Refuses new work, waits until running tasks have ended and their results are confirmed, and stops.
     ///
     /// After `grace` it stops in any case; results that are not confirmed by then are lost.
@@ -171,12 +167,14 @@
         if self.actor.cast(AgentMessage::Drain(done)).is_ok() {
             let _ = timeout(grace, drained).await;
         }
+        self.subscription.leave();
         self.server.shutdown(Duration::from_secs(1)).await;
         self.actor.stop(None);
     }
 
     /// Stops at once, as a crash would.
     pub fn kill(self) {
+        self.subscription.kill();
         self.actor.kill();
     }
 }
@@ -200,22 +198,34 @@
         process,
         address: String::new(),
     };
+    if cfg.controls.is_empty() {
+        return Err(AgentError::NoControl);
+    }
     let arguments = Arguments {
-        core: AgentCore::builder(cfg.failure_domain).build(),
+        core: AgentCore::builder(cfg.failure_domain.clone()).build(),
         dial: DialTemplate {
-            me,
-            secret: cfg.secret,
+            me: me.clone(),
+            secret: cfg.secret.clone(),
             metrics: cfg.metrics.clone(),
         },
         target: TargetClient::new(http_client(TARGET_CONNECT_TIMEOUT)),
-        metrics: cfg.metrics,
+        metrics: cfg.metrics.clone(),
     };
     let (actor, _) = Actor::spawn(None, AgentActor, arguments)
         .await
         .map_err(|error| AgentError::Actor {
             reason: error.to_string(),
         })?;
-    drop(actor.cast(AgentMessage::Entries(cfg.entries)));
+    let subscription = SubscriptionConfig::builder(me, cfg.secret, cfg.controls)
+        .failure_domain(cfg.failure_domain)
+        .renew_every(RENEW_INTERVAL)
+        .metrics(cfg.metrics)
+        .build();
+    let subscription = subscribe(subscription, ControlHandler { actor: actor.clone() })
+        .await
+        .map_err(|error| AgentError::Actor {
+            reason: error.to_string(),
+        })?;
     let endpoint = AnnounceEndpoint {
         actor: actor.clone(),
         token: TargetToken(cfg.target_token),
@@ -230,5 +240,6 @@
         process,
         server,
         actor,
+        subscription,
     })
 }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -52,6 +52,8 @@
     pub view: u64,
     /// Entries in the view.
     pub members: u32,
+    /// Whether this entry is a full member of the view.
+    pub member: bool,
     /// Jobs that this entry owns.
     pub jobs: u32,
     /// Submissions that wait for another entry or the register.
@@ -99,6 +101,10 @@
             draining: self.draining,
             view: self.view.as_ref().map_or(0, |view| view.number),
             members: self.view.as_ref().map_or(0, |view| count(view.members.len())),
+            member: self
+                .view
+                .as_ref()
+                .is_some_and(|view| view.members.contains(&self.me)),
             jobs: count(self.jobs.len()),
             waiting: count(self.waiting.len()),
             services: services.collect(),
--- a/crates/entry/src/actor.rs
+++ b/crates/entry/src/actor.rs
@@ -7,7 +7,8 @@
 };
 use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
 use chestnutfork_register::View;
-use chestnutfork_types::{AgentToEntry, JobId, JobSpec, ProcessId, TeamName, ViewNumber};
+use chestnutfork_subscriber::Subscription;
+use chestnutfork_types::{AgentToEntry, JobId, JobSpec, ProcessId, TeamName};
 use chestnutfork_wire::{EntryToAgentWire, PeerMessageWire};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -60,6 +61,8 @@
     },
     /// A link to another entry is closed.
     PeerDown { link: LinkId },
+    /// The subscription to control has started.
+    Subscribed(Subscription),
     /// Entries to dial, by link address.
     Peers(Vec<String>),
     /// Control committed a view.
@@ -86,7 +89,6 @@
     pub(crate) core: EntryCore,
     pub(crate) dial: DialTemplate,
     pub(crate) metrics: Metrics,
-    pub(crate) synced: tokio::sync::watch::Sender<ViewNumber>,
 }
 
 /// Everything of a dialled link but its address.
@@ -163,7 +165,8 @@
     dialers: IndexMap<String, Dialer>,
     callers: IndexMap<Ticket, oneshot::Sender<JobResult>>,
     metrics: Metrics,
-    synced: tokio::sync::watch::Sender<ViewNumber>,
+    /// Set right after the start; control learns through it which register was copied.
+    subscription: Option<Subscription>,
     drained: Vec<oneshot::Sender<()>>,
     is_drained: bool,
     events: Vec<Event>,
@@ -192,7 +195,7 @@
             dialers: IndexMap::new(),
             callers: IndexMap::new(),
             metrics: arguments.metrics,
-            synced: arguments.synced,
+            subscription: None,
             drained: Vec::new(),
             is_drained: false,
             events: Vec::new(),
@@ -277,6 +280,7 @@
                 self.events
                     .extend(self.peers.close(link).map(|peer| Event::PeerDown { peer }));
             }
+            EntryMessage::Subscribed(subscription) => self.subscription = Some(subscription),
             EntryMessage::Peers(addresses) => self.set_peers(&addresses),
             EntryMessage::View(view) => self.events.push(Event::ViewInstalled(view)),
             EntryMessage::Policies(table) => self.events.push(Event::Policies(table)),
@@ -347,7 +351,9 @@
                 }
             }
             Action::Synced { view } => {
-                self.synced.send_replace(view);
+                if let Some(subscription) = &self.subscription {
+                    subscription.synced(view);
+                }
             }
             Action::Drained => {
                 self.is_drained = true;
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
+use chestnutfork_config::Document;
 use chestnutfork_dispatch::{JobResult, Ticket};
 use chestnutfork_events::{EntryEvent, emit};
 use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
@@ -16,13 +17,12 @@
 
 use crate::actor::EntryMessage;
 use crate::status::StatusBody;
-use crate::team::TeamTable;
 
 /// Handler of callers' requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Front {
     pub(crate) actor: ActorRef<EntryMessage>,
-    pub(crate) teams: watch::Receiver<Arc<TeamTable>>,
+    pub(crate) documents: watch::Receiver<Arc<Document>>,
     pub(crate) next_ticket: Arc<AtomicU64>,
 }
 
@@ -60,10 +60,9 @@
 
 impl Front {
     fn authenticate(&self, req: &Request<Bytes>) -> Option<TeamName> {
-        let teams = self.teams.borrow();
-        let team = bearer_token(req)
-            .and_then(|token| teams.authenticate(token))
-            .cloned();
+        let document = Arc::clone(&self.documents.borrow());
+        let team = bearer_token(req).and_then(|token| document.team_by_token(token));
+        let team = team.map(|team| team.name.clone());
         if team.is_none() {
             emit(&EntryEvent::CallerRejected {
                 address: "caller",
@@ -81,17 +80,20 @@
             Ok(submission) => submission,
             Err(error) => return refused(&error.refusal()),
         };
-        let teams = Arc::clone(&self.teams.borrow());
+        let document = Arc::clone(&self.documents.borrow());
         // A job that the present configuration rules out may have run under an earlier one.
         let rejected = |code, message: String| match submission.id {
             Some(_) => refused(&Refusal::unknown(code, message)),
             None => refused(&Refusal::not_run(code, message)),
         };
-        let Some(policy) = teams.policy(service) else {
+        let Some(policy) = document.service(service) else {
             let message = format!("service `{service}` is not configured; check the name in the URL");
             return rejected(RefusalCode::UnknownService, message);
         };
-        if !teams.allows(&team, service) {
+        if !document
+            .team(&team)
+            .is_some_and(|team| team.may_submit_to(service))
+        {
             let message = format!("team `{team}` may not use service `{service}`; ask an operator to add it");
             return rejected(RefusalCode::NotAllowed, message);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,11 +4,10 @@
 //! HTTP tasks and links send it messages.
 
 mod actor;
+mod control;
 mod front;
 mod links;
 mod run;
 mod status;
-mod team;
 
 pub use run::{EntryConfig, EntryConfigBuilder, EntryError, RunningEntry, start};
-pub use team::{TeamTable, TeamTableError};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,12 +6,13 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use chestnutfork_dispatch::{EntryCore, PolicyTable};
+use chestnutfork_config::Document;
+use chestnutfork_dispatch::EntryCore;
 use chestnutfork_net::{
     ClusterSecret, HttpServer, Identity, Listener, Metrics, Session, listen, now, random_process_id,
 };
-use chestnutfork_register::View;
-use chestnutfork_types::{NodeName, ProcessId, ViewNumber};
+use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
+use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
 use chestnutfork_wire::Role;
 use ractor::{Actor, ActorRef};
 use thiserror::Error;
@@ -20,9 +21,12 @@
 use tokio::time::timeout;
 
 use crate::actor::{Arguments, DialTemplate, EntryActor, EntryMessage};
+use crate::control::ControlHandler;
 use crate::front::Front;
 use crate::links::{AgentLinks, PeerLinks};
-use crate::team::TeamTable;
+
+/// Interval between renewals of the entry's 2 s lease.
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Failure to start an entry.
 #[derive(Debug, Error)]
@@ -37,6 +41,9 @@
         /// What the system reported.
         source: io::Error,
     },
+    /// No control process is named.
+    #[error("no control process is named; set `control` to the link addresses of the control processes")]
+    NoControl,
     /// The actor did not start.
     #[error("the entry's actor did not start: {reason}; report this as a bug")]
     Actor {
@@ -52,6 +59,8 @@
     listen: String,
     peer_listen: String,
     advertise: String,
+    failure_domain: FailureDomain,
+    controls: Vec<String>,
     secret: ClusterSecret,
     retention: Duration,
     max_records: usize,
@@ -83,6 +92,8 @@
             listen: "127.0.0.1:0".to_owned(),
             peer_listen: "127.0.0.1:0".to_owned(),
             advertise: String::new(),
+            failure_domain: String::new(),
+            controls: Vec::new(),
             secret,
             retention: Duration::from_mins(10),
             max_records: 1_000_000,
@@ -114,6 +125,20 @@
         self
     }
 
+    /// Sets the failure domain of the entry's VM.
+    #[must_use]
+    pub fn failure_domain(mut self, failure_domain: impl Into<FailureDomain>) -> Self {
+        self.cfg.failure_domain = failure_domain.into();
+        self
+    }
+
+    /// Sets the link addresses of the control processes, at least one.
+    #[must_use]
+    pub fn controls(mut self, controls: Vec<String>) -> Self {
+        self.cfg.controls = controls;
+        self
+    }
+
     /// Sets how long a job is remembered.
     #[must_use]
     pub fn retention(mut self, retention: Duration) -> Self {
@@ -150,8 +175,7 @@
     links: Listener,
     link_address: String,
     actor: ActorRef<EntryMessage>,
-    teams: watch::Sender<Arc<TeamTable>>,
-    synced: watch::Receiver<ViewNumber>,
+    subscription: Subscription,
 }
 
 impl RunningEntry {
@@ -173,38 +197,18 @@
         self.process
     }
 
-    /// Puts a configuration version in force.
-    pub fn set_policies(&self, policies: PolicyTable, teams: TeamTable) {
-        drop(self.actor.cast(EntryMessage::Policies(policies)));
-        self.teams.send_replace(Arc::new(teams));
-    }
-
-    /// Tells whether the configuration is confirmed.
-    pub fn set_confirmed(&self, confirmed: bool) {
-        drop(self.actor.cast(EntryMessage::Confirmed(confirmed)));
-    }
-
-    /// Installs a view and the link addresses of the entries that this one dials.
-    pub fn set_view(&self, view: View, dial: Vec<String>) {
-        drop(self.actor.cast(EntryMessage::Peers(dial)));
-        drop(self.actor.cast(EntryMessage::View(view)));
-    }
-
-    /// Returns the number of targets whose agents have a link to this entry.
-    pub async fn linked_targets(&self) -> usize {
+    /// Reports whether the configuration is confirmed, this entry is a member of the view, and at least `targets`
+    /// targets have issued credits to it.
+    pub async fn is_ready(&self, targets: usize) -> bool {
         let (reply, status) = oneshot::channel();
         drop(self.actor.cast(EntryMessage::Status(reply)));
-        status.await.map_or(0, |status| {
-            status.targets.iter().filter(|target| target.linked).count()
+        status.await.is_ok_and(|status| {
+            // A target without a credit yet belongs to an agent whose configuration is not confirmed.
+            let usable = status.targets.iter().filter(|target| target.credits > 0).count();
+            status.confirmed && status.member && !status.services.is_empty() && usable >= targets
         })
     }
 
-    /// Returns the number of the latest view whose register this entry has copied.
-    #[must_use]
-    pub fn synced(&self) -> watch::Receiver<ViewNumber> {
-        self.synced.clone()
-    }
-
     /// Refuses new jobs, waits until the known ones are answered, and stops.
     ///
     /// After `grace` it stops in any case.
@@ -214,12 +218,14 @@
             let _ = timeout(grace, drained).await;
         }
         self.server.shutdown(Duration::from_secs(1)).await;
+        self.subscription.leave();
         drop(self.links);
         self.actor.stop(None);
     }
 
     /// Stops at once, as a crash would.
     pub fn kill(self) {
+        self.subscription.kill();
         self.actor.kill();
     }
 }
@@ -232,6 +238,9 @@
 ///
 /// Returns an error if a listening address cannot be bound.
 pub async fn start(cfg: EntryConfig) -> Result<RunningEntry, EntryError> {
+    if cfg.controls.is_empty() {
+        return Err(EntryError::NoControl);
+    }
     let callers = bind(&cfg.listen).await?;
     let peers = bind(&cfg.peer_listen).await?;
     let local = peers.local_addr().map_err(|source| EntryError::Listen {
@@ -254,7 +263,6 @@
         .retention(cfg.retention)
         .max_records(cfg.max_records)
         .build(now());
-    let (synced_tx, synced) = watch::channel(0);
     let dial = DialTemplate {
         me: me.clone(),
         secret: cfg.secret.clone(),
@@ -264,21 +272,37 @@
         core,
         dial,
         metrics: cfg.metrics.clone(),
-        synced: synced_tx,
     };
     let (actor, _) = Actor::spawn(None, EntryActor, arguments)
         .await
         .map_err(|error| EntryError::Actor {
             reason: error.to_string(),
         })?;
-    let links = listen(peers, me, cfg.secret, cfg.metrics, {
+    let links = listen(peers, me.clone(), cfg.secret.clone(), cfg.metrics.clone(), {
         let actor = actor.clone();
         move |session| run_session(session, actor.clone())
     });
-    let (teams, teams_rx) = watch::channel(Arc::new(TeamTable::default()));
+    let (documents, documents_rx) = watch::channel(Arc::new(Document::default()));
+    let handler = ControlHandler {
+        name: cfg.name,
+        process,
+        actor: actor.clone(),
+        documents,
+    };
+    let subscription = SubscriptionConfig::builder(me.clone(), cfg.secret.clone(), cfg.controls)
+        .failure_domain(cfg.failure_domain)
+        .renew_every(RENEW_INTERVAL)
+        .metrics(cfg.metrics.clone())
+        .build();
+    let subscription = subscribe(subscription, handler)
+        .await
+        .map_err(|error| EntryError::Actor {
+            reason: error.to_string(),
+        })?;
+    drop(actor.cast(EntryMessage::Subscribed(subscription.clone())));
     let front = Front {
         actor: actor.clone(),
-        teams: teams_rx,
+        documents: documents_rx,
         next_ticket: Arc::new(AtomicU64::new(0)),
     };
     let server = HttpServer::builder(callers)
@@ -293,8 +317,7 @@
         links,
         link_address,
         actor,
-        teams,
-        synced,
+        subscription,
     })
 }
 
--- a/crates/local/src/set.rs
+++ b/crates/local/src/set.rs
@@ -4,14 +4,19 @@
 use std::time::Duration;
 
 use chestnutfork_agent::{AgentConfig, AgentError, RunningAgent};
-use chestnutfork_config::{Document, validate};
-use chestnutfork_dispatch::{PolicyTable, TeamQuota};
-use chestnutfork_entry::{EntryConfig, EntryError, RunningEntry, TeamTable};
-use chestnutfork_net::{ClusterSecret, Metrics};
-use chestnutfork_register::View;
+use chestnutfork_config::TokenHash;
+use chestnutfork_control::{ControlConfig, ControlError, Member, Operator, RunningControl};
+use chestnutfork_entry::{EntryConfig, EntryError, RunningEntry};
+use chestnutfork_net::ClusterSecret;
+use chestnutfork_operator::body::{PatchBody, VerdictBody};
+use chestnutfork_operator::{OperatorClient, OperatorError};
 use chestnutfork_standin::{Behaviour, StandinError, Target, TargetHandle};
+use chestnutfork_storage::{DiskFolder, StorageError};
 use serde_json::Value;
+use tempfile::TempDir;
 use thiserror::Error;
+use tokio::net::TcpListener;
+use uuid::Uuid;
 
 /// Time that each process gets to finish its work on shutdown.
 const GRACE: Duration = Duration::from_secs(10);
@@ -19,6 +24,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which readiness is checked.
 const READY_INTERVAL: Duration = Duration::from_millis(20);
+/// Token of the operator of a local set.
+const OPERATOR_TOKEN: &str = "local-operator-token";
 /// Token that simulated targets present to their agents.
 const TARGET_TOKEN: &str = "local-target-token";
 
@@ -34,9 +41,26 @@
     /// A simulated target did not start.
     #[error(transparent)]
     Target(#[from] StandinError),
-    /// The configuration document is not valid.
-    #[error("the configuration is not valid: {0}")]
-    Config(String),
+    /// A control process did not start.
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    /// The data folder of a control process cannot be used.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+    /// The operator interface of control does not answer.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    /// A socket or the temporary folder cannot be opened.
+    #[error(
+        "cannot prepare the local set: {0}; check the limits on open files and the space for temporary files"
+    )]
+    Prepare(#[from] std::io::Error),
+    /// The patch with the configuration document was not accepted.
+    #[error("the configuration was not accepted: {verdict:?}")]
+    Refused {
+        /// Verdict of control.
+        verdict: Box<VerdictBody>,
+    },
     /// The targets did not reach the entries in time.
     #[error("the targets did not reach all entries within {} s; check the machine's load", READY_TIMEOUT.as_secs())]
     NotReady,
@@ -56,6 +80,7 @@
 /// Configuration of a local set.
 #[derive(Clone, Debug)]
 pub struct LocalConfig {
+    controls: u32,
     entries: u32,
     targets: Vec<TargetShape>,
     document: Value,
@@ -80,6 +105,7 @@
     #[must_use]
     pub fn builder(document: Value) -> LocalConfigBuilder {
         let cfg = Self {
+            controls: 3,
             entries: 2,
             targets: Vec::new(),
             document,
@@ -90,6 +116,13 @@
 }
 
 impl LocalConfigBuilder {
+    /// Sets the number of control processes.
+    #[must_use]
+    pub fn controls(mut self, controls: u32) -> Self {
+        self.cfg.controls = controls;
+        self
+    }
+
     /// Sets the number of entries.
     #[must_use]
     pub fn entries(mut self, entries: u32) -> Self {
@@ -121,47 +154,47 @@
 /// Running set of processes.
 #[derive(Debug)]
 pub struct LocalSet {
+    controls: Vec<RunningControl>,
     entries: Vec<RunningEntry>,
     agents: Vec<RunningAgent>,
     targets: Vec<TargetHandle>,
+    /// Data folders of the control processes; removed at the end.
+    _data: TempDir,
 }
 
 impl LocalSet {
-    /// Starts a set and waits until every target has reached every entry.
+    /// Starts a set, applies a patch with the configuration document, and waits until every entry serves every target.
     ///
     /// # Errors
     ///
-    /// Returns an error if a process cannot start or the set is not ready in time.
+    /// Returns an error if a process cannot start, the document is refused, or the set is not ready in time.
     pub async fn start(cfg: LocalConfig) -> Result<Self, LocalError> {
-        let document = validate(&cfg.document).map_err(|errors| {
-            LocalError::Config(
-                errors
-                    .iter()
-                    .map(ToString::to_string)
-                    .collect::<Vec<_>>()
-                    .join("; "),
-            )
-        })?;
         let secret = ClusterSecret::new("local-cluster-secret");
-        let entries = start_entries(cfg.entries, &secret).await?;
-        configure(&entries, &document)?;
-        let addresses: Vec<_> = entries
+        let data = TempDir::new()?;
+        let controls = start_controls(cfg.controls, &secret, &data).await?;
+        let addresses: Vec<_> = controls
             .iter()
-            .map(|entry| entry.link_address().to_owned())
+            .map(|control| control.link_address().to_owned())
             .collect();
+        let mut entries = Vec::new();
+        for index in 0..cfg.entries {
+            entries.push(start_entry(index, &secret, addresses.clone()).await?);
+        }
         let mut agents = Vec::new();
         let mut targets = Vec::new();
         for (index, shape) in cfg.targets.iter().enumerate() {
             let agent = start_agent(index, &secret, addresses.clone()).await?;
-            agent.set_config(1, true, Vec::new());
             targets.push(start_target(index, *shape, cfg.seed, agent.address()).await?);
             agents.push(agent);
         }
         let set = Self {
+            controls,
             entries,
             agents,
             targets,
+            _data: data,
         };
+        set.apply(cfg.document, "initial configuration").await?;
         set.wait_ready().await?;
         Ok(set)
     }
@@ -172,16 +205,52 @@
         self.entries.iter().map(RunningEntry::address).collect()
     }
 
+    /// Returns the addresses for operators.
+    #[must_use]
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.controls.iter().map(RunningControl::address).collect()
+    }
+
     /// Returns the simulated targets.
     #[must_use]
     pub fn targets(&self) -> &Vec<TargetHandle> {
         &self.targets
     }
 
+    /// Returns the token of the operator of every local set.
+    #[must_use]
+    pub fn operator_token() -> &'static str {
+        OPERATOR_TOKEN
+    }
+
+    /// Applies a merge patch against the current version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if control does not answer or does not accept the patch.
+    pub async fn apply(&self, body: Value, reason: &str) -> Result<(), LocalError> {
+        let client = OperatorClient::builder(&self.controls(), OPERATOR_TOKEN).build()?;
+        let base = client.config().await?.version;
+        let reason = reason.to_owned();
+        let patch = PatchBody {
+            base,
+            patch_id: Uuid::new_v4(),
+            reason,
+            body,
+            dry_run: false,
+        };
+        match client.patch(&patch).await? {
+            VerdictBody::Accepted { .. } => Ok(()),
+            verdict => Err(LocalError::Refused {
+                verdict: Box::new(verdict),
+            }),
+        }
+    }
+
     async fn wait_ready(&self) -> Result<(), LocalError> {
         let ready = async {
             for entry in &self.entries {
-                while entry.linked_targets().await < self.targets.len() {
+                while !entry.is_ready(self.targets.len()).await {
                     tokio::time::sleep(READY_INTERVAL).await;
                 }
             }
@@ -203,63 +272,65 @@
         for agent in self.agents {
             agent.shutdown(GRACE).await;
         }
+        for control in self.controls {
+            control.shutdown(GRACE).await;
+        }
     }
 }
 
-async fn start_entries(count: u32, secret: &ClusterSecret) -> Result<Vec<RunningEntry>, LocalError> {
-    let mut entries = Vec::new();
+async fn start_controls(
+    count: u32,
+    secret: &ClusterSecret,
+    data: &TempDir,
+) -> Result<Vec<RunningControl>, LocalError> {
+    let mut members = Vec::new();
+    let mut sockets = Vec::new();
     for index in 1..=count {
-        let cfg = EntryConfig::builder(format!("entry-{index}"), secret.clone())
-            .metrics(Metrics::disabled())
+        let socket = TcpListener::bind("127.0.0.1:0").await?;
+        members.push(Member {
+            name: format!("control-{index}"),
+            address: socket.local_addr()?.to_string(),
+        });
+        sockets.push(socket);
+    }
+    let operator = Operator {
+        name: "local".to_owned(),
+        token: TokenHash::of(OPERATOR_TOKEN),
+    };
+    let mut controls = Vec::new();
+    for (member, socket) in members.iter().zip(sockets) {
+        let cfg = ControlConfig::builder(member.name.clone(), secret.clone())
+            .links(socket)
+            .members(members.clone())
+            .operators(vec![operator.clone()])
             .build();
-        entries.push(chestnutfork_entry::start(cfg).await?);
+        let folder = DiskFolder::open(data.path().join(&member.name))?;
+        controls.push(chestnutfork_control::start(cfg, folder).await?);
     }
-    Ok(entries)
+    Ok(controls)
 }
 
-/// Puts the document in force and installs a view of all entries.
-fn configure(entries: &[RunningEntry], document: &Document) -> Result<(), LocalError> {
-    let services = document
-        .services()
-        .map(|(name, policy)| (name.clone(), policy.clone()))
-        .collect();
-    let quotas = document.teams().map(|team| TeamQuota {
-        team: team.name.clone(),
-        quota: team.quota,
-    });
-    let policies = PolicyTable {
-        version: 1,
-        services,
-        quotas: quotas.collect(),
-    };
-    let mut teams = TeamTable::new(policies.services.clone());
-    for team in document.teams() {
-        teams
-            .add_team(team.name.clone(), &team.token.to_hex(), team.services.clone())
-            .map_err(|error| LocalError::Config(error.to_string()))?;
-    }
-    let view = View::first(1, entries.iter().map(RunningEntry::process).collect());
-    for (index, entry) in entries.iter().enumerate() {
-        let dial = entries[index + 1..]
-            .iter()
-            .map(|other| other.link_address().to_owned())
-            .collect();
-        entry.set_policies(policies.clone(), teams.clone());
-        entry.set_confirmed(true);
-        entry.set_view(view.clone(), dial);
-    }
-    Ok(())
+async fn start_entry(
+    index: u32,
+    secret: &ClusterSecret,
+    controls: Vec<String>,
+) -> Result<RunningEntry, LocalError> {
+    let cfg = EntryConfig::builder(format!("entry-{}", index + 1), secret.clone())
+        .failure_domain(failure_domain(index as usize))
+        .controls(controls)
+        .build();
+    Ok(chestnutfork_entry::start(cfg).await?)
 }
 
 async fn start_agent(
     index: usize,
     secret: &ClusterSecret,
-    entries: Vec<String>,
+    controls: Vec<String>,
 ) -> Result<RunningAgent, LocalError> {
     let cfg = AgentConfig::builder(format!("agent-{}", index + 1), secret.clone())
         .failure_domain(failure_domain(index))
         .target_token(TARGET_TOKEN)
-        .entries(entries)
+        .controls(controls)
         .build();
     Ok(chestnutfork_agent::start(cfg).await?)
 }
