cli, load: Add the load, dev, target and platform commands

Cause: quickstart was the only command, its log lines went to standard output among the JSON report, and scenarios could not be run.

Change: load runs a scenario against given addresses or against a set of its own on loopback (key local), saves and compares reports and draws plots. dev keeps the set running and prints a curl line. target and platform run the simulated counterparts. Logs of a local set go to standard error from warnings upwards. A run that proves a promise broken exits with status 3. The scenario key local.control is gone until a set starts control processes; local.policy and local.quota set up the service and the team.

Conclusion: experiments can be run on the whole path; control is not part of it yet.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -2,9 +2,9 @@
 
 use std::process::ExitCode;
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{ArgMatches, Command};
 
-use crate::quickstart;
+use crate::tools::{ToolError, load, platform, quickstart, target};
 
 /// Declares the command line.
 pub(crate) fn command() -> Command {
@@ -13,29 +13,25 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(
-            Command::new("quickstart")
-                .about("Runs all roles in this process on loopback, sends jobs and reports what happened")
-                .arg(
-                    Arg::new("report")
-                        .long("report")
-                        .value_name("FORM")
-                        .value_parser(["text", "json"])
-                        .default_value("text")
-                        .help("Form of the report on standard output"),
-                ),
-        )
+        .subcommand(quickstart::command())
+        .subcommand(quickstart::dev_command())
+        .subcommand(load::command())
+        .subcommand(target::command())
+        .subcommand(platform::command())
 }
 
 /// Runs the chosen command.
 pub(crate) async fn run(matches: &ArgMatches) -> ExitCode {
-    match matches.subcommand() {
-        Some(("quickstart", matches)) => {
-            let json = matches
-                .get_one::<String>("report")
-                .is_some_and(|form| form == "json");
-            quickstart::run(json).await
-        }
+    let result: Result<ExitCode, ToolError> = match matches.subcommand() {
+        Some(("quickstart", matches)) => quickstart::run(matches).await,
+        Some(("dev", _)) => quickstart::run_dev().await,
+        Some(("load", matches)) => load::run(matches).await,
+        Some(("target", matches)) => target::run(matches).await,
+        Some(("platform", matches)) => platform::run(matches).await,
         _ => unreachable!("the command line requires a known subcommand"),
-    }
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("chestnutfork: {error}");
+        ExitCode::FAILURE
+    })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The `chestnutfork` command: every role and tool in one binary.
 
 mod cli;
-mod quickstart;
+mod tools;
 
 use std::process::ExitCode;
 
--- a/crates/load/src/scenario/parts.rs
+++ b/crates/load/src/scenario/parts.rs
@@ -162,6 +162,10 @@
     pub jitter: f64,
 }
 
+fn default_quota() -> u32 {
+    100_000
+}
+
 fn default_slots() -> u32 {
     8
 }
@@ -174,10 +178,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Local {
-    /// Number of control processes.
-    pub control: u32,
     /// Number of entries.
     pub entries: u32,
+    /// Keys of the service in the configuration, besides its pool and whether it is at-most-once.
+    #[serde(default)]
+    pub policy: serde_json::Map<String, serde_json::Value>,
+    /// Quota of the team in tasks.
+    #[serde(default = "default_quota")]
+    pub quota: u32,
     /// Targets, with one agent each.
     pub targets: Vec<LocalTargets>,
 }
