dispatch: Make half of the randomised runs lose few entries

Cause: 10,804 of 16,919 refusals as unknown in 300 seeds came from the floor after a lost register, so many jobs never ran.

Change: half of the seeds have three or four entries and few crashes of entries.

--- a/crates/dispatch/tests/sim/faults.rs
+++ b/crates/dispatch/tests/sim/faults.rs
@@ -76,7 +76,9 @@
         }
         let entry = self.rng.random_range(0..self.entry_machines);
         let agent = self.rng.random_range(0..self.agent_machines);
-        match self.rng.random_range(0..16) {
+        // The first three kinds crash entries.
+        let first = if self.gentle && self.chance(80) { 3 } else { 0 };
+        match self.rng.random_range(first..16) {
             0 => self.crash_entry(entry),
             1 => {
                 self.crash_entry(entry);
--- a/crates/dispatch/tests/sim/mod.rs
+++ b/crates/dispatch/tests/sim/mod.rs
@@ -116,6 +116,8 @@
     agents: BTreeMap<ProcessId, AgentNode>,
     /// All agent processes, the ended ones included.
     agent_ids: BTreeSet<ProcessId>,
+    /// Whether few entries crash, so that the register is seldom lost and most ids are served.
+    gentle: bool,
     entry_machines: usize,
     agent_machines: usize,
     /// Milliseconds by which the clock of each entry machine is off; the last one is control's.
@@ -151,7 +153,8 @@
 impl Sim {
     fn new(seed: u64, broken: Broken) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let entry_machines = rng.random_range(1..5);
+        let gentle = rng.random();
+        let entry_machines = rng.random_range(if gentle { 3..5 } else { 1..5 });
         let agent_machines = rng.random_range(1..5);
         let skew = (0..=entry_machines)
             .map(|_| rng.random_range(-1000..1000))
@@ -166,6 +169,7 @@
             entries: BTreeMap::new(),
             agents: BTreeMap::new(),
             agent_ids: BTreeSet::new(),
+            gentle,
             entry_machines,
             agent_machines,
             skew,
