slots, dispatch: Keep the credits of both sides equal through stalls and changes

Cause: the randomised run had no stalled processes, changing slots or unconfirmed agents. With them, entries held credits that the agent had voided, or the agent went on renewing credits that the entry had dropped, so their slots stayed unused; an entry without credits was recalled in a loop.

Change: an announcement resets the credits of a link on both sides at the same point of its order, unless only the configuration version changed. The agent resets after changed slots, a lapse, a drain and expired credits. An entry keeps credits whose time is over, unused, until they are renewed or reset. A recall stays open until it is answered, and a short answer voids what the entry no longer holds. The role repeats `EntryGone` for entries that stay away.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -34,6 +34,8 @@
     pub(crate) linked: bool,
     pub(crate) credits: VecDeque<CreditId>,
     pub(crate) usable_until: Option<Instant>,
+    /// Whether the usable time of the credits is over; the agent may still renew them.
+    pub(crate) stale: bool,
     pub(crate) ttl: Duration,
     pub(crate) attempts: IndexMap<CreditId, Attempt>,
     /// Waiting tasks as last told to the agent.
@@ -52,6 +54,7 @@
             linked: true,
             credits: VecDeque::new(),
             usable_until: None,
+            stale: false,
             ttl: Duration::ZERO,
             attempts: IndexMap::new(),
             told_demand: 0,
@@ -63,6 +66,7 @@
 
     /// Sets the time until which the credits at hand are used.
     pub(crate) fn renew(&mut self, now: Instant, ttl: Duration) {
+        self.stale = false;
         self.ttl = ttl;
         self.usable_until = Some(now + ttl * USABLE_NUMERATOR / USABLE_DENOMINATOR);
     }
@@ -77,13 +81,24 @@
         }
     }
 
-    /// Takes away all credits if their usable time is over.
-    pub(crate) fn expire_credits(&mut self, now: Instant) -> Vec<CreditId> {
-        if self.usable_until.is_none_or(|until| until > now) {
-            return Vec::new();
+    /// Stops the use of the credits if their usable time is over, until the agent renews or resets them.
+    pub(crate) fn expire_credits(&mut self, now: Instant) {
+        if self.usable_until.is_some_and(|until| until <= now) {
+            self.usable_until = None;
+            self.stale = true;
         }
+    }
+
+    /// Drops the credits; the agent has voided them.
+    pub(crate) fn clear_credits(&mut self) {
+        self.credits.clear();
         self.usable_until = None;
-        self.credits.drain(..).collect()
+        self.stale = false;
+    }
+
+    /// Returns the number of credits that may be used now.
+    pub(crate) fn usable_credits(&self) -> usize {
+        if self.stale { 0 } else { self.credits.len() }
     }
 
     pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -27,8 +27,7 @@
         };
         agent.linked = true;
         // Credits belong to the link that brought them; its end may not have been noticed here.
-        agent.credits.clear();
-        agent.usable_until = None;
+        agent.clear_credits();
         agent.told_demand = 0;
         agent.told_at = None;
         let credits: Vec<_> = agent.attempts.keys().copied().collect();
@@ -46,8 +45,7 @@
             return;
         };
         agent.linked = false;
-        agent.credits.clear();
-        agent.usable_until = None;
+        agent.clear_credits();
         self.router.remove_target(agent.target);
         self.lost_agents.insert((now + LINK_GRACE, process));
     }
@@ -168,9 +166,9 @@
         self.router.set_leaving(target, announcement.leaving);
         match self.agents.get_mut(process) {
             Some(agent) => {
-                // The agent has voided its credits; a lapsed target is announced without slots.
-                if announcement.leaving || announcement.slots == 0 {
-                    agent.credits.clear();
+                // Any other announcement means that the agent has voided the credits of this link.
+                if !is_new_version(&agent.announcement, &announcement) {
+                    agent.clear_credits();
                 }
                 agent.announcement = announcement;
             }
@@ -487,6 +485,16 @@
     }
 }
 
+/// Reports whether two announcements differ in the configuration version alone.
+fn is_new_version(old: &Announcement, new: &Announcement) -> bool {
+    let config = new.config;
+    let same = Announcement {
+        config,
+        ..old.clone()
+    } == *new;
+    same && old.config != config
+}
+
 /// Returns what an outcome means for the health of the target.
 fn attempt_kind(outcome: &AttemptOutcome, wanted: bool) -> AttemptKind {
     match outcome {
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -115,7 +115,7 @@
             .credits
             .pop_back()
             .expect("the router chose a target with a credit");
-        self.router.set_credits(target, count(agent.credits.len()));
+        self.router.set_credits(target, count(agent.usable_credits()));
         let job = self
             .jobs
             .get_mut(&queued.id.job)
@@ -220,7 +220,8 @@
     /// Updates the number of usable credits of an agent's target.
     pub(crate) fn sync_credits(&mut self, agent: ProcessId) {
         if let Some(agent) = self.agents.get(agent) {
-            self.router.set_credits(agent.target, count(agent.credits.len()));
+            self.router
+                .set_credits(agent.target, count(agent.usable_credits()));
         }
     }
 }
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_register as register;
-use chestnutfork_types::EntryToAgent;
 
 use crate::agents::Agent;
 use crate::core::{EntryCore, USAGE_INTERVAL};
@@ -35,21 +34,15 @@
             self.agent_lost(now, wall, agent, actions);
         }
         self.router.on_timer(now);
-        self.expire_credits(now, actions);
+        self.expire_credits(now);
         self.exchange_usage(now, actions);
     }
 
-    /// Returns expired credits: an agent that is alive goes on renewing them, and their slots would stay unused.
-    fn expire_credits(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for (process, agent) in self.agents.iter_mut() {
-            let credits = agent.expire_credits(now);
-            if !credits.is_empty() {
+    fn expire_credits(&mut self, now: Instant) {
+        for (_, agent) in self.agents.iter_mut() {
+            agent.expire_credits(now);
+            if agent.stale {
                 self.router.set_credits(agent.target, 0);
-                let message = EntryToAgent::Return { credits };
-                actions.push(Action::ToAgent {
-                    agent: process,
-                    message,
-                });
             }
         }
     }
--- a/crates/dispatch/tests/sim/callers.rs
+++ b/crates/dispatch/tests/sim/callers.rs
@@ -28,6 +28,7 @@
     pub id: JobId,
     job: usize,
     entry: ProcessId,
+    since: Duration,
     /// Whether a task of the job had started when the call was made.
     started_before: bool,
     pub reply: Option<JobResult>,
@@ -109,6 +110,7 @@
             id,
             job,
             entry,
+            since: self.now,
             started_before: self.has_started(id),
             reply: None,
             void: false,
@@ -175,6 +177,15 @@
 
     pub(super) fn due(&mut self, ticket: u64) -> Result<(), String> {
         let call = &self.calls[&ticket];
+        let deadline = self.jobs[call.job].spec.deadline;
+        // A stalled entry replies late; it has the time behind the stall.
+        let stalled = self.stalls.get(&call.entry).filter(|&&until| until > call.since);
+        let due = stalled.map_or(self.now, |&until| until + deadline + GRACE);
+        if due > self.now {
+            let delay = due.saturating_sub(self.now);
+            self.push(delay, Step::Due { call: ticket });
+            return Ok(());
+        }
         if call.reply.is_none() && !call.void {
             return Err(format!("a caller of job {:x} has no reply in time", call.id));
         }
--- a/crates/dispatch/tests/sim/faults.rs
+++ b/crates/dispatch/tests/sim/faults.rs
@@ -7,6 +7,7 @@
 use chestnutfork_types::ProcessId;
 use rand::RngExt;
 
+use super::nodes::AT_MOST_ONCE;
 use super::{FAULTS, Sim, Step};
 
 /// Lease of an entry with control.
@@ -29,6 +30,7 @@
                 self.synced.insert((process, view));
             }
             self.leases.insert(process, self.now + LEASE);
+            self.gone.remove(&process);
             let view = self.view.clone();
             let delay = self.millis(1, 40);
             self.push(delay, Step::Install { process, view });
@@ -46,14 +48,31 @@
             .filter(|&(_, &until)| until <= now)
             .map(|(&process, _)| process)
             .collect();
-        for entry in ended {
+        for &entry in &ended {
             self.leases.remove(&entry);
+        }
+        self.gone.extend(ended);
+        if self.chance(20) {
+            self.tell_gone();
+        }
+        self.commit_view();
+        let delay = self.millis(20, 200);
+        self.push(delay, Step::Control);
+    }
+
+    /// Tells agents which entries have no lease; agents learn it again with every list from control.
+    fn tell_gone(&mut self) {
+        let gone: Vec<ProcessId> = self.gone.iter().copied().collect();
+        for entry in gone {
             let agents: Vec<ProcessId> = self.agents.keys().copied().collect();
             for agent in agents {
                 let delay = self.millis(1, 500);
                 self.push(delay, Step::EntryGone { agent, entry });
             }
         }
+    }
+
+    fn commit_view(&mut self) {
         let alive: Vec<ProcessId> = self.leases.keys().copied().collect();
         let number = self.view.number;
         let reported = self.synced.iter().filter(|&&(_, view)| view == number);
@@ -64,8 +83,6 @@
             self.figures.lost_registers += u64::from(next.floor != self.view.floor);
             self.view = next;
         }
-        let delay = self.millis(20, 200);
-        self.push(delay, Step::Control);
     }
 
     pub(super) fn fault(&mut self) -> Result<(), String> {
@@ -107,7 +124,8 @@
             8 => self.drain_entry(entry)?,
             9 => self.drain_agent(agent)?,
             10 => self.confirm(false)?,
-            11..14 => {
+            11 => self.stall_some_process(),
+            12..14 => {
                 for _ in 0..self.rng.random_range(1..4) {
                     self.break_some_link();
                 }
@@ -128,6 +146,37 @@
         Ok(())
     }
 
+    /// Returns the time until the process that a step is for goes on, if it is stalled.
+    pub(super) fn stall_left(&self, step: &Step) -> Option<Duration> {
+        let process = match step {
+            Step::Deliver { to: process, .. }
+            | Step::LinkUp { at: process, .. }
+            | Step::LinkDown { at: process, .. }
+            | Step::Wake { process }
+            | Step::TaskEnd { agent: process, .. }
+            | Step::Renew { process }
+            | Step::Install { process, .. }
+            | Step::EntryGone { agent: process, .. } => *process,
+            Step::Announce { machine } => self.agent_on(*machine)?,
+            _ => return None,
+        };
+        let until = self.stalls.get(&process)?;
+        until.checked_sub(self.now).filter(|left| !left.is_zero())
+    }
+
+    /// Stalls an entry or agent, sometimes for longer than credits and leases live.
+    fn stall_some_process(&mut self) {
+        let all: Vec<ProcessId> = self.entries.keys().chain(self.agents.keys()).copied().collect();
+        if all.is_empty() {
+            return;
+        }
+        let process = all[self.rng.random_range(0..all.len())];
+        // A later stall must not end earlier: what waits for the end keeps its order.
+        let until = self.now + self.millis(100, 6000);
+        let latest = self.stalls.entry(process).or_default();
+        *latest = until.max(*latest);
+    }
+
     fn heal(&mut self) -> Result<(), String> {
         self.targets_down.clear();
         self.restart_missing();
@@ -141,6 +190,17 @@
                 self.entry_event(entry, dispatch::Event::Confirmed(confirmed))?;
             }
         }
+        let agents: Vec<ProcessId> = self.agents.keys().copied().collect();
+        for agent in agents {
+            if confirmed || self.chance(50) {
+                let event = slots::Event::ConfigState {
+                    version: 1,
+                    confirmed,
+                    refusing: vec![AT_MOST_ONCE.into()],
+                };
+                self.agent_event(agent, event)?;
+            }
+        }
         Ok(())
     }
 
--- a/crates/dispatch/tests/sim/mod.rs
+++ b/crates/dispatch/tests/sim/mod.rs
@@ -127,10 +127,14 @@
     cut: BTreeSet<usize>,
     /// Entry machines cut off from control only.
     hidden: BTreeSet<usize>,
+    /// Ends of the latest stalls, by process; a stalled process handles nothing and then all at once.
+    stalls: BTreeMap<ProcessId, Duration>,
     /// Machines of targets that are down.
     targets_down: BTreeSet<usize>,
     view: View,
     leases: BTreeMap<ProcessId, Duration>,
+    /// Entries whose lease ended.
+    gone: BTreeSet<ProcessId>,
     synced: BTreeSet<(ProcessId, u64)>,
     jobs: Vec<CallerJob>,
     calls: BTreeMap<u64, Call>,
@@ -176,9 +180,11 @@
             links: BTreeMap::new(),
             cut: BTreeSet::new(),
             hidden: BTreeSet::new(),
+            stalls: BTreeMap::new(),
             targets_down: BTreeSet::new(),
             view: View::first(1, Vec::new()),
             leases: BTreeMap::new(),
+            gone: BTreeSet::new(),
             synced: BTreeSet::new(),
             jobs: Vec::new(),
             calls: BTreeMap::new(),
@@ -219,6 +225,10 @@
     }
 
     fn step(&mut self, step: Step) -> Result<(), String> {
+        if let Some(delay) = self.stall_left(&step) {
+            self.push(delay, step);
+            return Ok(());
+        }
         match step {
             Step::Deliver {
                 session,
--- a/crates/dispatch/tests/sim/nodes.rs
+++ b/crates/dispatch/tests/sim/nodes.rs
@@ -240,6 +240,13 @@
     pub(super) fn announce(&mut self, machine: usize) -> Result<(), String> {
         self.push(Duration::from_secs(1), Step::Announce { machine });
         let leaving = !self.is_calm() && self.chance(4);
+        if !self.is_calm() && self.chance(3) {
+            let slots = self.rng.random_range(1..5);
+            let mut nodes = self.agents.values_mut();
+            if let Some(node) = nodes.find(|node| node.machine == machine) {
+                node.slots = slots;
+            }
+        }
         let agent = self.agents.iter().find(|(_, node)| node.machine == machine);
         let Some((&process, node)) = agent.filter(|_| !self.targets_down.contains(&machine)) else {
             return Ok(());
--- a/crates/slots/src/balance.rs
+++ b/crates/slots/src/balance.rs
@@ -8,7 +8,7 @@
 
 use chestnutfork_types::{AgentToEntry, CreditId, ProcessId};
 
-use crate::core::AgentCore;
+use crate::core::{AgentCore, Recall};
 use crate::event::Action;
 
 impl AgentCore {
@@ -18,7 +18,7 @@
             return;
         }
         self.grant_free(now, actions);
-        self.recall_unused(now, actions);
+        self.recall_unused(actions);
         if self.next_renewal.is_none() && !self.ledger.idle.is_empty() {
             self.next_renewal = Some(now + self.settings.renew_interval);
         }
@@ -90,7 +90,7 @@
     }
 
     /// Recalls idle credits from entries without demand while another entry has unmet demand.
-    fn recall_unused(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    fn recall_unused(&mut self, actions: &mut Vec<Action>) {
         let demand = self.entries.values().filter(|state| state.connected);
         let mut unmet: usize = demand.map(|state| state.unmet as usize).sum();
         if unmet == 0 {
@@ -98,22 +98,25 @@
         }
         for at in 0..self.entries.len() {
             let (&entry, state) = self.entries.get_index(at).expect("index is within the table");
-            if !state.connected || state.waiting > 0 || state.recall_until.is_some_and(|until| until > now) {
+            if !state.connected || state.waiting > 0 || state.recall.is_some() {
                 continue;
             }
             let count = self.ledger.idle_of(entry).min(unmet);
             if count > 0 {
                 unmet -= count;
-                self.recall(now, entry, count, actions);
+                self.recall(entry, count, actions);
             }
         }
     }
 
-    fn recall(&mut self, now: Instant, entry: ProcessId, count: usize, actions: &mut Vec<Action>) {
-        // One recall at a time for each entry; an answer that never comes blocks no longer than one interval.
-        let until = now + self.settings.renew_interval;
+    fn recall(&mut self, entry: ProcessId, count: usize, actions: &mut Vec<Action>) {
+        // One recall at a time for each entry: it answers each one on the same link, or the link ends.
+        let recall = Recall {
+            count,
+            last: self.ledger.last,
+        };
         if let Some(state) = self.entries.get_mut(&entry) {
-            state.recall_until = Some(until);
+            state.recall = Some(recall);
         }
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         let message = AgentToEntry::Recall { count };
@@ -121,7 +124,7 @@
     }
 
     /// Recalls half the surplus of the entry with the most idle credits if another one has none.
-    pub(crate) fn even_out(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    pub(crate) fn even_out(&mut self, actions: &mut Vec<Action>) {
         let connected = self.entries.iter().filter(|(_, state)| state.connected);
         let counts: Vec<(ProcessId, usize)> = connected
             .map(|(&entry, _)| (entry, self.ledger.idle_of(entry)))
@@ -131,9 +134,9 @@
         let (Some(least), Some(&(entry, most))) = (least, most) else {
             return;
         };
-        let recalling = self.entries[&entry].recall_until.is_some_and(|until| until > now);
+        let recalling = self.entries[&entry].recall.is_some();
         if least == 0 && most >= 2 && !recalling {
-            self.recall(now, entry, most / 2, actions);
+            self.recall(entry, most / 2, actions);
         }
     }
 
--- a/crates/slots/src/core.rs
+++ b/crates/slots/src/core.rs
@@ -6,7 +6,7 @@
     AgentToEntry, Announcement, AttemptOutcome, ConfigVersion, CreditId, PoolName, ProcessId, ServiceName,
     TargetName, TaskResult,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::builder::{AgentCoreBuilder, Settings};
 use crate::event::{Action, Event};
@@ -33,6 +33,14 @@
     pub(crate) refusing: Vec<ServiceName>,
 }
 
+/// Recall that an entry has not answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Recall {
+    pub(crate) count: usize,
+    /// Youngest credit when the recall was sent.
+    pub(crate) last: CreditId,
+}
+
 /// Entry that is connected or has tasks here.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Entry {
@@ -43,8 +51,7 @@
     pub(crate) unmet: u32,
     /// Whether the lease of the entry ended while its link was up.
     pub(crate) gone: bool,
-    /// Time after which an unanswered recall counts as lost.
-    pub(crate) recall_until: Option<Instant>,
+    pub(crate) recall: Option<Recall>,
 }
 
 /// Agent core: divides the slots of one target among entries and records starts.
@@ -192,19 +199,17 @@
         });
         self.target = Some(target);
         if changed {
-            self.void_excess();
-            self.announce_all(actions);
+            self.reset_credits(actions);
         }
     }
 
-    /// Voids idle credits that no longer fit the slots, the youngest first.
-    fn void_excess(&mut self) {
-        if !self.is_accepting() {
-            self.ledger.idle.clear();
-            return;
-        }
-        let room = self.live_slots().saturating_sub(self.ledger.running.len());
-        self.ledger.idle.truncate(room);
+    /// Voids all idle credits and announces the target anew.
+    ///
+    /// An entry drops its credits with an announcement that differs in more than the configuration version, or in
+    /// nothing. So both sides void the same credits, at the same point of the link's order.
+    fn reset_credits(&mut self, actions: &mut Vec<Action>) {
+        self.ledger.idle.clear();
+        self.announce_all(actions);
     }
 
     fn on_entry_up(&mut self, entry: ProcessId, actions: &mut Vec<Action>) {
@@ -327,15 +332,14 @@
     fn on_drain(&mut self, actions: &mut Vec<Action>) {
         if !self.draining {
             self.draining = true;
-            self.ledger.idle.clear();
-            self.announce_all(actions);
+            self.reset_credits(actions);
         }
     }
 
     fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.next_renewal.is_some_and(|at| at <= now) {
             self.renew(now, actions);
-            self.even_out(now, actions);
+            self.even_out(actions);
             self.next_renewal = None;
         }
     }
@@ -347,13 +351,12 @@
             && target.expires <= now
         {
             target.lapsed = true;
-            self.ledger.idle.clear();
-            self.announce_all(actions);
+            self.reset_credits(actions);
         }
         if self.next_expiry.is_none_or(|at| at > now) {
             return;
         }
-        self.ledger.idle.retain(|_, idle| idle.expires > now);
+        self.expire_credits(now, actions);
         while let Some((credit, expires)) = self.ledger.oldest_result()
             && expires <= now
         {
@@ -365,6 +368,17 @@
         self.next_expiry = [idle, result].into_iter().flatten().min();
     }
 
+    /// Voids the credits of entries with an expired one, for example after a long stall of this process.
+    fn expire_credits(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let idle = self.ledger.idle.values();
+        let expired = idle.filter(|idle| idle.expires <= now).map(|idle| idle.entry);
+        let entries: IndexSet<ProcessId> = expired.collect();
+        for entry in entries {
+            self.ledger.void_entry(entry);
+            self.announce(entry, actions);
+        }
+    }
+
     fn drop_unused_entries(&mut self) {
         let ledger = &self.ledger;
         self.entries
--- a/crates/slots/src/event.rs
+++ b/crates/slots/src/event.rs
@@ -32,6 +32,8 @@
         entry: ProcessId,
     },
     /// The lease of an entry ended, so its state may be dropped once its link is down.
+    ///
+    /// The role repeats this for an entry that stays away: its link may come and go without a lease.
     EntryGone {
         /// Entry whose lease ended.
         entry: ProcessId,
--- a/crates/slots/src/messages.rs
+++ b/crates/slots/src/messages.rs
@@ -21,10 +21,7 @@
                 state.waiting = waiting;
                 state.unmet = waiting;
             }
-            EntryToAgent::Return { credits } => {
-                state.recall_until = None;
-                self.on_return(entry, &credits);
-            }
+            EntryToAgent::Return { credits } => self.on_return(entry, &credits),
             EntryToAgent::Dispatch(dispatch) => self.on_dispatch(entry, dispatch, actions),
             EntryToAgent::Cancel { credit } => self.on_cancel(entry, credit, actions),
             EntryToAgent::Resolve { credits } => {
@@ -36,7 +33,18 @@
         }
     }
 
+    /// Takes back credits.
+    ///
+    /// An entry returns less than was recalled only if it holds no more. Credits issued before that recall that are
+    /// still idle here are then lost, and their slots would stay unused.
     fn on_return(&mut self, entry: ProcessId, credits: &[CreditId]) {
+        let recall = self.entries.get_mut(&entry).and_then(|state| state.recall.take());
+        if let Some(recall) = recall
+            && credits.len() < recall.count
+        {
+            let idle = &mut self.ledger.idle;
+            idle.retain(|&credit, idle| idle.entry != entry || credit > recall.last);
+        }
         for credit in credits {
             if self
                 .ledger
--- a/crates/slots/tests/core.rs
+++ b/crates/slots/tests/core.rs
@@ -242,6 +242,17 @@
     assert!(matches!(&sent(&actions, 2)[..], [AgentToEntry::Grant { credits, .. }] if credits.len() == 2));
 }
 
+/// Guards against recalls in a loop, and slots that stay unused, when an entry has lost credits (found by seed 4206).
+#[test]
+fn short_return_voids_lost_credits() {
+    let mut bench = Bench::new(4, &[1, 2]);
+    bench.send(2, EntryToAgent::Demand { waiting: 9 });
+    let actions = bench.send(1, EntryToAgent::Return { credits: vec![1] });
+    assert_eq!(sent(&actions, 1), [], "nothing is left to recall");
+    assert!(matches!(&sent(&actions, 2)[..], [AgentToEntry::Grant { credits, .. }] if credits.len() == 2));
+    assert_eq!(refusal(&bench.dispatch(1, 3), 1), Some(RefuseReason::NoCredit));
+}
+
 /// Guards against more tasks at the target than slots while a cancelled task still ends.
 #[test]
 fn cancel_frees_slot_only_at_end() {
@@ -269,6 +280,32 @@
     assert_eq!(refusal(&bench.dispatch(1, 4), 1), Some(RefuseReason::NoCredit));
 }
 
+/// Guards against credits that an entry goes on holding after a stall of the agent voided them (found by seed 1318).
+#[test]
+fn expired_credits_are_reset_by_announcement() {
+    let mut bench = Bench::new(1, &[1]);
+    bench.now += 2 * SECOND;
+    bench.announce(1, false);
+    bench.now += Duration::from_millis(2500);
+    let actions = bench.run(Event::Tick);
+    let [AgentToEntry::Announce(_), AgentToEntry::Grant { credits, .. }] = &sent(&actions, 1)[..] else {
+        panic!("the entry learns that its credits are void, got {actions:?}");
+    };
+    assert_eq!(credits, &[2]);
+}
+
+/// Guards against credits that the agent voids and an entry goes on holding (found by seed 1077).
+#[test]
+fn fewer_slots_replace_all_credits() {
+    let mut bench = Bench::new(3, &[1]);
+    let actions = bench.announce(2, false);
+    let [AgentToEntry::Announce(told), AgentToEntry::Grant { credits, .. }] = &sent(&actions, 1)[..] else {
+        panic!("entries are told of fewer slots and get new credits, got {actions:?}");
+    };
+    assert_eq!((told.slots, credits.len()), (2, 2));
+    assert_eq!(refusal(&bench.dispatch(1, 1), 1), Some(RefuseReason::NoCredit));
+}
+
 /// Guards against starts under an unconfirmed configuration of a service that refuses them.
 #[test]
 fn dispatch_refuses_unconfirmed_service() {
