--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_routing::{AttemptKind, RetryBudget};
+use chestnutfork_routing::{AttemptEnd, AttemptKind, RetryBudget};
 use chestnutfork_types::{
     AgentToEntry, Announcement, AttemptOutcome, CreditId, EntryToAgent, ProcessId, RefuseReason, Resolution,
     TaskIndex, TaskStatus,
@@ -293,7 +293,14 @@
         if kind == AttemptKind::Completed {
             service.admission.on_end(run_time);
         }
-        self.router.on_end(now, target, name, run_time, kind);
+        let end = AttemptEnd {
+            target,
+            service: name,
+            declared: attempt.declared,
+            run_time,
+            kind,
+        };
+        self.router.on_attempt_end(now, &end);
         let id = AttemptId {
             agent: process,
             credit,
