routing: Tell a deliberate wait from the wait for an ejection

Cause: `Choice::Wait` carried a time in both cases, so a caller put tasks that waited for the end of an ejection into the line for faster targets.

Change: the time is set only for a deliberate wait; `next_wakeup` covers the end of an ejection as before.

Conclusion: the line holds only tasks that gain from it.

--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -51,9 +51,9 @@
 pub enum Choice {
     /// Start the task on this target.
     Use(TargetIndex),
-    /// Keep the task queued; ask again after any credit or result, and at the given time if there is one.
+    /// Keep the task queued, and ask again after any credit, result or wakeup.
     Wait {
-        /// Time at which the answer changes without another event.
+        /// Set if free credits are forgone for a faster target: the time at which the task takes one after all.
         until: Option<Instant>,
     },
     /// The pool has no target that could ever take the task.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -217,7 +217,7 @@
             deadline: req.deadline,
         };
         let pick = rule.pick(&view, &mut self.rng);
-        self.settle(index, pick, req.exclude)
+        self.settle(index, pick)
     }
 
     /// Returns the slots of a pool's connected targets that are not leaving.
@@ -301,12 +301,10 @@
     }
 
     /// Turns a rule's decision into an answer and remembers when the next deliberate wait ends.
-    fn settle(&mut self, pool: PoolIndex, pick: Pick, exclude: &[TargetIndex]) -> Choice {
+    fn settle(&mut self, pool: PoolIndex, pick: Pick) -> Choice {
         match pick {
             Pick::Use(target) => Choice::Use(target),
-            Pick::Nothing => Choice::Wait {
-                until: self.next_admission(pool, exclude),
-            },
+            Pick::Nothing => Choice::Wait { until: None },
             Pick::Hold { until } => {
                 let pool = &mut self.pools[pool];
                 let earliest = pool.held_until.map_or(until, |earliest| earliest.min(until));
@@ -316,15 +314,6 @@
         }
     }
 
-    /// Returns when a target with free credits ends its ejection or pause.
-    fn next_admission(&self, pool: PoolIndex, exclude: &[TargetIndex]) -> Option<Instant> {
-        let open = self.pools[pool].classes.open();
-        let allowed = open.filter(|target| !exclude.contains(target));
-        allowed
-            .filter_map(|target| self.targets[target].health.wakeup())
-            .min()
-    }
-
     fn adopt_policy(&mut self, pool: PoolIndex, policy: &EjectionPolicy) {
         if self.pools[pool].ejection.as_ref() != Some(policy) {
             self.pools[pool].ejection = Some(*policy);
