--- a/crates/subscriber/src/core.rs
+++ b/crates/subscriber/src/core.rs
@@ -8,6 +8,8 @@
 
 use crate::event::{Action, ControlView, Event};
 
+/// Time behind the bound at which an expired confirmation is noticed.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(1);
 /// Renewals without an answer that are remembered.
 const MAX_PROBES: usize = 32;
 
@@ -105,7 +107,8 @@
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Instant> {
         let expires = match self.told {
-            Confirmation::Confirmed => self.applied.tracker().expires_at(),
+            // At the bound itself the version still counts as confirmed; waking there would change nothing.
+            Confirmation::Confirmed => self.applied.tracker().expires_at().map(|at| at + EXPIRY_MARGIN),
             Confirmation::Never | Confirmation::Unconfirmed => None,
         };
         [Some(self.useful_at + SWITCH_AFTER), self.next_renew, expires]
