--- a/crates/control/tests/core.rs
+++ b/crates/control/tests/core.rs
@@ -73,7 +73,7 @@
     assert_eq!((status, &body["error"]["code"]), (503, &json!("outcome_unknown")));
     let (status, _) = group.ask(leader, patch(0, 1, service(1)));
     assert_eq!(status, 503);
-    group.blocked.clear();
+    group.reconnect();
     let leader = group.elect();
     assert_eq!(group.ask(leader, patch(0, 1, service(1))).0, 200);
 }
@@ -101,7 +101,7 @@
     let (status, _) = group.ask(follower, OperatorRequest::Config);
     assert_eq!(status, 503);
 
-    group.blocked.clear();
+    group.reconnect();
     group.run(SECOND * 3);
     group.renew(follower, 50_000, 2, 0);
     assert_eq!(group.confirmed(50_000, group.now), [2]);
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -1,5 +1,7 @@
 //! Group of control cores over stores in memory, with virtual time and a simulated network.
 
+#![allow(dead_code, reason = "each test binary uses a part of the group")]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -10,17 +12,22 @@
 };
 use chestnutfork_raft::Config;
 use chestnutfork_storage::{FileStore, LogStore, MemoryFolder};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
 pub const SECOND: Duration = Duration::from_secs(1);
 const DELAY: Duration = Duration::from_millis(2);
-/// Distance between the numbers of links and nodes; a link is `from * LINKS + to`.
+/// Distance between the parts of a link's number, which is `(session * LINKS + from) * LINKS + to`.
 const LINKS: u64 = 1000;
 
+fn link(session: u64, from: u64, to: u64) -> u64 {
+    (session * LINKS + from) * LINKS + to
+}
+
 struct Node {
     core: Option<ControlCore>,
     store: Option<FileStore<MemoryFolder>>,
-    subscribers: BTreeMap<u64, SubscriberIdentity>,
 }
 
 enum Delivery {
@@ -43,6 +50,17 @@
     pub sent: Vec<(Instant, u64, ControlMessage)>,
     pub notices: Vec<(u64, Notice)>,
     initial: usize,
+    /// Probability that a message between control processes is lost.
+    pub loss: f64,
+    /// Longest delay of a message between control processes.
+    pub max_delay: Duration,
+    pub rng: ChaCha8Rng,
+    /// Time at which any process first had a version.
+    accepted: BTreeMap<u64, Instant>,
+    /// Session of the open link between two nodes, the smaller one first.
+    sessions: BTreeMap<(u64, u64), u64>,
+    /// Breaches of the rules that hold at any time.
+    pub violations: Vec<String>,
 }
 
 pub fn patch(base: u64, id: u128, body: Value) -> OperatorRequest {
@@ -76,6 +94,12 @@
             sent: Vec::new(),
             notices: Vec::new(),
             initial: size,
+            loss: 0.0,
+            max_delay: DELAY,
+            rng: ChaCha8Rng::seed_from_u64(0),
+            accepted: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            violations: Vec::new(),
         };
         for _ in 0..size {
             group.add();
@@ -96,7 +120,6 @@
         let node = Node {
             core: None,
             store: None,
-            subscribers: BTreeMap::new(),
         };
         self.nodes.push(node);
         let node = self.nodes.len() as u64 - 1;
@@ -108,6 +131,10 @@
         &mut self.nodes[usize::try_from(node).unwrap()]
     }
 
+    pub fn is_running(&self, node: u64) -> bool {
+        self.nodes[usize::try_from(node).unwrap()].core.is_some()
+    }
+
     pub fn core(&self, node: u64) -> &ControlCore {
         self.nodes[usize::try_from(node).unwrap()]
             .core
@@ -136,22 +163,37 @@
         *self.node(node) = Node {
             core: Some(core),
             store: Some(store),
-            subscribers: BTreeMap::new(),
         };
         for other in (0..count).filter(|&other| other != node) {
-            let running = self.node(other).core.is_some();
-            if running {
-                self.connect(node, other);
-                self.connect(other, node);
-            }
+            self.connect(node, other);
         }
     }
 
+    /// Opens a link between two processes, if both run.
     fn connect(&mut self, node: u64, other: u64) {
-        let link = node * LINKS + other;
-        let name = format!("control-{other}");
-        let address = format!("10.0.0.{other}:90");
-        self.event(node, Event::PeerUp { link, name, address });
+        if !self.is_running(node) || !self.is_running(other) {
+            return;
+        }
+        self.sequence += 1;
+        let session = self.sequence;
+        self.sessions.insert((node.min(other), node.max(other)), session);
+        for (from, to) in [(node, other), (other, node)] {
+            let up = Event::PeerUp {
+                link: link(session, from, to),
+                name: format!("control-{to}"),
+                address: format!("10.0.0.{to}:90"),
+            };
+            self.event(from, up);
+        }
+    }
+
+    fn disconnect(&mut self, node: u64, other: u64) {
+        if let Some(session) = self.sessions.remove(&(node.min(other), node.max(other))) {
+            for (from, to) in [(node, other), (other, node)] {
+                let link = link(session, from, to);
+                self.event(from, Event::PeerDown { link });
+            }
+        }
     }
 
     /// Stops a process and returns its folder.
@@ -160,8 +202,7 @@
         stopped.core = None;
         let store = stopped.store.take().expect("process runs");
         for other in (0..self.nodes.len() as u64).filter(|&other| other != node) {
-            let link = other * LINKS + node;
-            self.event(other, Event::PeerDown { link });
+            self.disconnect(node, other);
         }
         store.into_folder()
     }
@@ -171,6 +212,16 @@
         self.blocked.insert(node);
     }
 
+    /// Ends all isolation; links that were silent are opened again.
+    pub fn reconnect(&mut self) {
+        for node in std::mem::take(&mut self.blocked) {
+            for other in (0..self.nodes.len() as u64).filter(|&other| other != node) {
+                self.disconnect(node, other);
+                self.connect(node, other);
+            }
+        }
+    }
+
     pub fn leader(&self) -> Option<u64> {
         let leads = |node: &&usize| {
             self.nodes[**node]
@@ -225,8 +276,12 @@
             .is_some_and(|((at, _), _)| *at <= self.now);
         if due {
             if let Some((_, Delivery::Peer { to, link, message })) = self.queue.pop_first() {
-                let messages = vec![message];
-                self.event(to, Event::FromPeer { link, messages });
+                let from = link % LINKS;
+                let open = self.sessions.get(&(from.min(to), from.max(to)));
+                if open == Some(&(link / (LINKS * LINKS))) {
+                    let messages = vec![message];
+                    self.event(to, Event::FromPeer { link, messages });
+                }
             }
             return;
         }
@@ -250,7 +305,6 @@
         let Node {
             core: Some(core),
             store: Some(store),
-            ..
         } = self.node(node)
         else {
             return;
@@ -270,24 +324,50 @@
                 core.fail(now, stored, &mut outputs).unwrap();
             }
         }
+        let version = core.version();
+        let found = core.raft().verify();
+        self.violations.extend(found.iter().map(ToString::to_string));
+        self.accepted.entry(version).or_insert(now);
         for output in outputs {
             self.output(node, output);
         }
     }
 
+    /// Checks that no later version was accepted before the quorum check that confirms a version.
+    fn check_confirmation(&mut self, version: u64, age: Duration) {
+        let checked_at = self.now.checked_sub(age).expect("after the start");
+        let later = self
+            .accepted
+            .range(version + 1..)
+            .find(|(_, at)| **at < checked_at);
+        if let Some((later, _)) = later {
+            let text = format!("version {version} is confirmed after {later} was accepted");
+            self.violations.push(text);
+        }
+    }
+
     fn output(&mut self, node: u64, output: Output) {
         match output {
-            Output::ToPeer(link, message) => {
-                let to = link % LINKS;
-                let lost = self.blocked.contains(&node) || self.blocked.contains(&to);
-                if !lost {
+            Output::ToPeer(link_number, message) => {
+                let to = link_number % LINKS;
+                let cut_off = self.blocked.contains(&node) || self.blocked.contains(&to);
+                // A link that loses its first message would be closed, and opened again with a new one.
+                let hello = matches!(message, PeerMessage::Hello(_));
+                let lost = !hello && self.rng.random_bool(self.loss);
+                if !cut_off && !lost {
+                    let delay = self.rng.random_range(DELAY..=self.max_delay);
                     self.sequence += 1;
-                    let link = to * LINKS + node;
+                    let link = link(link_number / (LINKS * LINKS), to, node);
                     let delivery = Delivery::Peer { to, link, message };
-                    self.queue.insert((self.now + DELAY, self.sequence), delivery);
+                    self.queue.insert((self.now + delay, self.sequence), delivery);
+                }
+            }
+            Output::ToSubscriber(link, message) => {
+                if let ControlMessage::Confirm(confirmation) = &message {
+                    self.check_confirmation(confirmation.version, confirmation.age);
                 }
+                self.sent.push((self.now, link, message));
             }
-            Output::ToSubscriber(link, message) => self.sent.push((self.now, link, message)),
             Output::Reply(ticket, reply) => {
                 self.replies.insert(ticket, reply);
             }
@@ -332,7 +412,6 @@
             failure_domain: String::new(),
         };
         let identity = SubscriberIdentity { info, is_entry };
-        self.node(node).subscribers.insert(link, identity.clone());
         self.event(node, Event::SubscriberUp { link, identity });
         let messages = vec![SubscriberMessage::Subscribe {
             have,
