--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_routing::AttemptKind;
+use chestnutfork_routing::{AttemptEnd, AttemptKind, RetryBudget};
 use chestnutfork_types::{
     AgentToEntry, Announcement, AttemptOutcome, CreditId, EntryToAgent, ProcessId, RefuseReason, Resolution,
     TaskIndex, TaskStatus,
@@ -26,6 +26,8 @@
             return;
         };
         agent.linked = true;
+        // Credits belong to the link that brought them; its end may not have been noticed here.
+        agent.clear_credits();
         agent.told_demand = 0;
         agent.told_at = None;
         let credits: Vec<_> = agent.attempts.keys().copied().collect();
@@ -35,6 +37,7 @@
                 message: EntryToAgent::Resolve { credits },
             });
         }
+        self.sync_credits(process);
     }
 
     pub(crate) fn agent_down(&mut self, now: Instant, process: ProcessId) {
@@ -42,8 +45,7 @@
             return;
         };
         agent.linked = false;
-        agent.credits.clear();
-        agent.usable_until = None;
+        agent.clear_credits();
         self.router.remove_target(agent.target);
         self.lost_agents.insert((now + LINK_GRACE, process));
     }
@@ -84,9 +86,7 @@
             }
             AgentToEntry::Result(result) => {
                 if let Some(next) = result.next {
-                    agent.credits.push_back(next);
-                    let ttl = agent.ttl;
-                    agent.renew(now, ttl);
+                    agent.take_next(now, next);
                 }
                 agent.confirm(now, result.credit);
                 self.attempt_ended(
@@ -114,7 +114,16 @@
                 );
             }
             AgentToEntry::Resolved { credit, state } => match state {
-                Resolution::Started => {}
+                // A cancellation that fell into the time without a link is repeated.
+                Resolution::Started => {
+                    if agent.attempts.get(&credit).is_some_and(|attempt| !attempt.wanted) {
+                        let message = EntryToAgent::Cancel { credit };
+                        actions.push(Action::ToAgent {
+                            agent: process,
+                            message,
+                        });
+                    }
+                }
                 Resolution::Finished(result) => {
                     agent.confirm(now, credit);
                     self.attempt_ended(
@@ -157,8 +166,9 @@
         self.router.set_leaving(target, announcement.leaving);
         match self.agents.get_mut(process) {
             Some(agent) => {
-                if announcement.leaving {
-                    agent.credits.clear();
+                // Any other announcement means that the agent has voided the credits of this link.
+                if !is_new_version(&agent.announcement, &announcement) {
+                    agent.clear_credits();
                 }
                 agent.announcement = announcement;
             }
@@ -283,7 +293,14 @@
         if kind == AttemptKind::Completed {
             service.admission.on_end(run_time);
         }
-        self.router.on_end(now, target, name, run_time, kind);
+        let end = AttemptEnd {
+            target,
+            service: name,
+            declared: attempt.declared,
+            run_time,
+            kind,
+        };
+        self.router.on_attempt_end(now, &end);
         let id = AttemptId {
             agent: process,
             credit,
@@ -384,7 +401,7 @@
             .services
             .get_mut(&job.spec.service)
             .map(|service| &mut service.budget);
-        if budget.is_some_and(chestnutfork_routing::RetryBudget::try_spend) {
+        if budget.is_some_and(RetryBudget::try_spend) {
             task.avoid.extend(target);
             self.enqueue_again(id, true);
         }
@@ -475,6 +492,16 @@
     }
 }
 
+/// Reports whether two announcements differ in the configuration version alone.
+fn is_new_version(old: &Announcement, new: &Announcement) -> bool {
+    let config = new.config;
+    let same = Announcement {
+        config,
+        ..old.clone()
+    } == *new;
+    same && old.config != config
+}
+
 /// Returns what an outcome means for the health of the target.
 fn attempt_kind(outcome: &AttemptOutcome, wanted: bool) -> AttemptKind {
     match outcome {
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -8,6 +8,7 @@
 use crate::core::EntryCore;
 use crate::event::{Action, JobResult, PeerMessage, Ticket};
 use crate::job::{Job, Phase, TaskRef};
+use crate::submit::tell_joiners;
 
 /// Time behind the deadline for which a whole answer may wait for a majority of the register.
 const RECORD_GRACE: Duration = Duration::from_secs(2);
@@ -64,13 +65,7 @@
         let Some(job) = self.remove_job(id) else {
             return;
         };
-        for peer in job.joiners {
-            let message = PeerMessage::Joined {
-                job: id,
-                result: result.clone(),
-            };
-            actions.push(Action::ToPeer { peer, message });
-        }
+        tell_joiners(&job.joiners, id, result, actions);
         self.reply_all(job.tickets, result, actions);
     }
 
@@ -98,6 +93,7 @@
         };
         match job.phase {
             Phase::Claiming => {
+                self.drive_register(now, wall, register::Event::Release { job: id }, actions);
                 let message = "no majority of the entries has answered before the deadline; submit the same job \
                                again to learn its outcome";
                 self.reply_job(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,9 @@
 //! of calls with the same seed gives the same choices.
 
 mod budget;
+mod classes;
 mod health;
+mod learning;
 mod placement;
 mod pool;
 mod router;
@@ -17,8 +19,8 @@
 mod violation;
 
 pub use budget::RetryBudget;
-pub use health::AttemptKind;
-pub use placement::{Choice, PlacementRequest};
+pub use health::{AttemptEnd, AttemptKind};
+pub use placement::{Choice, Place, PlacementRequest};
 pub use router::Router;
 pub use status::{TargetState, TargetStatus};
 pub use target::TargetIndex;
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -4,6 +4,7 @@
 
 use chestnutfork_types::EjectionPolicy;
 
+use crate::classes::Classes;
 use crate::target::{DomainIndex, TargetIndex};
 
 /// State of one pool; its name is the key in the router's table.
@@ -11,19 +12,15 @@
 pub(crate) struct Pool {
     /// Targets that are connected and not leaving.
     pub(crate) members: Vec<TargetIndex>,
-    /// Members with free credits, in no particular order.
-    pub(crate) open: Vec<TargetIndex>,
+    /// Members by cost, with their free credits and attempts in flight.
+    pub(crate) classes: Classes,
     /// Slots of the members.
     pub(crate) slots: u32,
     /// Attempts in flight by failure domain.
     domain_in_flight: Vec<u32>,
     /// Ejection rules of the service that last placed a task here.
     pub(crate) ejection: Option<EjectionPolicy>,
-    /// Tasks that wait for a credit here, if the caller reports them.
-    pub(crate) waiting: Option<u32>,
-    /// Since when the next task forgoes a free credit.
-    pub(crate) held_since: Option<Instant>,
-    /// When the next task no longer forgoes a free credit.
+    /// When the next deliberate wait for a faster target ends, or earlier.
     pub(crate) held_until: Option<Instant>,
 }
 
@@ -58,10 +55,4 @@
             *in_flight = in_flight.saturating_sub(count);
         }
     }
-
-    /// Ends a deliberate wait.
-    pub(crate) fn release_hold(&mut self) {
-        self.held_since = None;
-        self.held_until = None;
-    }
 }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,10 +9,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::health::{AttemptKind, Verdict};
-use crate::placement::{Choice, Learned, Pick, PlacementRequest, Random, Rule, View};
+use crate::classes::class_of;
+use crate::placement::{Choice, Learned, Pick, Place, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
+use crate::speed::Speed;
 use crate::target::{PoolIndex, Target, TargetIndex};
 
 /// Chooses targets for tasks and learns from how the attempts end.
@@ -25,11 +26,9 @@
     pub(crate) targets: IndexMap<TargetName, Target>,
     pub(crate) pools: IndexMap<PoolName, Pool>,
     pub(crate) domains: IndexSet<FailureDomain>,
-    services: IndexMap<ServiceName, RunTimes>,
+    pub(crate) services: IndexMap<ServiceName, RunTimes>,
     /// Earliest end of an ejection or a pause.
     pub(crate) wakeup: Option<Instant>,
-    /// Reused by `choose`.
-    candidates: Vec<TargetIndex>,
 }
 
 impl Router {
@@ -51,7 +50,6 @@
             domains: IndexSet::new(),
             services: IndexMap::new(),
             wakeup: None,
-            candidates: Vec::new(),
         }
     }
 
@@ -86,11 +84,7 @@
                 self.remove_target(index);
                 index
             }
-            None => {
-                self.targets
-                    .insert_full(target, Target::new(pool, domain, slots))
-                    .0
-            }
+            None => self.insert(target, Target::new(pool, domain, slots)),
         };
         let target = &mut self.targets[index];
         target.pool = pool;
@@ -111,7 +105,7 @@
         row.present = false;
         row.reset();
         self.pools[row.pool].remove_in_flight(row.domain, in_flight);
-        self.refresh_open(target);
+        self.refresh(target);
         self.check();
     }
 
@@ -126,7 +120,7 @@
         }
         self.targets[target].leaving = leaving;
         if leaving {
-            self.refresh_open(target);
+            self.refresh(target);
         } else {
             self.join(target);
         }
@@ -159,23 +153,38 @@
     /// ```
     pub fn set_credits(&mut self, target: TargetIndex, free: u32) {
         self.targets[target].free = free;
-        self.refresh_open(target);
+        self.refresh(target);
+    }
+
+    /// Chooses a target for a task that must not forgo a free credit.
+    pub fn choose(&mut self, now: Instant, req: &PlacementRequest<'_>, policy: &ServicePolicy) -> Choice {
+        self.choose_with_place(now, req, None, policy)
     }
 
-    /// Tells how many tasks wait for credits of a pool, the one that `choose` is asked about included.
+    /// Chooses a target for a task that may be held back until a faster target has a credit.
     ///
-    /// Without it, `choose` takes the unfinished tasks of the job for the number that waits.
-    pub fn set_waiting(&mut self, pool: &str, waiting: u32) {
-        if let Some(pool) = self.pools.get_mut(pool) {
-            pool.waiting = Some(waiting);
-        }
+    /// The answer `Wait` with a time then means that free credits may be left for other tasks. The caller keeps the
+    /// task in a line, asks for the tasks in the line first, and goes on with the tasks behind it.
+    pub fn choose_or_hold(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+        place: Place,
+        policy: &ServicePolicy,
+    ) -> Choice {
+        self.choose_with_place(now, req, Some(place), policy)
     }
 
-    /// Chooses a target for a task.
-    pub fn choose(&mut self, now: Instant, req: &PlacementRequest<'_>, policy: &ServicePolicy) -> Choice {
+    fn choose_with_place(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+        place: Option<Place>,
+        policy: &ServicePolicy,
+    ) -> Choice {
         match policy.placement {
-            Placement::Random => self.choose_by(&Random, now, req, policy),
-            Placement::Learned => self.choose_by(&Learned, now, req, policy),
+            Placement::Random => self.choose_by(&Random, now, req, place, policy),
+            Placement::Learned => self.choose_by(&Learned, now, req, place, policy),
         }
     }
 
@@ -184,6 +193,7 @@
         rule: &R,
         now: Instant,
         req: &PlacementRequest<'_>,
+        place: Option<Place>,
         policy: &ServicePolicy,
     ) -> Choice {
         self.on_timer(now);
@@ -195,55 +205,19 @@
         if pool.members.iter().all(|target| req.exclude.contains(target)) {
             return Choice::NoTarget;
         }
-        self.candidates.clear();
-        let allowed = pool.open.iter().filter(|target| !req.exclude.contains(target));
-        let admitting = allowed.filter(|&&target| self.targets[target].admits(now));
-        self.candidates.extend(admitting);
-        if self.candidates.is_empty() {
-            return Choice::Wait {
-                until: self.next_admission(index, req.exclude),
-            };
-        }
+        let run_times = self.services.get(req.service);
         let view = View {
             now,
             targets: &self.targets,
             pool,
-            candidates: &self.candidates,
             exclude: req.exclude,
-            run_time: self.services.get(req.service).and_then(RunTimes::mean),
-            waiting: pool.waiting.unwrap_or(req.remaining_tasks).max(1),
+            run_time: run_times.and_then(|run_times| run_times.expected(req.declared)),
+            mean: run_times.and_then(RunTimes::mean),
+            place,
             deadline: req.deadline,
         };
         let pick = rule.pick(&view, &mut self.rng);
-        self.settle(index, now, pick)
-    }
-
-    /// Records the start of an attempt.
-    pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
-        let row = &mut self.targets[target];
-        row.on_start(now);
-        self.pools[row.pool].add_in_flight(row.domain);
-    }
-
-    /// Records the end of an attempt and learns from it.
-    pub fn on_end(
-        &mut self,
-        now: Instant,
-        target: TargetIndex,
-        service: &str,
-        run_time: Duration,
-        kind: AttemptKind,
-    ) {
-        self.on_timer(now);
-        let row = &mut self.targets[target];
-        if row.on_end(now, run_time) {
-            self.pools[row.pool].remove_in_flight(row.domain, 1);
-        }
-        if kind == AttemptKind::Completed {
-            self.learn_run_time(target, service, run_time);
-        }
-        self.learn_result(now, target, kind);
-        self.check();
+        self.settle(index, pick)
     }
 
     /// Returns the slots of a pool's connected targets that are not leaving.
@@ -315,7 +289,7 @@
         holds.chain(self.wakeup).min()
     }
 
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         debug_assert_eq!(self.verify(), Ok(()));
     }
 
@@ -326,32 +300,20 @@
         index
     }
 
-    /// Turns a rule's decision into an answer and keeps track of a deliberate wait.
-    fn settle(&mut self, pool: PoolIndex, now: Instant, pick: Pick) -> Choice {
-        let pool = &mut self.pools[pool];
+    /// Turns a rule's decision into an answer and remembers when the next deliberate wait ends.
+    fn settle(&mut self, pool: PoolIndex, pick: Pick) -> Choice {
         match pick {
-            Pick::Use(target) => {
-                pool.release_hold();
-                Choice::Use(target)
-            }
+            Pick::Use(target) => Choice::Use(target),
+            Pick::Nothing => Choice::Wait { until: None },
             Pick::Hold { until } => {
-                pool.held_since.get_or_insert(now);
-                pool.held_until = Some(until);
+                let pool = &mut self.pools[pool];
+                let earliest = pool.held_until.map_or(until, |earliest| earliest.min(until));
+                pool.held_until = Some(earliest);
                 Choice::Wait { until: Some(until) }
             }
         }
     }
 
-    /// Returns when a target with free credits ends its ejection or pause.
-    fn next_admission(&self, pool: PoolIndex, exclude: &[TargetIndex]) -> Option<Instant> {
-        let open = self.pools[pool]
-            .open
-            .iter()
-            .filter(|target| !exclude.contains(target));
-        open.filter_map(|&target| self.targets[target].health.wakeup())
-            .min()
-    }
-
     fn adopt_policy(&mut self, pool: PoolIndex, policy: &EjectionPolicy) {
         if self.pools[pool].ejection.as_ref() != Some(policy) {
             self.pools[pool].ejection = Some(*policy);
@@ -366,7 +328,7 @@
         pool.members.push(target);
         pool.slots += row.slots;
         let pool = row.pool;
-        self.refresh_open(target);
+        self.refresh(target);
         self.readmit_surplus(pool);
     }
 
@@ -383,23 +345,30 @@
         self.readmit_surplus(index);
     }
 
-    /// Lists the target among those with free credits, or not.
-    fn refresh_open(&mut self, target: TargetIndex) {
+    /// Brings the listing of a target in its pool up to date.
+    pub(crate) fn refresh(&mut self, target: TargetIndex) {
         let row = &mut self.targets[target];
-        let pool = &mut self.pools[row.pool];
-        match (row.is_open(), row.open_at) {
-            (true, None) => {
-                row.open_at = Some(pool.open.len());
-                pool.open.push(target);
-            }
-            (false, Some(at)) => {
-                row.open_at = None;
-                pool.open.swap_remove(at);
-                if let Some(&moved) = pool.open.get(at) {
-                    self.targets[moved].open_at = Some(at);
-                }
-            }
-            _ => {}
+        let (class, open, busy) = (class_of(row.cost()), row.is_open(), row.busy());
+        let member = row.is_member();
+        let classes = &mut self.pools[row.pool].classes;
+        if let Some(listing) = &mut row.listing
+            && member
+            && (listing.class, listing.open_at.is_some()) == (class, open)
+        {
+            classes.set_busy(listing, busy);
+            return;
+        }
+        let moved = row.listing.take().and_then(|listing| {
+            let moved = classes.remove(listing)?;
+            Some((moved, listing.open_at))
+        });
+        if member {
+            row.listing = Some(classes.insert(target, class, open, busy));
+        }
+        if let Some((moved, open_at)) = moved
+            && let Some(listing) = &mut self.targets[moved].listing
+        {
+            listing.open_at = open_at;
         }
     }
 
@@ -421,56 +390,14 @@
         }
     }
 
-    fn learn_run_time(&mut self, target: TargetIndex, service: &str, run_time: Duration) {
-        let row = &mut self.targets[target];
-        let index = match self.services.get_index_of(service) {
-            Some(index) => index,
-            None => {
-                self.services
-                    .insert_full(service.to_owned(), RunTimes::default())
-                    .0
-            }
-        };
-        let run_times = &mut self.services[index];
-        let deviation = run_times.observe(run_time, row.speed.log());
-        row.speed.observe(deviation, run_times.spread());
-    }
-
-    fn learn_result(&mut self, now: Instant, target: TargetIndex, kind: AttemptKind) {
-        let index = self.targets[target].pool;
-        let Some(policy) = self.pools[index].ejection else {
-            return;
-        };
-        let others = match kind {
-            AttemptKind::Completed | AttemptKind::Cancelled => 0.0,
-            _ => self.failure_rate_of_others(target),
-        };
-        let health = &mut self.targets[target].health;
-        if health.on_result(now, kind, &policy, others) == Verdict::Keep {
-            return;
-        }
-        let pool = &self.pools[index];
-        let spare = self.ejected(pool) < pool.ejection_limit();
-        let health = &mut self.targets[target].health;
-        if spare && self.pools[index].members.contains(&target) {
-            health.eject(now, &policy);
-        } else {
-            health.pause(now, &policy);
-        }
-        let due = health.wakeup();
-        self.wakeup = self.wakeup.into_iter().chain(due).min();
-    }
-
-    /// Returns the mean failure rate of the other members of a target's pool.
-    fn failure_rate_of_others(&self, target: TargetIndex) -> f64 {
-        let pool = &self.pools[self.targets[target].pool];
-        let others = pool.members.iter().filter(|&&other| other != target);
-        let mut sum = 0.0;
-        let mut count = 0.0;
-        for &other in others {
-            sum += self.targets[other].health.failure_rate();
-            count += 1.0;
+    /// Inserts a target of an unknown name, which is taken for as fast as the other members of its pool.
+    fn insert(&mut self, name: TargetName, mut target: Target) -> TargetIndex {
+        let members = self.pools[target.pool].members.iter();
+        let logs = members.map(|&member| self.targets[member].speed.log());
+        let (sum, count) = logs.fold((0.0, 0.0), |(sum, count), log| (sum + log, count + 1.0));
+        if count > 0.0 {
+            target.speed = Speed::starting_at(sum / count);
         }
-        if count > 0.0 { sum / count } else { 0.0 }
+        self.targets.insert_full(name, target).0
     }
 }
