control, storage: Start from settings and report damage found at the start

Cause: settings could not start a control process, and a torn or damaged log was not logged as an event.

Change: `ControlConfig` is built from `ControlSettings`. The core runs the verifier of the log in debug builds. The example of the randomised run is renamed to `control_random_run`, because three crates had one file name for it.

--- a/crates/control/examples/random_run.rs
+++ b/crates/control/examples/control_random_run.rs
@@ -1,6 +1,6 @@
 //! Randomised run over the real core of control with seeded faults.
 //!
-//! Usage: `random_run --seed N --count K`.
+//! Usage: `control_random_run --seed N --count K`.
 
 use std::process::ExitCode;
 
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -215,6 +215,7 @@
             self.act(now, wall, action)?;
         }
         self.compact_if_due();
+        debug_assert_eq!(self.raft.verify(), [], "the verifier finds no violation");
         outputs.append(&mut self.outputs);
         Ok(())
     }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chestnutfork_config::TokenHash;
+use chestnutfork_events::{ControlEvent, emit};
 use chestnutfork_net::{
     ClusterSecret, DialConfig, Dialer, HttpServer, Identity, Listener, Metrics, dial, listen, now,
     random_process_id,
 };
 use chestnutfork_raft::Config;
-use chestnutfork_storage::{FileStore, Folder, LogStore};
+use chestnutfork_settings::ControlSettings;
+use chestnutfork_storage::{FileStore, Folder, LogStore, StorageError};
 use chestnutfork_types::NodeName;
 use chestnutfork_wire::Role;
 use ractor::{Actor, ActorRef};
@@ -98,6 +101,31 @@
     };
 }
 
+impl From<&ControlSettings> for ControlConfig {
+    fn from(settings: &ControlSettings) -> Self {
+        let members = settings.initial_members.iter().map(|member| Member {
+            name: member.name.clone(),
+            address: member.address.to_string(),
+        });
+        // The settings are checked, so every hash is readable.
+        let operators = settings.operators.iter().filter_map(|operator| {
+            Some(Operator {
+                name: operator.name.clone(),
+                token: TokenHash::from_hex(operator.token_sha256.expose())?,
+            })
+        });
+        let secret = ClusterSecret::new(settings.cluster_secret.expose());
+        Self::builder(settings.process.name.clone(), secret)
+            .listen(settings.listen.to_string())
+            .peer_listen(settings.peer_listen.to_string())
+            .advertise_peers(settings.advertise_peers.to_string())
+            .advertise_operators(settings.advertise_operators.to_string())
+            .members(members.collect::<Vec<_>>())
+            .operators(operators.collect::<Vec<_>>())
+            .build()
+    }
+}
+
 impl ControlConfigBuilder {
     setter!(
         /// Sets the address for operators.
@@ -216,7 +244,7 @@
     };
     let link_address = advertised(&cfg.advertise_peers, &links, &cfg.peer_listen)?;
     let operators_address = advertised(&cfg.advertise_operators, &operators_socket, &cfg.listen)?;
-    let mut store = FileStore::open_or_format(folder, rand::random())?;
+    let mut store = open(folder)?;
     let raft = Config::builder(store.replica_id())
         .seed(rand::random())
         .heartbeat(cfg.heartbeat)
@@ -268,6 +296,26 @@
     })
 }
 
+/// Opens the data folder and logs what was found damaged.
+fn open<F: Folder>(folder: F) -> Result<FileStore<F>, ControlError> {
+    let store = FileStore::open_or_format(folder, rand::random());
+    if let Err(error @ StorageError::Corrupt { file, offset }) = &store {
+        emit(&ControlEvent::CorruptRecord {
+            path: file,
+            offset: *offset,
+            error: &error.to_string(),
+        });
+    }
+    let store = store?;
+    if store.truncated() > 0 {
+        emit(&ControlEvent::TailTruncated {
+            path: &store.log_file(),
+            bytes: store.truncated(),
+        });
+    }
+    Ok(store)
+}
+
 /// Dials all other members.
 ///
 /// Both sides dial, because a replacement VM has a name that the others do not list.
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -10,6 +10,7 @@
     ClusterSecret, DialConfig, Dialer, HttpClient, Identity, LinkError, LinkHandler, LinkId, LinkSender,
     Metrics, dial, http_client,
 };
+use chestnutfork_settings::ControlSettings;
 use chestnutfork_storage::DiskFolder;
 use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire};
 use http_body_util::{BodyExt, Full};
@@ -251,3 +252,23 @@
     assert_eq!(versions, [&json!(3), &json!(4)]);
     assert_eq!(body["records"][0]["operator"], json!("ann"));
 }
+
+/// Guards against settings that are read but do not reach the process.
+#[test]
+fn from_settings_keeps_every_address() {
+    let hash = TokenHash::of("token of ann").to_hex();
+    let text = format!(
+        "name: control-1\nfailure_domain: a\nlisten: 127.0.0.1:7101\npeer_listen: 127.0.0.1:7102\n\
+         cluster_secret: 0123456789abcdef0123456789abcdef\ndata_dir: data\n\
+         initial_members: {{ control-1: '127.0.0.1:7102' }}\n\
+         operators: {{ ann: {{ token_sha256: {hash} }} }}\n"
+    );
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("control.yaml");
+    std::fs::write(&path, text).unwrap();
+    let settings = ControlSettings::load(&path).unwrap();
+    let cfg = format!("{:?}", ControlConfig::from(&settings));
+    for part in ["control-1", "127.0.0.1:7101", "127.0.0.1:7102", "ann"] {
+        assert!(cfg.contains(part), "{part} is missing in {cfg}");
+    }
+}
--- a/crates/control/tests/random_run.rs
+++ b/crates/control/tests/random_run.rs
@@ -1,4 +1,4 @@
-//! Fixed set of seeds of the randomised run; `examples/random_run.rs` runs any others.
+//! Fixed set of seeds of the randomised run; `examples/control_random_run.rs` runs any others.
 
 #[path = "group/chaos.rs"]
 mod chaos;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -48,6 +48,8 @@
     sequence: u64,
     /// Position behind the last synced frame of the log file.
     end: u64,
+    /// Bytes of a torn write that were cut off at the start.
+    truncated: u64,
     /// Whether a write failed, so that the tail of the log file is unknown.
     failed: bool,
 }
@@ -76,6 +78,7 @@
             replica: new_id,
             sequence: 0,
             end: 0,
+            truncated: 0,
             failed: false,
         };
         let names = store.list()?;
@@ -88,6 +91,18 @@
         Ok(store)
     }
 
+    /// Returns the log file in use.
+    #[must_use]
+    pub fn log_file(&self) -> String {
+        log_name(self.sequence)
+    }
+
+    /// Returns the number of bytes of a torn write that were cut off when the folder was opened.
+    #[must_use]
+    pub fn truncated(&self) -> u64 {
+        self.truncated
+    }
+
     /// Ends the use of the folder and returns it.
     #[must_use]
     pub fn into_folder(self) -> F {
@@ -163,7 +178,8 @@
             return Err(corrupt(&name, scan.end));
         }
         self.end = scan.end;
-        if self.end < file.len() as u64 {
+        self.truncated = file.len() as u64 - self.end;
+        if self.truncated > 0 {
             let truncated = self.folder.truncate(&name, self.end);
             truncated.map_err(|source| StorageError::from_io(&name, source))?;
         }
