raft, control: Bound commands and the log by their size

Cause: the log refused patches above 256 KiB, the size of a message, although the configuration allows 1 MiB. And the log was compacted by the number of entries only, so 1,000 large patches could hold a gigabyte.

Change: `max_command_bytes` (2 MiB) is a limit of its own; a message takes at least one command. Control compacts after 1,000 entries or 4 MiB of commands.

Figures: 12 patches of about 370 KB each are accepted and compacted in the new test.

Conclusion: sizes are bounded by bytes everywhere in the log.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use chestnutfork_raft::{
-    Action, Config, Event as RaftEvent, Membership, Message, Proposal, Raft, Role, Snapshot,
+    Action, Config, Entry, Event as RaftEvent, Membership, Message, Payload, Proposal, Raft, Role, Snapshot,
 };
 use chestnutfork_storage::{Change, Stored};
 use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
@@ -26,6 +26,8 @@
 const DUTY_INTERVAL: Duration = Duration::from_millis(500);
 /// Applied entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: u64 = 1_000;
+/// Bytes of applied commands after which the log is replaced by a snapshot; patches may be large.
+const COMPACT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Version that was current at a quorum check.
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +75,8 @@
     pub(crate) outputs: Vec<Output>,
     /// Position of the latest snapshot of the state machine.
     compacted: LogIndex,
+    /// Bytes of the commands that were applied since then.
+    applied_bytes: usize,
     was_leader: bool,
     formation: Option<Formation>,
 }
@@ -106,6 +110,7 @@
             actions: Vec::new(),
             outputs: Vec::new(),
             compacted,
+            applied_bytes: 0,
             was_leader: false,
             formation: None,
         })
@@ -312,6 +317,7 @@
                 // After a failed write, the log may hand out entries again that were applied before.
                 let known = self.state.index;
                 for entry in entries.into_iter().filter(|entry| entry.index > known) {
+                    self.applied_bytes += command_size(&entry);
                     let applied = self.state.apply(&entry)?;
                     self.on_applied(now, entry.index, entry.term, applied);
                 }
@@ -359,6 +365,7 @@
         let index = snapshot.meta.index;
         self.state = State::from_bytes(&snapshot.data, index)?;
         self.compacted = index;
+        self.applied_bytes = 0;
         self.subscribers.distribute(&self.state, &mut self.outputs);
         self.subscribers.distribute_view(&self.state, &mut self.outputs);
         Ok(())
@@ -366,10 +373,12 @@
 
     fn compact_if_due(&mut self) {
         let index = self.state.index;
-        if index < self.compacted + COMPACT_ENTRIES {
+        let due = index >= self.compacted + COMPACT_ENTRIES || self.applied_bytes >= COMPACT_BYTES;
+        if !due {
             return;
         }
         self.compacted = index;
+        self.applied_bytes = 0;
         let data = self.state.to_bytes();
         self.queue.push(RaftEvent::Compact { index, data });
     }
@@ -477,3 +486,10 @@
         self.queue.push(RaftEvent::ProposeMembership { id, change });
     }
 }
+
+fn command_size(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(command) => command.len(),
+        Payload::Empty | Payload::Membership(_) => 0,
+    }
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::Sender;
 use std::time::{Duration, SystemTime};
 
-use chestnutfork_events::{ControlEvent, emit};
+use chestnutfork_events::{ControlEvent, ProcessEvent, emit};
 use chestnutfork_net::{Identity, LinkId, LinkSender, Wakeup, now};
 use chestnutfork_storage::{LogStore, StorageError, Stored};
 use chestnutfork_types::{ConfigVersion, NodeName, OperatorName};
@@ -155,9 +155,14 @@
         message: ReplicaMessage,
         state: &mut ReplicaState,
     ) -> Result<(), ActorProcessingErr> {
-        state.receive(message)?;
-        state.step()?;
-        Ok(())
+        let result = state.receive(message).and_then(|()| state.step());
+        if let Err(error) = &result {
+            emit(&ProcessEvent::ActorFailed {
+                actor: "replica",
+                error: &error.to_string(),
+            });
+        }
+        Ok(result?)
     }
 }
 
--- a/crates/control/tests/core.rs
+++ b/crates/control/tests/core.rs
@@ -61,6 +61,22 @@
     assert_eq!(group.ask(leader, OperatorRequest::Config).1["version"], 0);
 }
 
+/// Guards against a log that grows without bound, or a patch that is refused for its size, when patches are large.
+#[test]
+fn patch_large_bodies_are_compacted() {
+    let (mut group, leader) = Group::formed(3);
+    for version in 0..12 {
+        let name = "x".repeat(50);
+        let services = (0..6000).map(|number| (format!("{name}{number}{version}"), json!(null)));
+        let body = json!({ "services": services.collect::<serde_json::Map<_, _>>() });
+        let (status, answer) = group.ask(leader, patch(version, u128::from(version) + 1, body));
+        assert_eq!(status, 200, "{answer}");
+    }
+    let raft = group.core(leader).raft();
+    assert!(raft.snapshot().meta.index > 0);
+    assert!((0..3).all(|node| group.core(node).version() == 12));
+}
+
 /// Guards against an operator who cannot tell what happened when the group has no quorum.
 #[test]
 fn patch_without_quorum_is_not_accepted() {
--- a/crates/raft/src/change.rs
+++ b/crates/raft/src/change.rs
@@ -49,7 +49,7 @@
 
     fn admit(&self, size: usize, uncommitted: usize) -> Result<(), RefusedBecause> {
         self.check_leading()?;
-        if size > self.cfg.max_message_bytes {
+        if size > self.cfg.max_command_bytes {
             return Err(RefusedBecause::TooLarge);
         }
         if uncommitted + size > self.cfg.max_uncommitted_bytes {
--- a/crates/raft/src/config.rs
+++ b/crates/raft/src/config.rs
@@ -16,6 +16,7 @@
     pub(crate) heartbeat: Duration,
     pub(crate) election_timeout: Duration,
     pub(crate) max_message_bytes: usize,
+    pub(crate) max_command_bytes: usize,
     pub(crate) max_in_flight: usize,
     pub(crate) max_uncommitted_bytes: usize,
     pub(crate) max_snapshot_bytes: u64,
@@ -77,6 +78,7 @@
             heartbeat: Duration::from_millis(200),
             election_timeout: Duration::from_secs(1),
             max_message_bytes: 256 * 1024,
+            max_command_bytes: 2 * 1024 * 1024,
             max_in_flight: 16,
             max_uncommitted_bytes: 8 * 1024 * 1024,
             max_snapshot_bytes: 32 * 1024 * 1024,
@@ -101,6 +103,10 @@
         /// Sets the size in bytes after which no further entry is put into a message.
         max_message_bytes: usize
     );
+    setter!(
+        /// Sets the size in bytes above which a command is refused; a message takes at least one command.
+        max_command_bytes: usize
+    );
     setter!(
         /// Sets the largest number of unanswered append messages to one peer.
         max_in_flight: usize
@@ -131,6 +137,7 @@
         }
         let limits = [
             ("max_message_bytes", cfg.max_message_bytes),
+            ("max_command_bytes", cfg.max_command_bytes),
             ("max_in_flight", cfg.max_in_flight),
             ("max_uncommitted_bytes", cfg.max_uncommitted_bytes),
         ];
--- a/crates/raft/src/event.rs
+++ b/crates/raft/src/event.rs
@@ -78,7 +78,7 @@
     },
     /// Too many bytes of proposals are not committed yet.
     Overloaded,
-    /// The command is larger than a message may be.
+    /// The command is larger than one may be.
     TooLarge,
     /// Leadership is being handed over.
     Transferring,
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/sim/mod.rs
@@ -161,7 +161,8 @@
         let seed = self.rng.random();
         let cfg = Config::builder(id)
             .seed(seed)
-            .max_message_bytes(256)
+            .max_message_bytes(128)
+            .max_command_bytes(256)
             .max_in_flight(4)
             .max_uncommitted_bytes(4096)
             .vote_twice(self.options.broken == Broken::VoteTwice)
