control: Repeat a hand-over to a lost successor, and do not wait without one

Cause: a shutdown handed over once. If the chosen successor was lost just before, the leader kept leading until its grace period ended. A group of one waited the whole grace period for a successor that does not exist. The data folder could still be locked when the shutdown returned.

In the randomised run a process that was told to shut down is now stopped a second later; before, it went on and led again, which a draining process no longer does.

Conclusion: a graceful shutdown survives the loss of the successor.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -13,9 +13,9 @@
 use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
 
 use crate::error::ControlError;
-use crate::formation::{self, Formation};
+use crate::formation::Formation;
 use crate::leases::Leases;
-use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, ReplicaHello, SubscriberMessage};
+use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, SubscriberMessage};
 use crate::peers::Peers;
 use crate::persist;
 use crate::requests::Requests;
@@ -68,7 +68,7 @@
     queue: Vec<RaftEvent>,
     proposals: Vec<Proposal>,
     /// Member set of the formation that no batch has persisted yet.
-    to_form: Option<Membership>,
+    pub(crate) to_form: Option<Membership>,
     /// Actions that wait for the batch in progress to be durable.
     actions: Vec<Action>,
     /// Outputs that do not depend on the log.
@@ -78,7 +78,9 @@
     /// Bytes of the commands that were applied since then.
     applied_bytes: usize,
     was_leader: bool,
-    formation: Option<Formation>,
+    /// Whether the process is shutting down.
+    draining: bool,
+    pub(crate) formation: Option<Formation>,
 }
 
 impl ControlCore {
@@ -112,6 +114,7 @@
             compacted,
             applied_bytes: 0,
             was_leader: false,
+            draining: false,
             formation: None,
         })
     }
@@ -128,6 +131,16 @@
         self.raft.role() == Role::Leader
     }
 
+    /// Reports whether this replica leads and another one could take over.
+    #[must_use]
+    pub fn can_hand_over(&self, now: Instant) -> bool {
+        let members = self.raft.membership();
+        let progress = self.raft.progress(now);
+        progress
+            .iter()
+            .any(|peer| peer.alive && members.is_voter(peer.replica))
+    }
+
     /// Returns the accepted version of the configuration as far as this replica knows.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
@@ -173,7 +186,10 @@
                 operator,
                 request,
             } => self.on_operator(now, wall, ticket, operator, request),
-            Event::Shutdown => self.queue.push(RaftEvent::TransferLeadership { to: None }),
+            Event::Shutdown => {
+                self.draining = true;
+                self.hand_over();
+            }
             Event::StorageReady => self.queue.push(RaftEvent::StorageReady),
         }
     }
@@ -264,6 +280,16 @@
         if self.is_leader() {
             self.lead(now, wall);
         }
+        if self.draining {
+            self.hand_over();
+        }
+    }
+
+    /// Hands leadership over; the request or the successor's election may be lost, so this is repeated.
+    fn hand_over(&mut self) {
+        if self.is_leader() {
+            self.queue.push(RaftEvent::TransferLeadership { to: None });
+        }
     }
 
     fn on_peer_message(&mut self, now: Instant, wall: SystemTime, link: u64, message: PeerMessage) {
@@ -413,67 +439,6 @@
         name.map_or_else(|| format!("{replica:016x}"), str::to_owned)
     }
 
-    pub(crate) fn hello(&self) -> PeerMessage {
-        let members = self.raft.membership();
-        PeerMessage::Hello(ReplicaHello {
-            replica: self.replica(),
-            members: members.voters.clone(),
-            initial: self.raft.snapshot().meta.index == 0,
-            operators: self.cfg.operators.clone(),
-        })
-    }
-
-    /// Looks whether the member set can be formed, as long as this replica has none.
-    fn check_formation(&mut self) {
-        if !self.raft.membership().voters.is_empty() || self.to_form.is_some() {
-            return;
-        }
-        let decided = formation::decide(
-            &self.cfg.name,
-            self.replica(),
-            &self.cfg.initial_members,
-            self.peers.hellos(),
-        );
-        if self.formation.as_ref() == Some(&decided) {
-            return;
-        }
-        match &decided {
-            Formation::Ready(members) => self.to_form = Some(members.clone()),
-            Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
-            Formation::Waiting { missing } => {
-                let members = self.cfg.initial_members.len() as u64;
-                let notice = Notice::Forming {
-                    known: members.saturating_sub(missing.len() as u64),
-                    members,
-                    missing: missing.clone(),
-                };
-                self.outputs.push(Output::Notice(notice));
-            }
-        }
-        self.formation = Some(decided);
-    }
-
-    /// Starts the replicated log with the initial member set.
-    fn form(&mut self, now: Instant, members: Membership) -> Option<Change> {
-        let mut durable = self.raft.durable();
-        if durable.snapshot.meta.index > 0 || !self.raft.storage_ok() {
-            self.formation = None;
-            return None;
-        }
-        durable.snapshot.meta.membership = members;
-        let change = Change::Snapshot(persist::snapshot_record(&durable.snapshot));
-        let raft = Raft::new(self.cfg.raft.clone(), durable, now).ok()?;
-        self.raft = raft;
-        let members = self.raft.membership().voters.len() as u64;
-        self.outputs.push(Output::Notice(Notice::Formed { members }));
-        // The others adopt the set if they have missed a member's introduction.
-        let hello = self.hello();
-        for link in self.peers.links() {
-            self.outputs.push(Output::ToPeer(link, hello.clone()));
-        }
-        Some(change)
-    }
-
     pub(crate) fn read(&mut self, id: u64) {
         self.queue.push(RaftEvent::Read { id });
     }
--- /dev/null
+++ b/crates/control/src/forming.rs
@@ -0,0 +1,74 @@
+//! Introduction of replicas to each other, and the start of the log with the initial member set.
+
+use std::time::Instant;
+
+use chestnutfork_raft::{Membership, Raft};
+use chestnutfork_storage::Change;
+
+use crate::core::ControlCore;
+use crate::formation::{self, Formation};
+use crate::message::{Notice, Output, PeerMessage, ReplicaHello};
+use crate::persist;
+
+impl ControlCore {
+    pub(crate) fn hello(&self) -> PeerMessage {
+        let members = self.raft.membership();
+        PeerMessage::Hello(ReplicaHello {
+            replica: self.replica(),
+            members: members.voters.clone(),
+            initial: self.raft.snapshot().meta.index == 0,
+            operators: self.cfg.operators.clone(),
+        })
+    }
+
+    /// Looks whether the member set can be formed, as long as this replica has none.
+    pub(crate) fn check_formation(&mut self) {
+        if !self.raft.membership().voters.is_empty() || self.to_form.is_some() {
+            return;
+        }
+        let decided = formation::decide(
+            &self.cfg.name,
+            self.replica(),
+            &self.cfg.initial_members,
+            self.peers.hellos(),
+        );
+        if self.formation.as_ref() == Some(&decided) {
+            return;
+        }
+        match &decided {
+            Formation::Ready(members) => self.to_form = Some(members.clone()),
+            Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
+            Formation::Waiting { missing } => {
+                let members = self.cfg.initial_members.len() as u64;
+                let notice = Notice::Forming {
+                    known: members.saturating_sub(missing.len() as u64),
+                    members,
+                    missing: missing.clone(),
+                };
+                self.outputs.push(Output::Notice(notice));
+            }
+        }
+        self.formation = Some(decided);
+    }
+
+    /// Starts the replicated log with the initial member set.
+    pub(crate) fn form(&mut self, now: Instant, members: Membership) -> Option<Change> {
+        let mut durable = self.raft.durable();
+        if durable.snapshot.meta.index > 0 || !self.raft.storage_ok() {
+            self.formation = None;
+            return None;
+        }
+        durable.snapshot.meta.membership = members;
+        let change = Change::Snapshot(persist::snapshot_record(&durable.snapshot));
+        let raft = Raft::new(self.cfg.raft.clone(), durable, now).ok()?;
+        self.raft = raft;
+        let members = self.raft.membership().voters.len() as u64;
+        self.outputs.push(Output::Notice(Notice::Formed { members }));
+        // The others adopt the set if they have missed a member's introduction.
+        let hello = self.hello();
+        for link in self.peers.links() {
+            self.outputs.push(Output::ToPeer(link, hello.clone()));
+        }
+        Some(change)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod disk;
 mod error;
 mod formation;
+mod forming;
 mod front;
 mod leases;
 mod links;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -321,7 +321,8 @@
     }
 
     fn answer_drained(&mut self) {
-        if self.core.is_leader() {
+        // A leader that nobody can follow would wait in vain.
+        if self.core.can_hand_over(now()) {
             return;
         }
         for reply in self.drained.drain(..) {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -219,7 +219,8 @@
         self.server.shutdown(Duration::from_secs(1)).await;
         drop(self.listener);
         drop(self.dialers);
-        self.actor.stop(None);
+        // An error means that the actor has stopped already.
+        let _ = self.actor.stop_and_wait(None, Some(grace)).await;
     }
 
     /// Stops at once, as a crash would.
--- a/crates/control/tests/core.rs
+++ b/crates/control/tests/core.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chestnutfork_config::Update;
-use chestnutfork_control::{ControlMessage, Notice, OperatorRequest};
+use chestnutfork_control::{ControlMessage, Event, Notice, OperatorRequest};
 use chestnutfork_storage::MemoryFolder;
 use serde_json::json;
 
@@ -220,11 +220,32 @@
     assert_eq!(group.ask(new, patch(0, 1, service(1))).0, 200);
     assert_eq!(group.core(old).version(), 0);
     group.store(old).folder_mut().set_capacity(None);
-    group.event(old, chestnutfork_control::Event::StorageReady);
+    group.event(old, Event::StorageReady);
     group.run(SECOND * 3);
     assert_eq!(group.core(old).version(), 1);
 }
 
+/// Guards against a shutdown that keeps leadership because the chosen successor is lost just before.
+#[test]
+fn shutdown_lost_successor_is_replaced() {
+    for offset in 1..3 {
+        let (mut group, leader) = Group::formed(3);
+        group.isolate((leader + offset) % 3);
+        group.event(leader, Event::Shutdown);
+        group.run(SECOND * 4);
+        assert!(!group.core(leader).is_leader());
+        assert_eq!(group.leader(), Some((leader + 3 - offset) % 3));
+    }
+}
+
+/// Guards against a shutdown that waits for a successor that cannot exist.
+#[test]
+fn can_hand_over_alone_is_false() {
+    let (group, leader) = Group::formed(1);
+    assert!(group.core(leader).is_leader());
+    assert!(!group.core(leader).can_hand_over(group.now));
+}
+
 /// Guards against entries that are missing in the view, and against a lost entry that stays in it.
 #[test]
 fn view_follows_leases() {
--- a/crates/control/tests/group/chaos.rs
+++ b/crates/control/tests/group/chaos.rs
@@ -165,13 +165,21 @@
                 self.group.store(node).folder_mut().set_capacity(Some(0));
             }
             11..=14 => self.free_disk(node),
-            15 if self.group.is_running(node) => self.group.event(node, Event::Shutdown),
+            15 if self.group.is_running(node) => self.shut_down(node),
             16 => self.lose_disk(node),
             17 if self.group.is_running(node) => self.group.store(node).folder_mut().tear_next_write(7),
             _ => {}
         }
     }
 
+    /// Stops a process gracefully; it may end before it has handed over.
+    fn shut_down(&mut self, node: u64) {
+        self.group.event(node, Event::Shutdown);
+        self.group.run(SECOND);
+        let folder = self.stop(node);
+        self.stopped.insert(node, folder);
+    }
+
     /// Stops a process, which closes the links of its subscribers.
     fn stop(&mut self, node: u64) -> MemoryFolder {
         for subscriber in self
