--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,15 +7,15 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use chestnutfork_raft::{
-    Action, Config, Event as RaftEvent, Membership, Message, Proposal, Raft, Role, Snapshot,
+    Action, Config, Entry, Event as RaftEvent, Membership, Message, Payload, Proposal, Raft, Role, Snapshot,
 };
 use chestnutfork_storage::{Change, Stored};
 use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
 
 use crate::error::ControlError;
-use crate::formation::{self, Formation};
+use crate::formation::Formation;
 use crate::leases::Leases;
-use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, ReplicaHello, SubscriberMessage};
+use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, SubscriberMessage};
 use crate::peers::Peers;
 use crate::persist;
 use crate::requests::Requests;
@@ -26,6 +26,8 @@
 const DUTY_INTERVAL: Duration = Duration::from_millis(500);
 /// Applied entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: u64 = 1_000;
+/// Bytes of applied commands after which the log is replaced by a snapshot; patches may be large.
+const COMPACT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Version that was current at a quorum check.
 #[derive(Clone, Copy, Debug)]
@@ -66,15 +68,19 @@
     queue: Vec<RaftEvent>,
     proposals: Vec<Proposal>,
     /// Member set of the formation that no batch has persisted yet.
-    to_form: Option<Membership>,
+    pub(crate) to_form: Option<Membership>,
     /// Actions that wait for the batch in progress to be durable.
     actions: Vec<Action>,
     /// Outputs that do not depend on the log.
     pub(crate) outputs: Vec<Output>,
     /// Position of the latest snapshot of the state machine.
     compacted: LogIndex,
+    /// Bytes of the commands that were applied since then.
+    applied_bytes: usize,
     was_leader: bool,
-    formation: Option<Formation>,
+    /// Whether the process is shutting down.
+    draining: bool,
+    pub(crate) formation: Option<Formation>,
 }
 
 impl ControlCore {
@@ -106,7 +112,9 @@
             actions: Vec::new(),
             outputs: Vec::new(),
             compacted,
+            applied_bytes: 0,
             was_leader: false,
+            draining: false,
             formation: None,
         })
     }
@@ -123,6 +131,16 @@
         self.raft.role() == Role::Leader
     }
 
+    /// Reports whether this replica leads and another one could take over.
+    #[must_use]
+    pub fn can_hand_over(&self, now: Instant) -> bool {
+        let members = self.raft.membership();
+        let progress = self.raft.progress(now);
+        progress
+            .iter()
+            .any(|peer| peer.alive && members.is_voter(peer.replica))
+    }
+
     /// Returns the accepted version of the configuration as far as this replica knows.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
@@ -168,7 +186,10 @@
                 operator,
                 request,
             } => self.on_operator(now, wall, ticket, operator, request),
-            Event::Shutdown => self.queue.push(RaftEvent::TransferLeadership { to: None }),
+            Event::Shutdown => {
+                self.draining = true;
+                self.hand_over();
+            }
             Event::StorageReady => self.queue.push(RaftEvent::StorageReady),
         }
     }
@@ -215,6 +236,7 @@
             self.act(now, wall, action)?;
         }
         self.compact_if_due();
+        debug_assert_eq!(self.raft.verify(), [], "the verifier finds no violation");
         outputs.append(&mut self.outputs);
         Ok(())
     }
@@ -258,6 +280,16 @@
         if self.is_leader() {
             self.lead(now, wall);
         }
+        if self.draining {
+            self.hand_over();
+        }
+    }
+
+    /// Hands leadership over; the request or the successor's election may be lost, so this is repeated.
+    fn hand_over(&mut self) {
+        if self.is_leader() {
+            self.queue.push(RaftEvent::TransferLeadership { to: None });
+        }
     }
 
     fn on_peer_message(&mut self, now: Instant, wall: SystemTime, link: u64, message: PeerMessage) {
@@ -311,6 +343,7 @@
                 // After a failed write, the log may hand out entries again that were applied before.
                 let known = self.state.index;
                 for entry in entries.into_iter().filter(|entry| entry.index > known) {
+                    self.applied_bytes += command_size(&entry);
                     let applied = self.state.apply(&entry)?;
                     self.on_applied(now, entry.index, entry.term, applied);
                 }
@@ -358,6 +391,7 @@
         let index = snapshot.meta.index;
         self.state = State::from_bytes(&snapshot.data, index)?;
         self.compacted = index;
+        self.applied_bytes = 0;
         self.subscribers.distribute(&self.state, &mut self.outputs);
         self.subscribers.distribute_view(&self.state, &mut self.outputs);
         Ok(())
@@ -365,10 +399,12 @@
 
     fn compact_if_due(&mut self) {
         let index = self.state.index;
-        if index < self.compacted + COMPACT_ENTRIES {
+        let due = index >= self.compacted + COMPACT_ENTRIES || self.applied_bytes >= COMPACT_BYTES;
+        if !due {
             return;
         }
         self.compacted = index;
+        self.applied_bytes = 0;
         let data = self.state.to_bytes();
         self.queue.push(RaftEvent::Compact { index, data });
     }
@@ -403,67 +439,6 @@
         name.map_or_else(|| format!("{replica:016x}"), str::to_owned)
     }
 
-    pub(crate) fn hello(&self) -> PeerMessage {
-        let members = self.raft.membership();
-        PeerMessage::Hello(ReplicaHello {
-            replica: self.replica(),
-            members: members.voters.clone(),
-            initial: self.raft.snapshot().meta.index == 0,
-            operators: self.cfg.operators.clone(),
-        })
-    }
-
-    /// Looks whether the member set can be formed, as long as this replica has none.
-    fn check_formation(&mut self) {
-        if !self.raft.membership().voters.is_empty() || self.to_form.is_some() {
-            return;
-        }
-        let decided = formation::decide(
-            &self.cfg.name,
-            self.replica(),
-            &self.cfg.initial_members,
-            self.peers.hellos(),
-        );
-        if self.formation.as_ref() == Some(&decided) {
-            return;
-        }
-        match &decided {
-            Formation::Ready(members) => self.to_form = Some(members.clone()),
-            Formation::NotMember => self.outputs.push(Output::Notice(Notice::NotMember)),
-            Formation::Waiting { missing } => {
-                let members = self.cfg.initial_members.len() as u64;
-                let notice = Notice::Forming {
-                    known: members.saturating_sub(missing.len() as u64),
-                    members,
-                    missing: missing.clone(),
-                };
-                self.outputs.push(Output::Notice(notice));
-            }
-        }
-        self.formation = Some(decided);
-    }
-
-    /// Starts the replicated log with the initial member set.
-    fn form(&mut self, now: Instant, members: Membership) -> Option<Change> {
-        let mut durable = self.raft.durable();
-        if durable.snapshot.meta.index > 0 || !self.raft.storage_ok() {
-            self.formation = None;
-            return None;
-        }
-        durable.snapshot.meta.membership = members;
-        let change = Change::Snapshot(persist::snapshot_record(&durable.snapshot));
-        let raft = Raft::new(self.cfg.raft.clone(), durable, now).ok()?;
-        self.raft = raft;
-        let members = self.raft.membership().voters.len() as u64;
-        self.outputs.push(Output::Notice(Notice::Formed { members }));
-        // The others adopt the set if they have missed a member's introduction.
-        let hello = self.hello();
-        for link in self.peers.links() {
-            self.outputs.push(Output::ToPeer(link, hello.clone()));
-        }
-        Some(change)
-    }
-
     pub(crate) fn read(&mut self, id: u64) {
         self.queue.push(RaftEvent::Read { id });
     }
@@ -476,3 +451,10 @@
         self.queue.push(RaftEvent::ProposeMembership { id, change });
     }
 }
+
+fn command_size(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(command) => command.len(),
+        Payload::Empty | Payload::Membership(_) => 0,
+    }
+}
