--- /dev/null
+++ b/crates/routing/examples/placement/alternatives.rs
@@ -0,0 +1,78 @@
+//! Placement rules that were tried and are not part of the router.
+
+use chestnutfork_routing::TargetState;
+use rand::seq::IndexedRandom;
+
+use crate::sim::Sim;
+use crate::workload::SLOTS;
+
+impl Sim<'_> {
+    /// Returns the learned speed of each target, or none where it takes no task now.
+    fn speeds(&self) -> Vec<Option<f64>> {
+        let statuses = self.router.snapshot().into_iter();
+        statuses
+            .map(|status| {
+                let admits = match status.state {
+                    TargetState::Healthy => true,
+                    TargetState::Probation => status.in_flight == 0,
+                    TargetState::Ejected { .. } | TargetState::Leaving => false,
+                };
+                admits.then_some(status.speed)
+            })
+            .collect()
+    }
+
+    pub(crate) fn dispatch_power_of_two(&mut self) {
+        while let Some(next) = self.queue.peek() {
+            let failed_on = next.failed_on.clone();
+            let speeds = self.speeds();
+            let usable = |target: &usize| {
+                self.free[*target] > 0 && speeds[*target].is_some() && !failed_on.contains(target)
+            };
+            let open: Vec<usize> = (0..speeds.len()).filter(usable).collect();
+            let pair = open.sample(&mut self.rng, 2);
+            let Some(&target) =
+                pair.max_by(|a, b| speeds[**a].unwrap_or(0.0).total_cmp(&speeds[**b].unwrap_or(0.0)))
+            else {
+                return;
+            };
+            let queued = self.queue.pop().expect("peeked before");
+            self.begin(queued, target);
+        }
+    }
+
+    pub(crate) fn dispatch_target_queues(&mut self) {
+        let speeds = self.speeds();
+        // Tasks bound to a target that takes no more are bound again.
+        for (bound, speed) in self.target_queues.iter_mut().zip(&speeds) {
+            if speed.is_none() {
+                bound.drain(..).for_each(|queued| self.queue.requeue(queued));
+            }
+        }
+        while let Some(queued) = self.queue.pop() {
+            let wait = |target: usize| {
+                let bound = u32::try_from(self.target_queues[target].len()).expect("queues are bounded");
+                let speed = speeds[target].filter(|_| !queued.item.failed_on.contains(&target))?;
+                Some((f64::from(bound + SLOTS - self.free[target] + 1) / speed, target))
+            };
+            let best = (0..speeds.len())
+                .filter_map(wait)
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((_, target)) = best else {
+                self.queue.requeue(queued);
+                break;
+            };
+            self.target_queues[target].push_back(queued);
+        }
+        for target in 0..speeds.len() {
+            while self.free[target] > 0 && !self.target_queues[target].is_empty() {
+                let queued = self.target_queues[target].pop_front().expect("checked before");
+                if queued.deadline <= self.now {
+                    self.end_task(queued.item.job, false);
+                } else {
+                    self.begin(queued, target);
+                }
+            }
+        }
+    }
+}
--- a/crates/routing/examples/placement/main.rs
+++ b/crates/routing/examples/placement/main.rs
@@ -1,26 +1,37 @@
 //! Measures placement rules against an ideal schedule, on the real decision code in virtual time.
 //!
-//! Usage: `placement [--seed N] [--seeds N] [--seconds N] [scenario...]`. docs/MEASUREMENTS.md defines the columns.
+//! Usage: `placement [--seed N] [--seeds N] [--seconds N] [--alternatives] [--unrelated | --undeclared]
+//! [scenario...]`. docs/MEASUREMENTS.md defines the columns.
 
+mod alternatives;
 mod ideal;
 mod sim;
 mod workload;
 
 use std::time::Duration;
 
-use chestnutfork_types::{Placement, RetryPolicy, ServicePolicy};
-
 use ideal::Speeds;
-use sim::{Outcome, Sim};
-use workload::{Defect, Fault, Job, Scenario};
+use sim::{Outcome, Sim, Variant};
+use workload::{Declarations, Defect, Fault, Job, Scenario};
 
 /// Jobs that arrive earlier count neither for the policies nor for the ideal, in seconds.
 const WARM_UP: f64 = 60.0;
 
+const VARIANTS: [(&str, Variant); 4] = [
+    ("random", Variant::Random),
+    ("learned", Variant::Learned),
+    ("two", Variant::PowerOfTwo),
+    ("queues", Variant::TargetQueues),
+];
+
 struct Args {
     seed: u64,
     seeds: u64,
     seconds: f64,
+    /// Whether to run the alternatives that the router does not have.
+    alternatives: bool,
+    /// What the declared run times are worth.
+    declarations: Declarations,
     names: Vec<String>,
 }
 
@@ -29,6 +40,8 @@
         seed: 1,
         seeds: 3,
         seconds: 600.0,
+        alternatives: false,
+        declarations: Declarations::Usual,
         names: Vec::new(),
     };
     let mut words = std::env::args().skip(1);
@@ -40,6 +53,9 @@
                 .expect("a number follows")
         };
         match word.as_str() {
+            "--unrelated" => args.declarations = Declarations::Unrelated,
+            "--undeclared" => args.declarations = Declarations::Absent,
+            "--alternatives" => args.alternatives = true,
             "--seed" => args.seed = number(),
             "--seeds" => args.seeds = number(),
             "--seconds" => args.seconds = f64::from(u32::try_from(number()).expect("a few hours at most")),
@@ -80,6 +96,7 @@
         .iter()
         .map(|&(target, at)| (target, at, at + 40.0, Defect::Leaving))
         .collect();
+    let domain = |defect| [0, 3, 6, 9].map(|target| (target, 200.0, 400.0, defect));
     vec![
         scenario("calm", 0.7, &[]),
         scenario("light", 0.3, &[]),
@@ -99,21 +116,14 @@
         scenario("straggler", 0.7, &[straggler]),
         scenario("black-hole", 0.7, &[black_hole]),
         scenario("black-hole-straggler", 0.6, &[black_hole, straggler]),
+        scenario("slow-domain", 0.4, &domain(Defect::Slow(5.0))),
+        scenario("failing-domain", 0.4, &domain(Defect::FailAtOnce)),
         scenario("hang", 0.7, &[(4, 100.0, 300.0, Defect::Hang)]),
         scenario("flapping", 0.7, &flapping),
         scenario("leaving", 0.7, &leaving),
     ]
 }
 
-fn policy(placement: Placement) -> ServicePolicy {
-    let retry = RetryPolicy {
-        max_attempts: 3,
-        budget: 0.1,
-    };
-    let builder = ServicePolicy::builder("main").at_most_once(false);
-    builder.placement(placement).retry(retry).build()
-}
-
 /// Sums and samples over all seeds of one scenario and policy.
 #[derive(Default)]
 struct Totals {
@@ -215,11 +225,14 @@
         if !args.names.is_empty() && !args.names.iter().any(|name| name == scenario.name) {
             continue;
         }
-        for (name, placement) in [("random", Placement::Random), ("learned", Placement::Learned)] {
+        for (name, variant) in VARIANTS {
+            if variant != Variant::Random && variant != Variant::Learned && !args.alternatives {
+                continue;
+            }
             let mut totals = Totals::default();
             for seed in args.seed..args.seed + args.seeds {
-                let jobs = workload::jobs(&scenario, args.seconds, seed);
-                let outcome = Sim::new(&scenario, &jobs, policy(placement), seed).run();
+                let jobs = workload::jobs(&scenario, args.declarations, args.seconds, seed);
+                let outcome = Sim::new(&scenario, &jobs, variant, seed).run();
                 totals.add(&scenario, &jobs, outcome);
             }
             totals.print(
--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -1,14 +1,16 @@
 //! Discrete-event run of the real decision code against simulated targets.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use chestnutfork_limits::{Admission, AdmissionRequest, FairQueue, Queued};
 use chestnutfork_routing::{
     AttemptEnd, AttemptKind, Choice, Place, PlacementRequest, RetryBudget, Router, TargetIndex,
 };
-use chestnutfork_types::{Placement, ServicePolicy};
+use chestnutfork_types::{Placement, RetryPolicy, ServicePolicy};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::workload::{Defect, Job, SLOTS, SLOWNESS, Scenario};
 
@@ -21,6 +23,19 @@
 /// Most tasks that are held back for faster targets.
 const MAX_HELD: usize = 64;
 
+/// How tasks are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// The router's random rule.
+    Random,
+    /// The router's learned rule.
+    Learned,
+    /// Of two random targets with free credits, the one of higher learned speed.
+    PowerOfTwo,
+    /// A queue per target; a task joins the one of least expected wait by learned speed when it arrives.
+    TargetQueues,
+}
+
 /// State of one job in the run.
 #[derive(Clone, Debug, Default)]
 struct JobState {
@@ -31,11 +46,11 @@
 
 /// Waiting task.
 #[derive(Clone, Debug)]
-struct Waiting {
-    job: usize,
+pub(crate) struct Waiting {
+    pub(crate) job: usize,
     task: usize,
     /// Targets on which an attempt failed.
-    failed_on: Vec<TargetIndex>,
+    pub(crate) failed_on: Vec<TargetIndex>,
 }
 
 /// Attempt in flight.
@@ -90,17 +105,19 @@
     jobs: &'a [Job],
     policy: ServicePolicy,
     start: Instant,
-    now: Instant,
+    pub(crate) now: Instant,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     serial: u64,
     timer: Option<Instant>,
-    /// Whether the tasks of a job are queued by falling declared run time.
-    longest_first: bool,
-    router: Router,
-    queue: FairQueue<Waiting>,
+    pub(crate) router: Router,
+    pub(crate) queue: FairQueue<Waiting>,
+    variant: Variant,
+    /// Used by the variants that the router does not have.
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) target_queues: Vec<VecDeque<Queued<Waiting>>>,
     admission: Admission,
     budget: RetryBudget,
-    free: Vec<u32>,
+    pub(crate) free: Vec<u32>,
     states: Vec<JobState>,
     attempts: Vec<Option<Attempt>>,
     outcome: Outcome,
@@ -108,7 +125,8 @@
 
 impl<'a> Sim<'a> {
     /// Prepares a run.
-    pub fn new(scenario: &'a Scenario, jobs: &'a [Job], policy: ServicePolicy, seed: u64) -> Self {
+    pub fn new(scenario: &'a Scenario, jobs: &'a [Job], variant: Variant, seed: u64) -> Self {
+        let policy = policy(variant);
         let start = Instant::now();
         let mut router = Router::new(seed);
         for target in 0..SLOWNESS.len() {
@@ -124,10 +142,12 @@
             events: BinaryHeap::new(),
             serial: 0,
             timer: None,
-            longest_first: policy.placement != Placement::Random,
             router,
             queue: FairQueue::new(usize::try_from(policy.max_queue).expect("the bound is small")),
             admission: Admission::new(),
+            variant,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            target_queues: vec![VecDeque::new(); SLOWNESS.len()],
             budget: RetryBudget::new(policy.retry.budget),
             free: vec![SLOTS; SLOWNESS.len()],
             states: vec![JobState::default(); jobs.len()],
@@ -135,6 +155,13 @@
             outcome: Outcome::default(),
             policy,
         };
+        // The first choice makes the policy known to the router.
+        let waiting = Waiting {
+            job: 0,
+            task: 0,
+            failed_on: Vec::new(),
+        };
+        sim.choose(&waiting, 0, None);
         sim.plan();
         sim
     }
@@ -153,7 +180,11 @@
                 }
             }
             self.expire();
-            self.dispatch();
+            match self.variant {
+                Variant::Random | Variant::Learned => self.dispatch(),
+                Variant::PowerOfTwo => self.dispatch_power_of_two(),
+                Variant::TargetQueues => self.dispatch_target_queues(),
+            }
             self.arm_timer();
         }
         self.outcome
@@ -185,13 +216,15 @@
     fn on_arrival(&mut self, index: usize) {
         let job = &self.jobs[index];
         let team = format!("team{}", job.team);
+        let bound = || self.target_queues.iter().flatten();
+        let active_teams: HashSet<&str> = bound().map(|queued| queued.team.as_str()).collect();
         let req = AdmissionRequest {
             tasks: job.tasks.len(),
             declared: None,
             deadline: self.scenario.deadline,
-            queued: self.queue.len(),
-            team_queued: self.queue.team_len(&team),
-            active_teams: self.queue.active_teams(),
+            queued: self.queue.len() + bound().count(),
+            team_queued: self.queue.team_len(&team) + bound().filter(|queued| queued.team == team).count(),
+            active_teams: self.queue.active_teams() + active_teams.len(),
             team_allowance: u32::MAX,
             slots: self.router.pool_slots(&self.policy.pool),
             fastest_speed: 1.0,
@@ -205,7 +238,7 @@
         self.states[index].unfinished = u32::try_from(job.tasks.len()).expect("jobs are small");
         let deadline = self.now + self.scenario.deadline;
         let mut order: Vec<usize> = (0..job.tasks.len()).collect();
-        if self.longest_first {
+        if self.variant != Variant::Random {
             order.sort_by_key(|&task| Reverse(job.tasks[task].declared));
         }
         for task in order {
@@ -244,7 +277,7 @@
         let end = AttemptEnd {
             target,
             service: SERVICE,
-            declared: Some(self.jobs[waiting.item.job].tasks[waiting.item.task].declared),
+            declared: self.jobs[waiting.item.job].tasks[waiting.item.task].declared,
             run_time,
             kind,
         };
@@ -271,7 +304,7 @@
         }
     }
 
-    fn end_task(&mut self, index: usize, completed: bool) {
+    pub(crate) fn end_task(&mut self, index: usize, completed: bool) {
         let state = &mut self.states[index];
         state.unfinished -= 1;
         state.failed |= !completed;
@@ -348,7 +381,7 @@
         let place = Place { ahead, since };
         let req = PlacementRequest {
             service: SERVICE,
-            declared: Some(self.jobs[next.job].tasks[next.task].declared),
+            declared: self.jobs[next.job].tasks[next.task].declared,
             deadline: self.now + self.scenario.deadline,
             remaining_tasks: self.states[next.job].unfinished,
             exclude: &next.failed_on,
@@ -356,7 +389,7 @@
         self.router.choose_or_hold(self.now, &req, place, &self.policy)
     }
 
-    fn begin(&mut self, waiting: Queued<Waiting>, target: TargetIndex) {
+    pub(crate) fn begin(&mut self, waiting: Queued<Waiting>, target: TargetIndex) {
         if waiting.item.failed_on.is_empty() {
             self.budget.on_start();
         }
@@ -402,3 +435,16 @@
         }
     }
 }
+
+fn policy(variant: Variant) -> ServicePolicy {
+    let retry = RetryPolicy {
+        max_attempts: 3,
+        budget: 0.1,
+    };
+    let placement = match variant {
+        Variant::Random => Placement::Random,
+        _ => Placement::Learned,
+    };
+    let builder = ServicePolicy::builder("main").at_most_once(false);
+    builder.placement(placement).retry(retry).build()
+}
--- a/crates/routing/examples/placement/workload.rs
+++ b/crates/routing/examples/placement/workload.rs
@@ -26,7 +26,18 @@
     /// Run time on an average target, in seconds.
     pub size: f64,
     /// Run time that the caller declares.
-    pub declared: Duration,
+    pub declared: Option<Duration>,
+}
+
+/// What the declared run times are worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Declarations {
+    /// Off by a factor of up to three, and one in ten unrelated to the task.
+    Usual,
+    /// All unrelated to the task.
+    Unrelated,
+    /// No task declares a run time.
+    Absent,
 }
 
 /// One job.
@@ -107,7 +118,7 @@
 }
 
 /// Generates the jobs of a scenario until the given time in seconds.
-pub fn jobs(scenario: &Scenario, seconds: f64, seed: u64) -> Vec<Job> {
+pub fn jobs(scenario: &Scenario, declarations: Declarations, seconds: f64, seed: u64) -> Vec<Job> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mean_work = mean_log_uniform(1.0, MAX_TASKS)
         * ((1.0 - LONG_SHARE) * mean_log_uniform(USUAL.0, USUAL.1)
@@ -121,26 +132,25 @@
         if at >= seconds {
             return jobs;
         }
-        jobs.push(job(at, &mut rng));
+        jobs.push(job(at, declarations, &mut rng));
     }
 }
 
-fn job(arrival: f64, rng: &mut impl Rng) -> Job {
+fn job(arrival: f64, declarations: Declarations, rng: &mut impl Rng) -> Job {
     let count = log_uniform(rng, 1.0, MAX_TASKS + 1.0).floor();
     let mut tasks = Vec::new();
     while tasks.len() < 200 && f64::from(u32::try_from(tasks.len()).unwrap_or(0)) < count {
-        tasks.push(task(rng));
+        tasks.push(task(declarations, rng));
     }
     let team = rng.random_range(0..TEAMS);
     Job { arrival, team, tasks }
 }
 
-fn task(rng: &mut impl Rng) -> Task {
+fn task(declarations: Declarations, rng: &mut impl Rng) -> Task {
     let (low, high) = if rng.random_bool(LONG_SHARE) { LONG } else { USUAL };
     let size = log_uniform(rng, low, high);
-    // Declarations are off by a factor of up to three, and one in ten is unrelated to the task.
     let error = log_uniform(rng, 1.0 / 3.0, 3.0);
-    let unrelated = rng.random_bool(0.1);
+    let unrelated = rng.random_bool(0.1) || declarations == Declarations::Unrelated;
     let declared = if unrelated {
         log_uniform(rng, USUAL.0, LONG.1)
     } else {
@@ -148,7 +158,7 @@
     };
     Task {
         size,
-        declared: Duration::from_secs_f64(declared),
+        declared: (declarations != Declarations::Absent).then(|| Duration::from_secs_f64(declared)),
     }
 }
 
