routing: Slow a failing target down only if others can take over

Cause: a target that may not be ejected was limited to one task per second after five failures. In a pool of one target, a job of failing tasks throttled all other jobs.

Change: such a target is slowed down only if at least half of the pool's members are healthy others.

Figures: new tests for pools of one and two targets.

Conclusion: small pools keep their targets; pairs still slow the failing one.

--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -95,12 +95,23 @@
         let member = self.targets[target].is_member();
         if member && (self.can_eject(index) || self.readmit_slow(index)) {
             self.targets[target].health.eject(now, &policy, Cause::Failures);
-        } else {
+        } else if self.can_pause(target) {
             self.targets[target].health.pause(now, &policy);
         }
         self.note_wakeup(target);
     }
 
+    /// Reports whether the healthy rest of the pool can take over most of a target's work.
+    ///
+    /// A pool that is small, or unhealthy for the most part, keeps its targets: tasks that fail are better than tasks
+    /// that wait for nothing.
+    fn can_pause(&self, target: TargetIndex) -> bool {
+        let members = &self.pools[self.targets[target].pool].members;
+        let others = members.iter().filter(|&&other| other != target);
+        let healthy = others.filter(|&&other| self.targets[other].health.is_healthy());
+        healthy.count() * 2 >= members.len()
+    }
+
     /// Ejects a target for its speed, if the pool can spare it.
     fn eject_slow(&mut self, now: Instant, target: TargetIndex) {
         let row = &self.targets[target];
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -234,6 +234,25 @@
     assert_eq!(ejected.count(), 1);
 }
 
+/// Guards against a failing job throttling the only target of a pool for all other jobs.
+#[test]
+fn pause_spares_only_target() {
+    let mut fixture = Fixture::new(1);
+    fixture.fail(0, 50);
+    assert_eq!(fixture.state(0), TargetState::Healthy);
+    assert_eq!(fixture.choose(&[]), Choice::Use(0));
+}
+
+/// Guards against a target that fails at once drawing work in a pool too small to eject any.
+#[test]
+fn pause_slows_failing_target_of_pair() {
+    let mut fixture = Fixture::new(2);
+    fixture.fail(0, 5);
+    assert_eq!(fixture.choose(&[1]), Choice::Wait { until: None });
+    fixture.await_probation();
+    assert_eq!(fixture.choose(&[1]), Choice::Use(0));
+}
+
 /// Guards against a returning target that still fails drawing more than one task.
 #[test]
 fn probation_allows_single_task() {
