limits: Give a team its whole weight when it overtakes teams without quota

Cause: `pop_allowed` took from a team that was not first in turn without starting its turn, so a team of weight 2 got one item per turn while a team before it was out of quota.

Change: the turn starts with the first item taken.

Figures: the new test pop_allowed_honours_weight failed before (one item of the heavy team per round) and passes now.

Conclusion: weights hold also next to teams without quota. No caller sets weights yet.

--- a/crates/limits/src/fair_queue.rs
+++ b/crates/limits/src/fair_queue.rs
@@ -29,16 +29,16 @@
 pub struct FairQueue<T> {
     max: usize,
     /// Items that wait for their turn.
-    len: usize,
+    pub(crate) len: usize,
     /// Items that are held back.
-    line: Line<T>,
-    teams: IndexMap<TeamName, TeamQueue<T>>,
+    pub(crate) line: Line<T>,
+    pub(crate) teams: IndexMap<TeamName, TeamQueue<T>>,
     /// Teams with items, in the order of their turns.
     turns: BTreeMap<Turn, usize>,
     next_back: i64,
     next_front: i64,
     /// Lower bound of all queued deadlines, so that `expire` is cheap while nothing is due.
-    earliest: Option<Instant>,
+    pub(crate) earliest: Option<Instant>,
 }
 
 impl<T> FairQueue<T> {
@@ -176,7 +176,11 @@
         let (name, team) = self.teams.get_index_mut(index)?;
         let ((deadline, _), item) = team.items.pop_first()?;
         let name = name.clone();
-        team.deficit = team.deficit.saturating_sub(1);
+        // A team that overtakes rejected ones begins its turn here.
+        if team.deficit == 0 {
+            team.deficit = team.weight;
+        }
+        team.deficit -= 1;
         let spent = team.deficit == 0;
         self.len -= 1;
         if spent {
@@ -306,112 +310,6 @@
         self.earliest
     }
 
-    /// Moves all items whose deadline is at or before `now` to `out`.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::{Duration, Instant};
-    /// use chestnutfork_limits::FairQueue;
-    ///
-    /// let mut queue = FairQueue::new(10);
-    /// let now = Instant::now();
-    /// queue.push("setters", now, 1).unwrap();
-    /// queue.push("setters", now + Duration::from_secs(1), 2).unwrap();
-    /// let mut expired = Vec::new();
-    /// queue.expire(now, &mut expired);
-    /// assert_eq!(expired, [1]);
-    /// ```
-    pub fn expire(&mut self, now: Instant, out: &mut Vec<T>) {
-        if self.earliest.is_none_or(|earliest| earliest > now) {
-            return;
-        }
-        for index in 0..self.teams.len() {
-            let items = &mut self.teams[index].items;
-            while let Some(first) = items.first_entry().filter(|first| first.key().0 <= now) {
-                out.push(first.remove());
-                self.len -= 1;
-            }
-            self.drop_turn_if_empty(index);
-        }
-        self.line.retain(|_, deadline, _| deadline > now, out);
-        self.earliest = self.first_deadline();
-        self.settle();
-    }
-
-    /// Moves all items that `keep` rejects to `removed`; it visits the whole queue.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Instant;
-    /// use chestnutfork_limits::FairQueue;
-    ///
-    /// let mut queue = FairQueue::new(10);
-    /// for item in 0..4 {
-    ///     queue.push("setters", Instant::now(), item).unwrap();
-    /// }
-    /// let mut removed = Vec::new();
-    /// queue.retain(|item| item % 2 == 0, &mut removed);
-    /// assert_eq!(removed, [1, 3]);
-    /// ```
-    pub fn retain(&mut self, mut keep: impl FnMut(&T) -> bool, removed: &mut Vec<T>) {
-        let before = removed.len();
-        for index in 0..self.teams.len() {
-            let items = &mut self.teams[index].items;
-            removed.extend(items.extract_if(.., |_, item| !keep(item)).map(|(_, item)| item));
-            self.drop_turn_if_empty(index);
-        }
-        self.len -= removed.len() - before;
-        self.line.retain(|_, _, item| keep(item), removed);
-        self.settle();
-    }
-
-    /// Moves the items of one team and deadline that `keep` rejects to `removed`.
-    ///
-    /// All tasks of a job share team and deadline, so a wave of cancellations visits only the cancelled jobs and not
-    /// the whole queue each time.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Instant;
-    /// use chestnutfork_limits::FairQueue;
-    ///
-    /// let mut queue = FairQueue::new(10);
-    /// let deadline = Instant::now();
-    /// queue.push("setters", deadline, 1).unwrap();
-    /// queue.push("auditors", deadline, 2).unwrap();
-    /// let mut removed = Vec::new();
-    /// queue.retain_at("setters", deadline, |_| false, &mut removed);
-    /// assert_eq!((removed.as_slice(), queue.len()), ([1].as_slice(), 1));
-    /// ```
-    pub fn retain_at(
-        &mut self,
-        team: &str,
-        deadline: Instant,
-        mut keep: impl FnMut(&T) -> bool,
-        removed: &mut Vec<T>,
-    ) {
-        let Some(index) = self.teams.get_index_of(team) else {
-            return;
-        };
-        let other = |held_team: &TeamName, held_deadline| held_team != team || held_deadline != deadline;
-        self.line
-            .retain(|team, at, item| other(team, at) || keep(item), removed);
-        let before = removed.len();
-        let range = (deadline, i64::MIN)..=(deadline, i64::MAX);
-        let items = &mut self.teams[index].items;
-        removed.extend(
-            items
-                .extract_if(range, |_, item| !keep(item))
-                .map(|(_, item)| item),
-        );
-        self.len -= removed.len() - before;
-        self.drop_turn_if_empty(index);
-        self.settle();
-    }
-
     /// Checks the invariants of the queue in time proportional to the number of teams.
     ///
     /// # Errors
@@ -498,7 +396,7 @@
     }
 
     /// Ends the turns of a team without items; an idle team saves no deficit.
-    fn drop_turn_if_empty(&mut self, index: usize) {
+    pub(crate) fn drop_turn_if_empty(&mut self, index: usize) {
         if self.teams[index].items.is_empty() {
             self.teams[index].deficit = 0;
             self.set_turn(index, None);
@@ -519,7 +417,7 @@
         debug_assert_eq!(self.verify(), Ok(()));
     }
 
-    fn first_deadline(&self) -> Option<Instant> {
+    pub(crate) fn first_deadline(&self) -> Option<Instant> {
         let firsts = self
             .teams
             .values()
@@ -527,12 +425,4 @@
         let waiting = firsts.map(|((deadline, _), _)| *deadline);
         waiting.chain(self.line.earliest()).min()
     }
-
-    pub(crate) fn line(&self) -> &Line<T> {
-        &self.line
-    }
-
-    pub(crate) fn line_mut(&mut self) -> &mut Line<T> {
-        &mut self.line
-    }
 }
--- a/crates/limits/src/held.rs
+++ b/crates/limits/src/held.rs
@@ -79,7 +79,7 @@
             return false;
         };
         let deadline = queued.deadline;
-        self.line_mut().items.push(Held { queued, since: now });
+        self.line.items.push(Held { queued, since: now });
         self.note_deadline(deadline);
         self.settle();
         true
@@ -88,13 +88,13 @@
     /// Returns the number of held items.
     #[must_use]
     pub fn held_len(&self) -> usize {
-        self.line().len()
+        self.line.len()
     }
 
     /// Returns a held item by its place in the line, and since when it is held.
     #[must_use]
     pub fn held(&self, place: usize) -> Option<(&T, Instant)> {
-        let held = self.line().items.get(place)?;
+        let held = self.line.items.get(place)?;
         Some((&held.queued.item, held.since))
     }
 
@@ -103,7 +103,7 @@
         if place >= self.held_len() {
             return None;
         }
-        let queued = self.line_mut().items.remove(place).queued;
+        let queued = self.line.items.remove(place).queued;
         self.settle();
         Some(queued)
     }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -8,6 +8,7 @@
 mod fair_queue;
 mod held;
 mod quotas;
+mod removal;
 mod team_queue;
 mod violation;
 
--- a/crates/limits/tests/fair_queue.rs
+++ b/crates/limits/tests/fair_queue.rs
@@ -5,6 +5,27 @@
 use chestnutfork_limits::FairQueue;
 use quickcheck::{Gen, QuickCheck};
 
+/// Guards against a team losing its weight while the team before it in turn is out of quota.
+#[test]
+fn pop_allowed_honours_weight() {
+    let now = Instant::now();
+    let mut queue = FairQueue::new(100);
+    queue.set_weight("heavy", 2);
+    for team in ["blocked", "heavy", "light"] {
+        for _ in 0..4 {
+            queue.push(team, now, team).unwrap();
+        }
+    }
+    let next = || {
+        queue
+            .pop_allowed(|team| team != "blocked")
+            .map(|queued| queued.item)
+    };
+    let order: Vec<_> = std::iter::from_fn(next).take(6).collect();
+    assert_eq!(order, ["heavy", "heavy", "light", "heavy", "heavy", "light"]);
+    assert_eq!(queue.pop().map(|queued| queued.item), Some("blocked"));
+}
+
 /// Guards against a held task outliving its deadline or its cancelled job.
 #[test]
 fn hold_keeps_deadline_and_cancellation() {
