routing: Learn from cancelled attempts, and measure hedging

Cause: hedges cancel the attempts on a target that hangs before they time out, so the target had no failures and stayed in use. Once it counted as very slow, its hedges came too late.

Change: a cancelled attempt that ran for unusually long counts as slow. `hedge_after_declared` uses the run time expected for the declaration, at least the service's mean, and treats a target slower than four times the cheapest like one of that speed. The experiment has a `hedged` variant.

The dispatch crate still calls `hedge_after`.

--- /dev/null
+++ b/crates/routing/examples/placement/hedging.rs
@@ -0,0 +1,46 @@
+//! Second copies of tasks whose first attempt takes unexpectedly long.
+
+use chestnutfork_limits::Queued;
+use chestnutfork_routing::AttemptKind;
+
+use crate::sim::{Attempt, Event, Sim, Waiting, delay};
+
+impl Sim<'_> {
+    /// Queues a second copy of a task that still runs, if the budget allows it.
+    pub(crate) fn on_hedge(&mut self, index: usize) {
+        let Some(attempt) = &self.attempts[index] else {
+            return;
+        };
+        let mut copy = attempt.waiting.clone();
+        copy.item.failed_on.push(attempt.target);
+        let copies = self.states[copy.item.job].copies[copy.item.task];
+        if copies == 1 && copy.deadline > self.now && self.budget.try_spend() {
+            self.states[copy.item.job].copies[copy.item.task] += 1;
+            self.queue.requeue(copy);
+        }
+    }
+
+    /// Removes the queued copies of a completed task and cancels the running ones.
+    pub(crate) fn cancel_copies(&mut self, completed: &Queued<Waiting>) {
+        let (job, task) = (completed.item.job, completed.item.task);
+        if self.states[job].copies[task] == 0 {
+            return;
+        }
+        self.states[job].copies[task] = 0;
+        let other = |waiting: &Waiting| waiting.job != job || waiting.task != task;
+        let mut removed = Vec::new();
+        self.queue
+            .retain_at(&completed.team, completed.deadline, other, &mut removed);
+        let is_copy =
+            |attempt: &Attempt| !other(&attempt.waiting.item) && attempt.kind != AttemptKind::Cancelled;
+        let running = |slot: &Option<Attempt>| slot.as_ref().is_some_and(is_copy);
+        if let Some(at) = self.attempts.iter().rposition(running) {
+            let mut attempt = self.attempts[at].take().expect("found just before");
+            attempt.kind = AttemptKind::Cancelled;
+            attempt.run_time = self.now + delay(attempt.target) - attempt.start;
+            let freed = self.now + 2 * delay(attempt.target);
+            self.schedule(freed, Event::Result(self.attempts.len()));
+            self.attempts.push(Some(attempt));
+        }
+    }
+}
--- a/crates/routing/examples/placement/main.rs
+++ b/crates/routing/examples/placement/main.rs
@@ -4,6 +4,7 @@
 //! [scenario...]`. docs/MEASUREMENTS.md defines the columns.
 
 mod alternatives;
+mod hedging;
 mod ideal;
 mod sim;
 mod workload;
@@ -17,9 +18,10 @@
 /// Jobs that arrive earlier count neither for the policies nor for the ideal, in seconds.
 const WARM_UP: f64 = 60.0;
 
-const VARIANTS: [(&str, Variant); 4] = [
+const VARIANTS: [(&str, Variant); 5] = [
     ("random", Variant::Random),
     ("learned", Variant::Learned),
+    ("hedged", Variant::Hedged),
     ("two", Variant::PowerOfTwo),
     ("queues", Variant::TargetQueues),
 ];
--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -8,7 +8,7 @@
 use chestnutfork_routing::{
     AttemptEnd, AttemptKind, Choice, Place, PlacementRequest, RetryBudget, Router, TargetIndex,
 };
-use chestnutfork_types::{Placement, RetryPolicy, ServicePolicy};
+use chestnutfork_types::{HedgePolicy, Placement, RetryPolicy, ServicePolicy};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -30,6 +30,8 @@
     Random,
     /// The router's learned rule.
     Learned,
+    /// The learned rule, with hedges of attempts that take three times as long as expected.
+    Hedged,
     /// Of two random targets with free credits, the one of higher learned speed.
     PowerOfTwo,
     /// A queue per target; a task joins the one of least expected wait by learned speed when it arrives.
@@ -38,35 +40,41 @@
 
 /// State of one job in the run.
 #[derive(Clone, Debug, Default)]
-struct JobState {
+pub(crate) struct JobState {
     unfinished: u32,
     failed: bool,
     run_times: Vec<f64>,
+    /// Copies of each task that wait or run.
+    pub(crate) copies: Vec<u32>,
+    /// Whether each task has completed.
+    pub(crate) done: Vec<bool>,
 }
 
 /// Waiting task.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     pub(crate) job: usize,
-    task: usize,
+    pub(crate) task: usize,
     /// Targets on which an attempt failed.
     pub(crate) failed_on: Vec<TargetIndex>,
 }
 
 /// Attempt in flight.
 #[derive(Debug)]
-struct Attempt {
-    waiting: Queued<Waiting>,
-    target: TargetIndex,
-    run_time: Duration,
-    kind: AttemptKind,
+pub(crate) struct Attempt {
+    pub(crate) waiting: Queued<Waiting>,
+    pub(crate) target: TargetIndex,
+    pub(crate) run_time: Duration,
+    pub(crate) kind: AttemptKind,
+    pub(crate) start: Instant,
 }
 
 /// Event, identified by the index of a job, attempt or fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(crate) enum Event {
     Result(usize),
     Arrival(usize),
+    Hedge(usize),
     Fault(usize),
     Timer,
 }
@@ -116,10 +124,10 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) target_queues: Vec<VecDeque<Queued<Waiting>>>,
     admission: Admission,
-    budget: RetryBudget,
+    pub(crate) budget: RetryBudget,
     pub(crate) free: Vec<u32>,
-    states: Vec<JobState>,
-    attempts: Vec<Option<Attempt>>,
+    pub(crate) states: Vec<JobState>,
+    pub(crate) attempts: Vec<Option<Attempt>>,
     outcome: Outcome,
 }
 
@@ -174,6 +182,7 @@
                 Event::Arrival(job) => self.on_arrival(job),
                 Event::Result(attempt) => self.on_result(attempt),
                 Event::Fault(fault) => self.on_fault(fault),
+                Event::Hedge(attempt) => self.on_hedge(attempt),
                 Event::Timer => {
                     self.timer = None;
                     self.router.on_timer(at);
@@ -181,7 +190,7 @@
             }
             self.expire();
             match self.variant {
-                Variant::Random | Variant::Learned => self.dispatch(),
+                Variant::Random | Variant::Learned | Variant::Hedged => self.dispatch(),
                 Variant::PowerOfTwo => self.dispatch_power_of_two(),
                 Variant::TargetQueues => self.dispatch_target_queues(),
             }
@@ -204,7 +213,7 @@
         }
     }
 
-    fn schedule(&mut self, at: Instant, event: Event) {
+    pub(crate) fn schedule(&mut self, at: Instant, event: Event) {
         self.serial += 1;
         self.events.push(Reverse((at, self.serial, event)));
     }
@@ -236,6 +245,8 @@
         self.admission.on_accept(self.now, job.tasks.len());
         self.outcome.tasks += job.tasks.len();
         self.states[index].unfinished = u32::try_from(job.tasks.len()).expect("jobs are small");
+        self.states[index].copies = vec![1; job.tasks.len()];
+        self.states[index].done = vec![false; job.tasks.len()];
         let deadline = self.now + self.scenario.deadline;
         let mut order: Vec<usize> = (0..job.tasks.len()).collect();
         if self.variant != Variant::Random {
@@ -265,12 +276,16 @@
     }
 
     fn on_result(&mut self, index: usize) {
-        let attempt = self.attempts[index].take().expect("a result arrives once");
+        // The result of a cancelled attempt is replaced by the end of its cancellation.
+        let Some(attempt) = self.attempts[index].take() else {
+            return;
+        };
         let Attempt {
             waiting,
             target,
             run_time,
             kind,
+            ..
         } = attempt;
         self.free[target] += 1;
         self.router.set_credits(target, self.free[target]);
@@ -283,13 +298,23 @@
         };
         self.router.on_attempt_end(self.now, &end);
         self.admission.on_end(run_time);
+        let (job, task) = (waiting.item.job, waiting.item.task);
+        if kind == AttemptKind::Cancelled {
+            self.outcome.wasted += 1;
+            return;
+        }
+        self.states[job].copies[task] -= 1;
         if kind == AttemptKind::Completed {
+            self.states[job].done[task] = true;
+            self.cancel_copies(&waiting);
             let state = &mut self.states[waiting.item.job];
             state.run_times.push(run_time.as_secs_f64());
             self.end_task(waiting.item.job, true);
         } else {
             self.outcome.wasted += 1;
-            self.retry(waiting, target);
+            if self.states[job].copies[task] == 0 {
+                self.retry(waiting, target);
+            }
         }
     }
 
@@ -298,6 +323,7 @@
         let attempts = u32::try_from(waiting.item.failed_on.len()).expect("attempts are few");
         let allowed = attempts < self.policy.retry.max_attempts && self.now < waiting.deadline;
         if allowed && self.budget.try_spend() {
+            self.states[waiting.item.job].copies[waiting.item.task] += 1;
             self.queue.requeue(waiting);
         } else {
             self.end_task(waiting.item.job, false);
@@ -330,7 +356,11 @@
         let mut expired = Vec::new();
         self.queue.expire(self.now, &mut expired);
         for waiting in expired {
-            self.end_task(waiting.job, false);
+            let copies = &mut self.states[waiting.job].copies[waiting.task];
+            *copies -= 1;
+            if *copies == 0 {
+                self.end_task(waiting.job, false);
+            }
         }
     }
 
@@ -396,11 +426,7 @@
         self.free[target] -= 1;
         self.router.set_credits(target, self.free[target]);
         self.router.on_start(self.now, target, SERVICE);
-        let delay = if target.is_multiple_of(3) {
-            DELAY.0
-        } else {
-            DELAY.1
-        };
+        let delay = delay(target);
         let begin = self.now + delay;
         let size = self.jobs[waiting.item.job].tasks[waiting.item.task].size;
         let at = self.seconds(begin);
@@ -413,12 +439,20 @@
                 _ => (Duration::ZERO, AttemptKind::NotStarted),
             },
         };
+        let declared = self.jobs[waiting.item.job].tasks[waiting.item.task].declared;
+        let hedge = self
+            .router
+            .hedge_after_declared(SERVICE, declared, target, &self.policy);
+        if let Some(after) = hedge.filter(|_| waiting.item.failed_on.is_empty()) {
+            self.schedule(self.now + after, Event::Hedge(self.attempts.len()));
+        }
         self.schedule(begin + run_time + delay, Event::Result(self.attempts.len()));
         self.attempts.push(Some(Attempt {
             waiting,
             target,
             run_time,
             kind,
+            start: self.now,
         }));
     }
 
@@ -436,6 +470,15 @@
     }
 }
 
+/// Returns the one-way delay to a target.
+pub(crate) fn delay(target: TargetIndex) -> Duration {
+    if target.is_multiple_of(3) {
+        DELAY.0
+    } else {
+        DELAY.1
+    }
+}
+
 fn policy(variant: Variant) -> ServicePolicy {
     let retry = RetryPolicy {
         max_attempts: 3,
@@ -445,6 +488,10 @@
         Variant::Random => Placement::Random,
         _ => Placement::Learned,
     };
+    let hedge = HedgePolicy {
+        enabled: variant == Variant::Hedged,
+        after: 3.0,
+    };
     let builder = ServicePolicy::builder("main").at_most_once(false);
-    builder.placement(placement).retry(retry).build()
+    builder.placement(placement).retry(retry).hedge(hedge).build()
 }
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -11,8 +11,10 @@
 /// How many times slower than most others a target must be to be ejected for it.
 ///
 /// Such a target adds little capacity, and one wrongly declared task on it can exceed its deadline.
-const SLOW_OUTLIER: f64 = 4.0;
+pub(crate) const SLOW_OUTLIER: f64 = 4.0;
 
+/// Excess from which the run time of a cancelled attempt counts, in mean absolute deviations of the logarithm.
+const LONG_CANCELLED: f64 = 2.0;
 /// Factor by which the middle of a cost class may exceed the slowness of a target in it.
 const LEAST_MARGIN: f64 = 1.1;
 
@@ -52,8 +54,10 @@
             self.pools[row.pool].remove_in_flight(row.domain, 1);
         }
         self.learn_result(now, end.target, end.kind);
-        if end.kind == AttemptKind::Completed {
-            self.learn_run_time(now, end);
+        match end.kind {
+            AttemptKind::Completed => self.learn_run_time(now, end),
+            AttemptKind::Cancelled => self.learn_cancelled(now, end),
+            AttemptKind::Failed | AttemptKind::TimedOut | AttemptKind::NotStarted => {}
         }
         self.refresh(end.target);
         self.check();
@@ -72,10 +76,30 @@
         let run_times = &mut self.services[index];
         let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
         row.speed.observe(deviation, run_times.spread());
+        self.check_speed(now, end.target, deviation);
+    }
+
+    /// Learns from an attempt that was cancelled after running for unusually long.
+    ///
+    /// Without this, a target that hangs looks sound as long as hedges cancel its attempts.
+    fn learn_cancelled(&mut self, now: Instant, end: &AttemptEnd<'_>) {
+        let Some(run_times) = self.services.get(end.service) else {
+            return;
+        };
+        let row = &mut self.targets[end.target];
+        let excess = run_times.excess(end.run_time, end.declared, row.speed.log());
+        if run_times.mean().is_some() && excess > LONG_CANCELLED * run_times.spread() {
+            row.speed.observe(excess, run_times.spread());
+            self.check_speed(now, end.target, excess);
+        }
+    }
+
+    /// Ejects a target that has turned out to be a slow outlier.
+    fn check_speed(&mut self, now: Instant, target: TargetIndex, deviation: f64) {
         // A target that is recovering is faster than its estimate, and needs results to show it.
-        let admitted = !row.health.is_ejected();
-        if deviation > 0.0 && admitted && self.is_slow_outlier(end.target) {
-            self.eject_slow(now, end.target);
+        let admitted = !self.targets[target].health.is_ejected();
+        if deviation > 0.0 && admitted && self.is_slow_outlier(target) {
+            self.eject_slow(now, target);
         }
     }
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -9,7 +9,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::classes::class_of;
+use crate::classes::{class_of, cost_of};
+use crate::learning::SLOW_OUTLIER;
 use crate::placement::{Choice, Learned, Pick, Place, PlacementRequest, Random, Rule, View};
 use crate::pool::Pool;
 use crate::service::RunTimes;
@@ -256,13 +257,32 @@
         service: &str,
         target: TargetIndex,
         policy: &ServicePolicy,
+    ) -> Option<Duration> {
+        self.hedge_after_declared(service, None, target, policy)
+    }
+
+    /// Returns the time after which to hedge an attempt of a task with a declared run time.
+    ///
+    /// It is a multiple of the run time expected on the target, but of no less than the service's mean run time.
+    #[must_use]
+    pub fn hedge_after_declared(
+        &self,
+        service: &str,
+        declared: Option<Duration>,
+        target: TargetIndex,
+        policy: &ServicePolicy,
     ) -> Option<Duration> {
         if !policy.hedge.enabled || policy.at_most_once {
             return None;
         }
-        let mean = self.services.get(service)?.mean()?;
-        let slowness = self.targets[target].speed.slowness();
-        Duration::try_from_secs_f64(mean * slowness * policy.hedge.after).ok()
+        let run_times = self.services.get(service)?;
+        let expected = run_times.expected(declared)?.max(run_times.mean()?);
+        let row = &self.targets[target];
+        // A target that is slow beyond measure may hang, and is hedged like the slowest that stays in use.
+        let least = self.pools[row.pool].classes.iter().next();
+        let limit = least.map_or(f64::INFINITY, |(class, _)| cost_of(class) * SLOW_OUTLIER);
+        let slowness = row.speed.slowness().min(limit);
+        Duration::try_from_secs_f64(expected * slowness * policy.hedge.after).ok()
     }
 
     /// Ends ejections and deliberate waits that are over; call it when the timer for `next_wakeup` fires.
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -90,6 +90,12 @@
         deviation
     }
 
+    /// Returns by how much a logarithmic run time exceeds its estimate, without learning it.
+    pub(crate) fn excess(&self, run_time: Duration, declared: Option<Duration>, slowness_log: f64) -> f64 {
+        let seconds = run_time.as_secs_f64().max(SHORTEST);
+        seconds.ln() - slowness_log - self.centre(declared)
+    }
+
     /// Returns the mean absolute deviation of the logarithm.
     pub(crate) fn spread(&self) -> f64 {
         self.spread
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -341,6 +341,25 @@
     assert_eq!(fixture.state(0), TargetState::Probation);
 }
 
+/// Guards against a target that hangs staying in use because hedges cancel all its attempts in time.
+#[test]
+fn eject_follows_long_cancelled_attempts() {
+    let mut fixture = Fixture::new(3);
+    for _ in 0..50 {
+        for target in 0..3 {
+            fixture.run(target, RUN_TIME, AttemptKind::Completed);
+        }
+    }
+    for _ in 0..20 {
+        fixture.run(0, RUN_TIME, AttemptKind::Cancelled);
+    }
+    assert!(!fixture.is_ejected(0), "ordinary cancellations tell nothing");
+    for _ in 0..6 {
+        fixture.run(0, 5 * RUN_TIME, AttemptKind::Cancelled);
+    }
+    assert!(fixture.is_ejected(0));
+}
+
 /// Guards against a straggler staying out of use after it has recovered.
 #[test]
 fn probation_restores_recovered_straggler() {
