--- a/crates/register/examples/random_run.rs
+++ b/crates/dispatch/examples/random_run.rs
@@ -1,4 +1,4 @@
-//! Randomised run over the register: `random_run --seed N --count K [--broken takeover|settle]`.
+//! Randomised run over entries and agents: `random_run --seed N --count K [--broken proof|claims|crossed]`.
 
 #[path = "../tests/sim/mod.rs"]
 mod sim;
@@ -14,8 +14,9 @@
     let number = |name, default| option(name).map_or(default, |value| value.parse().expect("a number"));
     let (first, count) = (number("--seed", 0), number("--count", 1000));
     let broken = match option("--broken").as_deref() {
-        Some("takeover") => Broken::RunAfterTakeOver,
-        Some("settle") => Broken::SettleAtOnce,
+        Some("proof") => Broken::FalseProof,
+        Some("claims") => Broken::GrantKnown,
+        Some("crossed") => Broken::CrossedAnswers,
         _ => Broken::Nothing,
     };
     let mut total = Figures::default();
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -36,6 +36,8 @@
     pub(crate) linked: bool,
     pub(crate) credits: VecDeque<CreditId>,
     pub(crate) usable_until: Option<Instant>,
+    /// Whether the usable time of the credits is over; the agent may still renew them.
+    pub(crate) stale: bool,
     pub(crate) ttl: Duration,
     pub(crate) attempts: IndexMap<CreditId, Attempt>,
     /// Waiting tasks as last told to the agent.
@@ -54,6 +56,7 @@
             linked: true,
             credits: VecDeque::new(),
             usable_until: None,
+            stale: false,
             ttl: Duration::ZERO,
             attempts: IndexMap::new(),
             told_demand: 0,
@@ -65,20 +68,39 @@
 
     /// Sets the time until which the credits at hand are used.
     pub(crate) fn renew(&mut self, now: Instant, ttl: Duration) {
+        self.stale = false;
         self.ttl = ttl;
         self.usable_until = Some(now + ttl * USABLE_NUMERATOR / USABLE_DENOMINATOR);
     }
 
-    /// Drops all credits if their usable time is over, and reports whether any was dropped.
-    pub(crate) fn expire_credits(&mut self, now: Instant) -> bool {
-        let expired = self.usable_until.is_some_and(|until| until <= now);
-        if expired {
+    /// Takes the credit that came with a result.
+    ///
+    /// A result does not tell the lifetime; on a new link it is not known until the next renewal.
+    pub(crate) fn take_next(&mut self, now: Instant, credit: CreditId) {
+        self.credits.push_back(credit);
+        if !self.ttl.is_zero() {
+            self.renew(now, self.ttl);
+        }
+    }
+
+    /// Stops the use of the credits if their usable time is over, until the agent renews or resets them.
+    pub(crate) fn expire_credits(&mut self, now: Instant) {
+        if self.usable_until.is_some_and(|until| until <= now) {
             self.usable_until = None;
-            let had = !self.credits.is_empty();
-            self.credits.clear();
-            return had;
+            self.stale = true;
         }
-        false
+    }
+
+    /// Drops the credits; the agent has voided them.
+    pub(crate) fn clear_credits(&mut self) {
+        self.credits.clear();
+        self.usable_until = None;
+        self.stale = false;
+    }
+
+    /// Returns the number of credits that may be used now.
+    pub(crate) fn usable_credits(&self) -> usize {
+        if self.stale { 0 } else { self.credits.len() }
     }
 
     pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
--- a/crates/register/src/event.rs
+++ b/crates/register/src/event.rs
@@ -17,6 +17,11 @@
         /// Whether the job waits for the grant; other jobs run without it.
         at_most_once: bool,
     },
+    /// A claim that has no quorum yet is given up.
+    Release {
+        /// Job in question.
+        job: JobId,
+    },
     /// A job of this entry has its answer.
     RecordAnswer {
         /// Job in question.
