routing, limits: Add examples to public functions, and split the router's file

Cause: several public functions had no runnable example, and router.rs had grown past 500 lines.

Change: examples for the functions of both crates that callers use; membership and listings move to `membership.rs`. No behaviour changes.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -110,6 +110,16 @@
     /// Records that a job of `tasks` tasks was accepted.
     ///
     /// Later jobs of other teams take turns with the tasks that wait, so the wait depends on the rate of arrivals.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut admission = chestnutfork_limits::Admission::new();
+    /// admission.on_accept(Instant::now(), 200);
+    /// assert_eq!(admission.verify(), Ok(()));
+    /// ```
     pub fn on_accept(&mut self, now: Instant, tasks: usize) {
         self.arrivals = self.arrivals_by(now) + count(tasks) / ARRIVAL_MEMORY.as_secs_f64();
         self.arrivals_at = Some(now);
--- a/crates/limits/src/fair_queue.rs
+++ b/crates/limits/src/fair_queue.rs
@@ -272,6 +272,18 @@
     }
 
     /// Returns the number of queued items, held ones included.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 7).unwrap();
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     #[must_use]
     pub fn len(&self) -> usize {
         self.len + self.line.len()
@@ -284,12 +296,36 @@
     }
 
     /// Returns how many items `push` would still accept.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 7).unwrap();
+    /// assert_eq!(queue.room(), 9);
+    /// ```
     #[must_use]
     pub fn room(&self) -> usize {
         self.max.saturating_sub(self.len())
     }
 
     /// Returns the number of items that a team has queued.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 7).unwrap();
+    /// assert_eq!((queue.team_len("setters"), queue.team_len("auditors")), (1, 0));
+    /// ```
     #[must_use]
     pub fn team_len(&self, team: &str) -> usize {
         let waiting = self.teams.get(team).map_or(0, |team| team.items.len());
@@ -297,6 +333,18 @@
     }
 
     /// Returns the number of teams with queued items.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 7).unwrap();
+    /// assert_eq!(queue.active_teams(), 1);
+    /// ```
     #[must_use]
     pub fn active_teams(&self) -> usize {
         self.turns.len()
@@ -305,6 +353,18 @@
     /// Returns a time before which no item expires, for the caller's timer.
     ///
     /// It may lie before the earliest deadline; `expire` then corrects it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_limits::FairQueue;
+    ///
+    /// let mut queue = FairQueue::new(10);
+    /// let deadline = Instant::now();
+    /// queue.push("setters", deadline, 7).unwrap();
+    /// assert_eq!(queue.next_deadline(), Some(deadline));
+    /// ```
     #[must_use]
     pub fn next_deadline(&self) -> Option<Instant> {
         self.earliest
--- a/crates/limits/src/quotas.rs
+++ b/crates/limits/src/quotas.rs
@@ -83,6 +83,15 @@
     }
 
     /// Sets the number of entries that share the quotas, this one included; zero counts as one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut quotas = chestnutfork_limits::Quotas::new();
+    /// quotas.set_quota("setters", 9);
+    /// quotas.set_entries(3);
+    /// assert_eq!(quotas.allowance("setters"), 3);
+    /// ```
     pub fn set_entries(&mut self, n: u32) {
         self.entries = n.max(1);
     }
@@ -138,6 +147,19 @@
     }
 
     /// Forgets the report of a peer whose link is lost.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut quotas = chestnutfork_limits::Quotas::new();
+    /// quotas.set_quota("setters", 4);
+    /// quotas.set_entries(2);
+    /// quotas.on_peer_usage(7, &[], Instant::now());
+    /// quotas.peer_gone(7);
+    /// assert_eq!(quotas.allowance("setters"), 2);
+    /// ```
     pub fn peer_gone(&mut self, peer: ProcessId) {
         self.peers.shift_remove(&peer);
     }
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -20,6 +20,19 @@
 
 impl Router {
     /// Records the start of an attempt.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// assert_eq!(router.snapshot()[target].in_flight, 1);
+    /// ```
     pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
         let row = &mut self.targets[target];
         row.on_start(now);
@@ -28,6 +41,21 @@
     }
 
     /// Records the end of an attempt of a task without a declared run time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// let run_time = Duration::from_millis(100);
+    /// router.on_end(now + run_time, target, "desk", run_time, AttemptKind::Completed);
+    /// assert_eq!(router.snapshot()[target].in_flight, 0);
+    /// ```
     pub fn on_end(
         &mut self,
         now: Instant,
@@ -47,6 +75,29 @@
     }
 
     /// Records the end of an attempt and learns from it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptEnd, AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// let run_time = Duration::from_millis(100);
+    /// let end = AttemptEnd {
+    ///     target,
+    ///     service: "desk",
+    ///     declared: Some(Duration::from_millis(300)),
+    ///     run_time,
+    ///     kind: AttemptKind::Completed,
+    /// };
+    /// router.on_attempt_end(now + run_time, &end);
+    /// let expected = router.expected_run_time("desk").unwrap();
+    /// assert!(expected.abs_diff(run_time) < Duration::from_millis(1));
+    /// ```
     pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
         self.on_timer(now);
         let row = &mut self.targets[end.target];
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod classes;
 mod health;
 mod learning;
+mod membership;
 mod placement;
 mod pool;
 mod router;
--- /dev/null
+++ b/crates/routing/src/membership.rs
@@ -0,0 +1,236 @@
+//! Membership of targets in pools, and their listings there.
+
+use std::time::Instant;
+
+use chestnutfork_types::{EjectionPolicy, FailureDomain, PoolName, TargetName};
+
+use crate::classes::class_of;
+use crate::pool::Pool;
+use crate::router::Router;
+use crate::speed::Speed;
+use crate::target::{PoolIndex, Target, TargetIndex};
+
+impl Router {
+    /// Adds a connected target; a known name gets its index and its history back.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_routing::Router;
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.remove_target(target);
+    /// assert_eq!(router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8), target);
+    /// assert_eq!(router.pool_slots("main"), 8);
+    /// ```
+    pub fn add_target(
+        &mut self,
+        now: Instant,
+        target: TargetName,
+        pool: PoolName,
+        failure_domain: FailureDomain,
+        slots: u32,
+    ) -> TargetIndex {
+        self.on_timer(now);
+        let pool = self.pool_index(pool);
+        let (domain, _) = self.domains.insert_full(failure_domain);
+        let index = match self.targets.get_index_of(&target) {
+            Some(index) => {
+                self.remove_target(index);
+                index
+            }
+            None => self.insert(target, Target::new(pool, domain, slots)),
+        };
+        let target = &mut self.targets[index];
+        target.pool = pool;
+        target.domain = domain;
+        target.slots = slots;
+        target.present = true;
+        target.leaving = false;
+        self.join(index);
+        self.check();
+        index
+    }
+
+    /// Removes a target whose connection is lost; its history is kept.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_routing::Router;
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.remove_target(target);
+    /// assert_eq!(router.pool_targets("main"), 0);
+    /// ```
+    pub fn remove_target(&mut self, target: TargetIndex) {
+        self.part(target);
+        let row = &mut self.targets[target];
+        let in_flight = row.in_flight();
+        row.present = false;
+        row.reset();
+        self.pools[row.pool].remove_in_flight(row.domain, in_flight);
+        self.refresh(target);
+        self.check();
+    }
+
+    /// Marks a target as leaving, or as staying after all; a leaving target is never chosen.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_routing::Router;
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.set_leaving(target, true);
+    /// assert_eq!(router.pool_slots("main"), 0);
+    /// ```
+    pub fn set_leaving(&mut self, target: TargetIndex, leaving: bool) {
+        let row = &self.targets[target];
+        if row.leaving == leaving || !row.present {
+            return;
+        }
+        if leaving {
+            self.part(target);
+        }
+        self.targets[target].leaving = leaving;
+        if leaving {
+            self.refresh(target);
+        } else {
+            self.join(target);
+        }
+        self.check();
+    }
+
+    /// Sets the number of free credits of a target.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{Choice, PlacementRequest, Router};
+    /// use chestnutfork_types::ServicePolicy;
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// let policy = ServicePolicy::builder("main").build();
+    /// let req = PlacementRequest {
+    ///     service: "desk",
+    ///     declared: None,
+    ///     deadline: now + Duration::from_secs(1),
+    ///     remaining_tasks: 1,
+    ///     exclude: &[],
+    /// };
+    /// assert_eq!(router.choose(now, &req, &policy), Choice::Wait { until: None });
+    /// router.set_credits(target, 8);
+    /// assert_eq!(router.choose(now, &req, &policy), Choice::Use(target));
+    /// ```
+    pub fn set_credits(&mut self, target: TargetIndex, free: u32) {
+        self.targets[target].free = free;
+        self.refresh(target);
+    }
+
+    fn pool_index(&mut self, pool: PoolName) -> PoolIndex {
+        let entry = self.pools.entry(pool);
+        let index = entry.index();
+        entry.or_default();
+        index
+    }
+
+    pub(crate) fn adopt_policy(&mut self, pool: PoolIndex, policy: &EjectionPolicy) {
+        if self.pools[pool].ejection.as_ref() != Some(policy) {
+            self.pools[pool].ejection = Some(*policy);
+            self.readmit_surplus(pool);
+        }
+    }
+
+    /// Makes a target a member of its pool.
+    fn join(&mut self, target: TargetIndex) {
+        let row = &self.targets[target];
+        let pool = &mut self.pools[row.pool];
+        pool.members.push(target);
+        pool.slots += row.slots;
+        let pool = row.pool;
+        self.refresh(target);
+        self.readmit_surplus(pool);
+    }
+
+    /// Ends the membership of a target in its pool.
+    fn part(&mut self, target: TargetIndex) {
+        let row = &self.targets[target];
+        let index = row.pool;
+        let pool = &mut self.pools[index];
+        let Some(at) = pool.members.iter().position(|&member| member == target) else {
+            return;
+        };
+        pool.members.remove(at);
+        pool.slots -= row.slots;
+        self.readmit_surplus(index);
+    }
+
+    /// Brings the listing of a target in its pool up to date.
+    pub(crate) fn refresh(&mut self, target: TargetIndex) {
+        let row = &mut self.targets[target];
+        let (class, open, busy) = (class_of(row.cost()), row.is_open(), row.busy());
+        let member = row.is_member();
+        let classes = &mut self.pools[row.pool].classes;
+        if let Some(listing) = &mut row.listing
+            && member
+            && (listing.class, listing.open_at.is_some()) == (class, open)
+        {
+            classes.set_busy(listing, busy);
+            return;
+        }
+        let moved = row.listing.take().and_then(|listing| {
+            let moved = classes.remove(listing)?;
+            Some((moved, listing.open_at))
+        });
+        if member {
+            row.listing = Some(classes.insert(target, class, open, busy));
+        }
+        if let Some((moved, open_at)) = moved
+            && let Some(listing) = &mut self.targets[moved].listing
+        {
+            listing.open_at = open_at;
+        }
+    }
+
+    pub(crate) fn ejected(&self, pool: &Pool) -> usize {
+        let members = pool.members.iter();
+        members
+            .filter(|&&target| self.targets[target].health.is_ejected())
+            .count()
+    }
+
+    /// Ends the earliest ejections until the pool keeps its limit again, after it shrank or its policy changed.
+    fn readmit_surplus(&mut self, pool: PoolIndex) {
+        while self.ejected(&self.pools[pool]) > self.pools[pool].ejection_limit() {
+            let members = self.pools[pool].members.iter().copied();
+            let ejected = members.filter(|&target| self.targets[target].health.is_ejected());
+            let next = ejected.min_by_key(|&target| self.targets[target].health.wakeup());
+            let Some(next) = next else { return };
+            self.targets[next].health.readmit();
+        }
+    }
+
+    /// Inserts a target of an unknown name, which is taken for as fast as the other members of its pool.
+    fn insert(&mut self, name: TargetName, mut target: Target) -> TargetIndex {
+        let members = self.pools[target.pool].members.iter();
+        let logs = members.map(|&member| self.targets[member].speed.log());
+        let (sum, count) = logs.fold((0.0, 0.0), |(sum, count), log| (sum + log, count + 1.0));
+        if count > 0.0 {
+            target.speed = Speed::starting_at(sum / count);
+        }
+        self.targets.insert_full(name, target).0
+    }
+}
--- a/crates/routing/src/status.rs
+++ b/crates/routing/src/status.rs
@@ -49,6 +49,18 @@
 
 impl Router {
     /// Describes all connected targets, in the order in which they first appeared.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_routing::Router;
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// assert_eq!(router.snapshot()[target].target, "runner-1");
+    /// ```
     #[must_use]
     pub fn snapshot(&self) -> Vec<TargetStatus> {
         let present = self.targets.iter().filter(|(_, target)| target.present);
