limits: Measure the rate of starts for admission

Cause: admission took all slots of the pool for the entry's own. With three entries, each expected three times the rate that it got, accepted too much, and lost the work of the jobs that failed.

Change: `Admission::on_start` measures the rate of starts while tasks wait (memory 2 s). The estimate from slots and run times counts like half a second of measurement.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -4,10 +4,13 @@
 
 use chestnutfork_types::{Refusal, RefusalCode, ServicePolicy};
 
+use crate::drain::DrainRate;
 use crate::violation::Violation;
 
 /// Weight of one observation in the learned mean; recent drift shows within about a hundred tasks.
 const MEAN_WEIGHT: f64 = 0.02;
+/// Shortest mean run time that counts, in seconds; it keeps the rate finite.
+const MIN_RUN_TIME: f64 = 1e-6;
 /// Run time assumed before the first observation, in seconds; most tasks take 50 ms to 1 s.
 const INITIAL_RUN_TIME: f64 = 0.3;
 /// Time over which the rate of arrivals is taken.
@@ -40,7 +43,7 @@
     pub active_teams: usize,
     /// Tasks that the team may have in flight from this entry.
     pub team_allowance: u32,
-    /// Slots of the pool that this entry can expect to use.
+    /// Slots of the pool; the share that this entry can use is measured with `on_start`.
     pub slots: u32,
     /// Speed of the fastest target relative to the average; 1.0 if unknown.
     pub fastest_speed: f64,
@@ -57,6 +60,7 @@
     arrivals: f64,
     /// Time up to which `arrivals` has decayed.
     arrivals_at: Option<Instant>,
+    drain: DrainRate,
     /// Observations so far, counted up to where they no longer change the weight of the next.
     observed: u32,
 }
@@ -83,6 +87,7 @@
             mean: INITIAL_RUN_TIME,
             arrivals: 0.0,
             arrivals_at: None,
+            drain: DrainRate::default(),
             observed: 0,
         }
     }
@@ -125,6 +130,21 @@
         self.arrivals_at = Some(now);
     }
 
+    /// Records the start of a task, and whether tasks other than held ones still wait after it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    ///
+    /// let mut admission = chestnutfork_limits::Admission::new();
+    /// admission.on_start(Instant::now(), true);
+    /// assert_eq!(admission.verify(), Ok(()));
+    /// ```
+    pub fn on_start(&mut self, now: Instant, waiting: bool) {
+        self.drain.on_start(now, waiting);
+    }
+
     /// Returns the learned mean run time.
     #[must_use]
     pub fn mean_run_time(&self) -> Duration {
@@ -163,7 +183,7 @@
     pub fn check(&self, now: Instant, req: &AdmissionRequest, policy: &ServicePolicy) -> Result<(), Refusal> {
         check_shape(req, policy)?;
         check_runnable(req)?;
-        self.check_room(req, policy)?;
+        self.check_room(now, req, policy)?;
         self.check_quota(req)?;
         self.check_deadline(now, req)
     }
@@ -198,9 +218,10 @@
     pub fn expected_wait(&self, now: Instant, req: &AdmissionRequest) -> Duration {
         let own = req.team_queued + req.tasks;
         let teams = req.active_teams.max(1);
-        let in_turn = self.time_for(own * teams - 1, req.slots);
-        let queue = self.time_for(req.queued + req.tasks - 1, req.slots);
-        let load = self.arrivals_by(now) * self.mean / f64::from(req.slots.max(1));
+        let rate = self.rate(now, req.slots);
+        let in_turn = time_for(own * teams - 1, rate);
+        let queue = time_for(req.queued + req.tasks - 1, rate);
+        let load = self.arrivals_by(now) / rate;
         let growth = 1.0 - load.clamp(0.0, MAX_LOAD);
         in_turn.min(queue.div_f64(growth))
     }
@@ -218,10 +239,14 @@
         }
     }
 
-    /// Returns the time in which `slots` slots start `tasks` tasks.
-    fn time_for(&self, tasks: usize, slots: u32) -> Duration {
-        let seconds = count(tasks) * self.mean / f64::from(slots.max(1));
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    /// Returns the starts per second that this entry can expect of `slots` slots.
+    fn rate(&self, now: Instant, slots: u32) -> f64 {
+        self.drain.rate(now, self.rate_of(slots))
+    }
+
+    /// Returns the starts per second of `slots` slots that nobody else uses.
+    fn rate_of(&self, slots: u32) -> f64 {
+        f64::from(slots.max(1)) / self.mean.max(MIN_RUN_TIME)
     }
 
     /// Returns the rate of accepted tasks, decayed until `now`.
@@ -232,7 +257,12 @@
         self.arrivals * (-age.as_secs_f64() / ARRIVAL_MEMORY.as_secs_f64()).exp()
     }
 
-    fn check_room(&self, req: &AdmissionRequest, policy: &ServicePolicy) -> Result<(), Refusal> {
+    fn check_room(
+        &self,
+        now: Instant,
+        req: &AdmissionRequest,
+        policy: &ServicePolicy,
+    ) -> Result<(), Refusal> {
         let max = usize::try_from(policy.max_queue).unwrap_or(usize::MAX);
         let excess = (req.queued + req.tasks).saturating_sub(max);
         if excess == 0 {
@@ -242,13 +272,13 @@
             "{} tasks wait, at most {max} may; send less or raise `max_queue`",
             req.queued
         );
-        let delay = self.time_for(excess, req.slots);
+        let delay = time_for(excess, self.rate(now, req.slots));
         Err(Refusal::not_run(RefusalCode::QueueFull, message).retry_after(bounded(delay)))
     }
 
     fn check_quota(&self, req: &AdmissionRequest) -> Result<(), Refusal> {
         let own = req.team_queued + req.tasks;
-        let wait = self.time_for(own - 1, req.team_allowance);
+        let wait = time_for(own - 1, self.rate_of(req.team_allowance));
         if req.team_allowance > 0 && wait <= req.deadline {
             return Ok(());
         }
@@ -323,6 +353,11 @@
     Err(Refusal::not_run(RefusalCode::CanNeverRun, message))
 }
 
+/// Returns the time in which `tasks` tasks start at a rate per second.
+fn time_for(tasks: usize, rate: f64) -> Duration {
+    Duration::try_from_secs_f64(count(tasks) / rate).unwrap_or(Duration::MAX)
+}
+
 fn count(tasks: usize) -> f64 {
     f64::from(u32::try_from(tasks).unwrap_or(u32::MAX))
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,6 +5,7 @@
 //! quota from [`Quotas`] for each task that it starts.
 
 mod admission;
+mod drain;
 mod fair_queue;
 mod held;
 mod quotas;
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -134,6 +134,31 @@
     assert_eq!(admission.check(later, &req, &policy), Ok(()));
 }
 
+/// Guards against counting on slots that other entries use: the measured rate of starts decides.
+#[test]
+fn check_refuses_by_measured_rate() {
+    let policy = ServicePolicy::builder("main").max_queue(1_000).build();
+    let mut admission = learned(Duration::from_millis(200));
+    let req = AdmissionRequest {
+        queued: 400,
+        team_queued: 400,
+        active_teams: 1,
+        ..CALM
+    };
+    let mut now = Instant::now();
+    assert_eq!(admission.check(now, &req, &policy), Ok(()));
+    // A third of the 400 starts per second that 80 slots allow.
+    for _ in 0..400 {
+        admission.on_start(now, true);
+        now += Duration::from_micros(7_500);
+    }
+    let refusal = admission.check(now, &req, &policy).unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::DeadlineUnmeetable);
+    admission.on_start(now, false);
+    let later = now + Duration::from_secs(10);
+    assert_eq!(admission.check(later, &req, &policy), Ok(()));
+}
+
 /// Guards against a backlog behind a small quota filling the queue.
 #[test]
 fn check_refuses_exceeded_quota() {
--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -426,6 +426,8 @@
         self.free[target] -= 1;
         self.router.set_credits(target, self.free[target]);
         self.router.on_start(self.now, target, SERVICE);
+        let backlog = self.queue.len() > self.queue.held_len();
+        self.admission.on_start(self.now, backlog);
         let delay = delay(target);
         let begin = self.now + delay;
         let size = self.jobs[waiting.item.job].tasks[waiting.item.task].size;
