--- a/crates/routing/examples/placement/sim.rs
+++ b/crates/routing/examples/placement/sim.rs
@@ -1,14 +1,16 @@
 //! Discrete-event run of the real decision code against simulated targets.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use chestnutfork_limits::{Admission, AdmissionRequest, FairQueue, Queued};
 use chestnutfork_routing::{
     AttemptEnd, AttemptKind, Choice, Place, PlacementRequest, RetryBudget, Router, TargetIndex,
 };
-use chestnutfork_types::{Placement, ServicePolicy};
+use chestnutfork_types::{HedgePolicy, Placement, RetryPolicy, ServicePolicy};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::workload::{Defect, Job, SLOTS, SLOWNESS, Scenario};
 
@@ -21,37 +23,58 @@
 /// Most tasks that are held back for faster targets.
 const MAX_HELD: usize = 64;
 
+/// How tasks are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// The router's random rule.
+    Random,
+    /// The router's learned rule.
+    Learned,
+    /// The learned rule, with hedges of attempts that take three times as long as expected.
+    Hedged,
+    /// Of two random targets with free credits, the one of higher learned speed.
+    PowerOfTwo,
+    /// A queue per target; a task joins the one of least expected wait by learned speed when it arrives.
+    TargetQueues,
+}
+
 /// State of one job in the run.
 #[derive(Clone, Debug, Default)]
-struct JobState {
+pub(crate) struct JobState {
     unfinished: u32,
     failed: bool,
     run_times: Vec<f64>,
+    /// Copies of each task that wait or run.
+    pub(crate) copies: Vec<u32>,
+    /// Whether each task has completed.
+    pub(crate) done: Vec<bool>,
 }
 
 /// Waiting task.
 #[derive(Clone, Debug)]
-struct Waiting {
-    job: usize,
-    task: usize,
+pub(crate) struct Waiting {
+    pub(crate) job: usize,
+    pub(crate) task: usize,
     /// Targets on which an attempt failed.
-    failed_on: Vec<TargetIndex>,
+    pub(crate) failed_on: Vec<TargetIndex>,
 }
 
 /// Attempt in flight.
 #[derive(Debug)]
-struct Attempt {
-    waiting: Queued<Waiting>,
-    target: TargetIndex,
-    run_time: Duration,
-    kind: AttemptKind,
+pub(crate) struct Attempt {
+    pub(crate) waiting: Queued<Waiting>,
+    pub(crate) target: TargetIndex,
+    pub(crate) run_time: Duration,
+    pub(crate) kind: AttemptKind,
+    pub(crate) start: Instant,
 }
 
 /// Event, identified by the index of a job, attempt or fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(crate) enum Event {
     Result(usize),
     Arrival(usize),
+    Hedge(usize),
     Fault(usize),
     Timer,
 }
@@ -90,25 +113,28 @@
     jobs: &'a [Job],
     policy: ServicePolicy,
     start: Instant,
-    now: Instant,
+    pub(crate) now: Instant,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     serial: u64,
     timer: Option<Instant>,
-    /// Whether the tasks of a job are queued by falling declared run time.
-    longest_first: bool,
-    router: Router,
-    queue: FairQueue<Waiting>,
+    pub(crate) router: Router,
+    pub(crate) queue: FairQueue<Waiting>,
+    variant: Variant,
+    /// Used by the variants that the router does not have.
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) target_queues: Vec<VecDeque<Queued<Waiting>>>,
     admission: Admission,
-    budget: RetryBudget,
-    free: Vec<u32>,
-    states: Vec<JobState>,
-    attempts: Vec<Option<Attempt>>,
+    pub(crate) budget: RetryBudget,
+    pub(crate) free: Vec<u32>,
+    pub(crate) states: Vec<JobState>,
+    pub(crate) attempts: Vec<Option<Attempt>>,
     outcome: Outcome,
 }
 
 impl<'a> Sim<'a> {
     /// Prepares a run.
-    pub fn new(scenario: &'a Scenario, jobs: &'a [Job], policy: ServicePolicy, seed: u64) -> Self {
+    pub fn new(scenario: &'a Scenario, jobs: &'a [Job], variant: Variant, seed: u64) -> Self {
+        let policy = policy(variant);
         let start = Instant::now();
         let mut router = Router::new(seed);
         for target in 0..SLOWNESS.len() {
@@ -124,10 +150,12 @@
             events: BinaryHeap::new(),
             serial: 0,
             timer: None,
-            longest_first: policy.placement != Placement::Random,
             router,
             queue: FairQueue::new(usize::try_from(policy.max_queue).expect("the bound is small")),
             admission: Admission::new(),
+            variant,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            target_queues: vec![VecDeque::new(); SLOWNESS.len()],
             budget: RetryBudget::new(policy.retry.budget),
             free: vec![SLOTS; SLOWNESS.len()],
             states: vec![JobState::default(); jobs.len()],
@@ -135,6 +163,13 @@
             outcome: Outcome::default(),
             policy,
         };
+        // The first choice makes the policy known to the router.
+        let waiting = Waiting {
+            job: 0,
+            task: 0,
+            failed_on: Vec::new(),
+        };
+        sim.choose(&waiting, 0, None);
         sim.plan();
         sim
     }
@@ -147,13 +182,18 @@
                 Event::Arrival(job) => self.on_arrival(job),
                 Event::Result(attempt) => self.on_result(attempt),
                 Event::Fault(fault) => self.on_fault(fault),
+                Event::Hedge(attempt) => self.on_hedge(attempt),
                 Event::Timer => {
                     self.timer = None;
                     self.router.on_timer(at);
                 }
             }
             self.expire();
-            self.dispatch();
+            match self.variant {
+                Variant::Random | Variant::Learned | Variant::Hedged => self.dispatch(),
+                Variant::PowerOfTwo => self.dispatch_power_of_two(),
+                Variant::TargetQueues => self.dispatch_target_queues(),
+            }
             self.arm_timer();
         }
         self.outcome
@@ -173,7 +213,7 @@
         }
     }
 
-    fn schedule(&mut self, at: Instant, event: Event) {
+    pub(crate) fn schedule(&mut self, at: Instant, event: Event) {
         self.serial += 1;
         self.events.push(Reverse((at, self.serial, event)));
     }
@@ -185,13 +225,15 @@
     fn on_arrival(&mut self, index: usize) {
         let job = &self.jobs[index];
         let team = format!("team{}", job.team);
+        let bound = || self.target_queues.iter().flatten();
+        let active_teams: HashSet<&str> = bound().map(|queued| queued.team.as_str()).collect();
         let req = AdmissionRequest {
             tasks: job.tasks.len(),
             declared: None,
             deadline: self.scenario.deadline,
-            queued: self.queue.len(),
-            team_queued: self.queue.team_len(&team),
-            active_teams: self.queue.active_teams(),
+            queued: self.queue.len() + bound().count(),
+            team_queued: self.queue.team_len(&team) + bound().filter(|queued| queued.team == team).count(),
+            active_teams: self.queue.active_teams() + active_teams.len(),
             team_allowance: u32::MAX,
             slots: self.router.pool_slots(&self.policy.pool),
             fastest_speed: 1.0,
@@ -203,9 +245,11 @@
         self.admission.on_accept(self.now, job.tasks.len());
         self.outcome.tasks += job.tasks.len();
         self.states[index].unfinished = u32::try_from(job.tasks.len()).expect("jobs are small");
+        self.states[index].copies = vec![1; job.tasks.len()];
+        self.states[index].done = vec![false; job.tasks.len()];
         let deadline = self.now + self.scenario.deadline;
         let mut order: Vec<usize> = (0..job.tasks.len()).collect();
-        if self.longest_first {
+        if self.variant != Variant::Random {
             order.sort_by_key(|&task| Reverse(job.tasks[task].declared));
         }
         for task in order {
@@ -232,31 +276,45 @@
     }
 
     fn on_result(&mut self, index: usize) {
-        let attempt = self.attempts[index].take().expect("a result arrives once");
+        // The result of a cancelled attempt is replaced by the end of its cancellation.
+        let Some(attempt) = self.attempts[index].take() else {
+            return;
+        };
         let Attempt {
             waiting,
             target,
             run_time,
             kind,
+            ..
         } = attempt;
         self.free[target] += 1;
         self.router.set_credits(target, self.free[target]);
         let end = AttemptEnd {
             target,
             service: SERVICE,
-            declared: Some(self.jobs[waiting.item.job].tasks[waiting.item.task].declared),
+            declared: self.jobs[waiting.item.job].tasks[waiting.item.task].declared,
             run_time,
             kind,
         };
         self.router.on_attempt_end(self.now, &end);
         self.admission.on_end(run_time);
+        let (job, task) = (waiting.item.job, waiting.item.task);
+        if kind == AttemptKind::Cancelled {
+            self.outcome.wasted += 1;
+            return;
+        }
+        self.states[job].copies[task] -= 1;
         if kind == AttemptKind::Completed {
+            self.states[job].done[task] = true;
+            self.cancel_copies(&waiting);
             let state = &mut self.states[waiting.item.job];
             state.run_times.push(run_time.as_secs_f64());
             self.end_task(waiting.item.job, true);
         } else {
             self.outcome.wasted += 1;
-            self.retry(waiting, target);
+            if self.states[job].copies[task] == 0 {
+                self.retry(waiting, target);
+            }
         }
     }
 
@@ -265,13 +323,14 @@
         let attempts = u32::try_from(waiting.item.failed_on.len()).expect("attempts are few");
         let allowed = attempts < self.policy.retry.max_attempts && self.now < waiting.deadline;
         if allowed && self.budget.try_spend() {
+            self.states[waiting.item.job].copies[waiting.item.task] += 1;
             self.queue.requeue(waiting);
         } else {
             self.end_task(waiting.item.job, false);
         }
     }
 
-    fn end_task(&mut self, index: usize, completed: bool) {
+    pub(crate) fn end_task(&mut self, index: usize, completed: bool) {
         let state = &mut self.states[index];
         state.unfinished -= 1;
         state.failed |= !completed;
@@ -297,7 +356,11 @@
         let mut expired = Vec::new();
         self.queue.expire(self.now, &mut expired);
         for waiting in expired {
-            self.end_task(waiting.job, false);
+            let copies = &mut self.states[waiting.job].copies[waiting.task];
+            *copies -= 1;
+            if *copies == 0 {
+                self.end_task(waiting.job, false);
+            }
         }
     }
 
@@ -348,7 +411,7 @@
         let place = Place { ahead, since };
         let req = PlacementRequest {
             service: SERVICE,
-            declared: Some(self.jobs[next.job].tasks[next.task].declared),
+            declared: self.jobs[next.job].tasks[next.task].declared,
             deadline: self.now + self.scenario.deadline,
             remaining_tasks: self.states[next.job].unfinished,
             exclude: &next.failed_on,
@@ -356,18 +419,16 @@
         self.router.choose_or_hold(self.now, &req, place, &self.policy)
     }
 
-    fn begin(&mut self, waiting: Queued<Waiting>, target: TargetIndex) {
+    pub(crate) fn begin(&mut self, waiting: Queued<Waiting>, target: TargetIndex) {
         if waiting.item.failed_on.is_empty() {
             self.budget.on_start();
         }
         self.free[target] -= 1;
         self.router.set_credits(target, self.free[target]);
         self.router.on_start(self.now, target, SERVICE);
-        let delay = if target.is_multiple_of(3) {
-            DELAY.0
-        } else {
-            DELAY.1
-        };
+        let backlog = self.queue.len() > self.queue.held_len();
+        self.admission.on_start(self.now, backlog);
+        let delay = delay(target);
         let begin = self.now + delay;
         let size = self.jobs[waiting.item.job].tasks[waiting.item.task].size;
         let at = self.seconds(begin);
@@ -380,12 +441,20 @@
                 _ => (Duration::ZERO, AttemptKind::NotStarted),
             },
         };
+        let declared = self.jobs[waiting.item.job].tasks[waiting.item.task].declared;
+        let hedge = self
+            .router
+            .hedge_after_declared(SERVICE, declared, target, &self.policy);
+        if let Some(after) = hedge.filter(|_| waiting.item.failed_on.is_empty()) {
+            self.schedule(self.now + after, Event::Hedge(self.attempts.len()));
+        }
         self.schedule(begin + run_time + delay, Event::Result(self.attempts.len()));
         self.attempts.push(Some(Attempt {
             waiting,
             target,
             run_time,
             kind,
+            start: self.now,
         }));
     }
 
@@ -402,3 +471,29 @@
         }
     }
 }
+
+/// Returns the one-way delay to a target.
+pub(crate) fn delay(target: TargetIndex) -> Duration {
+    if target.is_multiple_of(3) {
+        DELAY.0
+    } else {
+        DELAY.1
+    }
+}
+
+fn policy(variant: Variant) -> ServicePolicy {
+    let retry = RetryPolicy {
+        max_attempts: 3,
+        budget: 0.1,
+    };
+    let placement = match variant {
+        Variant::Random => Placement::Random,
+        _ => Placement::Learned,
+    };
+    let hedge = HedgePolicy {
+        enabled: variant == Variant::Hedged,
+        after: 3.0,
+    };
+    let builder = ServicePolicy::builder("main").at_most_once(false);
+    builder.placement(placement).retry(retry).hedge(hedge).build()
+}
--- a/crates/routing/src/learning.rs
+++ b/crates/routing/src/learning.rs
@@ -11,13 +11,28 @@
 /// How many times slower than most others a target must be to be ejected for it.
 ///
 /// Such a target adds little capacity, and one wrongly declared task on it can exceed its deadline.
-const SLOW_OUTLIER: f64 = 4.0;
+pub(crate) const SLOW_OUTLIER: f64 = 4.0;
 
+/// Excess from which the run time of a cancelled attempt counts, in mean absolute deviations of the logarithm.
+const LONG_CANCELLED: f64 = 2.0;
 /// Factor by which the middle of a cost class may exceed the slowness of a target in it.
 const LEAST_MARGIN: f64 = 1.1;
 
 impl Router {
     /// Records the start of an attempt.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// assert_eq!(router.snapshot()[target].in_flight, 1);
+    /// ```
     pub fn on_start(&mut self, now: Instant, target: TargetIndex, _service: &str) {
         let row = &mut self.targets[target];
         row.on_start(now);
@@ -26,6 +41,21 @@
     }
 
     /// Records the end of an attempt of a task without a declared run time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// let run_time = Duration::from_millis(100);
+    /// router.on_end(now + run_time, target, "desk", run_time, AttemptKind::Completed);
+    /// assert_eq!(router.snapshot()[target].in_flight, 0);
+    /// ```
     pub fn on_end(
         &mut self,
         now: Instant,
@@ -45,6 +75,29 @@
     }
 
     /// Records the end of an attempt and learns from it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_routing::{AttemptEnd, AttemptKind, Router};
+    ///
+    /// let mut router = Router::new(1);
+    /// let now = Instant::now();
+    /// let target = router.add_target(now, "runner-1".into(), "main".into(), "a".into(), 8);
+    /// router.on_start(now, target, "desk");
+    /// let run_time = Duration::from_millis(100);
+    /// let end = AttemptEnd {
+    ///     target,
+    ///     service: "desk",
+    ///     declared: Some(Duration::from_millis(300)),
+    ///     run_time,
+    ///     kind: AttemptKind::Completed,
+    /// };
+    /// router.on_attempt_end(now + run_time, &end);
+    /// let expected = router.expected_run_time("desk").unwrap();
+    /// assert!(expected.abs_diff(run_time) < Duration::from_millis(1));
+    /// ```
     pub fn on_attempt_end(&mut self, now: Instant, end: &AttemptEnd<'_>) {
         self.on_timer(now);
         let row = &mut self.targets[end.target];
@@ -52,8 +105,10 @@
             self.pools[row.pool].remove_in_flight(row.domain, 1);
         }
         self.learn_result(now, end.target, end.kind);
-        if end.kind == AttemptKind::Completed {
-            self.learn_run_time(now, end);
+        match end.kind {
+            AttemptKind::Completed => self.learn_run_time(now, end),
+            AttemptKind::Cancelled => self.learn_cancelled(now, end),
+            AttemptKind::Failed | AttemptKind::TimedOut | AttemptKind::NotStarted => {}
         }
         self.refresh(end.target);
         self.check();
@@ -72,10 +127,30 @@
         let run_times = &mut self.services[index];
         let deviation = run_times.observe(end.run_time, end.declared, row.speed.log());
         row.speed.observe(deviation, run_times.spread());
+        self.check_speed(now, end.target, deviation);
+    }
+
+    /// Learns from an attempt that was cancelled after running for unusually long.
+    ///
+    /// Without this, a target that hangs looks sound as long as hedges cancel its attempts.
+    fn learn_cancelled(&mut self, now: Instant, end: &AttemptEnd<'_>) {
+        let Some(run_times) = self.services.get(end.service) else {
+            return;
+        };
+        let row = &mut self.targets[end.target];
+        let excess = run_times.excess(end.run_time, end.declared, row.speed.log());
+        if run_times.mean().is_some() && excess > LONG_CANCELLED * run_times.spread() {
+            row.speed.observe(excess, run_times.spread());
+            self.check_speed(now, end.target, excess);
+        }
+    }
+
+    /// Ejects a target that has turned out to be a slow outlier.
+    fn check_speed(&mut self, now: Instant, target: TargetIndex, deviation: f64) {
         // A target that is recovering is faster than its estimate, and needs results to show it.
-        let admitted = !row.health.is_ejected();
-        if deviation > 0.0 && admitted && self.is_slow_outlier(end.target) {
-            self.eject_slow(now, end.target);
+        let admitted = !self.targets[target].health.is_ejected();
+        if deviation > 0.0 && admitted && self.is_slow_outlier(target) {
+            self.eject_slow(now, target);
         }
     }
 
@@ -95,12 +170,23 @@
         let member = self.targets[target].is_member();
         if member && (self.can_eject(index) || self.readmit_slow(index)) {
             self.targets[target].health.eject(now, &policy, Cause::Failures);
-        } else {
+        } else if self.can_pause(target) {
             self.targets[target].health.pause(now, &policy);
         }
         self.note_wakeup(target);
     }
 
+    /// Reports whether the healthy rest of the pool can take over most of a target's work.
+    ///
+    /// A pool that is small, or unhealthy for the most part, keeps its targets: tasks that fail are better than tasks
+    /// that wait for nothing.
+    fn can_pause(&self, target: TargetIndex) -> bool {
+        let members = &self.pools[self.targets[target].pool].members;
+        let others = members.iter().filter(|&&other| other != target);
+        let healthy = others.filter(|&&other| self.targets[other].health.is_healthy());
+        healthy.count() * 2 >= members.len()
+    }
+
     /// Ejects a target for its speed, if the pool can spare it.
     fn eject_slow(&mut self, now: Instant, target: TargetIndex) {
         let row = &self.targets[target];
