dispatch, register: Renew a lookup that a later caller joins

Change: a lookup starts over when a caller joins it. Deadlines are checked before tasks are placed.

Conclusion: a refusal as not run rests on answers that are younger than the call.

--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -130,6 +130,8 @@
         for event in events {
             self.apply(now, wall, event, actions);
         }
+        // After a stall, messages may come before the timer; an expired task must not be dispatched.
+        self.run_deadlines(now, wall, actions);
         self.pump(now, actions);
         self.report_drained(actions);
         debug_assert!(self.verify().is_empty(), "{:?}", self.verify());
--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -168,6 +168,7 @@
         {
             waiting.tickets.push(ticket);
             self.tickets.insert(ticket, id);
+            self.renew_lookup(now, wall, id, actions);
             for &peer in &self.peers {
                 let message = PeerMessage::Cancel {
                     job: id,
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -46,7 +46,7 @@
         actions: &mut Vec<Action>,
     ) {
         let digest = digest(&job);
-        if self.attach(ticket, job.id, digest, actions) {
+        if self.attach(now, wall, ticket, job.id, digest, actions) {
             return;
         }
         match self.admit(now, &job) {
@@ -60,7 +60,15 @@
     }
 
     /// Adds a caller to a job that is in progress at this entry, and reports whether there is one.
-    fn attach(&mut self, ticket: Ticket, id: JobId, digest: u64, actions: &mut Vec<Action>) -> bool {
+    fn attach(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        ticket: Ticket,
+        id: JobId,
+        digest: u64,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         let (known, tickets) = if let Some(job) = self.jobs.get_mut(&id) {
             (job.digest, &mut job.tickets)
         } else if let Some(waiting) = self.waiting.get_mut(&id) {
@@ -71,6 +79,7 @@
         if known == digest {
             tickets.push(ticket);
             self.tickets.insert(ticket, id);
+            self.renew_lookup(now, wall, id, actions);
         } else {
             actions.push(Action::Reply {
                 ticket,
@@ -80,6 +89,23 @@
         true
     }
 
+    /// Starts a lookup over for a caller that joins it: answers so far do not cover what started since.
+    pub(crate) fn renew_lookup(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        id: JobId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(waiting) = self.waiting.get(&id) else {
+            return;
+        };
+        if matches!(waiting.state, WaitFor::Lookup(_)) {
+            let digest = waiting.digest;
+            self.drive_register(now, wall, register::Event::Lookup { job: id, digest }, actions);
+        }
+    }
+
     fn admit(&self, now: Instant, job: &JobSpec) -> Result<(), Refusal> {
         if self.draining {
             let message = "this entry is shutting down; submit to another entry";
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -21,10 +21,6 @@
 impl EntryCore {
     pub(crate) fn tick(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
         self.drive_register(now, wall, register::Event::Tick, actions);
-        while let Some(&(at, job)) = self.deadlines.first().filter(|&&(at, _)| at <= now) {
-            self.deadlines.remove(&(at, job));
-            self.deadline_passed(now, wall, job, actions);
-        }
         while let Some(&(at, attempt)) = self.hedges.first().filter(|&&(at, _)| at <= now) {
             self.hedges.remove(&(at, attempt));
             self.hedge(attempt);
@@ -38,6 +34,14 @@
         self.exchange_usage(now, actions);
     }
 
+    /// Ends the jobs and waits whose deadline has passed.
+    pub(crate) fn run_deadlines(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
+        while let Some(&(at, job)) = self.deadlines.first().filter(|&&(at, _)| at <= now) {
+            self.deadlines.remove(&(at, job));
+            self.deadline_passed(now, wall, job, actions);
+        }
+    }
+
     fn expire_credits(&mut self, now: Instant) {
         for (_, agent) in self.agents.iter_mut() {
             agent.expire_credits(now);
--- a/crates/register/src/lookups.rs
+++ b/crates/register/src/lookups.rs
@@ -33,9 +33,8 @@
         digest: u64,
         actions: &mut Vec<Action>,
     ) {
-        if self.lookups.contains_key(&job) {
-            return;
-        }
+        // A repeated lookup starts over: the answers so far are older than the submission that it is for.
+        self.lookups.swap_remove(&job);
         if let Some(action) = self.settled_claim(wall, job, digest) {
             actions.push(action);
             return;
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -409,3 +409,26 @@
     bench.down.clear();
     assert_eq!(bench.claim(2, job), [Action::Claimed { job }]);
 }
+
+/// Guards against "not run" by answers that are older than the submission (found by seed 3123 of the entry's run).
+#[test]
+fn lookup_repeated_starts_over() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let (job, digest) = (job(0), DIGEST);
+    bench.down = vec![1, 3];
+    bench.run(2, Event::Lookup { job, digest });
+    bench.run(2, Event::Lookup { job, digest });
+    let answer = |lookup| PeerMessage::Found {
+        view: 1,
+        job,
+        lookup,
+        owner: None,
+        own_claim: false,
+    };
+    let (peer, old, new) = (1, answer(1), answer(2));
+    assert_eq!(bench.run(2, Event::FromPeer { peer, message: old }), []);
+    assert_eq!(
+        bench.run(2, Event::FromPeer { peer, message: new }),
+        [Action::Unknown { job }]
+    );
+}
