register, dispatch: Release the records of withdrawn claims

Of two concurrent submissions the larger claimant withdraws, but its records at other entries kept the smaller one from a majority, and the job could never run.

Change: a claimant that withdraws tells the other members whose claim remains; they hand over its record and grant that claim. A claimant names another one only after it has withdrawn.

Conclusion: concurrent submissions of a job no longer block each other.

--- a/crates/dispatch/examples/random_run.rs
+++ b/crates/dispatch/examples/random_run.rs
@@ -1,9 +1,9 @@
-//! Randomised run over entries and agents: `random_run --seed N --count K [--broken proof|claims|crossed]`.
+//! Randomised run over entries and agents: `random_run --seed N --count K [--broken proof|claims|crossed] [--calm]`.
 
 #[path = "../tests/sim/mod.rs"]
 mod sim;
 
-use sim::{Broken, Figures};
+use sim::{Broken, Figures, Weather};
 
 fn option(name: &str) -> Option<String> {
     let mut args = std::env::args().skip_while(|arg| arg != name);
@@ -19,10 +19,12 @@
         Some("crossed") => Broken::CrossedAnswers,
         _ => Broken::Nothing,
     };
+    let calm = std::env::args().any(|arg| arg == "--calm");
+    let weather = if calm { Weather::Calm } else { Weather::Faults };
     let mut total = Figures::default();
     let mut failed: u64 = 0;
     for seed in first..first + count {
-        match sim::run(seed, broken) {
+        match sim::run(seed, broken, weather) {
             Ok(figures) => total.add(&figures),
             Err(message) => {
                 failed += 1;
--- a/crates/dispatch/tests/sim/callers.rs
+++ b/crates/dispatch/tests/sim/callers.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 
 use super::nodes::{AT_MOST_ONCE, IDEMPOTENT, TEAM};
-use super::{EPOCH, FAULTS, Sim, Step};
+use super::{EPOCH, FAULTS, Sim, Step, Weather};
 
 /// Time behind the deadline within which a caller has a reply: claim, record and relay included.
 const GRACE: Duration = Duration::from_millis(3500);
@@ -58,7 +58,7 @@
             let attempts = if job.fresh { 1 } else { self.rng.random_range(1..5) };
             self.jobs.push(job);
             self.push(at, Step::Submit { job: index, attempts });
-            if self.chance(15) {
+            if self.weather == Weather::Faults && self.chance(15) {
                 let delay = at + self.millis(0, 2000);
                 self.push(delay, Step::Cancel { job: index });
             }
@@ -81,7 +81,11 @@
             id,
             service: service.into(),
             team: TEAM.into(),
-            deadline: self.millis(300, 7000),
+            deadline: match self.weather {
+                Weather::Faults => self.millis(300, 7000),
+                // Long enough for the whole load behind the burst.
+                Weather::Calm => Duration::from_secs(30),
+            },
             at_most_once,
             tasks: (0..tasks).map(task).collect(),
         };
@@ -141,7 +145,7 @@
             self.push(delay, Step::Submit { job, attempts });
         }
         let ticket = self.open_call(job, entry);
-        if self.chance(5) {
+        if self.weather == Weather::Faults && self.chance(5) {
             let delay = self.millis(1, 1000);
             self.push(delay, Step::Abandon { call: ticket });
         }
@@ -217,7 +221,17 @@
             return Ok(());
         }
         call.reply = Some(result.clone());
-        let (job, started_before) = (call.job, call.started_before);
+        let (id, job, started_before) = (call.id, call.job, call.started_before);
+        if self.weather == Weather::Calm {
+            let complete = result
+                .as_ref()
+                .is_ok_and(|answer| answer.tasks.iter().all(TaskStatus::is_completed));
+            if !complete {
+                return Err(format!(
+                    "job {id:x} is not completed although nothing fails: {result:?}"
+                ));
+            }
+        }
         match result {
             Ok(answer) => self.check_answer(job, answer),
             Err(refusal) => self.check_refusal(job, started_before, refusal),
--- a/crates/dispatch/tests/sim/figures.rs
+++ b/crates/dispatch/tests/sim/figures.rs
@@ -7,6 +7,9 @@
     pub jobs: u64,
     pub submissions: u64,
     pub starts: u64,
+    pub dispatches: u64,
+    pub refused_dispatches: u64,
+    pub agent_messages: u64,
     pub answers: u64,
     pub complete: u64,
     pub not_run: u64,
@@ -26,6 +29,9 @@
         self.jobs += other.jobs;
         self.submissions += other.submissions;
         self.starts += other.starts;
+        self.dispatches += other.dispatches;
+        self.refused_dispatches += other.refused_dispatches;
+        self.agent_messages += other.agent_messages;
         self.answers += other.answers;
         self.complete += other.complete;
         self.not_run += other.not_run;
--- a/crates/dispatch/tests/sim/mod.rs
+++ b/crates/dispatch/tests/sim/mod.rs
@@ -43,6 +43,15 @@
     CrossedAnswers,
 }
 
+/// Faults of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weather {
+    /// Crashes, partitions, stalls, failing targets, cancellations.
+    Faults,
+    /// Nothing fails; every job is to be completed and no dispatch refused.
+    Calm,
+}
+
 /// Step of a run at its time.
 enum Step {
     Deliver {
@@ -108,6 +117,7 @@
 pub struct Sim {
     rng: ChaCha8Rng,
     broken: Broken,
+    weather: Weather,
     base: Instant,
     now: Duration,
     steps: BTreeMap<(Duration, u64), Step>,
@@ -145,9 +155,9 @@
     figures: Figures,
 }
 
-/// Runs one seed and returns its figures, or the first broken invariant.
-pub fn run(seed: u64, broken: Broken) -> Result<Figures, String> {
-    let mut sim = Sim::new(seed, broken);
+/// Runs one seed with the given faults and returns its figures, or the first broken invariant.
+pub fn run(seed: u64, broken: Broken, weather: Weather) -> Result<Figures, String> {
+    let mut sim = Sim::new(seed, broken, weather);
     match sim.run() {
         Ok(()) => Ok(sim.figures),
         Err(message) => Err(format!("seed {seed} at {:?}: {message}", sim.now)),
@@ -155,17 +165,20 @@
 }
 
 impl Sim {
-    fn new(seed: u64, broken: Broken) -> Self {
+    fn new(seed: u64, broken: Broken, weather: Weather) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let gentle = rng.random();
         let entry_machines = rng.random_range(if gentle { 3..5 } else { 1..5 });
-        let agent_machines = rng.random_range(1..5);
+        // A calm run has room for its whole load before the deadlines.
+        let fewest = if weather == Weather::Calm { 3 } else { 1 };
+        let agent_machines = rng.random_range(fewest..5);
         let skew = (0..=entry_machines)
             .map(|_| rng.random_range(-1000..1000))
             .collect();
         let mut sim = Self {
             rng,
             broken,
+            weather,
             base: Instant::now(),
             now: Duration::ZERO,
             steps: BTreeMap::new(),
@@ -202,7 +215,9 @@
             sim.push(Duration::ZERO, Step::Announce { machine });
         }
         sim.push(Duration::ZERO, Step::Control);
-        sim.push(Duration::from_millis(1500), Step::Fault);
+        if weather == Weather::Faults {
+            sim.push(Duration::from_millis(1500), Step::Fault);
+        }
         sim.plan_jobs();
         sim
     }
@@ -274,7 +289,7 @@
     }
 
     fn is_calm(&self) -> bool {
-        self.now >= FAULTS
+        self.now >= FAULTS || self.weather == Weather::Calm
     }
 
     fn wall(&self, machine: usize) -> Duration {
@@ -315,6 +330,9 @@
             }
         }
         self.check_agents()?;
+        if self.weather == Weather::Calm && self.figures.refused_dispatches > 0 {
+            return Err("a dispatch is refused although nothing fails".into());
+        }
         self.check_not_run()
     }
 
--- a/crates/dispatch/tests/sim/net.rs
+++ b/crates/dispatch/tests/sim/net.rs
@@ -117,6 +117,7 @@
             return;
         };
         let session = link.session;
+        self.count_message(&body);
         let body = self.tamper(body);
         let delay = self.arrival(key, to);
         self.push(
@@ -130,6 +131,16 @@
         );
     }
 
+    fn count_message(&mut self, body: &Body) {
+        let figures = &mut self.figures;
+        match body {
+            Body::ToAgent(EntryToAgent::Dispatch(_)) => figures.dispatches += 1,
+            Body::ToEntry(AgentToEntry::Refused { .. }) => figures.refused_dispatches += 1,
+            _ => {}
+        }
+        figures.agent_messages += u64::from(!matches!(body, Body::Peer(_)));
+    }
+
     /// Falsifies messages in runs that break a rule on purpose.
     fn tamper(&self, body: Body) -> Body {
         match (self.broken, body) {
--- a/crates/dispatch/tests/sim/nodes.rs
+++ b/crates/dispatch/tests/sim/nodes.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 
 use super::net::{Body, key};
-use super::{Sim, Step};
+use super::{Sim, Step, Weather};
 
 /// Service whose tasks start at most once.
 pub const AT_MOST_ONCE: &str = "desk";
@@ -85,7 +85,8 @@
     pub(super) fn start_agent(&mut self, machine: usize) -> ProcessId {
         let process = self.rng.random_range(1..u64::MAX);
         let core = AgentCore::builder("fd").build();
-        let slots = self.rng.random_range(1..5);
+        let fewest = if self.weather == Weather::Calm { 2 } else { 1 };
+        let slots = self.rng.random_range(fewest..5);
         let node = AgentNode {
             machine,
             slots,
@@ -272,7 +273,8 @@
             return Ok(());
         }
         self.count_start(dispatch)?;
-        let (outcome, ran) = match self.rng.random_range(0..20) {
+        let first = if self.weather == Weather::Calm { 2 } else { 0 };
+        let (outcome, ran) = match self.rng.random_range(first..20) {
             0 => {
                 let reason = "the target failed".into();
                 (AttemptOutcome::Failed { reason }, self.millis(1, 50))
--- a/crates/register/src/claims.rs
+++ b/crates/register/src/claims.rs
@@ -146,9 +146,12 @@
         // Of two claimants without a quorum the smaller one goes on. Only the claimant itself can withdraw, because
         // only it knows that it has dispatched nothing.
         if !self.claims.contains_key(&job) {
-            self.release_abandoned(job, digest, peer);
+            self.release_abandoned(job, digest, peer, actions);
         } else if peer < self.settings.me {
             self.withdraw(job, peer, actions);
+        } else if let Some(owner) = self.recorded_other(job) {
+            // An answer that names another claimant releases the records of this one, so it must not go on.
+            self.withdraw(job, owner, actions);
         }
         let view = self.view_number().unwrap_or_default();
         let message = match self.table.claim(job, digest, peer) {
@@ -195,18 +198,61 @@
     fn withdraw(&mut self, job: JobId, owner: ProcessId, actions: &mut Vec<Action>) {
         self.claims.swap_remove(&job);
         self.fates.insert(job, Fate::Withdrawn(owner));
-        self.table.yield_to(job, self.settings.me, owner);
+        self.release(job, owner, actions);
         actions.push(Action::Known { job, owner });
     }
 
+    /// Returns the claimant that this replica records, if it is another entry.
+    fn recorded_other(&self, job: JobId) -> Option<ProcessId> {
+        let record = self.table.record(job)?;
+        Some(record.owner).filter(|&owner| owner != self.settings.me)
+    }
+
     /// Hands over the record of a claim that was given up without a quorum, so that the job can still run.
-    fn release_abandoned(&mut self, job: JobId, digest: u64, peer: ProcessId) {
+    fn release_abandoned(&mut self, job: JobId, digest: u64, peer: ProcessId, actions: &mut Vec<Action>) {
         let same = self
             .table
             .record(job)
             .is_some_and(|record| record.digest == digest);
         if same && !self.fates.contains_key(&job) {
-            self.table.yield_to(job, self.settings.me, peer);
+            self.release(job, peer, actions);
+        }
+    }
+
+    /// Hands the own records of a job to another claimant, here and at the other members.
+    ///
+    /// Without this, records that a withdrawn claimant left at others keep the remaining one from a majority.
+    fn release(&mut self, job: JobId, owner: ProcessId, actions: &mut Vec<Action>) {
+        let me = self.settings.me;
+        if owner == me || !self.table.yield_to(job, me, owner) {
+            return;
+        }
+        let view = self.view_number().unwrap_or_default();
+        for peer in self.others(&[owner]) {
+            let message = PeerMessage::Known { view, job, owner };
+            actions.push(Action::Send { peer, message });
+        }
+    }
+
+    /// Takes the word of a claimant that the job is not its own, and grants the claim that it names.
+    ///
+    /// A claimant names another one only after it has withdrawn, and never claims the job again.
+    pub(crate) fn on_released(
+        &mut self,
+        peer: ProcessId,
+        job: JobId,
+        owner: ProcessId,
+        actions: &mut Vec<Action>,
+    ) {
+        if owner == peer || !self.table.yield_to(job, peer, owner) {
+            return;
+        }
+        if owner == self.settings.me {
+            self.reconsider_claim(job, actions);
+        } else if self.has_member(owner) && self.table.is_granted(job, owner) {
+            let view = self.view_number().unwrap_or_default();
+            let message = PeerMessage::Granted { view, job };
+            actions.push(Action::Send { peer: owner, message });
         }
     }
 
--- a/crates/register/src/register.rs
+++ b/crates/register/src/register.rs
@@ -273,7 +273,10 @@
                 self.on_found(peer, job, lookup, (owner, own_claim), actions);
             }
             PeerMessage::Granted { job, .. } => self.on_granted(peer, job, actions),
-            PeerMessage::Known { job, owner, .. } => self.on_known(peer, job, owner, actions),
+            PeerMessage::Known { job, owner, .. } => {
+                self.on_released(peer, job, owner, actions);
+                self.on_known(peer, job, owner, actions);
+            }
             PeerMessage::Denied { job, denial, .. } => self.on_denied(peer, job, denial, actions),
             message => self.on_ballot_message(now, peer, message, actions),
         }
--- a/crates/register/src/table.rs
+++ b/crates/register/src/table.rs
@@ -125,17 +125,24 @@
         }
     }
 
-    /// Hands the own record of a withdrawn claim to another claimant.
-    pub(crate) fn yield_to(&mut self, job: JobId, from: ProcessId, to: ProcessId) {
+    /// Hands the record of a withdrawn claim to another claimant, and reports whether there was one.
+    pub(crate) fn yield_to(&mut self, job: JobId, from: ProcessId, to: ProcessId) -> bool {
         let held = self.rows.get_mut(&job).filter(|row| row.record.owner == from);
         let Some(row) = held else {
-            return;
+            return false;
         };
         row.record.owner = to;
         if row.record.rival == Some(to) {
             row.record.rival = None;
         }
         self.touch(job);
+        true
+    }
+
+    /// Reports whether the record of a job grants the claim of `owner`.
+    pub(crate) fn is_granted(&self, job: JobId, owner: ProcessId) -> bool {
+        let record = self.record(job);
+        record.is_some_and(|record| vote_on_claim(record, record.digest, owner) == ClaimVote::Granted)
     }
 
     /// Records a granted claim even where this replica did not grant it; a quorum outvoted the recorded claimant.
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -432,3 +432,18 @@
         [Action::Unknown { job }]
     );
 }
+
+/// Guards against records of a withdrawn claim that keep the remaining claimant from a majority (found by a calm run).
+#[test]
+fn withdrawn_claim_releases_its_records() {
+    let mut bench = Bench::new(&[1, 2, 3, 4]);
+    let job = job(0);
+    bench.down = vec![1, 4];
+    bench.claim(2, job);
+    bench.down = vec![2, 3, 4];
+    bench.claim(1, job);
+    bench.down = vec![4];
+    bench.pass(Duration::from_millis(60));
+    assert!(bench.seen.contains(&(1, Action::Claimed { job })));
+    assert!(bench.seen.contains(&(2, Action::Known { job, owner: 1 })));
+}
