--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -13,6 +13,11 @@
 const USABLE_NUMERATOR: u32 = 3;
 const USABLE_DENOMINATOR: u32 = 4;
 
+/// Shortest and longest pause after a refusal for an unconfirmed configuration, which lasts until control reaches the
+/// agent again. The longest bounds the delay of the first task after that.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(1600);
+
 /// Dispatch whose end is not known.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
@@ -38,6 +43,10 @@
     pub(crate) usable_until: Option<Instant>,
     /// Whether the usable time of the credits is over; the agent may still renew them.
     pub(crate) stale: bool,
+    /// End of the pause after a refusal that the next dispatch would meet as well.
+    pub(crate) paused_until: Option<Instant>,
+    /// Length of the latest pause; a result ends the backoff.
+    pub(crate) pause: Duration,
     pub(crate) ttl: Duration,
     pub(crate) attempts: IndexMap<CreditId, Attempt>,
     /// Waiting tasks as last told to the agent.
@@ -57,6 +66,8 @@
             credits: VecDeque::new(),
             usable_until: None,
             stale: false,
+            paused_until: None,
+            pause: Duration::ZERO,
             ttl: Duration::ZERO,
             attempts: IndexMap::new(),
             told_demand: 0,
@@ -83,12 +94,13 @@
         }
     }
 
-    /// Stops the use of the credits if their usable time is over, until the agent renews or resets them.
+    /// Ends a pause, and stops the use of credits whose usable time is over until they are renewed or reset.
     pub(crate) fn expire_credits(&mut self, now: Instant) {
         if self.usable_until.is_some_and(|until| until <= now) {
             self.usable_until = None;
             self.stale = true;
         }
+        self.paused_until = self.paused_until.filter(|&until| until > now);
     }
 
     /// Drops the credits; the agent has voided them.
@@ -100,10 +112,21 @@
 
     /// Returns the number of credits that may be used now.
     pub(crate) fn usable_credits(&self) -> usize {
-        if self.stale { 0 } else { self.credits.len() }
+        let usable = !self.stale && self.paused_until.is_none();
+        if usable { self.credits.len() } else { 0 }
+    }
+
+    /// Sends nothing to the agent for a while.
+    pub(crate) fn pause(&mut self, now: Instant) {
+        // Refusals of dispatches that were sent together count once.
+        if self.paused_until.is_none() {
+            self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+            self.paused_until = Some(now + self.pause);
+        }
     }
 
     pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
+        self.pause = Duration::ZERO;
         self.acks.push(credit);
         self.acks_since.get_or_insert(now);
     }
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -103,6 +103,8 @@
                 if reason == RefuseReason::Leaving {
                     let target = agent.target;
                     self.router.set_leaving(target, true);
+                } else if reason == RefuseReason::Unconfirmed {
+                    agent.pause(now);
                 }
                 self.not_started(
                     now,
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -7,6 +7,7 @@
 use crate::agents::Agent;
 use crate::core::{EntryCore, USAGE_INTERVAL};
 use crate::event::{Action, PeerMessage, TeamUsage};
+use crate::pump::count;
 
 /// Time for which a result may stay unconfirmed.
 const ACK_INTERVAL: Duration = Duration::from_millis(100);
@@ -44,9 +45,11 @@
 
     fn expire_credits(&mut self, now: Instant) {
         for (_, agent) in self.agents.iter_mut() {
+            let before = agent.usable_credits();
             agent.expire_credits(now);
-            if agent.stale {
-                self.router.set_credits(agent.target, 0);
+            let after = agent.usable_credits();
+            if before != after {
+                self.router.set_credits(agent.target, count(after));
             }
         }
     }
@@ -78,7 +81,7 @@
             .map(|(_, agent)| agent)
             .filter(|agent| agent.linked);
         linked
-            .flat_map(|agent| [agent.usable_until, agent.acks_due()])
+            .flat_map(|agent| [agent.usable_until, agent.paused_until, agent.acks_due()])
             .flatten()
             .min()
     }
--- a/crates/dispatch/tests/failures.rs
+++ b/crates/dispatch/tests/failures.rs
@@ -7,7 +7,7 @@
 use chestnutfork_register::View;
 use chestnutfork_types::{
     AgentToEntry, Announcement, Answer, AttemptOutcome, CreditId, Dispatch, EntryToAgent, Execution, JobId,
-    JobSpec, ProcessId, ServicePolicy, TaskResult, TaskSpec, TaskStatus,
+    JobSpec, ProcessId, RefuseReason, ServicePolicy, TaskResult, TaskSpec, TaskStatus,
 };
 use indexmap::IndexMap;
 
@@ -277,3 +277,19 @@
     bench.submit(2, job, false);
     assert_eq!(dispatches(&bench.peer_says(10, granted)).len(), 1);
 }
+
+/// Guards against a dispatch and a refusal in a loop while the agent's configuration is unconfirmed.
+#[test]
+fn unconfirmed_agent_is_paused() {
+    let mut bench = Bench::new(&[]);
+    bench.agent_up();
+    bench.grant(1);
+    bench.submit(1, job(1, true), true);
+    let (credit, reason) = (1, RefuseReason::Unconfirmed);
+    bench.agent_says(AgentToEntry::Refused { credit, reason });
+    assert_eq!(dispatches(&bench.grant(2)), []);
+    let wakeup = bench.core.next_wakeup().expect("the pause ends");
+    assert!(wakeup <= bench.now + Duration::from_millis(100));
+    bench.now += Duration::from_millis(100);
+    assert_eq!(dispatches(&bench.run(Event::Tick)).len(), 1);
+}
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -447,3 +447,55 @@
     assert!(bench.seen.contains(&(1, Action::Claimed { job })));
     assert!(bench.seen.contains(&(2, Action::Known { job, owner: 1 })));
 }
+
+/// Guards against a claim that goes on although its entry has named another claimant, which releases its records.
+#[test]
+fn claim_withdraws_where_another_is_recorded() {
+    let mut bench = Bench::new(&[1, 2, 3]);
+    let (job, digest) = (job(0), DIGEST);
+    bench.nodes.push((4, Register::builder(4).build()));
+    bench.down = vec![1, 2, 3, 9];
+    let learner = View {
+        learners: vec![4],
+        ..View::first(2, vec![1, 2, 3])
+    };
+    bench.install(&learner);
+    bench.claim(4, job);
+    let record = Record {
+        job,
+        digest,
+        owner: 9,
+        rival: None,
+        promised: Ballot::OWNER,
+        accepted: None,
+    };
+    let chunk = PeerMessage::Chunk {
+        view: 2,
+        after: 0,
+        upto: 1,
+        done: true,
+        floor: Duration::ZERO,
+        records: vec![record],
+    };
+    bench.run(
+        4,
+        Event::FromPeer {
+            peer: 1,
+            message: chunk,
+        },
+    );
+    bench.install(&View::first(3, vec![1, 2, 3, 4, 9]));
+    let claim = PeerMessage::Claim { view: 3, job, digest };
+    let withdrawn = bench.run(
+        4,
+        Event::FromPeer {
+            peer: 9,
+            message: claim,
+        },
+    );
+    assert_eq!(withdrawn, [Action::Known { job, owner: 9 }]);
+    for peer in [1, 2, 3] {
+        let message = PeerMessage::Granted { view: 3, job };
+        assert_eq!(bench.run(4, Event::FromPeer { peer, message }), []);
+    }
+}
