dispatch: Split submissions from joins, and ends from repeats

Change: join.rs has the jobs of other entries, repeats.rs the repeated, hedged and stopped attempts. No behaviour changes.

--- a/crates/dispatch/src/finish.rs
+++ b/crates/dispatch/src/finish.rs
@@ -8,7 +8,7 @@
 use crate::core::EntryCore;
 use crate::event::{Action, JobResult, PeerMessage, Ticket};
 use crate::job::{Job, Phase, TaskRef};
-use crate::submit::tell_joiners;
+use crate::join::tell_joiners;
 
 /// Time behind the deadline for which a whole answer may wait for a majority of the register.
 const RECORD_GRACE: Duration = Duration::from_secs(2);
