--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -7,6 +7,7 @@
 use crate::agents::Agent;
 use crate::core::{EntryCore, USAGE_INTERVAL};
 use crate::event::{Action, PeerMessage, TeamUsage};
+use crate::pump::count;
 
 /// Time for which a result may stay unconfirmed.
 const ACK_INTERVAL: Duration = Duration::from_millis(100);
@@ -21,10 +22,6 @@
 impl EntryCore {
     pub(crate) fn tick(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
         self.drive_register(now, wall, register::Event::Tick, actions);
-        while let Some(&(at, job)) = self.deadlines.first().filter(|&&(at, _)| at <= now) {
-            self.deadlines.remove(&(at, job));
-            self.deadline_passed(now, wall, job, actions);
-        }
         while let Some(&(at, attempt)) = self.hedges.first().filter(|&&(at, _)| at <= now) {
             self.hedges.remove(&(at, attempt));
             self.hedge(attempt);
@@ -38,11 +35,21 @@
         self.exchange_usage(now, actions);
     }
 
+    /// Ends the jobs and waits whose deadline has passed.
+    pub(crate) fn run_deadlines(&mut self, now: Instant, wall: Duration, actions: &mut Vec<Action>) {
+        while let Some(&(at, job)) = self.deadlines.first().filter(|&&(at, _)| at <= now) {
+            self.deadlines.remove(&(at, job));
+            self.deadline_passed(now, wall, job, actions);
+        }
+    }
+
     fn expire_credits(&mut self, now: Instant) {
         for (_, agent) in self.agents.iter_mut() {
+            let before = agent.usable_credits();
             agent.expire_credits(now);
-            if agent.stale {
-                self.router.set_credits(agent.target, 0);
+            let after = agent.usable_credits();
+            if before != after {
+                self.router.set_credits(agent.target, count(after));
             }
         }
     }
@@ -74,7 +81,7 @@
             .map(|(_, agent)| agent)
             .filter(|agent| agent.linked);
         linked
-            .flat_map(|agent| [agent.usable_until, agent.acks_due()])
+            .flat_map(|agent| [agent.usable_until, agent.paused_until, agent.acks_due()])
             .flatten()
             .min()
     }
