load: Count failures at bad targets as waste, and goodput within the arrivals

Change: a start contributes only if its task is completed, or failed as the payload asks. Goodput counts jobs that completed within their deadline and before the arrivals ended.

Conclusion: both figures now follow the definitions of the design.

--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -140,8 +140,10 @@
                 Some(Status::Failed | Status::MayHaveRun) => {}
                 None => report.unreported_starts += started,
             }
-            if !matches!(status, Some(Status::Completed | Status::Failed)) {
+            let failed = status == Some(Status::Failed) && !job.tasks[index].fails;
+            if failed || !matches!(status, Some(Status::Completed | Status::Failed)) {
                 report.wasted.unused_starts += started;
+                report.wasted.failed_starts += started * u64::from(failed);
                 report.wasted.cancelled_starts += started * u64::from(run.cancelled);
             }
         }
@@ -179,6 +181,9 @@
                 report.jobs_late += 1;
                 continue;
             }
+            if job.at + after > self.scenario.duration() {
+                continue;
+            }
             good_tasks += length(job.tasks.len());
             good_work += job.tasks.iter().map(|task| task.run_ms / 1_000.0).sum::<f64>();
         }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,8 +12,12 @@
 //!   central queue without delay: each task goes to the slot on which it finishes earliest. A target with a fault that
 //!   makes it useless takes no tasks while the fault lasts. The response ratio of a completed job is its response time
 //!   over its ideal response time.
-//! - A *wasted message* is a start whose result is in no answer, a second or later start of the same task, or a dispatch
-//!   that the target refused. Starts of jobs that the caller cancelled count too, and are also listed apart.
+//! - A *wasted message* is a start that did not contribute to an answer, a second or later start of the same task, or a
+//!   dispatch that the target refused. A start contributes if the first answer lists its task as completed, or as failed
+//!   where the payload asks for the failure; a start at a target that fails everything is thus wasted. Starts of jobs
+//!   that the caller cancelled count too, and are also listed apart.
+//! - *Goodput* counts the jobs that completed before their deadline and before the arrivals ended, per second of
+//!   arrivals. The work that drains afterwards does not count, so an overloaded system gains nothing by queueing.
 
 mod arrivals;
 mod check;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -25,7 +25,7 @@
 /// Wasted messages by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wasted {
-    /// First starts of tasks whose result is in no answer.
+    /// First starts of tasks that did not contribute to an answer.
     pub unused_starts: u64,
     /// Second and later starts of the same task.
     pub repeated_starts: u64,
@@ -33,6 +33,8 @@
     pub refused_dispatches: u64,
     /// Those of the unused starts whose job the caller cancelled.
     pub cancelled_starts: u64,
+    /// Those of the unused starts that failed although the caller did not ask for it.
+    pub failed_starts: u64,
 }
 
 /// Figures of one second of a run.
@@ -134,9 +136,9 @@
     pub response_ms: Latency,
     /// Ideal response time of the same jobs in milliseconds.
     pub ideal_ms: Latency,
-    /// Tasks of jobs completed before their deadline, per second of arrivals.
+    /// Tasks of jobs completed before their deadline and before the arrivals ended, per second of arrivals.
     pub goodput_tasks_per_s: f64,
-    /// Run time at speed 1 of jobs completed before their deadline, in seconds per second of arrivals.
+    /// Run time at speed 1 of the same jobs, in seconds per second of arrivals.
     pub goodput_work_per_s: f64,
     /// Starts per second between the first and the last start.
     pub starts_per_s: f64,
@@ -231,11 +233,13 @@
             "  response  p50 {:.0} ms, p99 {:.0} ms, p999 {:.0} ms, max {:.0} ms",
             response.p50, response.p99, response.p999, response.max
         )?;
-        writeln!(
-            f,
-            "  to ideal  p50 {:.3}, p99 {:.3}, p999 {:.3}",
-            self.response_ratio_p50, self.response_ratio_p99, self.response_ratio_p999
-        )?;
+        if self.ideal_ms.max > 0.0 {
+            writeln!(
+                f,
+                "  to ideal  p50 {:.3}, p99 {:.3}, p999 {:.3}",
+                self.response_ratio_p50, self.response_ratio_p99, self.response_ratio_p999
+            )?;
+        }
         writeln!(
             f,
             "  goodput   {:.1} tasks/s, {:.2} s of run time per s",
@@ -244,11 +248,12 @@
         let wasted = self.wasted;
         writeln!(
             f,
-            "  wasted    {} messages, {:.2} per 1,000 starts ({} unused, of them {} cancelled; {} repeated, {} refused)",
+            "  wasted    {} messages, {:.2} per 1,000 starts ({} unused, of them {} cancelled, {} failed; {} repeated, {} refused)",
             self.wasted_messages,
             self.wasted_per_1000,
             wasted.unused_starts,
             wasted.cancelled_starts,
+            wasted.failed_starts,
             wasted.repeated_starts,
             wasted.refused_dispatches
         )?;
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -165,6 +165,25 @@
     let report = run_against(Lie::None, scenario().arrivals(late).faults(vec![fault])).await;
     assert_eq!(broken(&report), []);
     assert_eq!(report.jobs_failed, report.jobs_submitted);
+    // Every start at a black hole is a wasted message, even though its failure is reported.
+    assert_eq!(report.wasted.failed_starts, report.tasks_started);
+    assert_eq!(report.wasted_messages, report.tasks_started);
+}
+
+/// Guards against counting failures that the payload asks for as wasted messages.
+#[tokio::test]
+async fn run_counts_intended_failure_as_used() {
+    let mut scenario = scenario().build().unwrap();
+    scenario.failing = 1.0;
+    let targets = vec![Target::builder("t").start().await.unwrap()];
+    let entry = fake_entry(targets[0].address(), Lie::None).await;
+    let endpoints = Endpoints {
+        entries: vec![entry],
+        team_token: "team-token".to_owned(),
+    };
+    let report = run(&scenario, &endpoints, &targets).await.unwrap();
+    assert_eq!(report.jobs_failed, JOBS);
+    assert_eq!(report.wasted_messages, 0);
 }
 
 /// Guards against plans that differ between runs with one seed, which could not be compared.
