--- /dev/null
+++ b/crates/control/src/answer.rs
@@ -0,0 +1,88 @@
+//! Answers to operators, as HTTP status and JSON body.
+
+use bytes::Bytes;
+use chestnutfork_config::Verdict;
+use chestnutfork_operator::body::{
+    AuditBody, ConfigBody, ErrorBody, OUTCOME_UNKNOWN, StatusBody, VerdictBody,
+};
+use chestnutfork_raft::RefusedBecause;
+use serde::Serialize;
+
+use crate::message::Reply;
+
+/// Answer to an operator.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Answer {
+    Verdict(Verdict),
+    Status(StatusBody),
+    Audit(AuditBody),
+    Config(ConfigBody),
+    /// Nothing was done; the request can be sent again.
+    Unavailable {
+        reason: &'static str,
+        /// Operator address of the leader as far as known.
+        leader: Option<String>,
+    },
+    /// The request may have been done; the same patch id tells.
+    Unknown,
+    /// The request cannot be done.
+    Refused(String),
+}
+
+impl Answer {
+    /// Builds the answer to a request that the replicated log did not take.
+    pub(crate) fn refused(because: RefusedBecause, leader: Option<String>) -> Self {
+        let reason = match because {
+            RefusedBecause::NotLeader { .. } => "no leader is known here; send the request again in a second",
+            RefusedBecause::Overloaded => {
+                "too many changes are in progress; send the request again in a second"
+            }
+            RefusedBecause::Transferring => {
+                "leadership is being handed over; send the request again in a second"
+            }
+            RefusedBecause::NotReady => "the leader has just started; send the request again in a second",
+            RefusedBecause::TooLarge => return Self::Refused("the patch is too large; split it".to_owned()),
+            RefusedBecause::Change(error) => return Self::Refused(error.to_string()),
+        };
+        Self::Unavailable { reason, leader }
+    }
+
+    pub(crate) fn into_reply(self) -> Reply {
+        match self {
+            Self::Verdict(verdict) => {
+                let body = VerdictBody::from(verdict);
+                reply(body.status(), &body)
+            }
+            Self::Status(status) => reply(200, &status),
+            Self::Audit(records) => reply(200, &records),
+            Self::Config(config) => reply(200, &config),
+            Self::Unavailable { reason, leader } => unavailable(reason, leader),
+            Self::Unknown => {
+                let message = "the outcome is not known yet; send the request again with the same patch id";
+                error(503, OUTCOME_UNKNOWN, message)
+            }
+            Self::Refused(message) => error(409, "refused", message),
+        }
+    }
+}
+
+fn unavailable(reason: &str, leader: Option<String>) -> Reply {
+    let body = ErrorBody::new("unavailable", reason);
+    // An operator address that is a host name cannot be passed on in the body.
+    let leader = leader.and_then(|leader| leader.parse().ok());
+    let body = match leader {
+        Some(leader) => body.with_leader(leader),
+        None => body,
+    };
+    reply(503, &body)
+}
+
+pub(crate) fn error(status: u16, code: &str, message: impl Into<String>) -> Reply {
+    reply(status, &ErrorBody::new(code, message))
+}
+
+fn reply<T: Serialize>(status: u16, body: &T) -> Reply {
+    let body = serde_json::to_vec(body).expect("bodies have string keys only");
+    let body = Bytes::from(body);
+    Reply { status, body }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,91 @@
+//! Links to other control processes.
+
+use chestnutfork_net::LinkId;
+use chestnutfork_types::{NodeName, ReplicaId};
+use indexmap::IndexMap;
+
+use crate::message::ReplicaHello;
+
+/// One link.
+#[derive(Debug)]
+struct Peer {
+    name: NodeName,
+    address: String,
+    /// Replica at the other end, once it introduced itself.
+    replica: Option<ReplicaId>,
+}
+
+/// Open links to other control processes, and what was told over them.
+///
+/// Two processes may have two links, because each dials the other; the later one is used.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    links: IndexMap<LinkId, Peer>,
+    hellos: IndexMap<NodeName, ReplicaHello>,
+    /// Every replica that ever introduced itself, with its name.
+    names: IndexMap<ReplicaId, NodeName>,
+}
+
+impl Peers {
+    pub(crate) fn up(&mut self, link: LinkId, name: NodeName, address: String) {
+        let replica = None;
+        let peer = Peer {
+            name,
+            address,
+            replica,
+        };
+        self.links.insert(link, peer);
+    }
+
+    pub(crate) fn down(&mut self, link: LinkId) {
+        self.links.shift_remove(&link);
+    }
+
+    pub(crate) fn hello(&mut self, link: LinkId, hello: ReplicaHello) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.replica = Some(hello.replica);
+            self.names.insert(hello.replica, peer.name.clone());
+            self.hellos.insert(peer.name.clone(), hello);
+        }
+    }
+
+    pub(crate) fn link(&self, replica: ReplicaId) -> Option<LinkId> {
+        let mut links = self.links.iter().rev();
+        let found = links.find(|(_, peer)| peer.replica == Some(replica));
+        found.map(|(&link, _)| link)
+    }
+
+    pub(crate) fn links(&self) -> impl Iterator<Item = LinkId> + '_ {
+        self.links.keys().copied()
+    }
+
+    pub(crate) fn hellos(&self) -> &IndexMap<NodeName, ReplicaHello> {
+        &self.hellos
+    }
+
+    /// Returns the name of a replica, also after its link has closed.
+    pub(crate) fn name(&self, replica: ReplicaId) -> Option<&str> {
+        self.names.get(&replica).map(String::as_str)
+    }
+
+    /// Returns the address for links of a replica with an open link.
+    pub(crate) fn address(&self, replica: ReplicaId) -> Option<&str> {
+        let link = self.link(replica)?;
+        self.links.get(&link).map(|peer| peer.address.as_str())
+    }
+
+    /// Returns the operator address of a replica, also after its link has closed.
+    pub(crate) fn operators(&self, replica: ReplicaId) -> Option<&str> {
+        let mut hellos = self.hellos.values();
+        let hello = hellos.find(|hello| hello.replica == replica)?;
+        Some(&hello.operators)
+    }
+
+    /// Returns the replicas with an open link, in the order of their ids.
+    pub(crate) fn replicas(&self) -> Vec<ReplicaId> {
+        let mut replicas: Vec<ReplicaId> = self.links.values().filter_map(|peer| peer.replica).collect();
+        replicas.sort_unstable();
+        replicas.dedup();
+        replicas
+    }
+}
--- a/crates/dispatch/src/core.rs
+++ b/crates/dispatch/src/core.rs
@@ -7,7 +7,7 @@
 use chestnutfork_register as register;
 use chestnutfork_register::{Register, View};
 use chestnutfork_routing::Router;
-use chestnutfork_types::{JobId, ProcessId, ServiceName, TeamName};
+use chestnutfork_types::{JobId, ProcessId, ServiceName, TeamName, ViewNumber};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::agents::Agents;
@@ -176,6 +176,14 @@
         .min()
     }
 
+    /// Returns the number of the view if this entry has copied the register for it.
+    ///
+    /// Lease renewals carry it to control, because a single report of [`Action::Synced`] may be lost.
+    #[must_use]
+    pub fn synced_view(&self) -> Option<ViewNumber> {
+        self.register.synced_view()
+    }
+
     /// Feeds the register and carries out its actions.
     pub(crate) fn drive_register(
         &mut self,
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_routing::{Choice, PlacementRequest, TargetIndex};
+use chestnutfork_routing::{Choice, Place, PlacementRequest, TargetIndex};
 use chestnutfork_types::{Dispatch, EntryToAgent, PoolName, ProcessId};
 use indexmap::IndexMap;
 
@@ -16,6 +16,9 @@
 /// Results that are confirmed together at the latest.
 const ACK_BATCH: usize = 32;
 
+/// Most tasks of a service that are held back for faster targets at once.
+const MAX_HELD: usize = 64;
+
 /// Outcome of one attempt to place the next task of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -28,6 +31,9 @@
     pub(crate) fn pump(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.placement_wakeup = None;
         let count = self.services.len();
+        for index in 0..count {
+            self.place_held(now, index, actions);
+        }
         let mut blocked = vec![false; count];
         // Services take turns, so that one with a long queue cannot keep a shared pool to itself.
         while blocked.iter().any(|blocked| !blocked) {
@@ -43,57 +49,107 @@
         self.flush_acks(now, actions);
     }
 
+    /// Places the held tasks of a service for which a target is now good enough.
+    fn place_held(&mut self, now: Instant, index: usize, actions: &mut Vec<Action>) {
+        let mut at = 0;
+        while let Some((&queued, since)) = self.services[index].queue.held(at) {
+            let place = Place {
+                ahead: count(at),
+                since: Some(since),
+            };
+            match self.choose(now, index, queued, place) {
+                Choice::Use(target) if self.may_start(index, queued) => {
+                    self.services[index].queue.take_held(at);
+                    self.dispatch(now, index, queued, target, actions);
+                }
+                choice => {
+                    self.note_wait(now, choice);
+                    at += 1;
+                }
+            }
+        }
+    }
+
     fn place_next(&mut self, now: Instant, index: usize, actions: &mut Vec<Action>) -> Step {
-        let Self {
-            services,
-            quotas,
-            router,
-            jobs,
-            ..
-        } = self;
-        let (name, service) = services
-            .get_index_mut(index)
-            .expect("the index is below the count");
-        if service.queue.is_empty() || service.in_flight >= service.policy.max_in_flight {
+        let Self { services, quotas, .. } = self;
+        let service = &services[index];
+        if service.in_flight >= service.policy.max_in_flight {
             return Step::Blocked;
         }
         let allow = |team: &str| quotas.in_flight(team) < quotas.allowance(team);
         let Some(&queued) = service.queue.peek_allowed(allow) else {
             return Step::Blocked;
         };
+        let held = service.queue.held_len();
+        // Behind a full line the whole queue competes for the faster targets.
+        let ahead = if held < MAX_HELD {
+            held
+        } else {
+            service.queue.len()
+        };
+        let place = Place {
+            ahead: count(ahead),
+            since: None,
+        };
+        let choice = self.choose(now, index, queued, place);
+        self.note_wait(now, choice);
+        let Self { services, quotas, .. } = self;
+        let queue = &mut services[index].queue;
+        let allow = |team: &str| quotas.in_flight(team) < quotas.allowance(team);
+        match choice {
+            Choice::Use(target) => {
+                let popped = queue.pop_allowed(allow).expect("the queue has an allowed task");
+                debug_assert_eq!(popped.item, queued);
+                self.dispatch(now, index, queued, target, actions);
+                Step::Placed
+            }
+            Choice::Wait { until: Some(_) } if held < MAX_HELD => {
+                queue.hold_allowed(now, allow);
+                Step::Placed
+            }
+            Choice::Wait { .. } | Choice::NoTarget => Step::Blocked,
+        }
+    }
+
+    /// Reports whether the service and the team of a task may have one more task in flight.
+    fn may_start(&self, index: usize, queued: QueuedTask) -> bool {
+        let service = &self.services[index];
+        let team = &self.jobs[&queued.id.job].spec.team;
+        service.in_flight < service.policy.max_in_flight
+            && self.quotas.in_flight(team) < self.quotas.allowance(team)
+    }
+
+    /// Asks the router for a target; targets where the task failed before are avoided if there are others.
+    fn choose(&mut self, now: Instant, index: usize, queued: QueuedTask, place: Place) -> Choice {
+        let Self {
+            services,
+            router,
+            jobs,
+            ..
+        } = self;
+        let (name, service) = services.get_index(index).expect("the index is below the count");
         let job = &jobs[&queued.id.job];
         let task = &job.tasks[usize::from(queued.id.task)];
-        let spec = &job.spec.tasks[usize::from(queued.id.task)];
         let mut request = PlacementRequest {
             service: name,
-            declared: spec.declared,
+            declared: job.spec.tasks[usize::from(queued.id.task)].declared,
             deadline: job.deadline,
-            remaining_tasks: u32::try_from(job.unfinished).unwrap_or(u32::MAX),
+            remaining_tasks: count(job.unfinished),
             exclude: &task.avoid,
         };
-        let mut choice = router.choose(now, &request, &service.policy);
+        let choice = router.choose_or_hold(now, &request, place, &service.policy);
         if choice == Choice::NoTarget && !task.avoid.is_empty() && !queued.hedge {
             request.exclude = &[];
-            choice = router.choose(now, &request, &service.policy);
+            return router.choose_or_hold(now, &request, place, &service.policy);
         }
-        match choice {
-            Choice::Use(target) => {
-                let popped = service
-                    .queue
-                    .pop_allowed(allow)
-                    .expect("the queue has an allowed task");
-                debug_assert_eq!(popped.item, queued);
-                self.dispatch(now, index, queued, target, actions);
-                Step::Placed
-            }
-            Choice::Wait { until } => {
-                if let Some(until) = until.filter(|&until| until > now) {
-                    let earliest = self.placement_wakeup.map_or(until, |at| at.min(until));
-                    self.placement_wakeup = Some(earliest);
-                }
-                Step::Blocked
-            }
-            Choice::NoTarget => Step::Blocked,
+        choice
+    }
+
+    fn note_wait(&mut self, now: Instant, choice: Choice) {
+        if let Choice::Wait { until: Some(until) } = choice
+            && until > now
+        {
+            self.placement_wakeup = Some(self.placement_wakeup.map_or(until, |at| at.min(until)));
         }
     }
 
@@ -115,7 +171,7 @@
             .credits
             .pop_back()
             .expect("the router chose a target with a credit");
-        self.router.set_credits(target, count(agent.credits.len()));
+        self.router.set_credits(target, count(agent.usable_credits()));
         let job = self
             .jobs
             .get_mut(&queued.id.job)
@@ -138,6 +194,7 @@
                 task: queued.id,
                 started: now,
                 wanted: true,
+                declared: job.spec.tasks[usize::from(queued.id.task)].declared,
                 service: service_index,
                 team,
             },
@@ -180,9 +237,6 @@
         for service in self.services.values() {
             *waiting.entry(&service.policy.pool).or_default() += count(service.queue.len());
         }
-        for (pool, &waiting) in &waiting {
-            self.router.set_waiting(pool, waiting);
-        }
         for (process, agent) in self.agents.iter_mut().filter(|(_, agent)| agent.linked) {
             let demand = waiting.get(&agent.announcement.pool).copied().unwrap_or(0);
             let told = agent.told_demand;
@@ -220,7 +274,8 @@
     /// Updates the number of usable credits of an agent's target.
     pub(crate) fn sync_credits(&mut self, agent: ProcessId) {
         if let Some(agent) = self.agents.get(agent) {
-            self.router.set_credits(agent.target, count(agent.credits.len()));
+            self.router
+                .set_credits(agent.target, count(agent.usable_credits()));
         }
     }
 }
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -40,7 +40,8 @@
 
     fn expire_credits(&mut self, now: Instant) {
         for (_, agent) in self.agents.iter_mut() {
-            if agent.expire_credits(now) {
+            agent.expire_credits(now);
+            if agent.stale {
                 self.router.set_credits(agent.target, 0);
             }
         }
--- a/crates/register/src/claims.rs
+++ b/crates/register/src/claims.rs
@@ -146,7 +146,7 @@
         // Of two claimants without a quorum the smaller one goes on. Only the claimant itself can withdraw, because
         // only it knows that it has dispatched nothing.
         if !self.claims.contains_key(&job) {
-            self.release_abandoned(job, peer);
+            self.release_abandoned(job, digest, peer);
         } else if peer < self.settings.me {
             self.withdraw(job, peer, actions);
         }
@@ -200,8 +200,12 @@
     }
 
     /// Hands over the record of a claim that was given up without a quorum, so that the job can still run.
-    fn release_abandoned(&mut self, job: JobId, peer: ProcessId) {
-        if !self.fates.contains_key(&job) {
+    fn release_abandoned(&mut self, job: JobId, digest: u64, peer: ProcessId) {
+        let same = self
+            .table
+            .record(job)
+            .is_some_and(|record| record.digest == digest);
+        if same && !self.fates.contains_key(&job) {
             self.table.yield_to(job, self.settings.me, peer);
         }
     }
