load, cli: Report response ratios by job size; print control addresses in dev

Stopping a set logs warnings about links, which hid the summary of quickstart.

Change: reports list the ratio for jobs of 1, 2, 10 and 50 tasks or more. dev prints the addresses of control and the operator token; quickstart logs only errors.

--- a/crates/cli/src/tools/load.rs
+++ b/crates/cli/src/tools/load.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use chestnutfork_events::Severity;
 use chestnutfork_load::{
     Endpoints, HttpTargets, LoadError, Report, Scenario, compare, run as run_scenario, svg,
 };
@@ -111,7 +112,7 @@
 
 async fn execute_locally(scenario: &Scenario) -> Result<Report, ToolError> {
     let local = scenario.local.as_ref().ok_or(LoadError::NoEntries)?;
-    let (set, endpoints) = local::start(scenario, local).await?;
+    let (set, endpoints) = local::start(scenario, local, Severity::Warn).await?;
     let report = run_scenario(scenario, &endpoints, set.targets()).await;
     set.shutdown().await;
     Ok(report?)
--- a/crates/cli/src/tools/local.rs
+++ b/crates/cli/src/tools/local.rs
@@ -15,9 +15,13 @@
 
 /// Starts the set of a scenario and returns where to submit to.
 ///
-/// Only warnings and errors of the processes are logged, on standard error.
-pub(crate) async fn start(scenario: &Scenario, local: &Local) -> Result<(LocalSet, Endpoints), ToolError> {
-    init(Severity::Warn, Format::Text)?;
+/// Events of the processes are logged on standard error from the given severity upwards.
+pub(crate) async fn start(
+    scenario: &Scenario,
+    local: &Local,
+    least: Severity,
+) -> Result<(LocalSet, Endpoints), ToolError> {
+    init(least, Format::Text)?;
     let cfg = LocalConfig::builder(document(scenario, local))
         .entries(local.entries)
         .targets(shapes(local))
--- a/crates/cli/src/tools/quickstart.rs
+++ b/crates/cli/src/tools/quickstart.rs
@@ -2,7 +2,9 @@
 
 use std::process::ExitCode;
 
+use chestnutfork_events::Severity;
 use chestnutfork_load::{Arrivals, Distribution, Local, LocalTargets, Rate, Scenario};
+use chestnutfork_local::LocalSet;
 use clap::{ArgMatches, Command};
 
 use super::{ToolError, exit_code, local, print_report, report_argument, report_format};
@@ -39,7 +41,8 @@
 /// Runs `quickstart`.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode, ToolError> {
     let scenario = scenario()?;
-    let (set, endpoints) = local::start(&scenario, &shape()).await?;
+    // Stopping a set logs warnings about lost links, which would distract from the report.
+    let (set, endpoints) = local::start(&scenario, &shape(), Severity::Error).await?;
     let report = chestnutfork_load::run(&scenario, &endpoints, set.targets()).await?;
     set.shutdown().await;
     print_report(&report, report_format(matches))?;
@@ -48,13 +51,21 @@
 
 /// Runs `dev` until it is interrupted.
 pub(crate) async fn run_dev() -> Result<ExitCode, ToolError> {
-    let (set, endpoints) = local::start(&scenario()?, &shape()).await?;
+    let (set, endpoints) = local::start(&scenario()?, &shape(), Severity::Warn).await?;
+    for address in set.controls() {
+        println!("control http://{address}");
+    }
     for address in &endpoints.entries {
         println!("entry   http://{address}");
     }
     for target in set.targets() {
         println!("target  http://{}  ({})", target.address(), target.name());
     }
+    println!(
+        "operator token {}, team token {}",
+        LocalSet::operator_token(),
+        endpoints.team_token
+    );
     if let Some(entry) = endpoints.entries.first() {
         println!("\ntry:\n  curl -s http://{entry}/v1/services/{SERVICE}/jobs \\");
         println!("    -H 'authorization: Bearer {}' \\", endpoints.team_token);
--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -11,7 +11,7 @@
 use crate::number::{figure, from_millis, length, to_millis};
 use crate::plan::PlannedJob;
 use crate::quantiles::Quantiles;
-use crate::report::{Report, Series};
+use crate::report::{Report, Series, SizeClass};
 use crate::run::{Content, JobRun};
 use crate::scenario::Scenario;
 use crate::wire::{Execution, Status};
@@ -20,6 +20,8 @@
 const RATIO_SCALE: f64 = 10_000.0;
 /// Steps per millisecond of recorded response times.
 const LATENCY_SCALE: f64 = 1_000.0;
+/// Smallest numbers of tasks of the size classes of jobs.
+const SIZE_CLASSES: [u64; 4] = [1, 2, 10, 50];
 /// Number of examples of unreadable and lost replies that a report keeps.
 const MAX_EXAMPLES: usize = 5;
 
@@ -155,6 +157,7 @@
         let mut response_ms = Quantiles::new(LATENCY_SCALE);
         let mut ideal_ms = Quantiles::new(LATENCY_SCALE);
         let mut ratios = Quantiles::new(RATIO_SCALE);
+        let mut sizes = SIZE_CLASSES.map(|from| (from, 0, Quantiles::new(RATIO_SCALE)));
         let mut good_tasks = 0.0;
         let mut good_work = 0.0;
         for (run, ideal) in self.runs.iter().zip(ideal) {
@@ -176,6 +179,11 @@
                 second.worst_ratio = second.worst_ratio.max(ratio);
                 ideal_ms.record(to_millis(ideal));
                 ratios.record(ratio);
+                let tasks = job.tasks.len() as u64;
+                if let Some((_, jobs, ratios)) = sizes.iter_mut().rfind(|(from, ..)| *from <= tasks) {
+                    *jobs += 1;
+                    ratios.record(ratio);
+                }
             }
             if after > Duration::from_millis(self.scenario.deadline_ms) {
                 report.jobs_late += 1;
@@ -192,6 +200,13 @@
         report.goodput_work_per_s = good_work / span;
         report.response_ms = response_ms.latency();
         report.ideal_ms = ideal_ms.latency();
+        let classes = sizes.iter().map(|&(from_tasks, jobs, ref ratios)| SizeClass {
+            from_tasks,
+            jobs,
+            ratio_p50: ratios.at(0.5),
+            ratio_p99: ratios.at(0.99),
+        });
+        report.sizes = classes.collect();
         report.response_ratio_p50 = ratios.at(0.5);
         report.response_ratio_p90 = ratios.at(0.9);
         report.response_ratio_p99 = ratios.at(0.99);
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -37,6 +37,19 @@
     pub failed_starts: u64,
 }
 
+/// Response ratio of the completed jobs of one size.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SizeClass {
+    /// Smallest number of tasks.
+    pub from_tasks: u64,
+    /// Completed jobs.
+    pub jobs: u64,
+    /// Median response ratio.
+    pub ratio_p50: f64,
+    /// 99th percentile of the response ratio.
+    pub ratio_p99: f64,
+}
+
 /// Figures of one second of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Series {
@@ -148,6 +161,9 @@
     pub refusals: BTreeMap<String, u64>,
     /// Some reasons of unreadable and lost replies.
     pub examples: Vec<String>,
+    /// Response ratio by size of the job.
+    #[serde(default)]
+    pub sizes: Vec<SizeClass>,
     /// Figures by second.
     pub series: Vec<Series>,
 }
@@ -239,6 +255,13 @@
                 "  to ideal  p50 {:.3}, p99 {:.3}, p999 {:.3}",
                 self.response_ratio_p50, self.response_ratio_p99, self.response_ratio_p999
             )?;
+            for size in self.sizes.iter().filter(|size| size.jobs > 0) {
+                writeln!(
+                    f,
+                    "    {:>3} jobs of {:>2} tasks or more: p50 {:.3}, p99 {:.3}",
+                    size.jobs, size.from_tasks, size.ratio_p50, size.ratio_p99
+                )?;
+            }
         }
         writeln!(
             f,
