subscriber, entry, agent, control: Report what a shutdown gave up

Cause: a process that exits after a shutdown lost its departure message to control, cut answers to slow callers after 1 s, and could not tell a supervisor whether work was cut off. Change: leaving resolves once the link has sent its queue (at most 1 s). An entry gives open responses the rest of the grace period. The shutdowns of entry and agent return the number of jobs or tasks that they gave up. The control process shows its incarnation. The entry's builder takes HTTP limits.

--- a/crates/agent/src/actor.rs
+++ b/crates/agent/src/actor.rs
@@ -61,6 +61,8 @@
     },
     /// The timer fired.
     Tick,
+    /// Ask for the number of tasks that run at the target.
+    Running(oneshot::Sender<u64>),
     /// Stop taking work; the reply comes when nothing runs.
     Drain(oneshot::Sender<()>),
 }
@@ -191,6 +193,10 @@
                 });
             }
             AgentMessage::Tick => self.step(Event::Tick),
+            AgentMessage::Running(reply) => {
+                // The asking side may have gone away.
+                let _ = reply.send(self.core.running() as u64);
+            }
             AgentMessage::Drain(done) => {
                 self.drained.push(done);
                 self.step(Event::Drain);
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -27,6 +27,9 @@
 /// a longer interval would save control little, and two lost renewals must fit into the 5 s before a change of control.
 const RENEW_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for open announcements to be answered at the end of a shutdown.
+const HTTP_GRACE: Duration = Duration::from_secs(1);
+
 /// Failure to start an agent.
 #[derive(Debug, Error)]
 pub enum AgentError {
@@ -161,15 +164,24 @@
 
     /// Refuses new work, waits until running tasks have ended and their results are confirmed, and stops.
     ///
-    /// After `grace` it stops in any case; results that are not confirmed by then are lost.
-    pub async fn shutdown(self, grace: Duration) {
+    /// After `grace` it stops in any case; results that are not confirmed by then are lost. Returns the number of
+    /// running tasks that it gave up.
+    pub async fn shutdown(self, grace: Duration) -> u64 {
         let (done, drained) = oneshot::channel();
-        if self.actor.cast(AgentMessage::Drain(done)).is_ok() {
-            let _ = timeout(grace, drained).await;
-        }
-        self.subscription.leave();
-        self.server.shutdown(Duration::from_secs(1)).await;
+        let drained = async { self.actor.cast(AgentMessage::Drain(done)).is_ok() && drained.await.is_ok() };
+        let finished = timeout(grace, drained).await.is_ok();
+        let unfinished = if finished { 0 } else { self.running().await };
+        self.subscription.leave().await;
+        self.server.shutdown(HTTP_GRACE).await;
         self.actor.stop(None);
+        unfinished
+    }
+
+    /// Returns the number of tasks that run at the target.
+    async fn running(&self) -> u64 {
+        let (reply, running) = oneshot::channel();
+        drop(self.actor.cast(AgentMessage::Running(reply)));
+        running.await.unwrap_or(0)
     }
 
     /// Stops at once, as a crash would.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -9,7 +9,7 @@
 };
 use chestnutfork_raft::Config;
 use chestnutfork_storage::{FileStore, Folder, LogStore};
-use chestnutfork_types::NodeName;
+use chestnutfork_types::{NodeName, ProcessId};
 use chestnutfork_wire::Role;
 use ractor::{Actor, ActorRef};
 use tokio::net::TcpListener;
@@ -153,6 +153,7 @@
 /// Running control process.
 #[derive(Debug)]
 pub struct RunningControl {
+    process: ProcessId,
     server: HttpServer,
     listener: Listener,
     dialers: Vec<Dialer>,
@@ -173,6 +174,12 @@
         &self.link_address
     }
 
+    /// Returns the incarnation of the process.
+    #[must_use]
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
     /// Returns the state of the replica, or nothing if it has stopped.
     pub async fn status(&self) -> Option<ReplicaStatus> {
         let (reply, status) = oneshot::channel();
@@ -239,10 +246,11 @@
         .map_err(|error| ControlError::Actor {
             reason: error.to_string(),
         })?;
+    let process = random_process_id();
     let me = Identity {
         role: Role::Control,
         name: cfg.name.clone(),
-        process: random_process_id(),
+        process,
         address: link_address.clone(),
     };
     let dialers = dial_members(&cfg.members, &me, &cfg.secret, &cfg.metrics, &actor);
@@ -260,6 +268,7 @@
         source,
     })?;
     Ok(RunningControl {
+        process,
         server,
         listener,
         dialers,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,7 +9,8 @@
 use chestnutfork_config::Document;
 use chestnutfork_dispatch::EntryCore;
 use chestnutfork_net::{
-    ClusterSecret, HttpServer, Identity, Listener, Metrics, Session, listen, now, random_process_id,
+    ClusterSecret, HttpLimits, HttpServer, Identity, Listener, Metrics, Session, listen, now,
+    random_process_id,
 };
 use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
 use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
@@ -28,6 +29,9 @@
 /// Interval between renewals of the entry's 2 s lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for the last answers to reach their callers when the grace period is over.
+const LEAST_HTTP_GRACE: Duration = Duration::from_secs(1);
+
 /// Failure to start an entry.
 #[derive(Debug, Error)]
 pub enum EntryError {
@@ -64,6 +68,7 @@
     secret: ClusterSecret,
     retention: Duration,
     max_records: usize,
+    http_limits: HttpLimits,
     metrics: Metrics,
 }
 
@@ -97,6 +102,7 @@
             secret,
             retention: Duration::from_mins(10),
             max_records: 1_000_000,
+            http_limits: HttpLimits::default(),
             metrics: Metrics::disabled(),
         };
         EntryConfigBuilder { cfg }
@@ -153,6 +159,13 @@
         self
     }
 
+    /// Sets the bounds on callers' requests.
+    #[must_use]
+    pub fn http_limits(mut self, limits: HttpLimits) -> Self {
+        self.cfg.http_limits = limits;
+        self
+    }
+
     /// Sets where metrics are counted.
     #[must_use]
     pub fn metrics(mut self, metrics: Metrics) -> Self {
@@ -211,16 +224,28 @@
 
     /// Refuses new jobs, waits until the known ones are answered, and stops.
     ///
-    /// After `grace` it stops in any case.
-    pub async fn shutdown(self, grace: Duration) {
+    /// After `grace` it stops in any case. Returns the number of jobs that it gave up.
+    pub async fn shutdown(self, grace: Duration) -> u64 {
+        let deadline = now() + grace;
         let (done, drained) = oneshot::channel();
-        if self.actor.cast(EntryMessage::Drain(done)).is_ok() {
-            let _ = timeout(grace, drained).await;
-        }
-        self.server.shutdown(Duration::from_secs(1)).await;
-        self.subscription.leave();
+        let drained = async { self.actor.cast(EntryMessage::Drain(done)).is_ok() && drained.await.is_ok() };
+        let finished = timeout(grace, drained).await.is_ok();
+        let unfinished = if finished { 0 } else { self.unanswered().await };
+        // Answers may still be on their way to slow callers.
+        let rest = deadline.saturating_duration_since(now()).max(LEAST_HTTP_GRACE);
+        self.server.shutdown(rest).await;
+        self.subscription.leave().await;
         drop(self.links);
         self.actor.stop(None);
+        unfinished
+    }
+
+    /// Returns the number of submissions without an answer.
+    async fn unanswered(&self) -> u64 {
+        let (reply, status) = oneshot::channel();
+        drop(self.actor.cast(EntryMessage::Status(reply)));
+        let status = status.await;
+        status.map_or(0, |status| u64::from(status.jobs) + u64::from(status.waiting))
     }
 
     /// Stops at once, as a crash would.
@@ -306,6 +331,7 @@
         next_ticket: Arc::new(AtomicU64::new(0)),
     };
     let server = HttpServer::builder(callers)
+        .limits(cfg.http_limits)
         .serve(front)
         .map_err(|source| EntryError::Listen {
             address: cfg.listen,
--- a/crates/subscriber/src/actor.rs
+++ b/crates/subscriber/src/actor.rs
@@ -12,11 +12,16 @@
 use chestnutfork_types::{ConfigVersion, FailureDomain, NodeName, ViewNumber};
 use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire, ViewWire};
 use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::core::SubscriberCore;
 use crate::event::{Action, ControlView, EntryInfo, Event};
 use crate::links::ControlLink;
 
+/// Longest wait until control has been told that this process leaves; without it the lease expires by itself.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Receiver of what control says; the methods run in the subscription's actor and must not block.
 pub trait SubscriptionHandler: Send + Sync + 'static {
     /// Puts a configuration version in force.
@@ -122,7 +127,7 @@
         link: LinkId,
     },
     Synced(ViewNumber),
-    Leave,
+    Leave(oneshot::Sender<()>),
     Tick,
 }
 
@@ -139,8 +144,13 @@
     }
 
     /// Ends the lease at once, so that control need not wait for it to expire.
-    pub fn leave(&self) {
-        drop(self.actor.cast(SubscriberMessage::Leave));
+    ///
+    /// It resolves once the message has been sent, because a process that exits earlier would lose it.
+    pub async fn leave(&self) {
+        let (done, left) = oneshot::channel();
+        if self.actor.cast(SubscriberMessage::Leave(done)).is_ok() {
+            let _ = timeout(LEAVE_TIMEOUT, left).await;
+        }
     }
 
     /// Stops without a word, as a crash would.
@@ -177,9 +187,17 @@
     dialer: Dialer,
     link: Option<(LinkId, LinkSender<SubscriberMessageWire>)>,
     control: NodeName,
+    leaving: Option<Leaving>,
     actions: Vec<Action>,
 }
 
+/// Departure that has been sent to control.
+struct Leaving {
+    /// Link that closes once its queue has been sent.
+    link: LinkId,
+    done: oneshot::Sender<()>,
+}
+
 impl<H: SubscriptionHandler> Actor for SubscriberActor<H> {
     type Msg = SubscriberMessage;
     type State = State<H>;
@@ -207,6 +225,7 @@
             dialer,
             link: None,
             control,
+            leaving: None,
             actions: Vec::new(),
         })
     }
@@ -217,13 +236,16 @@
         message: SubscriberMessage,
         state: &mut State<H>,
     ) -> Result<(), ActorProcessingErr> {
-        if matches!(message, SubscriberMessage::Leave) {
-            state.send(SubscriberMessageWire::Leaving);
-            me.stop(None);
-            return Ok(());
+        match message {
+            SubscriberMessage::Leave(done) => state.leave(done, &me),
+            SubscriberMessage::LinkDown { link } if state.leaving.is_some() => state.left(link, &me),
+            // A process that leaves follows control no more.
+            _ if state.leaving.is_some() => {}
+            _ => {
+                state.receive(message);
+                state.wakeup.set(state.core.next_wakeup());
+            }
         }
-        state.receive(message);
-        state.wakeup.set(state.core.next_wakeup());
         Ok(())
     }
 }
@@ -274,7 +296,26 @@
             }
             SubscriberMessage::Synced(view) => self.step(Event::Synced(view)),
             SubscriberMessage::Tick => self.step(Event::Tick),
-            SubscriberMessage::Leave => {}
+            // Handled by the actor.
+            SubscriberMessage::Leave(_) => {}
+        }
+    }
+
+    /// Queues the departure and gives up the sending side, which closes the link after the queue has been sent.
+    fn leave(&mut self, done: oneshot::Sender<()>, me: &ActorRef<SubscriberMessage>) {
+        self.send(SubscriberMessageWire::Leaving);
+        if let Some((link, _)) = self.link.take() {
+            self.leaving = Some(Leaving { link, done });
+        } else {
+            let _ = done.send(());
+            me.stop(None);
+        }
+    }
+
+    fn left(&mut self, closed: LinkId, me: &ActorRef<SubscriberMessage>) {
+        if let Some(leaving) = self.leaving.take_if(|leaving| leaving.link == closed) {
+            let _ = leaving.done.send(());
+            me.stop(None);
         }
     }
 
