cli, operator: Run every role as its own process

Cause: only quickstart and dev ran the roles, all in one process. Events go to standard error as the settings say, metrics to statsd, SIGTERM and SIGINT start a graceful shutdown. Exit codes: 0 after it, 2 for bad settings, 1 otherwise. The help lists the commands in groups, and explains every option.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -4,20 +4,41 @@
 
 use clap::{ArgMatches, Command};
 
+use crate::help::{CommandGroup, add_groups};
+use crate::roles;
 use crate::tools::{ToolError, load, platform, quickstart, target};
 
+/// Help beneath the options.
+const AFTER_HELP: &str = "\
+Examples:
+  chestnutfork quickstart
+  chestnutfork check entry examples/entry.yaml
+  chestnutfork entry --config examples/entry.yaml
+  chestnutfork status --control 127.0.0.1:7100
+
+`chestnutfork COMMAND --help` explains each command.";
+
 /// Declares the command line.
 pub(crate) fn command() -> Command {
-    Command::new("chestnutfork")
+    let group = |heading, commands| CommandGroup { heading, commands };
+    let command = Command::new("chestnutfork")
         .about("Dispatches sub-second tasks: every request answered once, on time, to the right caller")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(quickstart::command())
-        .subcommand(quickstart::dev_command())
-        .subcommand(load::command())
-        .subcommand(target::command())
-        .subcommand(platform::command())
+        .after_help(AFTER_HELP);
+    let trial = vec![quickstart::command(), quickstart::dev_command(), load::command()];
+    let simulated = vec![target::command(), platform::command()];
+    add_groups(
+        command,
+        vec![
+            group("Roles", roles::commands()),
+            group("Settings", roles::check_commands()),
+            group("Operators", roles::operator_commands()),
+            group("Trials", trial),
+            group("Simulated counterparts", simulated),
+        ],
+    )
 }
 
 /// Runs the chosen command.
@@ -28,7 +49,11 @@
         Some(("load", matches)) => load::run(matches).await,
         Some(("target", matches)) => target::run(matches).await,
         Some(("platform", matches)) => platform::run(matches).await,
-        _ => unreachable!("the command line requires a known subcommand"),
+        Some((name, matches)) => match roles::run(name, matches).await {
+            Some(exit) => Ok(exit),
+            None => unreachable!("every declared subcommand is listed here or in `roles`"),
+        },
+        None => unreachable!("the command line requires a subcommand"),
     };
     result.unwrap_or_else(|error| {
         eprintln!("chestnutfork: {error}");
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The `chestnutfork` command: every role and tool in one binary.
 
 mod cli;
+mod help;
+mod roles;
 mod tools;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/cli/src/roles/agent.rs
@@ -0,0 +1,45 @@
+//! Subcommand `agent`: the process beside a target.
+
+use std::process::ExitCode;
+
+use chestnutfork_agent::{AgentConfig, AgentError, start};
+use chestnutfork_net::ClusterSecret;
+use chestnutfork_settings::{AgentSettings, Role};
+use clap::{ArgMatches, Command};
+
+use super::process::{self, RoleProcess, fail, listen_failed};
+
+/// Declares the subcommand.
+pub(crate) fn command() -> Command {
+    process::command(
+        Role::Agent,
+        "Stands beside one target: admits, starts and records its tasks",
+        "chestnutfork agent --config examples/agent.yaml",
+    )
+}
+
+/// Runs the agent until a signal ends it.
+pub(crate) async fn run(matches: &ArgMatches) -> ExitCode {
+    serve(matches).await.unwrap_or_else(|exit| exit)
+}
+
+async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let settings = process::settings(matches, AgentSettings::load)?;
+    let process = RoleProcess::new(Role::Agent, settings.process.clone())?;
+    let grace = settings.process.shutdown_grace;
+    let cfg = AgentConfig::builder(
+        settings.process.name,
+        ClusterSecret::new(settings.cluster_secret.expose()),
+    )
+    .failure_domain(settings.failure_domain)
+    .listen(settings.listen.to_string())
+    .target_token(settings.target_token.expose())
+    .controls(settings.control.iter().map(ToString::to_string).collect())
+    .metrics(process.metrics())
+    .build();
+    let agent = start(cfg).await.map_err(|error| match &error {
+        AgentError::Listen { address, source } => listen_failed(address, source),
+        _ => fail(&error),
+    })?;
+    Ok(process.serve(agent.process(), || agent.shutdown(grace)).await)
+}
--- /dev/null
+++ b/crates/cli/src/roles/check.rs
@@ -0,0 +1,80 @@
+//! Subcommand `check`: checks settings files before a process starts with them.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use chestnutfork_settings::{Role, Settings, SettingsError, effective};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+/// Exit code if a file is not usable.
+const BAD_SETTINGS: u8 = 2;
+
+const AFTER_HELP: &str = "\
+All problems of all files are listed on standard error, one a line, with the
+file, the key path and the remedy. Files named by `cluster_secret_file` and
+`target_token_file` are read as well.
+
+Exit codes:
+  0  every file is usable
+  2  a file is not usable
+
+Examples:
+  chestnutfork check entry examples/entry.yaml
+  chestnutfork check control control-1.yaml control-2.yaml control-3.yaml
+  chestnutfork check agent --effective examples/agent.yaml";
+
+/// Declares the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new("check")
+        .about("Checks settings files of a role: unknown keys, ranges, missing settings")
+        .arg(
+            Arg::new("role")
+                .value_name("ROLE")
+                .required(true)
+                .value_parser(Role::ALL.map(Role::as_str))
+                .help("Role that the files are for"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings files (YAML)"),
+        )
+        .arg(
+            Arg::new("effective")
+                .long("effective")
+                .action(ArgAction::SetTrue)
+                .help("Prints the settings in force, with defaults filled in and secrets redacted"),
+        )
+        .after_help(AFTER_HELP)
+}
+
+/// Checks all files.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    let role = matches.get_one::<String>("role");
+    let Some(role) = role.and_then(|name| Role::from_name(name)) else {
+        unreachable!("the command line requires a known role");
+    };
+    let print = matches.get_flag("effective");
+    let mut exit = ExitCode::SUCCESS;
+    for file in matches.get_many::<PathBuf>("files").into_iter().flatten() {
+        match check(role, file, print) {
+            Ok(text) => println!("{text}"),
+            Err(error) => {
+                eprintln!("{error}");
+                exit = ExitCode::from(BAD_SETTINGS);
+            }
+        }
+    }
+    exit
+}
+
+fn check(role: Role, file: &Path, print: bool) -> Result<String, SettingsError> {
+    if print {
+        return effective(role, file).map(|text| format!("# {}\n{}", file.display(), text.trim_end()));
+    }
+    Settings::load(role, file)?;
+    Ok(format!("{}: usable", file.display()))
+}
--- /dev/null
+++ b/crates/cli/src/roles/entry.rs
@@ -0,0 +1,48 @@
+//! Subcommand `entry`: accepts jobs over HTTP and dispatches their tasks.
+
+use std::process::ExitCode;
+
+use chestnutfork_entry::{EntryConfig, EntryError, start};
+use chestnutfork_net::ClusterSecret;
+use chestnutfork_settings::{EntrySettings, Role};
+use clap::{ArgMatches, Command};
+
+use super::process::{self, RoleProcess, fail, listen_failed};
+
+/// Declares the subcommand.
+pub(crate) fn command() -> Command {
+    process::command(
+        Role::Entry,
+        "Accepts jobs over HTTP, dispatches their tasks and answers",
+        "chestnutfork entry --config examples/entry.yaml",
+    )
+}
+
+/// Runs the entry until a signal ends it.
+pub(crate) async fn run(matches: &ArgMatches) -> ExitCode {
+    serve(matches).await.unwrap_or_else(|exit| exit)
+}
+
+async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let settings = process::settings(matches, EntrySettings::load)?;
+    let process = RoleProcess::new(Role::Entry, settings.process.clone())?;
+    let grace = settings.process.shutdown_grace;
+    let cfg = EntryConfig::builder(
+        settings.process.name,
+        ClusterSecret::new(settings.cluster_secret.expose()),
+    )
+    .failure_domain(settings.failure_domain)
+    .listen(settings.listen.to_string())
+    .peer_listen(settings.peer_listen.to_string())
+    .advertise(settings.advertise_peers.to_string())
+    .controls(settings.control.iter().map(ToString::to_string).collect())
+    .max_records(settings.register.max_records)
+    .retention(settings.register.retention)
+    .metrics(process.metrics())
+    .build();
+    let entry = start(cfg).await.map_err(|error| match &error {
+        EntryError::Listen { address, source } => listen_failed(address, source),
+        _ => fail(&error),
+    })?;
+    Ok(process.serve(entry.process(), || entry.shutdown(grace)).await)
+}
--- /dev/null
+++ b/crates/cli/src/roles/process.rs
@@ -0,0 +1,179 @@
+//! What the processes of all roles share: settings, log, metrics, signals and exit codes.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use chestnutfork_events::{Format, ProcessEvent, Severity, emit};
+use chestnutfork_net::Metrics;
+use chestnutfork_settings::{ProcessSettings, Role, SettingsError};
+use chestnutfork_types::ProcessId;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit code of a process whose settings are not usable.
+const BAD_SETTINGS: u8 = 2;
+
+/// Help on what a role does with signals and how it exits.
+const AFTER_HELP: &str = "\
+Signals:
+  SIGTERM, SIGINT  Finish what is in flight within `shutdown_grace_ms`, then
+                   exit; a second signal exits at once.
+
+Exit codes:
+  0  stopped gracefully
+  2  the settings are not usable
+  1  anything else, such as an address in use or work that was cut off
+
+Events go to standard error as text or JSON (`log` in the settings); all of
+them are listed in docs/EVENTS.md, all settings in docs/SETTINGS.md.";
+
+/// Declares the subcommand of a role.
+pub(crate) fn command(role: Role, about: &'static str, example: &'static str) -> Command {
+    Command::new(role.as_str())
+        .about(about)
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .short('c')
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings of the process (YAML); `chestnutfork check` tests a file"),
+        )
+        .after_help(format!("{AFTER_HELP}\n\nExample:\n  {example}"))
+}
+
+/// Reads the settings of a role and reports the problems of an unusable file on standard error.
+pub(crate) fn settings<S>(
+    matches: &ArgMatches,
+    load: impl Fn(&Path) -> Result<S, SettingsError>,
+) -> Result<S, ExitCode> {
+    let file = matches.get_one::<PathBuf>("config").cloned().unwrap_or_default();
+    load(&file).map_err(|error| {
+        // The log settings are not known, so the defaults apply.
+        if chestnutfork_events::init(Severity::Info, Format::Text).is_err() {
+            eprintln!("{error}");
+        }
+        for problem in &error.problems {
+            emit(&ProcessEvent::SettingsRefused {
+                file: &error.file,
+                key: &problem.path,
+                error: &problem.message,
+            });
+        }
+        ExitCode::from(BAD_SETTINGS)
+    })
+}
+
+/// Process of a role from its settings to its exit.
+#[derive(Debug)]
+pub(crate) struct RoleProcess {
+    role: Role,
+    settings: ProcessSettings,
+    signals: Signals,
+}
+
+impl RoleProcess {
+    /// Sets up the log and the signals.
+    pub(crate) fn new(role: Role, settings: ProcessSettings) -> Result<Self, ExitCode> {
+        let log = settings.log;
+        chestnutfork_events::init(log.level, log.format).map_err(|error| fail(&error))?;
+        let signals = Signals::new().map_err(|error| {
+            fail(&format!(
+                "cannot receive signals: {error}; check the limits of the process"
+            ))
+        })?;
+        Ok(Self {
+            role,
+            settings,
+            signals,
+        })
+    }
+
+    /// Returns where metrics are counted; without a usable receiver they are counted nowhere.
+    pub(crate) fn metrics(&self) -> Metrics {
+        let Some(address) = self.settings.statsd.as_ref().map(SocketAddr::to_string) else {
+            return Metrics::disabled();
+        };
+        Metrics::statsd(&address).unwrap_or_else(|error| {
+            emit(&ProcessEvent::MetricsFailed {
+                address: &address,
+                error: &error.to_string(),
+            });
+            Metrics::disabled()
+        })
+    }
+
+    /// Serves until a signal arrives, then shuts down; `shutdown` resolves to the work that it gave up.
+    pub(crate) async fn serve<F>(mut self, process: ProcessId, shutdown: impl FnOnce() -> F) -> ExitCode
+    where
+        F: Future<Output = u64>,
+    {
+        let node = self.settings.name.as_str();
+        emit(&ProcessEvent::Started {
+            role: self.role.as_str(),
+            node,
+            process,
+        });
+        self.signals.next().await;
+        emit(&ProcessEvent::Draining {
+            node,
+            grace: self.settings.shutdown_grace,
+        });
+        let unfinished = tokio::select! {
+            unfinished = shutdown() => unfinished,
+            () = self.signals.next() => {
+                emit(&ProcessEvent::Interrupted { node, unfinished: 0 });
+                return ExitCode::FAILURE;
+            }
+        };
+        if unfinished > 0 {
+            emit(&ProcessEvent::Interrupted { node, unfinished });
+        }
+        emit(&ProcessEvent::Stopped { node, unfinished });
+        if unfinished > 0 {
+            return ExitCode::FAILURE;
+        }
+        ExitCode::SUCCESS
+    }
+}
+
+/// Signals that end a process.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Reports an error that ends the process.
+pub(crate) fn fail(error: &impl Display) -> ExitCode {
+    eprintln!("chestnutfork: {error}");
+    ExitCode::FAILURE
+}
+
+/// Reports an address that cannot be bound.
+pub(crate) fn listen_failed(address: &str, error: &impl Display) -> ExitCode {
+    emit(&ProcessEvent::ListenFailed {
+        address,
+        error: &error.to_string(),
+    });
+    ExitCode::FAILURE
+}
--- a/crates/operator/src/options.rs
+++ b/crates/operator/src/options.rs
@@ -43,6 +43,7 @@
         .about("Sends a patch of the configuration")
         .arg(
             Arg::new("file")
+                .value_name("FILE")
                 .required(true)
                 .value_parser(value_parser!(PathBuf))
                 .help("File with the JSON merge patch, in YAML or JSON"),
@@ -52,6 +53,7 @@
         .arg(
             Arg::new("id")
                 .long("id")
+                .value_name("UUID")
                 .value_parser(value_parser!(Uuid))
                 .help("Id of the patch, to repeat a command whose outcome is unknown"),
         )
@@ -81,22 +83,26 @@
     [
         Arg::new("control")
             .long("control")
+            .value_name("ADDRESS")
             .required(true)
             .action(ArgAction::Append)
             .value_delimiter(',')
             .value_parser(value_parser!(SocketAddr))
-            .help("Operator address of a control process; give several"),
+            .help("Operator addresses of control processes, separated by commas; give several"),
         Arg::new("token-file")
             .long("token-file")
+            .value_name("FILE")
             .value_parser(value_parser!(PathBuf))
             .help("File with the operator token; without it CHESTNUTFORK_TOKEN is used"),
         Arg::new("output")
             .long("output")
+            .value_name("FORMAT")
             .value_parser(["text", "json"])
             .default_value("text")
             .help("Format of the output"),
         Arg::new("timeout-ms")
             .long("timeout-ms")
+            .value_name("MS")
             .value_parser(value_parser!(u64).range(1..=600_000))
             .default_value("5000")
             .help("Time that one control process has to answer"),
@@ -106,6 +112,7 @@
 fn version(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
+        .value_name("VERSION")
         .value_parser(value_parser!(ConfigVersion))
         .help(help)
 }
@@ -113,6 +120,7 @@
 fn replica(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
+        .value_name("ID")
         .required(true)
         .value_parser(value_parser!(ReplicaId))
         .help(help)
@@ -121,6 +129,7 @@
 fn reason() -> Arg {
     Arg::new("reason")
         .long("reason")
+        .value_name("TEXT")
         .required(true)
         .help("Reason for the audit trail")
 }
