cli: Test the roles as separate processes

Cause: nothing ran the roles over process boundaries, with crashes and signals. Change: a test starts 3 control processes, 2 entries and 3 agents of the binary with simulated targets in the test, and checks answers against the targets' journals: normal jobs, a killed entry with resubmissions, a killed control leader, a terminated entry, a terminated agent, strangers.

--- /dev/null
+++ b/crates/cli/tests/processes.rs
@@ -0,0 +1,190 @@
+//! Runs all roles as separate processes of the binary and checks their answers against the targets' journals.
+
+mod cluster;
+
+use chestnutfork_standin::RunOutcome;
+use serde_json::json;
+
+use cluster::{
+    AGENTS, CONTROLS, Cluster, ENTRIES, Job, Reply, SERVICE, TARGET_TOKEN, TEAM_TOKEN, post, submit, until,
+};
+
+/// Submits a job in the background.
+fn submit_later(
+    cluster: &Cluster,
+    entry: usize,
+    job: &Job,
+) -> tokio::task::JoinHandle<Result<Reply, String>> {
+    let (address, body) = (cluster.addresses.entry(entry), job.body());
+    tokio::spawn(async move { submit(address, SERVICE, TEAM_TOKEN, &body).await })
+}
+
+/// Guards against answers that no target stands behind, and against repeated starts, when roles are separate processes.
+#[tokio::test]
+async fn processes_answer_every_job_once() {
+    let cluster = Cluster::start().await;
+    let jobs: Vec<Job> = (0..6).map(|_| Job::new(20, 20)).collect();
+    let replies = jobs.iter().enumerate();
+    let replies: Vec<_> = replies
+        .map(|(index, job)| submit_later(&cluster, index % ENTRIES + 1, job))
+        .collect();
+    for (job, reply) in jobs.iter().zip(replies) {
+        let reply = reply.await.unwrap().unwrap();
+        cluster.assert_completed(job, &reply).await;
+    }
+}
+
+/// Guards against a second start or a changed answer after the entry that owned the job is gone.
+#[tokio::test]
+async fn killed_entry_leaves_one_answer() {
+    let mut cluster = Cluster::start().await;
+    let job = Job::new(24, 500);
+    let lost = submit_later(&cluster, 1, &job);
+    cluster.wait_started(&job).await;
+    cluster.entries[0].kill();
+    assert!(lost.await.unwrap().is_err());
+    // Until control has removed the lost entry from the view, a refusal must not claim that nothing ran.
+    let answer = until("the other entry answers the job", async || {
+        let reply = cluster.submit(2, &job).await.unwrap();
+        if reply.status == 200 {
+            return Some(reply);
+        }
+        assert_eq!(reply.body["error"]["outcome"], "unknown", "{}", reply.body);
+        None
+    })
+    .await;
+    assert_eq!(answer.body["job_id"], job.id.to_string());
+    assert_eq!(answer.body["tasks"].as_array().unwrap().len(), job.tasks);
+    let again = cluster.submit(2, &job).await.unwrap();
+    assert_eq!(again, answer);
+    cluster.assert_started_once(&job).await;
+}
+
+/// Guards against a configuration that cannot change, or does not reach the processes, after the leader is lost.
+#[tokio::test]
+async fn killed_leader_leaves_patches_possible() {
+    let mut cluster = Cluster::start().await;
+    let leader = until("control has a leader", async || {
+        let status = cluster.status()?;
+        Some(status["leader"].as_str()?.to_owned())
+    })
+    .await;
+    let names = (1..=CONTROLS).map(|number| format!("control-{number}"));
+    let leader = names.into_iter().position(|name| name == leader).unwrap();
+    cluster.controls[leader].kill();
+    let version = cluster
+        .patch(&json!({
+            "services": { "second": { "pool": "main" } },
+            "teams": { "setters": { "services": [SERVICE, "second"] } },
+        }))
+        .await;
+    until("the version is in force everywhere", async || {
+        let status = cluster.status()?;
+        let processes = status["processes"].as_array()?;
+        let current = processes.iter().filter(|process| process["version"] == version);
+        (current.count() == ENTRIES + AGENTS).then_some(())
+    })
+    .await;
+    let job = Job::new(8, 10);
+    for entry in 1..=ENTRIES {
+        let address = cluster.addresses.entry(entry);
+        let reply = submit(address, "second", TEAM_TOKEN, &job.body()).await.unwrap();
+        cluster.assert_completed(&job, &reply).await;
+    }
+}
+
+/// Guards against a shutdown of an entry that cuts off a caller (R7) or that is reported as a failure.
+#[tokio::test]
+async fn terminated_entry_answers_its_jobs() {
+    let mut cluster = Cluster::start().await;
+    let job = Job::new(24, 500);
+    let reply = submit_later(&cluster, 1, &job);
+    cluster.wait_started(&job).await;
+    cluster.entries[0].terminate();
+    let reply = reply.await.unwrap().unwrap();
+    cluster.assert_completed(&job, &reply).await;
+    let code = cluster.entries[0].exit_code().await;
+    let log = cluster.entries[0].log();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("process stopped"), "{log}");
+    let next = Job::new(4, 10);
+    let reply = until("the other entry goes on alone", async || {
+        let reply = cluster.submit(2, &next).await.unwrap();
+        (reply.status == 200).then_some(reply)
+    })
+    .await;
+    cluster.assert_completed(&next, &reply).await;
+}
+
+/// Guards against a shutdown of an agent that cuts off running tasks or loses their results (R7).
+#[tokio::test]
+async fn terminated_agent_finishes_its_tasks() {
+    let mut cluster = Cluster::start().await;
+    let job = Job::new(24, 500);
+    let reply = submit_later(&cluster, 1, &job);
+    until("the first target runs a task", async || {
+        let journal = cluster.targets[0].journal().await.unwrap();
+        journal.entries.first().map(drop)
+    })
+    .await;
+    cluster.agents[0].terminate();
+    let reply = reply.await.unwrap().unwrap();
+    cluster.assert_completed(&job, &reply).await;
+    let code = cluster.agents[0].exit_code().await;
+    assert_eq!(code, Some(0), "{}", cluster.agents[0].log());
+    let journal = cluster.targets[0].journal().await.unwrap();
+    let mut runs = journal.entries.iter();
+    assert!(runs.all(|entry| entry.outcome == Some(RunOutcome::Completed)));
+}
+
+/// Guards against callers without a token of a team.
+#[tokio::test]
+async fn stranger_cannot_submit_patch_announce_or_join() {
+    let cluster = Cluster::start().await;
+    let job = Job::new(1, 10);
+    let entry = cluster.addresses.entry(1);
+    for token in ["", "no team has this token", TARGET_TOKEN] {
+        let reply = submit(entry, SERVICE, token, &job.body()).await.unwrap();
+        assert_eq!(reply.status, 401);
+        assert_eq!(reply.body["error"]["code"], "unauthorized");
+    }
+    let journals = cluster.journals().await;
+    assert!(journals.iter().all(|journal| journal.entries.is_empty()));
+
+    let version = cluster.version().unwrap();
+    let file = cluster.patch_file(&json!({ "services": { "stolen": { "pool": "main" } } }));
+    let base = version.to_string();
+    let output = cluster.operate_as_stranger(&["patch", &file, "--base", &base, "--reason", "none"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("not_authenticated"));
+    assert_eq!(cluster.version(), Some(version));
+
+    let announcement = json!({ "target": "stranger", "pool": "main", "slots": 8, "address": "127.0.0.1:9" });
+    let agent = cluster.addresses.agent(1);
+    let reply = post(agent, "/v1/announce", TEAM_TOKEN, &announcement)
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 401);
+
+    let mut settings = cluster.addresses.agent_settings(AGENTS + 1);
+    settings["cluster_secret"] = json!("another cluster secret");
+    let agent = cluster.extra("agent", "stranger-agent", &settings);
+    let mut settings = cluster.addresses.entry_settings(ENTRIES + 1);
+    settings["cluster_secret"] = json!("another cluster secret");
+    let entry = cluster.extra("entry", "stranger-entry", &settings);
+    for stranger in [&agent, &entry] {
+        until("the stranger is rejected", async || {
+            stranger
+                .log()
+                .contains("link_authentication_failed")
+                .then_some(())
+        })
+        .await;
+    }
+    let status = cluster.status().unwrap();
+    let known = status["processes"].as_array().unwrap().iter();
+    let known: Vec<_> = known.map(|process| process["name"].as_str().unwrap()).collect();
+    assert_eq!(known.len(), ENTRIES + AGENTS, "{known:?}");
+    let status = cluster.entry_status(1).await.unwrap();
+    assert_eq!(status["targets"].as_array().unwrap().len(), AGENTS);
+}
