--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -188,13 +188,14 @@
             let (index, _) = self.teams.insert_full(job.spec.team.clone());
             index
         });
+        let declared = job.spec.tasks[usize::from(queued.id.task)].declared;
         agent.attempts.insert(
             credit,
             Attempt {
                 task: queued.id,
                 started: now,
                 wanted: true,
-                declared: job.spec.tasks[usize::from(queued.id.task)].declared,
+                declared,
                 service: service_index,
                 team,
             },
@@ -202,6 +203,9 @@
         let acquired = self.quotas.try_acquire(&job.spec.team);
         debug_assert!(acquired, "the team was allowed one more task");
         service.in_flight += 1;
+        // Whether a task waits that could have started tells admission if the pool is saturated.
+        let waiting = service.queue.len() > service.queue.held_len();
+        service.admission.on_start(now, waiting);
         let task = &mut job.tasks[usize::from(queued.id.task)];
         task.queued -= 1;
         task.live.push(attempt);
@@ -213,7 +217,9 @@
         if !job.spec.at_most_once
             && !queued.hedge
             && service.policy.hedge.enabled
-            && let Some(after) = self.router.hedge_after(service_name, target, &service.policy)
+            && let Some(after) =
+                self.router
+                    .hedge_after_declared(service_name, declared, target, &service.policy)
         {
             self.hedges.insert((now + after, attempt));
         }
