--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod handshake;
 mod peer;
 mod raft;
+mod register;
 mod subscription;
 
 pub use agent::{AgentToEntryWire, EntryToAgentWire};
