dispatch: Ignore the last words of a replaced agent

Cause: an announcement of a former agent incarnation that was handled after that of the new one removed the new one, and its messages were ignored until it announced itself again. After a stall the order between two links is arbitrary.

Change: an announcement counts only if no newer link speaks for the target.

The new case in failures.rs fails without the rule.

Conclusion: a restarted agent is used at once.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -137,6 +137,9 @@
 pub(crate) struct Agents {
     by_process: IndexMap<ProcessId, Agent>,
     by_target: IndexMap<TargetIndex, ProcessId>,
+    /// Open links in the order in which they opened, also those without an announcement yet.
+    links: IndexMap<ProcessId, u64>,
+    last_link: u64,
 }
 
 impl Agents {
@@ -163,6 +166,20 @@
         self.by_process.insert(process, agent);
     }
 
+    pub(crate) fn link_opened(&mut self, process: ProcessId) {
+        self.last_link += 1;
+        self.links.insert(process, self.last_link);
+    }
+
+    pub(crate) fn link_closed(&mut self, process: ProcessId) {
+        self.links.swap_remove(&process);
+    }
+
+    /// Reports whether the link of `process` opened after that of `other`; a closed link is older than any open one.
+    pub(crate) fn is_newer(&self, process: ProcessId, other: ProcessId) -> bool {
+        self.links.get(&process) > self.links.get(&other)
+    }
+
     /// Removes an agent; its target keeps a newer incarnation if there is one.
     pub(crate) fn remove(&mut self, process: ProcessId) -> Option<Agent> {
         let agent = self.by_process.swap_remove(&process)?;
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -18,6 +18,7 @@
 
 impl EntryCore {
     pub(crate) fn agent_up(&mut self, process: ProcessId, actions: &mut Vec<Action>) {
+        self.agents.link_opened(process);
         self.lost_agents.retain(|&(_, lost)| lost != process);
         let Some(agent) = self.agents.get_mut(process) else {
             // A new agent is taken into the table with its announcement.
@@ -39,6 +40,7 @@
     }
 
     pub(crate) fn agent_down(&mut self, now: Instant, process: ProcessId) {
+        self.agents.link_closed(process);
         let Some(agent) = self.agents.get_mut(process) else {
             return;
         };
@@ -153,7 +155,12 @@
         actions: &mut Vec<Action>,
     ) {
         // Another incarnation of the agent cannot come back once a newer one speaks for the target.
-        for former in self.agents.others_of(&announcement.target, process) {
+        // The last words of the old one may still come after that: links are independent of each other.
+        let others = self.agents.others_of(&announcement.target, process);
+        if others.iter().any(|&other| self.agents.is_newer(other, process)) {
+            return;
+        }
+        for former in others {
             self.agent_gone(now, wall, former, actions);
         }
         let target = self.router.add_target(
--- a/crates/dispatch/tests/failures.rs
+++ b/crates/dispatch/tests/failures.rs
@@ -293,3 +293,29 @@
     bench.now += Duration::from_millis(100);
     assert_eq!(dispatches(&bench.run(Event::Tick)).len(), 1);
 }
+
+/// Guards against an agent that is ignored because the last announcement of its former incarnation came late.
+#[test]
+fn late_announcement_of_former_agent_is_ignored() {
+    let mut bench = Bench::new(&[]);
+    bench.agent_up();
+    let newer = AGENT + 1;
+    bench.run(Event::AgentUp { agent: newer });
+    let announcement = Announcement {
+        target: "target".into(),
+        pool: "pool".into(),
+        failure_domain: "fd".into(),
+        slots: 4,
+        leaving: false,
+        config: 1,
+    };
+    let say = |message| Event::AgentMessage {
+        agent: newer,
+        message,
+    };
+    bench.run(say(AgentToEntry::Announce(announcement)));
+    bench.announce(3, 1);
+    let (credits, ttl) = (vec![1], TTL);
+    bench.run(say(AgentToEntry::Grant { credits, ttl }));
+    assert_eq!(dispatches(&bench.submit(1, job(1, true), true)).len(), 1);
+}
