--- a/crates/control/tests/core.rs
+++ b/crates/control/tests/core.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chestnutfork_config::Update;
-use chestnutfork_control::{ControlMessage, Notice, OperatorRequest};
+use chestnutfork_control::{ControlMessage, Event, Notice, OperatorRequest};
 use chestnutfork_storage::MemoryFolder;
 use serde_json::json;
 
@@ -61,6 +61,22 @@
     assert_eq!(group.ask(leader, OperatorRequest::Config).1["version"], 0);
 }
 
+/// Guards against a log that grows without bound, or a patch that is refused for its size, when patches are large.
+#[test]
+fn patch_large_bodies_are_compacted() {
+    let (mut group, leader) = Group::formed(3);
+    for version in 0..12 {
+        let name = "x".repeat(50);
+        let services = (0..6000).map(|number| (format!("{name}{number}{version}"), json!(null)));
+        let body = json!({ "services": services.collect::<serde_json::Map<_, _>>() });
+        let (status, answer) = group.ask(leader, patch(version, u128::from(version) + 1, body));
+        assert_eq!(status, 200, "{answer}");
+    }
+    let raft = group.core(leader).raft();
+    assert!(raft.snapshot().meta.index > 0);
+    assert!((0..3).all(|node| group.core(node).version() == 12));
+}
+
 /// Guards against an operator who cannot tell what happened when the group has no quorum.
 #[test]
 fn patch_without_quorum_is_not_accepted() {
@@ -73,7 +89,7 @@
     assert_eq!((status, &body["error"]["code"]), (503, &json!("outcome_unknown")));
     let (status, _) = group.ask(leader, patch(0, 1, service(1)));
     assert_eq!(status, 503);
-    group.blocked.clear();
+    group.reconnect();
     let leader = group.elect();
     assert_eq!(group.ask(leader, patch(0, 1, service(1))).0, 200);
 }
@@ -101,7 +117,7 @@
     let (status, _) = group.ask(follower, OperatorRequest::Config);
     assert_eq!(status, 503);
 
-    group.blocked.clear();
+    group.reconnect();
     group.run(SECOND * 3);
     group.renew(follower, 50_000, 2, 0);
     assert_eq!(group.confirmed(50_000, group.now), [2]);
@@ -204,11 +220,32 @@
     assert_eq!(group.ask(new, patch(0, 1, service(1))).0, 200);
     assert_eq!(group.core(old).version(), 0);
     group.store(old).folder_mut().set_capacity(None);
-    group.event(old, chestnutfork_control::Event::StorageReady);
+    group.event(old, Event::StorageReady);
     group.run(SECOND * 3);
     assert_eq!(group.core(old).version(), 1);
 }
 
+/// Guards against a shutdown that keeps leadership because the chosen successor is lost just before.
+#[test]
+fn shutdown_lost_successor_is_replaced() {
+    for offset in 1..3 {
+        let (mut group, leader) = Group::formed(3);
+        group.isolate((leader + offset) % 3);
+        group.event(leader, Event::Shutdown);
+        group.run(SECOND * 4);
+        assert!(!group.core(leader).is_leader());
+        assert_eq!(group.leader(), Some((leader + 3 - offset) % 3));
+    }
+}
+
+/// Guards against a shutdown that waits for a successor that cannot exist.
+#[test]
+fn can_hand_over_alone_is_false() {
+    let (group, leader) = Group::formed(1);
+    assert!(group.core(leader).is_leader());
+    assert!(!group.core(leader).can_hand_over(group.now));
+}
+
 /// Guards against entries that are missing in the view, and against a lost entry that stays in it.
 #[test]
 fn view_follows_leases() {
