dispatch: Pause targets that refuse connections

Cause: a task that did not start because its target refused the connection went back to the only target at once, and was given up as not run after 20 dispatches in a few milliseconds, long before its deadline.

Change: such an end pauses the agent as an unconfirmed configuration does, for 100 ms doubling to 1.6 s.

The new case in failures.rs fails without the rule.

Conclusion: a restarting target costs few messages, and its tasks wait for it.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_routing::TargetIndex;
-use chestnutfork_types::{Announcement, CreditId, ProcessId};
+use chestnutfork_types::{Announcement, AttemptOutcome, CreditId, ProcessId};
 use indexmap::IndexMap;
 
 use crate::job::TaskRef;
@@ -13,8 +13,8 @@
 const USABLE_NUMERATOR: u32 = 3;
 const USABLE_DENOMINATOR: u32 = 4;
 
-/// Shortest and longest pause after a refusal for an unconfirmed configuration, which lasts until control reaches the
-/// agent again. The longest bounds the delay of the first task after that.
+/// Shortest and longest pause after a dispatch that did not start because the target refuses connections or the agent's
+/// configuration is unconfirmed. Both last for seconds; the longest pause bounds the delay of the first task after that.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(1600);
 
@@ -116,6 +116,14 @@
         if usable { self.credits.len() } else { 0 }
     }
 
+    /// Notes how an attempt ended: a target that refuses connections is paused, any other end resets the backoff.
+    pub(crate) fn note_outcome(&mut self, now: Instant, outcome: &AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::NotStarted { .. } => self.pause(now),
+            _ => self.pause = Duration::ZERO,
+        }
+    }
+
     /// Sends nothing to the agent for a while.
     pub(crate) fn pause(&mut self, now: Instant) {
         // Refusals of dispatches that were sent together count once.
@@ -126,7 +134,6 @@
     }
 
     pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
-        self.pause = Duration::ZERO;
         self.acks.push(credit);
         self.acks_since.get_or_insert(now);
     }
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -89,6 +89,7 @@
                     agent.take_next(now, next);
                 }
                 agent.confirm(now, result.credit);
+                agent.note_outcome(now, &result.outcome);
                 self.attempt_ended(
                     now,
                     wall,
--- a/crates/dispatch/tests/failures.rs
+++ b/crates/dispatch/tests/failures.rs
@@ -319,3 +319,33 @@
     bench.run(say(AgentToEntry::Grant { credits, ttl }));
     assert_eq!(dispatches(&bench.submit(1, job(1, true), true)).len(), 1);
 }
+
+/// Guards against tasks given up as not run, after 20 dispatches in a few milliseconds, while their only target restarts.
+#[test]
+fn refusing_target_is_paused() {
+    let mut bench = Bench::new(&[]);
+    bench.agent_up();
+    bench.grant(1);
+    let mut sent = dispatches(&bench.submit(1, job(1, true), true));
+    let mut count = 0;
+    while bench.core.status().jobs > 0 {
+        for dispatch in sent {
+            count += 1;
+            bench.agent_says(AgentToEntry::Result(TaskResult {
+                credit: dispatch.credit,
+                outcome: AttemptOutcome::NotStarted {
+                    reason: "refused".into(),
+                },
+                run_time: Duration::ZERO,
+                next: Some(dispatch.credit + 1),
+            }));
+        }
+        bench.now += Duration::from_millis(10);
+        bench.agent_says(AgentToEntry::Renew { ttl: TTL });
+        sent = dispatches(&bench.run(Event::Tick));
+    }
+    assert!(
+        (2..10).contains(&count),
+        "{count} dispatches in the 5 s of the deadline"
+    );
+}
