agent, dispatch: Free a slot only when the target has ended the task

A declared run time alone could refuse a job as one that can never run. A result of an attempt of an idempotent job's former run was counted for its next run. Change: the agent asks the target to stop the task until it confirms, and takes the answer if it still comes; a target can say that a refused task has not started; declarations count only as far as observed run times bear them out; results belong to the run that dispatched them; confirmations leave before a drained entry does.

--- a/crates/agent/src/target.rs
+++ b/crates/agent/src/target.rs
@@ -8,15 +8,19 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use uuid::Uuid;
 
 /// Largest output of a task; a job's answer holds up to 200 of them.
 const MAX_OUTPUT_BYTES: usize = 256 * 1024;
 /// Longest reason of a failure that is passed on to the caller.
 const MAX_REASON_BYTES: usize = 512;
-/// Time for the target to confirm that a stopped task has ended.
+/// Time for the target to confirm that a stopped task has ended, before it is asked again.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause before the target is asked again to stop a task.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Header by which a target says with its refusal that it has not started the task.
+const NOT_STARTED_HEADER: &str = "x-chestnutfork-not-started";
 
 /// Client of one target.
 #[derive(Clone, Debug)]
@@ -76,14 +80,25 @@
                 return AttemptOutcome::NotStarted { reason };
             }
         };
+        let exchange = self.exchange(request);
+        tokio::pin!(exchange);
+        let reason = tokio::select! {
+            outcome = &mut exchange => return outcome,
+            () = sleep(limit) => "the deadline passed while the task ran",
+            () = stop_requested(&mut stopped) => "the task was cancelled while it ran",
+        };
+        // The slot is free only once the target has ended the task. If it ends by itself, its answer still counts.
         tokio::select! {
-            ended = timeout(limit, self.exchange(request)) => ended.unwrap_or_else(|_| AttemptOutcome::Unknown {
-                reason: "the deadline passed while the task ran".to_owned(),
-            }),
-            () = stop_requested(&mut stopped) => {
-                self.stop_task(&path).await;
-                AttemptOutcome::Unknown { reason: "the task was cancelled while it ran".to_owned() }
-            }
+            biased;
+            outcome = &mut exchange => match outcome {
+                AttemptOutcome::Completed { .. } | AttemptOutcome::NotStarted { .. } => return outcome,
+                AttemptOutcome::Failed { .. } => {}
+                AttemptOutcome::Unknown { .. } => self.stop_until_ended(&path).await,
+            },
+            () = self.stop_until_ended(&path) => {}
+        }
+        AttemptOutcome::Unknown {
+            reason: reason.to_owned(),
         }
     }
 
@@ -115,6 +130,7 @@
             }
         };
         let status = response.status();
+        let not_started = status != StatusCode::OK && response.headers().contains_key(NOT_STARTED_HEADER);
         let body = Limited::new(response.into_body(), MAX_OUTPUT_BYTES)
             .collect()
             .await;
@@ -122,6 +138,9 @@
             Ok(body) if status == StatusCode::OK => AttemptOutcome::Completed {
                 output: body.to_bytes(),
             },
+            Ok(body) if not_started => AttemptOutcome::NotStarted {
+                reason: failure_reason(status, &body.to_bytes()),
+            },
             Ok(body) => AttemptOutcome::Failed {
                 reason: failure_reason(status, &body.to_bytes()),
             },
@@ -134,15 +153,23 @@
         }
     }
 
-    /// Asks the target to stop a task and waits until it has confirmed that the task has ended.
-    async fn stop_task(&self, path: &str) {
-        let request = Request::builder()
-            .method(Method::DELETE)
-            .uri(format!("http://{}{path}", self.address))
-            .body(Full::new(Bytes::new()));
-        if let Ok(request) = request {
-            // The task is reported as cancelled whether or not the target confirms.
-            let _ = timeout(STOP_TIMEOUT, self.http.request(request)).await;
+    /// Asks the target to stop a task until it confirms that the task has ended, or is gone itself.
+    async fn stop_until_ended(&self, path: &str) {
+        loop {
+            let request = Request::builder()
+                .method(Method::DELETE)
+                .uri(format!("http://{}{path}", self.address))
+                .body(Full::new(Bytes::new()));
+            let Ok(request) = request else {
+                return;
+            };
+            match timeout(STOP_TIMEOUT, self.http.request(request)).await {
+                // An unknown task has ended before.
+                Ok(Ok(response)) if response.status().is_success() => return,
+                Ok(Ok(response)) if response.status() == StatusCode::NOT_FOUND => return,
+                Ok(Err(error)) if error.is_connect() => return,
+                _ => sleep(STOP_RETRY_DELAY).await,
+            }
         }
     }
 }
--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -318,7 +318,11 @@
             return;
         };
         let task = &mut job.tasks[usize::from(attempt.task.task)];
-        task.live.retain(|&live| live != id);
+        // An idempotent job that was given up and taken again does not own the attempts of its former run.
+        let Some(at) = task.live.iter().position(|&live| live == id) else {
+            return;
+        };
+        task.live.remove(at);
         if task.status.is_some() {
             return;
         }
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -263,9 +263,11 @@
 
     /// Confirms results in batches, so that agents can forget them.
     fn flush_acks(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let drained = self.draining && self.jobs.is_empty();
         for (process, agent) in self.agents.iter_mut() {
-            let due = agent.acks_due().is_some_and(|due| due <= now);
-            if agent.linked && (due || agent.acks.len() >= ACK_BATCH) {
+            // Once draining is complete nobody is left to send them later, and the agent keeps results until then.
+            let due = drained || agent.acks_due().is_some_and(|due| due <= now);
+            if agent.linked && !agent.acks.is_empty() && (due || agent.acks.len() >= ACK_BATCH) {
                 let credits = std::mem::take(&mut agent.acks);
                 agent.acks_since = None;
                 let message = EntryToAgent::Ack { credits };
--- a/crates/dispatch/src/submit.rs
+++ b/crates/dispatch/src/submit.rs
@@ -128,7 +128,7 @@
         }
         let request = AdmissionRequest {
             tasks: job.tasks.len(),
-            declared: job.tasks.iter().filter_map(|task| task.declared).max(),
+            declared: self.longest_credible(job),
             deadline: job.deadline,
             queued: service.queue.len() + service.claiming,
             team_queued: service.queue.team_len(&job.team),
@@ -140,6 +140,18 @@
         service.admission.check(now, &request, policy)
     }
 
+    /// Returns the longest run time that a task of the job declares, as far as observed run times bear it out.
+    ///
+    /// Declarations are often far off; a job must not be refused for a wrong one.
+    fn longest_credible(&self, job: &JobSpec) -> Option<Duration> {
+        let declared = job.tasks.iter().filter_map(|task| task.declared);
+        let credible = declared.map(|declared| {
+            let learned = self.router.expected_run_time_declared(&job.service, declared);
+            learned.map_or(declared, |learned| declared.min(learned))
+        });
+        credible.max()
+    }
+
     /// Looks the job up before a refusal, because an earlier submission of it may have run.
     #[expect(
         clippy::too_many_arguments,
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -205,6 +205,22 @@
         slowness.reduce(f64::min).map_or(1.0, |least| 1.0 / least)
     }
 
+    /// Returns the expected run time of a task with the given declaration on a target of average speed, if known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let router = chestnutfork_routing::Router::new(1);
+    /// assert_eq!(router.expected_run_time_declared("desk", Duration::from_secs(1)), None);
+    /// ```
+    #[must_use]
+    pub fn expected_run_time_declared(&self, service: &str, declared: Duration) -> Option<Duration> {
+        let seconds = self.services.get(service)?.expected(Some(declared))?;
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
     /// Returns the mean run time of a service on a target of average speed, if any was observed.
     ///
     /// # Examples
--- a/crates/standin/src/target/http.rs
+++ b/crates/standin/src/target/http.rs
@@ -6,6 +6,7 @@
 
 use chestnutfork_types::TaskIndex;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, StatusCode};
@@ -147,7 +148,7 @@
         }),
         RunEnd::Failed { reason } => text(StatusCode::INTERNAL_SERVER_ERROR, reason),
         RunEnd::Stopped => text(StatusCode::CONFLICT, "the task was stopped"),
-        RunEnd::NoSlot => text(StatusCode::SERVICE_UNAVAILABLE, "every slot is taken"),
+        RunEnd::NoSlot => not_started("every slot is taken"),
     }
 }
 
@@ -225,6 +226,14 @@
         .map_err(|_| format!("header {name} has the bad value `{text}`"))
 }
 
+/// Refuses a task and says that it has not started.
+fn not_started(reason: &str) -> Reply {
+    let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let value = HeaderValue::from_static("true");
+    reply.headers_mut().insert("x-chestnutfork-not-started", value);
+    reply
+}
+
 fn stopped() -> Reply {
     text(StatusCode::SERVICE_UNAVAILABLE, "the target has stopped")
 }
