dispatch: Count an attempt only for the run that made it

An idempotent job had ended at its deadline and was submitted again; the end of an attempt of the first run counted for the second. A job of fewer tasks under the same id would have panicked in release mode as well.

Change: the end of an attempt and a hedge apply only to a task that has this attempt in flight.

The new case in failures.rs fails without either rule.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -317,8 +317,15 @@
         let Some(job) = self.jobs.get_mut(&attempt.task.job) else {
             return;
         };
-        let task = &mut job.tasks[usize::from(attempt.task.task)];
-        task.live.retain(|&live| live != id);
+        // An attempt of an earlier run of an idempotent job may end while the job runs again under the same id.
+        let Some(task) = job.tasks.get_mut(usize::from(attempt.task.task)) else {
+            return;
+        };
+        let live = task.live.iter().position(|&live| live == id);
+        let Some(position) = live else {
+            return;
+        };
+        task.live.remove(position);
         if task.status.is_some() {
             return;
         }
--- a/crates/dispatch/src/repeats.rs
+++ b/crates/dispatch/src/repeats.rs
@@ -75,8 +75,10 @@
             return;
         };
         let target = self.agents.get(attempt.agent).map(|agent| agent.target);
-        let task = &mut job.tasks[usize::from(id.task)];
-        if task.status.is_some() || task.live.len() != 1 || task.queued > 0 {
+        let Some(task) = job.tasks.get_mut(usize::from(id.task)) else {
+            return;
+        };
+        if task.status.is_some() || task.live != [attempt] || task.queued > 0 {
             return;
         }
         let budget = self
--- a/crates/dispatch/tests/failures.rs
+++ b/crates/dispatch/tests/failures.rs
@@ -349,3 +349,36 @@
         "{count} dispatches in the 5 s of the deadline"
     );
 }
+
+/// Guards against the end of an attempt of an earlier run that counts for a later run of the same job.
+#[test]
+fn attempt_of_earlier_run_does_not_count() {
+    for outcome in [
+        AttemptOutcome::Completed { output: "old".into() },
+        AttemptOutcome::NotStarted {
+            reason: "refused".into(),
+        },
+    ] {
+        let mut bench = Bench::new(&[]);
+        bench.agent_up();
+        bench.grant(1);
+        let mut idempotent = job(1, false);
+        idempotent.deadline = Duration::from_millis(500);
+        let mut larger = idempotent.clone();
+        larger.tasks.insert(0, idempotent.tasks[0].clone());
+        bench.grant(2);
+        bench.submit(1, larger, true);
+        bench.now += Duration::from_millis(500);
+        assert!(reply(&bench.run(Event::Tick), 1).is_some());
+        bench.submit(2, idempotent, true);
+        for credit in [1, 2] {
+            let late = AgentToEntry::Result(TaskResult {
+                credit,
+                outcome: outcome.clone(),
+                run_time: Duration::ZERO,
+                next: None,
+            });
+            assert_eq!(reply(&bench.agent_says(late), 2), None);
+        }
+    }
+}
