dispatch, control: End shutdowns that waited for lost processes

Cause: an entry that shut down left results unconfirmed for up to 100 ms, so the agents kept them and their own shutdown waited for its whole grace period. A control leader whose chosen successor stopped as well never chose another one, and waited for its grace period, too. Change: an entry that drains confirms results at once. A leader that shuts down hands over again after 1 s.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 use std::sync::mpsc::Sender;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use chestnutfork_events::{ControlEvent, emit};
 use chestnutfork_net::{Identity, LinkId, LinkSender, Wakeup, now};
@@ -23,6 +23,9 @@
 /// Interval between two attempts to write to a full or broken disk.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between two attempts to hand leadership over; an attempt is given up after one election timeout.
+const HANDOVER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// State of a replica, for tests and the quickstart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplicaStatus {
@@ -105,6 +108,8 @@
     operators: IndexMap<RequestId, oneshot::Sender<Reply>>,
     next_ticket: RequestId,
     drained: Vec<oneshot::Sender<()>>,
+    /// Time of the last attempt to hand leadership over.
+    handover: Instant,
     outputs: Vec<Output>,
 }
 
@@ -130,6 +135,7 @@
         operators: IndexMap::new(),
         next_ticket: 0,
         drained: Vec::new(),
+        handover: now(),
         outputs: Vec::new(),
     }
 }
@@ -165,7 +171,10 @@
     fn receive(&mut self, message: ReplicaMessage) -> Result<(), ControlError> {
         match message {
             ReplicaMessage::Event(event) => self.event(event),
-            ReplicaMessage::Tick => self.event(Event::Tick),
+            ReplicaMessage::Tick => {
+                self.event(Event::Tick);
+                self.retry_handover();
+            }
             ReplicaMessage::PeerUp { link, peer, tx } => {
                 self.peers.insert(link, tx);
                 let Identity { name, address, .. } = peer;
@@ -196,7 +205,7 @@
             }
             ReplicaMessage::Drain(reply) => {
                 self.drained.push(reply);
-                self.event(Event::Shutdown);
+                self.hand_over();
             }
         }
         Ok(())
@@ -315,6 +324,18 @@
         }
     }
 
+    fn hand_over(&mut self) {
+        self.handover = now();
+        self.event(Event::Shutdown);
+    }
+
+    /// Hands leadership over once more if a shutdown waits for it: the successor may have stopped meanwhile.
+    fn retry_handover(&mut self) {
+        if !self.drained.is_empty() && now() >= self.handover + HANDOVER_INTERVAL {
+            self.hand_over();
+        }
+    }
+
     fn answer_drained(&mut self) {
         if self.core.is_leader() {
             return;
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -256,9 +256,13 @@
     }
 
     /// Confirms results in batches, so that agents can forget them.
+    ///
+    /// An entry that shuts down confirms at once: an agent would keep the results of an entry that is gone until control
+    /// has removed the entry, and could not end its own shutdown before.
     fn flush_acks(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let draining = self.draining;
         for (process, agent) in self.agents.iter_mut() {
-            let due = agent.acks_due().is_some_and(|due| due <= now);
+            let due = agent.acks_due().is_some_and(|due| draining || due <= now);
             if agent.linked && (due || agent.acks.len() >= ACK_BATCH) {
                 let credits = std::mem::take(&mut agent.acks);
                 agent.acks_since = None;
