net, entry: Answer slow headers and oversized bodies, and test bad requests

Cause: a caller whose header did not arrive in time was disconnected without an answer, and a caller that still sent an oversized body could lose the answer to a reset connection. Change: the server answers 408 header_timeout, and reads up to 64 MiB of an oversized body before it answers 413. It watches its connections itself, because hyper's graceful shutdown does not give the socket back. Conclusion: bytes that are not HTTP get hyper's bare 400, 414 or 431 without a body.

--- /dev/null
+++ b/crates/entry/tests/http.rs
@@ -0,0 +1,247 @@
+//! Sends bad requests to an entry over real sockets, while other callers are served.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chestnutfork_config::TokenHash;
+use chestnutfork_entry::EntryConfig;
+use chestnutfork_local::{LocalConfig, LocalSet, TargetShape};
+use chestnutfork_net::{ClusterSecret, HttpLimits};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+const TOKEN: &str = "team token of the test";
+const JOBS: &str = "/v1/services/desk/jobs";
+
+/// Status and body of a response.
+#[derive(Clone, Debug, PartialEq)]
+struct Reply {
+    status: u16,
+    body: Value,
+}
+
+impl Reply {
+    fn code(&self) -> &str {
+        self.body["error"]["code"].as_str().unwrap_or_default()
+    }
+}
+
+/// Sends bytes and reads until the entry closes the connection.
+async fn exchange(entry: SocketAddr, request: &[u8]) -> Reply {
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    let (head, body) = response.split_once("\r\n\r\n").unwrap();
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    let body = serde_json::from_str(body).unwrap_or(Value::Null);
+    Reply { status, body }
+}
+
+fn request(method: &str, path: &str, token: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {token}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+    );
+    [head.as_bytes(), body.as_bytes()].concat()
+}
+
+async fn submit(entry: SocketAddr, body: &str) -> Reply {
+    exchange(entry, &request("POST", JOBS, TOKEN, body)).await
+}
+
+/// Starts a set with one entry and one target.
+async fn start() -> LocalSet {
+    let document = json!({
+        "services": {
+            "desk": { "pool": "main", "max_tasks": 3, "max_deadline_ms": 60_000 },
+            "closed": { "pool": "main" },
+        },
+        "teams": {
+            "setters": { "token_sha256": TokenHash::of(TOKEN).to_hex(), "quota": 10, "services": ["desk"] }
+        },
+    });
+    let shape = TargetShape {
+        slots: 8,
+        speed: 1.0,
+        jitter: 0.0,
+    };
+    let cfg = LocalConfig::builder(document)
+        .entries(1)
+        .targets(vec![shape])
+        .build();
+    LocalSet::start(cfg).await.unwrap()
+}
+
+/// Submits a job that runs while the test goes on.
+fn submit_later(entry: SocketAddr) -> JoinHandle<Reply> {
+    tokio::spawn(async move { submit(entry, r#"{"tasks": [{"payload": {"run_ms": 500}}]}"#).await })
+}
+
+fn assert_completed(reply: &Reply) {
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(reply.body["outcome"], "completed", "{}", reply.body);
+}
+
+/// Guards against bad submissions that are accepted, answered without a stable code, or disturb other callers.
+#[tokio::test]
+async fn entry_refuses_malformed_submissions() {
+    let set = start().await;
+    let entry = set.entries()[0];
+    let running = submit_later(entry);
+    let deep = "[".repeat(100_000);
+    let cases = [
+        ("", 400, "bad_job"),
+        ("{", 400, "bad_job"),
+        ("[]", 400, "bad_job"),
+        ("null", 400, "bad_job"),
+        ("\u{0}", 400, "bad_job"),
+        (&deep, 400, "bad_job"),
+        (r#"{"tasks": []}"#, 400, "bad_job"),
+        (r#"{"tasks": [{}]}"#, 400, "bad_job"),
+        (r#"{"tasks": [{"payload": 1}], "task": 1}"#, 400, "bad_job"),
+        (
+            r#"{"tasks": [{"payload": 1}], "deadline_ms": -1}"#,
+            400,
+            "bad_job",
+        ),
+        (
+            r#"{"tasks": [{"payload": 1}], "deadline_ms": 1e99}"#,
+            400,
+            "bad_job",
+        ),
+        (
+            r#"{"tasks": [{"payload": 1, "declared_ms": "x"}]}"#,
+            400,
+            "bad_job",
+        ),
+        (
+            r#"{"tasks": [{"payload": 1}, {"payload": 1}, {"payload": 1}, {"payload": 1}]}"#,
+            400,
+            "bad_job",
+        ),
+        (r#"{"job_id": "x", "tasks": [{"payload": 1}]}"#, 400, "bad_job_id"),
+        (
+            r#"{"job_id": "f47ac10b-58cc-4372-a567-0e02b2c3d479", "tasks": [{"payload": 1}]}"#,
+            400,
+            "bad_job_id",
+        ),
+        (
+            r#"{"tasks": [{"payload": 1, "declared_ms": 18446744073709551615}]}"#,
+            422,
+            "can_never_run",
+        ),
+    ];
+    for (body, status, code) in cases {
+        let reply = submit(entry, body).await;
+        let start: String = body.chars().take(100).collect();
+        assert_eq!(
+            (reply.status, reply.code()),
+            (status, code),
+            "{start}: {}",
+            reply.body
+        );
+        assert_eq!(reply.body["error"]["outcome"], "not_run");
+        assert!(reply.body["error"]["message"].as_str().unwrap().len() > 10);
+    }
+    assert_completed(&running.await.unwrap());
+    set.shutdown().await;
+}
+
+/// Guards against wrong paths, methods and tokens that reach the job handling.
+#[tokio::test]
+async fn entry_refuses_misdirected_requests() {
+    let set = start().await;
+    let entry = set.entries()[0];
+    let running = submit_later(entry);
+    let job = r#"{"tasks": [{"payload": 1}]}"#;
+    let cases = [
+        ("GET", "/", TOKEN, 404, "not_found"),
+        ("GET", JOBS, TOKEN, 404, "not_found"),
+        ("POST", "/v1/services/desk", TOKEN, 404, "not_found"),
+        ("POST", "/v1/services/%2e%2e/jobs", TOKEN, 404, "unknown_service"),
+        ("POST", "/v1/services/absent/jobs", TOKEN, 404, "unknown_service"),
+        ("POST", "/v1/services/closed/jobs", TOKEN, 403, "not_allowed"),
+        ("POST", JOBS, "", 401, "unauthorized"),
+        ("POST", JOBS, "stranger", 401, "unauthorized"),
+        ("GET", "/v1/status", "stranger", 401, "unauthorized"),
+        ("DELETE", "/v1/services/desk/jobs/x", TOKEN, 400, "bad_job_id"),
+        (
+            "DELETE",
+            "/v1/services/desk/jobs/x",
+            "stranger",
+            401,
+            "unauthorized",
+        ),
+    ];
+    for (method, path, token, status, code) in cases {
+        let reply = exchange(entry, &request(method, path, token, job)).await;
+        assert_eq!(
+            (reply.status, reply.code()),
+            (status, code),
+            "{method} {path}: {}",
+            reply.body
+        );
+    }
+    assert_completed(&running.await.unwrap());
+    set.shutdown().await;
+}
+
+/// Guards against a large submission that is read into memory whole, or whose sender learns nothing.
+#[tokio::test]
+async fn entry_refuses_oversized_submission() {
+    let set = start().await;
+    let entry = set.entries()[0];
+    let running = submit_later(entry);
+    let payload = "x".repeat(HttpLimits::default().max_body);
+    let reply = submit(entry, &format!(r#"{{"tasks": [{{"payload": "{payload}"}}]}}"#)).await;
+    assert_eq!((reply.status, reply.code()), (413, "body_too_large"));
+    let line = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(100_000));
+    assert_eq!(exchange(entry, line.as_bytes()).await.status, 414);
+    assert_eq!(exchange(entry, b"\x16\x03\x01\r\n\r\n").await.status, 400);
+    assert_completed(&running.await.unwrap());
+    set.shutdown().await;
+}
+
+/// Guards against stalled callers that keep an entry from serving others.
+#[tokio::test]
+async fn entry_serves_beside_stalled_callers() {
+    let set = start().await;
+    let entry = set.entries()[0];
+    let mut stalled = Vec::new();
+    for number in 0..100 {
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        let whole = request("POST", JOBS, TOKEN, r#"{"tasks": [{"payload": 1}]}"#);
+        stream.write_all(&whole[..number]).await.unwrap();
+        stalled.push(stream);
+    }
+    assert_completed(&submit_later(entry).await.unwrap());
+    drop(stalled);
+    set.shutdown().await;
+}
+
+/// Guards against slow callers that hold connections for ever, or are disconnected without a reason.
+#[tokio::test]
+async fn entry_refuses_slow_requests() {
+    let limits = HttpLimits {
+        header_timeout: Duration::from_millis(200),
+        body_timeout: Duration::from_millis(200),
+        ..HttpLimits::default()
+    };
+    // No control process listens there; requests that time out need none.
+    let cfg = EntryConfig::builder("entry-1", ClusterSecret::new("cluster secret"))
+        .controls(vec!["127.0.0.1:1".to_owned()])
+        .http_limits(limits)
+        .build();
+    let entry = chestnutfork_entry::start(cfg).await.unwrap();
+    let whole = request("POST", JOBS, TOKEN, r#"{"tasks": []}"#);
+    let header = exchange(entry.address(), &whole[..30]).await;
+    assert_eq!((header.status, header.code()), (408, "header_timeout"));
+    let body = exchange(entry.address(), &whole[..whole.len() - 1]).await;
+    assert_eq!((body.status, body.code()), (408, "body_timeout"));
+    let health = exchange(entry.address(), &request("GET", "/v1/health", "", "")).await;
+    assert_eq!(health.status, 200);
+    entry.shutdown(Duration::ZERO).await;
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,10 +16,10 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -31,12 +32,15 @@
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Bytes of an oversized body that are read for the sake of the answer; a caller that sends more may see a reset.
+const MAX_DISCARDED: usize = 64 * 1024 * 1024;
+
 /// Bounds on requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
     /// Largest body in bytes; a larger one is answered 413.
     pub max_body: usize,
-    /// Time within which the header must arrive.
+    /// Time within which the header must arrive; a slower one is answered 408 and the connection is closed.
     pub header_timeout: Duration,
     /// Time within which the body must arrive; a slower one is answered 408.
     pub body_timeout: Duration,
@@ -134,26 +138,36 @@
     handler: H,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
+    // Every connection holds a sender, so the channel closes with the last connection.
+    let (open, mut closed) = mpsc::channel::<Infallible>(1);
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
             _ = stopped.wait_for(|stop| *stop) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, limits, handler.clone(), &graceful),
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, limits, handler.clone(), stopped.clone());
+                let open = open.clone();
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(open);
+                });
+            }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
     drop(socket);
-    graceful.shutdown().await;
+    drop(open);
+    closed.recv().await;
 }
 
-fn serve_connection<H: HttpHandler>(
+/// Serves a connection until it closes; a shutdown lets it finish the request in progress.
+async fn serve_connection<H: HttpHandler>(
     stream: TcpStream,
     limits: HttpLimits,
     handler: H,
-    graceful: &GracefulShutdown,
+    mut stopped: watch::Receiver<bool>,
 ) {
     // A failure only costs latency.
     let _ = stream.set_nodelay(true);
@@ -161,23 +175,55 @@
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(answer(req, limits, handler).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        // An error here is the caller's connection failing; there is nobody left to tell.
-        let _ = connection.await;
-    });
+    let stop = async {
+        // An error means that the server is gone, which is a shutdown as well.
+        let _ = stopped.wait_for(|stop| *stop).await;
+    };
+    let ended = tokio::select! {
+        ended = &mut connection => Some(ended),
+        () = stop => None,
+    };
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    // Any other error is the caller's connection failing, or has been answered 400 or 431 by hyper.
+    if ended.is_err_and(|error| error.is_timeout()) {
+        reject_slow_header(connection.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Answers 408, which hyper does not do by itself, to a caller whose header did not arrive in time.
+async fn reject_slow_header(mut stream: TcpStream) {
+    let message = "the header did not arrive in time; send the request again";
+    let body = RefusalBody::plain("header_timeout", message);
+    let body = serde_json::to_string(&body).unwrap_or_default();
+    let response = format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    // The caller may be gone; the few bytes fit into an empty socket buffer, so this does not wait.
+    let _ = stream.write_all(response.as_bytes()).await;
+    let _ = stream.shutdown().await;
 }
 
 async fn answer<H: HttpHandler>(req: Request<Incoming>, limits: HttpLimits, handler: H) -> Response<Body> {
-    let (parts, body) = req.into_parts();
-    let collected = timeout(limits.body_timeout, Limited::new(body, limits.max_body).collect()).await;
+    let (parts, mut body) = req.into_parts();
+    let collected = timeout(
+        limits.body_timeout,
+        Limited::new(&mut body, limits.max_body).collect(),
+    )
+    .await;
     match collected {
         Ok(Ok(body)) => handler.handle(Request::from_parts(parts, body.to_bytes())).await,
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let _ = timeout(limits.body_timeout, discard(&mut body)).await;
             let message = format!("the body exceeds {} bytes; split the job", limits.max_body);
             json_response(
                 StatusCode::PAYLOAD_TOO_LARGE,
@@ -201,6 +247,19 @@
     }
 }
 
+/// Reads and discards the rest of an oversized body, up to a bound.
+///
+/// Closing a connection with unread data resets it, and the caller may then lose the answer that tells it why.
+async fn discard(body: &mut Incoming) {
+    let mut discarded = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        discarded += frame.data_ref().map_or(0, Bytes::len);
+        if discarded > MAX_DISCARDED {
+            return;
+        }
+    }
+}
+
 /// Builds a JSON response.
 ///
 /// # Examples
--- /dev/null
+++ b/crates/net/tests/http.rs
@@ -0,0 +1,198 @@
+//! Runs the HTTP server on loopback against callers that break the protocol.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_net::{Body, HttpHandler, HttpLimits, HttpServer, json_response};
+use hyper::{Request, Response, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Long enough that no request of these tests reaches it.
+const NEVER: Duration = Duration::from_hours(1);
+/// Short enough that a test waits for it.
+const SOON: Duration = Duration::from_millis(50);
+
+/// Answers with the length of the body, once the gate is open.
+#[derive(Clone, Debug)]
+struct Measure {
+    gate: watch::Receiver<bool>,
+    /// Requests whose body has arrived.
+    arrived: Arc<AtomicUsize>,
+}
+
+impl HttpHandler for Measure {
+    async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
+        self.arrived.fetch_add(1, Ordering::Relaxed);
+        let mut gate = self.gate.clone();
+        gate.wait_for(|open| *open).await.unwrap();
+        json_response(StatusCode::OK, &req.body().len())
+    }
+}
+
+async fn serve(limits: HttpLimits) -> HttpServer {
+    let (open, gate) = watch::channel(true);
+    // The gate stays open.
+    drop(open);
+    serve_with(limits, gate, Arc::default()).await
+}
+
+async fn serve_with(
+    limits: HttpLimits,
+    gate: watch::Receiver<bool>,
+    arrived: Arc<AtomicUsize>,
+) -> HttpServer {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let handler = Measure { gate, arrived };
+    HttpServer::builder(socket).limits(limits).serve(handler).unwrap()
+}
+
+fn limits() -> HttpLimits {
+    HttpLimits {
+        max_body: 1_024,
+        header_timeout: NEVER,
+        body_timeout: NEVER,
+    }
+}
+
+async fn connect(server: &HttpServer) -> TcpStream {
+    TcpStream::connect(server.address()).await.unwrap()
+}
+
+/// Sends bytes and reads until the server closes the connection.
+async fn exchange(server: &HttpServer, request: &[u8]) -> String {
+    let mut stream = connect(server).await;
+    stream.write_all(request).await.unwrap();
+    read_all(stream).await
+}
+
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.unwrap();
+    String::from_utf8(response).unwrap()
+}
+
+/// Sends a well-formed request on a connection of its own and checks its answer.
+async fn assert_serves(server: &HttpServer) {
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc";
+    let response = exchange(server, request).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.ends_with("\r\n\r\n3"), "{response}");
+}
+
+/// Guards against a server that hangs on, or dies of, bytes that are not HTTP.
+#[tokio::test]
+async fn server_refuses_bytes_that_are_not_http() {
+    let server = serve(limits()).await;
+    let requests: [&[u8]; 4] = [
+        b"NONSENSE\r\n\r\n",
+        b"\x16\x03\x01\x00\x05hello\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"POST / HTTP/1.1\r\ncontent-length: many\r\n\r\n",
+    ];
+    for request in requests {
+        let response = exchange(&server, request).await;
+        assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+    }
+    assert_serves(&server).await;
+}
+
+/// Guards against memory that a caller can claim with endless headers.
+#[tokio::test]
+async fn server_refuses_oversized_header() {
+    let server = serve(limits()).await;
+    let mut request = b"GET / HTTP/1.1\r\n".to_vec();
+    for number in 0..200 {
+        request.extend_from_slice(format!("x-{number}: 1\r\n").as_bytes());
+    }
+    request.extend_from_slice(b"\r\n");
+    let response = exchange(&server, &request).await;
+    assert!(response.starts_with("HTTP/1.1 431"), "{response}");
+    assert_serves(&server).await;
+}
+
+/// Guards against memory that a caller can claim with a large body, of declared length or in chunks, and against a
+/// reset connection that hides the answer from a caller who still sends.
+#[tokio::test]
+async fn server_refuses_oversized_body() {
+    let server = serve(limits()).await;
+    let body = "x".repeat(16 * 1024 * 1024);
+    let length = body.len();
+    let declared = format!("POST / HTTP/1.1\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}");
+    let chunked = format!(
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"
+    );
+    for request in [declared, chunked] {
+        let response = exchange(&server, request.as_bytes()).await;
+        assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+        assert!(response.contains("\"code\":\"body_too_large\""), "{response}");
+    }
+    assert_serves(&server).await;
+}
+
+/// Guards against a body that is cut off and passed on as if it were whole.
+#[tokio::test]
+async fn server_refuses_incomplete_body() {
+    let server = serve(limits()).await;
+    let mut stream = connect(&server).await;
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 100\r\n\r\nabc";
+    stream.write_all(request).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let response = read_all(stream).await;
+    assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+    assert!(response.contains("\"code\":\"body_incomplete\""), "{response}");
+    assert_serves(&server).await;
+}
+
+/// Guards against connections that a caller holds for ever with a header that never ends.
+#[tokio::test]
+async fn server_refuses_slow_header() {
+    let limits = HttpLimits {
+        header_timeout: SOON,
+        ..limits()
+    };
+    let server = serve(limits).await;
+    let response = exchange(&server, b"POST / HTTP/1.1\r\ncontent-le").await;
+    assert!(response.starts_with("HTTP/1.1 408"), "{response}");
+    assert!(response.contains("\"code\":\"header_timeout\""), "{response}");
+    assert_serves(&server).await;
+}
+
+/// Guards against requests that a caller holds for ever with a body that never ends.
+#[tokio::test]
+async fn server_refuses_slow_body() {
+    let limits = HttpLimits {
+        body_timeout: SOON,
+        ..limits()
+    };
+    let server = serve(limits).await;
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 100\r\nconnection: close\r\n\r\nabc";
+    let response = exchange(&server, request).await;
+    assert!(response.starts_with("HTTP/1.1 408"), "{response}");
+    assert!(response.contains("\"code\":\"body_timeout\""), "{response}");
+    assert_serves(&server).await;
+}
+
+/// Guards against a shutdown that cuts off a request in progress, or that waits for idle connections.
+#[tokio::test]
+async fn shutdown_finishes_requests_in_progress() {
+    let (open, gate) = watch::channel(false);
+    let arrived = Arc::new(AtomicUsize::new(0));
+    let server = serve_with(limits(), gate, Arc::clone(&arrived)).await;
+    let idle = connect(&server).await;
+    let mut busy = connect(&server).await;
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc";
+    busy.write_all(request).await.unwrap();
+    while arrived.load(Ordering::Relaxed) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let stopped = tokio::spawn(server.shutdown(NEVER));
+    assert_eq!(read_all(idle).await, "");
+    open.send_replace(true);
+    let response = read_all(busy).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    stopped.await.unwrap();
+}
