cli: Test that a whole system stops in turn

Cause: a shutdown that only its grace period ends went unnoticed. Change: the processes of the test have a grace period of 10 min, longer than any wait of the test, and one test stops entries, agents and control processes one after the other.

--- a/crates/cli/tests/cluster/settings.rs
+++ b/crates/cli/tests/cluster/settings.rs
@@ -12,6 +12,9 @@
 pub(crate) const OPERATOR_TOKEN: &str = "operator token of the test";
 const CLUSTER_SECRET: &str = "cluster secret of the test";
 
+/// Longer than any wait of the tests, so that a shutdown that only its grace period ends is found.
+const GRACE_MS: u64 = 600_000;
+
 /// Loopback address of one cluster; ports are fixed and below those of outgoing connections.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Addresses(Ipv4Addr);
@@ -60,6 +63,7 @@
             "listen": self.at(7_100 + 2 * number),
             "peer_listen": links[number - 1],
             "cluster_secret": CLUSTER_SECRET,
+            "shutdown_grace_ms": GRACE_MS,
             "data_dir": format!("data/control-{number}"),
             "initial_members": members,
             "operators": { "ann": { "token_sha256": TokenHash::of(OPERATOR_TOKEN).to_hex() } },
@@ -75,7 +79,7 @@
             "peer_listen": self.at(7_001 + 2 * number),
             "control": self.control_links(),
             "cluster_secret": CLUSTER_SECRET,
-            "shutdown_grace_ms": 60_000,
+            "shutdown_grace_ms": GRACE_MS,
             "log": { "format": "json" },
         })
     }
@@ -88,7 +92,7 @@
             "control": self.control_links(),
             "cluster_secret": CLUSTER_SECRET,
             "target_token": TARGET_TOKEN,
-            "shutdown_grace_ms": 60_000,
+            "shutdown_grace_ms": GRACE_MS,
             "log": { "format": "json" },
         })
     }
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -137,6 +137,25 @@
     assert!(runs.all(|entry| entry.outcome == Some(RunOutcome::Completed)));
 }
 
+/// Guards against a process that waits for another that is already gone when a whole system stops.
+#[tokio::test]
+async fn terminated_system_stops_in_turn() {
+    let mut cluster = Cluster::start().await;
+    let job = Job::new(24, 10);
+    let reply = cluster.submit(1, &job).await.unwrap();
+    cluster.assert_completed(&job, &reply).await;
+    let job = Job::new(24, 10);
+    let reply = cluster.submit(2, &job).await.unwrap();
+    cluster.assert_completed(&job, &reply).await;
+    let entries = std::mem::take(&mut cluster.entries);
+    let agents = std::mem::take(&mut cluster.agents);
+    let controls = std::mem::take(&mut cluster.controls);
+    for mut process in entries.into_iter().chain(agents).chain(controls) {
+        process.terminate();
+        assert_eq!(process.exit_code().await, Some(0), "{}", process.log());
+    }
+}
+
 /// Guards against callers without a token of a team.
 #[tokio::test]
 async fn stranger_cannot_submit_patch_announce_or_join() {
