--- a/crates/cli/tests/roles.rs
+++ b/crates/cli/tests/roles.rs
@@ -30,8 +30,16 @@
 /// Guards against examples that the command refuses.
 #[test]
 fn check_accepts_examples() {
-    for role in ["control", "entry", "agent", "target"] {
-        let file = example(&format!("{role}.yaml"));
+    let examples = [
+        ("control", "control.yaml"),
+        ("control", "control-2.yaml"),
+        ("control", "control-3.yaml"),
+        ("entry", "entry.yaml"),
+        ("agent", "agent.yaml"),
+        ("target", "target.yaml"),
+    ];
+    for (role, file) in examples {
+        let file = example(file);
         let output = chestnutfork(&["check", role, file.to_str().unwrap()]);
         assert!(output.status.success(), "{}", text(&output.stderr));
         assert!(output.stderr.is_empty());
