control: Test the shutdown of a leader with a lost successor

Cause: the fix of the handover was covered by a test of processes that failed only in some runs. Change: a test loses each follower in turn and shuts the leader down with a grace period of an hour. Conclusion: the fault is covered.

--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -179,11 +179,8 @@
     }
 }
 
-/// Guards against a group that works with fakes but not with sockets and files, also over restarts of all members.
-#[tokio::test]
-async fn start_three_processes_keep_configuration() {
-    let dir = tempfile::tempdir().unwrap();
-    let client = http_client(Duration::from_secs(1));
+/// Starts three processes that form a replica set.
+async fn start_group(folder: &Path) -> (Vec<Member>, Vec<RunningControl>) {
     let mut sockets = Vec::new();
     let mut members = Vec::new();
     for index in 0..3 {
@@ -196,8 +193,17 @@
     }
     let mut group = Vec::new();
     for (member, socket) in members.iter().zip(sockets) {
-        group.push(start_one(&member.name, &dir.path().join(&member.name), socket, &members).await);
+        group.push(start_one(&member.name, &folder.join(&member.name), socket, &members).await);
     }
+    (members, group)
+}
+
+/// Guards against a group that works with fakes but not with sockets and files, also over restarts of all members.
+#[tokio::test]
+async fn start_three_processes_keep_configuration() {
+    let dir = tempfile::tempdir().unwrap();
+    let client = http_client(Duration::from_secs(1));
+    let (members, mut group) = start_group(dir.path()).await;
 
     // Each operator sends to another process, so at least two requests are passed on.
     for (index, control) in group.iter().enumerate() {
@@ -251,3 +257,22 @@
     assert_eq!(versions, [&json!(3), &json!(4)]);
     assert_eq!(body["records"][0]["operator"], json!("ann"));
 }
+
+/// Guards against a leader whose shutdown waits for its grace period because the successor that it chose has stopped.
+#[tokio::test]
+async fn shutdown_survives_lost_successor() {
+    // One of the two followers is the first choice, so one of the two rounds loses it.
+    for lost in 0..2 {
+        let dir = tempfile::tempdir().unwrap();
+        let (_, mut group) = start_group(dir.path()).await;
+        let leader = leader(&group).await;
+        let leader = group.remove(leader);
+        group.remove(lost).kill();
+        let never = Duration::from_hours(1);
+        let stopped = tokio::time::timeout(PATIENCE, leader.shutdown(never)).await;
+        assert!(stopped.is_ok(), "the leader waits for a successor that is gone");
+        for control in group {
+            control.kill();
+        }
+    }
+}
