--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -116,6 +116,25 @@
     cluster.assert_completed(&next, &reply).await;
 }
 
+/// Guards against a process that cannot be ended before its grace period, or that reports cut-off work as success.
+#[tokio::test]
+async fn second_signal_ends_entry_at_once() {
+    let mut cluster = Cluster::start().await;
+    let job = Job::new(1, 50_000);
+    let reply = submit_later(&cluster, 1, &job);
+    cluster.wait_started(&job).await;
+    let mut entry = cluster.entries.remove(0);
+    entry.terminate();
+    until("the entry drains", async || {
+        entry.log().contains("process is draining").then_some(())
+    })
+    .await;
+    entry.terminate();
+    assert_eq!(entry.exit_code().await, Some(1));
+    assert!(entry.log().contains("shutdown cut short"), "{}", entry.log());
+    assert!(reply.await.unwrap().is_err());
+}
+
 /// Guards against a shutdown of an agent that cuts off running tasks or loses their results (R7).
 #[tokio::test]
 async fn terminated_agent_finishes_its_tasks() {
@@ -156,7 +175,7 @@
     }
 }
 
-/// Guards against callers without a token of a team.
+/// Guards against callers, operators, targets and processes without the right token or secret.
 #[tokio::test]
 async fn stranger_cannot_submit_patch_announce_or_join() {
     let cluster = Cluster::start().await;
