dispatch: Look only at the agents that an event concerns

Change: agents that an event changed are looked at once. Confirmations have an ordered set of due times, credits a common lower bound, and each pool the range of demand in which no agent has to be told. All agents are scanned only when demand leaves that range or a credit may expire.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,13 +1,14 @@
 //! Agents that this entry has links to: their credits and the attempts in flight there.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use chestnutfork_routing::TargetIndex;
-use chestnutfork_types::{Announcement, CreditId, ProcessId};
+use chestnutfork_types::{Announcement, CreditId, PoolName, ProcessId};
 use indexmap::IndexMap;
 
 use crate::job::TaskRef;
+use crate::upkeep::QuietRange;
 
 /// Part of a credit's lifetime during which the entry uses it; the rest covers the way to the agent.
 const USABLE_NUMERATOR: u32 = 3;
@@ -135,8 +136,16 @@
 /// Table of agents by incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct Agents {
-    by_process: IndexMap<ProcessId, Agent>,
+    pub(crate) by_process: IndexMap<ProcessId, Agent>,
     by_target: IndexMap<TargetIndex, ProcessId>,
+    /// Agents that were changed since they were last looked at; some more than once.
+    pub(crate) touched: Vec<ProcessId>,
+    /// Range of demand of each pool in which no agent has to be told.
+    pub(crate) quiet: IndexMap<PoolName, QuietRange>,
+    /// Times at which confirmations are due.
+    pub(crate) acks_due: BTreeSet<(Instant, ProcessId)>,
+    /// Time before which no credit expires and no pause ends.
+    pub(crate) credit_wakeup: Option<Instant>,
 }
 
 impl Agents {
@@ -144,7 +153,9 @@
         self.by_process.get(&agent)
     }
 
+    /// Returns an agent to be changed, and notes that it was.
     pub(crate) fn get_mut(&mut self, agent: ProcessId) -> Option<&mut Agent> {
+        self.touched.push(agent);
         self.by_process.get_mut(&agent)
     }
 
@@ -159,6 +170,7 @@
     }
 
     pub(crate) fn insert(&mut self, process: ProcessId, agent: Agent) {
+        self.touched.push(process);
         self.by_target.insert(agent.target, process);
         self.by_process.insert(process, agent);
     }
@@ -166,6 +178,9 @@
     /// Removes an agent; its target keeps a newer incarnation if there is one.
     pub(crate) fn remove(&mut self, process: ProcessId) -> Option<Agent> {
         let agent = self.by_process.swap_remove(&process)?;
+        if let Some(due) = agent.acks_due() {
+            self.acks_due.remove(&(due, process));
+        }
         if self.by_target.get(&agent.target) == Some(&process) {
             self.by_target.swap_remove(&agent.target);
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod status;
 mod submit;
 mod timers;
+mod upkeep;
 mod verify;
 mod waiting;
 
--- a/crates/dispatch/src/pump.rs
+++ b/crates/dispatch/src/pump.rs
@@ -1,21 +1,15 @@
 //! Binds queued tasks to targets with a free credit, and tells agents about unmet demand.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use chestnutfork_routing::{Choice, Place, PlacementRequest, TargetIndex};
-use chestnutfork_types::{Dispatch, EntryToAgent, PoolName, ProcessId};
-use indexmap::IndexMap;
+use chestnutfork_types::{Dispatch, EntryToAgent, ProcessId};
 
 use crate::agents::Attempt;
 use crate::core::EntryCore;
 use crate::event::Action;
 use crate::job::{AttemptId, QueuedTask};
 
-/// Shortest time between two demand messages to an agent, unless demand starts or ends.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(5);
-/// Results that are confirmed together at the latest.
-const ACK_BATCH: usize = 32;
-
 /// Most tasks of a service that are held back for faster targets at once.
 const MAX_HELD: usize = 64;
 
@@ -45,8 +39,7 @@
             }
             self.first_service = (self.first_service + 1) % count.max(1);
         }
-        self.tell_demand(now, actions);
-        self.flush_acks(now, actions);
+        self.keep_agents_up(now, actions);
     }
 
     /// Places the held tasks of a service for which a target is now good enough.
@@ -237,46 +230,6 @@
         });
     }
 
-    /// Tells agents how many tasks of their pool wait, when that starts, ends, or changes by half.
-    fn tell_demand(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut waiting: IndexMap<&PoolName, u32> = IndexMap::new();
-        for service in self.services.values() {
-            *waiting.entry(&service.policy.pool).or_default() += count(service.queue.len());
-        }
-        for (process, agent) in self.agents.iter_mut().filter(|(_, agent)| agent.linked) {
-            let demand = waiting.get(&agent.announcement.pool).copied().unwrap_or(0);
-            let told = agent.told_demand;
-            let edge = (demand == 0) != (told == 0);
-            let changed = demand > told.saturating_mul(2) || demand < told / 2;
-            let due = agent.told_at.is_none_or(|at| now >= at + DEMAND_INTERVAL);
-            if edge || (changed && due) {
-                agent.told_demand = demand;
-                agent.told_at = Some(now);
-                let message = EntryToAgent::Demand { waiting: demand };
-                actions.push(Action::ToAgent {
-                    agent: process,
-                    message,
-                });
-            }
-        }
-    }
-
-    /// Confirms results in batches, so that agents can forget them.
-    fn flush_acks(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for (process, agent) in self.agents.iter_mut() {
-            let due = agent.acks_due().is_some_and(|due| due <= now);
-            if agent.linked && (due || agent.acks.len() >= ACK_BATCH) {
-                let credits = std::mem::take(&mut agent.acks);
-                agent.acks_since = None;
-                let message = EntryToAgent::Ack { credits };
-                actions.push(Action::ToAgent {
-                    agent: process,
-                    message,
-                });
-            }
-        }
-    }
-
     /// Updates the number of usable credits of an agent's target.
     pub(crate) fn sync_credits(&mut self, agent: ProcessId) {
         if let Some(agent) = self.agents.get(agent) {
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -7,7 +7,6 @@
 use crate::agents::Agent;
 use crate::core::{EntryCore, USAGE_INTERVAL};
 use crate::event::{Action, PeerMessage, TeamUsage};
-use crate::pump::count;
 
 /// Time for which a result may stay unconfirmed.
 const ACK_INTERVAL: Duration = Duration::from_millis(100);
@@ -43,17 +42,6 @@
         }
     }
 
-    fn expire_credits(&mut self, now: Instant) {
-        for (_, agent) in self.agents.iter_mut() {
-            let before = agent.usable_credits();
-            agent.expire_credits(now);
-            let after = agent.usable_credits();
-            if before != after {
-                self.router.set_credits(agent.target, count(after));
-            }
-        }
-    }
-
     fn exchange_usage(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now < self.next_usage {
             return;
@@ -72,17 +60,4 @@
             });
         }
     }
-
-    /// Returns when credits expire or confirmations are due at any agent.
-    pub(crate) fn agents_wakeup(&self) -> Option<Instant> {
-        let linked = self
-            .agents
-            .iter()
-            .map(|(_, agent)| agent)
-            .filter(|agent| agent.linked);
-        linked
-            .flat_map(|agent| [agent.usable_until, agent.paused_until, agent.acks_due()])
-            .flatten()
-            .min()
-    }
 }
--- a/crates/dispatch/src/verify.rs
+++ b/crates/dispatch/src/verify.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 
-use chestnutfork_types::{JobId, ServiceName, TaskIndex};
+use chestnutfork_types::{JobId, ProcessId, ServiceName, TaskIndex};
 use thiserror::Error;
 
 use crate::core::EntryCore;
 use crate::job::Phase;
+use crate::upkeep::waiting_by_pool;
 
 /// Violation of an invariant of the entry core.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -65,6 +66,22 @@
         /// Queued copies of tasks.
         actual: usize,
     },
+    /// The due times kept for all agents miss one of an agent, which would never be looked at.
+    #[error("agent {agent:x} has no due time for its credits or confirmations")]
+    MissedWakeup {
+        /// Agent.
+        agent: ProcessId,
+    },
+    /// An agent has to be told the demand of its pool, and nothing would tell it.
+    #[error("agent {agent:x} was told a demand of {told} and {waiting} tasks wait")]
+    MissedDemand {
+        /// Agent.
+        agent: ProcessId,
+        /// Demand that the agent knows.
+        told: u32,
+        /// Tasks that wait for its pool.
+        waiting: u32,
+    },
     /// A job is owned and awaited at once.
     #[error("job {job:x} is owned and awaited at the same time")]
     OwnedAndAwaited {
@@ -89,6 +106,7 @@
         let mut violations = Vec::new();
         self.verify_jobs(&mut violations);
         self.verify_services(&mut violations);
+        self.verify_agents(&mut violations);
         violations
     }
 
@@ -158,4 +176,31 @@
             }
         }
     }
+
+    fn verify_agents(&self, violations: &mut Vec<Violation>) {
+        let waiting = waiting_by_pool(&self.services);
+        for (process, agent) in self.agents.iter().filter(|(_, agent)| agent.linked) {
+            let credits = agent.credit_wakeup().is_none_or(|at| {
+                let kept = self.agents.credit_wakeup;
+                kept.is_some_and(|kept| kept <= at)
+            });
+            let acks = agent
+                .acks_due()
+                .is_none_or(|due| self.agents.acks_due.contains(&(due, process)));
+            if !credits || !acks {
+                violations.push(Violation::MissedWakeup { agent: process });
+            }
+            let waiting = waiting.get(&agent.announcement.pool).copied().unwrap_or(0);
+            let told = agent.told_demand;
+            let range = self.agents.quiet.get(&agent.announcement.pool);
+            let covered = range.is_some_and(|range| range.covers(told, waiting));
+            if !covered {
+                violations.push(Violation::MissedDemand {
+                    agent: process,
+                    told,
+                    waiting,
+                });
+            }
+        }
+    }
 }
