--- a/crates/local/examples/idle_cost.rs
+++ b/crates/local/examples/idle_cost.rs
@@ -1,13 +1,15 @@
-//! Cost of control, entries and agents at rest and per configuration change, on loopback.
+//! Cost of control, entries and agents at rest, per configuration change and per start, on loopback.
 //!
-//! `idle_cost [--agents N] [--entries N] [--teams N] [--seconds N] [--changes N] [--bytes]`
+//! `idle_cost [--agents N] [--entries N] [--teams N] [--seconds N] [--changes N] [--jobs N] [--bytes]`
 //!
 //! Starts 3 control processes, the entries and the agents in this process, each role on a runtime of its own, and gives
 //! every agent an announced target of 8 slots. It measures `--seconds` at rest, then applies `--changes` patches that
-//! each change the quota of one of `--teams` teams. It prints the processor time of the threads of each role, the growth
-//! of the resident set from before the agents started, and with `--bytes` the bytes and frames that each role sent over
-//! its links. Bytes are payloads of WebSocket messages, counted through the metrics, whose own processor time falls on
-//! the roles; take processor time from a run without `--bytes`. Linux only, because it reads `/proc/self`.
+//! each change the quota of one of `--teams` teams, and then submits `--jobs` jobs of 200 instant at-most-once tasks, four
+//! at a time, to the entries in turn. It prints the synced operations on the data folders of control, the processor time
+//! of the threads of each role, the growth of the resident set from before the agents started, and with `--bytes` the
+//! bytes and frames that each role sent over its links. Bytes are payloads of WebSocket messages, counted through the
+//! metrics, whose own processor time falls on the roles; take processor time from a run without `--bytes`. Linux only,
+//! because it reads `/proc/self`.
 
 #![expect(
     clippy::cast_precision_loss,
@@ -15,6 +17,7 @@
 )]
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,11 +27,13 @@
 use chestnutfork_config::TokenHash;
 use chestnutfork_control::{ControlConfig, Member, Operator, RunningControl};
 use chestnutfork_entry::{EntryConfig, RunningEntry};
-use chestnutfork_net::{ClusterSecret, Metrics};
+use chestnutfork_net::{ClusterSecret, HttpClient, Metrics, http_client};
 use chestnutfork_operator::OperatorClient;
 use chestnutfork_operator::body::{PatchBody, VerdictBody};
 use chestnutfork_standin::{Target, TargetHandle};
-use chestnutfork_storage::DiskFolder;
+use chestnutfork_storage::{DiskFolder, Folder};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use serde_json::{Map, Value, json};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
@@ -39,6 +44,9 @@
 const ROLES: [&str; 4] = ["control", "entry", "agent", "target"];
 const CONTROLS: usize = 3;
 const SLOTS: u32 = 8;
+const TASKS: u32 = 200;
+/// Jobs in flight at once.
+const CALLERS: u32 = 4;
 const OPERATOR_TOKEN: &str = "operator-token";
 const TARGET_TOKEN: &str = "target-token";
 const PAGE_BYTES: u64 = 4096;
@@ -46,6 +54,48 @@
 const SETTLE: Duration = Duration::from_secs(4);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Data folder that counts its synced operations.
+struct CountedFolder {
+    folder: DiskFolder,
+    synced: Arc<AtomicU64>,
+}
+
+impl CountedFolder {
+    fn count(&self) {
+        self.synced.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Folder for CountedFolder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.folder.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.folder.read(name)
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.count();
+        self.folder.write_at(name, offset, bytes)
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.count();
+        self.folder.replace(name, bytes)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.count();
+        self.folder.truncate(name, len)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.count();
+        self.folder.remove(name)
+    }
+}
+
 /// Bytes and frames that the processes of a role sent over their links.
 #[derive(Debug, Default)]
 struct Sent {
@@ -129,7 +179,7 @@
     let teams = (0..teams).map(|index| {
         let team = json!({
             "token_sha256": TokenHash::of(&format!("token of team {index}")).to_hex(),
-            "quota": 100,
+            "quota": 100_000,
             "services": ["desk"],
         });
         (format!("team-{index}"), team)
@@ -147,6 +197,7 @@
     entries: Vec<RunningEntry>,
     agents: Vec<RunningAgent>,
     targets: Vec<TargetHandle>,
+    synced: Arc<AtomicU64>,
     data: TempDir,
 }
 
@@ -171,6 +222,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             targets: Vec::new(),
+            synced: Arc::default(),
             data: TempDir::new().expect("there is space for temporary files"),
         }
     }
@@ -205,6 +257,10 @@
                 .metrics(self.metrics["control"].clone())
                 .build();
             let folder = DiskFolder::open(self.data.path().join(&member.name)).expect("the folder is usable");
+            let folder = CountedFolder {
+                folder,
+                synced: Arc::clone(&self.synced),
+            };
             let control = on(runtime, chestnutfork_control::start(cfg, folder));
             self.controls.push(control.expect("control starts"));
         }
@@ -282,6 +338,35 @@
     }
 }
 
+/// Submits one job and checks that it completed.
+async fn submit(client: HttpClient, entry: SocketAddr) {
+    let tasks = vec![json!({"payload": {"run_ms": 0}}); TASKS as usize];
+    let body = json!({"deadline_ms": 20_000, "tasks": tasks}).to_string();
+    let req = Request::post(format!("http://{entry}/v1/services/desk/jobs"))
+        .header("authorization", "Bearer token of team 0")
+        .body(Full::new(body.into()))
+        .expect("the request is well formed");
+    let response = client.request(req).await.expect("the entry answers");
+    let body = response.into_body().collect().await.expect("the answer is whole");
+    let answer: Value = serde_json::from_slice(&body.to_bytes()).expect("the answer is JSON");
+    assert_eq!(answer["outcome"], "completed", "every job completes: {answer}");
+}
+
+async fn submit_all(entries: Vec<SocketAddr>, jobs: u32) {
+    let client = http_client(Duration::from_secs(1));
+    let callers = (0..CALLERS).map(|caller| {
+        let (client, entries) = (client.clone(), entries.clone());
+        tokio::spawn(async move {
+            for job in (caller..jobs).step_by(CALLERS as usize) {
+                submit(client.clone(), entries[job as usize % entries.len()]).await;
+            }
+        })
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        caller.await.expect("the caller does not panic");
+    }
+}
+
 /// Runs a start on the runtime of its role, so that its tasks and threads belong to that role.
 fn on<F>(runtime: &Runtime, start: F) -> F::Output
 where
@@ -301,7 +386,7 @@
     for ((role, before), after) in ROLES.iter().zip(before).zip(after) {
         let processor = after.processor.saturating_sub(before.processor);
         println!(
-            "{label:7} {role:8} {:10.3} ms processor, {:10.0} B in {:8.1} frames sent, per {unit}, all processes of the role",
+            "{label:7} {role:8} {:10.4} ms processor, {:10.1} B in {:8.3} frames sent, per {unit}, all processes of the role",
             processor.as_secs_f64() * 1e3 / per,
             (after.bytes - before.bytes) as f64 / per,
             (after.frames - before.frames) as f64 / per,
@@ -315,6 +400,7 @@
     let teams = option("--teams", 190);
     let seconds = option("--seconds", 10);
     let changes = option("--changes", 20);
+    let jobs = option("--jobs", 0);
     let with_bytes = std::env::args().any(|arg| arg == "--bytes");
     println!("agents {agents}, entries {entries}, controls {CONTROLS}, teams {teams}");
     let mut cluster = Cluster::new(with_bytes);
@@ -338,15 +424,17 @@
     print_between("rest", &before, &cluster.readings(), seconds.into(), "second");
     if changes > 0 {
         let before = cluster.readings();
+        let synced = cluster.synced.load(Ordering::Relaxed);
         let started = Instant::now();
         for change in 0..changes {
             let team = format!("team-{}", change % teams);
-            let quota = json!({"teams": {team: {"quota": 101 + change}}});
+            let quota = json!({"teams": {team: {"quota": 100_001 + change}}});
             operator.block_on(cluster.apply(quota));
         }
         println!(
-            "{changes} changes accepted in {:.3} s",
-            started.elapsed().as_secs_f64()
+            "{changes} changes accepted in {:.3} s with {} synced operations",
+            started.elapsed().as_secs_f64(),
+            cluster.synced.load(Ordering::Relaxed) - synced
         );
         std::thread::sleep(Duration::from_secs(1));
         println!(
@@ -355,6 +443,15 @@
         );
         print_between("changes", &before, &cluster.readings(), changes.into(), "change");
     }
+    if jobs > 0 {
+        let before = cluster.readings();
+        let started = Instant::now();
+        let entries = cluster.entries.iter().map(RunningEntry::address).collect();
+        operator.block_on(submit_all(entries, jobs));
+        let starts = f64::from(jobs) * f64::from(TASKS);
+        println!("{starts} starts in {:.3} s", started.elapsed().as_secs_f64());
+        print_between("starts", &before, &cluster.readings(), starts, "start");
+    }
     // Nothing is in flight, and the data folder is dropped with the cluster.
     drop(cluster.data);
     std::process::exit(0);
