--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_routing::TargetIndex;
-use chestnutfork_types::{Announcement, CreditId, ProcessId};
+use chestnutfork_types::{Announcement, AttemptOutcome, CreditId, ProcessId};
 use indexmap::IndexMap;
 
 use crate::job::TaskRef;
@@ -13,6 +13,11 @@
 const USABLE_NUMERATOR: u32 = 3;
 const USABLE_DENOMINATOR: u32 = 4;
 
+/// Shortest and longest pause after a dispatch that did not start because the target refuses connections or the agent's
+/// configuration is unconfirmed. Both last for seconds; the longest pause bounds the delay of the first task after that.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(1600);
+
 /// Dispatch whose end is not known.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
@@ -38,6 +43,10 @@
     pub(crate) usable_until: Option<Instant>,
     /// Whether the usable time of the credits is over; the agent may still renew them.
     pub(crate) stale: bool,
+    /// End of the pause after a refusal that the next dispatch would meet as well.
+    pub(crate) paused_until: Option<Instant>,
+    /// Length of the latest pause; a result ends the backoff.
+    pub(crate) pause: Duration,
     pub(crate) ttl: Duration,
     pub(crate) attempts: IndexMap<CreditId, Attempt>,
     /// Waiting tasks as last told to the agent.
@@ -57,6 +66,8 @@
             credits: VecDeque::new(),
             usable_until: None,
             stale: false,
+            paused_until: None,
+            pause: Duration::ZERO,
             ttl: Duration::ZERO,
             attempts: IndexMap::new(),
             told_demand: 0,
@@ -83,12 +94,13 @@
         }
     }
 
-    /// Stops the use of the credits if their usable time is over, until the agent renews or resets them.
+    /// Ends a pause, and stops the use of credits whose usable time is over until they are renewed or reset.
     pub(crate) fn expire_credits(&mut self, now: Instant) {
         if self.usable_until.is_some_and(|until| until <= now) {
             self.usable_until = None;
             self.stale = true;
         }
+        self.paused_until = self.paused_until.filter(|&until| until > now);
     }
 
     /// Drops the credits; the agent has voided them.
@@ -100,7 +112,25 @@
 
     /// Returns the number of credits that may be used now.
     pub(crate) fn usable_credits(&self) -> usize {
-        if self.stale { 0 } else { self.credits.len() }
+        let usable = !self.stale && self.paused_until.is_none();
+        if usable { self.credits.len() } else { 0 }
+    }
+
+    /// Notes how an attempt ended: a target that refuses connections is paused, any other end resets the backoff.
+    pub(crate) fn note_outcome(&mut self, now: Instant, outcome: &AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::NotStarted { .. } => self.pause(now),
+            _ => self.pause = Duration::ZERO,
+        }
+    }
+
+    /// Sends nothing to the agent for a while.
+    pub(crate) fn pause(&mut self, now: Instant) {
+        // Refusals of dispatches that were sent together count once.
+        if self.paused_until.is_none() {
+            self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+            self.paused_until = Some(now + self.pause);
+        }
     }
 
     pub(crate) fn confirm(&mut self, now: Instant, credit: CreditId) {
@@ -114,6 +144,9 @@
 pub(crate) struct Agents {
     by_process: IndexMap<ProcessId, Agent>,
     by_target: IndexMap<TargetIndex, ProcessId>,
+    /// Open links in the order in which they opened, also those without an announcement yet.
+    links: IndexMap<ProcessId, u64>,
+    last_link: u64,
 }
 
 impl Agents {
@@ -140,6 +173,20 @@
         self.by_process.insert(process, agent);
     }
 
+    pub(crate) fn link_opened(&mut self, process: ProcessId) {
+        self.last_link += 1;
+        self.links.insert(process, self.last_link);
+    }
+
+    pub(crate) fn link_closed(&mut self, process: ProcessId) {
+        self.links.swap_remove(&process);
+    }
+
+    /// Reports whether the link of `process` opened after that of `other`; a closed link is older than any open one.
+    pub(crate) fn is_newer(&self, process: ProcessId, other: ProcessId) -> bool {
+        self.links.get(&process) > self.links.get(&other)
+    }
+
     /// Removes an agent; its target keeps a newer incarnation if there is one.
     pub(crate) fn remove(&mut self, process: ProcessId) -> Option<Agent> {
         let agent = self.by_process.swap_remove(&process)?;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,9 +5,11 @@
 //! quota from [`Quotas`] for each task that it starts.
 
 mod admission;
+mod drain;
 mod fair_queue;
 mod held;
 mod quotas;
+mod removal;
 mod team_queue;
 mod violation;
 
