--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -101,6 +101,15 @@
     };
 }
 
+impl ControlConfig {
+    /// Sets where metrics are counted, for a configuration made from settings.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+}
+
 impl From<&ControlSettings> for ControlConfig {
     fn from(settings: &ControlSettings) -> Self {
         let members = settings.initial_members.iter().map(|member| Member {
