--- a/crates/agent/src/actor.rs
+++ b/crates/agent/src/actor.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chestnutfork_events::{AgentEvent, emit};
-use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
+use chestnutfork_net::{DialTemplate, Dialer, LinkId, LinkSender, Metrics, Wakeup, now};
 use chestnutfork_slots::{Action, AgentCore, Event};
 use chestnutfork_subscriber::EntryInfo;
 use chestnutfork_types::{
@@ -80,14 +80,6 @@
     pub(crate) metrics: Metrics,
 }
 
-/// Everything of a dialled link but its address.
-#[derive(Clone, Debug)]
-pub(crate) struct DialTemplate {
-    pub(crate) me: chestnutfork_net::Identity,
-    pub(crate) secret: chestnutfork_net::ClusterSecret,
-    pub(crate) metrics: Metrics,
-}
-
 /// Configuration as the core needs it.
 #[derive(Clone, Debug, Default)]
 struct ConfigState {
@@ -310,14 +302,11 @@
         let addresses: Vec<_> = self.entries.iter().map(|entry| entry.address.clone()).collect();
         for address in addresses {
             if !self.dialers.contains_key(&address) {
-                let template = self.dial.clone();
-                let cfg = DialConfig::builder(&address, template.me, template.secret)
-                    .metrics(template.metrics)
-                    .build();
                 let handler = EntryLinks {
                     actor: self.me.clone(),
                 };
-                self.dialers.insert(address, dial(cfg, handler));
+                let dialer = self.dial.dial_entry(&address, handler);
+                self.dialers.insert(address, dialer);
             }
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chestnutfork_net::{ClusterSecret, HttpServer, Identity, Metrics, http_client, random_process_id};
+use chestnutfork_net::{
+    ClusterSecret, DialTemplate, HttpServer, Identity, Metrics, http_client, random_process_id,
+};
 use chestnutfork_slots::AgentCore;
 use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
 use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
@@ -15,7 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::actor::{AgentActor, AgentMessage, Arguments, DialTemplate};
+use crate::actor::{AgentActor, AgentMessage, Arguments};
 use crate::announce::{AnnounceEndpoint, TargetToken};
 use crate::control::ControlHandler;
 use crate::target::TargetClient;
@@ -215,11 +217,7 @@
     }
     let arguments = Arguments {
         core: AgentCore::builder(cfg.failure_domain.clone()).build(),
-        dial: DialTemplate {
-            me: me.clone(),
-            secret: cfg.secret.clone(),
-            metrics: cfg.metrics.clone(),
-        },
+        dial: DialTemplate::new(me.clone(), cfg.secret.clone(), cfg.metrics.clone()),
         target: TargetClient::new(http_client(TARGET_CONNECT_TIMEOUT)),
         metrics: cfg.metrics.clone(),
     };
--- a/crates/cli/src/tools/target.rs
+++ b/crates/cli/src/tools/target.rs
@@ -1,9 +1,11 @@
 //! Subcommand `target`: a simulated target.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use chestnutfork_standin::{Behaviour, BehaviourChange, Target};
+use chestnutfork_settings::TargetSettings;
+use chestnutfork_standin::{Behaviour, BehaviourChange, Target, TargetBuilder};
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use super::ToolError;
@@ -27,6 +29,14 @@
 pub(crate) fn command() -> Command {
     Command::new("target")
         .about("Runs a simulated target that announces itself to an agent")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .exclusive(true)
+                .help("Settings file in place of the options below; see examples/target.yaml"),
+        )
         .arg(
             text("name", "NAME")
                 .default_value("target-1")
@@ -72,6 +82,40 @@
 
 /// Runs the target until it is interrupted.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode, ToolError> {
+    let builder = match matches.get_one::<PathBuf>("config") {
+        Some(file) => from_file(file),
+        None => from_options(matches),
+    };
+    let builder = match builder {
+        Ok(builder) => builder,
+        Err(problem) => {
+            eprintln!("chestnutfork target: {problem}");
+            return Ok(ExitCode::from(2));
+        }
+    };
+    let target = builder.start().await?;
+    println!("target {} listens on http://{}", target.name(), target.address());
+    super::interrupted().await;
+    let journal = target.shutdown().await?;
+    println!("stopped after {} dispatches", journal.entries.len());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Takes the target's settings from a file.
+fn from_file(file: &Path) -> Result<TargetBuilder, String> {
+    let settings = TargetSettings::load(file).map_err(|error| error.to_string())?;
+    Ok(Target::builder(settings.process.name)
+        .pool(settings.pool)
+        .slots(settings.slots)
+        .speed(settings.speed)
+        .token(settings.target_token.expose())
+        .listen(settings.listen)
+        .agent(settings.agent)
+        .grace(settings.process.shutdown_grace))
+}
+
+/// Takes the target's settings from the command line.
+fn from_options(matches: &ArgMatches) -> Result<TargetBuilder, String> {
     let behaviour = Behaviour {
         speed: required(matches, "speed"),
         jitter: required(matches, "jitter"),
@@ -82,23 +126,15 @@
         jitter: Some(behaviour.jitter),
         ..BehaviourChange::default()
     };
-    if let Err(problem) = ranges.check() {
-        eprintln!("chestnutfork target: --{problem}");
-        return Ok(ExitCode::from(2));
-    }
-    let mut builder = Target::builder(required::<String>(matches, "name"))
+    ranges.check().map_err(|problem| format!("--{problem}"))?;
+    let builder = Target::builder(required::<String>(matches, "name"))
         .pool(required::<String>(matches, "pool"))
         .slots(required(matches, "slots"))
         .behaviour(behaviour)
         .token(required::<String>(matches, "token"))
         .listen(listen_address(matches));
-    if let Some(&agent) = matches.get_one::<SocketAddr>("agent") {
-        builder = builder.agent(agent);
-    }
-    let target = builder.start().await?;
-    println!("target {} listens on http://{}", target.name(), target.address());
-    super::interrupted().await;
-    let journal = target.shutdown().await?;
-    println!("stopped after {} dispatches", journal.entries.len());
-    Ok(ExitCode::SUCCESS)
+    Ok(match matches.get_one::<SocketAddr>("agent") {
+        Some(&agent) => builder.agent(agent),
+        None => builder,
+    })
 }
--- a/crates/entry/src/actor.rs
+++ b/crates/entry/src/actor.rs
@@ -5,7 +5,7 @@
 use chestnutfork_dispatch::{
     Action, EntryCore, EntryStatus, Event, JobResult, PeerMessage, PolicyTable, Ticket,
 };
-use chestnutfork_net::{DialConfig, Dialer, LinkId, LinkSender, Metrics, Wakeup, dial, now};
+use chestnutfork_net::{DialTemplate, Dialer, LinkId, LinkSender, Metrics, Wakeup, now};
 use chestnutfork_register::View;
 use chestnutfork_subscriber::Subscription;
 use chestnutfork_types::{AgentToEntry, JobId, JobSpec, ProcessId, TeamName};
@@ -91,14 +91,6 @@
     pub(crate) metrics: Metrics,
 }
 
-/// Everything of a dialled link but its address.
-#[derive(Clone, Debug)]
-pub(crate) struct DialTemplate {
-    pub(crate) me: chestnutfork_net::Identity,
-    pub(crate) secret: chestnutfork_net::ClusterSecret,
-    pub(crate) metrics: Metrics,
-}
-
 /// Links of one kind, by session and by peer.
 #[derive(Debug)]
 struct Links<Out> {
@@ -306,14 +298,11 @@
             if self.dialers.contains_key(address) {
                 continue;
             }
-            let template = self.dial.clone();
-            let cfg = DialConfig::builder(address, template.me, template.secret)
-                .metrics(template.metrics)
-                .build();
             let handler = PeerLinks {
                 actor: self.me.clone(),
             };
-            self.dialers.insert(address.clone(), dial(cfg, handler));
+            let dialer = self.dial.dial_entry(address, handler);
+            self.dialers.insert(address.clone(), dialer);
         }
     }
 
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -49,7 +49,9 @@
             (&Method::GET, ["v1", "health"]) => json_response(StatusCode::OK, &serde_json::json!({})),
             (&Method::GET, ["v1", "status"]) => self.status(&req).await,
             (&Method::POST, ["v1", "services", service, "jobs"]) => self.submit(&req, service).await,
-            (&Method::DELETE, ["v1", "services", _, "jobs", job]) => self.cancel(&req, job).await,
+            (&Method::DELETE, ["v1", "services", service, "jobs", job]) => {
+                self.cancel(&req, service, job).await
+            }
             _ => {
                 let body = RefusalBody::plain("not_found", "there is no such path; see docs/API.md");
                 json_response(StatusCode::NOT_FOUND, &body)
@@ -76,15 +78,16 @@
         let Some(team) = self.authenticate(req) else {
             return unauthorized();
         };
+        let origin = Origin { service, team: &team };
         let submission = match SubmitBody::parse(req.body()) {
             Ok(submission) => submission,
-            Err(error) => return refused(&error.refusal()),
+            Err(error) => return refused(origin, &error.refusal()),
         };
         let document = Arc::clone(&self.documents.borrow());
         // A job that the present configuration rules out may have run under an earlier one.
         let rejected = |code, message: String| match submission.id {
-            Some(_) => refused(&Refusal::unknown(code, message)),
-            None => refused(&Refusal::not_run(code, message)),
+            Some(_) => refused(origin, &Refusal::unknown(code, message)),
+            None => refused(origin, &Refusal::not_run(code, message)),
         };
         let Some(policy) = document.service(service) else {
             let message = format!("service `{service}` is not configured; check the name in the URL");
@@ -99,8 +102,8 @@
         }
         let fresh_id = submission.id.is_none();
         let id = submission.id.unwrap_or_else(|| Uuid::now_v7().as_u128());
-        let job = submission.into_job(id, service.to_owned(), team, policy);
-        self.ask(|ticket, reply| EntryMessage::Submit {
+        let job = submission.into_job(id, service.to_owned(), team.clone(), policy);
+        self.ask(origin, |ticket, reply| EntryMessage::Submit {
             ticket,
             job,
             fresh_id,
@@ -109,39 +112,47 @@
         .await
     }
 
-    async fn cancel(&self, req: &Request<Bytes>, job: &str) -> Response<Body> {
+    async fn cancel(&self, req: &Request<Bytes>, service: &str, job: &str) -> Response<Body> {
         let Some(team) = self.authenticate(req) else {
             return unauthorized();
         };
+        let origin = Origin { service, team: &team };
         match parse_job_id(job) {
             Ok(job) => {
-                self.ask(|ticket, reply| EntryMessage::Cancel {
+                self.ask(origin, |ticket, reply| EntryMessage::Cancel {
                     ticket,
                     job,
-                    team,
+                    team: team.clone(),
                     reply,
                 })
                 .await
             }
-            Err(error) => refused(&error.refusal()),
+            Err(error) => refused(origin, &error.refusal()),
         }
     }
 
     async fn status(&self, req: &Request<Bytes>) -> Response<Body> {
-        if self.authenticate(req).is_none() {
+        let Some(team) = self.authenticate(req) else {
             return unauthorized();
-        }
+        };
         let (reply, status) = oneshot::channel();
         drop(self.actor.cast(EntryMessage::Status(reply)));
         match status.await {
             Ok(status) => json_response(StatusCode::OK, &StatusBody::from(status)),
-            Err(_) => refused(&stopped()),
+            Err(_) => refused(
+                Origin {
+                    service: "",
+                    team: &team,
+                },
+                &stopped(),
+            ),
         }
     }
 
     /// Sends a message with a reply channel to the actor and turns the reply into a response.
     async fn ask(
         &self,
+        origin: Origin<'_>,
         message: impl FnOnce(Ticket, oneshot::Sender<JobResult>) -> EntryMessage,
     ) -> Response<Body> {
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
@@ -156,8 +167,8 @@
         guard.answered = true;
         match result {
             Ok(Ok(answer)) => json_response(StatusCode::OK, &AnswerBody::from(&answer)),
-            Ok(Err(refusal)) => refused(&refusal),
-            Err(_) => refused(&stopped()),
+            Ok(Err(refusal)) => refused(origin, &refusal),
+            Err(_) => refused(origin, &stopped()),
         }
     }
 }
@@ -175,11 +186,19 @@
     json_response(StatusCode::UNAUTHORIZED, &body)
 }
 
-fn refused(refusal: &Refusal) -> Response<Body> {
+/// Caller and service of a request, for the log.
+#[derive(Clone, Copy, Debug)]
+struct Origin<'a> {
+    service: &'a str,
+    team: &'a str,
+}
+
+fn refused(origin: Origin<'_>, refusal: &Refusal) -> Response<Body> {
+    let Origin { service, team } = origin;
     let not_run = refusal.execution == Execution::NotRun;
     emit(&EntryEvent::JobRefused {
-        service: "",
-        team: "",
+        service,
+        team,
         code: refusal.code.as_str(),
         not_run,
     });
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,7 +9,7 @@
 use chestnutfork_config::Document;
 use chestnutfork_dispatch::EntryCore;
 use chestnutfork_net::{
-    ClusterSecret, HttpLimits, HttpServer, Identity, Listener, Metrics, Session, listen, now,
+    ClusterSecret, DialTemplate, HttpLimits, HttpServer, Identity, Listener, Metrics, Session, listen, now,
     random_process_id,
 };
 use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
@@ -21,7 +21,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
-use crate::actor::{Arguments, DialTemplate, EntryActor, EntryMessage};
+use crate::actor::{Arguments, EntryActor, EntryMessage};
 use crate::control::ControlHandler;
 use crate::front::Front;
 use crate::links::{AgentLinks, PeerLinks};
@@ -288,11 +288,7 @@
         .retention(cfg.retention)
         .max_records(cfg.max_records)
         .build(now());
-    let dial = DialTemplate {
-        me: me.clone(),
-        secret: cfg.secret.clone(),
-        metrics: cfg.metrics.clone(),
-    };
+    let dial = DialTemplate::new(me.clone(), cfg.secret.clone(), cfg.metrics.clone());
     let arguments = Arguments {
         core,
         dial,
--- a/crates/load/src/ideal.rs
+++ b/crates/load/src/ideal.rs
@@ -102,6 +102,29 @@
     responses.collect()
 }
 
+/// Returns the targets with the average speed of all slots, so that the total capacity stays the same.
+///
+/// A schedule over them depends neither on the policy nor on which target a task meets.
+///
+/// # Examples
+///
+/// ```
+/// assert!(chestnutfork_load::average_targets(&[]).is_empty());
+/// ```
+#[must_use]
+pub fn average_targets(targets: &[Journal]) -> Vec<Journal> {
+    let slots: f64 = targets.iter().map(|target| f64::from(target.slots)).sum();
+    let capacity: f64 = targets
+        .iter()
+        .map(|target| f64::from(target.slots) * target.speed)
+        .sum();
+    let average = |target: &Journal| Journal {
+        speed: capacity / slots,
+        ..target.clone()
+    };
+    targets.iter().map(average).collect()
+}
+
 fn place(targets: &mut [IdealTarget], at: f64, work: f64) -> Option<f64> {
     let offers = targets.iter().enumerate();
     let offers = offers.filter_map(|(position, target)| {
--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -6,7 +6,7 @@
 use chestnutfork_standin::Journal;
 
 use crate::check::Verdict;
-use crate::ideal::{IdealJob, ideal_responses};
+use crate::ideal::{IdealJob, average_targets, ideal_responses};
 use crate::journals::Ledger;
 use crate::number::{figure, from_millis, length, to_millis};
 use crate::plan::PlannedJob;
@@ -153,14 +153,17 @@
 
     /// Adds response times, response ratios and goodput.
     fn measure(&self, ledger: &Ledger, report: &mut Report) {
-        let ideal = self.ideal(ledger);
+        let jobs = self.ideal_jobs(ledger);
+        let ideal = ideal_responses(self.before, &self.scenario.faults, &jobs);
+        let average = ideal_responses(&average_targets(self.before), &[], &jobs);
         let mut response_ms = Quantiles::new(LATENCY_SCALE);
         let mut ideal_ms = Quantiles::new(LATENCY_SCALE);
+        let mut average_ms = Quantiles::new(LATENCY_SCALE);
         let mut ratios = Quantiles::new(RATIO_SCALE);
         let mut sizes = SIZE_CLASSES.map(|from| (from, 0, Quantiles::new(RATIO_SCALE)));
         let mut good_tasks = 0.0;
         let mut good_work = 0.0;
-        for (run, ideal) in self.runs.iter().zip(ideal) {
+        for ((run, ideal), average) in self.runs.iter().zip(ideal).zip(average) {
             let job = &self.jobs[run.index];
             report.send_lag_max_ms = report.send_lag_max_ms.max(to_millis(run.send_lag));
             let second = second_of(report, job.at);
@@ -174,6 +177,9 @@
             second.completed += 1;
             second.worst_ms = second.worst_ms.max(to_millis(after));
             response_ms.record(to_millis(after));
+            if let Some(average) = average {
+                average_ms.record(to_millis(average));
+            }
             if let Some(ideal) = ideal.filter(|ideal| !ideal.is_zero()) {
                 let ratio = after.as_secs_f64() / ideal.as_secs_f64();
                 second.worst_ratio = second.worst_ratio.max(ratio);
@@ -200,6 +206,7 @@
         report.goodput_work_per_s = good_work / span;
         report.response_ms = response_ms.latency();
         report.ideal_ms = ideal_ms.latency();
+        report.average_ideal_ms = average_ms.latency();
         let classes = sizes.iter().map(|&(from_tasks, jobs, ref ratios)| SizeClass {
             from_tasks,
             jobs,
@@ -213,8 +220,8 @@
         report.response_ratio_p999 = ratios.at(0.999);
     }
 
-    /// Replays the tasks that started; returns the ideal response time of each run.
-    fn ideal(&self, ledger: &Ledger) -> Vec<Option<Duration>> {
+    /// Returns the tasks that started, for the ideal schedules.
+    fn ideal_jobs(&self, ledger: &Ledger) -> Vec<IdealJob> {
         let jobs = self.runs.iter().map(|run| {
             let job = &self.jobs[run.index];
             let tasks = job.tasks.iter().enumerate();
@@ -225,8 +232,7 @@
                 run_times,
             }
         });
-        let jobs: Vec<IdealJob> = jobs.collect();
-        ideal_responses(self.before, &self.scenario.faults, &jobs)
+        jobs.collect()
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use compare::compare;
 pub use error::LoadError;
-pub use ideal::{IdealJob, ideal_responses};
+pub use ideal::{IdealJob, average_targets, ideal_responses};
 pub use plot::svg;
 pub use report::{Broken, Latency, Report, Series, SizeClass, Wasted};
 pub use run::{Endpoints, HttpTargets, Targets, run};
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -149,6 +149,9 @@
     pub response_ms: Latency,
     /// Ideal response time of the same jobs in milliseconds.
     pub ideal_ms: Latency,
+    /// Response time of the same jobs in milliseconds, if all targets had their average speed and no faults.
+    #[serde(default)]
+    pub average_ideal_ms: Latency,
     /// Tasks of jobs completed before their deadline and before the arrivals ended, per second of arrivals.
     pub goodput_tasks_per_s: f64,
     /// Run time at speed 1 of the same jobs, in seconds per second of arrivals.
@@ -255,6 +258,15 @@
                 "  to ideal  p50 {:.3}, p99 {:.3}, p999 {:.3}",
                 self.response_ratio_p50, self.response_ratio_p99, self.response_ratio_p999
             )?;
+            let (ideal, average) = (self.ideal_ms, self.average_ideal_ms);
+            writeln!(
+                f,
+                "  quantiles over those of the ideal: p50 {:.3}, p99 {:.3}; of targets of average speed: p50 {:.3}, p99 {:.3}",
+                response.p50 / ideal.p50,
+                response.p99 / ideal.p99,
+                response.p50 / average.p50,
+                response.p99 / average.p99
+            )?;
             for size in self.sizes.iter().filter(|size| size.jobs > 0) {
                 writeln!(
                     f,
--- a/crates/load/tests/ideal.rs
+++ b/crates/load/tests/ideal.rs
@@ -65,3 +65,16 @@
     let jobs = [job(0, &[100, 100]), job(2_000, &[100, 100])];
     assert_eq!(responses_ms(&targets, &faults, &jobs), [200, 100]);
 }
+
+/// Guards against an average that changes the total capacity, which would make the ideal easier or harder to reach.
+#[test]
+fn average_targets_keeps_capacity() {
+    let targets = [target(4, 1.5), target(4, 1.0), target(2, 0.5)];
+    let average = chestnutfork_load::average_targets(&targets);
+    let capacity: f64 = average
+        .iter()
+        .map(|target| f64::from(target.slots) * target.speed)
+        .sum();
+    assert!((capacity - 11.0).abs() < 1e-9, "{capacity}");
+    assert!(average.iter().all(|target| (target.speed - 1.1).abs() < 1e-9));
+}
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -89,6 +89,41 @@
     }
 }
 
+/// Everything of a dialled link but its address and its handler.
+#[derive(Clone, Debug)]
+pub struct DialTemplate {
+    me: Identity,
+    secret: ClusterSecret,
+    metrics: Metrics,
+}
+
+impl DialTemplate {
+    /// Creates a template for links of this process to entries.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::{ClusterSecret, DialTemplate, Identity, Metrics};
+    /// use chestnutfork_wire::Role;
+    ///
+    /// let me = Identity { role: Role::Agent, name: "a1".into(), process: 1, address: String::new() };
+    /// let template = DialTemplate::new(me, ClusterSecret::new("s"), Metrics::disabled());
+    /// assert!(format!("{template:?}").contains("a1"));
+    /// ```
+    #[must_use]
+    pub fn new(me: Identity, secret: ClusterSecret, metrics: Metrics) -> Self {
+        Self { me, secret, metrics }
+    }
+
+    /// Dials an entry at an address and keeps the link to it open until the returned dialler is dropped.
+    pub fn dial_entry<H: LinkHandler>(&self, address: &str, handler: H) -> Dialer {
+        let cfg = DialConfig::builder(address, self.me.clone(), self.secret.clone())
+            .metrics(self.metrics.clone())
+            .build();
+        dial(cfg, handler)
+    }
+}
+
 /// Running dialler; dropping it ends the link.
 #[derive(Debug)]
 pub struct Dialer {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,7 +13,7 @@
 mod metrics;
 mod wakeup;
 
-pub use dial::{DialConfig, DialConfigBuilder, Dialer, dial};
+pub use dial::{DialConfig, DialConfigBuilder, DialTemplate, Dialer, dial};
 pub use http::{
     Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, http_client,
     json_response,
