register: Bound the remembered answers by their size

Cause: the register was bounded by its number of records; answers of 200 tasks with outputs of up to 256 KiB could still fill the memory. Change: the table counts the size of its answers and grants no claim at the bound (2 GiB by default); the verifier checks the count.

--- a/crates/register/src/builder.rs
+++ b/crates/register/src/builder.rs
@@ -12,6 +12,7 @@
     pub(crate) me: ProcessId,
     pub(crate) retention: Duration,
     pub(crate) max_records: usize,
+    pub(crate) max_answer_bytes: usize,
     pub(crate) max_ahead: Duration,
     pub(crate) claim_timeout: Duration,
     pub(crate) resend_min: Duration,
@@ -43,6 +44,7 @@
             me,
             retention: Duration::from_mins(10),
             max_records: 1_000_000,
+            max_answer_bytes: 2 * 1024 * 1024 * 1024,
             // Control adds 12 s to its clock for the floor of a lost register: these 2 s and 10 s of skew.
             max_ahead: Duration::from_secs(2),
             claim_timeout: Duration::from_secs(1),
@@ -62,6 +64,10 @@
         /// Sets the largest number of records that claims may fill (default 1,000,000).
         max_records: usize
     );
+    setter!(
+        /// Sets the size of remembered answers at which no more claims are granted (default 2 GiB).
+        max_answer_bytes: usize
+    );
     setter!(
         /// Sets how far a job id may lie ahead of the clock (default 2 s).
         max_ahead: Duration
--- a/crates/register/src/register.rs
+++ b/crates/register/src/register.rs
@@ -13,7 +13,7 @@
 use crate::lookups::Lookup;
 use crate::message::PeerMessage;
 use crate::sync::Sync;
-use crate::table::Table;
+use crate::table::{Bounds, Table};
 use crate::view::View;
 
 /// Interval at which records below the floor are discarded.
@@ -72,7 +72,10 @@
 
     pub(crate) fn from_settings(settings: Settings) -> Self {
         Self {
-            table: Table::new(settings.max_records),
+            table: Table::new(Bounds {
+                records: settings.max_records,
+                answer_bytes: settings.max_answer_bytes,
+            }),
             settings,
             view: None,
             fates: BTreeMap::new(),
--- a/crates/register/src/table.rs
+++ b/crates/register/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chestnutfork_types::{Answer, JobId, ProcessId, job_time};
+use chestnutfork_types::{Answer, JobId, ProcessId, TaskStatus, job_time};
 
 use crate::message::{Ballot, Denial, Record};
 
@@ -14,6 +14,8 @@
     pub(crate) position: u64,
     /// Whether this entry saw the accepted answer being chosen.
     pub(crate) decided: bool,
+    /// Size of the accepted answer.
+    pub(crate) bytes: usize,
 }
 
 /// Vote on a claim.
@@ -59,17 +61,27 @@
     pub(crate) order: BTreeMap<u64, JobId>,
     pub(crate) floor: Duration,
     position: u64,
-    max: usize,
+    /// Size of all accepted answers.
+    pub(crate) bytes: usize,
+    bounds: Bounds,
+}
+
+/// Sizes at which a table grants no more claims.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) records: usize,
+    pub(crate) answer_bytes: usize,
 }
 
 impl Table {
-    pub(crate) fn new(max: usize) -> Self {
+    pub(crate) fn new(bounds: Bounds) -> Self {
         Self {
             rows: BTreeMap::new(),
             order: BTreeMap::new(),
             floor: Duration::ZERO,
             position: 0,
-            max,
+            bytes: 0,
+            bounds,
         }
     }
 
@@ -78,7 +90,7 @@
     }
 
     pub(crate) fn is_full(&self) -> bool {
-        self.rows.len() >= self.max
+        self.rows.len() >= self.bounds.records || self.bytes >= self.bounds.answer_bytes
     }
 
     pub(crate) fn record(&self, job: JobId) -> Option<&Record> {
@@ -264,6 +276,7 @@
         {
             let row = first.remove();
             self.order.remove(&row.position);
+            self.bytes -= row.bytes;
         }
     }
 
@@ -284,18 +297,24 @@
         self.position += 1;
         let position = self.position;
         self.order.insert(position, record.job);
+        let bytes = answer_bytes(&record);
+        self.bytes += bytes;
         let row = Row {
             record,
             position,
             decided: false,
+            bytes,
         };
         self.rows.insert(row.record.job, row);
     }
 
-    /// Moves a record to the end of the order of changes.
+    /// Takes note of a change of a record: moves it to the end of the order of changes and counts its answer again.
     fn touch(&mut self, job: JobId) {
         self.position += 1;
         if let Some(row) = self.rows.get_mut(&job) {
+            self.bytes -= row.bytes;
+            row.bytes = answer_bytes(&row.record);
+            self.bytes += row.bytes;
             self.order.remove(&row.position);
             row.position = self.position;
             self.order.insert(self.position, job);
@@ -303,6 +322,21 @@
     }
 }
 
+/// Returns the size of a record's answer, without the few bytes that each record has in common.
+pub(crate) fn answer_bytes(record: &Record) -> usize {
+    let statuses = record.accepted.iter().flat_map(|(_, answer)| &answer.tasks);
+    let sizes = statuses.map(|status| {
+        let text = match status {
+            TaskStatus::Completed { output } => output.len(),
+            TaskStatus::Failed { reason }
+            | TaskStatus::MayHaveRun { reason }
+            | TaskStatus::NotRun { reason } => reason.len(),
+        };
+        size_of::<TaskStatus>() + text
+    });
+    sizes.sum()
+}
+
 fn answer_of(accepted: Option<&(Ballot, Answer)>) -> Option<&Answer> {
     accepted.map(|(_, answer)| answer)
 }
--- a/crates/register/src/verify.rs
+++ b/crates/register/src/verify.rs
@@ -6,6 +6,7 @@
 use crate::claims::Fate;
 use crate::message::Ballot;
 use crate::register::Register;
+use crate::table::answer_bytes;
 
 /// Invariant of the register that does not hold; every violation is a bug to report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -52,6 +53,14 @@
         /// Number of the view.
         view: ViewNumber,
     },
+    /// The size of the answers is counted wrongly, so the table's bound does not hold.
+    #[error("answers of {actual} bytes are counted as {counted}; report this as a bug")]
+    AnswerBytes {
+        /// Counted size.
+        counted: usize,
+        /// Size of all answers.
+        actual: usize,
+    },
     /// A table exceeds its bound.
     #[error("table of {len} claims exceeds its bound; report this as a bug")]
     TableUnbounded {
@@ -91,6 +100,18 @@
                 found.push(Violation::DecidedWithoutAnswer { job });
             }
         }
+        let bytes: usize = self
+            .table
+            .rows
+            .values()
+            .map(|row| answer_bytes(&row.record))
+            .sum();
+        if bytes != self.table.bytes {
+            found.push(Violation::AnswerBytes {
+                counted: self.table.bytes,
+                actual: bytes,
+            });
+        }
         if self.table.order.len() != self.table.rows.len() {
             found.push(Violation::OrderMismatch { job: 0 });
         }
--- a/crates/register/tests/register.rs
+++ b/crates/register/tests/register.rs
@@ -188,6 +188,46 @@
     );
 }
 
+/// Guards against answers that fill the memory although their number is bounded.
+#[test]
+fn claim_refuses_when_answers_are_large() {
+    let mut register = Register::builder(1).max_answer_bytes(1_000).build();
+    let now = Instant::now();
+    let mut run = |event| {
+        let mut actions = Vec::new();
+        register.handle(now, WALL, event, &mut actions);
+        assert_eq!(register.verify(), []);
+        actions
+    };
+    run(Event::ViewInstalled(View::first(1, vec![1])));
+    let (large, next) = (job(0), job(-1));
+    run(Event::Claim {
+        job: large,
+        digest: DIGEST,
+        at_most_once: true,
+    });
+    let answer = Answer::new(
+        large,
+        vec![TaskStatus::Completed {
+            output: vec![0; 2_000].into(),
+        }],
+    );
+    run(Event::RecordAnswer {
+        job: large,
+        digest: DIGEST,
+        answer,
+    });
+    let refused = run(Event::Claim {
+        job: next,
+        digest: DIGEST,
+        at_most_once: true,
+    });
+    assert_eq!(
+        refusal(&refused).map(|(code, _)| code),
+        Some(RefusalCode::RegisterFull)
+    );
+}
+
 /// Guards against a won claim that the winner's own record assigns to an outvoted claimant (found by seed 2889).
 #[test]
 fn claim_overrides_outvoted_record() {
