types: State that an announcement resets the credits of its link

Cause: entry and agent rely on the rule, and only their tests said so. Change: the doc comment of the message. Conclusion: behaviour is unchanged.

--- a/crates/types/src/agent.rs
+++ b/crates/types/src/agent.rs
@@ -142,6 +142,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AgentToEntry {
     /// Announces the target, first on every link and after every change.
+    ///
+    /// It voids the credits of the link on both sides, unless only the configuration version changed.
     Announce(Announcement),
     /// Issues credits.
     Grant {
