agent: Use the token hash of the configuration for the target's token

Cause: the agent had its own constant-time comparison beside TokenHash, and the derived Debug of its configuration would have printed the token in clear. Change: the agent keeps the token's hash and compares with TokenHash; the doc example checks that the token is redacted. Conclusion: an announcement is accepted and refused as before.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -1,5 +1,6 @@
 //! HTTP endpoint on which the target announces itself to its agent.
 
+use chestnutfork_config::TokenHash;
 use chestnutfork_events::{AgentEvent, emit};
 use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
 use chestnutfork_wire::RefusalBody;
@@ -45,26 +46,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct AnnounceEndpoint {
     pub(crate) actor: ActorRef<AgentMessage>,
-    pub(crate) token: TargetToken,
-}
-
-/// Token that the target must present.
-#[derive(Clone, PartialEq, Eq)]
-pub(crate) struct TargetToken(pub(crate) String);
-
-impl std::fmt::Debug for TargetToken {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("TargetToken([redacted])")
-    }
-}
-
-impl TargetToken {
-    /// Compares in time that does not depend on where the tokens differ.
-    fn matches(&self, presented: &str) -> bool {
-        let (known, presented) = (self.0.as_bytes(), presented.as_bytes());
-        let difference = known.iter().zip(presented).fold(0, |sum, (a, b)| sum | (a ^ b));
-        known.len() == presented.len() && difference == 0
-    }
+    /// Hash of the token that the target must present.
+    pub(crate) token: TokenHash,
 }
 
 impl HttpHandler for AnnounceEndpoint {
@@ -73,7 +56,7 @@
             let body = RefusalBody::plain("not_found", "the only path is POST /v1/announce");
             return json_response(StatusCode::NOT_FOUND, &body);
         }
-        if !bearer_token(&req).is_some_and(|token| self.token.matches(token)) {
+        if !bearer_token(&req).is_some_and(|token| self.token.matches(&TokenHash::of(token))) {
             let reason = "the target token is missing or wrong";
             emit(&AgentEvent::TargetRefused {
                 address: "target",
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chestnutfork_config::TokenHash;
 use chestnutfork_net::{
     ClusterSecret, DialTemplate, HttpServer, Identity, Metrics, http_client, random_process_id,
 };
@@ -18,7 +19,7 @@
 use tokio::time::timeout;
 
 use crate::actor::{AgentActor, AgentMessage, Arguments};
-use crate::announce::{AnnounceEndpoint, TargetToken};
+use crate::announce::AnnounceEndpoint;
 use crate::control::ControlHandler;
 use crate::target::TargetClient;
 
@@ -61,7 +62,7 @@
     failure_domain: FailureDomain,
     listen: String,
     secret: ClusterSecret,
-    target_token: String,
+    target_token: TokenHash,
     controls: Vec<String>,
     metrics: Metrics,
 }
@@ -83,6 +84,7 @@
     ///
     /// let cfg = AgentConfig::builder("agent-1", ClusterSecret::new("s")).failure_domain("a").build();
     /// assert!(format!("{cfg:?}").contains("agent-1"));
+    /// assert!(format!("{cfg:?}").contains("[redacted]"));
     /// ```
     #[must_use]
     pub fn builder(name: impl Into<NodeName>, secret: ClusterSecret) -> AgentConfigBuilder {
@@ -91,7 +93,7 @@
             failure_domain: String::new(),
             listen: "127.0.0.1:0".to_owned(),
             secret,
-            target_token: String::new(),
+            target_token: TokenHash::of(""),
             controls: Vec::new(),
             metrics: Metrics::disabled(),
         };
@@ -116,8 +118,8 @@
 
     /// Sets the token that the target must present.
     #[must_use]
-    pub fn target_token(mut self, token: impl Into<String>) -> Self {
-        self.cfg.target_token = token.into();
+    pub fn target_token(mut self, token: impl AsRef<str>) -> Self {
+        self.cfg.target_token = TokenHash::of(token.as_ref());
         self
     }
 
@@ -238,7 +240,7 @@
         })?;
     let endpoint = AnnounceEndpoint {
         actor: actor.clone(),
-        token: TargetToken(cfg.target_token),
+        token: cfg.target_token,
     };
     let server = HttpServer::builder(socket)
         .serve(endpoint)
