--- /dev/null
+++ b/crates/broker/src/admission.rs
@@ -0,0 +1,80 @@
+//! Admission: what is refused at once because it can not be served.
+
+use std::time::{Duration, Instant};
+
+use crate::choose::is_suitable;
+use crate::core::BrokerCore;
+use crate::event::{JobSubmission, StepSpec, Unserved};
+use crate::job::TaskState;
+
+/// Time that a refused caller is told to wait, if nothing better is known.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl BrokerCore {
+    /// Returns why a submission cannot be taken, if so.
+    pub(crate) fn unserved(&self, submission: &JobSubmission) -> Option<Unserved> {
+        if self.draining {
+            return Some(Unserved::Draining);
+        }
+        if submission.stored || submission.lasting || submission.scheduled {
+            return Some(Unserved::Unsupported);
+        }
+        if submission.steps.iter().any(|step| step.together) {
+            return Some(Unserved::Unsupported);
+        }
+        if self.jobs.len() >= self.cfg.max_jobs {
+            return Some(Unserved::TooMany);
+        }
+        (!self.is_well_formed(submission)).then_some(Unserved::Malformed)
+    }
+
+    fn is_well_formed(&self, submission: &JobSubmission) -> bool {
+        let tasks: usize = submission.steps.iter().map(|step| usize::from(step.tasks)).sum();
+        let ordered =
+            |(at, step): (usize, &StepSpec)| step.after.iter().all(|&before| usize::from(before) < at);
+        tasks > 0 && tasks <= self.cfg.max_tasks && submission.steps.iter().enumerate().all(ordered)
+    }
+
+    /// Reports whether some known worker of a pool could run every step; an unknown pool is given the benefit of the doubt.
+    pub(crate) fn could_fit(&self, service: &str, steps: &[StepSpec]) -> bool {
+        let known: Vec<_> = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| agent.worker.pool == service)
+            .collect();
+        let fits = |step: &StepSpec| known.iter().any(|(_, agent)| is_suitable(agent, step));
+        known.is_empty() || steps.iter().all(fits)
+    }
+
+    /// Estimates how long a new job of a service would wait, from what waits here and the speed of the pool.
+    pub(crate) fn expected_wait(&self, now: Instant, service: &str) -> Duration {
+        let mut backlog = 0.0;
+        for job in self.waiting.values().filter_map(|id| self.jobs.get(id)) {
+            if job.service != service {
+                continue;
+            }
+            for task in job.tasks.iter().filter(|task| task.state == TaskState::Waiting) {
+                let step = &job.steps[usize::from(task.step)];
+                backlog += step.declared.as_secs_f64() * number(step.resources.cpu_millis);
+            }
+        }
+        if backlog == 0.0 {
+            return Duration::ZERO;
+        }
+        let mean = self.mean_pace(now, service);
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let rate: f64 = usable
+            .map(|(_, agent)| number(agent.worker.capacity.cpu_millis) / agent.pace().unwrap_or(mean))
+            .sum();
+        let share = rate / number(self.entries.max(1) as u64);
+        if share <= 0.0 {
+            return self.cfg.run_bound;
+        }
+        Duration::from_secs_f64((backlog / share).min(60.0))
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "an estimate needs no exact digits")]
+fn number(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/broker/src/agents.rs
@@ -0,0 +1,151 @@
+//! Agents of workers: what they reported, and the attempts that they were ordered to start.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{
+    AttemptKey, BeatNumber, LinkNumber, NodeName, OrderNumber, ProcessId, Resources, WorkerDescription,
+    WorkerLoad,
+};
+use indexmap::IndexMap;
+
+/// Position of an agent in the table; it stays the same while the process runs.
+pub(crate) type AgentIndex = usize;
+
+/// Attempt that was ordered and whose end is not known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outstanding {
+    pub(crate) order: OrderNumber,
+    pub(crate) resources: Resources,
+    pub(crate) ordered_at: Instant,
+    /// When the attempt counts as overdue.
+    pub(crate) overdue_at: Instant,
+    /// Whether it has been asked to stop.
+    pub(crate) stopping: bool,
+}
+
+/// Agent and its worker.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) name: NodeName,
+    pub(crate) process: ProcessId,
+    pub(crate) link: Option<LinkNumber>,
+    pub(crate) worker: WorkerDescription,
+    pub(crate) load: Option<WorkerLoad>,
+    pub(crate) heard: BeatNumber,
+    /// Arrival of the latest heartbeat.
+    pub(crate) heard_at: Instant,
+    pub(crate) last_order: OrderNumber,
+    pub(crate) outstanding: IndexMap<AttemptKey, Outstanding>,
+}
+
+impl Agent {
+    fn new(now: Instant, name: NodeName, process: ProcessId) -> Self {
+        Self {
+            name,
+            process,
+            link: None,
+            worker: WorkerDescription::default(),
+            load: None,
+            heard: 0,
+            heard_at: now,
+            last_order: 0,
+            outstanding: IndexMap::new(),
+        }
+    }
+
+    /// Reports whether the agent takes orders as far as known.
+    pub(crate) fn is_usable(&self, now: Instant, stale_after: Duration) -> bool {
+        let fresh = now < self.heard_at + stale_after;
+        let available = self.load.is_some_and(|load| load.available);
+        self.link.is_some() && fresh && available && !self.worker.leaving
+    }
+
+    /// Returns the free capacity: what the agent reported, less the orders that the report does not include.
+    pub(crate) fn free(&self) -> Resources {
+        let Some(load) = self.load else {
+            return Resources::default();
+        };
+        let newer = self.outstanding.values().filter(|run| run.order > load.ordered);
+        newer.fold(load.free, |free, run| free.minus(run.resources))
+    }
+
+    pub(crate) fn pace(&self) -> Option<f64> {
+        let permille = self.load.map_or(0, |load| load.pace_permille);
+        (permille > 0).then(|| f64::from(permille) / 1_000.0)
+    }
+
+    pub(crate) fn failing(&self) -> f64 {
+        self.load
+            .map_or(0.0, |load| f64::from(load.failing_permille) / 1_000.0)
+    }
+}
+
+/// All agents that this process has had a link to.
+#[derive(Debug, Default)]
+pub(crate) struct Agents {
+    agents: Vec<Agent>,
+    links: IndexMap<LinkNumber, AgentIndex>,
+}
+
+impl Agents {
+    /// Takes in a link; a later one of the same agent replaces it.
+    pub(crate) fn up(
+        &mut self,
+        now: Instant,
+        link: LinkNumber,
+        name: NodeName,
+        process: ProcessId,
+    ) -> AgentIndex {
+        let known = self.agents.iter().position(|agent| agent.name == name);
+        let at = known.unwrap_or_else(|| {
+            self.agents.push(Agent::new(now, name, process));
+            self.agents.len() - 1
+        });
+        let agent = &mut self.agents[at];
+        if agent.process != process {
+            agent.process = process;
+            agent.heard = 0;
+        }
+        // Beats of the former link do not count for orders on this one, and neither do its reports.
+        agent.load = None;
+        if let Some(old) = agent.link.replace(link) {
+            self.links.swap_remove(&old);
+        }
+        self.links.insert(link, at);
+        at
+    }
+
+    /// Forgets a link and returns its agent, unless a later link has replaced it.
+    pub(crate) fn down(&mut self, link: LinkNumber) -> Option<AgentIndex> {
+        let at = self.links.swap_remove(&link)?;
+        self.agents[at].link = None;
+        Some(at)
+    }
+
+    pub(crate) fn behind(&self, link: LinkNumber) -> Option<AgentIndex> {
+        self.links.get(&link).copied()
+    }
+
+    pub(crate) fn get(&self, at: AgentIndex) -> &Agent {
+        &self.agents[at]
+    }
+
+    pub(crate) fn get_mut(&mut self, at: AgentIndex) -> &mut Agent {
+        &mut self.agents[at]
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (AgentIndex, &Agent)> {
+        self.agents.iter().enumerate()
+    }
+
+    /// Iterates over the agents of a pool that take orders.
+    pub(crate) fn usable<'a>(
+        &'a self,
+        now: Instant,
+        stale_after: Duration,
+        pool: &'a str,
+    ) -> impl Iterator<Item = (AgentIndex, &'a Agent)> {
+        self.iter()
+            .filter(move |(_, agent)| agent.worker.pool == pool && agent.is_usable(now, stale_after))
+    }
+}
--- /dev/null
+++ b/crates/broker/src/choose.rs
@@ -0,0 +1,167 @@
+//! Choice of a worker for a task.
+
+use std::time::{Duration, Instant};
+
+use crate::agents::{Agent, AgentIndex};
+use crate::core::BrokerCore;
+use crate::event::StepSpec;
+use crate::job::{Job, TaskState};
+
+/// Share of failed runs above which a worker is avoided while others can take its tasks.
+const FAILING: f64 = 0.35;
+/// Pace that is assumed while no worker of the pool has reported one.
+const UNKNOWN_PACE: f64 = 1.0;
+/// Time that a wait for a faster worker must leave before the objective.
+const WAIT_MARGIN: Duration = Duration::from_millis(25);
+/// Weight of the used share of a worker in the estimate; it spreads tasks among workers of about the same speed.
+const LOAD_WEIGHT: f64 = 0.05;
+
+/// Where a task goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Choice {
+    /// To a worker with room; the run is expected to take the given time.
+    Place { agent: AgentIndex, expected: Duration },
+    /// Nowhere yet: a faster worker, which is full, would still meet the objective after a wait until the given time.
+    Wait { until: Instant },
+    /// Nowhere: no worker has room.
+    Full,
+}
+
+/// Worker that could take a task.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    agent: AgentIndex,
+    expected: Duration,
+    score: f64,
+    has_room: bool,
+}
+
+impl BrokerCore {
+    /// Chooses a worker for a task of a job.
+    pub(crate) fn choose(&self, now: Instant, job: &Job, task: usize) -> Choice {
+        let step = &job.steps[usize::from(job.tasks[task].step)];
+        let mean = self.mean_pace(now, &job.service);
+        let candidates = self.candidates(now, job, task, step, mean);
+        let best = |room: bool| {
+            let open = candidates.iter().filter(|candidate| candidate.has_room || !room);
+            open.min_by(|a, b| a.score.total_cmp(&b.score))
+        };
+        let Some(placed) = best(true) else {
+            return Choice::Full;
+        };
+        let left = job.objective_at.saturating_duration_since(now);
+        if placed.expected > left
+            && let Some(faster) = best(false)
+            && faster.expected + WAIT_MARGIN < left
+        {
+            let until = job
+                .objective_at
+                .checked_sub(faster.expected + WAIT_MARGIN)
+                .unwrap_or(now);
+            return Choice::Wait { until };
+        }
+        Choice::Place {
+            agent: placed.agent,
+            expected: placed.expected,
+        }
+    }
+
+    /// Returns the shortest expected run time of a task of the step on any usable worker, full or not.
+    pub(crate) fn shortest(&self, now: Instant, service: &str, step: &StepSpec) -> Option<Duration> {
+        let mean = self.mean_pace(now, service);
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let suitable = usable.filter(|(_, agent)| is_suitable(agent, step));
+        suitable.map(|(_, agent)| self.expected(agent, step, mean)).min()
+    }
+
+    /// Returns the mean pace of the usable workers of a pool.
+    pub(crate) fn mean_pace(&self, now: Instant, service: &str) -> f64 {
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let (sum, count) = usable
+            .filter_map(|(_, agent)| agent.pace())
+            .fold((0.0, 0_u32), |(sum, count), pace| (sum + pace, count + 1));
+        if count == 0 {
+            UNKNOWN_PACE
+        } else {
+            sum / f64::from(count)
+        }
+    }
+
+    fn candidates(&self, now: Instant, job: &Job, task: usize, step: &StepSpec, mean: f64) -> Vec<Candidate> {
+        let avoid = job.tasks[task].avoid;
+        let usable = self.agents.usable(now, self.cfg.stale_after, &job.service);
+        let suitable = usable.filter(|(at, agent)| {
+            is_suitable(agent, step) && below_limit(job, job.tasks[task].step, step, *at)
+        });
+        let all: Vec<Candidate> = suitable
+            .map(|(at, agent)| self.candidate(at, agent, step, mean))
+            .collect();
+        let sound = |candidate: &&Candidate| {
+            let agent = self.agents.get(candidate.agent);
+            agent.failing() < FAILING && avoid != Some(candidate.agent)
+        };
+        let preferred: Vec<Candidate> = all.iter().filter(sound).copied().collect();
+        // A pool that fails as a whole is used as it is: the fault may lie with the tasks.
+        let enough = preferred.len() * 2 >= all.len() && !preferred.is_empty();
+        if enough { preferred } else { all }
+    }
+
+    fn candidate(&self, at: AgentIndex, agent: &Agent, step: &StepSpec, mean: f64) -> Candidate {
+        let expected = self.expected(agent, step, mean);
+        let distance = if agent.worker.failure_domain == self.cfg.failure_domain {
+            Duration::ZERO
+        } else {
+            self.cfg.distance
+        };
+        let free = agent.free();
+        let capacity = agent.worker.capacity;
+        let used = 1.0 - ratio(free.cpu_millis, capacity.cpu_millis);
+        let score = (expected + distance).as_secs_f64() * (1.0 + LOAD_WEIGHT * used);
+        Candidate {
+            agent: at,
+            expected,
+            score,
+            has_room: step.resources.fits(free),
+        }
+    }
+
+    /// Returns the expected run time of a task of the step on a worker.
+    fn expected(&self, agent: &Agent, step: &StepSpec, mean: f64) -> Duration {
+        let pace = agent.pace().unwrap_or(mean);
+        let near = step
+            .near
+            .as_ref()
+            .is_none_or(|label| agent.worker.labels.contains(label));
+        let factor = if near { 1.0 } else { self.cfg.remote_factor };
+        step.declared.mul_f64(pace * factor)
+    }
+}
+
+/// Reports whether a worker could ever run tasks of a step.
+pub(crate) fn is_suitable(agent: &Agent, step: &StepSpec) -> bool {
+    let labelled = step
+        .requires
+        .as_ref()
+        .is_none_or(|label| agent.worker.labels.contains(label));
+    labelled && step.resources.fits(agent.worker.capacity)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a share of a worker's capacity needs no exact digits"
+)]
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+/// Reports whether a worker may take another task of a step that limits its tasks on one worker.
+fn below_limit(job: &Job, step: u16, spec: &StepSpec, agent: AgentIndex) -> bool {
+    let Some(limit) = spec.per_worker else {
+        return true;
+    };
+    let there = job
+        .tasks
+        .iter()
+        .filter(|task| task.step == step && task.state == TaskState::Placed(agent));
+    there.count() < usize::from(limit)
+}
--- /dev/null
+++ b/crates/broker/src/config.rs
@@ -0,0 +1,100 @@
+//! Limits and timing of the entry core.
+
+use std::time::Duration;
+
+use chestnutfork_types::FailureDomain;
+
+/// Limits and timing of the entry core.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BrokerConfig {
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) run_bound: Duration,
+    pub(crate) stale_after: Duration,
+    pub(crate) distance: Duration,
+    pub(crate) remote_factor: f64,
+    pub(crate) max_tasks: usize,
+    pub(crate) max_jobs: usize,
+    pub(crate) answer_memory: Duration,
+}
+
+/// Builder of [`BrokerConfig`].
+#[derive(Clone, Debug)]
+pub struct BrokerConfigBuilder {
+    cfg: BrokerConfig,
+}
+
+impl BrokerConfig {
+    /// Starts a configuration for an entry in a failure domain.
+    ///
+    /// `run_bound` is the time after which a run has ended whose agent the entry does not hear any more; it follows from
+    /// the timing of the agents.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chestnutfork_broker::BrokerConfig;
+    ///
+    /// let cfg = BrokerConfig::builder("zone-a", Duration::from_millis(1_300)).max_jobs(100).build();
+    /// assert!(format!("{cfg:?}").contains("zone-a"));
+    /// ```
+    #[must_use]
+    pub fn builder(failure_domain: impl Into<FailureDomain>, run_bound: Duration) -> BrokerConfigBuilder {
+        let cfg = BrokerConfig {
+            failure_domain: failure_domain.into(),
+            run_bound,
+            stale_after: Duration::from_millis(450),
+            distance: Duration::from_millis(3),
+            remote_factor: 1.5,
+            max_tasks: 1_024,
+            max_jobs: 4_096,
+            answer_memory: Duration::from_secs(30),
+        };
+        BrokerConfigBuilder { cfg }
+    }
+}
+
+/// Declares one chainable setter of the builder.
+macro_rules! setter {
+    ($(#[$doc:meta])* $name:ident: $type:ty) => {
+        $(#[$doc])*
+        #[must_use]
+        pub fn $name(mut self, $name: $type) -> Self {
+            self.cfg.$name = $name;
+            self
+        }
+    };
+}
+
+impl BrokerConfigBuilder {
+    setter!(
+        /// Sets the silence after which an agent gets no more tasks; default 450 ms, three heartbeats.
+        stale_after: Duration
+    );
+    setter!(
+        /// Sets what a start and its report cost across failure domains; default 3 ms, one round trip.
+        distance: Duration
+    );
+    setter!(
+        /// Sets the factor on the run time of a task away from its data; default 1.5.
+        remote_factor: f64
+    );
+    setter!(
+        /// Sets the largest number of tasks of one job; default 1,024.
+        max_tasks: usize
+    );
+    setter!(
+        /// Sets the number of jobs in progress above which new ones are refused; default 4,096.
+        max_jobs: usize
+    );
+    setter!(
+        /// Sets how long answers are kept for requests that are sent again; default 30 s.
+        answer_memory: Duration
+    );
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> BrokerConfig {
+        self.cfg
+    }
+}
--- /dev/null
+++ b/crates/broker/src/core.rs
@@ -0,0 +1,210 @@
+//! State of the entry core, its events from agents, and its timer.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use chestnutfork_routes::RouteTable;
+use chestnutfork_types::{
+    AttemptKey, AttemptNumber, EntryToWorker, JobId, LinkNumber, NodeName, ProcessId, TaskKey, WorkerToEntry,
+};
+use indexmap::IndexMap;
+
+use crate::agents::{AgentIndex, Agents};
+use crate::config::BrokerConfig;
+use crate::event::{Action, Answer, Event, Notice, Ticket};
+use crate::job::Job;
+
+/// Interval of the checks of deadlines, overdue attempts and silent agents while jobs are in progress.
+const BUSY_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval of the clean-up while there is nothing to do.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Entry core.
+#[derive(Debug)]
+pub struct BrokerCore {
+    pub(crate) cfg: BrokerConfig,
+    pub(crate) routes: Option<RouteTable>,
+    pub(crate) entries: usize,
+    pub(crate) agents: Agents,
+    pub(crate) jobs: IndexMap<JobId, Job>,
+    /// Jobs with waiting tasks in the order in which they are served.
+    pub(crate) waiting: BTreeMap<(Instant, u64), JobId>,
+    pub(crate) next_order: u64,
+    pub(crate) tickets: IndexMap<Ticket, JobId>,
+    /// Answers for submissions that are sent again.
+    pub(crate) answered: IndexMap<JobId, (Answer, Instant)>,
+    /// Latest attempts of jobs that were given up, so that a repeated submission goes on from there.
+    pub(crate) former: IndexMap<JobId, (AttemptNumber, Instant)>,
+    /// Tasks with an attempt whose end is not known.
+    pub(crate) busy: IndexMap<TaskKey, AgentIndex>,
+    pub(crate) draining: bool,
+    tick_at: Instant,
+}
+
+impl BrokerCore {
+    /// Starts without routes and agents.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_broker::{BrokerConfig, BrokerCore};
+    ///
+    /// let cfg = BrokerConfig::builder("zone-a", Duration::from_millis(1_300)).build();
+    /// let core = BrokerCore::new(cfg, Instant::now());
+    /// assert_eq!(core.jobs_in_progress(), 0);
+    /// ```
+    #[must_use]
+    pub fn new(cfg: BrokerConfig, now: Instant) -> Self {
+        Self {
+            cfg,
+            routes: None,
+            entries: 1,
+            agents: Agents::default(),
+            jobs: IndexMap::new(),
+            waiting: BTreeMap::new(),
+            next_order: 0,
+            tickets: IndexMap::new(),
+            answered: IndexMap::new(),
+            former: IndexMap::new(),
+            busy: IndexMap::new(),
+            draining: false,
+            tick_at: now,
+        }
+    }
+
+    /// Returns the number of jobs that have not been answered.
+    #[must_use]
+    pub fn jobs_in_progress(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Reports whether a route table is in force.
+    #[must_use]
+    pub fn has_routes(&self) -> bool {
+        self.routes.is_some()
+    }
+
+    /// Returns the number of agents that take orders.
+    #[must_use]
+    pub fn usable_agents(&self, now: Instant) -> usize {
+        let stale_after = self.cfg.stale_after;
+        let agents = self.agents.iter();
+        agents
+            .filter(|(_, agent)| agent.is_usable(now, stale_after))
+            .count()
+    }
+
+    /// Takes in one event.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => {}
+            Event::Routes(routes) => self.on_routes(routes, actions),
+            Event::Entries(entries) => self.entries = entries.max(1),
+            Event::AgentUp { link, agent, process } => self.on_agent_up(now, link, agent, process, actions),
+            Event::AgentDown { link } => self.on_agent_down(link, actions),
+            Event::FromAgent { link, message } => self.on_agent_message(now, link, message, actions),
+            Event::Request { ticket, request } => self.on_request(now, ticket, request, actions),
+            Event::CallerGone { ticket } => self.on_caller_gone(now, ticket, actions),
+            Event::Drain => self.draining = true,
+        }
+        self.pump(now, actions);
+        if now >= self.tick_at {
+            self.check_timers(now, actions);
+            let busy = !self.jobs.is_empty() || !self.busy.is_empty();
+            let interval = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+            self.tick_at = now + interval;
+        }
+        debug_assert_eq!(self.verify(), [], "the verifier finds no violation");
+    }
+
+    /// Returns the time at which the core wants an [`Event::Tick`].
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        self.tick_at
+    }
+
+    /// Brings the next check forward, because there is something to watch now.
+    pub(crate) fn watch(&mut self, now: Instant) {
+        self.tick_at = self.tick_at.min(now + BUSY_INTERVAL);
+    }
+
+    fn on_routes(&mut self, routes: RouteTable, actions: &mut Vec<Action>) {
+        let newer = self
+            .routes
+            .as_ref()
+            .is_none_or(|known| routes.version > known.version);
+        if newer {
+            actions.push(Action::Notice(Notice::RoutesInForce {
+                version: routes.version,
+                routes: routes.routes.len() as u64,
+            }));
+            self.routes = Some(routes);
+        }
+    }
+
+    fn on_agent_up(
+        &mut self,
+        now: Instant,
+        link: LinkNumber,
+        agent: NodeName,
+        process: ProcessId,
+        actions: &mut Vec<Action>,
+    ) {
+        let at = self.agents.up(now, link, agent, process);
+        let claimed: Vec<AttemptKey> = self.agents.get(at).outstanding.keys().copied().collect();
+        if !claimed.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::Claim(claimed)));
+        }
+    }
+
+    fn on_agent_down(&mut self, link: LinkNumber, actions: &mut Vec<Action>) {
+        let Some(at) = self.agents.down(link) else {
+            return;
+        };
+        let agent = self.agents.get(at);
+        actions.push(Action::Notice(Notice::AgentLost {
+            agent: agent.name.clone(),
+            outstanding: agent.outstanding.len() as u64,
+        }));
+    }
+
+    fn on_agent_message(
+        &mut self,
+        now: Instant,
+        link: LinkNumber,
+        message: WorkerToEntry,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.agents.behind(link) else {
+            return;
+        };
+        match message {
+            WorkerToEntry::Describe(worker) => {
+                let agent = self.agents.get_mut(at);
+                let joined = agent.worker.worker != worker.worker && !worker.pool.is_empty();
+                agent.worker = worker;
+                if joined {
+                    actions.push(Action::Notice(Notice::AgentJoined {
+                        agent: agent.name.clone(),
+                        pool: agent.worker.pool.clone(),
+                        claimed: agent.outstanding.len() as u64,
+                    }));
+                }
+            }
+            WorkerToEntry::Beat(number, load) => {
+                let agent = self.agents.get_mut(at);
+                agent.load = Some(load);
+                agent.heard = number;
+                agent.heard_at = now;
+                actions.push(Action::ToAgent(link, EntryToWorker::Heard(number)));
+            }
+            WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
+            WorkerToEntry::Ended(ended) => {
+                for run in ended {
+                    self.on_ended(now, at, run, actions);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/ends.rs
@@ -0,0 +1,194 @@
+//! Ends of attempts and of jobs.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{AttemptKey, EndedRun, EntryToWorker, JobId, RunEnd};
+use indexmap::IndexMap;
+
+use crate::admission::RETRY_AFTER;
+use crate::agents::AgentIndex;
+use crate::core::BrokerCore;
+use crate::event::{Action, Answer, JobState, Notice, Unserved};
+use crate::job::{Job, TaskState};
+use crate::requests::refusal;
+
+/// Share of failed runs of a worker above which a failure there says little about the task.
+const UNSOUND: f64 = 0.35;
+/// Attempts at one task above its limit of failures, for those that unsound workers and lost runs have cost.
+const EXTRA_ATTEMPTS: u32 = 6;
+
+impl BrokerCore {
+    pub(crate) fn on_ended(
+        &mut self,
+        now: Instant,
+        agent: AgentIndex,
+        run: EndedRun,
+        actions: &mut Vec<Action>,
+    ) {
+        let row = self.agents.get_mut(agent);
+        let Some(outstanding) = row.outstanding.swap_remove(&run.key) else {
+            return;
+        };
+        let unsound = row.failing() > UNSOUND;
+        if run.end != RunEnd::Completed {
+            actions.push(Action::Notice(Notice::AttemptEnded {
+                key: run.key,
+                agent: row.name.clone(),
+                end: run.end,
+                ran: run.ran,
+            }));
+        }
+        self.busy.swap_remove(&run.key.task);
+        let id = run.key.task.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(at) = job.position(run.key.task) else {
+            return;
+        };
+        let task = &mut job.tasks[at];
+        if task.attempt != run.key.attempt || task.state != TaskState::Placed(agent) {
+            return;
+        }
+        if run.end == RunEnd::Completed {
+            task.state = TaskState::Completed;
+            self.continue_job(now, id, actions);
+            return;
+        }
+        task.state = TaskState::Waiting;
+        task.avoid = Some(agent);
+        if outstanding.stopping {
+            task.overdue += 1;
+        }
+        if run.end == RunEnd::Failed && !unsound {
+            task.failures += 1;
+        }
+        let exhausted =
+            task.failures >= job.max_attempts || task.attempt >= job.max_attempts + EXTRA_ATTEMPTS;
+        if exhausted {
+            self.end_job(now, id, JobState::Failed, actions);
+        } else {
+            self.waiting.insert(job.order, id);
+        }
+    }
+
+    /// Ends a job whose tasks have all completed, or unblocks its next steps.
+    fn continue_job(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.is_complete() {
+            self.end_job(now, id, JobState::Completed, actions);
+            return;
+        }
+        job.unblock();
+        if job.has_waiting() {
+            self.waiting.insert(job.order, id);
+        }
+    }
+
+    /// Answers a job, and stops what still runs of it.
+    pub(crate) fn end_job(&mut self, now: Instant, id: JobId, state: JobState, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.swap_remove(&id) else {
+            return;
+        };
+        self.waiting.remove(&job.order);
+        self.stop_attempts(&job, actions);
+        let waited = job
+            .placed_at
+            .unwrap_or(now)
+            .saturating_duration_since(job.taken_at);
+        actions.push(Action::Notice(Notice::JobEnded {
+            job: id,
+            state,
+            took: now.saturating_duration_since(job.taken_at),
+            waited,
+            attempts: job.attempts,
+            on_time: state == JobState::Completed && now <= job.objective_at,
+        }));
+        let answer = Answer::State(state);
+        self.answered.insert(id, (answer, now));
+        self.remember_attempts(now, &job);
+        self.answer_all(&job, answer, actions);
+    }
+
+    /// Refuses a job of which nothing was ever ordered.
+    pub(crate) fn refuse_job(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.swap_remove(&id) else {
+            return;
+        };
+        self.waiting.remove(&job.order);
+        let waited = now.saturating_duration_since(job.taken_at);
+        self.note_refused(id, Unserved::Overloaded, waited, actions);
+        self.answer_all(&job, refusal(Unserved::Overloaded, RETRY_AFTER), actions);
+    }
+
+    fn answer_all(&mut self, job: &Job, answer: Answer, actions: &mut Vec<Action>) {
+        for &ticket in &job.tickets {
+            self.tickets.swap_remove(&ticket);
+            actions.push(Action::Answer(ticket, answer));
+        }
+    }
+
+    fn remember_attempts(&mut self, now: Instant, job: &Job) {
+        let attempts = job.tasks.iter().map(|task| task.attempt).max().unwrap_or(0);
+        self.former.insert(job.id, (attempts, now));
+    }
+
+    fn stop_attempts(&mut self, job: &Job, actions: &mut Vec<Action>) {
+        let mut stops: IndexMap<AgentIndex, Vec<AttemptKey>> = IndexMap::new();
+        for (at, task) in job.tasks.iter().enumerate() {
+            if let TaskState::Placed(agent) = task.state {
+                let attempt = task.attempt;
+                let key = AttemptKey {
+                    task: job.key(at),
+                    attempt,
+                };
+                stops.entry(agent).or_default().push(key);
+            }
+        }
+        for (agent, keys) in stops {
+            self.stop_at(agent, keys, actions);
+        }
+    }
+
+    /// Asks an agent to stop attempts; one without a link stops them when its lease ends.
+    pub(crate) fn stop_at(&mut self, agent: AgentIndex, keys: Vec<AttemptKey>, actions: &mut Vec<Action>) {
+        let row = self.agents.get_mut(agent);
+        for key in &keys {
+            if let Some(outstanding) = row.outstanding.get_mut(key) {
+                outstanding.stopping = true;
+            }
+        }
+        if let Some(link) = row.link {
+            actions.push(Action::ToAgent(link, EntryToWorker::Stop(keys)));
+        }
+    }
+
+    /// Ends the attempts at agents that have been silent for longer than any run can go on.
+    pub(crate) fn lapse_agents(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let bound = self.cfg.run_bound;
+        let silent = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| !agent.outstanding.is_empty() && now >= agent.heard_at + bound);
+        let silent: Vec<AgentIndex> = silent.map(|(at, _)| at).collect();
+        for at in silent {
+            let agent = self.agents.get(at);
+            let keys: Vec<AttemptKey> = agent.outstanding.keys().copied().collect();
+            actions.push(Action::Notice(Notice::AgentLapsed {
+                agent: agent.name.clone(),
+                silent: now.saturating_duration_since(agent.heard_at),
+                attempts: keys.len() as u64,
+            }));
+            for key in keys {
+                let lost = EndedRun {
+                    key,
+                    end: RunEnd::Lost,
+                    ran: Duration::ZERO,
+                };
+                self.on_ended(now, at, lost, actions);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/event.rs
@@ -0,0 +1,302 @@
+//! Events that drive the entry core and actions that it asks for.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_routes::RouteTable;
+use chestnutfork_types::{
+    AttemptKey, ConfigVersion, EntryToWorker, JobId, Label, LinkNumber, NodeName, ProcessId, Resources,
+    RouteName, RunEnd, StepIndex, WorkerToEntry,
+};
+
+/// Number of a request that waits for its answer.
+pub type Ticket = u64;
+
+/// Step of a submitted job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub tasks: u16,
+    /// Capacity that each task takes.
+    pub resources: Resources,
+    /// Declared run time of a task.
+    pub declared: Duration,
+    /// Steps that must have completed before.
+    pub after: Vec<StepIndex>,
+    /// Label that the worker must have.
+    pub requires: Option<Label>,
+    /// Label of the workers near the data.
+    pub near: Option<Label>,
+    /// Largest number of tasks of the step on one worker at a time.
+    pub per_worker: Option<u16>,
+    /// Whether the tasks work only together.
+    pub together: bool,
+}
+
+/// Submitted job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobSubmission {
+    /// Input of the tasks.
+    pub spec: Bytes,
+    /// The steps.
+    pub steps: Vec<StepSpec>,
+    /// Whether the job must outlive its request.
+    pub stored: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// Whether the job runs at set times.
+    pub scheduled: bool,
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// Runs a job.
+    Submit(JobSubmission),
+    /// Asks for the state of a job, or of the queue if no job is named.
+    Lookup,
+    /// Cancels a job.
+    Cancel,
+}
+
+/// Request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Host that the request names.
+    pub host: String,
+    /// Path of the queue.
+    pub queue: String,
+    /// Job that the request names.
+    pub job: Option<JobId>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// What it asks for.
+    pub kind: RequestKind,
+}
+
+/// State of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    /// No task has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// All tasks have completed.
+    Completed,
+    /// A task failed too often, or the time was over.
+    Failed,
+    /// The job was cancelled.
+    Cancelled,
+}
+
+/// Why a submission was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unserved {
+    /// No route table has arrived yet.
+    NoRoutes,
+    /// The process is stopping.
+    Draining,
+    /// The job asks for what this system does not offer, such as being stored.
+    Unsupported,
+    /// The job is empty, too large, or contradicts itself.
+    Malformed,
+    /// No worker could ever run one of the tasks.
+    NeverFits,
+    /// Too many jobs are in progress.
+    TooMany,
+    /// The objective could not be met with what waits already, or was missed while the job waited.
+    Overloaded,
+}
+
+impl Unserved {
+    /// Returns the name in logs and answers.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoutes => "no_routes",
+            Self::Draining => "draining",
+            Self::Unsupported => "unsupported",
+            Self::Malformed => "malformed",
+            Self::NeverFits => "never_fits",
+            Self::TooMany => "too_many",
+            Self::Overloaded => "overloaded",
+        }
+    }
+}
+
+/// Answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// State of the job; to a submission, that it has ended.
+    State(JobState),
+    /// Number of the queue's jobs of which no task has begun.
+    Pending(u64),
+    /// The job is not known.
+    Unknown,
+    /// The job was cancelled.
+    Cancelled,
+    /// No route matches.
+    NoRoute,
+    /// The submission was not taken, and nothing of it ran or will run.
+    Refused {
+        /// Why.
+        because: Unserved,
+        /// When to try again.
+        retry_after: Duration,
+    },
+}
+
+/// Input of the entry core.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The time passed to `handle` has reached `next_wakeup`.
+    Tick,
+    /// A route table arrived.
+    Routes(RouteTable),
+    /// Number of entries that share the workers.
+    Entries(usize),
+    /// A link to an agent is open.
+    AgentUp {
+        /// The link.
+        link: LinkNumber,
+        /// Name of the agent, which survives restarts.
+        agent: NodeName,
+        /// Incarnation of the agent.
+        process: ProcessId,
+    },
+    /// A link to an agent is closed.
+    AgentDown {
+        /// The link.
+        link: LinkNumber,
+    },
+    /// An agent sent a message.
+    FromAgent {
+        /// The link.
+        link: LinkNumber,
+        /// The message.
+        message: WorkerToEntry,
+    },
+    /// A caller sent a request.
+    Request {
+        /// Number for the answer.
+        ticket: Ticket,
+        /// The request.
+        request: Request,
+    },
+    /// A caller went away before its answer.
+    CallerGone {
+        /// Number of its request.
+        ticket: Ticket,
+    },
+    /// The process takes no more submissions.
+    Drain,
+}
+
+/// Output of the entry core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Sends a message to an agent.
+    ToAgent(LinkNumber, EntryToWorker),
+    /// Answers a request.
+    Answer(Ticket, Answer),
+    /// Reports a decision for the log.
+    Notice(Notice),
+}
+
+/// Decision or change of belief, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// A route table came into force.
+    RoutesInForce {
+        /// Its version.
+        version: ConfigVersion,
+        /// Number of routes.
+        routes: u64,
+    },
+    /// A job was taken.
+    JobTaken {
+        /// The job.
+        job: JobId,
+        /// Its route.
+        route: RouteName,
+        /// Version of the route table that decided.
+        version: ConfigVersion,
+        /// Number of tasks.
+        tasks: u64,
+        /// Time until its latency objective.
+        objective: Duration,
+        /// Jobs that wait for capacity.
+        waiting: u64,
+    },
+    /// A job was refused.
+    JobRefused {
+        /// The job.
+        job: JobId,
+        /// Why.
+        because: Unserved,
+        /// Time that it waited.
+        waited: Duration,
+        /// Jobs that wait for capacity.
+        waiting: u64,
+    },
+    /// A job was answered.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// Its state.
+        state: JobState,
+        /// Time from its submission.
+        took: Duration,
+        /// Time until its first task was placed.
+        waited: Duration,
+        /// Attempts at its tasks.
+        attempts: u64,
+        /// Whether it met its objective.
+        on_time: bool,
+    },
+    /// An attempt ended without completing, and the task is placed again or given up.
+    AttemptEnded {
+        /// The attempt.
+        key: AttemptKey,
+        /// Agent of the worker.
+        agent: NodeName,
+        /// How it ended.
+        end: RunEnd,
+        /// Time that it ran.
+        ran: Duration,
+    },
+    /// An attempt lasts much longer than expected and is stopped.
+    AttemptOverdue {
+        /// The attempt.
+        key: AttemptKey,
+        /// Agent of the worker.
+        agent: NodeName,
+        /// Time since it was ordered.
+        elapsed: Duration,
+    },
+    /// An agent became usable.
+    AgentJoined {
+        /// The agent.
+        agent: NodeName,
+        /// Pool of its worker.
+        pool: String,
+        /// Attempts that it is asked about.
+        claimed: u64,
+    },
+    /// The link to an agent closed.
+    AgentLost {
+        /// The agent.
+        agent: NodeName,
+        /// Attempts whose end is not known.
+        outstanding: u64,
+    },
+    /// The leases behind a silent agent have ended.
+    AgentLapsed {
+        /// The agent.
+        agent: NodeName,
+        /// Time since its last heartbeat.
+        silent: Duration,
+        /// Attempts that have ended by that.
+        attempts: u64,
+    },
+}
--- /dev/null
+++ b/crates/broker/src/job.rs
@@ -0,0 +1,122 @@
+//! Jobs in progress and their tasks.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_types::{AttemptNumber, JobId, RouteName, ServiceName, StepIndex, TaskIndex, TaskKey};
+
+use crate::agents::AgentIndex;
+use crate::event::{JobState, StepSpec, Ticket};
+
+/// Progress of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Steps before it have not completed.
+    Blocked,
+    /// Waits for a worker.
+    Waiting,
+    /// Has an attempt on its way or running.
+    Placed(AgentIndex),
+    /// Has completed.
+    Completed,
+}
+
+/// Task of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub(crate) step: StepIndex,
+    pub(crate) index: TaskIndex,
+    pub(crate) state: TaskState,
+    /// Number of the latest attempt.
+    pub(crate) attempt: AttemptNumber,
+    /// Attempts that failed and count against the limit.
+    pub(crate) failures: u32,
+    /// Attempts that were stopped because they lasted too long.
+    pub(crate) overdue: u32,
+    /// Worker of the latest attempt that did not complete.
+    pub(crate) avoid: Option<AgentIndex>,
+}
+
+/// Job in progress.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) route: RouteName,
+    pub(crate) service: ServiceName,
+    pub(crate) max_attempts: u32,
+    pub(crate) spec: Bytes,
+    pub(crate) steps: Vec<StepSpec>,
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) tickets: Vec<Ticket>,
+    pub(crate) taken_at: Instant,
+    pub(crate) objective_at: Instant,
+    pub(crate) deadline: Instant,
+    /// When its first task was placed.
+    pub(crate) placed_at: Option<Instant>,
+    pub(crate) attempts: u64,
+    /// Position in the order of waiting jobs.
+    pub(crate) order: (Instant, u64),
+}
+
+impl Job {
+    pub(crate) fn key(&self, task: usize) -> TaskKey {
+        let task = &self.tasks[task];
+        TaskKey {
+            job: self.id,
+            step: task.step,
+            index: task.index,
+        }
+    }
+
+    /// Returns the position of a task.
+    pub(crate) fn position(&self, key: TaskKey) -> Option<usize> {
+        self.tasks
+            .iter()
+            .position(|task| task.step == key.step && task.index == key.index)
+    }
+
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.tasks.iter().any(|task| task.state == TaskState::Waiting)
+    }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Completed)
+    }
+
+    pub(crate) fn state(&self) -> JobState {
+        if self.placed_at.is_some() {
+            JobState::Running
+        } else {
+            JobState::Queued
+        }
+    }
+
+    /// Unblocks the tasks whose former steps have completed.
+    pub(crate) fn unblock(&mut self) {
+        let open: Vec<bool> = self.steps.iter().map(|step| self.may_begin(step)).collect();
+        for task in &mut self.tasks {
+            if task.state == TaskState::Blocked && open[usize::from(task.step)] {
+                task.state = TaskState::Waiting;
+            }
+        }
+    }
+
+    fn may_begin(&self, step: &StepSpec) -> bool {
+        let completed = |before: StepIndex| {
+            let mut tasks = self.tasks.iter().filter(|task| task.step == before);
+            tasks.all(|task| task.state == TaskState::Completed)
+        };
+        step.after.iter().all(|&before| completed(before))
+    }
+}
+
+/// Returns the declared run time of the longest chain of steps.
+pub(crate) fn chain(steps: &[StepSpec]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let before = step.after.iter().filter_map(|&at| ends.get(usize::from(at)));
+        let begin = before.max().copied().unwrap_or_default();
+        ends.push(begin + step.declared);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/broker/src/requests.rs
@@ -0,0 +1,208 @@
+//! Requests of callers: submissions, lookups and cancellations.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_routes::Route;
+use chestnutfork_types::{JobId, TaskIndex};
+
+use crate::admission::RETRY_AFTER;
+use crate::core::BrokerCore;
+use crate::event::{Action, Answer, JobState, JobSubmission, Notice, Request, RequestKind, Ticket, Unserved};
+use crate::job::{Job, Task, TaskState, chain};
+
+impl BrokerCore {
+    pub(crate) fn on_request(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        request: Request,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(routes) = &self.routes else {
+            let answer = refusal(Unserved::NoRoutes, RETRY_AFTER);
+            actions.push(Action::Answer(ticket, answer));
+            return;
+        };
+        let Some(route) = routes.find(&request.host, &request.queue).cloned() else {
+            actions.push(Action::Answer(ticket, Answer::NoRoute));
+            return;
+        };
+        let answer = match (request.kind, request.job) {
+            (RequestKind::Submit(submission), Some(job)) => {
+                let patience = request.patience.unwrap_or(route.timeout);
+                self.submit(now, ticket, job, &route, submission, patience, actions);
+                return;
+            }
+            (RequestKind::Submit(_), None) => refusal(Unserved::Malformed, RETRY_AFTER),
+            (RequestKind::Lookup, Some(job)) => self.lookup(job),
+            (RequestKind::Lookup, None) => Answer::Pending(self.pending(&route)),
+            (RequestKind::Cancel, Some(job)) => self.cancel(now, job, actions),
+            (RequestKind::Cancel, None) => Answer::Unknown,
+        };
+        actions.push(Action::Answer(ticket, answer));
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each part of a request is decided on by itself"
+    )]
+    fn submit(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        id: JobId,
+        route: &Route,
+        submission: JobSubmission,
+        patience: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.tickets.push(ticket);
+            job.deadline = job.deadline.max(now + patience);
+            self.tickets.insert(ticket, id);
+            return;
+        }
+        if let Some((answer, _)) = self.answered.get(&id) {
+            actions.push(Action::Answer(ticket, *answer));
+            return;
+        }
+        let mut refused = self.unserved(&submission);
+        let mut retry_after = RETRY_AFTER;
+        if refused.is_none() && !self.could_fit(&route.service, &submission.steps) {
+            refused = Some(Unserved::NeverFits);
+        }
+        let wait = self.expected_wait(now, &route.service);
+        let objective = chain(&submission.steps).mul_f64(route.stretch) + route.overhead;
+        if refused.is_none() && wait + chain(&submission.steps) > objective {
+            refused = Some(Unserved::Overloaded);
+            retry_after = wait.max(RETRY_AFTER);
+        }
+        if let Some(because) = refused {
+            self.note_refused(id, because, Duration::ZERO, actions);
+            actions.push(Action::Answer(ticket, refusal(because, retry_after)));
+            return;
+        }
+        self.tickets.insert(ticket, id);
+        self.take(now, ticket, id, route, submission, patience, objective, actions);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "each part of a job has its own source")]
+    fn take(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        id: JobId,
+        route: &Route,
+        submission: JobSubmission,
+        patience: Duration,
+        objective: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let attempt = self.former.swap_remove(&id).map_or(0, |(attempt, _)| attempt);
+        let tasks = (0_u16..).zip(&submission.steps).flat_map(|(step, spec)| {
+            let state = if spec.after.is_empty() {
+                TaskState::Waiting
+            } else {
+                TaskState::Blocked
+            };
+            (0..spec.tasks).map(move |index: TaskIndex| Task {
+                step,
+                index,
+                state,
+                attempt,
+                failures: 0,
+                overdue: 0,
+                avoid: None,
+            })
+        });
+        let tasks: Vec<Task> = tasks.collect();
+        self.next_order += 1;
+        let objective_at = now + objective;
+        actions.push(Action::Notice(Notice::JobTaken {
+            job: id,
+            route: route.name.clone(),
+            version: self.routes.as_ref().map_or(0, |routes| routes.version),
+            tasks: tasks.len() as u64,
+            objective,
+            waiting: self.waiting.len() as u64,
+        }));
+        let job = Job {
+            id,
+            route: route.name.clone(),
+            service: route.service.clone(),
+            max_attempts: route.max_attempts.max(1),
+            spec: submission.spec,
+            steps: submission.steps,
+            tasks,
+            tickets: vec![ticket],
+            taken_at: now,
+            objective_at,
+            deadline: now + patience,
+            placed_at: None,
+            attempts: 0,
+            order: (objective_at, self.next_order),
+        };
+        self.waiting.insert(job.order, id);
+        self.jobs.insert(id, job);
+        self.watch(now);
+    }
+
+    fn lookup(&self, id: JobId) -> Answer {
+        if let Some(job) = self.jobs.get(&id) {
+            return Answer::State(job.state());
+        }
+        self.answered
+            .get(&id)
+            .map_or(Answer::Unknown, |&(answer, _)| answer)
+    }
+
+    fn pending(&self, route: &Route) -> u64 {
+        let queued = |job: &&Job| job.route == route.name && job.placed_at.is_none();
+        self.jobs.values().filter(queued).count() as u64
+    }
+
+    fn cancel(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) -> Answer {
+        if self.jobs.contains_key(&id) {
+            self.end_job(now, id, JobState::Cancelled, actions);
+            return Answer::Cancelled;
+        }
+        match self.answered.get(&id) {
+            Some(_) => Answer::Cancelled,
+            None => Answer::Unknown,
+        }
+    }
+
+    /// Gives up a job whose callers have all gone; a repeated submission runs it again.
+    pub(crate) fn on_caller_gone(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(id) = self.tickets.swap_remove(&ticket) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.tickets.retain(|&other| other != ticket);
+        if job.tickets.is_empty() {
+            self.end_job(now, id, JobState::Cancelled, actions);
+            self.answered.swap_remove(&id);
+        }
+    }
+
+    pub(crate) fn note_refused(
+        &self,
+        job: JobId,
+        because: Unserved,
+        waited: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Notice(Notice::JobRefused {
+            job,
+            because,
+            waited,
+            waiting: self.waiting.len() as u64,
+        }));
+    }
+}
+
+pub(crate) fn refusal(because: Unserved, retry_after: Duration) -> Answer {
+    Answer::Refused { because, retry_after }
+}
--- /dev/null
+++ b/crates/broker/src/timers.rs
@@ -0,0 +1,91 @@
+//! What depends on the time: deadlines, missed objectives, overdue attempts and silent agents.
+
+use std::time::Instant;
+
+use chestnutfork_types::{AttemptKey, JobId};
+
+use crate::agents::AgentIndex;
+use crate::core::BrokerCore;
+use crate::event::{Action, JobState, Notice};
+use crate::job::{Job, TaskState};
+
+/// Attempts at one task that are stopped as overdue; after that the task itself is taken to be long.
+const MAX_OVERDUE: u32 = 1;
+
+impl BrokerCore {
+    pub(crate) fn check_timers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.lapse_agents(now, actions);
+        self.stop_overdue(now, actions);
+        self.give_up_jobs(now, actions);
+        self.pump(now, actions);
+        let memory = self.cfg.answer_memory;
+        self.answered.retain(|_, (_, at)| now < *at + memory);
+        self.former.retain(|_, (_, at)| now < *at + memory);
+    }
+
+    /// Ends jobs at their deadline, and refuses those that waited until their objective was out of reach.
+    fn give_up_jobs(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let over: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| now >= job.deadline || self.is_hopeless(now, job))
+            .map(|job| job.id)
+            .collect();
+        for id in over {
+            let placed = self.jobs.get(&id).is_some_and(|job| job.placed_at.is_some());
+            if placed {
+                self.end_job(now, id, JobState::Failed, actions);
+            } else {
+                self.refuse_job(now, id, actions);
+            }
+        }
+    }
+
+    /// Reports whether a job of which nothing was ordered can no longer meet its objective.
+    fn is_hopeless(&self, now: Instant, job: &Job) -> bool {
+        if job.placed_at.is_some() {
+            return false;
+        }
+        let longest = job
+            .steps
+            .iter()
+            .filter_map(|step| self.shortest(now, &job.service, step))
+            .max();
+        now + longest.unwrap_or_default() > job.objective_at
+    }
+
+    /// Stops attempts that last much longer than expected, if the task can still be done elsewhere.
+    fn stop_overdue(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut stops: Vec<(AgentIndex, AttemptKey)> = Vec::new();
+        for (at, agent) in self.agents.iter() {
+            for (&key, outstanding) in &agent.outstanding {
+                if outstanding.stopping || now < outstanding.overdue_at || !self.is_worth_retry(now, at, key)
+                {
+                    continue;
+                }
+                actions.push(Action::Notice(Notice::AttemptOverdue {
+                    key,
+                    agent: agent.name.clone(),
+                    elapsed: now.saturating_duration_since(outstanding.ordered_at),
+                }));
+                stops.push((at, key));
+            }
+        }
+        for (agent, key) in stops {
+            self.stop_at(agent, vec![key], actions);
+        }
+    }
+
+    fn is_worth_retry(&self, now: Instant, agent: AgentIndex, key: AttemptKey) -> bool {
+        let Some(job) = self.jobs.get(&key.task.job) else {
+            return false;
+        };
+        let Some(task) = job.position(key.task).map(|at| &job.tasks[at]) else {
+            return false;
+        };
+        let current = task.state == TaskState::Placed(agent) && task.attempt == key.attempt;
+        let step = &job.steps[usize::from(task.step)];
+        let elsewhere = self.shortest(now, &job.service, step);
+        current && task.overdue < MAX_OVERDUE && elsewhere.is_some_and(|time| now + time < job.deadline)
+    }
+}
--- /dev/null
+++ b/crates/broker/src/verify.rs
@@ -0,0 +1,64 @@
+//! Invariants of the entry core.
+
+use chestnutfork_types::{JobId, TaskKey};
+use thiserror::Error;
+
+use crate::core::BrokerCore;
+use crate::job::TaskState;
+
+/// Violation of an invariant.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// A task has two attempts whose end is not known.
+    #[error("task {0:?} has two attempts in progress")]
+    Doubled(TaskKey),
+    /// A placed task has no attempt in progress.
+    #[error("task {0:?} is placed, but no agent has it")]
+    Lost(TaskKey),
+    /// A job with waiting tasks is not in the order of waiting jobs.
+    #[error("job {0:016x} waits, but nothing will place it")]
+    Forgotten(JobId),
+    /// A job without callers is in progress.
+    #[error("job {0:016x} has no caller")]
+    Unwanted(JobId),
+}
+
+impl BrokerCore {
+    /// Returns all violated invariants.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_broker::{BrokerConfig, BrokerCore};
+    ///
+    /// let cfg = BrokerConfig::builder("zone-a", Duration::from_millis(1_300)).build();
+    /// assert_eq!(BrokerCore::new(cfg, Instant::now()).verify(), []);
+    /// ```
+    #[must_use]
+    pub fn verify(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        let mut seen = std::collections::HashSet::new();
+        for (_, agent) in self.agents.iter() {
+            for key in agent.outstanding.keys() {
+                if !seen.insert(key.task) {
+                    violations.push(Violation::Doubled(key.task));
+                }
+            }
+        }
+        for job in self.jobs.values() {
+            for (at, task) in job.tasks.iter().enumerate() {
+                if matches!(task.state, TaskState::Placed(_)) && !seen.contains(&job.key(at)) {
+                    violations.push(Violation::Lost(job.key(at)));
+                }
+            }
+            if job.has_waiting() && self.waiting.get(&job.order) != Some(&job.id) {
+                violations.push(Violation::Forgotten(job.id));
+            }
+            if job.tickets.is_empty() {
+                violations.push(Violation::Unwanted(job.id));
+            }
+        }
+        violations
+    }
+}
--- /dev/null
+++ b/crates/routes/tests/table.rs
@@ -0,0 +1,63 @@
+//! Tests of the route table.
+
+use std::time::Duration;
+
+use chestnutfork_routes::{Route, RouteTable, ServiceRule, TableError};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        service: "desk".to_owned(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        overhead: Duration::from_millis(60),
+        timeout: Duration::from_millis(1_500),
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable {
+        version: 1,
+        routes,
+        services: [("desk".to_owned(), ServiceRule::default())].into(),
+    }
+}
+
+/// Guards against a short prefix that hides a longer one.
+#[test]
+fn find_prefers_longest_prefix() {
+    let table = table(vec![route("short", "/q/"), route("long", "/q/urgent/")]);
+    let found = |path| table.find("A.example", path).map(|route| route.name.as_str());
+    assert_eq!(found("/q/urgent/1"), Some("long"));
+    assert_eq!(found("/q/1"), Some("short"));
+    assert_eq!(found("/other/1"), None);
+    assert_eq!(table.find("b.example", "/q/1"), None);
+}
+
+/// Guards against a table in force whose requests could go nowhere or to two places.
+#[test]
+fn check_reports_each_violation() {
+    let mut unknown = route("a", "/q/");
+    unknown.service = "gone".to_owned();
+    let mut hasty = route("a", "/q/");
+    hasty.timeout = Duration::ZERO;
+    assert!(matches!(
+        table(vec![unknown]).check(),
+        Err(TableError::UnknownService { .. })
+    ));
+    assert!(matches!(
+        table(vec![hasty]).check(),
+        Err(TableError::NoTimeout { .. })
+    ));
+    let twice = table(vec![route("a", "/q/"), route("b", "/q/")]);
+    assert_eq!(
+        twice.check(),
+        Err(TableError::SamePlace {
+            route: "b".to_owned()
+        })
+    );
+    assert_eq!(table(vec![route("a", "/q/"), route("b", "/r/")]).check(), Ok(()));
+}
--- a/crates/subscriber/src/actor.rs
+++ b/crates/subscriber/src/actor.rs
@@ -348,6 +348,8 @@
                 age: confirm.age(),
             }),
             ControlMessageWire::View(view) => self.step(Event::View(control_view(view))),
+            // Only followers are sent these.
+            ControlMessageWire::Document(..) | ControlMessageWire::Directory(..) => {}
         }
     }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -6,6 +6,8 @@
 pub type JobId = u128;
 /// Position of a task in its job, starting at zero.
 pub type TaskIndex = u16;
+/// Position of a step in its job, starting at zero.
+pub type StepIndex = u16;
 /// Random number that identifies one start of a process; a restarted process has a new one.
 pub type ProcessId = u64;
 /// Id of a slot credit, unique within one incarnation of an agent.
@@ -25,6 +27,8 @@
 
 /// Name of a service in the configuration.
 pub type ServiceName = String;
+/// Name of a route in a route table.
+pub type RouteName = String;
 /// Name of a team in the configuration.
 pub type TeamName = String;
 /// Name of an operator in the settings of control.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 mod job;
 mod policy;
 mod refusal;
+mod runs;
 
 pub use agent::{
     AgentToEntry, Announcement, AttemptOutcome, Dispatch, EntryToAgent, RefuseReason, Resolution, TaskResult,
@@ -16,7 +17,8 @@
 pub use answer::{Answer, AnswerError, JobOutcome, TaskStatus};
 pub use ids::{
     ConfigVersion, CreditId, FailureDomain, JobId, LogIndex, NodeName, OperatorName, PatchId, PoolName,
-    ProcessId, ReplicaId, ServiceName, TargetName, TaskIndex, TeamName, Term, ViewNumber, job_time,
+    ProcessId, ReplicaId, RouteName, ServiceName, StepIndex, TargetName, TaskIndex, TeamName, Term,
+    ViewNumber, job_time,
 };
 pub use job::{JobSpec, TaskSpec};
 pub use policy::{
@@ -24,3 +26,8 @@
     Weigh,
 };
 pub use refusal::{Execution, Refusal, RefusalCode};
+pub use runs::{
+    AttemptKey, AttemptNumber, BeatNumber, EndedRun, EntryToWorker, Label, LinkNumber, OrderNumber,
+    Resources, RunEnd, RunNumber, StartOrder, TaskKey, TaskOrder, WorkerDescription, WorkerLoad, WorkerName,
+    WorkerToEntry,
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod peer;
 mod raft;
 mod register;
+mod runs;
 mod subscription;
 
 pub use agent::{AgentToEntryWire, EntryToAgentWire};
@@ -21,4 +22,5 @@
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
     ReplicaHelloWire, ReplicaMessageWire, StateWire,
 };
+pub use runs::{EntryToWorkerWire, LoadWire, RunEndWire, WorkerToEntryWire};
 pub use subscription::{ConfirmWire, ControlMessageWire, EntryInfoWire, SubscriberMessageWire, ViewWire};
--- a/crates/wire/src/raft.rs
+++ b/crates/wire/src/raft.rs
@@ -35,6 +35,9 @@
     /// Answers a request of an operator: number, HTTP status and JSON body.
     #[serde(rename = "a")]
     Answer(u64, u16, Bytes),
+    /// Names the addresses of control processes that the sender knows.
+    #[serde(rename = "d")]
+    Addresses(Vec<String>),
 }
 
 /// Identity of a replica.
@@ -109,6 +112,12 @@
     /// Replaces a control member: old and new replica, and the reason.
     #[serde(rename = "r")]
     Replace(u64, u64, String),
+    /// Submits a whole document: version and content.
+    #[serde(rename = "d")]
+    PutDocument(u64, Bytes),
+    /// Asks for the newest document.
+    #[serde(rename = "g")]
+    GetDocument,
 }
 
 /// Wire form of [`Message`].
@@ -212,6 +221,9 @@
     /// Next view of the entries.
     #[serde(rename = "v")]
     View(ViewWire),
+    /// A whole document: version and content.
+    #[serde(rename = "d")]
+    Document(u64, Bytes),
 }
 
 /// State machine in a snapshot.
@@ -223,6 +235,9 @@
     /// View of the entries.
     #[serde(rename = "v")]
     pub view: Option<ViewWire>,
+    /// Newest document: version and content.
+    #[serde(rename = "d", default)]
+    pub document: Option<(u64, Bytes)>,
 }
 
 /// Declares the encoding of a stored record.
--- /dev/null
+++ b/crates/wire/src/runs.rs
@@ -0,0 +1,314 @@
+//! Wire types of the messages between entries and the agents of workers.
+//!
+//! Field names are one letter long because CBOR repeats them in every message.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunEnd, StartOrder, TaskKey, TaskOrder,
+    WorkerDescription, WorkerLoad, WorkerToEntry,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::raft::micros;
+
+/// Attempt as job, step, index and number.
+type AttemptWire = (u64, u64, u16, u16, u32);
+/// Capacity as thousandths of a core, MB and accelerators.
+type ResourcesWire = (u64, u64, u64);
+
+/// Wire form of [`EntryToWorker`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryToWorkerWire {
+    /// Starts tasks.
+    #[serde(rename = "s")]
+    Start {
+        /// Number of the order.
+        #[serde(rename = "n")]
+        number: u64,
+        /// Latest heartbeat that the entry had received.
+        #[serde(rename = "h")]
+        heard: u64,
+        /// Time left until the latency objective, in microseconds.
+        #[serde(rename = "u")]
+        urgency_us: u64,
+        /// Input of the tasks.
+        #[serde(rename = "i")]
+        spec: Bytes,
+        /// The tasks: attempt, resources and declared run time in microseconds.
+        #[serde(rename = "t")]
+        tasks: Vec<(AttemptWire, ResourcesWire, u64)>,
+    },
+    /// Stops attempts.
+    #[serde(rename = "x")]
+    Stop(Vec<AttemptWire>),
+    /// Acknowledges a heartbeat.
+    #[serde(rename = "h")]
+    Heard(u64),
+    /// Names the attempts that the entry believes to be there.
+    #[serde(rename = "c")]
+    Claim(Vec<AttemptWire>),
+}
+
+/// Wire form of [`WorkerToEntry`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkerToEntryWire {
+    /// Describes the worker.
+    #[serde(rename = "d")]
+    Describe {
+        /// Name of the incarnation.
+        #[serde(rename = "w")]
+        worker: String,
+        /// Pool.
+        #[serde(rename = "p")]
+        pool: String,
+        /// Failure domain.
+        #[serde(rename = "d")]
+        failure_domain: String,
+        /// Labels.
+        #[serde(rename = "b")]
+        labels: Vec<String>,
+        /// Capacity.
+        #[serde(rename = "c")]
+        capacity: ResourcesWire,
+        /// Whether it takes no new tasks.
+        #[serde(rename = "l")]
+        leaving: bool,
+    },
+    /// Carries a numbered heartbeat.
+    #[serde(rename = "b")]
+    Beat(u64, LoadWire),
+    /// Tells the load between heartbeats.
+    #[serde(rename = "l")]
+    Load(LoadWire),
+    /// Reports attempts that ended: attempt, how, and run time in microseconds.
+    #[serde(rename = "e")]
+    Ended(Vec<(AttemptWire, RunEndWire, u64)>),
+}
+
+/// Wire form of [`WorkerLoad`]: free capacity, waiting tasks, pace, failures, availability and latest order.
+pub type LoadWire = (ResourcesWire, u32, u32, u32, bool, u64);
+
+/// Wire form of [`RunEnd`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunEndWire {
+    /// The task did its work.
+    #[serde(rename = "c")]
+    Completed,
+    /// The task failed.
+    #[serde(rename = "f")]
+    Failed,
+    /// The run was stopped.
+    #[serde(rename = "s")]
+    Stopped,
+    /// The run ended otherwise.
+    #[serde(rename = "l")]
+    Lost,
+    /// The run never began.
+    #[serde(rename = "n")]
+    NotStarted,
+}
+
+impl From<RunEnd> for RunEndWire {
+    fn from(end: RunEnd) -> Self {
+        match end {
+            RunEnd::Completed => Self::Completed,
+            RunEnd::Failed => Self::Failed,
+            RunEnd::Stopped => Self::Stopped,
+            RunEnd::Lost => Self::Lost,
+            RunEnd::NotStarted => Self::NotStarted,
+        }
+    }
+}
+
+impl From<RunEndWire> for RunEnd {
+    fn from(wire: RunEndWire) -> Self {
+        match wire {
+            RunEndWire::Completed => Self::Completed,
+            RunEndWire::Failed => Self::Failed,
+            RunEndWire::Stopped => Self::Stopped,
+            RunEndWire::Lost => Self::Lost,
+            RunEndWire::NotStarted => Self::NotStarted,
+        }
+    }
+}
+
+fn attempt_wire(key: AttemptKey) -> AttemptWire {
+    let [high, low] = [0, 64].map(|shift| {
+        let half = (key.task.job << shift) >> 64;
+        u64::try_from(half).expect("half of the bits fit")
+    });
+    (high, low, key.task.step, key.task.index, key.attempt)
+}
+
+fn attempt(wire: AttemptWire) -> AttemptKey {
+    let (high, low, step, index, attempt) = wire;
+    let job = (u128::from(high) << 64) | u128::from(low);
+    let task = TaskKey { job, step, index };
+    AttemptKey { task, attempt }
+}
+
+fn attempts_wire(keys: Vec<AttemptKey>) -> Vec<AttemptWire> {
+    keys.into_iter().map(attempt_wire).collect()
+}
+
+fn attempts(wires: Vec<AttemptWire>) -> Vec<AttemptKey> {
+    wires.into_iter().map(attempt).collect()
+}
+
+fn resources_wire(resources: Resources) -> ResourcesWire {
+    (resources.cpu_millis, resources.memory_mb, resources.gpus)
+}
+
+fn resources(wire: ResourcesWire) -> Resources {
+    let (cpu_millis, memory_mb, gpus) = wire;
+    Resources {
+        cpu_millis,
+        memory_mb,
+        gpus,
+    }
+}
+
+fn load_wire(load: WorkerLoad) -> LoadWire {
+    let free = resources_wire(load.free);
+    let WorkerLoad {
+        waiting,
+        pace_permille,
+        failing_permille,
+        available,
+        ordered,
+        ..
+    } = load;
+    (free, waiting, pace_permille, failing_permille, available, ordered)
+}
+
+fn load(wire: LoadWire) -> WorkerLoad {
+    let (free, waiting, pace_permille, failing_permille, available, ordered) = wire;
+    WorkerLoad {
+        free: resources(free),
+        waiting,
+        pace_permille,
+        failing_permille,
+        available,
+        ordered,
+    }
+}
+
+impl From<EntryToWorker> for EntryToWorkerWire {
+    fn from(message: EntryToWorker) -> Self {
+        match message {
+            EntryToWorker::Start(order) => Self::Start {
+                number: order.number,
+                heard: order.heard,
+                urgency_us: micros(order.urgency),
+                spec: order.spec,
+                tasks: order
+                    .tasks
+                    .into_iter()
+                    .map(|task| {
+                        (
+                            attempt_wire(task.key),
+                            resources_wire(task.resources),
+                            micros(task.declared),
+                        )
+                    })
+                    .collect(),
+            },
+            EntryToWorker::Stop(keys) => Self::Stop(attempts_wire(keys)),
+            EntryToWorker::Heard(beat) => Self::Heard(beat),
+            EntryToWorker::Claim(keys) => Self::Claim(attempts_wire(keys)),
+        }
+    }
+}
+
+impl From<EntryToWorkerWire> for EntryToWorker {
+    fn from(wire: EntryToWorkerWire) -> Self {
+        match wire {
+            EntryToWorkerWire::Start {
+                number,
+                heard,
+                urgency_us,
+                spec,
+                tasks,
+            } => Self::Start(StartOrder {
+                number,
+                heard,
+                urgency: Duration::from_micros(urgency_us),
+                spec,
+                tasks: tasks
+                    .into_iter()
+                    .map(|(key, amount, declared_us)| TaskOrder {
+                        key: attempt(key),
+                        resources: resources(amount),
+                        declared: Duration::from_micros(declared_us),
+                    })
+                    .collect(),
+            }),
+            EntryToWorkerWire::Stop(keys) => Self::Stop(attempts(keys)),
+            EntryToWorkerWire::Heard(beat) => Self::Heard(beat),
+            EntryToWorkerWire::Claim(keys) => Self::Claim(attempts(keys)),
+        }
+    }
+}
+
+impl From<WorkerToEntry> for WorkerToEntryWire {
+    fn from(message: WorkerToEntry) -> Self {
+        match message {
+            WorkerToEntry::Describe(description) => Self::Describe {
+                worker: description.worker,
+                pool: description.pool,
+                failure_domain: description.failure_domain,
+                labels: description.labels,
+                capacity: resources_wire(description.capacity),
+                leaving: description.leaving,
+            },
+            WorkerToEntry::Beat(number, load) => Self::Beat(number, load_wire(load)),
+            WorkerToEntry::Load(load) => Self::Load(load_wire(load)),
+            WorkerToEntry::Ended(ended) => {
+                let ended = ended.into_iter();
+                Self::Ended(
+                    ended
+                        .map(|run| (attempt_wire(run.key), run.end.into(), micros(run.ran)))
+                        .collect(),
+                )
+            }
+        }
+    }
+}
+
+impl From<WorkerToEntryWire> for WorkerToEntry {
+    fn from(wire: WorkerToEntryWire) -> Self {
+        match wire {
+            WorkerToEntryWire::Describe {
+                worker,
+                pool,
+                failure_domain,
+                labels,
+                capacity,
+                leaving,
+            } => Self::Describe(WorkerDescription {
+                worker,
+                pool,
+                failure_domain,
+                labels,
+                capacity: resources(capacity),
+                leaving,
+            }),
+            WorkerToEntryWire::Beat(number, wire) => Self::Beat(number, load(wire)),
+            WorkerToEntryWire::Load(wire) => Self::Load(load(wire)),
+            WorkerToEntryWire::Ended(ended) => {
+                let ended = ended.into_iter();
+                Self::Ended(
+                    ended
+                        .map(|(key, end, ran_us)| EndedRun {
+                            key: attempt(key),
+                            end: end.into(),
+                            ran: Duration::from_micros(ran_us),
+                        })
+                        .collect(),
+                )
+            }
+        }
+    }
+}
--- a/crates/wire/src/subscription.rs
+++ b/crates/wire/src/subscription.rs
@@ -39,6 +39,9 @@
     /// Ends the lease before a shutdown.
     #[serde(rename = "l")]
     Leaving,
+    /// Asks for documents above a version and for the directory of processes, from then on.
+    #[serde(rename = "f")]
+    Follow(u64),
 }
 
 /// Message from control to an entry or agent.
@@ -53,6 +56,12 @@
     /// Entries and their view.
     #[serde(rename = "v")]
     View(ViewWire),
+    /// Carries a whole document: version and content.
+    #[serde(rename = "d")]
+    Document(u64, Bytes),
+    /// Names the addresses of control processes and of entries.
+    #[serde(rename = "p")]
+    Directory(Vec<String>, Vec<String>),
 }
 
 /// Confirmation that a version was the accepted one.
--- /dev/null
+++ b/crates/worker/src/core.rs
@@ -0,0 +1,645 @@
+//! State of the agent core, its events from entries, and its timer.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, LinkNumber, ProcessId, Resources, RunEnd, StartOrder, TaskKey,
+    TaskOrder, WorkerDescription, WorkerLoad, WorkerName, WorkerToEntry,
+};
+use indexmap::IndexMap;
+
+use crate::clock::WorkerClock;
+use crate::config::WorkerConfig;
+use crate::event::{Action, Announcement, CallId, Event, FencingToken, ListedEnd, ListedRun, Notice};
+use crate::health::{Health, ratio};
+use crate::orders::Call;
+use crate::owners::Owners;
+use crate::run::{Finished, NO_OWNER, Phase, Run, Stop};
+
+/// Interval of the clean-up of what is remembered.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+/// Free share of the capacity, as a divisor, below which changes of the load are reported at once.
+const TIGHT: u64 = 3;
+
+/// Conversation with one incarnation of the worker.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) worker: Announcement,
+    pub(crate) clock: WorkerClock,
+    pub(crate) token: FencingToken,
+    /// Hold on its way and when it was sent.
+    pub(crate) hold: Option<(CallId, Instant)>,
+    pub(crate) hold_at: Instant,
+    /// Latest end that was taken in.
+    pub(crate) seen: u64,
+    /// When the first hold of this process was answered.
+    pub(crate) synced_at: Option<Instant>,
+    pub(crate) replied_at: Instant,
+    pub(crate) unanswered: u32,
+    pub(crate) available: bool,
+    pub(crate) health: Health,
+    /// Runs that a former agent process started.
+    pub(crate) orphans: Vec<ListedRun>,
+    /// Ends of runs that a former agent process started.
+    pub(crate) orphan_ends: Vec<ListedEnd>,
+}
+
+/// Agent core of one worker.
+#[derive(Debug)]
+pub struct WorkerCore {
+    pub(crate) cfg: WorkerConfig,
+    pub(crate) session: Option<Session>,
+    pub(crate) owners: Owners,
+    pub(crate) runs: IndexMap<TaskKey, Run>,
+    pub(crate) finished: IndexMap<TaskKey, Finished>,
+    pub(crate) calls: IndexMap<CallId, Call>,
+    pub(crate) next_call: CallId,
+    /// Claims that wait until it is known what runs.
+    claims: Vec<(ProcessId, Vec<AttemptKey>)>,
+    beat_at: Instant,
+    report_at: Instant,
+    reported: Resources,
+    cleanup_at: Instant,
+    /// Time of the last event.
+    handled_at: Instant,
+    draining: bool,
+}
+
+impl WorkerCore {
+    /// Starts without a worker.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use chestnutfork_worker::{WorkerConfig, WorkerCore};
+    ///
+    /// let core = WorkerCore::new(WorkerConfig::builder().build(), Instant::now());
+    /// assert_eq!(core.runs_in_progress(), 0);
+    /// ```
+    #[must_use]
+    pub fn new(cfg: WorkerConfig, now: Instant) -> Self {
+        Self {
+            cfg,
+            session: None,
+            owners: Owners::default(),
+            runs: IndexMap::new(),
+            finished: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: 0,
+            claims: Vec::new(),
+            beat_at: now,
+            report_at: now,
+            reported: Resources::default(),
+            cleanup_at: now,
+            handled_at: now,
+            draining: false,
+        }
+    }
+
+    /// Returns the number of runs that have not ended.
+    #[must_use]
+    pub fn runs_in_progress(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Reports whether the process may end: it drains, nothing runs and every report is delivered.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        let delivered = self
+            .owners
+            .iter()
+            .all(|(_, owner)| owner.outbox.is_empty() || owner.link.is_none());
+        self.draining && self.runs.is_empty() && delivered
+    }
+
+    /// Takes in one event.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.handled_at = now;
+        // After a pause of this process, ended leases take effect before the orders that waited in its buffers.
+        self.expire_leases(now, actions);
+        match event {
+            Event::Tick => {}
+            Event::Announced(announcement) => self.on_announced(now, announcement, actions),
+            Event::Withdrawn(worker) => self.on_withdrawn(now, &worker, actions),
+            Event::EntryUp { link, entry } => self.on_entry_up(now, link, entry, actions),
+            Event::EntryDown { link } => {
+                self.owners.down(link);
+            }
+            Event::FromEntry { link, message } => self.on_entry_message(now, link, message, actions),
+            Event::Replied { call, reply } => self.on_reply(now, call, reply, actions),
+            Event::Drain => self.drain(now, actions),
+        }
+        self.settle(now, actions);
+        debug_assert_eq!(self.verify(), [], "the verifier finds no violation");
+    }
+
+    /// Returns the time at which the core wants an [`Event::Tick`].
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        let report = self.load_changed().then_some(self.report_at);
+        let runs = self.runs.values().filter_map(|run| match run.phase {
+            Phase::Waiting { not_before } => Some(not_before),
+            Phase::Stopping(stop) if stop.call.is_none() && stop.confirmed_at.is_none() => {
+                Some(stop.retry_at)
+            }
+            _ => None,
+        });
+        let busy = !self.runs.is_empty();
+        let leases = self.owners.iter().filter_map(|(_, owner)| owner.lease_until);
+        let leases = leases.filter(|_| busy);
+        let session = self.session.as_ref();
+        let hold = session.filter(|session| session.hold.is_none() && self.needs_hold());
+        let hold = hold.map(|session| session.hold_at);
+        let lapse = session.filter(|_| self.has_started());
+        let lapse = lapse.map(|session| session.clock.lapsed_by());
+        let adoption = session.and_then(|session| self.adoption_ends(session));
+        let due = runs
+            .chain(leases)
+            .chain(report)
+            .chain(hold)
+            .chain(lapse)
+            .chain(adoption);
+        // What was due at the last event has been done, or waits for something else than the time.
+        let due = due.filter(|&at| at > self.handled_at);
+        due.fold(self.beat_at.min(self.cleanup_at), Instant::min)
+    }
+
+    pub(crate) fn has_started(&self) -> bool {
+        self.runs.values().any(|run| !run.is_waiting())
+    }
+
+    fn on_announced(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+        let known = self.session.as_ref().map(|session| &session.worker);
+        let age = |worker: &Announcement| (worker.born, worker.sequence);
+        if known.is_some_and(|known| age(&announcement) <= age(known)) {
+            return;
+        }
+        let same = known.is_some_and(|known| {
+            known.born == announcement.born && known.description.worker == announcement.description.worker
+        });
+        if same {
+            self.update_session(now, announcement, actions);
+        } else {
+            self.lose_worker(now, actions);
+            self.begin_session(now, announcement, actions);
+        }
+    }
+
+    fn update_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+        let Some(session) = self.session.as_mut() else {
+            return;
+        };
+        session.clock.observe(now, announcement.clock);
+        let changed = session.worker.description != announcement.description;
+        let leaves = announcement.description.leaving && !session.worker.description.leaving;
+        session.worker = announcement;
+        if leaves {
+            self.refuse_waiting(now, "the worker is leaving", actions);
+            let running = self.runs.len() as u64;
+            let worker = self.worker_name();
+            actions.push(Action::Notice(Notice::WorkerLeaving { worker, running }));
+        }
+        if changed {
+            self.describe_to_all(actions);
+        }
+    }
+
+    fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+        let description = &announcement.description;
+        actions.push(Action::Notice(Notice::WorkerJoined {
+            worker: description.worker.clone(),
+            pool: description.pool.clone(),
+            cpu_millis: description.capacity.cpu_millis,
+        }));
+        let clock = announcement.clock;
+        self.session = Some(Session {
+            clock: WorkerClock::new(now, clock),
+            // The worker's clock only rises, so a later process of this agent has a higher token.
+            token: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
+            worker: announcement,
+            hold: None,
+            hold_at: now,
+            seen: 0,
+            synced_at: None,
+            replied_at: now,
+            unanswered: 0,
+            available: true,
+            health: Health::default(),
+            orphans: Vec::new(),
+            orphan_ends: Vec::new(),
+        });
+        self.describe_to_all(actions);
+    }
+
+    fn on_withdrawn(&mut self, now: Instant, worker: &WorkerName, actions: &mut Vec<Action>) {
+        let current = self
+            .session
+            .as_ref()
+            .map(|session| &session.worker.description.worker);
+        if current == Some(worker) {
+            self.lose_worker(now, actions);
+            self.describe_to_all(actions);
+        }
+    }
+
+    /// Ends everything that ran on an incarnation that is gone.
+    fn lose_worker(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Some(session) = self.session.take() else {
+            return;
+        };
+        self.calls.clear();
+        let tasks: Vec<TaskKey> = self.runs.keys().copied().collect();
+        let lost = tasks.len() as u64;
+        for task in tasks {
+            let waiting = self.runs.get(&task).is_some_and(Run::is_waiting);
+            let end = if waiting { RunEnd::NotStarted } else { RunEnd::Lost };
+            self.finish(now, task, end, actions);
+        }
+        self.finished.clear();
+        let worker = session.worker.description.worker;
+        actions.push(Action::Notice(Notice::WorkerGone { worker, lost }));
+    }
+
+    fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
+        self.owners.up(link, entry);
+        actions.push(Action::ToEntry(link, WorkerToEntry::Describe(self.description())));
+        let number = self.owners.beat(now);
+        let load = self.load(now, entry);
+        actions.push(Action::ToEntry(link, WorkerToEntry::Beat(number, load)));
+    }
+
+    fn on_entry_message(
+        &mut self,
+        now: Instant,
+        link: LinkNumber,
+        message: EntryToWorker,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.owners.behind(link) else {
+            return;
+        };
+        match message {
+            EntryToWorker::Heard(beat) => self.owners.heard(entry, beat, self.cfg.entry_lease),
+            EntryToWorker::Start(order) => self.on_start(now, entry, &order, actions),
+            EntryToWorker::Stop(keys) => {
+                for key in keys {
+                    self.stop_attempt(now, entry, key, actions);
+                }
+            }
+            EntryToWorker::Claim(keys) => {
+                self.claims.push((entry, keys));
+                self.settle_claims(now, actions);
+            }
+        }
+    }
+
+    fn on_start(&mut self, now: Instant, entry: ProcessId, order: &StartOrder, actions: &mut Vec<Action>) {
+        self.owners.heard(entry, order.heard, self.cfg.entry_lease);
+        if let Some(owner) = self.owners.get_mut(entry) {
+            owner.ordered = owner.ordered.max(order.number);
+        }
+        let refusal = self.refusal(now, entry);
+        for &task in &order.tasks {
+            let busy = self.runs.contains_key(&task.key.task);
+            match refusal.or(busy.then_some("another run of the task has not ended")) {
+                Some(because) => self.refuse(entry, task.key, because, actions),
+                None => self.accept(now, entry, order, task),
+            }
+        }
+    }
+
+    /// Returns why no order of an entry can be carried out now.
+    fn refusal(&self, now: Instant, entry: ProcessId) -> Option<&'static str> {
+        let session = self.session.as_ref();
+        if !self.owners.has_lease(entry, now) {
+            return Some("the order is older than the entry's lease");
+        }
+        if self.draining {
+            return Some("the agent is stopping");
+        }
+        match session {
+            None => Some("the worker is gone"),
+            Some(session) if session.worker.description.leaving => Some("the worker is leaving"),
+            Some(session) if !session.available => Some("the worker does not answer"),
+            Some(_) => None,
+        }
+    }
+
+    fn accept(&mut self, now: Instant, owner: ProcessId, order: &StartOrder, task: TaskOrder) {
+        let last = self
+            .finished
+            .get(&task.key.task)
+            .map_or(0, |finished| finished.number);
+        let run = Run {
+            key: task.key,
+            owner,
+            number: u64::from(task.key.attempt).max(last + 1),
+            resources: task.resources,
+            declared: task.declared,
+            urgent_at: now + order.urgency,
+            spec: order.spec.clone(),
+            phase: Phase::Waiting { not_before: now },
+            started_at: None,
+            refused: 0,
+        };
+        self.runs.insert(task.key.task, run);
+    }
+
+    fn refuse(
+        &mut self,
+        entry: ProcessId,
+        key: AttemptKey,
+        because: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Notice(Notice::StartRefused { key, because }));
+        let ended = EndedRun {
+            key,
+            end: RunEnd::NotStarted,
+            ran: Duration::ZERO,
+        };
+        self.report(entry, ended);
+    }
+
+    fn report(&mut self, entry: ProcessId, ended: EndedRun) {
+        if let Some(owner) = self.owners.get_mut(entry) {
+            owner.outbox.push(ended);
+        }
+    }
+
+    fn stop_attempt(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, actions: &mut Vec<Action>) {
+        let known = self
+            .runs
+            .get(&key.task)
+            .is_some_and(|run| run.key == key && run.owner == entry);
+        if known {
+            self.stop(now, key.task, RunEnd::Stopped, actions);
+        }
+    }
+
+    /// Stops a run; one that still waits ends at once.
+    pub(crate) fn stop(&mut self, now: Instant, task: TaskKey, unlisted: RunEnd, actions: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        match run.phase {
+            Phase::Waiting { .. } => self.finish(now, task, RunEnd::NotStarted, actions),
+            Phase::Stopping(_) => {}
+            Phase::Starting { .. } | Phase::Running { .. } => {
+                run.phase = Phase::Stopping(Stop {
+                    call: None,
+                    retry_at: now,
+                    confirmed_at: None,
+                    unlisted,
+                });
+            }
+        }
+    }
+
+    /// Ends a run and reports it to its owner.
+    pub(crate) fn finish(&mut self, now: Instant, task: TaskKey, end: RunEnd, actions: &mut Vec<Action>) {
+        let Some(run) = self.runs.swap_remove(&task) else {
+            return;
+        };
+        let ran = run.ran(now);
+        let ended = EndedRun {
+            key: run.key,
+            end,
+            ran,
+        };
+        if end != RunEnd::Completed {
+            let key = run.key;
+            actions.push(Action::Notice(Notice::RunEnded { key, end, ran }));
+        }
+        if !run.is_waiting() {
+            let number = run.number;
+            self.finished.insert(
+                task,
+                Finished {
+                    number,
+                    ended,
+                    at: now,
+                },
+            );
+        }
+        if run.owner != NO_OWNER {
+            self.report(run.owner, ended);
+        }
+    }
+
+    fn refuse_waiting(&mut self, now: Instant, because: &'static str, actions: &mut Vec<Action>) {
+        let waiting = self.runs.values().filter(|run| run.is_waiting());
+        let keys: Vec<AttemptKey> = waiting.map(|run| run.key).collect();
+        for key in keys {
+            actions.push(Action::Notice(Notice::StartRefused { key, because }));
+            self.finish(now, key.task, RunEnd::NotStarted, actions);
+        }
+    }
+
+    /// Stops the runs of entries whose lease has ended.
+    fn expire_leases(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut lapsed: IndexMap<ProcessId, Vec<TaskKey>> = IndexMap::new();
+        for (&task, run) in &self.runs {
+            let stopping = matches!(run.phase, Phase::Stopping(_));
+            if run.owner != NO_OWNER && !stopping && !self.owners.has_lease(run.owner, now) {
+                lapsed.entry(run.owner).or_default().push(task);
+            }
+        }
+        for (entry, tasks) in lapsed {
+            let runs = tasks.len() as u64;
+            actions.push(Action::Notice(Notice::EntryLapsed { entry, runs }));
+            for task in tasks {
+                self.stop(now, task, RunEnd::Stopped, actions);
+            }
+        }
+    }
+
+    fn drain(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.draining = true;
+        self.refuse_waiting(now, "the agent is stopping", actions);
+        self.describe_to_all(actions);
+    }
+
+    /// Answers claims once it is known what the worker runs.
+    pub(crate) fn settle_claims(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let synced = self
+            .session
+            .as_ref()
+            .is_none_or(|session| session.synced_at.is_some());
+        if !synced {
+            return;
+        }
+        for (entry, keys) in std::mem::take(&mut self.claims) {
+            for key in keys {
+                self.settle_claim(now, entry, key, actions);
+            }
+        }
+    }
+
+    fn settle_claim(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, actions: &mut Vec<Action>) {
+        if self.runs.get(&key.task).is_some_and(|run| run.key == key) {
+            return;
+        }
+        if let Some(finished) = self
+            .finished
+            .get(&key.task)
+            .filter(|finished| finished.ended.key == key)
+        {
+            let ended = finished.ended;
+            self.report(entry, ended);
+            return;
+        }
+        if let Some(session) = self.session.as_mut() {
+            let orphan = session.orphans.iter().position(|run| run.task == key.task);
+            if let Some(run) = orphan.map(|at| session.orphans.swap_remove(at)) {
+                self.adopt(now, entry, key, run);
+                return;
+            }
+            let listed = session
+                .orphan_ends
+                .iter()
+                .position(|end| end.run.task == key.task);
+            if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
+                self.adopt(now, entry, key, listed.run);
+                self.finish(now, key.task, listed.end, actions);
+                return;
+            }
+        }
+        let ended = EndedRun {
+            key,
+            end: RunEnd::Lost,
+            ran: Duration::ZERO,
+        };
+        self.report(entry, ended);
+    }
+
+    /// Takes over a run that a former agent process started.
+    pub(crate) fn adopt(&mut self, now: Instant, owner: ProcessId, key: AttemptKey, listed: ListedRun) {
+        let run = Run {
+            key,
+            owner,
+            number: listed.run,
+            resources: Resources::default(),
+            declared: Duration::ZERO,
+            urgent_at: now,
+            spec: bytes::Bytes::new(),
+            phase: Phase::Running { since: now },
+            started_at: Some(now),
+            refused: 0,
+        };
+        self.runs.insert(key.task, run);
+    }
+
+    /// Does what has become possible or due after an event.
+    fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.lapse_runs(now, actions);
+        self.stop_orphans(now, actions);
+        self.start_waiting(now, actions);
+        self.repeat_stops(now, actions);
+        self.hold(now, actions);
+        self.deliver(actions);
+        self.beat(now, actions);
+        if now >= self.cleanup_at {
+            self.cleanup_at = now + CLEANUP_INTERVAL;
+            let memory = self.cfg.memory;
+            self.finished.retain(|_, finished| now < finished.at + memory);
+            self.owners.forget_idle(now, memory);
+        }
+    }
+
+    /// Sends the reports of ended runs to entries with a link.
+    fn deliver(&mut self, actions: &mut Vec<Action>) {
+        for owner in self.owners.iter_mut() {
+            if let Some(link) = owner.link.filter(|_| !owner.outbox.is_empty()) {
+                let ended = std::mem::take(&mut owner.outbox);
+                actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended)));
+            }
+        }
+    }
+
+    fn beat(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = now >= self.beat_at;
+        let changed = self.load_changed() && now >= self.report_at;
+        if !due && !changed {
+            return;
+        }
+        self.report_at = now + self.cfg.report_interval;
+        self.reported = self.free();
+        let number = due.then(|| {
+            self.beat_at = now + self.cfg.beat_interval;
+            self.owners.beat(now)
+        });
+        let links: Vec<(LinkNumber, ProcessId)> = self
+            .owners
+            .iter()
+            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
+            .collect();
+        for (link, entry) in links {
+            let load = self.load(now, entry);
+            let message = number.map_or(WorkerToEntry::Load(load), |number| {
+                WorkerToEntry::Beat(number, load)
+            });
+            actions.push(Action::ToEntry(link, message));
+        }
+    }
+
+    /// Reports whether entries would place tasks differently if they knew the present load.
+    fn load_changed(&self) -> bool {
+        let Some(session) = self.session.as_ref() else {
+            return false;
+        };
+        let capacity = session.worker.description.capacity.cpu_millis;
+        let free = self.free();
+        let tight = free.cpu_millis.min(self.reported.cpu_millis) < capacity / TIGHT;
+        tight && free != self.reported
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        let capacity = self
+            .session
+            .as_ref()
+            .map(|session| session.worker.description.capacity);
+        let used = self.runs.values().map(|run| run.resources);
+        let used = used.fold(Resources::default(), Resources::plus);
+        capacity.unwrap_or_default().minus(used)
+    }
+
+    fn load(&mut self, now: Instant, entry: ProcessId) -> WorkerLoad {
+        let started = self.runs.values().filter(|run| run.started_at.is_some());
+        let known = started.filter(|run| !run.declared.is_zero());
+        let mut in_progress: Vec<f64> = known.map(|run| ratio(run.ran(now), run.declared)).collect();
+        let waiting = self.runs.values().filter(|run| run.is_waiting()).count();
+        let ordered = self.owners.get_mut(entry).map_or(0, |owner| owner.ordered);
+        let session = self.session.as_ref();
+        let health = session.map(|session| session.health).unwrap_or_default();
+        WorkerLoad {
+            free: self.free(),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            pace_permille: health.pace_permille(&mut in_progress),
+            failing_permille: health.failing_permille(now),
+            available: session.is_some_and(|session| session.available),
+            ordered,
+        }
+    }
+
+    fn description(&self) -> WorkerDescription {
+        let session = self.session.as_ref();
+        let mut description = session
+            .map(|session| session.worker.description.clone())
+            .unwrap_or_default();
+        description.leaving |= self.draining;
+        description
+    }
+
+    fn describe_to_all(&mut self, actions: &mut Vec<Action>) {
+        let description = self.description();
+        let links = self.owners.iter().filter_map(|(_, owner)| owner.link);
+        actions.extend(links.map(|link| Action::ToEntry(link, WorkerToEntry::Describe(description.clone()))));
+    }
+
+    pub(crate) fn worker_name(&self) -> WorkerName {
+        let session = self.session.as_ref();
+        session.map_or_else(String::new, |session| session.worker.description.worker.clone())
+    }
+}
--- /dev/null
+++ b/crates/worker/src/health.rs
@@ -0,0 +1,84 @@
+//! What the agent learns of its worker from the ends of runs: speed and failures.
+
+use std::time::{Duration, Instant};
+
+/// Weight of the latest run in the moving averages: about the last ten runs count.
+const WEIGHT: f64 = 0.1;
+/// Time in which the weight of past failures falls to a third, so that an avoided worker is tried again.
+const FAILURE_MEMORY: Duration = Duration::from_secs(2);
+/// Declared run times below this are taken as this, to keep the ratio meaningful.
+const LEAST_DECLARED: Duration = Duration::from_millis(5);
+/// Share of a run's observed ratio that counts while it still runs; declared times are often far too short.
+const UNFINISHED_DISCOUNT: f64 = 0.5;
+/// Runs in progress from which their median tells something.
+const LEAST_SAMPLES: usize = 3;
+
+/// Moving averages over the runs of one worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Health {
+    /// Logarithm of observed over declared run time.
+    log_pace: Option<f64>,
+    failing: f64,
+    failed_at: Option<Instant>,
+}
+
+impl Health {
+    pub(crate) fn completed(&mut self, now: Instant, ran: Duration, declared: Duration) {
+        let ratio = ratio(ran, declared).ln();
+        let pace = self.log_pace.map_or(ratio, |pace| pace + WEIGHT * (ratio - pace));
+        self.log_pace = Some(pace);
+        self.failing = self.failing(now) * (1.0 - WEIGHT);
+        self.failed_at = Some(now);
+    }
+
+    pub(crate) fn failed(&mut self, now: Instant) {
+        self.failing = self.failing(now) * (1.0 - 2.0 * WEIGHT) + 2.0 * WEIGHT;
+        self.failed_at = Some(now);
+    }
+
+    /// Returns observed over declared run time in thousandths, or zero before the first observation.
+    ///
+    /// Runs in progress count as soon as they last longer than ended ones did, so that a worker that has become slow or
+    /// stands still shows before anything ends there.
+    pub(crate) fn pace_permille(&self, in_progress: &mut [f64]) -> u32 {
+        let ended = self.log_pace.map_or(0.0, f64::exp);
+        in_progress.sort_by(f64::total_cmp);
+        let median = in_progress.get(in_progress.len() / 2).copied().unwrap_or(0.0);
+        let running = if in_progress.len() < LEAST_SAMPLES {
+            0.0
+        } else {
+            median * UNFINISHED_DISCOUNT
+        };
+        let known = if self.log_pace.is_none() && running < 1.0 {
+            0.0
+        } else {
+            ended.max(running)
+        };
+        permille(known)
+    }
+
+    pub(crate) fn failing_permille(&self, now: Instant) -> u32 {
+        permille(self.failing(now))
+    }
+
+    fn failing(&self, now: Instant) -> f64 {
+        let age = self
+            .failed_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.failing * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+}
+
+/// Returns observed over declared run time.
+pub(crate) fn ratio(ran: Duration, declared: Duration) -> f64 {
+    ran.max(Duration::from_millis(1)).as_secs_f64() / declared.max(LEAST_DECLARED).as_secs_f64()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of the target type"
+)]
+fn permille(value: f64) -> u32 {
+    (value * 1_000.0).clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/worker/src/orders.rs
@@ -0,0 +1,216 @@
+//! Orders to the worker: starts in the order of urgency, stops until confirmed, and holds that renew the lease.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{AttemptKey, RunEnd, TaskKey};
+
+use crate::core::{Session, WorkerCore};
+use crate::event::{Action, CallId, Notice, Order};
+use crate::run::{NO_OWNER, Phase, Run};
+
+/// Call on its way to the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Call {
+    Start(TaskKey),
+    Stop(TaskKey),
+    Hold { sent_at: Instant },
+}
+
+impl WorkerCore {
+    /// Starts waiting runs as far as the worker has room, the most urgent first.
+    pub(crate) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let ready = self.session.as_ref().is_some_and(|session| session.available);
+        if !ready {
+            return;
+        }
+        while let Some(task) = self.next_start(now) {
+            self.start(now, task, actions);
+        }
+    }
+
+    /// Returns the most urgent waiting run if it fits; a smaller, less urgent one does not overtake it.
+    fn next_start(&self, now: Instant) -> Option<TaskKey> {
+        let due = self
+            .runs
+            .values()
+            .filter(|run| matches!(run.phase, Phase::Waiting { not_before } if not_before <= now));
+        let run = due.min_by_key(|run| (run.urgent_at, run.key))?;
+        let capacity = self.session.as_ref()?.worker.description.capacity;
+        let started = self.runs.values().filter(|run| !run.is_waiting());
+        let used = started.fold(run.resources, |sum, other| sum.plus(other.resources));
+        used.fits(capacity).then_some(run.key.task)
+    }
+
+    fn start(&mut self, now: Instant, task: TaskKey, actions: &mut Vec<Action>) {
+        let lease = self.cfg.worker_lease;
+        let call = self.begin_call(Call::Start(task));
+        let (Some(session), Some(run)) = (self.session.as_mut(), self.runs.get_mut(&task)) else {
+            return;
+        };
+        run.phase = Phase::Starting { call };
+        run.started_at = Some(now);
+        let order = Order::Start {
+            task,
+            run: run.number,
+            spec: run.spec.clone(),
+            until: session.clock.grant(now, lease),
+            token: session.token,
+        };
+        push_call(session, call, order, actions);
+    }
+
+    /// Sends stop orders that have not been sent yet or got no answer.
+    pub(crate) fn repeat_stops(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = |run: &Run| match run.phase {
+            Phase::Stopping(stop) => {
+                stop.call.is_none() && stop.confirmed_at.is_none() && stop.retry_at <= now
+            }
+            _ => false,
+        };
+        let tasks = self
+            .runs
+            .iter()
+            .filter(|(_, run)| due(run))
+            .map(|(&task, _)| task);
+        let tasks: Vec<TaskKey> = tasks.collect();
+        for task in tasks {
+            let call = self.begin_call(Call::Stop(task));
+            let (Some(session), Some(run)) = (self.session.as_ref(), self.runs.get_mut(&task)) else {
+                return;
+            };
+            if let Phase::Stopping(stop) = &mut run.phase {
+                stop.call = Some(call);
+            }
+            let order = Order::Stop {
+                task,
+                run: run.number,
+                token: session.token,
+            };
+            push_call(session, call, order, actions);
+        }
+    }
+
+    /// Reports whether the worker must be asked what runs, or its lease renewed.
+    pub(crate) fn needs_hold(&self) -> bool {
+        let Some(session) = self.session.as_ref() else {
+            return false;
+        };
+        let unsettled = session.synced_at.is_none() || !session.available || !session.orphans.is_empty();
+        unsettled || self.has_started()
+    }
+
+    /// Renews the worker's lease; the reply comes with the next end of a run.
+    pub(crate) fn hold(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let needed = self.needs_hold();
+        let idle = |session: &Session| session.hold.is_none() && session.hold_at <= now;
+        if !needed || !self.session.as_ref().is_some_and(idle) {
+            return;
+        }
+        // A stop that was confirmed is over in moments, and what is unsettled is worth a quick answer.
+        let settled = self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.synced_at.is_some() && session.available);
+        let wait = if settled {
+            self.cfg.hold_wait
+        } else {
+            Duration::ZERO
+        };
+        let lease = self.cfg.worker_lease;
+        let call = self.begin_call(Call::Hold { sent_at: now });
+        let Some(session) = self.session.as_mut() else {
+            return;
+        };
+        session.hold = Some((call, now));
+        let order = Order::Hold {
+            until: session.clock.grant(now, lease),
+            seen: session.seen,
+            wait,
+            token: session.token,
+        };
+        push_call(session, call, order, actions);
+    }
+
+    /// Stops runs of a former agent process that no entry has claimed in time.
+    pub(crate) fn stop_orphans(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = self
+            .session
+            .as_ref()
+            .and_then(|session| self.adoption_ends(session))
+            .is_some_and(|at| at <= now);
+        if !due {
+            return;
+        }
+        let orphans = self
+            .session
+            .as_mut()
+            .map(|session| std::mem::take(&mut session.orphans));
+        for listed in orphans.into_iter().flatten() {
+            let task = listed.task;
+            if self.runs.contains_key(&task) {
+                continue;
+            }
+            let key = AttemptKey { task, attempt: 0 };
+            self.adopt(now, NO_OWNER, key, listed);
+            self.stop(now, task, RunEnd::Stopped, actions);
+        }
+    }
+
+    /// Returns the time after which unclaimed runs are stopped, if there are any.
+    pub(crate) fn adoption_ends(&self, session: &Session) -> Option<Instant> {
+        let synced = session.synced_at.filter(|_| !session.orphans.is_empty())?;
+        Some(synced + self.cfg.entry_lease)
+    }
+
+    /// Ends all runs once the worker's lease has certainly lapsed.
+    pub(crate) fn lapse_runs(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let lapsed = self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.clock.lapsed_by() <= now);
+        if !lapsed || !self.has_started() {
+            return;
+        }
+        let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
+        let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
+        for task in tasks {
+            self.finish(now, task, RunEnd::Lost, actions);
+        }
+    }
+
+    fn begin_call(&mut self, call: Call) -> CallId {
+        self.next_call += 1;
+        self.calls.insert(self.next_call, call);
+        self.next_call
+    }
+
+    /// Notes that a start was refused in a way that another try may mend.
+    pub(crate) fn retry_start(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        because: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        let delay = self.cfg.retry_delay;
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        let key = run.key;
+        actions.push(Action::Notice(Notice::StartRefused { key, because }));
+        run.refused += 1;
+        run.started_at = None;
+        run.phase = Phase::Waiting {
+            not_before: now + delay,
+        };
+    }
+}
+
+fn push_call(session: &Session, call: CallId, order: Order, actions: &mut Vec<Action>) {
+    actions.push(Action::Call {
+        call,
+        address: session.worker.address.clone(),
+        worker: session.worker.description.worker.clone(),
+        order,
+    });
+}
--- /dev/null
+++ b/crates/worker/src/owners.rs
@@ -0,0 +1,102 @@
+//! Entries that own runs: their links, leases and undelivered reports.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{BeatNumber, EndedRun, LinkNumber, OrderNumber, ProcessId};
+use indexmap::IndexMap;
+
+/// Heartbeats whose sending time is remembered; at the shortest interval they span more than an entry's lease.
+const REMEMBERED_BEATS: usize = 64;
+
+/// Entry that this process has a link to, or had.
+#[derive(Debug, Default)]
+pub(crate) struct Owner {
+    pub(crate) link: Option<LinkNumber>,
+    /// End of the lease on its runs; none before the first acknowledged heartbeat.
+    pub(crate) lease_until: Option<Instant>,
+    pub(crate) ordered: OrderNumber,
+    /// Reports that wait for a link or for the end of the event.
+    pub(crate) outbox: Vec<EndedRun>,
+}
+
+/// All entries.
+#[derive(Debug, Default)]
+pub(crate) struct Owners {
+    entries: IndexMap<ProcessId, Owner>,
+    beats: VecDeque<(BeatNumber, Instant)>,
+    last_beat: BeatNumber,
+}
+
+impl Owners {
+    pub(crate) fn up(&mut self, link: LinkNumber, entry: ProcessId) {
+        self.entries.entry(entry).or_default().link = Some(link);
+    }
+
+    /// Forgets a link and returns the entry behind it, unless a later link has replaced it.
+    pub(crate) fn down(&mut self, link: LinkNumber) -> Option<ProcessId> {
+        let (&entry, owner) = self
+            .entries
+            .iter_mut()
+            .find(|(_, owner)| owner.link == Some(link))?;
+        owner.link = None;
+        Some(entry)
+    }
+
+    /// Returns the entry behind its current link; messages of replaced links are void.
+    pub(crate) fn behind(&self, link: LinkNumber) -> Option<ProcessId> {
+        let mut owners = self.entries.iter();
+        owners
+            .find(|(_, owner)| owner.link == Some(link))
+            .map(|(&entry, _)| entry)
+    }
+
+    pub(crate) fn get_mut(&mut self, entry: ProcessId) -> Option<&mut Owner> {
+        self.entries.get_mut(&entry)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ProcessId, &Owner)> {
+        self.entries.iter().map(|(&entry, owner)| (entry, owner))
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Owner> {
+        self.entries.values_mut()
+    }
+
+    /// Numbers a heartbeat that is sent now.
+    pub(crate) fn beat(&mut self, now: Instant) -> BeatNumber {
+        self.last_beat += 1;
+        self.beats.push_back((self.last_beat, now));
+        if self.beats.len() > REMEMBERED_BEATS {
+            self.beats.pop_front();
+        }
+        self.last_beat
+    }
+
+    /// Renews the lease of an entry that has received a heartbeat.
+    pub(crate) fn heard(&mut self, entry: ProcessId, beat: BeatNumber, lease: Duration) {
+        let sent = self
+            .beats
+            .iter()
+            .find(|(number, _)| *number == beat)
+            .map(|&(_, at)| at);
+        if let Some((owner, sent)) = self.entries.get_mut(&entry).zip(sent) {
+            owner.lease_until = owner.lease_until.max(Some(sent + lease));
+        }
+    }
+
+    pub(crate) fn has_lease(&self, entry: ProcessId, now: Instant) -> bool {
+        let owner = self.entries.get(&entry);
+        owner
+            .and_then(|owner| owner.lease_until)
+            .is_some_and(|until| now < until)
+    }
+
+    /// Forgets entries that have neither a link nor a lease nor reports to fetch.
+    pub(crate) fn forget_idle(&mut self, now: Instant, memory: Duration) {
+        self.entries.retain(|_, owner| {
+            let recent = owner.lease_until.is_some_and(|until| now < until + memory);
+            owner.link.is_some() || recent
+        });
+    }
+}
--- /dev/null
+++ b/crates/worker/src/replies.rs
@@ -0,0 +1,275 @@
+//! Replies of the worker: what they prove about each run.
+
+use std::time::Instant;
+
+use chestnutfork_types::{RunEnd, TaskKey};
+
+use crate::core::{Session, WorkerCore};
+use crate::event::{Action, CallId, HeldRuns, ListedEnd, ListedRun, Notice, Outcome, Refusal, Reply};
+use crate::orders::Call;
+use crate::run::{Phase, Stop};
+
+/// Refused tries of a start after which the entry places the task elsewhere.
+const MAX_REFUSED: u32 = 3;
+/// Unanswered calls in a row after which the worker counts as silent; single calls get lost on healthy workers.
+const SILENT_AFTER: u32 = 3;
+
+impl WorkerCore {
+    pub(crate) fn on_reply(&mut self, now: Instant, call: CallId, reply: Reply, actions: &mut Vec<Action>) {
+        // Calls to a former incarnation are forgotten with it.
+        let Some(pending) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        self.note_contact(now, &reply, actions);
+        match pending {
+            Call::Start(task) => self.on_start_reply(now, call, task, &reply.outcome, actions),
+            Call::Stop(task) => self.on_stop_reply(now, call, task, &reply.outcome),
+            Call::Hold { sent_at } => self.on_hold_reply(now, sent_at, reply.outcome, actions),
+        }
+    }
+
+    /// Learns from a reply whether the worker answers and what its clock shows.
+    fn note_contact(&mut self, now: Instant, reply: &Reply, actions: &mut Vec<Action>) {
+        let worker = self.worker_name();
+        let Some(session) = self.session.as_mut() else {
+            return;
+        };
+        if let Some(clock) = reply.clock {
+            session.clock.observe(now, clock);
+        }
+        match reply.outcome {
+            Outcome::NoAnswer | Outcome::Unreachable | Outcome::OtherIncarnation => session.unanswered += 1,
+            _ => {
+                session.unanswered = 0;
+                session.replied_at = now;
+            }
+        }
+        let silent = session.unanswered >= SILENT_AFTER || reply.outcome == Outcome::Unreachable;
+        let available = !silent && (session.available || session.unanswered == 0);
+        if available == session.available {
+            return;
+        }
+        session.available = available;
+        let silent = now.saturating_duration_since(session.replied_at);
+        actions.push(Action::Notice(if available {
+            Notice::WorkerAnswers { worker }
+        } else {
+            Notice::WorkerSilent { worker, silent }
+        }));
+    }
+
+    fn on_start_reply(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        task: TaskKey,
+        outcome: &Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        // The run may have been seen running, or may be stopping, by now.
+        if run.phase != (Phase::Starting { call }) {
+            return;
+        }
+        let refused = run.refused;
+        match outcome {
+            Outcome::Done | Outcome::Held(_) => run.phase = Phase::Running { since: now },
+            Outcome::NoAnswer => {
+                let (key, number) = (run.key, run.number);
+                run.phase = Phase::Stopping(Stop {
+                    call: None,
+                    retry_at: now,
+                    confirmed_at: None,
+                    unlisted: RunEnd::NotStarted,
+                });
+                let notice = Notice::StartUnanswered { key, run: number };
+                actions.push(Action::Notice(notice));
+            }
+            &Outcome::Refused(refusal) if refused < MAX_REFUSED && refusal != Refusal::Other => {
+                self.mend_refusal(now, task, refusal, actions);
+            }
+            Outcome::Refused(_) => self.give_up_start(now, task, "the worker refused it", actions),
+            Outcome::Unhealthy => {
+                if let Some(session) = self.session.as_mut() {
+                    session.health.failed(now);
+                }
+                self.give_up_start(now, task, "the worker is not healthy", actions);
+            }
+            Outcome::Unreachable => self.give_up_start(now, task, "the worker cannot be reached", actions),
+            Outcome::OtherIncarnation => {
+                self.give_up_start(now, task, "the worker was replaced", actions);
+            }
+        }
+    }
+
+    fn give_up_start(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        because: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            let key = run.key;
+            run.started_at = None;
+            actions.push(Action::Notice(Notice::StartRefused { key, because }));
+        }
+        self.finish(now, task, RunEnd::NotStarted, actions);
+    }
+
+    /// Corrects what made the worker refuse a start, and tries again.
+    fn mend_refusal(&mut self, now: Instant, task: TaskKey, refusal: Refusal, actions: &mut Vec<Action>) {
+        let because = match refusal {
+            Refusal::Fenced => {
+                self.raise_token(now);
+                "the fencing token was too low"
+            }
+            Refusal::Outdated => {
+                if let Some(run) = self.runs.get_mut(&task) {
+                    // The worker does not tell the highest number that it has seen.
+                    run.number = run.number * 2 + 1;
+                }
+                "the run number was too low"
+            }
+            Refusal::Late => "the lease had ended",
+            Refusal::NoRoom => "the worker has no room",
+            Refusal::Other => "the worker refused it",
+        };
+        self.retry_start(now, task, because, actions);
+    }
+
+    /// Takes a fencing token that is higher than all before, from the worker's clock.
+    fn raise_token(&mut self, now: Instant) {
+        if let Some(session) = self.session.as_mut() {
+            let clock = u64::try_from(session.clock.estimate(now).as_millis()).unwrap_or(u64::MAX);
+            session.token = clock.max(session.token + 1);
+        }
+    }
+
+    fn on_stop_reply(&mut self, now: Instant, call: CallId, task: TaskKey, outcome: &Outcome) {
+        let retry_at = now + self.cfg.retry_delay;
+        if *outcome == Outcome::Refused(Refusal::Fenced) {
+            self.raise_token(now);
+        }
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        let Phase::Stopping(stop) = &mut run.phase else {
+            return;
+        };
+        if stop.call != Some(call) {
+            return;
+        }
+        stop.call = None;
+        match outcome {
+            Outcome::Done | Outcome::Refused(Refusal::Outdated) => stop.confirmed_at = Some(now),
+            _ => stop.retry_at = retry_at,
+        }
+    }
+
+    fn on_hold_reply(&mut self, now: Instant, sent_at: Instant, outcome: Outcome, actions: &mut Vec<Action>) {
+        let retry_at = now + self.cfg.retry_delay;
+        if outcome == Outcome::Refused(Refusal::Fenced) {
+            self.raise_token(now);
+        }
+        let Some(session) = self.session.as_mut() else {
+            return;
+        };
+        session.hold = None;
+        let Outcome::Held(held) = outcome else {
+            session.hold_at = match outcome {
+                // The call has waited long enough, and the lease goes on running out.
+                Outcome::NoAnswer => now,
+                _ => retry_at,
+            };
+            return;
+        };
+        session.hold_at = now;
+        let first = session.synced_at.is_none();
+        if first {
+            session.synced_at = Some(now);
+        }
+        self.take_ends(now, &held.ended, actions);
+        self.compare_running(now, sent_at, &held, actions);
+        if first {
+            self.note_orphans(&held);
+            self.settle_claims(now, actions);
+        }
+    }
+
+    /// Takes in the ends that the worker lists.
+    fn take_ends(&mut self, now: Instant, ended: &[ListedEnd], actions: &mut Vec<Action>) {
+        for listed in ended {
+            if let Some(session) = self.session.as_mut() {
+                session.seen = session.seen.max(listed.number);
+                session.orphans.retain(|run| *run != listed.run);
+            }
+            let task = listed.run.task;
+            let Some(run) = self.runs.get(&task).filter(|run| run.number == listed.run.run) else {
+                continue;
+            };
+            let (ran, declared) = (run.ran(now), run.declared);
+            if let Some(session) = self.session.as_mut() {
+                match listed.end {
+                    RunEnd::Completed if !declared.is_zero() => session.health.completed(now, ran, declared),
+                    RunEnd::Failed => session.health.failed(now),
+                    _ => {}
+                }
+            }
+            self.finish(now, task, listed.end, actions);
+        }
+    }
+
+    /// Concludes from a list of all runs what has begun and what is gone.
+    fn compare_running(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        held: &HeldRuns,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_listed = |task: TaskKey, number| {
+            let run = ListedRun { task, run: number };
+            held.running.contains(&run)
+        };
+        let mut gone = Vec::new();
+        for (&task, run) in &mut self.runs {
+            let listed = is_listed(task, run.number);
+            match run.phase {
+                Phase::Starting { .. } if listed => run.phase = Phase::Running { since: now },
+                // A list that was asked for before the start was confirmed may be older than the run.
+                Phase::Running { since } if !listed && !held.truncated && since < sent_at => {
+                    gone.push((task, RunEnd::Lost));
+                }
+                // A list that was asked for after the stop was confirmed shows all that can still run.
+                Phase::Stopping(stop)
+                    if !listed && !held.truncated && stop.confirmed_at.is_some_and(|at| at <= sent_at) =>
+                {
+                    gone.push((task, stop.unlisted));
+                }
+                _ => {}
+            }
+        }
+        for (task, end) in gone {
+            self.finish(now, task, end, actions);
+        }
+    }
+
+    /// Notes the runs of a former agent process, for entries to claim.
+    fn note_orphans(&mut self, held: &HeldRuns) {
+        let known = |run: &ListedRun| self.runs.get(&run.task).is_some_and(|own| own.number == run.run);
+        let orphans: Vec<ListedRun> = held.running.iter().copied().filter(|run| !known(run)).collect();
+        let ends = held.ended.clone();
+        if let Some(Session {
+            orphans: noted,
+            orphan_ends,
+            ..
+        }) = self.session.as_mut()
+        {
+            *noted = orphans;
+            *orphan_ends = ends;
+        }
+    }
+}
