net, events: Make link timing a setting and serve metrics as text

Cause: a process must be in touch again within 3 s after a cut; links that notice silence after 3 s and dial again after up to 2 s cannot be. Operators ask for logs on standard output and for counters on an address.

`LinkTiming` replaces the constants with the same defaults; `prompt()` is 1 s of silence and at most 0.4 s between attempts. Events 7001 to 7033 cover leased runs.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod link;
 mod process;
+mod runs;
 
 pub use agent::AgentEvent;
 pub use config::ConfigEvent;
@@ -13,6 +14,7 @@
 pub use entry::EntryEvent;
 pub use link::LinkEvent;
 pub use process::ProcessEvent;
+pub use runs::RunsEvent;
 
 use crate::declaration::{Declaration, Event};
 
@@ -28,7 +30,7 @@
 }
 
 /// All groups in the order of their numbers.
-pub const GROUPS: [Group; 6] = [
+pub const GROUPS: [Group; 7] = [
     Group {
         title: "Every process",
         first: 1000,
@@ -59,6 +61,11 @@
         first: 6000,
         declarations: ControlEvent::DECLARATIONS,
     },
+    Group {
+        title: "Leased runs",
+        first: 7000,
+        declarations: RunsEvent::DECLARATIONS,
+    },
 ];
 
 /// Iterates over the declarations of all groups in the order of their numbers.
--- a/crates/events/src/catalogue/control.rs
+++ b/crates/events/src/catalogue/control.rs
@@ -80,6 +80,13 @@
         }
             meaning: "A replica was swapped for another.",
             remedy: "None.";
+        6017 MemberChanging "member_changing" Warn "member set is being changed" {
+            kind: &'a str = "Change: add, promote, remove or replace.",
+            old: u64 = "Replica that loses its place, or 0.",
+            new: u64 = "Replica that gets a place, or 0.",
+        }
+            meaning: "The leader restores the number of voters with a process that presented itself.",
+            remedy: "None if a process was replaced or lost its disk; otherwise find out why a voter was lost.";
         6020 DiskFull "disk_full" Error "data folder cannot be written" {
             path: &'a str = "File that could not be written.",
             error: &'a str = "Error of the operating system.",
--- a/crates/events/src/catalogue/process.rs
+++ b/crates/events/src/catalogue/process.rs
@@ -68,5 +68,11 @@
         }
             meaning: "The reader of the log was too slow or stopped, so events were dropped instead of blocking the process.",
             remedy: "Check the reader of standard error; raise `log.level` if there are too many events.";
+        1011 Reloaded "reloaded" Info "settings read again" {
+            node: &'a str = "Name of the process.",
+            changed: bool = "Whether a setting that the process uses has changed.",
+        }
+            meaning: "The process got SIGHUP. Names of other processes take effect at the next start; it knows them from control.",
+            remedy: "None.";
     }
 }
--- /dev/null
+++ b/crates/events/src/catalogue/runs.rs
@@ -0,0 +1,157 @@
+//! Events of entries and agents of leased runs.
+
+use std::time::Duration;
+
+use crate::declaration::events;
+
+events! {
+    /// Events of entries and agents of leased runs.
+    pub enum RunsEvent<'a> {
+        7001 RoutesInForce "routes_in_force" Info "route table in force" {
+            version: u64 = "Version of the route table.",
+            routes: u64 = "Number of routes.",
+        }
+            meaning: "This entry decides by the named version from now on.",
+            remedy: "None.";
+        7002 DocumentUnreadable "document_unreadable" Error "document cannot be used" {
+            version: u64 = "Version of the document.",
+            error: &'a str = "What is wrong with it.",
+        }
+            meaning: "Control accepted a document that this entry cannot read; the former one stays in force.",
+            remedy: "Upgrade the entry, or submit a corrected document with a higher version.";
+        7010 JobTaken "job_taken" Info "job taken" {
+            job: &'a str = "Id of the job.",
+            route: &'a str = "Route of the request.",
+            version: u64 = "Version of the route table that decided.",
+            tasks: u64 = "Number of tasks.",
+            objective: Duration = "Time until the latency objective.",
+            waiting: u64 = "Jobs that wait for capacity at this entry.",
+        }
+            meaning: "A submission was taken; its tasks are placed as soon as workers have room.",
+            remedy: "None.";
+        7011 JobRefused "job_not_taken" Info "job refused" {
+            job: &'a str = "Id of the job.",
+            reason: &'a str = "Why: `overloaded`, `draining`, `no_routes`, `unsupported`, `malformed`, `never_fits` or `too_many`.",
+            waited: Duration = "Time that the job waited, zero if it was refused at once.",
+            waiting: u64 = "Jobs that wait for capacity at this entry.",
+        }
+            meaning: "The caller was told that the job did not run; nothing of it was ever ordered.",
+            remedy: "For overloaded, add workers or slow the callers; for the others, see the reason.";
+        7012 JobEnded "job_ended" Info "job ended" {
+            job: &'a str = "Id of the job.",
+            state: &'a str = "State that the caller was told: completed, failed or cancelled.",
+            took: Duration = "Time since the job was taken.",
+            waited: Duration = "Time until its first task was ordered.",
+            attempts: u64 = "Attempts at its tasks.",
+            on_time: bool = "Whether it completed within its latency objective.",
+        }
+            meaning: "The job was answered; what still ran of it is stopped.",
+            remedy: "For a late or failed job, look for its id in events 7013 to 7015 of the entry and 7030 to 7033 of agents.";
+        7013 AttemptEnded "attempt_ended" Info "attempt ended without completing" {
+            task: &'a str = "Job, step and index of the task.",
+            attempt: u64 = "Number of the attempt.",
+            agent: &'a str = "Agent of the worker.",
+            end: &'a str = "How it ended: `failed`, `stopped`, `lost` or `not_started`.",
+            ran: Duration = "Time that it ran.",
+        }
+            meaning: "The attempt has provably ended; the task is placed again unless its job has ended.",
+            remedy: "Look at the events of the named agent.";
+        7014 AttemptOverdue "attempt_overdue" Info "attempt stopped as overdue" {
+            task: &'a str = "Job, step and index of the task.",
+            attempt: u64 = "Number of the attempt.",
+            agent: &'a str = "Agent of the worker.",
+            elapsed: Duration = "Time since it was ordered.",
+        }
+            meaning: "The attempt lasted far longer than expected on that worker, and the task can still be done elsewhere.",
+            remedy: "If one agent is named often, check its worker.";
+        7015 AgentLapsed "agent_lapsed" Warn "leases behind a silent agent ended" {
+            agent: &'a str = "The agent.",
+            silent: Duration = "Time since its last heartbeat.",
+            attempts: u64 = "Attempts that have ended by that.",
+        }
+            meaning: "The agent was silent for longer than any run can go on without it, so its tasks are placed again.",
+            remedy: "Check the agent, its machine and the network.";
+        7016 AgentJoined "agent_joined" Info "worker joined" {
+            agent: &'a str = "The agent.",
+            pool: &'a str = "Pool of its worker.",
+            claimed: u64 = "Attempts that the agent was asked about.",
+        }
+            meaning: "Tasks can be placed on the worker of this agent.",
+            remedy: "None.";
+        7017 AgentLost "agent_lost" Info "link to an agent closed" {
+            agent: &'a str = "The agent.",
+            outstanding: u64 = "Attempts whose end is not known.",
+        }
+            meaning: "No tasks are placed there until the agent has dialled again; its attempts may go on.",
+            remedy: "If it lasts, check the agent and the network.";
+        7020 EntryDiscovered "entry_discovered" Info "entry discovered" {
+            address: &'a str = "Address of the entry.",
+        }
+            meaning: "Control named an entry that this agent dials from now on.",
+            remedy: "None.";
+        7021 WorkerJoined "worker_joined" Info "worker announced itself" {
+            worker: &'a str = "The worker.",
+            pool: &'a str = "Its pool.",
+            cpu_millis: u64 = "Its capacity in thousandths of a core.",
+        }
+            meaning: "A new incarnation of the worker takes tasks.",
+            remedy: "None.";
+        7022 WorkerLeaving "worker_leaving" Info "worker is leaving" {
+            worker: &'a str = "The worker.",
+            running: u64 = "Tasks that still run.",
+        }
+            meaning: "The worker takes no new tasks and finishes those that it has.",
+            remedy: "None.";
+        7023 WorkerGone "worker_gone" Info "worker is gone" {
+            worker: &'a str = "The worker.",
+            lost: u64 = "Runs that ended with it.",
+        }
+            meaning: "The worker left or was replaced by another incarnation.",
+            remedy: "None if it left on purpose; otherwise check the worker.";
+        7024 WorkerSilent "worker_silent" Warn "worker does not answer" {
+            worker: &'a str = "The worker.",
+            silent: Duration = "Time since its last reply.",
+        }
+            meaning: "Calls to the worker fail; entries place no tasks there until it answers.",
+            remedy: "Check the worker.";
+        7025 WorkerAnswers "worker_answers" Info "worker answers again" {
+            worker: &'a str = "The worker.",
+        }
+            meaning: "Entries may place tasks there again.",
+            remedy: "None.";
+        7026 EntryLapsed "entry_lapsed" Warn "lease of an entry ended" {
+            entry: u64 = "Incarnation of the entry.",
+            runs: u64 = "Runs that are stopped.",
+        }
+            meaning: "The entry has not acknowledged a heartbeat in time, so its runs are stopped.",
+            remedy: "Check the entry and the network.";
+        7030 StartRefused "start_refused" Info "start refused" {
+            task: &'a str = "Job, step and index of the task.",
+            attempt: u64 = "Number of the attempt.",
+            reason: &'a str = "Why it was refused.",
+        }
+            meaning: "The task did not start in this try; the agent tries again or reports the attempt as not started.",
+            remedy: "None if it is rare.";
+        7031 StartUnanswered "start_unanswered" Info "start got no answer" {
+            task: &'a str = "Job, step and index of the task.",
+            attempt: u64 = "Number of the attempt.",
+            run: u64 = "Number of the run.",
+        }
+            meaning: "The worker may have started the task; the agent stops the run before the task is placed again.",
+            remedy: "If it lasts, check the worker.";
+        7032 RunEnded "run_ended" Info "run ended without completing" {
+            task: &'a str = "Job, step and index of the task.",
+            attempt: u64 = "Number of the attempt.",
+            end: &'a str = "How it ended: `failed`, `stopped`, `lost` or `not_started`.",
+            ran: Duration = "Time that it ran.",
+        }
+            meaning: "The run has provably ended and is reported to its entry.",
+            remedy: "None if it is rare.";
+        7033 OrphanStopped "orphan_stopped" Info "unclaimed run stopped" {
+            task: &'a str = "Job, step and index of the task.",
+            run: u64 = "Number of the run.",
+        }
+            meaning: "A former agent process started the run and no entry claimed it.",
+            remedy: "None.";
+    }
+}
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -20,10 +20,11 @@
 mod time;
 
 pub use catalogue::{
-    AgentEvent, ConfigEvent, ControlEvent, EntryEvent, GROUPS, Group, LinkEvent, ProcessEvent, declarations,
+    AgentEvent, ConfigEvent, ControlEvent, EntryEvent, GROUPS, Group, LinkEvent, ProcessEvent, RunsEvent,
+    declarations,
 };
 pub use declaration::{Declaration, Event, Field, FieldKind, Severity};
 pub use format::Format;
-pub use output::{InitError, emit, init, init_with_writer};
+pub use output::{InitError, emit, init, init_stdout, init_with_writer};
 pub use page::{alarm_table, catalogue_page};
 pub use time::rfc3339;
--- a/crates/events/src/output.rs
+++ b/crates/events/src/output.rs
@@ -93,8 +93,30 @@
 /// # Ok::<(), chestnutfork_events::InitError>(())
 /// ```
 pub fn init(least: Severity, format: Format) -> Result<(), InitError> {
+    init_stream(StdStream::Stderr, least, format)
+}
+
+/// Sends the events of the process to standard output, from the given severity upwards.
+///
+/// # Errors
+///
+/// Fails if the logger cannot be built.
+///
+/// # Examples
+///
+/// ```
+/// use chestnutfork_events::{Format, Severity, init_stdout};
+///
+/// init_stdout(Severity::Info, Format::Json)?;
+/// # Ok::<(), chestnutfork_events::InitError>(())
+/// ```
+pub fn init_stdout(least: Severity, format: Format) -> Result<(), InitError> {
+    init_stream(StdStream::Stdout, least, format)
+}
+
+fn init_stream(stream: StdStream, least: Severity, format: Format) -> Result<(), InitError> {
     let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
+        .std_stream(stream)
         .style_mode(StyleMode::Never)
         .formatter(LineFormatter(format))
         .error_handler(ErrorHandler::new(|_| {}))
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -15,13 +15,8 @@
 use crate::identity::{ClusterSecret, Identity};
 use crate::link::{LinkError, LinkHandler, Session, socket_config};
 use crate::metrics::Metrics;
+use crate::timing::LinkTiming;
 
-/// Time within which a connection must be open and authenticated.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
-/// First pause between two attempts.
-const BACKOFF_MIN: Duration = Duration::from_millis(50);
-/// Longest pause between two attempts.
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// A link that lasted this long resets the backoff.
 const STABLE_AFTER: Duration = Duration::from_secs(5);
 
@@ -33,6 +28,7 @@
     secret: ClusterSecret,
     expect: Role,
     metrics: Metrics,
+    timing: LinkTiming,
 }
 
 /// Builder of [`DialConfig`].
@@ -62,6 +58,7 @@
             secret,
             expect: Role::Entry,
             metrics: Metrics::disabled(),
+            timing: LinkTiming::default(),
         };
         DialConfigBuilder { cfg }
     }
@@ -82,6 +79,13 @@
         self
     }
 
+    /// Sets the timing of the link.
+    #[must_use]
+    pub fn timing(mut self, timing: LinkTiming) -> Self {
+        self.cfg.timing = timing;
+        self
+    }
+
     /// Returns the finished configuration.
     #[must_use]
     pub fn build(self) -> DialConfig {
@@ -95,6 +99,7 @@
     me: Identity,
     secret: ClusterSecret,
     metrics: Metrics,
+    timing: LinkTiming,
 }
 
 impl DialTemplate {
@@ -112,13 +117,32 @@
     /// ```
     #[must_use]
     pub fn new(me: Identity, secret: ClusterSecret, metrics: Metrics) -> Self {
-        Self { me, secret, metrics }
+        Self {
+            me,
+            secret,
+            metrics,
+            timing: LinkTiming::default(),
+        }
+    }
+
+    /// Sets the timing of the links.
+    #[must_use]
+    pub fn timing(mut self, timing: LinkTiming) -> Self {
+        self.timing = timing;
+        self
     }
 
     /// Dials an entry at an address and keeps the link to it open until the returned dialler is dropped.
     pub fn dial_entry<H: LinkHandler>(&self, address: &str, handler: H) -> Dialer {
+        self.dial(address, Role::Entry, handler)
+    }
+
+    /// Dials a process of the given role, and keeps the link to it open until the returned dialler is dropped.
+    pub fn dial<H: LinkHandler>(&self, address: &str, role: Role, handler: H) -> Dialer {
         let cfg = DialConfig::builder(address, self.me.clone(), self.secret.clone())
+            .expect(role)
             .metrics(self.metrics.clone())
+            .timing(self.timing)
             .build();
         dial(cfg, handler)
     }
@@ -146,21 +170,21 @@
 }
 
 async fn keep_open<H: LinkHandler>(cfg: DialConfig, handler: H) {
-    let mut backoff = BACKOFF_MIN;
+    let mut backoff = cfg.timing.first_backoff();
     loop {
         let started = Instant::now();
-        match timeout(OPEN_TIMEOUT, open(&cfg)).await {
+        match timeout(cfg.timing.open, open(&cfg)).await {
             Ok(Ok(session)) => session.run(handler.clone()).await,
             Ok(Err(error)) => report_failure(&cfg, &error, backoff),
             Err(_) => report_failure(&cfg, &LinkError::Silent, backoff),
         }
         if started.elapsed() >= STABLE_AFTER {
-            backoff = BACKOFF_MIN;
+            backoff = cfg.timing.first_backoff();
         }
         // Jitter keeps many agents from dialling a restarted entry at the same moment.
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(backoff.mul_f64(jitter)).await;
-        backoff = (backoff * 2).min(BACKOFF_MAX);
+        backoff = (backoff * 2).min(cfg.timing.backoff);
     }
 }
 
@@ -195,5 +219,5 @@
         address: cfg.address.clone(),
         ..peer
     };
-    Ok(Session::new(peer, socket, cfg.metrics.clone()))
+    Ok(Session::new(peer, socket, cfg.metrics.clone()).timing(cfg.timing))
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,8 @@
 mod link;
 mod listen;
 mod metrics;
+mod registry;
+mod timing;
 mod wakeup;
 
 pub use dial::{DialConfig, DialConfigBuilder, DialTemplate, Dialer, dial};
@@ -22,4 +24,6 @@
 pub use link::{LinkError, LinkHandler, LinkId, LinkSender, Session};
 pub use listen::{Listener, listen};
 pub use metrics::{Metrics, MetricsError};
+pub use registry::MetricsRegistry;
+pub use timing::LinkTiming;
 pub use wakeup::{Wakeup, now};
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -22,15 +22,11 @@
 
 use crate::identity::Identity;
 use crate::metrics::Metrics;
+use crate::timing::LinkTiming;
 
 /// Random number of one session of a link in this process.
 pub type LinkId = u64;
 
-/// Silence after which a side sends a heartbeat.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence after which a side closes the connection. Something between the two ends may have lost track of it, so that
-/// no error ever arrives.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Messages that may wait for a peer before the link is given up as stuck.
 const QUEUE_LIMIT: usize = 65_536;
 /// Messages taken from the queue in one step.
@@ -58,7 +54,7 @@
     #[error("the peer closed the connection; it is dialled again if it is still wanted")]
     Closed,
     /// Nothing arrived, or nothing could be sent, for too long.
-    #[error("the peer has been silent for {} s; the connection is dialled again", SILENCE_LIMIT.as_secs())]
+    #[error("the peer has been silent for too long; the connection is dialled again")]
     Silent,
     /// Too many messages wait for the peer.
     #[error("more than {QUEUE_LIMIT} messages wait for the peer; find out why it reads too slowly")]
@@ -157,6 +153,7 @@
     peer: Identity,
     socket: WebSocketStream<TcpStream>,
     metrics: Metrics,
+    timing: LinkTiming,
 }
 
 impl Session {
@@ -165,9 +162,17 @@
             peer,
             socket,
             metrics,
+            timing: LinkTiming::default(),
         }
     }
 
+    /// Sets the timing of the link.
+    #[must_use]
+    pub fn timing(mut self, timing: LinkTiming) -> Self {
+        self.timing = timing;
+        self
+    }
+
     /// Returns the identity that the peer proved.
     #[must_use]
     pub fn peer(&self) -> &Identity {
@@ -179,6 +184,7 @@
     /// The reason of the closure goes to the log and to the handler.
     pub async fn run<H: LinkHandler>(self, handler: H) {
         let link = rand::random();
+        let timing = self.timing;
         let (tx, rx) = mpsc::channel(QUEUE_LIMIT);
         let overrun = tx.downgrade();
         let (sink, stream) = self.socket.split();
@@ -188,20 +194,20 @@
             role: peer.role.as_str(),
         });
         handler.opened(link, self.peer, LinkSender { tx });
-        let mut writer = tokio::spawn(write_frames(sink, rx, self.metrics.clone()));
+        let mut writer = tokio::spawn(write_frames(sink, rx, self.metrics.clone(), timing));
         let error = tokio::select! {
-            error = read_frames(stream, link, &handler, &self.metrics) => error,
+            error = read_frames(stream, link, &handler, &self.metrics, timing.silence) => error,
             error = join(&mut writer) => error,
-            () = watch_queue(overrun) => LinkError::Overrun,
+            () = watch_queue(overrun, timing.heartbeat) => LinkError::Overrun,
         };
         writer.abort();
-        report_closed(&peer, &error);
+        report_closed(&peer, &error, timing);
         handler.closed(link, error);
     }
 }
 
 /// Logs the end of a link under the event for its reason.
-fn report_closed(peer: &Identity, error: &LinkError) {
+fn report_closed(peer: &Identity, error: &LinkError, timing: LinkTiming) {
     let role = peer.role.as_str();
     let reason = error.to_string();
     match error {
@@ -209,7 +215,7 @@
             emit(&LinkEvent::Silent {
                 peer: &peer.name,
                 role,
-                silent: SILENCE_LIMIT,
+                silent: timing.silence,
             });
         }
         LinkError::Overrun => {
@@ -237,8 +243,8 @@
 }
 
 /// Resolves once the queue towards the peer is full.
-async fn watch_queue<Out>(tx: mpsc::WeakSender<Out>) {
-    let mut interval = tokio::time::interval(HEARTBEAT_INTERVAL);
+async fn watch_queue<Out>(tx: mpsc::WeakSender<Out>, period: Duration) {
+    let mut interval = tokio::time::interval(period);
     loop {
         interval.tick().await;
         let full = tx.upgrade().is_some_and(|tx| tx.capacity() == 0);
@@ -253,16 +259,17 @@
     mut sink: SplitSink<WebSocketStream<TcpStream>, Message>,
     mut rx: mpsc::Receiver<Out>,
     metrics: Metrics,
+    timing: LinkTiming,
 ) -> LinkError {
     let mut seq = 0_u64;
     let mut batch = Vec::with_capacity(BATCH_LIMIT);
     loop {
-        let taken = timeout(HEARTBEAT_INTERVAL, rx.recv_many(&mut batch, BATCH_LIMIT)).await;
+        let taken = timeout(timing.heartbeat, rx.recv_many(&mut batch, BATCH_LIMIT)).await;
         if matches!(taken, Ok(0)) {
-            let _ = timeout(HEARTBEAT_INTERVAL, sink.close()).await;
+            let _ = timeout(timing.heartbeat, sink.close()).await;
             return LinkError::Closed;
         }
-        if let Err(error) = write_batch(&mut sink, &mut batch, &mut seq, &metrics).await {
+        if let Err(error) = write_batch(&mut sink, &mut batch, &mut seq, &metrics, timing.silence).await {
             return error;
         }
     }
@@ -274,6 +281,7 @@
     batch: &mut Vec<Out>,
     seq: &mut u64,
     metrics: &Metrics,
+    silence: Duration,
 ) -> Result<(), LinkError> {
     let mut messages = batch.drain(..).peekable();
     loop {
@@ -284,7 +292,7 @@
         }
         *seq += 1;
         metrics.link_sent(buf.len());
-        let sent = timeout(SILENCE_LIMIT, sink.send(Message::Binary(Bytes::from(buf)))).await;
+        let sent = timeout(silence, sink.send(Message::Binary(Bytes::from(buf)))).await;
         sent.map_err(|_| LinkError::Silent)??;
         if messages.peek().is_none() {
             return Ok(());
@@ -298,10 +306,11 @@
     link: LinkId,
     handler: &H,
     metrics: &Metrics,
+    silence: Duration,
 ) -> LinkError {
     let mut seq = 0_u64;
     loop {
-        let bytes = match timeout(SILENCE_LIMIT, stream.next()).await {
+        let bytes = match timeout(silence, stream.next()).await {
             Err(_) => return LinkError::Silent,
             Ok(None | Some(Ok(Message::Close(_)))) => return LinkError::Closed,
             Ok(Some(Err(error))) => return error.into(),
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics over UDP in statsd form.
+//! Metrics over UDP in statsd form, or into the registry of the process.
 
 use std::net::UdpSocket;
 use std::sync::Arc;
@@ -7,6 +7,8 @@
 use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
 use thiserror::Error;
 
+use crate::registry::MetricsRegistry;
+
 /// Prefix of every metric.
 const PREFIX: &str = "chestnutfork";
 
@@ -44,6 +46,24 @@
         }
     }
 
+    /// Builds a handle that counts into a registry of this process.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::{Metrics, MetricsRegistry};
+    ///
+    /// let registry = MetricsRegistry::default();
+    /// Metrics::registry(&registry).gauge("jobs.waiting", 3);
+    /// assert!(registry.render().contains("jobs_waiting 3"));
+    /// ```
+    #[must_use]
+    pub fn registry(registry: &MetricsRegistry) -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, registry.clone())),
+        }
+    }
+
     /// Builds a handle that sends to a statsd address over UDP from a background thread.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/net/src/timing.rs
@@ -0,0 +1,54 @@
+//! Timing of links.
+
+use std::time::Duration;
+
+/// Timing of a link; both sides need about the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkTiming {
+    /// Silence after which a side sends a heartbeat.
+    pub heartbeat: Duration,
+    /// Silence after which a side closes the connection. Something between the two ends may have lost track of it, so that
+    /// no error ever arrives.
+    pub silence: Duration,
+    /// Time that opening and authenticating a link may take.
+    pub open: Duration,
+    /// Longest delay before the next attempt to open a link; attempts begin with a fortieth of it.
+    pub backoff: Duration,
+}
+
+impl Default for LinkTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_secs(1),
+            silence: Duration::from_secs(3),
+            open: Duration::from_secs(2),
+            backoff: Duration::from_secs(2),
+        }
+    }
+}
+
+impl LinkTiming {
+    /// Returns the timing for deployments in which a process must be in touch again within three seconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::LinkTiming;
+    ///
+    /// assert!(LinkTiming::prompt().silence < LinkTiming::default().silence);
+    /// ```
+    #[must_use]
+    pub fn prompt() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(300),
+            silence: Duration::from_secs(1),
+            open: Duration::from_millis(700),
+            backoff: Duration::from_millis(400),
+        }
+    }
+
+    /// Returns the delay before the second attempt to open a link.
+    pub(crate) fn first_backoff(&self) -> Duration {
+        self.backoff / 40
+    }
+}
