control: Store whole documents, share a directory and repair the member set

Cause: the platform sends whole configurations under uneven versions, names only three seeds, and returns machines with empty disks. Control took patches only, formed by configured names, and a wiped replica stayed outside until an operator replaced it.

A document of a higher version replaces the one in force through the replicated log, reads prove leadership first. Control processes tell each other, entries and agents which control processes and entries there are. With `voters` set, the leader gives the place of a lost voter to a process that presents itself; one with the name of a voter replaces it at once. Replacement uses the existing joint steps of the log, so no two majorities miss each other.

Ruled out: a quorum register without a log, because two operators may send different content under one version.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -8,7 +8,7 @@
 use chestnutfork_raft::RefusedBecause;
 use serde::Serialize;
 
-use crate::message::Reply;
+use crate::message::{Document, Reply};
 
 /// Answer to an operator.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,6 +17,9 @@
     Status(StatusBody),
     Audit(AuditBody),
     Config(ConfigBody),
+    /// A document of this version or a higher one is durable.
+    DocumentKept,
+    Document(Option<Document>),
     /// Nothing was done; the request can be sent again.
     Unavailable {
         reason: &'static str,
@@ -56,6 +59,15 @@
             Self::Status(status) => reply(200, &status),
             Self::Audit(records) => reply(200, &records),
             Self::Config(config) => reply(200, &config),
+            Self::DocumentKept => Reply {
+                status: 200,
+                body: Bytes::new(),
+            },
+            Self::Document(Some(document)) => Reply {
+                status: 200,
+                body: document.content,
+            },
+            Self::Document(None) => error(404, "no_document", "no document was submitted yet; submit one"),
             Self::Unavailable { reason, leader } => unavailable(reason, leader),
             Self::Unknown => {
                 let message = "the outcome is not known yet; send the request again with the same patch id";
--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::message::{
-    Confirmation, ControlMessage, EntryInfo, OperatorRequest, PeerMessage, Renewal, ReplicaHello, Reply,
-    SubscriberMessage, ViewRecord,
+    Confirmation, ControlMessage, Document, EntryInfo, OperatorRequest, PeerMessage, Renewal, ReplicaHello,
+    Reply, SubscriberMessage, ViewRecord,
 };
 
 fn micros(duration: Duration) -> u64 {
@@ -113,6 +113,8 @@
             OperatorRequest::Audit { since } => Self::Audit(since),
             OperatorRequest::Config => Self::Config,
             OperatorRequest::Replace { remove, add, reason } => Self::Replace(remove, add, reason),
+            OperatorRequest::PutDocument(document) => Self::PutDocument(document.version, document.content),
+            OperatorRequest::GetDocument => Self::GetDocument,
         }
     }
 }
@@ -137,6 +139,10 @@
         OperatorRequestWire::Audit(since) => OperatorRequest::Audit { since },
         OperatorRequestWire::Config => OperatorRequest::Config,
         OperatorRequestWire::Replace(remove, add, reason) => OperatorRequest::Replace { remove, add, reason },
+        OperatorRequestWire::PutDocument(version, content) => {
+            OperatorRequest::PutDocument(Document { version, content })
+        }
+        OperatorRequestWire::GetDocument => OperatorRequest::GetDocument,
     })
 }
 
@@ -163,6 +169,7 @@
                 request,
             } => Self::Request(id, operator, request.into()),
             PeerMessage::Answer { id, reply } => Self::Answer(id, reply.status, reply.body),
+            PeerMessage::Addresses(addresses) => Self::Addresses(addresses),
         }
     }
 }
@@ -197,6 +204,7 @@
                 let reply = Reply { status, body };
                 Self::Answer { id, reply }
             }
+            ReplicaMessageWire::Addresses(addresses) => Self::Addresses(addresses),
         })
     }
 }
@@ -218,6 +226,7 @@
                 synced,
             },
             SubscriberMessageWire::Leaving => Self::Leaving,
+            SubscriberMessageWire::Follow(have) => Self::Follow { have },
         }
     }
 }
@@ -232,6 +241,8 @@
                 confirmation.age,
             )),
             ControlMessage::View(record) => Self::View(record.into()),
+            ControlMessage::Document(document) => Self::Document(document.version, document.content),
+            ControlMessage::Directory { controls, entries } => Self::Directory(controls, entries),
         }
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -12,8 +12,10 @@
 use chestnutfork_storage::{Change, Stored};
 use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
 
+use crate::directory::Directory;
 use crate::error::ControlError;
 use crate::formation::Formation;
+use crate::healing::Healing;
 use crate::leases::Leases;
 use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, SubscriberMessage};
 use crate::peers::Peers;
@@ -45,6 +47,11 @@
     pub initial_members: Vec<NodeName>,
     /// Address of the operator interface, for other control processes to name.
     pub operators: String,
+    /// Address for links, which other processes are told.
+    pub address: String,
+    /// Number of voters that the leader restores by itself with processes that present themselves; none if an operator
+    /// replaces lost members.
+    pub voters: Option<usize>,
     /// Timing and limits of the replicated log.
     pub raft: Config,
 }
@@ -81,6 +88,8 @@
     /// Whether the process is shutting down.
     draining: bool,
     pub(crate) formation: Option<Formation>,
+    pub(crate) directory: Directory,
+    pub(crate) healing: Healing,
 }
 
 impl ControlCore {
@@ -116,6 +125,8 @@
             was_leader: false,
             draining: false,
             formation: None,
+            directory: Directory::default(),
+            healing: Healing::default(),
         })
     }
 
@@ -167,15 +178,24 @@
                 self.peers.up(link, name, address);
                 let hello = self.hello();
                 self.outputs.push(Output::ToPeer(link, hello));
+                self.share_addresses();
+            }
+            Event::PeerDown { link } => {
+                self.peers.down(link);
+                self.distribute_directory();
             }
-            Event::PeerDown { link } => self.peers.down(link),
             Event::FromPeer { link, messages } => {
                 for message in messages {
                     self.on_peer_message(now, wall, link, message);
                 }
             }
             Event::SubscriberUp { link, identity } => self.subscribers.up(link, identity),
-            Event::SubscriberDown { link } => self.subscribers.down(link),
+            Event::SubscriberDown { link } => {
+                self.subscribers.down(link);
+                if self.directory.unfollow(link) {
+                    self.distribute_directory();
+                }
+            }
             Event::FromSubscriber { link, messages } => {
                 for message in messages {
                     self.on_subscriber_message(now, link, message);
@@ -279,6 +299,7 @@
         self.expire_requests(now);
         if self.is_leader() {
             self.lead(now, wall);
+            self.heal_members(now);
         }
         if self.draining {
             self.hand_over();
@@ -312,6 +333,7 @@
                 request,
             } => self.on_forwarded(now, wall, link, id, operator, request),
             PeerMessage::Answer { id, reply } => self.on_forward_answer(id, reply),
+            PeerMessage::Addresses(addresses) => self.on_addresses(addresses),
         }
     }
 
@@ -332,6 +354,7 @@
                 self.confirm_subscriber(now, link, probe);
             }
             SubscriberMessage::Leaving => self.subscribers.leave(now, link),
+            SubscriberMessage::Follow { have } => self.on_follow(link, have),
         }
     }
 
@@ -382,6 +405,7 @@
                 self.subscribers.distribute(&self.state, &mut self.outputs);
             }
             Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
+            Applied::Document => self.distribute_document(),
             Applied::Nothing => {}
         }
         self.answer_applied(now, index, term, applied);
@@ -394,6 +418,7 @@
         self.applied_bytes = 0;
         self.subscribers.distribute(&self.state, &mut self.outputs);
         self.subscribers.distribute_view(&self.state, &mut self.outputs);
+        self.distribute_document();
         Ok(())
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,11 +7,14 @@
 mod confirm;
 mod convert;
 mod core;
+mod directory;
 mod disk;
+mod documents;
 mod error;
 mod formation;
 mod forming;
 mod front;
+mod healing;
 mod leases;
 mod links;
 mod message;
@@ -28,11 +31,12 @@
 mod views;
 
 pub use crate::core::{ControlCore, CoreConfig};
+pub use documents::{DocumentReply, Documents};
 pub use error::ControlError;
 pub use front::Operator;
 pub use message::{
-    Confirmation, ControlMessage, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage, ProbeId,
-    Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
+    Confirmation, ControlMessage, Document, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage,
+    ProbeId, Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
 };
 pub use replica::ReplicaStatus;
 pub use run::{ControlConfig, ControlConfigBuilder, Member, RunningControl, start};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use chestnutfork_config::Patch;
 use chestnutfork_net::LinkId;
-use chestnutfork_raft::Message;
+use chestnutfork_raft::{MembershipChange, Message};
 use chestnutfork_register::View;
 use chestnutfork_types::{
     ConfigVersion, FailureDomain, NodeName, OperatorName, ProcessId, ReplicaId, ViewNumber,
@@ -87,6 +87,19 @@
         /// Reason for the log.
         reason: String,
     },
+    /// Submits a whole document; the highest version is in force.
+    PutDocument(Document),
+    /// Asks for the newest document.
+    GetDocument,
+}
+
+/// Whole document of an operator, which control stores without reading it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// Version that the operator gave it.
+    pub version: ConfigVersion,
+    /// Content.
+    pub content: Bytes,
 }
 
 /// Encoded answer to an operator.
@@ -138,6 +151,8 @@
         /// The answer.
         reply: Reply,
     },
+    /// Names the addresses of control processes that the sender knows.
+    Addresses(Vec<String>),
 }
 
 /// Message from an entry or agent.
@@ -163,6 +178,11 @@
     },
     /// Ends the lease before a shutdown.
     Leaving,
+    /// Asks for documents above a version and for the directory of processes, from then on.
+    Follow {
+        /// Version in force.
+        have: ConfigVersion,
+    },
 }
 
 /// View with the entries to dial.
@@ -183,6 +203,15 @@
     Confirm(Confirmation),
     /// View of the entries.
     View(ViewRecord),
+    /// Newest document.
+    Document(Document),
+    /// Processes to dial.
+    Directory {
+        /// Addresses of control processes.
+        controls: Vec<String>,
+        /// Addresses of entries.
+        entries: Vec<String>,
+    },
 }
 
 /// Process at the other end of a subscriber's link.
@@ -265,6 +294,8 @@
     Reply(RequestId, Reply),
     /// Logs an event.
     Notice(Notice),
+    /// Dials another control process, and keeps the link open from then on.
+    Dial(String),
 }
 
 /// Event for the log.
@@ -286,6 +317,11 @@
     },
     /// This replica is not a member of the existing set.
     NotMember,
+    /// The leader changes the member set by itself.
+    MemberChange {
+        /// The change.
+        change: MembershipChange,
+    },
     /// An election started here.
     ElectionStarted {
         /// Its term.
--- a/crates/control/src/notices.rs
+++ b/crates/control/src/notices.rs
@@ -2,6 +2,7 @@
 
 use chestnutfork_config::{Patch, Verdict};
 use chestnutfork_events::{ControlEvent, emit};
+use chestnutfork_raft::MembershipChange;
 use chestnutfork_types::ReplicaId;
 
 use crate::message::Notice;
@@ -30,6 +31,7 @@
             term: *term,
             reason: "it lost its quorum, its disk or its term, or it handed over",
         }),
+        Notice::MemberChange { change } => log_member_change(*change),
         Notice::MemberReplaced {
             remove,
             add,
@@ -73,6 +75,16 @@
     }
 }
 
+fn log_member_change(change: MembershipChange) {
+    let (kind, old, new) = match change {
+        MembershipChange::AddLearner(new) => ("add", 0, new),
+        MembershipChange::Promote(new) => ("promote", 0, new),
+        MembershipChange::Remove(old) => ("remove", old, 0),
+        MembershipChange::Replace(swap) => ("replace", swap.remove, swap.add),
+    };
+    emit(&ControlEvent::MemberChanging { kind, old, new });
+}
+
 fn log_verdict(patch: &Patch, verdict: &Verdict) {
     let id = format!("{:032x}", patch.id);
     let operator = &patch.operator;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -96,6 +96,9 @@
                 let change = MembershipChange::Replace(Swap { remove, add });
                 self.change_members(id, change);
             }
+            OperatorRequest::PutDocument(document) if document.version > self.state.document_version() => {
+                self.propose_document(id, document);
+            }
             _ => self.read(id),
         }
     }
@@ -130,6 +133,13 @@
                 self.propose_patch(wall, id, patch);
                 return;
             }
+            // The reader's own state may have been behind when the request arrived.
+            OperatorRequest::PutDocument(document) if document.version > self.state.document_version() => {
+                self.propose_document(id, document);
+                return;
+            }
+            OperatorRequest::PutDocument(_) => Answer::DocumentKept,
+            OperatorRequest::GetDocument => Answer::Document(self.state.document.clone()),
             OperatorRequest::Patch { patch, .. } => Answer::Verdict(self.state.config.dry_run(&patch)),
             OperatorRequest::Status | OperatorRequest::Replace { .. } => Answer::Status(self.status(now)),
             OperatorRequest::Audit { since } => Answer::Audit(self.audit(since)),
@@ -167,6 +177,7 @@
                 self.outputs.push(Output::Notice(notice));
                 Answer::Status(self.status(now))
             }
+            (Applied::Document, OperatorRequest::PutDocument(_)) if won => Answer::DocumentKept,
             // Another leader's entry took the position, so the proposal is lost for good.
             _ => Answer::Unavailable {
                 reason: "leadership changed before the change was accepted; send the request again",
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -59,6 +59,11 @@
         self.links.keys().copied()
     }
 
+    /// Iterates over the addresses of the processes with an open link.
+    pub(crate) fn addresses(&self) -> impl Iterator<Item = String> + '_ {
+        self.links.values().map(|peer| peer.address.clone())
+    }
+
     pub(crate) fn hellos(&self) -> &IndexMap<NodeName, ReplicaHello> {
         &self.hellos
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use chestnutfork_events::{ControlEvent, ProcessEvent, emit};
-use chestnutfork_net::{Identity, LinkId, LinkSender, Wakeup, now};
+use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Wakeup, now};
 use chestnutfork_storage::{LogStore, StorageError, Stored};
 use chestnutfork_types::{ConfigVersion, NodeName, OperatorName};
-use chestnutfork_wire::{ControlMessageWire, ReplicaMessageWire};
+use chestnutfork_wire::{ControlMessageWire, ReplicaMessageWire, Role};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::oneshot;
@@ -17,6 +17,7 @@
 use crate::core::ControlCore;
 use crate::disk::{self, DiskReply, DiskRequest};
 use crate::error::ControlError;
+use crate::links::PeerLinks;
 use crate::message::{Event, OperatorRequest, Output, Reply, RequestId, SubscriberIdentity};
 use crate::notices;
 
@@ -91,6 +92,11 @@
     pub(crate) name: NodeName,
     pub(crate) core: ControlCore,
     pub(crate) store: S,
+    pub(crate) dial: DialTemplate,
+    /// Addresses to dial from the start.
+    ///
+    /// Both sides dial, because a replacement VM has a name that the others do not list.
+    pub(crate) dialled: Vec<String>,
 }
 
 /// State of the actor.
@@ -103,6 +109,8 @@
     /// Whether a batch is being written.
     writing: bool,
     wakeup: Wakeup,
+    dial: DialTemplate,
+    dialers: IndexMap<String, Dialer>,
     peers: IndexMap<LinkId, LinkSender<ReplicaMessageWire>>,
     subscribers: IndexMap<LinkId, LinkSender<ControlMessageWire>>,
     operators: IndexMap<RequestId, oneshot::Sender<Reply>>,
@@ -130,6 +138,8 @@
         disk,
         writing: false,
         wakeup,
+        dial: arguments.dial,
+        dialers: IndexMap::new(),
         peers: IndexMap::new(),
         subscribers: IndexMap::new(),
         operators: IndexMap::new(),
@@ -150,7 +160,11 @@
         me: ActorRef<ReplicaMessage>,
         arguments: Arguments<S>,
     ) -> Result<ReplicaState, ActorProcessingErr> {
+        let dialled = arguments.dialled.clone();
         let mut state = start_state(me, arguments);
+        for address in dialled {
+            state.dial(address);
+        }
         state.step()?;
         Ok(state)
     }
@@ -325,10 +339,21 @@
                     let _ = tx.send(reply);
                 }
             }
+            Output::Dial(address) => self.dial(address),
             Output::Notice(notice) => notices::log(&self.name, self.core.replica(), &notice),
         }
     }
 
+    /// Keeps a link to another control process open from now on.
+    fn dial(&mut self, address: String) {
+        if self.dialers.contains_key(&address) {
+            return;
+        }
+        let actor = self.me.clone();
+        let dialer = self.dial.dial(&address, Role::Control, PeerLinks { actor });
+        self.dialers.insert(address, dialer);
+    }
+
     fn hand_over(&mut self) {
         self.handover = now();
         self.event(Event::Shutdown);
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -6,7 +6,7 @@
 use chestnutfork_config::TokenHash;
 use chestnutfork_events::{ControlEvent, emit};
 use chestnutfork_net::{
-    ClusterSecret, DialConfig, Dialer, HttpServer, Identity, Listener, Metrics, dial, listen, now,
+    ClusterSecret, DialTemplate, HttpServer, Identity, LinkTiming, Listener, Metrics, listen, now,
     random_process_id,
 };
 use chestnutfork_raft::Config;
@@ -20,9 +20,10 @@
 use tokio::time::timeout;
 
 use crate::core::{ControlCore, CoreConfig};
+use crate::documents::Documents;
 use crate::error::ControlError;
 use crate::front::{Front, Operator};
-use crate::links::{PeerLinks, run_session};
+use crate::links::run_session;
 use crate::replica::{Arguments, ReplicaActor, ReplicaMessage, ReplicaStatus};
 
 /// Control process that forms the replica set.
@@ -45,6 +46,9 @@
     advertise_peers: String,
     advertise_operators: String,
     members: Vec<Member>,
+    seeds: Vec<String>,
+    voters: Option<usize>,
+    timing: LinkTiming,
     operators: Vec<Operator>,
     heartbeat: Duration,
     election_timeout: Duration,
@@ -80,6 +84,9 @@
             advertise_peers: String::new(),
             advertise_operators: String::new(),
             members: Vec::new(),
+            seeds: Vec::new(),
+            voters: None,
+            timing: LinkTiming::default(),
             operators: Vec::new(),
             heartbeat: Duration::from_millis(200),
             election_timeout: Duration::from_secs(1),
@@ -156,6 +163,18 @@
         /// Sets the control processes that form the replica set, this one included.
         members: Vec<Member>
     );
+    setter!(
+        /// Sets addresses of control processes to dial besides the members.
+        seeds: Vec<String>
+    );
+    setter!(
+        /// Sets the number of voters that the leader restores by itself; by default an operator replaces lost members.
+        voters: Option<usize>
+    );
+    setter!(
+        /// Sets the timing of links.
+        timing: LinkTiming
+    );
     setter!(
         /// Sets the operators.
         operators: Vec<Operator>
@@ -193,7 +212,6 @@
     process: ProcessId,
     server: HttpServer,
     listener: Listener,
-    dialers: Vec<Dialer>,
     link_address: String,
     actor: ActorRef<ReplicaMessage>,
 }
@@ -217,6 +235,12 @@
         self.process
     }
 
+    /// Returns a handle that submits and reads whole documents.
+    #[must_use]
+    pub fn documents(&self) -> Documents {
+        Documents::new(self.actor.clone())
+    }
+
     /// Returns the state of the replica, or nothing if it has stopped.
     pub async fn status(&self) -> Option<ReplicaStatus> {
         let (reply, status) = oneshot::channel();
@@ -234,7 +258,6 @@
         }
         self.server.shutdown(Duration::from_secs(1)).await;
         drop(self.listener);
-        drop(self.dialers);
         // An error means that the actor has stopped already.
         let _ = self.actor.stop_and_wait(None, Some(grace)).await;
     }
@@ -271,30 +294,39 @@
         name: cfg.name.clone(),
         initial_members: cfg.members.iter().map(|member| member.name.clone()).collect(),
         operators: operators_address,
+        address: link_address.clone(),
+        voters: cfg.voters,
         raft,
     };
     let core = ControlCore::new(core, store.load()?, now())?;
+    let process = random_process_id();
+    let me = Identity {
+        role: Role::Control,
+        name: cfg.name.clone(),
+        process,
+        address: link_address.clone(),
+    };
+    let dial = DialTemplate::new(me.clone(), cfg.secret.clone(), cfg.metrics.clone()).timing(cfg.timing);
+    let known = cfg.members.iter().map(|member| member.address.clone());
+    let dialled = known
+        .chain(cfg.seeds)
+        .filter(|address| *address != link_address)
+        .collect();
     let arguments = Arguments {
         name: cfg.name.clone(),
         core,
         store,
+        dial,
+        dialled,
     };
     let (actor, _) = Actor::spawn(None, ReplicaActor::new(), arguments)
         .await
         .map_err(|error| ControlError::Actor {
             reason: error.to_string(),
         })?;
-    let process = random_process_id();
-    let me = Identity {
-        role: Role::Control,
-        name: cfg.name.clone(),
-        process,
-        address: link_address.clone(),
-    };
-    let dialers = dial_members(&cfg.members, &me, &cfg.secret, &cfg.metrics, &actor);
     let accepted = actor.clone();
     let listener = listen(links, me, cfg.secret, cfg.metrics, move |session| {
-        run_session(session, accepted.clone())
+        run_session(session.timing(cfg.timing), accepted.clone())
     });
     let front = Front {
         actor: actor.clone(),
@@ -309,7 +341,6 @@
         process,
         server,
         listener,
-        dialers,
         link_address,
         actor,
     })
@@ -335,28 +366,6 @@
     Ok(store)
 }
 
-/// Dials all other members.
-///
-/// Both sides dial, because a replacement VM has a name that the others do not list.
-fn dial_members(
-    members: &[Member],
-    me: &Identity,
-    secret: &ClusterSecret,
-    metrics: &Metrics,
-    actor: &ActorRef<ReplicaMessage>,
-) -> Vec<Dialer> {
-    let others = members.iter().filter(|member| member.name != me.name);
-    let dialers = others.map(|member| {
-        let cfg = DialConfig::builder(&member.address, me.clone(), secret.clone())
-            .expect(Role::Control)
-            .metrics(metrics.clone())
-            .build();
-        let actor = actor.clone();
-        dial(cfg, PeerLinks { actor })
-    });
-    dialers.collect()
-}
-
 fn advertised(setting: &str, socket: &TcpListener, address: &str) -> Result<String, ControlError> {
     if !setting.is_empty() {
         return Ok(setting.to_owned());
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 use chestnutfork_config::{ConfigStore, PatchCommand, Verdict};
 use chestnutfork_raft::{Entry, Payload};
-use chestnutfork_types::LogIndex;
+use chestnutfork_types::{ConfigVersion, LogIndex};
 use chestnutfork_wire::{CommandWire, StateWire, ViewWire};
 
 use crate::error::ControlError;
-use crate::message::ViewRecord;
+use crate::message::{Document, ViewRecord};
 
 /// Command of the replicated log.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,8 @@
     Patch(PatchCommand),
     /// The next view of the entries.
     View(ViewRecord),
+    /// Replaces the document if its version is higher.
+    Document(Document),
 }
 
 /// What a committed entry did.
@@ -27,6 +29,8 @@
     Verdict(Verdict),
     /// A view is in force.
     View,
+    /// A document is in force: the proposed one, or one of the same or a higher version.
+    Document,
 }
 
 /// Replicated state.
@@ -34,6 +38,7 @@
 pub(crate) struct State {
     pub(crate) config: ConfigStore,
     pub(crate) view: Option<ViewRecord>,
+    pub(crate) document: Option<Document>,
     /// Last applied position.
     pub(crate) index: LogIndex,
 }
@@ -43,6 +48,7 @@
         let wire = match self {
             Self::Patch(command) => CommandWire::Patch(command.encode().into()),
             Self::View(record) => CommandWire::View(ViewWire::from(record.clone())),
+            Self::Document(document) => CommandWire::Document(document.version, document.content.clone()),
         };
         wire.to_bytes()
             .expect("numbers, strings and bytes have an encoding")
@@ -52,6 +58,7 @@
         Ok(match CommandWire::from_bytes(bytes)? {
             CommandWire::Patch(command) => Self::Patch(PatchCommand::decode(&command)?),
             CommandWire::View(view) => Self::View(view.into()),
+            CommandWire::Document(version, content) => Self::Document(Document { version, content }),
         })
     }
 }
@@ -69,6 +76,7 @@
                 Applied::Verdict(verdict)
             }
             Command::View(record) => self.apply_view(record),
+            Command::Document(document) => self.apply_document(document),
         })
     }
 
@@ -81,14 +89,29 @@
         Applied::View
     }
 
+    /// Puts a document in force if its version is higher; of two with the same version the first one stays.
+    fn apply_document(&mut self, document: Document) -> Applied {
+        if document.version > self.document_version() {
+            self.document = Some(document);
+        }
+        Applied::Document
+    }
+
+    /// Returns the version of the document in force, or zero.
+    pub(crate) fn document_version(&self) -> ConfigVersion {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+
     pub(crate) fn view_number(&self) -> u64 {
         self.view.as_ref().map_or(0, |record| record.view.number)
     }
 
     pub(crate) fn to_bytes(&self) -> Bytes {
+        let document = self.document.clone();
         let wire = StateWire {
             config: self.config.snapshot().into(),
             view: self.view.clone().map(ViewWire::from),
+            document: document.map(|document| (document.version, document.content)),
         };
         wire.to_bytes()
             .expect("numbers, strings and bytes have an encoding")
@@ -106,6 +129,9 @@
         Ok(Self {
             config: ConfigStore::restore(&wire.config)?,
             view: wire.view.map(Into::into),
+            document: wire
+                .document
+                .map(|(version, content)| Document { version, content }),
             index,
         })
     }
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -45,6 +45,10 @@
         self.links.swap_remove(&link);
     }
 
+    pub(crate) fn identity(&self, link: LinkId) -> Option<&SubscriberIdentity> {
+        self.links.get(&link).map(|subscriber| &subscriber.identity)
+    }
+
     /// Notes where a subscriber runs.
     pub(crate) fn located(&mut self, link: LinkId, failure_domain: FailureDomain) {
         if let Some(subscriber) = self.links.get_mut(&link) {
--- a/crates/control/tests/group/chaos.rs
+++ b/crates/control/tests/group/chaos.rs
@@ -296,6 +296,9 @@
                             .confirm(*at, confirmation.version, confirmation.age);
                     }
                     ControlMessage::View(_) => {}
+                    ControlMessage::Document(_) | ControlMessage::Directory { .. } => {
+                        panic!("a subscriber was sent what only followers ask for");
+                    }
                 }
             }
         }
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -50,6 +50,8 @@
     pub sent: Vec<(Instant, u64, ControlMessage)>,
     pub notices: Vec<(u64, Notice)>,
     initial: usize,
+    /// Number of voters that leaders restore by themselves, if they do.
+    voters: Option<usize>,
     /// Probability that a message between control processes is lost.
     pub loss: f64,
     /// Longest delay of a message between control processes.
@@ -94,6 +96,7 @@
             sent: Vec::new(),
             notices: Vec::new(),
             initial: size,
+            voters: None,
             loss: 0.0,
             max_delay: DELAY,
             rng: ChaCha8Rng::seed_from_u64(0),
@@ -155,6 +158,8 @@
             name: format!("control-{node}"),
             initial_members: (0..self.initial).map(|node| format!("control-{node}")).collect(),
             operators: format!("10.0.0.{node}:80"),
+            address: format!("10.0.0.{node}:70"),
+            voters: self.voters,
             raft: Config::builder(store.replica_id()).build().unwrap(),
         };
         let stored = store.load().unwrap();
@@ -368,6 +373,8 @@
                 }
                 self.sent.push((self.now, link, message));
             }
+            // All processes have links to each other from their start.
+            Output::Dial(_) => {}
             Output::Reply(ticket, reply) => {
                 self.replies.insert(ticket, reply);
             }
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -176,6 +176,9 @@
                 confirmed |= confirm.probe() == 5 && confirm.version() == wanted;
             }
             ControlMessageWire::View(_) => viewed = true,
+            ControlMessageWire::Document(..) | ControlMessageWire::Directory(..) => {
+                panic!("a subscriber was sent what only followers ask for");
+            }
         }
     }
 }
