leased, platform, cli: Run the roles on the users' platform

Cause: nothing of the product could be started with the platform's settings or spoke its messages.

`leased` holds the actors of entries and agents, `platform/` decodes settings, bodies and calls and decides nothing, `chestnutfork fleet ROLE` runs a role on a single-threaded runtime with JSON events on standard output.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,7 +9,13 @@
 
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let single = matches.subcommand_name().is_some_and(roles::is_single_threaded);
+    let mut builder = if single {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("cannot start the runtime: {error}; check the limits on threads and open files");
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod control;
 mod entry;
+mod fleet;
 mod operate;
 mod process;
 
@@ -13,7 +14,12 @@
 
 /// Declares the subcommands of roles.
 pub(crate) fn commands() -> Vec<Command> {
-    vec![entry::command(), agent::command(), control::command()]
+    vec![
+        entry::command(),
+        agent::command(),
+        control::command(),
+        fleet::command(),
+    ]
 }
 
 /// Declares the subcommands about settings.
@@ -26,12 +32,18 @@
     operate::commands()
 }
 
+/// Reports whether a subcommand runs on a single thread, as on small machines.
+pub(crate) fn is_single_threaded(name: &str) -> bool {
+    name == fleet::NAME
+}
+
 /// Runs a subcommand of this module; returns nothing if it belongs to another.
 pub(crate) async fn run(name: &str, matches: &ArgMatches) -> Option<ExitCode> {
     Some(match name {
         "entry" => entry::run(matches).await,
         "agent" => agent::run(matches).await,
         "control" => control::run(matches).await,
+        fleet::NAME => fleet::run(matches).await,
         "check" => check::run(matches),
         _ => return operate::run(name, matches).await,
     })
--- a/crates/cli/src/roles/process.rs
+++ b/crates/cli/src/roles/process.rs
@@ -142,20 +142,20 @@
 
 /// Signals that end a process.
 #[derive(Debug)]
-struct Signals {
+pub(crate) struct Signals {
     terminate: Signal,
     interrupt: Signal,
 }
 
 impl Signals {
-    fn new() -> std::io::Result<Self> {
+    pub(crate) fn new() -> std::io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
         })
     }
 
-    async fn next(&mut self) {
+    pub(crate) async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
--- /dev/null
+++ b/crates/leased/src/agent.rs
@@ -0,0 +1,301 @@
+//! Actor that owns the agent core, the links to entries and the calls to the worker.
+
+use std::time::Duration;
+
+use chestnutfork_events::{RunsEvent, emit};
+use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Metrics, Wakeup};
+use chestnutfork_types::{WorkerName, WorkerToEntry};
+use chestnutfork_wire::{ControlMessageWire, EntryToWorkerWire, Role, WorkerToEntryWire};
+use chestnutfork_worker::{Action, Announcement, CallId, Event, Notice, Order, Reply, WorkerCore};
+use indexmap::IndexMap;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::oneshot;
+
+use crate::clock::LeaseClock;
+use crate::control::{ControlNews, Controls, Follow};
+use crate::links::EntryLinks;
+use crate::notices;
+
+/// Calls the worker beside the agent.
+pub trait WorkerClient: Clone + Send + Sync + 'static {
+    /// Carries one order to a worker, and returns within a bounded time what became of it.
+    fn call(&self, address: &str, worker: &str, order: Order) -> impl Future<Output = Reply> + Send;
+}
+
+/// Message to the agent's actor.
+#[derive(Debug)]
+pub(crate) enum AgentMessage {
+    /// News from control.
+    Control(ControlNews),
+    /// A link to an entry is open.
+    EntryUp {
+        link: LinkId,
+        peer: Identity,
+        tx: LinkSender<WorkerToEntryWire>,
+    },
+    /// A link to an entry is closed.
+    EntryDown { link: LinkId },
+    /// An entry sent messages.
+    FromEntry {
+        link: LinkId,
+        messages: Vec<EntryToWorkerWire>,
+    },
+    /// The worker announced itself; the reply comes when that has taken effect.
+    Announced {
+        announcement: Announcement,
+        reply: oneshot::Sender<()>,
+    },
+    /// The worker left.
+    Withdrawn {
+        worker: WorkerName,
+        reply: oneshot::Sender<()>,
+    },
+    /// A call to the worker ended.
+    Replied { call: CallId, reply: Reply },
+    /// The timer fired.
+    Tick,
+    /// Take no more tasks; the reply comes when nothing runs.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Hands announcements of the worker to a running agent.
+#[derive(Clone, Debug)]
+pub struct AgentClient {
+    actor: ActorRef<AgentMessage>,
+}
+
+impl AgentClient {
+    pub(crate) fn new(actor: ActorRef<AgentMessage>) -> Self {
+        Self { actor }
+    }
+
+    /// Takes in an announcement and reports whether the agent acts on it.
+    pub async fn announce(&self, announcement: Announcement) -> bool {
+        let (reply, done) = oneshot::channel();
+        let message = AgentMessage::Announced { announcement, reply };
+        self.actor.cast(message).is_ok() && done.await.is_ok()
+    }
+
+    /// Takes in that a worker has left.
+    pub async fn withdraw(&self, worker: WorkerName) -> bool {
+        let (reply, done) = oneshot::channel();
+        let message = AgentMessage::Withdrawn { worker, reply };
+        self.actor.cast(message).is_ok() && done.await.is_ok()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct AgentFollow {
+    actor: ActorRef<AgentMessage>,
+}
+
+impl Follow for AgentFollow {
+    fn news(&self, news: ControlNews) {
+        // A stopped actor needs no news.
+        drop(self.actor.cast(AgentMessage::Control(news)));
+    }
+}
+
+/// Actor of an agent that calls its worker with `W`.
+pub(crate) struct AgentActor<W> {
+    pub(crate) worker: W,
+}
+
+/// What the actor is started with.
+#[derive(Debug)]
+pub(crate) struct AgentArguments {
+    pub(crate) core: WorkerCore,
+    pub(crate) clock: LeaseClock,
+    pub(crate) dial: DialTemplate,
+    pub(crate) seeds: Vec<String>,
+    pub(crate) metrics: Metrics,
+}
+
+/// State of the actor.
+#[derive(Debug)]
+pub(crate) struct AgentState {
+    me: ActorRef<AgentMessage>,
+    core: WorkerCore,
+    clock: LeaseClock,
+    wakeup: Wakeup,
+    dial: DialTemplate,
+    controls: Controls<AgentFollow>,
+    /// Entries that were named once stay dialled: they may only be cut off from control.
+    dialers: IndexMap<String, Dialer>,
+    entries: IndexMap<LinkId, LinkSender<WorkerToEntryWire>>,
+    drained: Vec<oneshot::Sender<()>>,
+    metrics: Metrics,
+    actions: Vec<Action>,
+}
+
+impl<W: WorkerClient> Actor for AgentActor<W> {
+    type Msg = AgentMessage;
+    type State = AgentState;
+    type Arguments = AgentArguments;
+
+    async fn pre_start(
+        &self,
+        me: ActorRef<AgentMessage>,
+        arguments: AgentArguments,
+    ) -> Result<AgentState, ActorProcessingErr> {
+        let ticker = me.clone();
+        let wakeup = Wakeup::start(move || drop(ticker.cast(AgentMessage::Tick)));
+        let follow = AgentFollow { actor: me.clone() };
+        let mut controls = Controls::new(arguments.dial.clone(), follow);
+        controls.dial(arguments.seeds);
+        let mut state = AgentState {
+            me,
+            core: arguments.core,
+            clock: arguments.clock,
+            wakeup,
+            dial: arguments.dial,
+            controls,
+            dialers: IndexMap::new(),
+            entries: IndexMap::new(),
+            drained: Vec::new(),
+            metrics: arguments.metrics,
+            actions: Vec::new(),
+        };
+        state.event(Event::Tick, &self.worker);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _me: ActorRef<AgentMessage>,
+        message: AgentMessage,
+        state: &mut AgentState,
+    ) -> Result<(), ActorProcessingErr> {
+        state.receive(message, &self.worker);
+        Ok(())
+    }
+}
+
+impl AgentState {
+    fn receive<W: WorkerClient>(&mut self, message: AgentMessage, worker: &W) {
+        match message {
+            AgentMessage::Control(news) => self.on_control(news),
+            AgentMessage::EntryUp { link, peer, tx } => {
+                self.entries.insert(link, tx);
+                let entry = peer.process;
+                self.event(Event::EntryUp { link, entry }, worker);
+            }
+            AgentMessage::EntryDown { link } => {
+                self.entries.swap_remove(&link);
+                self.event(Event::EntryDown { link }, worker);
+            }
+            AgentMessage::FromEntry { link, messages } => {
+                for message in messages {
+                    let message = message.into();
+                    self.event(Event::FromEntry { link, message }, worker);
+                }
+            }
+            AgentMessage::Announced { announcement, reply } => {
+                self.event(Event::Announced(announcement), worker);
+                // The worker may have gone away; the same holds below.
+                let _ = reply.send(());
+            }
+            AgentMessage::Withdrawn { worker: name, reply } => {
+                self.event(Event::Withdrawn(name), worker);
+                let _ = reply.send(());
+            }
+            AgentMessage::Replied { call, reply } => self.event(Event::Replied { call, reply }, worker),
+            AgentMessage::Tick => self.event(Event::Tick, worker),
+            AgentMessage::Drain(reply) => {
+                self.drained.push(reply);
+                self.event(Event::Drain, worker);
+            }
+        }
+    }
+
+    fn on_control(&mut self, news: ControlNews) {
+        match news {
+            // Agents need no documents, so they claim to have the newest one.
+            ControlNews::Up { link, tx } => self.controls.up(link, tx, u64::MAX),
+            ControlNews::Down { link } => self.controls.down(link),
+            ControlNews::Messages(messages) => {
+                for message in messages {
+                    if let ControlMessageWire::Directory(controls, entries) = message {
+                        self.controls.dial(controls);
+                        self.dial_entries(entries);
+                    }
+                }
+            }
+        }
+    }
+
+    fn dial_entries(&mut self, entries: Vec<String>) {
+        for address in entries {
+            let actor = self.me.clone();
+            let dial = &self.dial;
+            self.dialers.entry(address).or_insert_with_key(|address| {
+                emit(&RunsEvent::EntryDiscovered { address });
+                dial.dial(address, Role::Entry, EntryLinks { actor })
+            });
+        }
+    }
+
+    fn event<W: WorkerClient>(&mut self, event: Event, worker: &W) {
+        let now = self.clock.now();
+        self.core.handle(now, event, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.execute(action, worker);
+        }
+        self.wakeup
+            .update(Some(self.clock.timer(self.core.next_wakeup())));
+        if self.core.is_drained() {
+            for reply in self.drained.drain(..) {
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    fn execute<W: WorkerClient>(&mut self, action: Action, worker: &W) {
+        match action {
+            Action::ToEntry(link, message) => {
+                self.count_ends(&message);
+                if let Some(tx) = self.entries.get(&link) {
+                    // A closed link is reported separately.
+                    tx.send(message.into());
+                }
+            }
+            Action::Call {
+                call,
+                address,
+                worker: name,
+                order,
+            } => {
+                let (me, client) = (self.me.clone(), worker.clone());
+                tokio::spawn(async move {
+                    let reply = client.call(&address, &name, order).await;
+                    // A stopped actor needs no replies.
+                    drop(me.cast(AgentMessage::Replied { call, reply }));
+                });
+            }
+            Action::Notice(notice) => {
+                self.count(&notice);
+                notices::log_worker(&notice);
+            }
+        }
+    }
+
+    fn count_ends(&self, message: &WorkerToEntry) {
+        if let WorkerToEntry::Ended(ended) = message {
+            for run in ended {
+                self.metrics.count(&format!("runs.{}", run.end.as_str()), 1);
+                if run.ran > Duration::ZERO {
+                    self.metrics.time("runs.ran", run.ran);
+                }
+            }
+        }
+    }
+
+    fn count(&self, notice: &Notice) {
+        match notice {
+            Notice::StartRefused { .. } => self.metrics.count("starts.refused", 1),
+            Notice::StartUnanswered { .. } => self.metrics.count("starts.unanswered", 1),
+            Notice::EntryLapsed { .. } => self.metrics.count("entries.lapsed", 1),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/leased/src/clock.rs
@@ -0,0 +1,60 @@
+//! Clock for leases, which goes on while the machine is suspended.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_net::now;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Clock whose readings include the time that the machine was suspended.
+///
+/// The steady clock stands still meanwhile, so a lease measured by it would seem alive long after its end.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseClock {
+    base: Instant,
+    boot: Duration,
+}
+
+impl Default for LeaseClock {
+    fn default() -> Self {
+        Self::start()
+    }
+}
+
+impl LeaseClock {
+    /// Starts at the present time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_leased::LeaseClock;
+    ///
+    /// let clock = LeaseClock::start();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            base: now(),
+            boot: since_boot(),
+        }
+    }
+
+    /// Returns the present reading.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.base + since_boot().saturating_sub(self.boot)
+    }
+
+    /// Returns when a timer on the steady clock must fire for a reading of this clock.
+    #[must_use]
+    pub fn timer(&self, at: Instant) -> Instant {
+        now() + at.saturating_duration_since(self.now())
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/crates/leased/src/notices.rs
@@ -0,0 +1,162 @@
+//! Notices of the cores as numbered log events.
+
+use std::time::Duration;
+
+use chestnutfork_broker::{JobState, Notice as BrokerNotice};
+use chestnutfork_events::{RunsEvent, emit};
+use chestnutfork_types::{AttemptKey, JobId, TaskKey};
+use chestnutfork_worker::Notice as WorkerNotice;
+
+/// Returns a job as the callers write it.
+fn job_name(job: JobId) -> String {
+    format!("{job:016x}")
+}
+
+fn task_name(task: TaskKey) -> String {
+    format!("{:016x}.{}.{}", task.job, task.step, task.index)
+}
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
+
+/// Logs a notice of an entry.
+pub(crate) fn log_broker(notice: &BrokerNotice) {
+    match notice {
+        BrokerNotice::RoutesInForce { version, routes } => emit(&RunsEvent::RoutesInForce {
+            version: *version,
+            routes: *routes,
+        }),
+        BrokerNotice::JobTaken {
+            job,
+            route,
+            version,
+            tasks,
+            objective,
+            waiting,
+        } => emit(&RunsEvent::JobTaken {
+            job: &job_name(*job),
+            route,
+            version: *version,
+            tasks: *tasks,
+            objective: *objective,
+            waiting: *waiting,
+        }),
+        BrokerNotice::JobRefused {
+            job,
+            because,
+            waited,
+            waiting,
+        } => emit(&RunsEvent::JobRefused {
+            job: &job_name(*job),
+            reason: because.as_str(),
+            waited: *waited,
+            waiting: *waiting,
+        }),
+        BrokerNotice::JobEnded {
+            job,
+            state,
+            took,
+            waited,
+            attempts,
+            on_time,
+        } => emit(&RunsEvent::JobEnded {
+            job: &job_name(*job),
+            state: state_name(*state),
+            took: *took,
+            waited: *waited,
+            attempts: *attempts,
+            on_time: *on_time,
+        }),
+        BrokerNotice::AttemptEnded { key, agent, end, ran } => log_attempt(*key, agent, end.as_str(), *ran),
+        BrokerNotice::AttemptOverdue { key, agent, elapsed } => emit(&RunsEvent::AttemptOverdue {
+            task: &task_name(key.task),
+            attempt: u64::from(key.attempt),
+            agent,
+            elapsed: *elapsed,
+        }),
+        BrokerNotice::AgentJoined { agent, pool, claimed } => emit(&RunsEvent::AgentJoined {
+            agent,
+            pool,
+            claimed: *claimed,
+        }),
+        BrokerNotice::AgentLost { agent, outstanding } => emit(&RunsEvent::AgentLost {
+            agent,
+            outstanding: *outstanding,
+        }),
+        BrokerNotice::AgentLapsed {
+            agent,
+            silent,
+            attempts,
+        } => emit(&RunsEvent::AgentLapsed {
+            agent,
+            silent: *silent,
+            attempts: *attempts,
+        }),
+    }
+}
+
+fn log_attempt(key: AttemptKey, agent: &str, end: &str, ran: Duration) {
+    emit(&RunsEvent::AttemptEnded {
+        task: &task_name(key.task),
+        attempt: u64::from(key.attempt),
+        agent,
+        end,
+        ran,
+    });
+}
+
+/// Logs a notice of an agent.
+pub(crate) fn log_worker(notice: &WorkerNotice) {
+    match notice {
+        WorkerNotice::WorkerJoined {
+            worker,
+            pool,
+            cpu_millis,
+        } => emit(&RunsEvent::WorkerJoined {
+            worker,
+            pool,
+            cpu_millis: *cpu_millis,
+        }),
+        WorkerNotice::WorkerLeaving { worker, running } => emit(&RunsEvent::WorkerLeaving {
+            worker,
+            running: *running,
+        }),
+        WorkerNotice::WorkerGone { worker, lost } => emit(&RunsEvent::WorkerGone { worker, lost: *lost }),
+        WorkerNotice::WorkerSilent { worker, silent } => emit(&RunsEvent::WorkerSilent {
+            worker,
+            silent: *silent,
+        }),
+        WorkerNotice::WorkerAnswers { worker } => emit(&RunsEvent::WorkerAnswers { worker }),
+        WorkerNotice::EntryLapsed { entry, runs } => emit(&RunsEvent::EntryLapsed {
+            entry: *entry,
+            runs: *runs,
+        }),
+        WorkerNotice::StartRefused { key, because } => emit(&RunsEvent::StartRefused {
+            task: &task_name(key.task),
+            attempt: u64::from(key.attempt),
+            reason: because,
+        }),
+        WorkerNotice::StartUnanswered { key, run } => emit(&RunsEvent::StartUnanswered {
+            task: &task_name(key.task),
+            attempt: u64::from(key.attempt),
+            run: *run,
+        }),
+        WorkerNotice::RunEnded { key, end, ran } => emit(&RunsEvent::RunEnded {
+            task: &task_name(key.task),
+            attempt: u64::from(key.attempt),
+            end: end.as_str(),
+            ran: *ran,
+        }),
+        WorkerNotice::OrphanStopped { run } => emit(&RunsEvent::OrphanStopped {
+            task: &task_name(run.task),
+            run: run.run,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/leased/src/run.rs
@@ -0,0 +1,283 @@
+//! Starts entries and agents for leased runs, and stops them gracefully.
+
+use std::time::Duration;
+
+use chestnutfork_broker::{BrokerConfig, BrokerCore};
+use chestnutfork_net::{
+    ClusterSecret, DialTemplate, Identity, LinkTiming, Listener, Metrics, listen, random_process_id,
+};
+use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
+use chestnutfork_wire::Role;
+use chestnutfork_worker::{WorkerConfig, WorkerCore};
+use ractor::{Actor, ActorRef};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use crate::agent::{AgentActor, AgentArguments, AgentClient, AgentMessage, WorkerClient};
+use crate::clock::LeaseClock;
+use crate::entry::{EntryActor, EntryArguments, EntryClient, EntryMessage, RouteReader};
+use crate::error::LeasedError;
+use crate::links::AgentLinks;
+
+/// Configuration that entries and agents share.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    name: NodeName,
+    secret: ClusterSecret,
+    failure_domain: FailureDomain,
+    listen: String,
+    seeds: Vec<String>,
+    timing: LinkTiming,
+    worker: WorkerConfig,
+    remote_factor: f64,
+    metrics: Metrics,
+}
+
+/// Builder of [`NodeConfig`].
+#[derive(Clone, Debug)]
+pub struct NodeConfigBuilder {
+    cfg: NodeConfig,
+}
+
+impl NodeConfig {
+    /// Starts the configuration of the process with the given name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_leased::NodeConfig;
+    /// use chestnutfork_net::ClusterSecret;
+    ///
+    /// let cfg = NodeConfig::builder("entry-1", ClusterSecret::new("s")).failure_domain("zone-a").build();
+    /// assert!(format!("{cfg:?}").contains("zone-a"));
+    /// ```
+    #[must_use]
+    pub fn builder(name: impl Into<NodeName>, secret: ClusterSecret) -> NodeConfigBuilder {
+        let cfg = NodeConfig {
+            name: name.into(),
+            secret,
+            failure_domain: FailureDomain::new(),
+            listen: "127.0.0.1:0".to_owned(),
+            seeds: Vec::new(),
+            timing: LinkTiming::prompt(),
+            worker: WorkerConfig::builder().build(),
+            remote_factor: 1.5,
+            metrics: Metrics::disabled(),
+        };
+        NodeConfigBuilder { cfg }
+    }
+}
+
+/// Declares one chainable setter of the builder.
+macro_rules! setter {
+    ($(#[$doc:meta])* $name:ident: $type:ty) => {
+        $(#[$doc])*
+        #[must_use]
+        pub fn $name(mut self, $name: impl Into<$type>) -> Self {
+            self.cfg.$name = $name.into();
+            self
+        }
+    };
+}
+
+impl NodeConfigBuilder {
+    setter!(
+        /// Sets the failure domain of the process.
+        failure_domain: FailureDomain
+    );
+    setter!(
+        /// Sets the address for links; only entries listen.
+        listen: String
+    );
+    setter!(
+        /// Sets the addresses of control processes to begin with.
+        seeds: Vec<String>
+    );
+    setter!(
+        /// Sets the timing of links.
+        timing: LinkTiming
+    );
+    setter!(
+        /// Sets the timing of agents, which entries need to know as well.
+        worker: WorkerConfig
+    );
+    setter!(
+        /// Sets the factor on the run time of a task away from its data.
+        remote_factor: f64
+    );
+    setter!(
+        /// Sets where metrics are counted.
+        metrics: Metrics
+    );
+
+    /// Returns the finished configuration.
+    #[must_use]
+    pub fn build(self) -> NodeConfig {
+        self.cfg
+    }
+}
+
+/// Running entry.
+#[derive(Debug)]
+pub struct RunningEntry {
+    process: ProcessId,
+    address: String,
+    actor: ActorRef<EntryMessage>,
+    _listener: Listener,
+}
+
+impl RunningEntry {
+    /// Returns the incarnation of the process.
+    #[must_use]
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Returns the address for links.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns the handle for requests.
+    #[must_use]
+    pub fn client(&self) -> EntryClient {
+        EntryClient::new(self.actor.clone())
+    }
+
+    /// Reports the entry as not ready, and goes on serving for a while so that callers can be sent elsewhere.
+    pub async fn withdraw(&self, notice: Duration) {
+        if self.actor.cast(EntryMessage::Withdraw).is_ok() {
+            sleep(notice).await;
+        }
+    }
+
+    /// Refuses submissions from now on, and waits until the jobs in progress are answered or the time is over.
+    pub async fn drain(&self, grace: Duration) {
+        let (done, drained) = oneshot::channel();
+        if self.actor.cast(EntryMessage::Drain(done)).is_ok() {
+            // Jobs that are left are reported as unfinished.
+            let _ = timeout(grace, drained).await;
+        }
+    }
+
+    /// Stops and returns the number of jobs that were given up.
+    pub async fn stop(self) -> u64 {
+        let status = self.client().status().await;
+        self.actor.stop(None);
+        status.map_or(0, |status| status.jobs as u64)
+    }
+}
+
+/// Running agent.
+#[derive(Debug)]
+pub struct RunningAgent {
+    process: ProcessId,
+    actor: ActorRef<AgentMessage>,
+}
+
+impl RunningAgent {
+    /// Returns the incarnation of the process.
+    #[must_use]
+    pub fn process(&self) -> ProcessId {
+        self.process
+    }
+
+    /// Returns the handle for announcements.
+    #[must_use]
+    pub fn client(&self) -> AgentClient {
+        AgentClient::new(self.actor.clone())
+    }
+
+    /// Takes no more tasks and waits until the present ones have ended or the time is over.
+    pub async fn shutdown(self, grace: Duration) -> u64 {
+        let (done, drained) = oneshot::channel();
+        let sent = self.actor.cast(AgentMessage::Drain(done)).is_ok();
+        let finished = sent && timeout(grace, drained).await.is_ok();
+        self.actor.stop(None);
+        u64::from(!finished)
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// Returns an error if the address for links cannot be bound.
+pub async fn start_entry<R: RouteReader>(cfg: NodeConfig, reader: R) -> Result<RunningEntry, LeasedError> {
+    let listen_failed = |source| LeasedError::Listen {
+        address: cfg.listen.clone(),
+        source,
+    };
+    let socket = TcpListener::bind(&cfg.listen).await.map_err(listen_failed)?;
+    let address = socket.local_addr().map_err(listen_failed)?.to_string();
+    let me = identity(&cfg, Role::Entry, address.clone());
+    let process = me.process;
+    let clock = LeaseClock::start();
+    let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_bound())
+        .remote_factor(cfg.remote_factor)
+        .build();
+    let arguments = EntryArguments {
+        core: BrokerCore::new(broker, clock.now()),
+        clock,
+        dial: template(&cfg, &me),
+        seeds: cfg.seeds.clone(),
+        metrics: cfg.metrics.clone(),
+    };
+    let (actor, _) = Actor::spawn(None, EntryActor { reader }, arguments)
+        .await
+        .map_err(|error| actor_failed(&error))?;
+    let links = AgentLinks { actor: actor.clone() };
+    let timing = cfg.timing;
+    let listener = listen(socket, me, cfg.secret, cfg.metrics, move |session| {
+        session.timing(timing).run(links.clone())
+    });
+    Ok(RunningEntry {
+        process,
+        address,
+        actor,
+        _listener: listener,
+    })
+}
+
+/// Starts an agent.
+///
+/// # Errors
+///
+/// Returns an error if the actor cannot start.
+pub async fn start_agent<W: WorkerClient>(cfg: NodeConfig, worker: W) -> Result<RunningAgent, LeasedError> {
+    let me = identity(&cfg, Role::Agent, String::new());
+    let process = me.process;
+    let clock = LeaseClock::start();
+    let arguments = AgentArguments {
+        core: WorkerCore::new(cfg.worker, clock.now()),
+        clock,
+        dial: template(&cfg, &me),
+        seeds: cfg.seeds,
+        metrics: cfg.metrics,
+    };
+    let (actor, _) = Actor::spawn(None, AgentActor { worker }, arguments)
+        .await
+        .map_err(|error| actor_failed(&error))?;
+    Ok(RunningAgent { process, actor })
+}
+
+fn identity(cfg: &NodeConfig, role: Role, address: String) -> Identity {
+    Identity {
+        role,
+        name: cfg.name.clone(),
+        process: random_process_id(),
+        address,
+    }
+}
+
+fn template(cfg: &NodeConfig, me: &Identity) -> DialTemplate {
+    DialTemplate::new(me.clone(), cfg.secret.clone(), cfg.metrics.clone()).timing(cfg.timing)
+}
+
+fn actor_failed(error: &ractor::SpawnErr) -> LeasedError {
+    LeasedError::Actor {
+        reason: error.to_string(),
+    }
+}
