--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -1,6 +1,6 @@
 //! State of the entry core, its events from agents, and its timer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use chestnutfork_routes::RouteTable;
@@ -11,7 +11,7 @@
 
 use crate::agents::{AgentIndex, Agents};
 use crate::config::BrokerConfig;
-use crate::event::{Action, Answer, Event, Notice, Ticket};
+use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
 
 /// Interval of the checks of deadlines, overdue attempts and silent agents while jobs are in progress.
@@ -37,6 +37,8 @@
     pub(crate) former: IndexMap<JobId, (AttemptNumber, Instant)>,
     /// Tasks with an attempt whose end is not known.
     pub(crate) busy: IndexMap<TaskKey, AgentIndex>,
+    /// Requests that arrived before the first route table, with the time at which they are refused.
+    pub(crate) early: VecDeque<(Instant, Ticket, Request)>,
     pub(crate) draining: bool,
     tick_at: Instant,
 }
@@ -68,6 +70,7 @@
             answered: IndexMap::new(),
             former: IndexMap::new(),
             busy: IndexMap::new(),
+            early: VecDeque::new(),
             draining: false,
             tick_at: now,
         }
@@ -99,7 +102,7 @@
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Tick => {}
-            Event::Routes(routes) => self.on_routes(routes, actions),
+            Event::Routes(routes) => self.on_routes(now, routes, actions),
             Event::Entries(entries) => self.entries = entries.max(1),
             Event::AgentUp { link, agent, process } => self.on_agent_up(now, link, agent, process, actions),
             Event::AgentDown { link } => self.on_agent_down(link, actions),
@@ -111,7 +114,7 @@
         self.pump(now, actions);
         if now >= self.tick_at {
             self.check_timers(now, actions);
-            let busy = !self.jobs.is_empty() || !self.busy.is_empty();
+            let busy = !self.jobs.is_empty() || !self.busy.is_empty() || !self.early.is_empty();
             let interval = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
             self.tick_at = now + interval;
         }
@@ -129,7 +132,7 @@
         self.tick_at = self.tick_at.min(now + BUSY_INTERVAL);
     }
 
-    fn on_routes(&mut self, routes: RouteTable, actions: &mut Vec<Action>) {
+    fn on_routes(&mut self, now: Instant, routes: RouteTable, actions: &mut Vec<Action>) {
         let newer = self
             .routes
             .as_ref()
@@ -140,6 +143,9 @@
                 routes: routes.routes.len() as u64,
             }));
             self.routes = Some(routes);
+            for (_, ticket, request) in std::mem::take(&mut self.early) {
+                self.on_request(now, ticket, request, actions);
+            }
         }
     }
 
--- a/crates/broker/src/ends.rs
+++ b/crates/broker/src/ends.rs
@@ -8,14 +8,16 @@
 use crate::admission::RETRY_AFTER;
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
-use crate::event::{Action, Answer, JobState, Notice, Unserved};
+use crate::event::{Action, Answer, JobEnd, Notice, Unserved};
 use crate::job::{Job, TaskState};
 use crate::requests::refusal;
 
 /// Share of failed runs of a worker above which a failure there says little about the task.
 const UNSOUND: f64 = 0.35;
-/// Attempts at one task above its limit of failures, for those that unsound workers and lost runs have cost.
-const EXTRA_ATTEMPTS: u32 = 6;
+/// Failures of one task above its limit after which it fails even if all happened on unsound workers.
+const UNSOUND_FAILURES: u32 = 3;
+/// Delay before a task is placed again that a worker did not start; what made the worker refuse it lasts a moment.
+const REFUSED_DELAY: Duration = Duration::from_millis(20);
 
 impl BrokerCore {
     pub(crate) fn on_ended(
@@ -60,13 +62,15 @@
         if outstanding.stopping {
             task.overdue += 1;
         }
-        if run.end == RunEnd::Failed && !unsound {
-            task.failures += 1;
+        match run.end {
+            RunEnd::Failed if unsound => task.unsound_failures += 1,
+            RunEnd::Failed => task.failures += 1,
+            RunEnd::NotStarted => task.retry_at = Some(now + REFUSED_DELAY),
+            _ => {}
         }
-        let exhausted =
-            task.failures >= job.max_attempts || task.attempt >= job.max_attempts + EXTRA_ATTEMPTS;
-        if exhausted {
-            self.end_job(now, id, JobState::Failed, actions);
+        let failed_in_all = task.failures + task.unsound_failures;
+        if task.failures >= job.max_attempts || failed_in_all >= job.max_attempts + UNSOUND_FAILURES {
+            self.end_job(now, id, JobEnd::Failed, actions);
         } else {
             self.waiting.insert(job.order, id);
         }
@@ -78,7 +82,7 @@
             return;
         };
         if job.is_complete() {
-            self.end_job(now, id, JobState::Completed, actions);
+            self.end_job(now, id, JobEnd::Completed, actions);
             return;
         }
         job.unblock();
@@ -88,7 +92,7 @@
     }
 
     /// Answers a job, and stops what still runs of it.
-    pub(crate) fn end_job(&mut self, now: Instant, id: JobId, state: JobState, actions: &mut Vec<Action>) {
+    pub(crate) fn end_job(&mut self, now: Instant, id: JobId, end: JobEnd, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.swap_remove(&id) else {
             return;
         };
@@ -100,14 +104,17 @@
             .saturating_duration_since(job.taken_at);
         actions.push(Action::Notice(Notice::JobEnded {
             job: id,
-            state,
+            end,
             took: now.saturating_duration_since(job.taken_at),
             waited,
             attempts: job.attempts,
-            on_time: state == JobState::Completed && now <= job.objective_at,
+            on_time: end == JobEnd::Completed && now <= job.objective_at,
         }));
-        let answer = Answer::State(state);
-        self.answered.insert(id, (answer, now));
+        let answer = end.answer();
+        // After any other end the caller may submit the job again to have it run.
+        if matches!(end, JobEnd::Completed | JobEnd::Failed) {
+            self.answered.insert(id, (answer, now));
+        }
         self.remember_attempts(now, &job);
         self.answer_all(&job, answer, actions);
     }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -83,12 +83,47 @@
     Running,
     /// All tasks have completed.
     Completed,
-    /// A task failed too often, or the time was over.
+    /// A task failed too often.
     Failed,
     /// The job was cancelled.
     Cancelled,
 }
 
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobEnd {
+    /// All tasks have completed.
+    Completed,
+    /// A task failed as often as the route allows.
+    Failed,
+    /// The caller cancelled it, or all callers have gone.
+    Cancelled,
+    /// The time that the caller waits was over.
+    TimedOut,
+}
+
+impl JobEnd {
+    /// Returns the name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    pub(crate) fn answer(self) -> Answer {
+        match self {
+            Self::Completed => Answer::State(JobState::Completed),
+            Self::Failed => Answer::State(JobState::Failed),
+            Self::Cancelled => Answer::State(JobState::Cancelled),
+            Self::TimedOut => Answer::TimedOut,
+        }
+    }
+}
+
 /// Why a submission was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unserved {
@@ -135,6 +170,8 @@
     Unknown,
     /// The job was cancelled.
     Cancelled,
+    /// The time for the job was over before all tasks had completed; what still ran of it is stopped.
+    TimedOut,
     /// No route matches.
     NoRoute,
     /// The submission was not taken, and nothing of it ran or will run.
@@ -243,8 +280,8 @@
     JobEnded {
         /// The job.
         job: JobId,
-        /// Its state.
-        state: JobState,
+        /// How it ended.
+        end: JobEnd,
         /// Time from its submission.
         took: Duration,
         /// Time until its first task was placed.
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -31,6 +31,10 @@
     pub(crate) attempt: AttemptNumber,
     /// Attempts that failed and count against the limit.
     pub(crate) failures: u32,
+    /// Attempts that failed on workers where most tasks fail.
+    pub(crate) unsound_failures: u32,
+    /// Time before which it is not placed again.
+    pub(crate) retry_at: Option<Instant>,
     /// Attempts that were stopped because they lasted too long.
     pub(crate) overdue: u32,
     /// Worker of the latest attempt that did not complete.
--- a/crates/broker/src/pump.rs
+++ b/crates/broker/src/pump.rs
@@ -49,7 +49,9 @@
             let Some(job) = self.jobs.get(&id) else {
                 break;
             };
-            if job.tasks[task].state != TaskState::Waiting || self.busy.contains_key(&job.key(task)) {
+            let delayed = job.tasks[task].retry_at.is_some_and(|at| now < at);
+            let waiting = job.tasks[task].state == TaskState::Waiting && !delayed;
+            if !waiting || self.busy.contains_key(&job.key(task)) {
                 continue;
             }
             match self.choose(now, job, task) {
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -7,9 +7,13 @@
 
 use crate::admission::RETRY_AFTER;
 use crate::core::BrokerCore;
-use crate::event::{Action, Answer, JobState, JobSubmission, Notice, Request, RequestKind, Ticket, Unserved};
+use crate::event::{Action, Answer, JobEnd, JobSubmission, Notice, Request, RequestKind, Ticket, Unserved};
 use crate::job::{Job, Task, TaskState, chain};
 
+/// Time that a request waits for the first route table: about that of an election of control. A longer wait would pass
+/// the objective of most jobs.
+const ROUTES_WAIT: Duration = Duration::from_millis(500);
+
 impl BrokerCore {
     pub(crate) fn on_request(
         &mut self,
@@ -19,8 +23,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(routes) = &self.routes else {
-            let answer = refusal(Unserved::NoRoutes, RETRY_AFTER);
-            actions.push(Action::Answer(ticket, answer));
+            self.wait_for_routes(now, ticket, request, actions);
             return;
         };
         let Some(route) = routes.find(&request.host, &request.queue).cloned() else {
@@ -42,6 +45,25 @@
         actions.push(Action::Answer(ticket, answer));
     }
 
+    /// Keeps a request for a moment: after a restart the first route table is on its way.
+    fn wait_for_routes(&mut self, now: Instant, ticket: Ticket, request: Request, actions: &mut Vec<Action>) {
+        if self.draining || self.early.len() >= self.cfg.max_jobs {
+            let answer = refusal(Unserved::NoRoutes, RETRY_AFTER);
+            actions.push(Action::Answer(ticket, answer));
+            return;
+        }
+        self.early.push_back((now + ROUTES_WAIT, ticket, request));
+        self.watch(now);
+    }
+
+    /// Refuses the requests that have waited long enough for a route table.
+    pub(crate) fn refuse_early(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some((_, ticket, _)) = self.early.pop_front_if(|(until, ..)| *until <= now) {
+            let answer = refusal(Unserved::NoRoutes, RETRY_AFTER);
+            actions.push(Action::Answer(ticket, answer));
+        }
+    }
+
     #[expect(
         clippy::too_many_arguments,
         reason = "each part of a request is decided on by itself"
@@ -111,6 +133,8 @@
                 state,
                 attempt,
                 failures: 0,
+                unsound_failures: 0,
+                retry_at: None,
                 overdue: 0,
                 avoid: None,
             })
@@ -163,7 +187,7 @@
 
     fn cancel(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) -> Answer {
         if self.jobs.contains_key(&id) {
-            self.end_job(now, id, JobState::Cancelled, actions);
+            self.end_job(now, id, JobEnd::Cancelled, actions);
             return Answer::Cancelled;
         }
         match self.answered.get(&id) {
@@ -174,6 +198,7 @@
 
     /// Gives up a job whose callers have all gone; a repeated submission runs it again.
     pub(crate) fn on_caller_gone(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+        self.early.retain(|(_, other, _)| *other != ticket);
         let Some(id) = self.tickets.swap_remove(&ticket) else {
             return;
         };
@@ -182,8 +207,7 @@
         };
         job.tickets.retain(|&other| other != ticket);
         if job.tickets.is_empty() {
-            self.end_job(now, id, JobState::Cancelled, actions);
-            self.answered.swap_remove(&id);
+            self.end_job(now, id, JobEnd::Cancelled, actions);
         }
     }
 
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -6,7 +6,7 @@
 
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
-use crate::event::{Action, JobState, Notice};
+use crate::event::{Action, JobEnd, Notice};
 use crate::job::{Job, TaskState};
 
 /// Attempts at one task that are stopped as overdue; after that the task itself is taken to be long.
@@ -17,6 +17,7 @@
         self.lapse_agents(now, actions);
         self.stop_overdue(now, actions);
         self.give_up_jobs(now, actions);
+        self.refuse_early(now, actions);
         self.pump(now, actions);
         let memory = self.cfg.answer_memory;
         self.answered.retain(|_, (_, at)| now < *at + memory);
@@ -34,7 +35,7 @@
         for id in over {
             let placed = self.jobs.get(&id).is_some_and(|job| job.placed_at.is_some());
             if placed {
-                self.end_job(now, id, JobState::Failed, actions);
+                self.end_job(now, id, JobEnd::TimedOut, actions);
             } else {
                 self.refuse_job(now, id, actions);
             }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -255,6 +255,7 @@
         for action in std::mem::take(&mut self.actions) {
             self.act(now, wall, action)?;
         }
+        self.distribute_document();
         self.compact_if_due();
         debug_assert_eq!(self.raft.verify(), [], "the verifier finds no violation");
         outputs.append(&mut self.outputs);
@@ -405,8 +406,8 @@
                 self.subscribers.distribute(&self.state, &mut self.outputs);
             }
             Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
-            Applied::Document => self.distribute_document(),
-            Applied::Nothing => {}
+            // Followers get the newest document once the whole batch is applied; see `finish`.
+            Applied::Document | Applied::Nothing => {}
         }
         self.answer_applied(now, index, term, applied);
     }
@@ -418,7 +419,6 @@
         self.applied_bytes = 0;
         self.subscribers.distribute(&self.state, &mut self.outputs);
         self.subscribers.distribute_view(&self.state, &mut self.outputs);
-        self.distribute_document();
         Ok(())
     }
 
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -39,7 +39,7 @@
             remedy: "For overloaded, add workers or slow the callers; for the others, see the reason.";
         7012 JobEnded "job_ended" Info "job ended" {
             job: &'a str = "Id of the job.",
-            state: &'a str = "State that the caller was told: completed, failed or cancelled.",
+            end: &'a str = "How it ended: `completed`, `failed`, `cancelled` or `timed_out`.",
             took: Duration = "Time since the job was taken.",
             waited: Duration = "Time until its first task was ordered.",
             attempts: u64 = "Attempts at its tasks.",
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chestnutfork_broker::{JobState, Notice as BrokerNotice};
+use chestnutfork_broker::Notice as BrokerNotice;
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_types::{AttemptKey, JobId, TaskKey};
 use chestnutfork_worker::Notice as WorkerNotice;
@@ -16,16 +16,6 @@
     format!("{:016x}.{}.{}", task.job, task.step, task.index)
 }
 
-fn state_name(state: JobState) -> &'static str {
-    match state {
-        JobState::Queued => "queued",
-        JobState::Running => "running",
-        JobState::Completed => "completed",
-        JobState::Failed => "failed",
-        JobState::Cancelled => "cancelled",
-    }
-}
-
 /// Logs a notice of an entry.
 pub(crate) fn log_broker(notice: &BrokerNotice) {
     match notice {
@@ -61,14 +51,14 @@
         }),
         BrokerNotice::JobEnded {
             job,
-            state,
+            end,
             took,
             waited,
             attempts,
             on_time,
         } => emit(&RunsEvent::JobEnded {
             job: &job_name(*job),
-            state: state_name(*state),
+            end: end.as_str(),
             took: *took,
             waited: *waited,
             attempts: *attempts,
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -37,7 +37,9 @@
         let cfg = Self {
             // Two calls in a row may stay unanswered before the lease lapses.
             worker_lease: Duration::from_millis(700),
-            hold_wait: Duration::from_millis(200),
+            // A lost call hides the ends of runs for this time, and tasks of 60 ms have about 100 ms to spare. A busy worker
+            // has an end to report in less time anyway.
+            hold_wait: Duration::from_millis(40),
             // Entry lease and worker lease together stay near the 1.3 s after which a caller sends a lost request again.
             entry_lease: Duration::from_millis(500),
             beat_interval: Duration::from_millis(150),
@@ -86,7 +88,7 @@
         worker_lease
     );
     setter!(
-        /// Sets how long one call waits at the worker for a run to end; default 200 ms.
+        /// Sets how long one call waits at the worker for a run to end; default 40 ms.
         hold_wait
     );
     setter!(
