--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -29,8 +29,8 @@
     /// use std::time::Duration;
     /// use chestnutfork_worker::WorkerConfig;
     ///
-    /// let cfg = WorkerConfig::builder().worker_lease(Duration::from_millis(500)).build();
-    /// assert_eq!(cfg.run_bound(), Duration::from_millis(1_110));
+    /// let cfg = WorkerConfig::builder().worker_lease(Duration::from_millis(400)).build();
+    /// assert_eq!(cfg.run_bound(), Duration::from_millis(1_008));
     /// ```
     #[must_use]
     pub fn builder() -> WorkerConfigBuilder {
