worker, broker, leased: Keep runs apart when agents restart, with a randomised run

Cause: a randomised run of the real cores against a model of workers found three ways to two runs of a task at a time. A restarted agent denied claims before it knew its worker; it kept unclaimed runs for an entry's lease from its first contact, renewing their lease, although their entry was gone; a stop that was lost with the former link was never repeated.

Claims now wait for the worker's first list or the end of its lease, name the attempts to be stopped, and unclaimed runs are stopped 250 ms after the start of the process.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -158,9 +158,14 @@
         actions: &mut Vec<Action>,
     ) {
         let at = self.agents.up(now, link, agent, process);
-        let claimed: Vec<AttemptKey> = self.agents.get(at).outstanding.keys().copied().collect();
-        if !claimed.is_empty() {
-            actions.push(Action::ToAgent(link, EntryToWorker::Claim(claimed)));
+        let outstanding = &self.agents.get(at).outstanding;
+        let wanted = |stopping: bool| -> Vec<AttemptKey> {
+            let matching = outstanding.iter().filter(|(_, run)| run.stopping == stopping);
+            matching.map(|(&key, _)| key).collect()
+        };
+        let (keep, stop) = (wanted(false), wanted(true));
+        if !outstanding.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::Claim { keep, stop }));
         }
     }
 
--- /dev/null
+++ b/crates/leased/tests/sim/worker.rs
@@ -0,0 +1,188 @@
+//! Model of a worker: leases on its own clock, fencing, run numbers and lists of ends.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{RunEnd, RunNumber, TaskKey};
+use chestnutfork_worker::{HeldRuns, ListedEnd, ListedRun, Order, Outcome, Refusal, Reply};
+
+/// Time that a stopped run goes on, at most.
+const STOP_TIME: Duration = Duration::from_millis(50);
+/// Longest lease that the worker grants.
+const LONGEST_LEASE: Duration = Duration::from_secs(1);
+/// Runs that fit.
+const ROOM: usize = 6;
+
+/// Run in progress.
+#[derive(Clone, Copy, Debug)]
+struct Active {
+    number: RunNumber,
+    ends_at: Instant,
+    end: RunEnd,
+}
+
+/// Worker of one incarnation.
+#[derive(Debug)]
+pub struct Worker {
+    pub incarnation: u64,
+    started_at: Instant,
+    /// Share of real time that the clock shows, at least 0.98.
+    rate: f64,
+    lease_until: Duration,
+    token: u64,
+    active: HashMap<TaskKey, Active>,
+    highest: HashMap<TaskKey, RunNumber>,
+    ended: Vec<ListedEnd>,
+    last_end: u64,
+}
+
+impl Worker {
+    pub fn new(now: Instant, incarnation: u64, rate: f64) -> Self {
+        Self {
+            incarnation,
+            started_at: now,
+            rate,
+            lease_until: Duration::ZERO,
+            token: 0,
+            active: HashMap::new(),
+            highest: HashMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+        }
+    }
+
+    pub fn clock(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at).mul_f64(self.rate)
+    }
+
+    /// Ends what has ended by itself, by a stop or by the end of the lease.
+    pub fn advance(&mut self, now: Instant) {
+        let lapsed = self.clock(now) >= self.lease_until;
+        let over: Vec<TaskKey> = self
+            .active
+            .iter()
+            .filter(|(_, run)| lapsed || run.ends_at <= now)
+            .map(|(&task, _)| task)
+            .collect();
+        for task in over {
+            if let Some(run) = self.active.remove(&task) {
+                let end = if run.ends_at <= now { run.end } else { RunEnd::Lost };
+                self.list_end(task, run.number, end);
+            }
+        }
+    }
+
+    pub fn is_running(&self, task: TaskKey) -> bool {
+        self.active.contains_key(&task)
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = TaskKey> + '_ {
+        self.active.keys().copied()
+    }
+
+    /// Carries out an order; a start runs for `work` and then ends as given.
+    pub fn carry_out(&mut self, now: Instant, order: &Order, work: Duration, end: RunEnd) -> Reply {
+        self.advance(now);
+        let outcome = match *order {
+            Order::Start { token, .. } | Order::Stop { token, .. } | Order::Hold { token, .. }
+                if token < self.token =>
+            {
+                Outcome::Refused(Refusal::Fenced)
+            }
+            Order::Start {
+                task,
+                run,
+                until,
+                token,
+                ..
+            } => {
+                self.token = token;
+                self.start(now, task, run, until, work, end)
+            }
+            Order::Stop { task, run, token } => {
+                self.token = token;
+                self.stop(now, task, run)
+            }
+            Order::Hold {
+                until, seen, token, ..
+            } => {
+                self.token = token;
+                self.extend(now, until);
+                self.ended.retain(|end| end.number > seen);
+                Outcome::Held(self.lists())
+            }
+        };
+        Reply {
+            clock: Some(self.clock(now)),
+            outcome,
+        }
+    }
+
+    fn extend(&mut self, now: Instant, until: Duration) {
+        let longest = self.clock(now) + LONGEST_LEASE;
+        self.lease_until = self.lease_until.max(until.min(longest));
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        number: RunNumber,
+        until: Duration,
+        work: Duration,
+        end: RunEnd,
+    ) -> Outcome {
+        if self.active.get(&task).is_some_and(|run| run.number == number) {
+            return Outcome::Done;
+        }
+        if until <= self.clock(now) {
+            return Outcome::Refused(Refusal::Late);
+        }
+        self.extend(now, until);
+        if number <= self.highest.get(&task).copied().unwrap_or(0) {
+            return Outcome::Refused(Refusal::Outdated);
+        }
+        if self.active.len() >= ROOM {
+            return Outcome::Refused(Refusal::NoRoom);
+        }
+        let ends_at = now + work;
+        self.active.insert(task, Active { number, ends_at, end });
+        Outcome::Done
+    }
+
+    fn stop(&mut self, now: Instant, task: TaskKey, number: RunNumber) -> Outcome {
+        let highest = self.highest.entry(task).or_default();
+        *highest = number.max(*highest);
+        if let Some(run) = self.active.get_mut(&task).filter(|run| run.number <= number)
+            && run.ends_at > now + STOP_TIME
+        {
+            run.ends_at = now + STOP_TIME;
+            run.end = RunEnd::Stopped;
+        }
+        Outcome::Done
+    }
+
+    fn list_end(&mut self, task: TaskKey, number: RunNumber, end: RunEnd) {
+        let highest = self.highest.entry(task).or_default();
+        *highest = number.max(*highest);
+        self.last_end += 1;
+        let run = ListedRun { task, run: number };
+        self.ended.push(ListedEnd {
+            number: self.last_end,
+            run,
+            end,
+        });
+    }
+
+    fn lists(&self) -> HeldRuns {
+        let running = self.active.iter().map(|(&task, run)| ListedRun {
+            task,
+            run: run.number,
+        });
+        HeldRuns {
+            running: running.collect(),
+            ended: self.ended.clone(),
+            truncated: false,
+        }
+    }
+}
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -46,9 +46,9 @@
     /// Acknowledges a heartbeat.
     #[serde(rename = "h")]
     Heard(u64),
-    /// Names the attempts that the entry believes to be there.
+    /// Names the attempts that the entry believes to be there: those that go on, and those to be stopped.
     #[serde(rename = "c")]
-    Claim(Vec<AttemptWire>),
+    Claim(Vec<AttemptWire>, Vec<AttemptWire>),
 }
 
 /// Wire form of [`WorkerToEntry`].
@@ -217,7 +217,7 @@
             },
             EntryToWorker::Stop(keys) => Self::Stop(attempts_wire(keys)),
             EntryToWorker::Heard(beat) => Self::Heard(beat),
-            EntryToWorker::Claim(keys) => Self::Claim(attempts_wire(keys)),
+            EntryToWorker::Claim { keep, stop } => Self::Claim(attempts_wire(keep), attempts_wire(stop)),
         }
     }
 }
@@ -247,7 +247,10 @@
             }),
             EntryToWorkerWire::Stop(keys) => Self::Stop(attempts(keys)),
             EntryToWorkerWire::Heard(beat) => Self::Heard(beat),
-            EntryToWorkerWire::Claim(keys) => Self::Claim(attempts(keys)),
+            EntryToWorkerWire::Claim(keep, stop) => Self::Claim {
+                keep: attempts(keep),
+                stop: attempts(stop),
+            },
         }
     }
 }
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -12,6 +12,7 @@
     pub(crate) report_interval: Duration,
     pub(crate) retry_delay: Duration,
     pub(crate) memory: Duration,
+    pub(crate) adoption: Duration,
 }
 
 /// Builder of [`WorkerConfig`].
@@ -46,6 +47,8 @@
             report_interval: Duration::from_millis(20),
             retry_delay: Duration::from_millis(40),
             memory: Duration::from_secs(20),
+            // Twice what an agent takes to find the entries through control.
+            adoption: Duration::from_millis(250),
         };
         WorkerConfigBuilder { cfg }
     }
@@ -61,7 +64,12 @@
     /// An entry that counts from the arrival of the heartbeat errs on the safe side.
     #[must_use]
     pub fn run_bound(&self) -> Duration {
-        self.entry_lease + self.worker_lease + self.worker_lease / CLOCK_TOLERANCE + SLACK
+        self.entry_lease + self.lease_bound()
+    }
+
+    /// Returns how long after the last call to the worker anything runs there, at most.
+    pub(crate) fn lease_bound(&self) -> Duration {
+        self.worker_lease + self.worker_lease / CLOCK_TOLERANCE + SLACK
     }
 }
 
@@ -107,6 +115,10 @@
         /// Sets the delay before an order that had no effect is repeated; default 40 ms.
         retry_delay
     );
+    setter!(
+        /// Sets how long after its start the agent keeps runs of its predecessor for entries to claim; default 250 ms.
+        adoption
+    );
     setter!(
         /// Sets how long ended runs are remembered; default 20 s.
         memory
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -44,6 +44,15 @@
     pub(crate) orphan_ends: Vec<ListedEnd>,
 }
 
+/// Attempt that an entry believes to be here.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    entry: ProcessId,
+    key: AttemptKey,
+    /// Whether the entry wants it to go on.
+    wanted: bool,
+}
+
 /// Agent core of one worker.
 #[derive(Debug)]
 pub struct WorkerCore {
@@ -55,7 +64,13 @@
     pub(crate) calls: IndexMap<CallId, Call>,
     pub(crate) next_call: CallId,
     /// Claims that wait until it is known what runs.
-    claims: Vec<(ProcessId, Vec<AttemptKey>)>,
+    claims: Vec<Claim>,
+    /// When runs of a former agent process are stopped that no entry has claimed.
+    ///
+    /// Their entry may have been lost just before that process, and its callers send their jobs again.
+    pub(crate) adopt_until: Instant,
+    /// When the runs of a former agent process have certainly ended, even if the worker never announces itself.
+    former_until: Instant,
     beat_at: Instant,
     report_at: Instant,
     reported: Resources,
@@ -88,6 +103,8 @@
             calls: IndexMap::new(),
             next_call: 0,
             claims: Vec::new(),
+            adopt_until: now + cfg.adoption,
+            former_until: now + cfg.lease_bound(),
             beat_at: now,
             report_at: now,
             reported: Resources::default(),
@@ -154,12 +171,9 @@
         let lapse = session.filter(|_| self.has_started());
         let lapse = lapse.map(|session| session.clock.lapsed_by());
         let adoption = session.and_then(|session| self.adoption_ends(session));
-        let due = runs
-            .chain(leases)
-            .chain(report)
-            .chain(hold)
-            .chain(lapse)
-            .chain(adoption);
+        let claims = (!self.claims.is_empty()).then_some(self.former_until);
+        let due = runs.chain(leases).chain(report).chain(hold);
+        let due = due.chain(lapse).chain(adoption).chain(claims);
         // What was due at the last event has been done, or waits for something else than the time.
         let due = due.filter(|&at| at > self.handled_at);
         due.fold(self.beat_at.min(self.cleanup_at), Instant::min)
@@ -287,8 +301,10 @@
                     self.stop_attempt(now, entry, key, actions);
                 }
             }
-            EntryToWorker::Claim(keys) => {
-                self.claims.push((entry, keys));
+            EntryToWorker::Claim { keep, stop } => {
+                let claim = |wanted| move |key| Claim { entry, key, wanted };
+                self.claims.extend(keep.into_iter().map(claim(true)));
+                self.claims.extend(stop.into_iter().map(claim(false)));
                 self.settle_claims(now, actions);
             }
         }
@@ -376,6 +392,10 @@
         if known {
             self.stop(now, key.task, RunEnd::Stopped, actions);
         }
+        let claims = self.claims.iter_mut();
+        for claim in claims.filter(|claim| claim.entry == entry && claim.key == key) {
+            claim.wanted = false;
+        }
     }
 
     /// Stops a run; one that still waits ends at once.
@@ -463,16 +483,17 @@
 
     /// Answers claims once it is known what the worker runs.
     pub(crate) fn settle_claims(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let synced = self
-            .session
-            .as_ref()
-            .is_none_or(|session| session.synced_at.is_some());
-        if !synced {
+        let known = match &self.session {
+            Some(session) => session.synced_at.is_some(),
+            None => now >= self.former_until,
+        };
+        if !known {
             return;
         }
-        for (entry, keys) in std::mem::take(&mut self.claims) {
-            for key in keys {
-                self.settle_claim(now, entry, key, actions);
+        for claim in std::mem::take(&mut self.claims) {
+            self.settle_claim(now, claim.entry, claim.key, actions);
+            if !claim.wanted {
+                self.stop_attempt(now, claim.entry, claim.key, actions);
             }
         }
     }
@@ -534,6 +555,7 @@
     /// Does what has become possible or due after an event.
     fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.lapse_runs(now, actions);
+        self.settle_claims(now, actions);
         self.stop_orphans(now, actions);
         self.start_waiting(now, actions);
         self.repeat_stops(now, actions);
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -159,7 +159,7 @@
     /// Returns the time after which unclaimed runs are stopped, if there are any.
     pub(crate) fn adoption_ends(&self, session: &Session) -> Option<Instant> {
         let synced = session.synced_at.filter(|_| !session.orphans.is_empty())?;
-        Some(synced + self.cfg.entry_lease)
+        Some(synced.max(self.adopt_until))
     }
 
     /// Ends all runs once the worker's lease has certainly lapsed.
--- /dev/null
+++ b/crates/worker/tests/core.rs
@@ -0,0 +1,441 @@
+//! Tests of the agent core with single events.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunEnd, StartOrder, TaskKey, TaskOrder,
+    WorkerDescription, WorkerToEntry,
+};
+use chestnutfork_worker::{
+    Action, Announcement, CallId, Event, HeldRuns, ListedEnd, ListedRun, Order, Outcome, Refusal, Reply,
+    WorkerConfig, WorkerCore,
+};
+
+const LINK: u64 = 1;
+const ENTRY: u64 = 77;
+
+/// Agent core with a clock and the actions of the latest event.
+struct Agent {
+    core: WorkerCore,
+    start: Instant,
+    now: Instant,
+    actions: Vec<Action>,
+}
+
+fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn attempt(index: u16, attempt: u32) -> AttemptKey {
+    let task = TaskKey {
+        job: 5,
+        step: 0,
+        index,
+    };
+    AttemptKey { task, attempt }
+}
+
+fn announcement(born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        description: WorkerDescription {
+            worker: format!("w-{born}"),
+            pool: "pool".to_owned(),
+            failure_domain: "zone-a".to_owned(),
+            labels: Vec::new(),
+            capacity: Resources {
+                cpu_millis: 2_000,
+                memory_mb: 100,
+                gpus: 0,
+            },
+            leaving: false,
+        },
+        address: "w:1".to_owned(),
+        born: millis(born),
+        sequence,
+        clock: millis(10_000),
+    }
+}
+
+impl Agent {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            core: WorkerCore::new(WorkerConfig::builder().build(), now),
+            start: now,
+            now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Starts an agent whose worker is known and whose entry has acknowledged a heartbeat.
+    fn ready() -> Self {
+        let mut agent = Self::new();
+        agent.event(Event::Announced(announcement(1, 1)));
+        agent.answer_hold(HeldRuns::default());
+        agent.connect();
+        agent
+    }
+
+    fn connect(&mut self) {
+        self.event(Event::EntryUp {
+            link: LINK,
+            entry: ENTRY,
+        });
+        let beat = self.actions.iter().find_map(|action| match action {
+            Action::ToEntry(_, WorkerToEntry::Beat(number, _)) => Some(*number),
+            _ => None,
+        });
+        self.send(EntryToWorker::Heard(
+            beat.expect("a link begins with a heartbeat"),
+        ));
+    }
+
+    fn event(&mut self, event: Event) {
+        self.actions.clear();
+        self.core.handle(self.now, event, &mut self.actions);
+    }
+
+    fn send(&mut self, message: EntryToWorker) {
+        self.event(Event::FromEntry { link: LINK, message });
+    }
+
+    fn at(&mut self, elapsed: Duration) {
+        self.now = self.start + elapsed;
+        self.event(Event::Tick);
+    }
+
+    fn start(&mut self, keys: &[AttemptKey]) {
+        let tasks = keys.iter().map(|&key| TaskOrder {
+            key,
+            resources: Resources {
+                cpu_millis: 1_000,
+                memory_mb: 10,
+                gpus: 0,
+            },
+            declared: millis(100),
+        });
+        self.send(EntryToWorker::Start(StartOrder {
+            number: 1,
+            heard: 1,
+            urgency: millis(200),
+            spec: Bytes::from_static(b"spec"),
+            tasks: tasks.collect(),
+        }));
+    }
+
+    fn calls(&self) -> Vec<(CallId, Order)> {
+        let calls = self.actions.iter().filter_map(|action| match action {
+            Action::Call { call, order, .. } => Some((*call, order.clone())),
+            _ => None,
+        });
+        calls.collect()
+    }
+
+    /// Returns the latest call that matches.
+    fn call(&self, wanted: impl Fn(&Order) -> bool) -> CallId {
+        let calls = self.calls();
+        let found = calls.iter().rev().find(|(_, order)| wanted(order));
+        found.expect("the call was made").0
+    }
+
+    fn reply(&mut self, call: CallId, outcome: Outcome) {
+        let elapsed = self.now.saturating_duration_since(self.start);
+        let clock = (outcome != Outcome::NoAnswer).then_some(millis(10_000) + elapsed);
+        let reply = Reply { clock, outcome };
+        self.event(Event::Replied { call, reply });
+    }
+
+    fn answer_hold(&mut self, held: HeldRuns) {
+        let call = self.call(|order| matches!(order, Order::Hold { .. }));
+        self.reply(call, Outcome::Held(held));
+    }
+
+    fn ended(&self) -> Vec<EndedRun> {
+        let ended = self.actions.iter().filter_map(|action| match action {
+            Action::ToEntry(_, WorkerToEntry::Ended(ended)) => Some(ended.clone()),
+            _ => None,
+        });
+        ended.flatten().collect()
+    }
+}
+
+fn is_start(order: &Order) -> bool {
+    matches!(order, Order::Start { .. })
+}
+
+fn is_stop(order: &Order) -> bool {
+    matches!(order, Order::Stop { .. })
+}
+
+fn is_hold(order: &Order) -> bool {
+    matches!(order, Order::Hold { .. })
+}
+
+fn listed(key: AttemptKey, run: u64) -> ListedRun {
+    ListedRun { task: key.task, run }
+}
+
+/// Guards against an end that is not reported, or reported as another one.
+#[test]
+fn start_reports_listed_end() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let hold = agent.call(is_hold);
+    let start = agent.call(is_start);
+    agent.reply(start, Outcome::Done);
+    let end = ListedEnd {
+        number: 1,
+        run: listed(attempt(0, 1), 1),
+        end: RunEnd::Completed,
+    };
+    let held = HeldRuns {
+        ended: vec![end],
+        ..HeldRuns::default()
+    };
+    agent.reply(hold, Outcome::Held(held));
+    let ended = agent.ended();
+    assert_eq!(ended.len(), 1);
+    assert_eq!((ended[0].key, ended[0].end), (attempt(0, 1), RunEnd::Completed));
+    assert_eq!(agent.core.runs_in_progress(), 0);
+}
+
+/// Guards against a start above the capacity of a worker that does not guard it.
+#[test]
+fn start_waits_for_room() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1), attempt(1, 1), attempt(2, 1)]);
+    let starts = agent.calls().into_iter().filter(|(_, order)| is_start(order));
+    assert_eq!(starts.count(), 2);
+    assert_eq!(agent.core.verify(), []);
+}
+
+/// Guards against an order that waited in a buffer while the entry gave the agent up.
+#[test]
+fn start_refuses_order_after_lease() {
+    let mut agent = Agent::ready();
+    agent.now += millis(600);
+    agent.start(&[attempt(0, 1)]);
+    assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+    assert_eq!(agent.ended()[0].end, RunEnd::NotStarted);
+}
+
+/// Guards against a task that is placed elsewhere while a lost start may still be carried out.
+#[test]
+fn unanswered_start_is_stopped_before_report() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let first_hold = agent.call(is_hold);
+    let start = agent.call(is_start);
+    agent.reply(start, Outcome::NoAnswer);
+    let stop = agent.call(is_stop);
+    assert_eq!(agent.ended(), []);
+    // This list was asked for before the stop, so it proves nothing.
+    agent.reply(first_hold, Outcome::Held(HeldRuns::default()));
+    assert_eq!(agent.ended(), []);
+    let second_hold = agent.call(is_hold);
+    agent.now += millis(1);
+    agent.reply(stop, Outcome::Done);
+    agent.reply(second_hold, Outcome::Held(HeldRuns::default()));
+    assert_eq!(agent.ended(), []);
+    agent.answer_hold(HeldRuns::default());
+    assert_eq!(agent.ended()[0].end, RunEnd::NotStarted);
+}
+
+/// Guards against a run that is given up although the worker began it and only the answer was lost.
+#[test]
+fn listed_start_needs_no_answer() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let start = agent.call(is_start);
+    let held = HeldRuns {
+        running: vec![listed(attempt(0, 1), 1)],
+        ..HeldRuns::default()
+    };
+    agent.answer_hold(held);
+    agent.reply(start, Outcome::NoAnswer);
+    assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
+    assert_eq!(agent.core.runs_in_progress(), 1);
+}
+
+/// Guards against a silent worker whose runs are reported as ended before its lease has lapsed on its slow clock.
+#[test]
+fn silent_worker_lapses_after_lease() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let start = agent.call(is_start);
+    agent.reply(start, Outcome::Done);
+    agent.at(millis(700));
+    assert_eq!(agent.core.runs_in_progress(), 1);
+    agent.at(millis(730));
+    assert_eq!(agent.core.runs_in_progress(), 0);
+}
+
+/// Guards against runs that outlive their entry, whose callers send their jobs again.
+#[test]
+fn lost_entry_has_its_runs_stopped() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let start = agent.call(is_start);
+    agent.reply(start, Outcome::Done);
+    agent.event(Event::EntryDown { link: LINK });
+    assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
+    agent.at(millis(500));
+    assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+}
+
+/// Guards against a claim that a restarted agent denies before it knows what the worker runs.
+#[test]
+fn claim_waits_for_worker() {
+    let mut agent = Agent::new();
+    agent.connect();
+    let keep = vec![attempt(0, 2)];
+    agent.send(EntryToWorker::Claim {
+        keep,
+        stop: Vec::new(),
+    });
+    assert_eq!(agent.ended(), []);
+    agent.at(millis(300));
+    agent.event(Event::Announced(announcement(1, 9)));
+    assert_eq!(agent.ended(), []);
+    let running = vec![listed(attempt(0, 2), 2)];
+    let held = HeldRuns {
+        running,
+        ..HeldRuns::default()
+    };
+    agent.answer_hold(held);
+    assert_eq!(agent.ended(), []);
+    assert_eq!(agent.core.runs_in_progress(), 1);
+}
+
+/// Guards against a claim that waits for ever for a worker that is gone.
+#[test]
+fn claim_ends_with_the_worker_lease() {
+    let mut agent = Agent::new();
+    agent.connect();
+    let keep = vec![attempt(0, 2)];
+    agent.send(EntryToWorker::Claim {
+        keep,
+        stop: Vec::new(),
+    });
+    agent.at(millis(830));
+    assert_eq!(agent.ended()[0].end, RunEnd::Lost);
+}
+
+/// Guards against a run that goes on because its stop was lost with the former agent process.
+#[test]
+fn unwanted_claim_stops_the_run() {
+    for stopped_later in [false, true] {
+        let mut agent = Agent::new();
+        agent.connect();
+        let keys = vec![attempt(0, 2)];
+        if stopped_later {
+            agent.send(EntryToWorker::Claim {
+                keep: keys.clone(),
+                stop: Vec::new(),
+            });
+            agent.send(EntryToWorker::Stop(keys));
+        } else {
+            agent.send(EntryToWorker::Claim {
+                keep: Vec::new(),
+                stop: keys,
+            });
+        }
+        agent.event(Event::Announced(announcement(1, 9)));
+        let held = HeldRuns {
+            running: vec![listed(attempt(0, 2), 2)],
+            ..HeldRuns::default()
+        };
+        agent.answer_hold(held);
+        assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+    }
+}
+
+/// Guards against runs of a former agent process that go on for an entry that is gone as well.
+#[test]
+fn unclaimed_run_is_stopped() {
+    let mut agent = Agent::new();
+    agent.event(Event::Announced(announcement(1, 9)));
+    let held = HeldRuns {
+        running: vec![listed(attempt(0, 2), 2)],
+        ..HeldRuns::default()
+    };
+    agent.answer_hold(held);
+    agent.at(millis(250));
+    assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+}
+
+/// Guards against a delayed announcement of a former incarnation that replaces the present one.
+#[test]
+fn announcement_ignores_former_incarnation() {
+    let mut agent = Agent::new();
+    agent.event(Event::Announced(announcement(2, 1)));
+    agent.event(Event::Announced(announcement(1, 50)));
+    agent.connect();
+    let described = agent.core.runs_in_progress();
+    assert_eq!(described, 0);
+    agent.start(&[attempt(0, 1)]);
+    let worker = agent.actions.iter().find_map(|action| match action {
+        Action::Call { worker, .. } => Some(worker.clone()),
+        _ => None,
+    });
+    assert!(worker.is_none_or(|worker| worker == "w-2"));
+}
+
+/// Guards against runs that are believed to go on after their worker was replaced.
+#[test]
+fn new_incarnation_ends_all_runs() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let start = agent.call(is_start);
+    agent.reply(start, Outcome::Done);
+    agent.event(Event::Announced(announcement(2, 1)));
+    assert_eq!(agent.ended()[0].end, RunEnd::Lost);
+}
+
+/// Guards against a start that a leaving worker or a stopping agent still takes.
+#[test]
+fn leaving_refuses_starts() {
+    let mut leaving = announcement(1, 2);
+    leaving.description.leaving = true;
+    for event in [Event::Announced(leaving), Event::Drain] {
+        let mut agent = Agent::ready();
+        agent.event(event);
+        agent.start(&[attempt(0, 1)]);
+        assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+        assert_eq!(agent.ended()[0].end, RunEnd::NotStarted);
+    }
+}
+
+/// Guards against an agent that a higher fencing token or an older run number locks out.
+#[test]
+fn refused_start_is_mended() {
+    for refusal in [Refusal::Fenced, Refusal::Outdated, Refusal::Late, Refusal::NoRoom] {
+        let mut agent = Agent::ready();
+        agent.start(&[attempt(0, 1)]);
+        let (call, first) = agent
+            .calls()
+            .into_iter()
+            .find(|(_, order)| is_start(order))
+            .unwrap();
+        agent.reply(call, Outcome::Refused(refusal));
+        agent.at(millis(50));
+        let second = agent.calls().into_iter().find(|(_, order)| is_start(order));
+        let (
+            Order::Start { run, token, .. },
+            Some((
+                _,
+                Order::Start {
+                    run: run_2,
+                    token: token_2,
+                    ..
+                },
+            )),
+        ) = (first, second)
+        else {
+            panic!("{refusal:?}: the start was not repeated");
+        };
+        assert_eq!(run_2 > run, refusal == Refusal::Outdated);
+        assert_eq!(token_2 > token, refusal == Refusal::Fenced);
+    }
+}
