--- /dev/null
+++ b/crates/broker/tests/core.rs
@@ -0,0 +1,485 @@
+//! Tests of the entry core with single events.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_broker::{
+    Action, Answer, BrokerConfig, BrokerCore, Event, JobState, JobSubmission, Request, RequestKind, StepSpec,
+    Unserved,
+};
+use chestnutfork_routes::{Route, RouteTable, ServiceRule};
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunEnd, StartOrder, WorkerDescription, WorkerLoad,
+    WorkerToEntry,
+};
+
+const RUN_BOUND: Duration = Duration::from_millis(1_300);
+
+/// Entry core with a clock and the actions since they were last taken.
+struct Entry {
+    core: BrokerCore,
+    start: Instant,
+    now: Instant,
+    actions: Vec<Action>,
+}
+
+fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        routes: vec![Route {
+            name: "r".to_owned(),
+            host: "h".to_owned(),
+            prefix: "/q/".to_owned(),
+            service: "pool".to_owned(),
+            priority: 0,
+            max_attempts: 2,
+            stretch: 2.0,
+            overhead: millis(100),
+            timeout: millis(1_500),
+        }],
+        services: [("pool".to_owned(), ServiceRule::default())].into(),
+    }
+}
+
+fn submission(tasks: u16) -> JobSubmission {
+    let step = StepSpec {
+        tasks,
+        resources: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 1,
+            gpus: 0,
+        },
+        declared: millis(100),
+        ..StepSpec::default()
+    };
+    JobSubmission {
+        spec: Bytes::from_static(b"spec"),
+        steps: vec![step],
+        ..JobSubmission::default()
+    }
+}
+
+fn request(job: u128, kind: RequestKind) -> Request {
+    Request {
+        host: "h".to_owned(),
+        queue: "/q/".to_owned(),
+        job: Some(job),
+        patience: Some(millis(2_000)),
+        kind,
+    }
+}
+
+impl Entry {
+    fn new() -> Self {
+        let now = Instant::now();
+        let cfg = BrokerConfig::builder("zone-a", RUN_BOUND).build();
+        Self {
+            core: BrokerCore::new(cfg, now),
+            start: now,
+            now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Starts an entry with routes and workers of four cores each, under the links 1, 2 and so on.
+    fn with_workers(workers: u64) -> Self {
+        let mut entry = Self::new();
+        entry.event(Event::Routes(table(1)));
+        for link in 1..=workers {
+            entry.connect(link);
+        }
+        entry
+    }
+
+    fn connect(&mut self, link: u64) {
+        let agent = format!("agent-{link}");
+        self.event(Event::AgentUp {
+            link,
+            agent,
+            process: link,
+        });
+        let worker = WorkerDescription {
+            worker: format!("w-{link}"),
+            pool: "pool".to_owned(),
+            failure_domain: "zone-a".to_owned(),
+            labels: Vec::new(),
+            capacity: Resources {
+                cpu_millis: 4_000,
+                memory_mb: 100,
+                gpus: 0,
+            },
+            leaving: false,
+        };
+        self.hear(link, WorkerToEntry::Describe(worker));
+        self.beat(link, 1, 0);
+    }
+
+    fn beat(&mut self, link: u64, number: u64, ordered: u64) {
+        let load = WorkerLoad {
+            free: Resources {
+                cpu_millis: 4_000,
+                memory_mb: 100,
+                gpus: 0,
+            },
+            waiting: 0,
+            pace_permille: 1_000,
+            failing_permille: 0,
+            available: true,
+            ordered,
+        };
+        self.hear(link, WorkerToEntry::Beat(number, load));
+    }
+
+    fn hear(&mut self, link: u64, message: WorkerToEntry) {
+        self.event(Event::FromAgent { link, message });
+    }
+
+    fn event(&mut self, event: Event) {
+        self.core.handle(self.now, event, &mut self.actions);
+    }
+
+    fn submit(&mut self, ticket: u64, job: u128, tasks: u16) {
+        let request = request(job, RequestKind::Submit(submission(tasks)));
+        self.event(Event::Request { ticket, request });
+    }
+
+    /// Lets the time pass in steps of the core's own timer, with heartbeats of the given links.
+    fn pass_to(&mut self, elapsed: Duration, links: &[u64]) {
+        let mut number = 100;
+        while self.now < self.start + elapsed {
+            self.now += millis(25);
+            number += 1;
+            for &link in links {
+                self.beat(link, number, u64::MAX);
+            }
+            self.event(Event::Tick);
+        }
+    }
+
+    fn end(&mut self, link: u64, key: AttemptKey, end: RunEnd) {
+        let ran = millis(100);
+        self.hear(link, WorkerToEntry::Ended(vec![EndedRun { key, end, ran }]));
+    }
+
+    fn starts(&mut self) -> Vec<(u64, StartOrder)> {
+        let starts = self.actions.iter().filter_map(|action| match action {
+            Action::ToAgent(link, EntryToWorker::Start(order)) => Some((*link, order.clone())),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// Returns the attempts of all starts with their links.
+    fn attempts(&mut self) -> Vec<(u64, AttemptKey)> {
+        let starts = self.starts().into_iter();
+        let attempts =
+            starts.flat_map(|(link, order)| order.tasks.into_iter().map(move |task| (link, task.key)));
+        attempts.collect()
+    }
+
+    fn stops(&self) -> usize {
+        let stops = self.actions.iter();
+        stops
+            .filter(|action| matches!(action, Action::ToAgent(_, EntryToWorker::Stop(_))))
+            .count()
+    }
+
+    fn answers(&self) -> Vec<(u64, Answer)> {
+        let answers = self.actions.iter().filter_map(|action| match action {
+            Action::Answer(ticket, answer) => Some((*ticket, *answer)),
+            _ => None,
+        });
+        answers.collect()
+    }
+}
+
+/// Guards against an answer before all tasks have completed, or a second one.
+#[test]
+fn submit_answers_when_all_tasks_completed() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(9, 1, 3);
+    let attempts = entry.attempts();
+    assert_eq!(attempts.len(), 3);
+    for &(link, key) in &attempts[..2] {
+        entry.end(link, key, RunEnd::Completed);
+    }
+    assert_eq!(entry.answers(), []);
+    let (link, key) = attempts[2];
+    entry.end(link, key, RunEnd::Completed);
+    entry.end(link, key, RunEnd::Completed);
+    assert_eq!(entry.answers(), [(9, Answer::State(JobState::Completed))]);
+}
+
+/// Guards against a job that runs again because its answer was lost on the way.
+#[test]
+fn submit_repeats_answer() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.end(link, key, RunEnd::Completed);
+    entry.submit(2, 1, 1);
+    assert_eq!(entry.attempts().len(), 1);
+    assert_eq!(entry.answers()[1], (2, Answer::State(JobState::Completed)));
+}
+
+/// Guards against two attempts at one task at a time after the caller went away and came back.
+#[test]
+fn resubmission_waits_for_former_attempt() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.event(Event::CallerGone { ticket: 1 });
+    assert_eq!(entry.stops(), 1);
+    entry.submit(2, 1, 1);
+    assert_eq!(entry.attempts().len(), 1);
+    entry.end(link, key, RunEnd::Stopped);
+    let attempts = entry.attempts();
+    assert_eq!(attempts.len(), 2);
+    assert!(attempts[1].1.attempt > key.attempt);
+}
+
+/// Guards against a task that is started elsewhere while a silent agent's worker may still run it.
+#[test]
+fn silent_agent_keeps_task_until_bound() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 1, 1);
+    let (link, _) = entry.attempts()[0];
+    let other = 3 - link;
+    entry.event(Event::AgentDown { link });
+    entry.pass_to(RUN_BOUND.saturating_sub(millis(25)), &[other]);
+    assert_eq!(entry.attempts().len(), 1);
+    entry.pass_to(RUN_BOUND + millis(50), &[other]);
+    let attempts = entry.attempts();
+    assert_eq!(attempts.len(), 2);
+    assert_eq!(attempts[1].0, other);
+}
+
+/// Guards against a stop that is lost with a link: the claim on the next link repeats it.
+#[test]
+fn claim_names_attempts_to_stop() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 2);
+    let keys: Vec<AttemptKey> = entry.attempts().into_iter().map(|(_, key)| key).collect();
+    entry.event(Event::AgentDown { link: 1 });
+    entry.event(Event::CallerGone { ticket: 1 });
+    entry.actions.clear();
+    entry.connect(1);
+    let claim = entry.actions.iter().find_map(|action| match action {
+        Action::ToAgent(_, EntryToWorker::Claim { keep, stop }) => Some((keep.clone(), stop.clone())),
+        _ => None,
+    });
+    assert_eq!(claim, Some((Vec::new(), keys)));
+}
+
+/// Guards against `failed` for a job of which no task has failed as often as the route allows.
+#[test]
+fn deadline_times_out_placed_job() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 1);
+    entry.pass_to(millis(2_050), &[1]);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+    assert!(entry.stops() >= 1);
+}
+
+/// Guards against attempts without end at a task that always fails, and against giving up early.
+#[test]
+fn failures_end_job_at_limit() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.end(link, key, RunEnd::Failed);
+    assert_eq!(entry.answers(), []);
+    let (link, key) = entry.attempts()[1];
+    entry.end(link, key, RunEnd::Failed);
+    assert_eq!(entry.answers(), [(1, Answer::State(JobState::Failed))]);
+}
+
+/// Guards against a second attempt on the worker that has just failed the task.
+#[test]
+fn retry_avoids_failed_worker() {
+    let mut entry = Entry::with_workers(3);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.end(link, key, RunEnd::Failed);
+    assert_ne!(entry.attempts()[1].0, link);
+}
+
+/// Guards against a refusal that says that nothing ran although a task was ordered.
+#[test]
+fn overload_refuses_before_any_start() {
+    let mut entry = Entry::with_workers(1);
+    for job in 1..=12_u64 {
+        entry.submit(job, u128::from(job), 4);
+    }
+    entry.pass_to(millis(400), &[]);
+    let started: Vec<u128> = entry.attempts().iter().map(|(_, key)| key.task.job).collect();
+    let refused = entry.answers();
+    assert!(!refused.is_empty());
+    for (ticket, answer) in refused {
+        let overloaded = matches!(
+            answer,
+            Answer::Refused {
+                because: Unserved::Overloaded,
+                ..
+            }
+        );
+        assert!(
+            overloaded && !started.contains(&u128::from(ticket)),
+            "{ticket}: {answer:?}"
+        );
+    }
+}
+
+/// Guards against a worker that gets more tasks than it has room for between two reports.
+#[test]
+fn placement_counts_orders_not_reported_yet() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 3);
+    entry.submit(2, 2, 3);
+    assert_eq!(entry.attempts().len(), 4);
+}
+
+/// Guards against jobs that must be stored, last or gang together and are answered as if they were served.
+#[test]
+fn unsupported_jobs_are_refused() {
+    let lasting = JobSubmission {
+        lasting: true,
+        ..submission(1)
+    };
+    let stored = JobSubmission {
+        stored: true,
+        ..submission(1)
+    };
+    let mut gang = submission(2);
+    gang.steps[0].together = true;
+    let mut entry = Entry::with_workers(1);
+    for (ticket, submission) in (1..).zip([lasting, stored, gang]) {
+        let request = request(u128::from(ticket), RequestKind::Submit(submission));
+        entry.event(Event::Request { ticket, request });
+    }
+    assert_eq!(entry.attempts(), []);
+    let unsupported = |(_, answer): &(u64, Answer)| {
+        matches!(
+            answer,
+            Answer::Refused {
+                because: Unserved::Unsupported,
+                ..
+            }
+        )
+    };
+    assert_eq!(
+        entry
+            .answers()
+            .iter()
+            .filter(|answer| unsupported(answer))
+            .count(),
+        3
+    );
+}
+
+/// Guards against a step that begins before the one in front of it has completed.
+#[test]
+fn step_waits_for_former_step() {
+    let mut entry = Entry::with_workers(1);
+    let mut chained = submission(1);
+    let second = StepSpec {
+        after: vec![0],
+        ..chained.steps[0].clone()
+    };
+    chained.steps.push(second);
+    let request = request(1, RequestKind::Submit(chained));
+    entry.event(Event::Request { ticket: 1, request });
+    let attempts = entry.attempts();
+    assert_eq!(attempts.len(), 1);
+    entry.end(attempts[0].0, attempts[0].1, RunEnd::Completed);
+    assert_eq!(entry.attempts()[1].1.task.step, 1);
+}
+
+/// Guards against refusals in the moment between a restart and the first route table.
+#[test]
+fn early_request_waits_for_routes() {
+    let mut entry = Entry::new();
+    entry.submit(1, 1, 1);
+    assert_eq!(entry.answers(), []);
+    entry.connect(1);
+    entry.event(Event::Routes(table(1)));
+    assert_eq!(entry.attempts().len(), 1);
+}
+
+/// Guards against a request that waits for routes for ever.
+#[test]
+fn early_request_is_refused_in_time() {
+    let mut entry = Entry::new();
+    entry.submit(1, 1, 1);
+    entry.pass_to(millis(550), &[]);
+    assert!(matches!(
+        entry.answers()[..],
+        [(
+            1,
+            Answer::Refused {
+                because: Unserved::NoRoutes,
+                ..
+            }
+        )]
+    ));
+}
+
+/// Guards against an older route table that comes back into force.
+#[test]
+fn routes_never_go_back() {
+    let mut entry = Entry::with_workers(1);
+    entry.event(Event::Routes(table(7)));
+    let older = RouteTable {
+        routes: Vec::new(),
+        ..table(6)
+    };
+    entry.event(Event::Routes(older));
+    entry.submit(1, 1, 1);
+    assert_eq!(entry.attempts().len(), 1);
+}
+
+/// Guards against a cancelled job that goes on.
+#[test]
+fn cancel_stops_tasks() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 2);
+    let request = request(1, RequestKind::Cancel);
+    entry.event(Event::Request { ticket: 2, request });
+    assert_eq!(entry.stops(), 1);
+    assert!(entry.answers().contains(&(2, Answer::Cancelled)));
+}
+
+/// Guards against a task that hangs on one worker until its deadline while others are free.
+#[test]
+fn overdue_attempt_is_stopped_and_placed_elsewhere() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.pass_to(millis(600), &[1, 2]);
+    assert_eq!(entry.stops(), 1);
+    assert_eq!(entry.attempts().len(), 1);
+    entry.end(link, key, RunEnd::Stopped);
+    assert_eq!(entry.attempts()[1].0, 3 - link);
+}
+
+/// Guards against submissions that a stopping entry takes and then cuts off.
+#[test]
+fn drain_refuses_submissions() {
+    let mut entry = Entry::with_workers(1);
+    entry.event(Event::Drain);
+    entry.submit(1, 1, 1);
+    assert!(matches!(
+        entry.answers()[..],
+        [(
+            1,
+            Answer::Refused {
+                because: Unserved::Draining,
+                ..
+            }
+        )]
+    ));
+}
--- /dev/null
+++ b/crates/control/tests/documents.rs
@@ -0,0 +1,205 @@
+//! Tests of whole documents, the directory and the member set that repairs itself.
+
+mod group;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_control::{
+    ControlMessage, Document, EntryInfo, Event, OperatorRequest, SubscriberIdentity, SubscriberMessage,
+};
+use chestnutfork_storage::MemoryFolder;
+use group::{Group, SECOND};
+
+/// Time in which a process that lost its disk must have its vote again.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+fn document(version: u64, content: &'static str) -> Document {
+    Document {
+        version,
+        content: Bytes::from_static(content.as_bytes()),
+    }
+}
+
+/// Submits a document and returns the status of the answer.
+fn put(group: &mut Group, node: u64, version: u64, content: &'static str) -> u16 {
+    let ticket = 1_000_000 + group.replies.len() as u64;
+    group.request(
+        node,
+        ticket,
+        OperatorRequest::PutDocument(document(version, content)),
+    );
+    group.run(SECOND);
+    group.replies.get(&ticket).map_or(0, |reply| reply.status)
+}
+
+/// Reads the document and returns status and content.
+fn get(group: &mut Group, node: u64) -> (u16, Bytes) {
+    let ticket = 2_000_000 + group.replies.len() as u64;
+    group.request(node, ticket, OperatorRequest::GetDocument);
+    group.run(SECOND);
+    let reply = group.replies.get(&ticket);
+    reply.map_or((0, Bytes::new()), |reply| (reply.status, reply.body.clone()))
+}
+
+fn follow(group: &mut Group, node: u64, link: u64, address: &str, is_entry: bool) {
+    let info = EntryInfo {
+        process: link,
+        name: format!("process-{link}"),
+        address: address.to_owned(),
+        failure_domain: String::new(),
+    };
+    let identity = SubscriberIdentity { info, is_entry };
+    group.event(node, Event::SubscriberUp { link, identity });
+    let messages = vec![SubscriberMessage::Follow { have: 0 }];
+    group.event(node, Event::FromSubscriber { link, messages });
+    group.run(SECOND);
+}
+
+/// Guards against a lower version, or other content under the same one, that replaces what was acknowledged.
+#[test]
+fn put_document_keeps_highest_version() {
+    let (mut group, leader) = Group::formed(3);
+    let follower = group.follower();
+    assert_eq!(put(&mut group, leader, 5, "five"), 200);
+    assert_eq!(put(&mut group, follower, 4, "four"), 200);
+    assert_eq!(put(&mut group, follower, 5, "other"), 200);
+    for node in 0..3 {
+        assert_eq!(get(&mut group, node), (200, Bytes::from_static(b"five")));
+    }
+    assert_eq!(put(&mut group, follower, 9, "nine"), 200);
+    assert_eq!(get(&mut group, leader), (200, Bytes::from_static(b"nine")));
+}
+
+/// Guards against an acknowledged document that is gone after all processes were killed.
+#[test]
+fn put_document_survives_restart_of_all() {
+    let (mut group, leader) = Group::formed(3);
+    assert_eq!(put(&mut group, leader, 5, "five"), 200);
+    let folders: Vec<MemoryFolder> = (0..3).map(|node| group.stop(node)).collect();
+    for (node, folder) in (0..).zip(folders) {
+        group.start(node, folder);
+    }
+    let leader = group.elect();
+    group.run(SECOND);
+    assert_eq!(get(&mut group, leader), (200, Bytes::from_static(b"five")));
+}
+
+/// Guards against a stale answer of a process that is cut off from the others.
+#[test]
+fn get_document_is_refused_without_quorum() {
+    let (mut group, old) = Group::formed(3);
+    assert_eq!(put(&mut group, old, 5, "five"), 200);
+    group.isolate(old);
+    // The old leader steps down once it misses its quorum for an election timeout.
+    group.run(SECOND * 3);
+    let leader = group.elect();
+    assert_eq!(put(&mut group, leader, 6, "six"), 200);
+    let (status, content) = get(&mut group, old);
+    assert!(status != 200 && content != "five", "{status}");
+}
+
+/// Guards against followers that miss a document or get an older one again.
+#[test]
+fn follow_delivers_documents_in_order() {
+    let (mut group, leader) = Group::formed(3);
+    assert_eq!(put(&mut group, leader, 3, "three"), 200);
+    follow(&mut group, leader, 70, "10.2.0.1:70", true);
+    assert_eq!(put(&mut group, leader, 8, "eight"), 200);
+    let versions = group.sent.iter().filter_map(|(_, link, message)| match message {
+        ControlMessage::Document(document) if *link == 70 => Some(document.version),
+        _ => None,
+    });
+    assert_eq!(versions.collect::<Vec<_>>(), [3, 8]);
+}
+
+/// Guards against agents that never learn of an entry, or keep one that is gone in the directory.
+#[test]
+fn directory_names_entries_while_linked() {
+    let (mut group, leader) = Group::formed(3);
+    follow(&mut group, leader, 70, "10.2.0.1:70", false);
+    follow(&mut group, leader, 71, "10.2.0.2:70", true);
+    let entries = |group: &Group| {
+        let sent = group.sent.iter().rev();
+        let mut directories = sent.filter_map(|(_, link, message)| match message {
+            ControlMessage::Directory { entries, .. } if *link == 70 => Some(entries.clone()),
+            _ => None,
+        });
+        directories.next().unwrap_or_default()
+    };
+    assert_eq!(entries(&group), ["10.2.0.2:70"]);
+    group.event(leader, Event::SubscriberDown { link: 71 });
+    group.run(SECOND);
+    assert!(entries(&group).is_empty());
+}
+
+/// Guards against a process with a lost disk that stays without a vote, so that the next loss stops all changes.
+#[test]
+fn lost_disk_is_readmitted_without_operator() {
+    let mut group = Group::with_voters(3, Some(3));
+    let leader = group.elect();
+    group.run(SECOND);
+    assert_eq!(put(&mut group, leader, 1, "one"), 200);
+    let lost = group.follower();
+    let old = group.core(lost).replica();
+    group.stop(lost);
+    group.start(lost, MemoryFolder::default());
+    group.run(CATCH_UP);
+    let members = group.core(lost).raft().membership().clone();
+    assert!(members.is_voter(group.core(lost).replica()) && !members.contains(old));
+    assert_eq!(members.voters.len(), 3);
+    group.stop(leader);
+    let leader = group.elect();
+    assert_eq!(put(&mut group, leader, 2, "two"), 200);
+    assert_eq!(get(&mut group, lost), (200, Bytes::from_static(b"two")));
+}
+
+/// Guards against a leader whose own disk was lost and whose place nobody gives away.
+#[test]
+fn lost_disk_of_leader_is_readmitted() {
+    let mut group = Group::with_voters(3, Some(3));
+    let leader = group.elect();
+    group.run(SECOND);
+    assert_eq!(put(&mut group, leader, 1, "one"), 200);
+    group.stop(leader);
+    group.start(leader, MemoryFolder::default());
+    group.run(CATCH_UP);
+    let members = group.core(leader).raft().membership();
+    assert!(members.is_voter(group.core(leader).replica()));
+}
+
+/// Guards against a group that stays at its three seeds although two losses must be borne.
+#[test]
+fn member_set_grows_to_wanted_size() {
+    let mut group = Group::with_voters(3, Some(5));
+    group.add();
+    group.add();
+    group.elect();
+    group.run(CATCH_UP);
+    let leader = group.elect();
+    assert_eq!(group.core(leader).raft().membership().voters.len(), 5);
+}
+
+/// Guards against a spare process that is not used although a member is gone for good.
+#[test]
+fn spare_takes_place_of_lost_member() {
+    let mut group = Group::with_voters(3, Some(3));
+    group.elect();
+    group.run(SECOND);
+    let spare = group.add();
+    group.run(CATCH_UP);
+    assert!(
+        !group
+            .core(spare)
+            .raft()
+            .membership()
+            .is_voter(group.core(spare).replica())
+    );
+    let lost = group.follower();
+    group.stop(lost);
+    group.run(CATCH_UP);
+    let leader = group.elect();
+    let members = group.core(leader).raft().membership();
+    assert!(members.is_voter(group.core(spare).replica()));
+    assert_eq!(members.voters.len(), 3);
+}
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -86,6 +86,11 @@
 
 impl Group {
     pub fn new(size: usize) -> Self {
+        Self::with_voters(size, None)
+    }
+
+    /// Returns a group whose leaders restore the given number of voters by themselves.
+    pub fn with_voters(size: usize, voters: Option<usize>) -> Self {
         let mut group = Self {
             now: Instant::now(),
             nodes: Vec::new(),
@@ -96,7 +101,7 @@
             sent: Vec::new(),
             notices: Vec::new(),
             initial: size,
-            voters: None,
+            voters,
             loss: 0.0,
             max_delay: DELAY,
             rng: ChaCha8Rng::seed_from_u64(0),
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -32,6 +32,8 @@
 const RESEND: Duration = Duration::from_millis(1_300);
 /// Time that a caller waits.
 const PATIENCE: Duration = Duration::from_millis(2_200);
+/// Delay of messages between entries and agents; it is constant, so that they stay in order.
+const LINK_DELAY: Duration = Duration::from_millis(2);
 /// Time after which an unanswered call counts as lost.
 const CALL_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -184,7 +186,7 @@
 
     fn agent_config(&self) -> WorkerConfig {
         let lease = match self.broken {
-            Some(Broken::LastingLease) => Duration::from_secs(60),
+            Some(Broken::LastingLease) => Duration::from_mins(1),
             _ => Duration::from_millis(500),
         };
         WorkerConfig::builder().entry_lease(lease).build()
@@ -285,7 +287,7 @@
             clock: worker.clock(self.now),
         };
         self.agent(agent, AgentEvent::Announced(announcement));
-        self.after(Duration::from_millis(1_000), Due::Beat(agent));
+        self.after(Duration::from_secs(1), Due::Beat(agent));
     }
 
     fn entry(&mut self, entry: usize, event: EntryEvent) {
@@ -294,8 +296,7 @@
         for action in actions {
             match action {
                 EntryAction::ToAgent(link, message) => {
-                    let delay = self.delay();
-                    self.after(delay, Due::ToAgent(link, message));
+                    self.after(LINK_DELAY, Due::ToAgent(link, message));
                 }
                 EntryAction::Answer(ticket, answer) => self.answered(entry, ticket, answer),
                 EntryAction::Notice(_) => {}
@@ -310,8 +311,7 @@
         for action in actions {
             match action {
                 AgentAction::ToEntry(link, message) => {
-                    let delay = self.delay();
-                    self.after(delay, Due::ToEntry(link, message));
+                    self.after(LINK_DELAY, Due::ToEntry(link, message));
                 }
                 AgentAction::Call {
                     call, worker, order, ..
@@ -326,11 +326,6 @@
         self.after(at - self.now, Due::AgentTick(agent));
     }
 
-    /// Returns a constant delay, so that messages of one link stay in order.
-    fn delay(&self) -> Duration {
-        Duration::from_millis(2)
-    }
-
     fn call(&mut self, agent: usize, process: u64, call: CallId, worker: &str, order: Order) {
         let (_, incarnation) = worker.rsplit_once('-').expect("names of workers have a number");
         let incarnation = incarnation.parse().expect("a number");
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -189,11 +189,11 @@
         run: listed(attempt(0, 1), 1),
         end: RunEnd::Completed,
     };
-    let held = HeldRuns {
+    let lists = HeldRuns {
         ended: vec![end],
         ..HeldRuns::default()
     };
-    agent.reply(hold, Outcome::Held(held));
+    agent.reply(hold, Outcome::Held(lists));
     let ended = agent.ended();
     assert_eq!(ended.len(), 1);
     assert_eq!((ended[0].key, ended[0].end), (attempt(0, 1), RunEnd::Completed));
