--- a/crates/broker/src/choose.rs
+++ b/crates/broker/src/choose.rs
@@ -2,10 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutfork_types::Resources;
+
 use crate::agents::{Agent, AgentIndex};
 use crate::core::BrokerCore;
 use crate::event::StepSpec;
-use crate::job::{Job, TaskState};
+use crate::job::{Job, Task, TaskState};
 
 /// Share of failed runs above which a worker is avoided while others can take its tasks.
 const FAILING: f64 = 0.35;
@@ -14,19 +16,33 @@
 /// Time that a wait for a faster worker must leave before the objective.
 const WAIT_MARGIN: Duration = Duration::from_millis(25);
 /// Weight of the used share of a worker in the estimate; it spreads tasks among workers of about the same speed.
-const LOAD_WEIGHT: f64 = 0.05;
+const LOAD_WEIGHT: f64 = 0.3;
 
 /// Where a task goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
     /// To a worker with room; the run is expected to take the given time.
     Place { agent: AgentIndex, expected: Duration },
-    /// Nowhere yet: a faster worker, which is full, would still meet the objective after a wait until the given time.
-    Wait { until: Instant },
+    /// Nowhere yet: a faster worker, which is full, would still meet the objective after a wait.
+    Wait,
     /// Nowhere: no worker has room.
     Full,
 }
 
+/// Usable workers of a pool at one moment; placing several tasks at once looks at the agents only once.
+#[derive(Debug)]
+pub(crate) struct Board {
+    mean_pace: f64,
+    rows: Vec<Row>,
+}
+
+/// Worker on a board.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    agent: AgentIndex,
+    free: Resources,
+}
+
 /// Worker that could take a task.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -36,12 +52,32 @@
     has_room: bool,
 }
 
+impl Board {
+    /// Takes the capacity of a placed task off a worker.
+    pub(crate) fn take(&mut self, agent: AgentIndex, resources: Resources) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.agent == agent) {
+            row.free = row.free.minus(resources);
+        }
+    }
+}
+
 impl BrokerCore {
+    /// Looks at the usable workers of a pool.
+    pub(crate) fn board(&self, now: Instant, service: &str) -> Board {
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let rows = usable.map(|(agent, row)| Row {
+            agent,
+            free: row.free(),
+        });
+        Board {
+            mean_pace: self.mean_pace(now, service),
+            rows: rows.collect(),
+        }
+    }
+
     /// Chooses a worker for a task of a job.
-    pub(crate) fn choose(&self, now: Instant, job: &Job, task: usize) -> Choice {
-        let step = &job.steps[usize::from(job.tasks[task].step)];
-        let mean = self.mean_pace(now, &job.service);
-        let candidates = self.candidates(now, job, task, step, mean);
+    pub(crate) fn choose(&self, now: Instant, board: &Board, job: &Job, task: usize) -> Choice {
+        let candidates = self.candidates(board, job, task);
         let best = |room: bool| {
             let open = candidates.iter().filter(|candidate| candidate.has_room || !room);
             open.min_by(|a, b| a.score.total_cmp(&b.score))
@@ -54,11 +90,7 @@
             && let Some(faster) = best(false)
             && faster.expected + WAIT_MARGIN < left
         {
-            let until = job
-                .objective_at
-                .checked_sub(faster.expected + WAIT_MARGIN)
-                .unwrap_or(now);
-            return Choice::Wait { until };
+            return Choice::Wait;
         }
         Choice::Place {
             agent: placed.agent,
@@ -87,14 +119,15 @@
         }
     }
 
-    fn candidates(&self, now: Instant, job: &Job, task: usize, step: &StepSpec, mean: f64) -> Vec<Candidate> {
-        let avoid = job.tasks[task].avoid;
-        let usable = self.agents.usable(now, self.cfg.stale_after, &job.service);
-        let suitable = usable.filter(|(at, agent)| {
-            is_suitable(agent, step) && below_limit(job, job.tasks[task].step, step, *at)
+    fn candidates(&self, board: &Board, job: &Job, task: usize) -> Vec<Candidate> {
+        let Task { step, avoid, .. } = job.tasks[task];
+        let spec = &job.steps[usize::from(step)];
+        let suitable = board.rows.iter().filter(|row| {
+            let agent = self.agents.get(row.agent);
+            is_suitable(agent, spec) && below_limit(job, step, spec, row.agent)
         });
         let all: Vec<Candidate> = suitable
-            .map(|(at, agent)| self.candidate(at, agent, step, mean))
+            .map(|row| self.candidate(*row, spec, board.mean_pace))
             .collect();
         let sound = |candidate: &&Candidate| {
             let agent = self.agents.get(candidate.agent);
@@ -106,22 +139,21 @@
         if enough { preferred } else { all }
     }
 
-    fn candidate(&self, at: AgentIndex, agent: &Agent, step: &StepSpec, mean: f64) -> Candidate {
+    fn candidate(&self, row: Row, step: &StepSpec, mean: f64) -> Candidate {
+        let agent = self.agents.get(row.agent);
         let expected = self.expected(agent, step, mean);
         let distance = if agent.worker.failure_domain == self.cfg.failure_domain {
             Duration::ZERO
         } else {
             self.cfg.distance
         };
-        let free = agent.free();
-        let capacity = agent.worker.capacity;
-        let used = 1.0 - ratio(free.cpu_millis, capacity.cpu_millis);
+        let used = 1.0 - ratio(row.free.cpu_millis, agent.worker.capacity.cpu_millis);
         let score = (expected + distance).as_secs_f64() * (1.0 + LOAD_WEIGHT * used);
         Candidate {
-            agent: at,
+            agent: row.agent,
             expected,
             score,
-            has_room: step.resources.fits(free),
+            has_room: step.resources.fits(row.free),
         }
     }
 
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -211,7 +211,8 @@
                 actions.push(Action::ToAgent(link, EntryToWorker::Heard(number)));
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
-            WorkerToEntry::Ended(ended) => {
+            WorkerToEntry::Ended(ended, load) => {
+                self.agents.get_mut(at).load = Some(load);
                 for run in ended {
                     self.on_ended(now, at, run, actions);
                 }
--- a/crates/broker/src/pump.rs
+++ b/crates/broker/src/pump.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::agents::{AgentIndex, Outstanding};
-use crate::choose::Choice;
+use crate::choose::{Board, Choice};
 use crate::core::BrokerCore;
 use crate::event::Action;
 use crate::job::TaskState;
@@ -24,6 +24,7 @@
             return;
         }
         let mut full: Vec<ServiceName> = Vec::new();
+        let mut boards: IndexMap<ServiceName, Board> = IndexMap::new();
         let ids: Vec<JobId> = self.waiting.values().copied().take(SCAN_LIMIT).collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else {
@@ -32,16 +33,18 @@
             if full.contains(&job.service) {
                 continue;
             }
-            if !self.place_tasks(now, id, actions)
-                && let Some(job) = self.jobs.get(&id)
-            {
-                full.push(job.service.clone());
+            let service = job.service.clone();
+            let board = boards
+                .entry(service.clone())
+                .or_insert_with(|| self.board(now, &service));
+            if !self.place_tasks(now, id, board, actions) {
+                full.push(service);
             }
         }
     }
 
     /// Places what can be placed of a job, and reports whether there may be room for others.
-    fn place_tasks(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) -> bool {
+    fn place_tasks(&mut self, now: Instant, id: JobId, board: &mut Board, actions: &mut Vec<Action>) -> bool {
         let mut orders: IndexMap<AgentIndex, Vec<TaskOrder>> = IndexMap::new();
         let mut room = true;
         let count = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
@@ -54,12 +57,14 @@
             if !waiting || self.busy.contains_key(&job.key(task)) {
                 continue;
             }
-            match self.choose(now, job, task) {
+            match self.choose(now, board, job, task) {
                 Choice::Place { agent, expected } => {
-                    let order = self.order(now, id, task, agent, expected);
-                    orders.entry(agent).or_default().extend(order);
+                    if let Some(order) = self.order(now, id, task, agent, expected) {
+                        board.take(agent, order.resources);
+                        orders.entry(agent).or_default().push(order);
+                    }
                 }
-                Choice::Wait { .. } => {}
+                Choice::Wait => {}
                 Choice::Full => {
                     room = false;
                     break;
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -119,7 +119,11 @@
     }
 
     fn beat(&mut self, link: u64, number: u64, ordered: u64) {
-        let load = WorkerLoad {
+        self.hear(link, WorkerToEntry::Beat(number, Self::load(ordered)));
+    }
+
+    fn load(ordered: u64) -> WorkerLoad {
+        WorkerLoad {
             free: Resources {
                 cpu_millis: 4_000,
                 memory_mb: 100,
@@ -130,8 +134,7 @@
             failing_permille: 0,
             available: true,
             ordered,
-        };
-        self.hear(link, WorkerToEntry::Beat(number, load));
+        }
     }
 
     fn hear(&mut self, link: u64, message: WorkerToEntry) {
@@ -162,7 +165,8 @@
 
     fn end(&mut self, link: u64, key: AttemptKey, end: RunEnd) {
         let ran = millis(100);
-        self.hear(link, WorkerToEntry::Ended(vec![EndedRun { key, end, ran }]));
+        let ended = vec![EndedRun { key, end, ran }];
+        self.hear(link, WorkerToEntry::Ended(ended, Self::load(u64::MAX)));
     }
 
     fn starts(&mut self) -> Vec<(u64, StartOrder)> {
--- a/crates/leased/src/agent.rs
+++ b/crates/leased/src/agent.rs
@@ -280,7 +280,7 @@
     }
 
     fn count_ends(&self, message: &WorkerToEntry) {
-        if let WorkerToEntry::Ended(ended) = message {
+        if let WorkerToEntry::Ended(ended, _) = message {
             for run in ended {
                 self.metrics.count(&format!("runs.{}", run.end.as_str()), 1);
                 if run.ran > Duration::ZERO {
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -221,6 +221,6 @@
     Beat(BeatNumber, WorkerLoad),
     /// Tells the load between heartbeats.
     Load(WorkerLoad),
-    /// Reports attempts that ended.
-    Ended(Vec<EndedRun>),
+    /// Reports attempts that ended, and the load without them.
+    Ended(Vec<EndedRun>, WorkerLoad),
 }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -82,9 +82,9 @@
     /// Tells the load between heartbeats.
     #[serde(rename = "l")]
     Load(LoadWire),
-    /// Reports attempts that ended: attempt, how, and run time in microseconds.
+    /// Reports attempts that ended (attempt, how, and run time in microseconds), and the load without them.
     #[serde(rename = "e")]
-    Ended(Vec<(AttemptWire, RunEndWire, u64)>),
+    Ended(Vec<(AttemptWire, RunEndWire, u64)>, LoadWire),
 }
 
 /// Wire form of [`WorkerLoad`]: free capacity, waiting tasks, pace, failures, availability and latest order.
@@ -268,12 +268,13 @@
             },
             WorkerToEntry::Beat(number, load) => Self::Beat(number, load_wire(load)),
             WorkerToEntry::Load(load) => Self::Load(load_wire(load)),
-            WorkerToEntry::Ended(ended) => {
+            WorkerToEntry::Ended(ended, load) => {
                 let ended = ended.into_iter();
                 Self::Ended(
                     ended
                         .map(|run| (attempt_wire(run.key), run.end.into(), micros(run.ran)))
                         .collect(),
+                    load_wire(load),
                 )
             }
         }
@@ -300,7 +301,7 @@
             }),
             WorkerToEntryWire::Beat(number, wire) => Self::Beat(number, load(wire)),
             WorkerToEntryWire::Load(wire) => Self::Load(load(wire)),
-            WorkerToEntryWire::Ended(ended) => {
+            WorkerToEntryWire::Ended(ended, wire) => {
                 let ended = ended.into_iter();
                 Self::Ended(
                     ended
@@ -310,6 +311,7 @@
                             ran: Duration::from_micros(ran_us),
                         })
                         .collect(),
+                    load(wire),
                 )
             }
         }
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -20,6 +20,11 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 /// Free share of the capacity, as a divisor, below which changes of the load are reported at once.
 const TIGHT: u64 = 3;
+/// Change of the free capacity, as a divisor of the capacity, that is reported between heartbeats.
+const LARGE_CHANGE: u64 = 8;
+/// Number of entries up to which the report interval holds; with more, each gets reports less often, because the sum of all
+/// reports is what an entry has to read.
+const FEW_ENTRIES: u32 = 3;
 
 /// Conversation with one incarnation of the worker.
 #[derive(Debug)]
@@ -560,7 +565,7 @@
         self.start_waiting(now, actions);
         self.repeat_stops(now, actions);
         self.hold(now, actions);
-        self.deliver(actions);
+        self.deliver(now, actions);
         self.beat(now, actions);
         if now >= self.cleanup_at {
             self.cleanup_at = now + CLEANUP_INTERVAL;
@@ -571,12 +576,15 @@
     }
 
     /// Sends the reports of ended runs to entries with a link.
-    fn deliver(&mut self, actions: &mut Vec<Action>) {
-        for owner in self.owners.iter_mut() {
-            if let Some(link) = owner.link.filter(|_| !owner.outbox.is_empty()) {
-                let ended = std::mem::take(&mut owner.outbox);
-                actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended)));
-            }
+    fn deliver(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let waiting = self.owners.iter().filter(|(_, owner)| !owner.outbox.is_empty());
+        let waiting: Vec<(LinkNumber, ProcessId)> = waiting
+            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
+            .collect();
+        for (link, entry) in waiting {
+            let load = self.load(now, entry);
+            let ended = self.owners.take_outbox(entry);
+            actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended, load)));
         }
     }
 
@@ -586,7 +594,8 @@
         if !due && !changed {
             return;
         }
-        self.report_at = now + self.cfg.report_interval;
+        let entries = u32::try_from(self.owners.linked()).unwrap_or(u32::MAX);
+        self.report_at = now + self.cfg.report_interval * entries.div_ceil(FEW_ENTRIES).max(1);
         self.reported = self.free();
         let number = due.then(|| {
             self.beat_at = now + self.cfg.beat_interval;
@@ -607,14 +616,17 @@
     }
 
     /// Reports whether entries would place tasks differently if they knew the present load.
+    ///
+    /// An entry learns of the capacity that its own tasks free with their ends, so only larger changes are worth a report
+    /// to all of them.
     fn load_changed(&self) -> bool {
         let Some(session) = self.session.as_ref() else {
             return false;
         };
         let capacity = session.worker.description.capacity.cpu_millis;
-        let free = self.free();
-        let tight = free.cpu_millis.min(self.reported.cpu_millis) < capacity / TIGHT;
-        tight && free != self.reported
+        let (free, reported) = (self.free().cpu_millis, self.reported.cpu_millis);
+        let tight = free.min(reported) < capacity / TIGHT;
+        tight && free.abs_diff(reported) >= capacity / LARGE_CHANGE
     }
 
     pub(crate) fn free(&self) -> Resources {
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -59,8 +59,14 @@
         self.entries.iter().map(|(&entry, owner)| (entry, owner))
     }
 
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Owner> {
-        self.entries.values_mut()
+    pub(crate) fn take_outbox(&mut self, entry: ProcessId) -> Vec<EndedRun> {
+        let owner = self.entries.get_mut(&entry);
+        owner.map_or_else(Vec::new, |owner| std::mem::take(&mut owner.outbox))
+    }
+
+    /// Returns the number of entries with a link.
+    pub(crate) fn linked(&self) -> usize {
+        self.entries.values().filter(|owner| owner.link.is_some()).count()
     }
 
     /// Numbers a heartbeat that is sent now.
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -1,6 +1,6 @@
 //! Replies of the worker: what they prove about each run.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnutfork_types::{RunEnd, TaskKey};
 
@@ -14,6 +14,9 @@
 /// Unanswered calls in a row after which the worker counts as silent; single calls get lost on healthy workers.
 const SILENT_AFTER: u32 = 3;
 
+/// Delay before a silent worker is called again; each call opens a connection, and the worker announces its return.
+const SILENT_RETRY: Duration = Duration::from_millis(250);
+
 impl WorkerCore {
     pub(crate) fn on_reply(&mut self, now: Instant, call: CallId, reply: Reply, actions: &mut Vec<Action>) {
         // Calls to a former incarnation are forgotten with it.
@@ -170,7 +173,7 @@
     }
 
     fn on_hold_reply(&mut self, now: Instant, sent_at: Instant, outcome: Outcome, actions: &mut Vec<Action>) {
-        let retry_at = now + self.cfg.retry_delay;
+        let retry_delay = self.cfg.retry_delay;
         if outcome == Outcome::Refused(Refusal::Fenced) {
             self.raise_token(now);
         }
@@ -180,9 +183,10 @@
         session.hold = None;
         let Outcome::Held(held) = outcome else {
             session.hold_at = match outcome {
-                // The call has waited long enough, and the lease goes on running out.
-                Outcome::NoAnswer => now,
-                _ => retry_at,
+                _ if !session.available => now + SILENT_RETRY,
+                // A lost call has waited long enough, but one whose connection was refused or reset at once has not.
+                Outcome::NoAnswer => now.max(sent_at + retry_delay),
+                _ => now + retry_delay,
             };
             return;
         };
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -153,7 +153,7 @@
 
     fn ended(&self) -> Vec<EndedRun> {
         let ended = self.actions.iter().filter_map(|action| match action {
-            Action::ToEntry(_, WorkerToEntry::Ended(ended)) => Some(ended.clone()),
+            Action::ToEntry(_, WorkerToEntry::Ended(ended, _)) => Some(ended.clone()),
             _ => None,
         });
         ended.flatten().collect()
@@ -439,3 +439,22 @@
         assert_eq!(token_2 > token, refusal == Refusal::Fenced);
     }
 }
+
+/// Guards against calls in a tight loop to a worker that resets every connection.
+#[test]
+fn reset_calls_are_repeated_after_a_delay() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let first = agent.call(is_hold);
+    agent.reply(first, Outcome::NoAnswer);
+    let mut holds = 0;
+    for step in 1..300 {
+        agent.at(millis(step));
+        let calls = agent.calls();
+        for (call, _) in calls.iter().filter(|(_, order)| is_hold(order)) {
+            holds += 1;
+            agent.reply(*call, Outcome::NoAnswer);
+        }
+    }
+    assert!((1..=8).contains(&holds), "{holds} calls in 300 ms");
+}
