--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -411,7 +411,7 @@
         match run.phase {
             Phase::Waiting { .. } => self.finish(now, task, RunEnd::NotStarted, actions),
             Phase::Stopping(_) => {}
-            Phase::Starting { .. } | Phase::Running { .. } => {
+            Phase::Starting { .. } | Phase::Unsure { .. } | Phase::Running { .. } => {
                 run.phase = Phase::Stopping(Stop {
                     call: None,
                     retry_at: now,
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -106,11 +106,13 @@
         if !needed || !self.session.as_ref().is_some_and(idle) {
             return;
         }
-        // A stop that was confirmed is over in moments, and what is unsettled is worth a quick answer.
+        // What is in doubt is worth a quick answer.
         let settled = self
             .session
             .as_ref()
             .is_some_and(|session| session.synced_at.is_some() && session.available);
+        let unsure = |run: &Run| matches!(run.phase, Phase::Unsure { .. });
+        let settled = settled && !self.runs.values().any(unsure);
         let wait = if settled {
             self.cfg.hold_wait
         } else {
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -81,12 +81,7 @@
             Outcome::Done | Outcome::Held(_) => run.phase = Phase::Running { since: now },
             Outcome::NoAnswer => {
                 let (key, number) = (run.key, run.number);
-                run.phase = Phase::Stopping(Stop {
-                    call: None,
-                    retry_at: now,
-                    confirmed_at: None,
-                    unlisted: RunEnd::NotStarted,
-                });
+                run.phase = Phase::Unsure { since: now };
                 let notice = Notice::StartUnanswered { key, run: number };
                 actions.push(Action::Notice(notice));
             }
@@ -242,7 +237,18 @@
         for (&task, run) in &mut self.runs {
             let listed = is_listed(task, run.number);
             match run.phase {
-                Phase::Starting { .. } if listed => run.phase = Phase::Running { since: now },
+                Phase::Starting { .. } | Phase::Unsure { .. } if listed => {
+                    run.phase = Phase::Running { since: now };
+                }
+                // The start has been lost, or is carried out later, which the stop rules out.
+                Phase::Unsure { since } if !held.truncated && since <= sent_at => {
+                    run.phase = Phase::Stopping(Stop {
+                        call: None,
+                        retry_at: now,
+                        confirmed_at: None,
+                        unlisted: RunEnd::NotStarted,
+                    });
+                }
                 // A list that was asked for before the start was confirmed may be older than the run.
                 Phase::Running { since } if !listed && !held.truncated && since < sent_at => {
                     gone.push((task, RunEnd::Lost));
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -17,6 +17,8 @@
     Waiting { not_before: Instant },
     /// A start is on its way.
     Starting { call: CallId },
+    /// A start got no answer by the given time; the next list tells whether the worker runs it.
+    Unsure { since: Instant },
     /// The worker runs it, as known since the given time.
     Running { since: Instant },
     /// It is being stopped, or kept from starting.
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -231,13 +231,15 @@
     agent.start(&[attempt(0, 1)]);
     let first_hold = agent.call(is_hold);
     let start = agent.call(is_start);
+    agent.now += millis(60);
     agent.reply(start, Outcome::NoAnswer);
-    let stop = agent.call(is_stop);
-    assert_eq!(agent.ended(), []);
-    // This list was asked for before the stop, so it proves nothing.
+    // This list was asked for before the start was lost, so it proves nothing.
     agent.reply(first_hold, Outcome::Held(HeldRuns::default()));
-    assert_eq!(agent.ended(), []);
+    assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
+    agent.answer_hold(HeldRuns::default());
+    let stop = agent.call(is_stop);
     let second_hold = agent.call(is_hold);
+    assert_eq!(agent.ended(), []);
     agent.now += millis(1);
     agent.reply(stop, Outcome::Done);
     agent.reply(second_hold, Outcome::Held(HeldRuns::default()));
@@ -246,6 +248,25 @@
     assert_eq!(agent.ended()[0].end, RunEnd::NotStarted);
 }
 
+/// Guards against a stop of a run that the worker began although its answer never came.
+#[test]
+fn unanswered_start_goes_on_if_listed() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let hold = agent.call(is_hold);
+    let start = agent.call(is_start);
+    agent.now += millis(60);
+    agent.reply(start, Outcome::NoAnswer);
+    let held = HeldRuns {
+        running: vec![listed(attempt(0, 1), 1)],
+        ..HeldRuns::default()
+    };
+    agent.reply(hold, Outcome::Held(held));
+    agent.answer_hold(HeldRuns::default());
+    assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
+    assert_eq!(agent.core.runs_in_progress(), 1);
+}
+
 /// Guards against a run that is given up although the worker began it and only the answer was lost.
 #[test]
 fn listed_start_needs_no_answer() {
