--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -257,11 +257,11 @@
     let start = agent.call(is_start);
     agent.now += millis(60);
     agent.reply(start, Outcome::NoAnswer);
-    let held = HeldRuns {
+    let lists = HeldRuns {
         running: vec![listed(attempt(0, 1), 1)],
         ..HeldRuns::default()
     };
-    agent.reply(hold, Outcome::Held(held));
+    agent.reply(hold, Outcome::Held(lists));
     agent.answer_hold(HeldRuns::default());
     assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
     assert_eq!(agent.core.runs_in_progress(), 1);
