--- a/crates/cli/src/roles/check.rs
+++ b/crates/cli/src/roles/check.rs
@@ -1,11 +1,15 @@
 //! Subcommand `check`: checks settings files before a process starts with them.
 
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use chestnutfork_platform::NodeSettings;
 use chestnutfork_settings::{Role, Settings, SettingsError, effective};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use super::fleet;
+
 /// Exit code if a file is not usable.
 const BAD_SETTINGS: u8 = 2;
 
@@ -21,7 +25,8 @@
 Examples:
   chestnutfork check entry examples/entry.yaml
   chestnutfork check control control-1.yaml control-2.yaml control-3.yaml
-  chestnutfork check agent --effective examples/agent.yaml";
+  chestnutfork check agent --effective examples/agent.yaml
+  chestnutfork check fleet local.json";
 
 /// Declares the subcommand.
 pub(crate) fn command() -> Command {
@@ -31,8 +36,14 @@
             Arg::new("role")
                 .value_name("ROLE")
                 .required(true)
-                .value_parser(Role::ALL.map(Role::as_str))
-                .help("Role that the files are for"),
+                .value_parser(
+                    Role::ALL
+                        .iter()
+                        .map(|role| role.as_str())
+                        .chain([fleet::NAME])
+                        .collect::<Vec<_>>(),
+                )
+                .help("Role that the files are for; `fleet` for files that the platform writes"),
         )
         .arg(
             Arg::new("files")
@@ -54,13 +65,22 @@
 /// Checks all files.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let role = matches.get_one::<String>("role");
+    let files = matches.get_many::<PathBuf>("files").into_iter().flatten();
+    if role.is_some_and(|role| role == fleet::NAME) {
+        return report(files.map(|file| check_fleet(file)));
+    }
     let Some(role) = role.and_then(|name| Role::from_name(name)) else {
         unreachable!("the command line requires a known role");
     };
     let print = matches.get_flag("effective");
+    report(files.map(|file| check(role, file, print)))
+}
+
+/// Prints what was found in each file and returns the exit code for all of them.
+fn report<E: Display>(checks: impl Iterator<Item = Result<String, E>>) -> ExitCode {
     let mut exit = ExitCode::SUCCESS;
-    for file in matches.get_many::<PathBuf>("files").into_iter().flatten() {
-        match check(role, file, print) {
+    for checked in checks {
+        match checked {
             Ok(text) => println!("{text}"),
             Err(error) => {
                 eprintln!("{error}");
@@ -71,6 +91,12 @@
     exit
 }
 
+/// Checks a file of the platform, whose unknown fields are ignored.
+fn check_fleet(file: &Path) -> Result<String, chestnutfork_platform::SettingsError> {
+    let settings = NodeSettings::load(file)?;
+    Ok(format!("{}: usable, for `{}`", file.display(), settings.name))
+}
+
 fn check(role: Role, file: &Path, print: bool) -> Result<String, SettingsError> {
     if print {
         return effective(role, file).map(|text| format!("# {}\n{}", file.display(), text.trim_end()));
