--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -46,10 +46,11 @@
         known.is_empty() || steps.iter().all(fits)
     }
 
-    /// Estimates how long a new job of a service would wait, from what waits here and the speed of the pool.
-    pub(crate) fn expected_wait(&self, now: Instant, service: &str) -> Duration {
+    /// Estimates how long a new job of a service would wait, from what is served before it and the speed of the pool.
+    pub(crate) fn expected_wait(&self, now: Instant, service: &str, objective_at: Instant) -> Duration {
         let mut backlog = 0.0;
-        for job in self.waiting.values().filter_map(|id| self.jobs.get(id)) {
+        let before = self.waiting.range(..(objective_at, u64::MAX));
+        for job in before.filter_map(|(_, id)| self.jobs.get(id)) {
             if job.service != service {
                 continue;
             }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -93,8 +93,8 @@
         if refused.is_none() && !self.could_fit(&route.service, &submission.steps) {
             refused = Some(Unserved::NeverFits);
         }
-        let wait = self.expected_wait(now, &route.service);
         let objective = chain(&submission.steps).mul_f64(route.stretch) + route.overhead;
+        let wait = self.expected_wait(now, &route.service, now + objective);
         if refused.is_none() && wait + chain(&submission.steps) > objective {
             refused = Some(Unserved::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -487,3 +487,18 @@
         )]
     ));
 }
+
+/// Guards against short jobs that are refused because of long ones that are served after them.
+#[test]
+fn admission_counts_only_what_is_served_before() {
+    let mut entry = Entry::with_workers(1);
+    let mut long = submission(8);
+    long.steps[0].declared = millis(900);
+    for ticket in 1..=2 {
+        let request = request(u128::from(ticket), RequestKind::Submit(long.clone()));
+        entry.event(Event::Request { ticket, request });
+    }
+    entry.submit(3, 3, 1);
+    let refused: Vec<u64> = entry.answers().into_iter().map(|(ticket, _)| ticket).collect();
+    assert!(!refused.contains(&3), "{refused:?}");
+}
