--- /dev/null
+++ b/crates/worker/src/claims.rs
@@ -0,0 +1,91 @@
+//! Claims of entries on runs, and runs of a former agent process.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{AttemptKey, EndedRun, ProcessId, Resources, RunEnd};
+
+use crate::core::WorkerCore;
+use crate::event::{Action, ListedRun};
+use crate::run::{Phase, Run};
+
+/// Attempt that an entry believes to be here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Claim {
+    pub(crate) entry: ProcessId,
+    pub(crate) key: AttemptKey,
+    /// Whether the entry wants it to go on.
+    pub(crate) wanted: bool,
+}
+
+impl WorkerCore {
+    /// Answers claims once it is known what the worker runs.
+    pub(crate) fn settle_claims(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let known = match &self.session {
+            Some(session) => session.synced_at.is_some(),
+            None => now >= self.former_until,
+        };
+        if !known {
+            return;
+        }
+        for claim in std::mem::take(&mut self.claims) {
+            self.settle_claim(now, claim.entry, claim.key, actions);
+            if !claim.wanted {
+                self.stop_attempt(now, claim.entry, claim.key, actions);
+            }
+        }
+    }
+
+    fn settle_claim(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, actions: &mut Vec<Action>) {
+        if self.runs.get(&key.task).is_some_and(|run| run.key == key) {
+            return;
+        }
+        if let Some(finished) = self
+            .finished
+            .get(&key.task)
+            .filter(|finished| finished.ended.key == key)
+        {
+            let ended = finished.ended;
+            self.report(entry, ended);
+            return;
+        }
+        if let Some(session) = self.session.as_mut() {
+            let orphan = session.orphans.iter().position(|run| run.task == key.task);
+            if let Some(run) = orphan.map(|at| session.orphans.swap_remove(at)) {
+                self.adopt(now, entry, key, run);
+                return;
+            }
+            let listed = session
+                .orphan_ends
+                .iter()
+                .position(|end| end.run.task == key.task);
+            if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
+                self.adopt(now, entry, key, listed.run);
+                self.finish(now, key.task, listed.end, actions);
+                return;
+            }
+        }
+        let ended = EndedRun {
+            key,
+            end: RunEnd::Lost,
+            ran: Duration::ZERO,
+        };
+        self.report(entry, ended);
+    }
+
+    /// Takes over a run that a former agent process started.
+    pub(crate) fn adopt(&mut self, now: Instant, owner: ProcessId, key: AttemptKey, listed: ListedRun) {
+        let run = Run {
+            key,
+            owner,
+            number: listed.run,
+            resources: Resources::default(),
+            declared: Duration::ZERO,
+            urgent_at: now,
+            spec: bytes::Bytes::new(),
+            phase: Phase::Running { since: now },
+            started_at: Some(now),
+            refused: 0,
+        };
+        self.runs.insert(key.task, run);
+    }
+}
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -4,28 +4,21 @@
 
 use chestnutfork_types::{
     AttemptKey, EndedRun, EntryToWorker, LinkNumber, ProcessId, Resources, RunEnd, StartOrder, TaskKey,
-    TaskOrder, WorkerDescription, WorkerLoad, WorkerName, WorkerToEntry,
+    TaskOrder, WorkerName, WorkerToEntry,
 };
 use indexmap::IndexMap;
 
+use crate::claims::Claim;
 use crate::clock::WorkerClock;
 use crate::config::WorkerConfig;
 use crate::event::{Action, Announcement, CallId, Event, FencingToken, ListedEnd, ListedRun, Notice};
-use crate::health::{Health, ratio};
+use crate::health::Health;
 use crate::orders::Call;
 use crate::owners::Owners;
 use crate::run::{Finished, NO_OWNER, Phase, Run, Stop};
 
 /// Interval of the clean-up of what is remembered.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
-/// Free share of the capacity, as a divisor, below which changes of the load are reported at once.
-const TIGHT: u64 = 3;
-/// Change of the free capacity, as a divisor of the capacity, that is reported between heartbeats.
-const LARGE_CHANGE: u64 = 8;
-/// Number of entries up to which the report interval holds; with more, each gets reports less often, because the sum of all
-/// reports is what an entry has to read.
-const FEW_ENTRIES: u32 = 3;
-
 /// Conversation with one incarnation of the worker.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -49,15 +42,6 @@
     pub(crate) orphan_ends: Vec<ListedEnd>,
 }
 
-/// Attempt that an entry believes to be here.
-#[derive(Clone, Copy, Debug)]
-struct Claim {
-    entry: ProcessId,
-    key: AttemptKey,
-    /// Whether the entry wants it to go on.
-    wanted: bool,
-}
-
 /// Agent core of one worker.
 #[derive(Debug)]
 pub struct WorkerCore {
@@ -69,20 +53,20 @@
     pub(crate) calls: IndexMap<CallId, Call>,
     pub(crate) next_call: CallId,
     /// Claims that wait until it is known what runs.
-    claims: Vec<Claim>,
+    pub(crate) claims: Vec<Claim>,
     /// When runs of a former agent process are stopped that no entry has claimed.
     ///
     /// Their entry may have been lost just before that process, and its callers send their jobs again.
     pub(crate) adopt_until: Instant,
     /// When the runs of a former agent process have certainly ended, even if the worker never announces itself.
-    former_until: Instant,
-    beat_at: Instant,
-    report_at: Instant,
-    reported: Resources,
+    pub(crate) former_until: Instant,
+    pub(crate) beat_at: Instant,
+    pub(crate) report_at: Instant,
+    pub(crate) reported: Resources,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
-    draining: bool,
+    pub(crate) draining: bool,
 }
 
 impl WorkerCore {
@@ -383,13 +367,19 @@
         self.report(entry, ended);
     }
 
-    fn report(&mut self, entry: ProcessId, ended: EndedRun) {
+    pub(crate) fn report(&mut self, entry: ProcessId, ended: EndedRun) {
         if let Some(owner) = self.owners.get_mut(entry) {
             owner.outbox.push(ended);
         }
     }
 
-    fn stop_attempt(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, actions: &mut Vec<Action>) {
+    pub(crate) fn stop_attempt(
+        &mut self,
+        now: Instant,
+        entry: ProcessId,
+        key: AttemptKey,
+        actions: &mut Vec<Action>,
+    ) {
         let known = self
             .runs
             .get(&key.task)
@@ -486,77 +476,6 @@
         self.describe_to_all(actions);
     }
 
-    /// Answers claims once it is known what the worker runs.
-    pub(crate) fn settle_claims(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let known = match &self.session {
-            Some(session) => session.synced_at.is_some(),
-            None => now >= self.former_until,
-        };
-        if !known {
-            return;
-        }
-        for claim in std::mem::take(&mut self.claims) {
-            self.settle_claim(now, claim.entry, claim.key, actions);
-            if !claim.wanted {
-                self.stop_attempt(now, claim.entry, claim.key, actions);
-            }
-        }
-    }
-
-    fn settle_claim(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, actions: &mut Vec<Action>) {
-        if self.runs.get(&key.task).is_some_and(|run| run.key == key) {
-            return;
-        }
-        if let Some(finished) = self
-            .finished
-            .get(&key.task)
-            .filter(|finished| finished.ended.key == key)
-        {
-            let ended = finished.ended;
-            self.report(entry, ended);
-            return;
-        }
-        if let Some(session) = self.session.as_mut() {
-            let orphan = session.orphans.iter().position(|run| run.task == key.task);
-            if let Some(run) = orphan.map(|at| session.orphans.swap_remove(at)) {
-                self.adopt(now, entry, key, run);
-                return;
-            }
-            let listed = session
-                .orphan_ends
-                .iter()
-                .position(|end| end.run.task == key.task);
-            if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
-                self.adopt(now, entry, key, listed.run);
-                self.finish(now, key.task, listed.end, actions);
-                return;
-            }
-        }
-        let ended = EndedRun {
-            key,
-            end: RunEnd::Lost,
-            ran: Duration::ZERO,
-        };
-        self.report(entry, ended);
-    }
-
-    /// Takes over a run that a former agent process started.
-    pub(crate) fn adopt(&mut self, now: Instant, owner: ProcessId, key: AttemptKey, listed: ListedRun) {
-        let run = Run {
-            key,
-            owner,
-            number: listed.run,
-            resources: Resources::default(),
-            declared: Duration::ZERO,
-            urgent_at: now,
-            spec: bytes::Bytes::new(),
-            phase: Phase::Running { since: now },
-            started_at: Some(now),
-            refused: 0,
-        };
-        self.runs.insert(key.task, run);
-    }
-
     /// Does what has become possible or due after an event.
     fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.lapse_runs(now, actions);
@@ -575,103 +494,6 @@
         }
     }
 
-    /// Sends the reports of ended runs to entries with a link.
-    fn deliver(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let waiting = self.owners.iter().filter(|(_, owner)| !owner.outbox.is_empty());
-        let waiting: Vec<(LinkNumber, ProcessId)> = waiting
-            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
-            .collect();
-        for (link, entry) in waiting {
-            let load = self.load(now, entry);
-            let ended = self.owners.take_outbox(entry);
-            actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended, load)));
-        }
-    }
-
-    fn beat(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let due = now >= self.beat_at;
-        let changed = self.load_changed() && now >= self.report_at;
-        if !due && !changed {
-            return;
-        }
-        let entries = u32::try_from(self.owners.linked()).unwrap_or(u32::MAX);
-        self.report_at = now + self.cfg.report_interval * entries.div_ceil(FEW_ENTRIES).max(1);
-        self.reported = self.free();
-        let number = due.then(|| {
-            self.beat_at = now + self.cfg.beat_interval;
-            self.owners.beat(now)
-        });
-        let links: Vec<(LinkNumber, ProcessId)> = self
-            .owners
-            .iter()
-            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
-            .collect();
-        for (link, entry) in links {
-            let load = self.load(now, entry);
-            let message = number.map_or(WorkerToEntry::Load(load), |number| {
-                WorkerToEntry::Beat(number, load)
-            });
-            actions.push(Action::ToEntry(link, message));
-        }
-    }
-
-    /// Reports whether entries would place tasks differently if they knew the present load.
-    ///
-    /// An entry learns of the capacity that its own tasks free with their ends, so only larger changes are worth a report
-    /// to all of them.
-    fn load_changed(&self) -> bool {
-        let Some(session) = self.session.as_ref() else {
-            return false;
-        };
-        let capacity = session.worker.description.capacity.cpu_millis;
-        let (free, reported) = (self.free().cpu_millis, self.reported.cpu_millis);
-        let tight = free.min(reported) < capacity / TIGHT;
-        tight && free.abs_diff(reported) >= capacity / LARGE_CHANGE
-    }
-
-    pub(crate) fn free(&self) -> Resources {
-        let capacity = self
-            .session
-            .as_ref()
-            .map(|session| session.worker.description.capacity);
-        let used = self.runs.values().map(|run| run.resources);
-        let used = used.fold(Resources::default(), Resources::plus);
-        capacity.unwrap_or_default().minus(used)
-    }
-
-    fn load(&mut self, now: Instant, entry: ProcessId) -> WorkerLoad {
-        let started = self.runs.values().filter(|run| run.started_at.is_some());
-        let known = started.filter(|run| !run.declared.is_zero());
-        let mut in_progress: Vec<f64> = known.map(|run| ratio(run.ran(now), run.declared)).collect();
-        let waiting = self.runs.values().filter(|run| run.is_waiting()).count();
-        let ordered = self.owners.get_mut(entry).map_or(0, |owner| owner.ordered);
-        let session = self.session.as_ref();
-        let health = session.map(|session| session.health).unwrap_or_default();
-        WorkerLoad {
-            free: self.free(),
-            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
-            pace_permille: health.pace_permille(&mut in_progress),
-            failing_permille: health.failing_permille(now),
-            available: session.is_some_and(|session| session.available),
-            ordered,
-        }
-    }
-
-    fn description(&self) -> WorkerDescription {
-        let session = self.session.as_ref();
-        let mut description = session
-            .map(|session| session.worker.description.clone())
-            .unwrap_or_default();
-        description.leaving |= self.draining;
-        description
-    }
-
-    fn describe_to_all(&mut self, actions: &mut Vec<Action>) {
-        let description = self.description();
-        let links = self.owners.iter().filter_map(|(_, owner)| owner.link);
-        actions.extend(links.map(|link| Action::ToEntry(link, WorkerToEntry::Describe(description.clone()))));
-    }
-
     pub(crate) fn worker_name(&self) -> WorkerName {
         let session = self.session.as_ref();
         session.map_or_else(String::new, |session| session.worker.description.worker.clone())
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -6,6 +6,7 @@
 //! it can compute alone. The fencing token, taken from the worker's own clock, keeps orders of a former agent process from
 //! taking effect.
 
+mod claims;
 mod clock;
 mod config;
 mod core;
@@ -14,6 +15,7 @@
 mod orders;
 mod owners;
 mod replies;
+mod report;
 mod run;
 mod verify;
 
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -152,6 +152,7 @@
             if self.runs.contains_key(&task) {
                 continue;
             }
+            actions.push(Action::Notice(Notice::OrphanStopped { run: listed }));
             let key = AttemptKey { task, attempt: 0 };
             self.adopt(now, NO_OWNER, key, listed);
             self.stop(now, task, RunEnd::Stopped, actions);
--- /dev/null
+++ b/crates/worker/src/report.rs
@@ -0,0 +1,116 @@
+//! What entries are told: ended attempts, heartbeats, load and description.
+
+use std::time::Instant;
+
+use chestnutfork_types::{LinkNumber, ProcessId, Resources, WorkerDescription, WorkerLoad, WorkerToEntry};
+
+use crate::core::WorkerCore;
+use crate::event::Action;
+use crate::health::ratio;
+
+/// Free share of the capacity, as a divisor, below which changes of the load are reported at once.
+const TIGHT: u64 = 3;
+/// Change of the free capacity, as a divisor of the capacity, that is reported between heartbeats.
+const LARGE_CHANGE: u64 = 8;
+/// Number of entries up to which the report interval holds; with more, each gets reports less often, because the sum of all
+/// reports is what an entry has to read.
+const FEW_ENTRIES: u32 = 3;
+
+impl WorkerCore {
+    /// Sends the reports of ended runs to entries with a link.
+    pub(crate) fn deliver(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let waiting = self.owners.iter().filter(|(_, owner)| !owner.outbox.is_empty());
+        let waiting: Vec<(LinkNumber, ProcessId)> = waiting
+            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
+            .collect();
+        for (link, entry) in waiting {
+            let load = self.load(now, entry);
+            let ended = self.owners.take_outbox(entry);
+            actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended, load)));
+        }
+    }
+
+    pub(crate) fn beat(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let due = now >= self.beat_at;
+        let changed = self.load_changed() && now >= self.report_at;
+        if !due && !changed {
+            return;
+        }
+        let entries = u32::try_from(self.owners.linked()).unwrap_or(u32::MAX);
+        self.report_at = now + self.cfg.report_interval * entries.div_ceil(FEW_ENTRIES).max(1);
+        self.reported = self.free();
+        let number = due.then(|| {
+            self.beat_at = now + self.cfg.beat_interval;
+            self.owners.beat(now)
+        });
+        let links: Vec<(LinkNumber, ProcessId)> = self
+            .owners
+            .iter()
+            .filter_map(|(entry, owner)| Some((owner.link?, entry)))
+            .collect();
+        for (link, entry) in links {
+            let load = self.load(now, entry);
+            let message = number.map_or(WorkerToEntry::Load(load), |number| {
+                WorkerToEntry::Beat(number, load)
+            });
+            actions.push(Action::ToEntry(link, message));
+        }
+    }
+
+    /// Reports whether entries would place tasks differently if they knew the present load.
+    ///
+    /// An entry learns of the capacity that its own tasks free with their ends, so only larger changes are worth a report
+    /// to all of them.
+    pub(crate) fn load_changed(&self) -> bool {
+        let Some(session) = self.session.as_ref() else {
+            return false;
+        };
+        let capacity = session.worker.description.capacity.cpu_millis;
+        let (free, reported) = (self.free().cpu_millis, self.reported.cpu_millis);
+        let tight = free.min(reported) < capacity / TIGHT;
+        tight && free.abs_diff(reported) >= capacity / LARGE_CHANGE
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        let capacity = self
+            .session
+            .as_ref()
+            .map(|session| session.worker.description.capacity);
+        let used = self.runs.values().map(|run| run.resources);
+        let used = used.fold(Resources::default(), Resources::plus);
+        capacity.unwrap_or_default().minus(used)
+    }
+
+    pub(crate) fn load(&mut self, now: Instant, entry: ProcessId) -> WorkerLoad {
+        let started = self.runs.values().filter(|run| run.started_at.is_some());
+        let known = started.filter(|run| !run.declared.is_zero());
+        let mut in_progress: Vec<f64> = known.map(|run| ratio(run.ran(now), run.declared)).collect();
+        let waiting = self.runs.values().filter(|run| run.is_waiting()).count();
+        let ordered = self.owners.get_mut(entry).map_or(0, |owner| owner.ordered);
+        let session = self.session.as_ref();
+        let health = session.map(|session| session.health).unwrap_or_default();
+        WorkerLoad {
+            free: self.free(),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            pace_permille: health.pace_permille(&mut in_progress),
+            failing_permille: health.failing_permille(now),
+            available: session.is_some_and(|session| session.available),
+            ordered,
+        }
+    }
+
+    pub(crate) fn description(&self) -> WorkerDescription {
+        let session = self.session.as_ref();
+        let mut description = session
+            .map(|session| session.worker.description.clone())
+            .unwrap_or_default();
+        description.leaving |= self.draining;
+        description
+    }
+
+    pub(crate) fn describe_to_all(&mut self, actions: &mut Vec<Action>) {
+        let description = self.description();
+        let links = self.owners.iter().filter_map(|(_, owner)| owner.link);
+        actions.extend(links.map(|link| Action::ToEntry(link, WorkerToEntry::Describe(description.clone()))));
+    }
+}
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -8,8 +8,8 @@
     WorkerDescription, WorkerToEntry,
 };
 use chestnutfork_worker::{
-    Action, Announcement, CallId, Event, HeldRuns, ListedEnd, ListedRun, Order, Outcome, Refusal, Reply,
-    WorkerConfig, WorkerCore,
+    Action, Announcement, CallId, Event, HeldRuns, ListedEnd, ListedRun, Notice, Order, Outcome, Refusal,
+    Reply, WorkerConfig, WorkerCore,
 };
 
 const LINK: u64 = 1;
@@ -388,6 +388,8 @@
     agent.answer_hold(held);
     agent.at(millis(250));
     assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+    let noted = |action: &Action| matches!(action, Action::Notice(Notice::OrphanStopped { .. }));
+    assert!(agent.actions.iter().any(noted));
 }
 
 /// Guards against a delayed announcement of a former incarnation that replaces the present one.
