--- a/crates/broker/src/choose.rs
+++ b/crates/broker/src/choose.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::Resources;
+use rand::RngExt;
 
 use crate::agents::{Agent, AgentIndex};
 use crate::core::BrokerCore;
@@ -18,6 +19,10 @@
 /// Weight of the used share of a worker in the estimate; it spreads tasks among workers of about the same speed.
 const LOAD_WEIGHT: f64 = 0.3;
 
+/// Largest random share that is added to the estimate of a worker. Several entries that know the same reports would
+/// otherwise all choose the same worker until the next report.
+const JITTER: f64 = 0.2;
+
 /// Where a task goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
@@ -41,6 +46,8 @@
 struct Row {
     agent: AgentIndex,
     free: Resources,
+    /// Random share of the estimate that is added to it.
+    jitter: f64,
 }
 
 /// Worker that could take a task.
@@ -63,14 +70,17 @@
 
 impl BrokerCore {
     /// Looks at the usable workers of a pool.
-    pub(crate) fn board(&self, now: Instant, service: &str) -> Board {
+    pub(crate) fn board(&mut self, now: Instant, service: &str) -> Board {
+        let mean_pace = self.mean_pace(now, service);
         let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let rng = &mut self.rng;
         let rows = usable.map(|(agent, row)| Row {
             agent,
             free: row.free(),
+            jitter: rng.random_range(0.0..JITTER),
         });
         Board {
-            mean_pace: self.mean_pace(now, service),
+            mean_pace,
             rows: rows.collect(),
         }
     }
@@ -148,7 +158,7 @@
             self.cfg.distance
         };
         let used = 1.0 - ratio(row.free.cpu_millis, agent.worker.capacity.cpu_millis);
-        let score = (expected + distance).as_secs_f64() * (1.0 + LOAD_WEIGHT * used);
+        let score = (expected + distance).as_secs_f64() * (1.0 + LOAD_WEIGHT * used + row.jitter);
         Candidate {
             agent: row.agent,
             expected,
--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -15,6 +15,7 @@
     pub(crate) max_tasks: usize,
     pub(crate) max_jobs: usize,
     pub(crate) answer_memory: Duration,
+    pub(crate) seed: u64,
 }
 
 /// Builder of [`BrokerConfig`].
@@ -49,6 +50,7 @@
             max_tasks: 1_024,
             max_jobs: 4_096,
             answer_memory: Duration::from_secs(30),
+            seed: 0,
         };
         BrokerConfigBuilder { cfg }
     }
@@ -92,6 +94,10 @@
         /// Sets how long answers are kept for requests that are sent again; default 30 s.
         answer_memory: Duration
     );
+    setter!(
+        /// Sets the seed of the random choices among similar workers; entries need different ones. Default 0.
+        seed: u64
+    );
 
     /// Returns the finished configuration.
     #[must_use]
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -8,6 +8,8 @@
     AttemptKey, AttemptNumber, EntryToWorker, JobId, LinkNumber, NodeName, ProcessId, TaskKey, WorkerToEntry,
 };
 use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 use crate::agents::{AgentIndex, Agents};
 use crate::config::BrokerConfig;
@@ -40,6 +42,7 @@
     /// Requests that arrived before the first route table, with the time at which they are refused.
     pub(crate) early: VecDeque<(Instant, Ticket, Request)>,
     pub(crate) draining: bool,
+    pub(crate) rng: StdRng,
     tick_at: Instant,
 }
 
@@ -59,6 +62,7 @@
     #[must_use]
     pub fn new(cfg: BrokerConfig, now: Instant) -> Self {
         Self {
+            rng: StdRng::seed_from_u64(cfg.seed),
             cfg,
             routes: None,
             entries: 1,
--- a/crates/broker/src/pump.rs
+++ b/crates/broker/src/pump.rs
@@ -34,10 +34,13 @@
                 continue;
             }
             let service = job.service.clone();
-            let board = boards
-                .entry(service.clone())
-                .or_insert_with(|| self.board(now, &service));
-            if !self.place_tasks(now, id, board, actions) {
+            let mut board = match boards.swap_remove(&service) {
+                Some(board) => board,
+                None => self.board(now, &service),
+            };
+            let room = self.place_tasks(now, id, &mut board, actions);
+            boards.insert(service.clone(), board);
+            if !room {
                 full.push(service);
             }
         }
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -217,6 +217,7 @@
     let clock = LeaseClock::start();
     let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_bound())
         .remote_factor(cfg.remote_factor)
+        .seed(process)
         .build();
     let arguments = EntryArguments {
         core: BrokerCore::new(broker, clock.now()),
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -14,7 +14,7 @@
 const LARGE_CHANGE: u64 = 8;
 /// Number of entries up to which the report interval holds; with more, each gets reports less often, because the sum of all
 /// reports is what an entry has to read.
-const FEW_ENTRIES: u32 = 3;
+const FEW_ENTRIES: u32 = 6;
 
 impl WorkerCore {
     /// Sends the reports of ended runs to entries with a link.
