worker, broker: Report every change of a worker's load, to prompt entries only

A worker with little room reports each change, at most every 20 ms, but only to entries that acknowledged a heartbeat within 250 ms; an entry places waiting tasks once for all reports of 2 ms.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -18,6 +18,8 @@
 
 /// Interval of the checks of deadlines, overdue attempts and silent agents while jobs are in progress.
 const BUSY_INTERVAL: Duration = Duration::from_millis(25);
+/// Delay by which reports of loads are collected before waiting tasks are placed.
+const PUMP_DELAY: Duration = Duration::from_millis(2);
 /// Interval of the clean-up while there is nothing to do.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -44,6 +46,8 @@
     pub(crate) draining: bool,
     pub(crate) rng: StdRng,
     tick_at: Instant,
+    /// When waiting tasks are placed after reports of loads.
+    pump_at: Option<Instant>,
 }
 
 impl BrokerCore {
@@ -77,6 +81,7 @@
             early: VecDeque::new(),
             draining: false,
             tick_at: now,
+            pump_at: None,
         }
     }
 
@@ -104,6 +109,8 @@
 
     /// Takes in one event.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        let report = WorkerToEntry::is_report;
+        let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
         match event {
             Event::Tick => {}
             Event::Routes(routes) => self.on_routes(now, routes, actions),
@@ -115,7 +122,14 @@
             Event::CallerGone { ticket } => self.on_caller_gone(now, ticket, actions),
             Event::Drain => self.draining = true,
         }
-        self.pump(now, actions);
+        // Many agents report at about the same time, and one look at all of them serves as well.
+        if is_report && !self.waiting.is_empty() {
+            self.pump_at.get_or_insert(now + PUMP_DELAY);
+        }
+        if !is_report || self.pump_at.is_some_and(|at| at <= now) {
+            self.pump_at = None;
+            self.pump(now, actions);
+        }
         if now >= self.tick_at {
             self.check_timers(now, actions);
             let busy = !self.jobs.is_empty() || !self.busy.is_empty() || !self.early.is_empty();
@@ -128,7 +142,7 @@
     /// Returns the time at which the core wants an [`Event::Tick`].
     #[must_use]
     pub fn next_wakeup(&self) -> Instant {
-        self.tick_at
+        self.pump_at.map_or(self.tick_at, |at| at.min(self.tick_at))
     }
 
     /// Brings the next check forward, because there is something to watch now.
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -502,3 +502,19 @@
     let refused: Vec<u64> = entry.answers().into_iter().map(|(ticket, _)| ticket).collect();
     assert!(!refused.contains(&3), "{refused:?}");
 }
+
+/// Guards against a look at all agents for each report while jobs wait, and against jobs that then wait for ever.
+#[test]
+fn reports_are_collected_before_placing() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 4);
+    entry.submit(2, 2, 1);
+    assert_eq!(entry.attempts().len(), 4);
+    let wakeup = entry.core.next_wakeup();
+    entry.beat(1, 2, u64::MAX);
+    assert_eq!(entry.attempts().len(), 4);
+    assert!(entry.core.next_wakeup() < wakeup);
+    entry.now = entry.core.next_wakeup();
+    entry.event(Event::Tick);
+    assert_eq!(entry.attempts().len(), 5);
+}
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -224,3 +224,19 @@
     /// Reports attempts that ended, and the load without them.
     Ended(Vec<EndedRun>, WorkerLoad),
 }
+
+impl WorkerToEntry {
+    /// Reports whether the message tells the load and nothing else.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_types::{WorkerDescription, WorkerToEntry};
+    ///
+    /// assert!(!WorkerToEntry::Describe(WorkerDescription::default()).is_report());
+    /// ```
+    #[must_use]
+    pub fn is_report(&self) -> bool {
+        matches!(self, Self::Beat(..) | Self::Load(_))
+    }
+}
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -15,6 +15,8 @@
     pub(crate) link: Option<LinkNumber>,
     /// End of the lease on its runs; none before the first acknowledged heartbeat.
     pub(crate) lease_until: Option<Instant>,
+    /// When the latest heartbeat was sent that it acknowledged.
+    pub(crate) heard_at: Option<Instant>,
     pub(crate) ordered: OrderNumber,
     /// Reports that wait for a link or for the end of the event.
     pub(crate) outbox: Vec<EndedRun>,
@@ -64,9 +66,10 @@
         owner.map_or_else(Vec::new, |owner| std::mem::take(&mut owner.outbox))
     }
 
-    /// Returns the number of entries with a link.
-    pub(crate) fn linked(&self) -> usize {
-        self.entries.values().filter(|owner| owner.link.is_some()).count()
+    /// Reports whether an entry has acknowledged a heartbeat that was sent no longer ago than the given time.
+    pub(crate) fn is_prompt(&self, entry: ProcessId, now: Instant, time: Duration) -> bool {
+        let heard = self.entries.get(&entry).and_then(|owner| owner.heard_at);
+        heard.is_some_and(|sent| now <= sent + time)
     }
 
     /// Numbers a heartbeat that is sent now.
@@ -88,6 +91,7 @@
             .map(|&(_, at)| at);
         if let Some((owner, sent)) = self.entries.get_mut(&entry).zip(sent) {
             owner.lease_until = owner.lease_until.max(Some(sent + lease));
+            owner.heard_at = owner.heard_at.max(Some(sent));
         }
     }
 
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -1,6 +1,6 @@
 //! What entries are told: ended attempts, heartbeats, load and description.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnutfork_types::{LinkNumber, ProcessId, Resources, WorkerDescription, WorkerLoad, WorkerToEntry};
 
@@ -10,11 +10,10 @@
 
 /// Free share of the capacity, as a divisor, below which changes of the load are reported at once.
 const TIGHT: u64 = 3;
-/// Change of the free capacity, as a divisor of the capacity, that is reported between heartbeats.
-const LARGE_CHANGE: u64 = 8;
-/// Number of entries up to which the report interval holds; with more, each gets reports less often, because the sum of all
-/// reports is what an entry has to read.
-const FEW_ENTRIES: u32 = 6;
+/// Change of the free capacity, as a divisor of the capacity, that is reported between heartbeats: less than one task.
+const LARGE_CHANGE: u64 = 16;
+/// Time beyond a heartbeat interval after which an entry without a fresh acknowledgement is busy, and gets heartbeats only.
+const BUSY_AFTER: Duration = Duration::from_millis(50);
 
 impl WorkerCore {
     /// Sends the reports of ended runs to entries with a link.
@@ -36,8 +35,7 @@
         if !due && !changed {
             return;
         }
-        let entries = u32::try_from(self.owners.linked()).unwrap_or(u32::MAX);
-        self.report_at = now + self.cfg.report_interval * entries.div_ceil(FEW_ENTRIES).max(1);
+        self.report_at = now + self.cfg.report_interval;
         self.reported = self.free();
         let number = due.then(|| {
             self.beat_at = now + self.cfg.beat_interval;
@@ -48,7 +46,11 @@
             .iter()
             .filter_map(|(entry, owner)| Some((owner.link?, entry)))
             .collect();
+        let prompt = self.cfg.beat_interval + BUSY_AFTER;
         for (link, entry) in links {
+            if number.is_none() && !self.owners.is_prompt(entry, now, prompt) {
+                continue;
+            }
             let load = self.load(now, entry);
             let message = number.map_or(WorkerToEntry::Load(load), |number| {
                 WorkerToEntry::Beat(number, load)
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -485,3 +485,46 @@
     }
     assert!((1..=8).contains(&holds), "{holds} calls in 300 ms");
 }
+
+/// Guards against reports that keep an entry busy which cannot even acknowledge heartbeats in time.
+#[test]
+fn busy_entry_gets_heartbeats_only() {
+    for prompt in [true, false] {
+        let mut agent = Agent::ready();
+        let mut beats = 0;
+        let mut loads = 0;
+        for step in 1..=40 {
+            agent.at(millis(10 * step));
+            let told: Vec<WorkerToEntry> = agent
+                .actions
+                .iter()
+                .filter_map(|action| match action {
+                    Action::ToEntry(_, message) => Some(message.clone()),
+                    _ => None,
+                })
+                .collect();
+            for message in told {
+                match message {
+                    WorkerToEntry::Beat(number, _) => {
+                        beats += 1;
+                        if prompt {
+                            agent.send(EntryToWorker::Heard(number));
+                        }
+                    }
+                    WorkerToEntry::Load(_) => loads += 1,
+                    _ => {}
+                }
+            }
+            // Starts fill the worker after the entry has fallen behind.
+            if step == 30 {
+                agent.start(&[attempt(0, 1), attempt(1, 1)]);
+                let told = agent.actions.iter();
+                loads += told
+                    .filter(|action| matches!(action, Action::ToEntry(_, WorkerToEntry::Load(_))))
+                    .count();
+            }
+        }
+        assert!(beats >= 1);
+        assert_eq!(loads > 0, prompt, "{loads} reports");
+    }
+}
