--- /dev/null
+++ b/crates/wire/tests/runs.rs
@@ -0,0 +1,102 @@
+//! Tests of the messages between entries and the agents of workers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, JobId, Resources, RunEnd, StartOrder, TaskKey, TaskOrder,
+    WorkerDescription, WorkerLoad, WorkerToEntry,
+};
+use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
+
+fn key(job: JobId) -> AttemptKey {
+    let task = TaskKey {
+        job,
+        step: 2,
+        index: 3,
+    };
+    AttemptKey { task, attempt: 4 }
+}
+
+fn load() -> WorkerLoad {
+    WorkerLoad {
+        free: Resources {
+            cpu_millis: 1,
+            memory_mb: 2,
+            gpus: 3,
+        },
+        waiting: 4,
+        pace_permille: 5,
+        failing_permille: 6,
+        available: true,
+        ordered: 7,
+    }
+}
+
+/// Guards against fields that are swapped or lost on the way to an agent.
+#[test]
+fn entry_messages_survive_encoding() {
+    let order = StartOrder {
+        number: 1,
+        heard: 2,
+        urgency: Duration::from_micros(3),
+        spec: Bytes::from_static(b"spec"),
+        tasks: vec![TaskOrder {
+            key: key(JobId::MAX - 5),
+            resources: load().free,
+            declared: Duration::from_micros(9),
+        }],
+    };
+    let messages = [
+        EntryToWorker::Start(order),
+        EntryToWorker::Stop(vec![key(1)]),
+        EntryToWorker::Heard(8),
+        EntryToWorker::Claim {
+            keep: vec![key(1)],
+            stop: vec![key(2)],
+        },
+    ];
+    for message in messages {
+        let mut buf = Vec::new();
+        encode(&EntryToWorkerWire::from(message.clone()), &mut buf).expect("encodes");
+        let wire: EntryToWorkerWire = decode(&buf).expect("decodes");
+        assert_eq!(EntryToWorker::from(wire), message);
+    }
+}
+
+/// Guards against fields that are swapped or lost on the way to an entry.
+#[test]
+fn worker_messages_survive_encoding() {
+    let description = WorkerDescription {
+        worker: "w".to_owned(),
+        pool: "p".to_owned(),
+        failure_domain: "d".to_owned(),
+        labels: vec!["a".to_owned(), "r1-1".to_owned()],
+        capacity: load().free,
+        leaving: true,
+    };
+    let ends = [
+        RunEnd::Completed,
+        RunEnd::Failed,
+        RunEnd::Stopped,
+        RunEnd::Lost,
+        RunEnd::NotStarted,
+    ];
+    let ended = ends.map(|end| EndedRun {
+        key: key(6),
+        end,
+        ran: Duration::from_micros(11),
+    });
+    let messages = [
+        WorkerToEntry::Describe(description),
+        WorkerToEntry::Beat(12, load()),
+        WorkerToEntry::Load(load()),
+        WorkerToEntry::Ended(ended.to_vec(), load()),
+    ];
+    for message in messages {
+        let mut buf = Vec::new();
+        encode(&WorkerToEntryWire::from(message.clone()), &mut buf).expect("encodes");
+        let wire: WorkerToEntryWire = decode(&buf).expect("decodes");
+        assert_eq!(WorkerToEntry::from(wire), message);
+    }
+}
