broker, worker: Say once what a sound worker is and how a stop begins

Found in the read-through: two constants of 0.35 with one meaning, in the choice of workers and in the count of failures; the beginning of a stop written out twice; a call number and a time kept with the hold on its way, although only its presence is asked for.

Behaviour stays as it was but for a worker at exactly 350 of 1,000 failed runs, which counted as sound in one place and not in the other.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -11,6 +11,9 @@
 /// Position of an agent in the table; it stays the same while the process runs.
 pub(crate) type AgentIndex = usize;
 
+/// Share of failed runs, in thousandths, from which a worker is avoided while others can take its tasks.
+const FAILING_PERMILLE: u32 = 350;
+
 /// Attempt that was ordered and whose end is not known.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Outstanding {
@@ -74,9 +77,10 @@
         (permille > 0).then(|| f64::from(permille) / 1_000.0)
     }
 
-    pub(crate) fn failing(&self) -> f64 {
+    /// Reports whether most runs on the worker complete, so that a failure there says something about the task.
+    pub(crate) fn is_sound(&self) -> bool {
         self.load
-            .map_or(0.0, |load| f64::from(load.failing_permille) / 1_000.0)
+            .is_none_or(|load| load.failing_permille < FAILING_PERMILLE)
     }
 }
 
--- a/crates/broker/src/choose.rs
+++ b/crates/broker/src/choose.rs
@@ -10,8 +10,6 @@
 use crate::event::StepSpec;
 use crate::job::{Job, Task, TaskState};
 
-/// Share of failed runs above which a worker is avoided while others can take its tasks.
-const FAILING: f64 = 0.35;
 /// Pace that is assumed while no worker of the pool has reported one.
 const UNKNOWN_PACE: f64 = 1.0;
 /// Time that a wait for a faster worker must leave before the objective.
@@ -141,7 +139,7 @@
             .collect();
         let sound = |candidate: &&Candidate| {
             let agent = self.agents.get(candidate.agent);
-            agent.failing() < FAILING && avoid != Some(candidate.agent)
+            agent.is_sound() && avoid != Some(candidate.agent)
         };
         let preferred: Vec<Candidate> = all.iter().filter(sound).copied().collect();
         // A pool that fails as a whole is used as it is: the fault may lie with the tasks.
--- a/crates/broker/src/ends.rs
+++ b/crates/broker/src/ends.rs
@@ -12,8 +12,6 @@
 use crate::job::{Job, TaskState};
 use crate::requests::refusal;
 
-/// Share of failed runs of a worker above which a failure there says little about the task.
-const UNSOUND: f64 = 0.35;
 /// Failures of one task above its limit after which it fails even if all happened on unsound workers.
 const UNSOUND_FAILURES: u32 = 3;
 /// Delay before a task is placed again that a worker did not start; what made the worker refuse it lasts a moment.
@@ -31,7 +29,7 @@
         let Some(outstanding) = row.outstanding.swap_remove(&run.key) else {
             return;
         };
-        let unsound = row.failing() > UNSOUND;
+        let sound = row.is_sound();
         if run.end != RunEnd::Completed {
             actions.push(Action::Notice(Notice::AttemptEnded {
                 key: run.key,
@@ -63,7 +61,7 @@
             task.overdue += 1;
         }
         match run.end {
-            RunEnd::Failed if unsound => task.unsound_failures += 1,
+            RunEnd::Failed if !sound => task.unsound_failures += 1,
             RunEnd::Failed => task.failures += 1,
             RunEnd::NotStarted => task.retry_at = Some(now + REFUSED_DELAY),
             _ => {}
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -25,8 +25,8 @@
     pub(crate) worker: Announcement,
     pub(crate) clock: WorkerClock,
     pub(crate) token: FencingToken,
-    /// Hold on its way and when it was sent.
-    pub(crate) hold: Option<(CallId, Instant)>,
+    /// Whether a hold is on its way.
+    pub(crate) holding: bool,
     pub(crate) hold_at: Instant,
     /// Latest end that was taken in.
     pub(crate) seen: u64,
@@ -155,7 +155,7 @@
         let leases = self.owners.iter().filter_map(|(_, owner)| owner.lease_until);
         let leases = leases.filter(|_| busy);
         let session = self.session.as_ref();
-        let hold = session.filter(|session| session.hold.is_none() && self.needs_hold());
+        let hold = session.filter(|session| !session.holding && self.needs_hold());
         let hold = hold.map(|session| session.hold_at);
         let lapse = session.filter(|_| self.has_started());
         let lapse = lapse.map(|session| session.clock.lapsed_by());
@@ -221,7 +221,7 @@
             // The worker's clock only rises, so a later process of this agent has a higher token.
             token: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
             worker: announcement,
-            hold: None,
+            holding: false,
             hold_at: now,
             seen: 0,
             synced_at: None,
@@ -402,12 +402,7 @@
             Phase::Waiting { .. } => self.finish(now, task, RunEnd::NotStarted, actions),
             Phase::Stopping(_) => {}
             Phase::Starting { .. } | Phase::Unsure { .. } | Phase::Running { .. } => {
-                run.phase = Phase::Stopping(Stop {
-                    call: None,
-                    retry_at: now,
-                    confirmed_at: None,
-                    unlisted,
-                });
+                run.phase = Phase::Stopping(Stop::begin(now, unlisted));
             }
         }
     }
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -102,7 +102,7 @@
     /// Renews the worker's lease; the reply comes with the next end of a run.
     pub(crate) fn hold(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let needed = self.needs_hold();
-        let idle = |session: &Session| session.hold.is_none() && session.hold_at <= now;
+        let idle = |session: &Session| !session.holding && session.hold_at <= now;
         if !needed || !self.session.as_ref().is_some_and(idle) {
             return;
         }
@@ -123,7 +123,7 @@
         let Some(session) = self.session.as_mut() else {
             return;
         };
-        session.hold = Some((call, now));
+        session.holding = true;
         let order = Order::Hold {
             until: session.clock.grant(now, lease),
             seen: session.seen,
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -175,7 +175,7 @@
         let Some(session) = self.session.as_mut() else {
             return;
         };
-        session.hold = None;
+        session.holding = false;
         let Outcome::Held(held) = outcome else {
             session.hold_at = match outcome {
                 _ if !session.available => now + SILENT_RETRY,
@@ -242,12 +242,7 @@
                 }
                 // The start has been lost, or is carried out later, which the stop rules out.
                 Phase::Unsure { since } if !held.truncated && since <= sent_at => {
-                    run.phase = Phase::Stopping(Stop {
-                        call: None,
-                        retry_at: now,
-                        confirmed_at: None,
-                        unlisted: RunEnd::NotStarted,
-                    });
+                    run.phase = Phase::Stopping(Stop::begin(now, RunEnd::NotStarted));
                 }
                 // A list that was asked for before the start was confirmed may be older than the run.
                 Phase::Running { since } if !listed && !held.truncated && since < sent_at => {
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -38,6 +38,18 @@
     pub(crate) unlisted: RunEnd,
 }
 
+impl Stop {
+    /// Begins a stop whose order is sent at once.
+    pub(crate) fn begin(now: Instant, unlisted: RunEnd) -> Self {
+        Self {
+            call: None,
+            retry_at: now,
+            confirmed_at: None,
+            unlisted,
+        }
+    }
+}
+
 /// Run of a task on the worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
