worker, broker: Hand out the free capacity of a tight worker in shares

Change: an agent tells each entry its own share of the free capacity, in units of the largest task there; while plenty is free, each unit is handed out twice. Reports between heartbeats go only to entries whose share has changed. An entry keeps to its shares for 25 ms, then takes any free capacity.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -65,11 +65,20 @@
 
     /// Returns the free capacity: what the agent reported, less the orders that the report does not include.
     pub(crate) fn free(&self) -> Resources {
-        let Some(load) = self.load else {
+        self.without_newer_orders(|load| load.free)
+    }
+
+    /// Returns what is left of the free capacity that the agent has set aside for this entry.
+    pub(crate) fn share(&self) -> Resources {
+        self.without_newer_orders(|load| load.share)
+    }
+
+    fn without_newer_orders(&self, reported: impl Fn(&WorkerLoad) -> Resources) -> Resources {
+        let Some(load) = &self.load else {
             return Resources::default();
         };
         let newer = self.outstanding.values().filter(|run| run.order > load.ordered);
-        newer.fold(load.free, |free, run| free.minus(run.resources))
+        newer.fold(reported(load), |left, run| left.minus(run.resources))
     }
 
     pub(crate) fn pace(&self) -> Option<f64> {
--- a/crates/broker/src/choose.rs
+++ b/crates/broker/src/choose.rs
@@ -21,6 +21,9 @@
 /// otherwise all choose the same worker until the next report.
 const JITTER: f64 = 0.2;
 
+/// Time after which a job takes capacity that is set aside for other entries: a little more than two reports of an agent.
+const SHARE_PATIENCE: Duration = Duration::from_millis(25);
+
 /// Where a task goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
@@ -44,6 +47,8 @@
 struct Row {
     agent: AgentIndex,
     free: Resources,
+    /// Part of it that no other entry is told to fill.
+    share: Resources,
     /// Random share of the estimate that is added to it.
     jitter: f64,
 }
@@ -62,6 +67,7 @@
     pub(crate) fn take(&mut self, agent: AgentIndex, resources: Resources) {
         if let Some(row) = self.rows.iter_mut().find(|row| row.agent == agent) {
             row.free = row.free.minus(resources);
+            row.share = row.share.minus(resources);
         }
     }
 }
@@ -75,6 +81,7 @@
         let rows = usable.map(|(agent, row)| Row {
             agent,
             free: row.free(),
+            share: row.share(),
             jitter: rng.random_range(0.0..JITTER),
         });
         Board {
@@ -85,7 +92,8 @@
 
     /// Chooses a worker for a task of a job.
     pub(crate) fn choose(&self, now: Instant, board: &Board, job: &Job, task: usize) -> Choice {
-        let candidates = self.candidates(board, job, task);
+        let contend = now >= job.taken_at + SHARE_PATIENCE;
+        let candidates = self.candidates(board, job, task, contend);
         let best = |room: bool| {
             let open = candidates.iter().filter(|candidate| candidate.has_room || !room);
             open.min_by(|a, b| a.score.total_cmp(&b.score))
@@ -127,7 +135,7 @@
         }
     }
 
-    fn candidates(&self, board: &Board, job: &Job, task: usize) -> Vec<Candidate> {
+    fn candidates(&self, board: &Board, job: &Job, task: usize, contend: bool) -> Vec<Candidate> {
         let Task { step, avoid, .. } = job.tasks[task];
         let spec = &job.steps[usize::from(step)];
         let suitable = board.rows.iter().filter(|row| {
@@ -135,7 +143,7 @@
             is_suitable(agent, spec) && below_limit(job, step, spec, row.agent)
         });
         let all: Vec<Candidate> = suitable
-            .map(|row| self.candidate(*row, spec, board.mean_pace))
+            .map(|row| self.candidate(*row, spec, board.mean_pace, contend))
             .collect();
         let sound = |candidate: &&Candidate| {
             let agent = self.agents.get(candidate.agent);
@@ -147,7 +155,7 @@
         if enough { preferred } else { all }
     }
 
-    fn candidate(&self, row: Row, step: &StepSpec, mean: f64) -> Candidate {
+    fn candidate(&self, row: Row, step: &StepSpec, mean: f64, contend: bool) -> Candidate {
         let agent = self.agents.get(row.agent);
         let expected = self.expected(agent, step, mean);
         let distance = if agent.worker.failure_domain == self.cfg.failure_domain {
@@ -161,7 +169,7 @@
             agent: row.agent,
             expected,
             score,
-            has_room: step.resources.fits(row.free),
+            has_room: step.resources.fits(if contend { row.free } else { row.share }),
         }
     }
 
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -129,6 +129,11 @@
                 memory_mb: 100,
                 gpus: 0,
             },
+            share: Resources {
+                cpu_millis: 4_000,
+                memory_mb: 100,
+                gpus: 0,
+            },
             waiting: 0,
             pace_permille: 1_000,
             failing_permille: 0,
@@ -518,3 +523,29 @@
     entry.event(Event::Tick);
     assert_eq!(entry.attempts().len(), 5);
 }
+
+/// Guards against entries that all fill the gap that is set aside for one of them.
+#[test]
+fn placement_keeps_to_share() {
+    let mut entry = Entry::with_workers(2);
+    let mut load = Entry::load(0);
+    load.share = Resources::default();
+    entry.hear(1, WorkerToEntry::Load(load));
+    entry.submit(1, 1, 4);
+    let links: Vec<u64> = entry.attempts().into_iter().map(|(link, _)| link).collect();
+    assert_eq!(links, [2, 2, 2, 2]);
+}
+
+/// Guards against a job that waits for a share although capacity stays free that no other entry uses.
+#[test]
+fn placement_leaves_share_after_patience() {
+    let mut entry = Entry::with_workers(1);
+    let mut load = Entry::load(0);
+    load.share = Resources::default();
+    entry.hear(1, WorkerToEntry::Load(load));
+    entry.submit(1, 1, 1);
+    assert!(entry.attempts().is_empty());
+    entry.now += millis(25);
+    entry.event(Event::Tick);
+    assert_eq!(entry.attempts().len(), 1);
+}
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -200,6 +200,8 @@
 pub struct WorkerLoad {
     /// Capacity that neither running nor waiting tasks take.
     pub free: Resources,
+    /// Part of the free capacity that is set aside for the receiving entry while several compete for it.
+    pub share: Resources,
     /// Tasks that wait at the agent for capacity.
     pub waiting: u32,
     /// Observed over declared run time, in thousandths; zero before the first observation.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -87,8 +87,9 @@
     Ended(Vec<(AttemptWire, RunEndWire, u64)>, LoadWire),
 }
 
-/// Wire form of [`WorkerLoad`]: free capacity, waiting tasks, pace, failures, availability and latest order.
-pub type LoadWire = (ResourcesWire, u32, u32, u32, bool, u64);
+/// Wire form of [`WorkerLoad`]: free capacity, share of the entry, waiting tasks, pace, failures, availability and
+/// latest order.
+pub type LoadWire = (ResourcesWire, ResourcesWire, u32, u32, u32, bool, u64);
 
 /// Wire form of [`RunEnd`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -171,7 +172,7 @@
 }
 
 fn load_wire(load: WorkerLoad) -> LoadWire {
-    let free = resources_wire(load.free);
+    let (free, share) = (resources_wire(load.free), resources_wire(load.share));
     let WorkerLoad {
         waiting,
         pace_permille,
@@ -180,13 +181,22 @@
         ordered,
         ..
     } = load;
-    (free, waiting, pace_permille, failing_permille, available, ordered)
+    (
+        free,
+        share,
+        waiting,
+        pace_permille,
+        failing_permille,
+        available,
+        ordered,
+    )
 }
 
 fn load(wire: LoadWire) -> WorkerLoad {
-    let (free, waiting, pace_permille, failing_permille, available, ordered) = wire;
+    let (free, share, waiting, pace_permille, failing_permille, available, ordered) = wire;
     WorkerLoad {
         free: resources(free),
+        share: resources(share),
         waiting,
         pace_permille,
         failing_permille,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -25,6 +25,11 @@
             memory_mb: 2,
             gpus: 3,
         },
+        share: Resources {
+            cpu_millis: 8,
+            memory_mb: 9,
+            gpus: 10,
+        },
         waiting: 4,
         pace_permille: 5,
         failing_permille: 6,
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -63,6 +63,8 @@
     pub(crate) beat_at: Instant,
     pub(crate) report_at: Instant,
     pub(crate) reported: Resources,
+    /// Number of reports to all entries, which decides whose turn it is to get a share that cannot be divided.
+    pub(crate) turn: u64,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -97,6 +99,7 @@
             beat_at: now,
             report_at: now,
             reported: Resources::default(),
+            turn: 0,
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -303,6 +306,7 @@
         self.owners.heard(entry, order.heard, self.cfg.entry_lease);
         if let Some(owner) = self.owners.get_mut(entry) {
             owner.ordered = owner.ordered.max(order.number);
+            owner.ordered_at = Some(now);
         }
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -17,6 +17,7 @@
 mod replies;
 mod report;
 mod run;
+mod shares;
 mod verify;
 
 pub use crate::core::WorkerCore;
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{BeatNumber, EndedRun, LinkNumber, OrderNumber, ProcessId};
+use chestnutfork_types::{BeatNumber, EndedRun, LinkNumber, OrderNumber, ProcessId, Resources};
 use indexmap::IndexMap;
 
 /// Heartbeats whose sending time is remembered; at the shortest interval they span more than an entry's lease.
@@ -18,6 +18,10 @@
     /// When the latest heartbeat was sent that it acknowledged.
     pub(crate) heard_at: Option<Instant>,
     pub(crate) ordered: OrderNumber,
+    /// Share of the free capacity that it was told last.
+    pub(crate) share: Resources,
+    /// Arrival of the latest start order.
+    pub(crate) ordered_at: Option<Instant>,
     /// Reports that wait for a link or for the end of the event.
     pub(crate) outbox: Vec<EndedRun>,
 }
@@ -66,6 +70,12 @@
         owner.map_or_else(Vec::new, |owner| std::mem::take(&mut owner.outbox))
     }
 
+    /// Notes the share that an entry is told, and returns the one that it was told before.
+    pub(crate) fn told_share(&mut self, entry: ProcessId, share: Resources) -> Resources {
+        let owner = self.entries.get_mut(&entry);
+        owner.map_or(share, |owner| std::mem::replace(&mut owner.share, share))
+    }
+
     /// Reports whether an entry has acknowledged a heartbeat that was sent no longer ago than the given time.
     pub(crate) fn is_prompt(&self, entry: ProcessId, now: Instant, time: Duration) -> bool {
         let heard = self.entries.get(&entry).and_then(|owner| owner.heard_at);
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -25,6 +25,7 @@
         for (link, entry) in waiting {
             let load = self.load(now, entry);
             let ended = self.owners.take_outbox(entry);
+            self.owners.told_share(entry, load.share);
             actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended, load)));
         }
     }
@@ -37,6 +38,7 @@
         }
         self.report_at = now + self.cfg.report_interval;
         self.reported = self.free();
+        self.turn += 1;
         let number = due.then(|| {
             self.beat_at = now + self.cfg.beat_interval;
             self.owners.beat(now)
@@ -52,6 +54,10 @@
                 continue;
             }
             let load = self.load(now, entry);
+            let told = self.owners.told_share(entry, load.share);
+            if number.is_none() && told == load.share {
+                continue;
+            }
             let message = number.map_or(WorkerToEntry::Load(load), |number| {
                 WorkerToEntry::Beat(number, load)
             });
@@ -68,9 +74,16 @@
             return false;
         };
         let capacity = session.worker.description.capacity.cpu_millis;
-        let (free, reported) = (self.free().cpu_millis, self.reported.cpu_millis);
-        let tight = free.min(reported) < capacity / TIGHT;
-        tight && free.abs_diff(reported) >= capacity / LARGE_CHANGE
+        let (free, reported) = (self.free(), self.reported);
+        let tight = self.is_tight(free) || self.is_tight(reported);
+        tight && free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / LARGE_CHANGE
+    }
+
+    /// Reports whether so little capacity is free that entries might fill it twice between two heartbeats.
+    pub(crate) fn is_tight(&self, free: Resources) -> bool {
+        let session = self.session.as_ref();
+        session
+            .is_some_and(|session| free.cpu_millis < session.worker.description.capacity.cpu_millis / TIGHT)
     }
 
     pub(crate) fn free(&self) -> Resources {
@@ -93,6 +106,7 @@
         let health = session.map(|session| session.health).unwrap_or_default();
         WorkerLoad {
             free: self.free(),
+            share: self.share(now, entry),
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             pace_permille: health.pace_permille(&mut in_progress),
             failing_permille: health.failing_permille(now),
--- /dev/null
+++ b/crates/worker/src/shares.rs
@@ -0,0 +1,80 @@
+//! Shares of the free capacity: which entry may fill which part of it before the next report.
+//!
+//! Several entries learn of the same gap at the same time. If each of them filled it, all tasks but one would wait at the
+//! agent although other workers have room. The agent therefore hands out the free capacity in units of its largest recent
+//! task, and each unit to one entry only.
+
+use std::time::{Duration, Instant};
+
+use chestnutfork_types::{ProcessId, Resources};
+
+use crate::core::WorkerCore;
+
+/// Time after its latest order in which an entry competes for the capacity: five heartbeats.
+const COMPETES_FOR: Duration = Duration::from_secs(1);
+
+/// How often each unit is handed out while plenty is free: few entries use all of their share before the next report.
+const LOOSE_FACTOR: u64 = 2;
+
+impl WorkerCore {
+    /// Returns the part of the free capacity that is set aside for an entry until the next report to all of them.
+    pub(crate) fn share(&self, now: Instant, entry: ProcessId) -> Resources {
+        let (free, unit) = (self.free(), self.unit());
+        let competitors = self.competitors(now, entry);
+        let position = competitors.iter().position(|&other| other == entry);
+        let (Some(position), Some(units)) = (position, units_in(free, unit)) else {
+            return free;
+        };
+        let handed_out = if self.is_tight(free) {
+            units
+        } else {
+            units * LOOSE_FACTOR
+        };
+        let count = competitors.len() as u64;
+        let place = (position as u64 + self.turn) % count;
+        let own = handed_out / count + u64::from(place < handed_out % count);
+        if own >= units { free } else { times(unit, own) }
+    }
+
+    /// Returns the entries that have ordered lately, and the one that is asked about.
+    fn competitors(&self, now: Instant, entry: ProcessId) -> Vec<ProcessId> {
+        let competing = self.owners.iter().filter(|(other, owner)| {
+            let recent = owner.ordered_at.is_some_and(|at| now < at + COMPETES_FOR);
+            owner.link.is_some() && (recent || *other == entry)
+        });
+        competing.map(|(other, _)| other).collect()
+    }
+
+    /// Returns the largest task that runs or waits here, which stands for those to come.
+    fn unit(&self) -> Resources {
+        let used = self.runs.values().map(|run| run.resources);
+        used.fold(Resources::default(), largest)
+    }
+}
+
+fn largest(one: Resources, other: Resources) -> Resources {
+    Resources {
+        cpu_millis: one.cpu_millis.max(other.cpu_millis),
+        memory_mb: one.memory_mb.max(other.memory_mb),
+        gpus: one.gpus.max(other.gpus),
+    }
+}
+
+fn times(unit: Resources, count: u64) -> Resources {
+    Resources {
+        cpu_millis: unit.cpu_millis * count,
+        memory_mb: unit.memory_mb * count,
+        gpus: unit.gpus * count,
+    }
+}
+
+/// Returns how often a unit fits into the free capacity; nothing if the unit is empty.
+fn units_in(free: Resources, unit: Resources) -> Option<u64> {
+    let pairs = [
+        (free.cpu_millis, unit.cpu_millis),
+        (free.memory_mb, unit.memory_mb),
+        (free.gpus, unit.gpus),
+    ];
+    let fits = pairs.into_iter().filter(|&(_, unit)| unit > 0);
+    fits.map(|(free, unit)| free / unit).min()
+}
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -528,3 +528,129 @@
         assert_eq!(loads > 0, prompt, "{loads} reports");
     }
 }
+
+impl Agent {
+    /// Starts an agent with a worker of sixteen cores and four entries that have each ordered a task of one core.
+    fn shared() -> Self {
+        let mut agent = Self::new();
+        // No call is answered in these tests.
+        let cfg = WorkerConfig::builder().worker_lease(millis(2_000)).build();
+        agent.core = WorkerCore::new(cfg, agent.now);
+        let mut announced = announcement(1, 1);
+        announced.description.capacity.cpu_millis = 16_000;
+        announced.description.capacity.memory_mb = 1_000;
+        agent.event(Event::Announced(announced));
+        agent.answer_hold(HeldRuns::default());
+        for entry in 1..=SHARING {
+            agent.event(Event::EntryUp { link: entry, entry });
+            agent.order(entry, entry, 1);
+        }
+        agent
+    }
+
+    /// Sends an order of single-core tasks from one of the sharing entries, which acknowledges all heartbeats.
+    fn order(&mut self, entry: u64, number: u64, tasks: u16) {
+        let tasks = (0..tasks).map(|index| TaskOrder {
+            key: AttemptKey {
+                task: TaskKey {
+                    job: u128::from(number * 100 + entry),
+                    step: 0,
+                    index,
+                },
+                attempt: 1,
+            },
+            resources: Resources {
+                cpu_millis: 1_000,
+                memory_mb: 10,
+                gpus: 0,
+            },
+            declared: millis(100),
+        });
+        let order = StartOrder {
+            number,
+            heard: entry,
+            urgency: millis(200),
+            spec: Bytes::from_static(b"spec"),
+            tasks: tasks.collect(),
+        };
+        let message = EntryToWorker::Start(order);
+        self.event(Event::FromEntry { link: entry, message });
+    }
+
+    /// Acknowledges a heartbeat for all sharing entries, as their leases need.
+    fn acknowledge(&mut self, beat: u64) {
+        for link in 1..=SHARING {
+            let message = EntryToWorker::Heard(beat);
+            self.event(Event::FromEntry { link, message });
+        }
+    }
+
+    /// Returns the shares, in cores, that the entries were told by the latest event.
+    fn shares(&self) -> Vec<(u64, u64)> {
+        let shares = self.actions.iter().filter_map(|action| match action {
+            Action::ToEntry(link, WorkerToEntry::Beat(_, load) | WorkerToEntry::Load(load)) => {
+                Some((*link, load.share.cpu_millis / 1_000))
+            }
+            _ => None,
+        });
+        shares.collect()
+    }
+}
+
+/// Entries of [`Agent::shared`].
+const SHARING: u64 = 4;
+
+/// Guards against several entries that fill the same gap, so that tasks wait although other workers have room.
+#[test]
+fn share_hands_each_unit_to_one_entry() {
+    let mut agent = Agent::shared();
+    agent.order(1, 9, 9);
+    agent.at(millis(200));
+    let shares = agent.shares();
+    assert_eq!(shares.len(), 4);
+    let total: u64 = shares.iter().map(|(_, share)| share).sum();
+    assert_eq!(total, 3, "three cores are free: {shares:?}");
+}
+
+/// Guards against an entry that never gets a unit of a worker with little free capacity.
+#[test]
+fn share_takes_turns() {
+    let mut agent = Agent::shared();
+    agent.order(1, 9, 11);
+    let mut served = std::collections::BTreeSet::new();
+    for beat in 1..=SHARING {
+        agent.at(millis(200 * beat));
+        let with_share = agent.shares().into_iter().filter(|(_, share)| *share == 1);
+        served.extend(with_share.map(|(entry, _)| entry));
+        agent.acknowledge(SHARING + beat);
+    }
+    assert_eq!(served.len(), 4, "{served:?}");
+}
+
+/// Guards against idle capacity: while plenty is free, entries may take more than an equal part of it.
+#[test]
+fn share_is_generous_while_plenty_is_free() {
+    let mut agent = Agent::shared();
+    agent.at(millis(200));
+    let shares = agent.shares();
+    let total: u64 = shares.iter().map(|(_, share)| share).sum();
+    assert_eq!(total, 24, "twelve cores are free: {shares:?}");
+}
+
+/// Guards against reports that tell an entry nothing new; each costs the smallest entries processor time.
+#[test]
+fn report_is_kept_from_entries_with_the_same_share() {
+    let mut agent = Agent::shared();
+    agent.order(1, 9, 9);
+    agent.at(millis(200));
+    let before = agent.shares();
+    agent.acknowledge(SHARING + 1);
+    agent.order(2, 10, 1);
+    agent.at(millis(221));
+    let after = agent.shares();
+    assert!(!after.is_empty() && after.len() < 4, "{before:?} {after:?}");
+    assert!(
+        after.iter().all(|told| !before.contains(told)),
+        "{before:?} {after:?}"
+    );
+}
