--- a/crates/cli/src/roles/fleet.rs
+++ b/crates/cli/src/roles/fleet.rs
@@ -1,6 +1,6 @@
 //! Subcommand `fleet`: the roles of a deployment on the users' platform, with the platform's settings.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::process::ExitCode;
 
 use chestnutfork_events::{Format, ProcessEvent, Severity, emit};
@@ -56,6 +56,13 @@
                 .value_parser(value_parser!(u16))
                 .help("Port that serves counters and histograms as text under /metrics"),
         )
+        .arg(
+            Arg::new("bind")
+                .long("bind")
+                .value_name("IP")
+                .value_parser(value_parser!(IpAddr))
+                .help("Address to listen on, if other machines reach this one by another"),
+        )
         .after_help(AFTER_HELP)
 }
 
@@ -66,7 +73,8 @@
 
 async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
     chestnutfork_events::init_stdout(Severity::Info, Format::Json).map_err(|error| fail(&error))?;
-    let settings = NodeSettings::from_environment().map_err(|error| settings_refused(&error))?;
+    let bind = matches.get_one::<IpAddr>("bind").copied();
+    let settings = read_settings(bind).map_err(|error| settings_refused(&error))?;
     let mut signals = Signals::new().map_err(|error| fail(&error))?;
     let hangup = signal(SignalKind::hangup()).map_err(|error| fail(&error))?;
     let registry = MetricsRegistry::default();
@@ -105,6 +113,11 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn read_settings(bind: Option<IpAddr>) -> Result<NodeSettings, SettingsError> {
+    let settings = NodeSettings::from_environment()?;
+    Ok(NodeSettings { bind, ..settings })
+}
+
 async fn start(role: &str, settings: &NodeSettings, metrics: Metrics) -> Result<Node, StartError> {
     match role {
         "entry" => start_entry_node(settings, metrics).await,
@@ -120,7 +133,7 @@
     port: Option<u16>,
     registry: MetricsRegistry,
 ) -> Option<HttpServer> {
-    let address = SocketAddr::new(settings.links.ip(), port?);
+    let address = settings.local(SocketAddr::new(settings.links.ip(), port?));
     let socket = TcpListener::bind(address).await;
     match socket.and_then(|socket| HttpServer::builder(socket).serve(registry)) {
         Ok(server) => Some(server),
@@ -137,7 +150,7 @@
 /// Reads the settings again at each hangup signal; what it finds takes effect at the next start.
 async fn reload(mut hangup: Signal, settings: &NodeSettings) {
     while hangup.recv().await.is_some() {
-        match NodeSettings::from_environment() {
+        match read_settings(settings.bind) {
             Ok(read) => emit(&ProcessEvent::Reloaded {
                 node: &settings.name,
                 changed: read != *settings,
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -27,6 +27,7 @@
     secret: ClusterSecret,
     failure_domain: FailureDomain,
     listen: String,
+    advertise: String,
     seeds: Vec<String>,
     timing: LinkTiming,
     worker: WorkerConfig,
@@ -59,6 +60,7 @@
             secret,
             failure_domain: FailureDomain::new(),
             listen: "127.0.0.1:0".to_owned(),
+            advertise: String::new(),
             seeds: Vec::new(),
             timing: LinkTiming::prompt(),
             worker: WorkerConfig::builder().build(),
@@ -90,6 +92,10 @@
         /// Sets the address for links; only entries listen.
         listen: String
     );
+    setter!(
+        /// Sets the address that others dial, if it is not the one that the process listens on.
+        advertise: String
+    );
     setter!(
         /// Sets the addresses of control processes to begin with.
         seeds: Vec<String>
@@ -134,7 +140,7 @@
         self.process
     }
 
-    /// Returns the address for links.
+    /// Returns the address that others dial.
     #[must_use]
     pub fn address(&self) -> &str {
         &self.address
@@ -211,7 +217,12 @@
         source,
     };
     let socket = TcpListener::bind(&cfg.listen).await.map_err(listen_failed)?;
-    let address = socket.local_addr().map_err(listen_failed)?.to_string();
+    let bound = socket.local_addr().map_err(listen_failed)?.to_string();
+    let address = if cfg.advertise.is_empty() {
+        bound
+    } else {
+        cfg.advertise.clone()
+    };
     let me = identity(&cfg, Role::Entry, address.clone());
     let process = me.process;
     let clock = LeaseClock::start();
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -3,8 +3,6 @@
 //! Time is virtual. Calls to workers get lost and are carried out seconds later, links are cut and reset, entries, agents
 //! and workers are killed, callers go away and send their jobs again to another entry.
 
-mod worker;
-
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -14,6 +12,7 @@
     Request, RequestKind, StepSpec,
 };
 use chestnutfork_routes::{Route, RouteTable, ServiceRule};
+use chestnutfork_standin::LeasedWorker;
 use chestnutfork_types::{
     EntryToWorker, JobId, LinkNumber, Resources, RunEnd, TaskKey, WorkerDescription, WorkerToEntry,
 };
@@ -24,8 +23,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use worker::Worker;
-
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
 /// Time after which a caller sends a job again that got no answer.
@@ -104,7 +101,7 @@
     /// Incarnations of the entries.
     entry_processes: Vec<u64>,
     agents: Vec<(u64, WorkerCore)>,
-    workers: Vec<Worker>,
+    workers: Vec<LeasedWorker>,
     links: HashMap<LinkNumber, Link>,
     jobs: HashMap<JobId, Job>,
     completed_tasks: HashSet<TaskKey>,
@@ -167,7 +164,7 @@
         }
         for agent in 0..AGENTS {
             let rate = sim.rng.random_range(0.98..=1.0);
-            sim.workers.push(Worker::new(now, 1, rate));
+            sim.workers.push(LeasedWorker::new(now, 1, rate));
             let core = WorkerCore::new(sim.agent_config(), now);
             let process = sim.rng.random();
             sim.agents.push((process, core));
@@ -533,7 +530,7 @@
             _ => {
                 let agent = self.rng.random_range(0..AGENTS);
                 let worker = &self.workers[agent];
-                let reborn = Worker::new(self.now, worker.incarnation + 1, 0.99);
+                let reborn = LeasedWorker::new(self.now, worker.incarnation + 1, 0.99);
                 self.workers[agent] = reborn;
             }
         }
--- a/crates/leased/tests/sim/worker.rs
+++ b/crates/standin/src/leased_worker.rs
@@ -1,4 +1,7 @@
-//! Model of a worker: leases on its own clock, fencing, run numbers and lists of ends.
+//! Model of a worker of leased runs: leases on its own clock, fencing, run numbers and lists of ends.
+//!
+//! It has no sockets and no clock of its own. Randomised runs drive it directly; the fault soak puts an HTTP server before
+//! it.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -21,9 +24,21 @@
     end: RunEnd,
 }
 
+/// Run that has ended, for those who compare the runs of all workers.
+#[derive(Clone, Copy, Debug)]
+pub struct PastRun {
+    /// The run.
+    pub run: ListedRun,
+    /// How it ended.
+    pub end: RunEnd,
+    /// When it ended, which may be before the worker noticed.
+    pub at: Instant,
+}
+
 /// Worker of one incarnation.
 #[derive(Debug)]
-pub struct Worker {
+pub struct LeasedWorker {
+    /// Number of the incarnation.
     pub incarnation: u64,
     started_at: Instant,
     /// Share of real time that the clock shows, at least 0.98.
@@ -34,9 +49,12 @@
     highest: HashMap<TaskKey, RunNumber>,
     ended: Vec<ListedEnd>,
     last_end: u64,
+    past: Vec<PastRun>,
 }
 
-impl Worker {
+impl LeasedWorker {
+    /// Starts an incarnation whose clock shows the given share of real time.
+    #[must_use]
     pub fn new(now: Instant, incarnation: u64, rate: f64) -> Self {
         Self {
             incarnation,
@@ -48,9 +66,12 @@
             highest: HashMap::new(),
             ended: Vec::new(),
             last_end: 0,
+            past: Vec::new(),
         }
     }
 
+    /// Returns what its clock shows.
+    #[must_use]
     pub fn clock(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at).mul_f64(self.rate)
     }
@@ -58,6 +79,7 @@
     /// Ends what has ended by itself, by a stop or by the end of the lease.
     pub fn advance(&mut self, now: Instant) {
         let lapsed = self.clock(now) >= self.lease_until;
+        let lapsed_at = self.started_at + self.lease_until.div_f64(self.rate);
         let over: Vec<TaskKey> = self
             .active
             .iter()
@@ -66,16 +88,24 @@
             .collect();
         for task in over {
             if let Some(run) = self.active.remove(&task) {
-                let end = if run.ends_at <= now { run.end } else { RunEnd::Lost };
-                self.list_end(task, run.number, end);
+                let in_time = run.ends_at <= now && (!lapsed || run.ends_at <= lapsed_at);
+                let (end, at) = if in_time {
+                    (run.end, run.ends_at)
+                } else {
+                    (RunEnd::Lost, lapsed_at)
+                };
+                self.list_end(task, run.number, end, at);
             }
         }
     }
 
+    /// Reports whether a run of a task is in progress.
+    #[must_use]
     pub fn is_running(&self, task: TaskKey) -> bool {
         self.active.contains_key(&task)
     }
 
+    /// Iterates over the tasks with a run in progress.
     pub fn running(&self) -> impl Iterator<Item = TaskKey> + '_ {
         self.active.keys().copied()
     }
@@ -162,19 +192,14 @@
         Outcome::Done
     }
 
-    fn list_end(&mut self, task: TaskKey, number: RunNumber, end: RunEnd) {
-        let highest = self.highest.entry(task).or_default();
-        *highest = number.max(*highest);
-        self.last_end += 1;
-        let run = ListedRun { task, run: number };
-        self.ended.push(ListedEnd {
-            number: self.last_end,
-            run,
-            end,
-        });
+    /// Returns the runs that have ended since the last call.
+    pub fn take_past(&mut self) -> Vec<PastRun> {
+        std::mem::take(&mut self.past)
     }
 
-    fn lists(&self) -> HeldRuns {
+    /// Lists the runs in progress and the ends that have not been acknowledged.
+    #[must_use]
+    pub fn lists(&self) -> HeldRuns {
         let running = self.active.iter().map(|(&task, run)| ListedRun {
             task,
             run: run.number,
@@ -185,4 +210,17 @@
             truncated: false,
         }
     }
+
+    fn list_end(&mut self, task: TaskKey, number: RunNumber, end: RunEnd, at: Instant) {
+        let highest = self.highest.entry(task).or_default();
+        *highest = number.max(*highest);
+        self.last_end += 1;
+        let run = ListedRun { task, run: number };
+        self.past.push(PastRun { run, end, at });
+        self.ended.push(ListedEnd {
+            number: self.last_end,
+            run,
+            end,
+        });
+    }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,11 +5,13 @@
 //! experiments are judged by.
 
 mod error;
+mod leased_worker;
 mod platform;
 mod reply;
 mod target;
 
 pub use error::StandinError;
+pub use leased_worker::{LeasedWorker, PastRun};
 pub use platform::{
     HttpPlatform, Lease, LeaseId, LeaseRequest, Notice, Platform, PlatformBuilder, PlatformError,
     PlatformHandle, TaskAction, TaskRef, Usage, Worker, WorkerPlatform,
--- /dev/null
+++ b/deploy/soak/src/dialect.rs
@@ -0,0 +1,240 @@
+//! The platform's names, in one place: settings, documents, requests of callers and calls to workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutfork_net::{Body, json_response};
+use chestnutfork_types::{JobId, RunEnd, TaskKey};
+use chestnutfork_worker::{HeldRuns, Order, Outcome, Refusal, Reply};
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::callers::Submission;
+use crate::ledger::Answer;
+use crate::run::Machine;
+
+/// Ports of every machine.
+pub(crate) const LINK_PORT: u16 = 7_720;
+pub(crate) const CONTROL_PORT: u16 = 8_166;
+pub(crate) const CALLER_PORT: u16 = 8_161;
+pub(crate) const READY_PORT: u16 = 8_167;
+
+/// Host and path of the only queue.
+const HOST: &str = "desk.example";
+const QUEUE: &str = "/q/";
+const SERVICE: &str = "desk";
+
+/// Returns the settings of a process.
+pub(crate) fn settings(
+    machine: &Machine,
+    controls: &[Machine],
+    worker: Option<SocketAddr>,
+    first: bool,
+) -> Value {
+    let seeds: Vec<String> = controls
+        .iter()
+        .take(3)
+        .map(|seed| seed.public(CONTROL_PORT).to_string())
+        .collect();
+    json!({
+        "node_name": machine.name, "ip": machine.public(0).ip(), "zone": machine.zone,
+        "internal_ports": [LINK_PORT, LINK_PORT + 15], "seeds": seeds, "bootstrap": first,
+        "listen_addrs": {
+            "frontend": machine.public(CALLER_PORT), "readiness": machine.public(READY_PORT),
+            "control": machine.public(CONTROL_PORT)
+        },
+        "data_dir": machine.folder, "app": worker,
+        "fault_tolerance": {"machines": controls.len() / 2},
+        "bounds": {"grace_s": 6, "hold_max_ms": 1000, "remote_factor": 1.5}
+    })
+}
+
+/// Returns a configuration; its version shows in the time limit of the route.
+pub(crate) fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{"name": "r", "host": HOST, "path_prefix": QUEUE, "timeout_ms": 1500 + version % 100,
+                    "target_latency_ms": 60, "service": SERVICE, "max_attempts": 3, "stretch_factor": 3.0}],
+        "services": [{"name": SERVICE, "enforces_capacity": true}]
+    })
+}
+
+pub(crate) fn put_configuration(control: SocketAddr, version: u64) -> Request<Body> {
+    request(
+        Method::PUT,
+        &format!("http://{control}/config"),
+        &configuration(version),
+    )
+}
+
+pub(crate) fn get_configuration(control: SocketAddr) -> Request<Body> {
+    request(Method::GET, &format!("http://{control}/config"), &Value::Null)
+}
+
+/// Returns the version of a configuration that was read back, if it is what was sent under its number.
+pub(crate) fn read_version(body: &[u8]) -> Option<u64> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    let version = value["version"].as_u64()?;
+    (value == configuration(version)).then_some(version)
+}
+
+pub(crate) fn readiness(entry: SocketAddr) -> Request<Body> {
+    request(Method::GET, &format!("http://{entry}/ready"), &Value::Null)
+}
+
+/// Returns the request that submits a job to an entry.
+pub(crate) fn submission(entry: SocketAddr, job: &Submission, patience: Duration) -> Request<Body> {
+    let url = format!("http://{entry}{QUEUE}{:016x}", job.id);
+    let body = json!({
+        "spec": job.spec(), "best_effort": true,
+        "steps": [{"count": job.tasks, "cpu": 1000, "mem_mb": 16, "estimate_ms": job.declared.as_millis()}]
+    });
+    let mut request = request(Method::POST, &url, &body);
+    let headers = request.headers_mut();
+    headers.insert("host", hyper::header::HeaderValue::from_static(HOST));
+    let patience = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+    headers.insert("deadline-ms", patience.into());
+    request
+}
+
+/// Decodes the answer to a submission.
+pub(crate) fn answer(status: StatusCode, body: &[u8]) -> Answer {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    match (status, value["state"].as_str()) {
+        (StatusCode::OK, Some("completed")) => Answer::Completed,
+        (StatusCode::OK, Some("failed")) => Answer::Failed,
+        (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _) => Answer::Refused,
+        (StatusCode::NOT_FOUND, _) => Answer::NoRoute,
+        _ => Answer::Unclear,
+    }
+}
+
+/// What a worker tells about itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Announced {
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
+    pub(crate) clock: Duration,
+    pub(crate) leaving: bool,
+    pub(crate) cores: usize,
+}
+
+/// Returns the announcement of a worker for its agent.
+pub(crate) fn announcement(agent: SocketAddr, worker: SocketAddr, told: &Announced) -> Request<Body> {
+    let url = format!("http://{agent}/instances/i-{}", told.incarnation);
+    let state = if told.leaving { "draining" } else { "ready" };
+    let body = json!({
+        "service": SERVICE, "address": worker, "zone": "a", "version": "v1", "slots": told.cores, "state": state,
+        "cold_remaining_ms": 0, "capacity": {"cpu": told.cores * 1000, "mem_mb": 4096, "gpu": 0},
+        "labels": ["a", "r1-1"], "clock_ms": told.clock.as_millis(), "sequence": told.sequence,
+        "born": told.incarnation
+    });
+    request(Method::PUT, &url, &body)
+}
+
+/// Call of an agent to its worker.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerCall {
+    pub(crate) incarnation: u64,
+    pub(crate) order: Order,
+}
+
+/// Reads a call of an agent.
+pub(crate) fn read_call(req: &Request<Bytes>) -> Option<WorkerCall> {
+    let named = req.headers().get("expect-instance")?.to_str().ok()?;
+    let incarnation = named.strip_prefix("i-")?.parse().ok()?;
+    let body: Value = serde_json::from_slice(req.body()).ok()?;
+    let number = |name: &str| body[name].as_u64();
+    let token = number("fencing_token").unwrap_or(0);
+    let until = number("until_ms").map_or(Duration::ZERO, Duration::from_millis);
+    let order = match req.uri().path() {
+        "/run-start" => Order::Start {
+            task: task_key(body["task"].as_str()?)?,
+            run: number("run_id")?,
+            spec: Bytes::from(body["spec"].as_str()?.to_owned()),
+            until,
+            token,
+        },
+        "/run-stop" => Order::Stop {
+            task: task_key(body["task"].as_str()?)?,
+            run: number("run_id")?,
+            token,
+        },
+        "/hold" => Order::Hold {
+            until,
+            seen: number("last_seen").unwrap_or(0),
+            wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+            token,
+        },
+        _ => return None,
+    };
+    Some(WorkerCall { incarnation, order })
+}
+
+/// Answers a call of an agent; nothing stands for a call to another incarnation.
+pub(crate) fn respond(reply: Option<Reply>) -> Response<Body> {
+    let Some(reply) = reply else {
+        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({}));
+    };
+    let clock = reply.clock.unwrap_or_default().as_millis();
+    match reply.outcome {
+        Outcome::Held(held) => json_response(StatusCode::OK, &held_json(&held, clock)),
+        Outcome::Refused(refusal) => {
+            let reason = match refusal {
+                Refusal::Fenced => "fence",
+                Refusal::Outdated => "old",
+                Refusal::Late => "late",
+                Refusal::NoRoom | Refusal::Other => "room",
+            };
+            json_response(
+                StatusCode::CONFLICT,
+                &json!({"clock_ms": clock, "reason": reason}),
+            )
+        }
+        _ => json_response(StatusCode::OK, &json!({"clock_ms": clock})),
+    }
+}
+
+fn held_json(held: &HeldRuns, clock: u128) -> Value {
+    let running = held.running.iter();
+    let running = running.map(|run| json!([task_name(run.task), run.run, "", 100, 0]));
+    let ended = held.ended.iter().map(|ended| {
+        let how = match ended.end {
+            RunEnd::Completed => "done",
+            RunEnd::Failed => "failed",
+            RunEnd::Stopped => "stopped",
+            _ => "lapsed",
+        };
+        json!([ended.number, task_name(ended.run.task), ended.run.run, how, ""])
+    });
+    json!({
+        "clock_ms": clock, "running": running.collect::<Vec<_>>(), "ended": ended.collect::<Vec<_>>()
+    })
+}
+
+fn task_name(task: TaskKey) -> String {
+    format!("{:016x}.0.{}.{}", task.job, task.step, task.index)
+}
+
+fn task_key(name: &str) -> Option<TaskKey> {
+    let mut parts = name.split('.');
+    let job = JobId::from_str_radix(parts.next()?, 16).ok()?;
+    let (_occurrence, step, index) = (parts.next()?, parts.next()?, parts.next()?);
+    Some(TaskKey {
+        job,
+        step: step.parse().ok()?,
+        index: index.parse().ok()?,
+    })
+}
+
+fn request(method: Method, url: &str, body: &Value) -> Request<Body> {
+    let mut request = Request::new(Full::new(Bytes::from(body.to_string())));
+    *request.method_mut() = method;
+    // The addresses are the soak's own.
+    *request.uri_mut() = url.parse().unwrap_or_default();
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    request.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    request
+}
--- /dev/null
+++ b/deploy/soak/src/ledger.rs
@@ -0,0 +1,396 @@
+//! Ledger of what callers and workers see; it checks the promises while the soak runs.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_types::{JobId, RunEnd, RunNumber, TaskKey};
+use tokio::sync::{mpsc, oneshot};
+
+/// Time after which a leaving worker gets no more tasks, as the deployments' settings allow.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// Time after which an accepted configuration is in force, as the deployments' settings allow.
+const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+
+/// One incarnation of a worker: its position and the number of the incarnation.
+pub type WorkerIncarnation = (usize, u64);
+
+/// What a submission was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks have completed.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// Nothing of it ran or will run.
+    Refused,
+    /// It may have run, and may be sent again.
+    Unclear,
+    /// No route matches.
+    NoRoute,
+}
+
+/// What was seen.
+#[derive(Debug)]
+pub enum Seen {
+    /// A caller begins to submit a job.
+    Submitted {
+        /// The job.
+        job: JobId,
+        /// Its input.
+        spec: String,
+        /// Number of its tasks.
+        tasks: u16,
+    },
+    /// A submission was answered, or nothing stands for a lost answer.
+    Answered {
+        /// The job.
+        job: JobId,
+        /// The answer.
+        answer: Option<Answer>,
+    },
+    /// A caller gives a job up.
+    Finished {
+        /// The job.
+        job: JobId,
+    },
+    /// A worker began a run.
+    Started {
+        /// Where.
+        worker: WorkerIncarnation,
+        /// The task.
+        task: TaskKey,
+        /// Number of the run.
+        run: RunNumber,
+        /// Input that it was given.
+        spec: Bytes,
+        /// When.
+        at: Instant,
+    },
+    /// A run ended.
+    Ended {
+        /// Where.
+        worker: WorkerIncarnation,
+        /// The task.
+        task: TaskKey,
+        /// Number of the run.
+        run: RunNumber,
+        /// How it ended.
+        end: RunEnd,
+        /// When.
+        at: Instant,
+    },
+    /// An agent acknowledged that its worker leaves.
+    Leaving {
+        /// The worker.
+        worker: WorkerIncarnation,
+        /// When.
+        at: Instant,
+    },
+    /// A configuration was acknowledged.
+    ConfigurationTaken {
+        /// Its version.
+        version: u64,
+        /// When.
+        at: Instant,
+    },
+    /// A configuration was read; nothing stands for one that nobody sent.
+    ConfigurationRead {
+        /// When it was asked for.
+        asked_at: Instant,
+        /// Its version.
+        version: Option<u64>,
+    },
+    /// A promise was broken as seen elsewhere.
+    Violated(String),
+    /// The end phase begins, in which every job must be served.
+    Calm,
+    /// Asks for the result.
+    Report(oneshot::Sender<Report>),
+}
+
+/// What a soak has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs that were submitted.
+    pub jobs: u64,
+    /// Jobs that were answered as completed.
+    pub completed: u64,
+    /// Jobs that were refused by every entry that was asked.
+    pub refused: u64,
+    /// Runs that workers began.
+    pub starts: u64,
+    /// Jobs of the calm end.
+    pub calm_jobs: u64,
+    /// Jobs of the calm end that completed.
+    pub calm_completed: u64,
+}
+
+/// Counts and broken promises.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// What was seen.
+    pub counts: Counts,
+    /// Promises that were broken.
+    pub violations: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct Job {
+    spec: String,
+    tasks: u16,
+    /// Whether it was submitted in the calm end.
+    calm: bool,
+    verdict: Verdict,
+    finished: bool,
+    started: bool,
+}
+
+/// What the answers to a job allow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Verdict {
+    /// Every answer so far was a refusal.
+    #[default]
+    Refused,
+    /// An answer left open what ran, or never came.
+    Unclear,
+    /// An answer said that it is completed.
+    Completed,
+}
+
+impl Job {
+    fn leave_open(&mut self) {
+        if self.verdict == Verdict::Refused {
+            self.verdict = Verdict::Unclear;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    worker: WorkerIncarnation,
+    number: RunNumber,
+    began: Instant,
+    ended: Option<(RunEnd, Instant)>,
+}
+
+impl Run {
+    fn overlaps(&self, other: &Self) -> bool {
+        let before = |one: &Self, two: &Self| one.ended.is_some_and(|(_, at)| at <= two.began);
+        !before(self, other) && !before(other, self)
+    }
+}
+
+/// Record of jobs, runs and configurations.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    jobs: HashMap<JobId, Job>,
+    runs: HashMap<TaskKey, Vec<Run>>,
+    leaving: HashMap<WorkerIncarnation, Instant>,
+    taken: Vec<(u64, Instant)>,
+    reported: HashSet<(TaskKey, &'static str)>,
+    calm: bool,
+    report: Report,
+}
+
+impl Ledger {
+    /// Takes in what is seen until all observers are gone.
+    pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Seen>) {
+        while let Some(seen) = rx.recv().await {
+            self.take(seen);
+        }
+    }
+
+    /// Takes in one observation.
+    pub fn take(&mut self, seen: Seen) {
+        match seen {
+            Seen::Submitted { job, spec, tasks } => {
+                self.report.counts.jobs += 1;
+                self.report.counts.calm_jobs += u64::from(self.calm);
+                let calm = self.calm;
+                let entry = self.jobs.entry(job).or_default();
+                *entry = Job {
+                    spec,
+                    tasks,
+                    calm,
+                    ..Job::default()
+                };
+            }
+            Seen::Answered { job, answer } => self.on_answer(job, answer),
+            Seen::Finished { job } => self.on_finished(job),
+            Seen::Started {
+                worker,
+                task,
+                run,
+                spec,
+                at,
+            } => self.on_started(worker, task, run, &spec, at),
+            Seen::Ended {
+                worker,
+                task,
+                run,
+                end,
+                at,
+            } => self.on_ended(worker, task, run, end, at),
+            Seen::Leaving { worker, at } => {
+                self.leaving.entry(worker).or_insert(at);
+            }
+            Seen::ConfigurationTaken { version, at } => self.taken.push((version, at)),
+            Seen::ConfigurationRead { asked_at, version } => self.on_read(asked_at, version),
+            Seen::Violated(text) => self.violate(text),
+            Seen::Calm => self.calm = true,
+            Seen::Report(reply) => {
+                // The asker may be gone.
+                let _ = reply.send(self.report.clone());
+            }
+        }
+    }
+
+    /// Returns what has been seen so far.
+    #[must_use]
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+
+    fn violate(&mut self, text: String) {
+        self.report.violations.push(text);
+    }
+
+    fn violate_once(&mut self, task: TaskKey, rule: &'static str) {
+        if self.reported.insert((task, rule)) {
+            let TaskKey { job, step, index } = task;
+            self.violate(format!("{rule}: task {job:016x}.{step}.{index}"));
+        }
+    }
+
+    fn on_answer(&mut self, id: JobId, answer: Option<Answer>) {
+        let runs = &self.runs;
+        let ended = |task: TaskKey, wanted: RunEnd| {
+            let runs = runs.get(&task).into_iter().flatten();
+            runs.into_iter()
+                .any(|run| run.ended.is_some_and(|(end, _)| end == wanted))
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let keys = (0..job.tasks).map(|index| TaskKey {
+            job: id,
+            step: 0,
+            index,
+        });
+        let broken = match answer {
+            Some(Answer::Completed) => {
+                let first = job.verdict != Verdict::Completed;
+                self.report.counts.completed += u64::from(first);
+                self.report.counts.calm_completed += u64::from(first && job.calm);
+                job.verdict = Verdict::Completed;
+                let mut keys = keys;
+                (!keys.all(|key| ended(key, RunEnd::Completed)))
+                    .then_some("answered as completed without the work")
+            }
+            Some(Answer::Failed) => {
+                job.leave_open();
+                let mut keys = keys;
+                (!keys.any(|key| ended(key, RunEnd::Failed)))
+                    .then_some("answered as failed without a failure")
+            }
+            Some(Answer::Refused) => None,
+            Some(Answer::NoRoute) => Some("no route although a configuration is in force"),
+            Some(Answer::Unclear) | None => {
+                job.leave_open();
+                None
+            }
+        };
+        if let Some(rule) = broken {
+            self.violate(format!("{rule}: job {id:016x}"));
+        }
+    }
+
+    fn on_finished(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.finished = true;
+        let refused = job.verdict == Verdict::Refused;
+        self.report.counts.refused += u64::from(refused);
+        if refused && job.started {
+            self.violate(format!("refused although it ran: job {id:016x}"));
+        }
+    }
+
+    fn on_started(
+        &mut self,
+        worker: WorkerIncarnation,
+        task: TaskKey,
+        number: RunNumber,
+        spec: &Bytes,
+        at: Instant,
+    ) {
+        self.report.counts.starts += 1;
+        let leaving = self
+            .leaving
+            .get(&worker)
+            .is_some_and(|&since| at > since + DRAIN_BOUND);
+        if leaving {
+            self.violate_once(task, "started on a worker that has been leaving for too long");
+        }
+        let run = Run {
+            worker,
+            number,
+            began: at,
+            ended: None,
+        };
+        self.runs.entry(task).or_default().push(run);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            self.violate_once(task, "started although nobody submitted it");
+            return;
+        };
+        job.started = true;
+        let known = job.spec.as_bytes() == spec.as_ref() && task.step == 0 && task.index < job.tasks;
+        let refused = job.finished && job.verdict == Verdict::Refused;
+        if !known {
+            self.violate_once(task, "started with another input");
+        }
+        if refused {
+            self.violate_once(task, "started after it was refused");
+        }
+    }
+
+    fn on_ended(
+        &mut self,
+        worker: WorkerIncarnation,
+        task: TaskKey,
+        number: RunNumber,
+        end: RunEnd,
+        at: Instant,
+    ) {
+        let runs = self.runs.entry(task).or_default();
+        let same = |run: &&mut Run| run.worker == worker && run.number == number && run.ended.is_none();
+        let Some(run) = runs.iter_mut().find(same) else {
+            return;
+        };
+        run.ended = Some((end, at));
+        let ended = *run;
+        let doubled = runs.iter().filter(|run| run.overlaps(&ended)).count() > 1;
+        if doubled {
+            self.violate_once(task, "two runs at the same time");
+        }
+    }
+
+    fn on_read(&mut self, asked_at: Instant, version: Option<u64>) {
+        let due = self
+            .taken
+            .iter()
+            .filter(|(_, at)| asked_at > *at + CONFIGURATION_BOUND);
+        let due = due.map(|(version, _)| *version).max().unwrap_or(0);
+        match version {
+            None => self.violate("a configuration was read that nobody sent".to_owned()),
+            Some(version) if version < due => {
+                self.violate(format!(
+                    "configuration {version} was read after {due} had been in force"
+                ));
+            }
+            Some(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/deploy/soak/src/lib.rs
@@ -0,0 +1,22 @@
+//! Randomized fault soak: runs the real programs as separate processes and injects faults from outside.
+//!
+//! [`soak`] plays one seed: it starts control, entries and agents on loopback addresses of their own, with a proxy before
+//! each of them, stand-ins for workers, and callers that keep their connections. A [`Plan`] drawn from the seed delays,
+//! holds and resets connections, and pauses, kills, stops and restarts processes. The ledger checks, from what callers and
+//! workers see, that no task has two runs at a time, that refusals and answers are true, and that accepted configurations
+//! stay in force. After the last fault the system must serve again.
+
+mod callers;
+mod dialect;
+mod error;
+mod ledger;
+mod plan;
+mod process;
+mod proxy;
+mod run;
+mod workers;
+
+pub use error::SoakError;
+pub use ledger::{Answer, Counts, Ledger, Report, Seen, WorkerIncarnation};
+pub use plan::{Fault, Plan, Size, Step};
+pub use run::{SoakConfig, soak};
--- /dev/null
+++ b/deploy/soak/src/plan.rs
@@ -0,0 +1,233 @@
+//! Plan of one soak: which faults are injected when, drawn from a seed.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Fewest and most series of faults in ten seconds.
+const SERIES: Range<u64> = 4..10;
+/// Shortest and longest fault.
+const LENGTH_MS: Range<u64> = 150..3_000;
+/// Time around the loss of a disk without other faults of control: one loss at a time is tolerated.
+const DISK_MARGIN: Duration = Duration::from_secs(6);
+/// Share of the plans in which a control process loses its disk.
+const DISK_SHARE: f64 = 0.3;
+
+/// Number of processes of each role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Control processes; an odd number.
+    pub controls: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Agents, each with a worker.
+    pub agents: usize,
+}
+
+impl Size {
+    fn processes(self) -> usize {
+        self.controls + self.entries + self.agents
+    }
+}
+
+/// What is done to a process, to its connections or to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Stops the process until it is resumed.
+    Pause,
+    /// Resumes a paused process.
+    Resume,
+    /// Kills the process.
+    Kill,
+    /// Kills the process and leaves half a record at the end of its log.
+    KillTorn,
+    /// Kills the process and removes its files.
+    KillWiped,
+    /// Starts the process again if it does not run.
+    Start,
+    /// Asks the process to stop gracefully.
+    Terminate,
+    /// Asks the process to read its settings again.
+    HangUp,
+    /// Delays all bytes.
+    Delay(Duration),
+    /// Holds bytes towards the process.
+    HoldInward,
+    /// Holds bytes from the process.
+    HoldOutward,
+    /// Holds bytes in both directions.
+    HoldAll,
+    /// Lets held and later bytes through.
+    Clear,
+    /// Resets all open connections.
+    Reset,
+    /// Makes all open connections silent for good; new ones work.
+    Silence,
+    /// The worker crashes and comes back as another incarnation.
+    WorkerCrash,
+    /// The worker says that it leaves.
+    WorkerLeave,
+    /// The worker fails all tasks.
+    WorkerFail,
+    /// The worker becomes slow.
+    WorkerSlow,
+    /// Tasks on the worker stand still.
+    WorkerHang,
+    /// The worker leaves orders unanswered and carries them out late.
+    WorkerMute,
+    /// The worker is sound again.
+    WorkerSound,
+    /// The operator sends the next configuration to the process.
+    Configure,
+}
+
+/// Fault at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Time since the first job.
+    pub at: Duration,
+    /// Position of the process: control processes first, then entries, then agents; or of the worker.
+    pub target: usize,
+    /// What is done.
+    pub fault: Fault,
+}
+
+/// Faults of one soak in the order of time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Processes.
+    pub size: Size,
+    /// Faults.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws a plan; the same seed gives the same plan.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chestnutfork_soak::{Plan, Size};
+    ///
+    /// let size = Size { controls: 3, entries: 2, agents: 4 };
+    /// let plan = Plan::draw(7, size, Duration::from_secs(10));
+    /// assert_eq!(plan, Plan::draw(7, size, Duration::from_secs(10)));
+    /// assert!(!plan.steps.is_empty());
+    /// ```
+    #[must_use]
+    pub fn draw(seed: u64, size: Size, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut plan = Self {
+            size,
+            steps: Vec::new(),
+        };
+        let series = rng.random_range(SERIES) * length.as_secs().max(1) / 10 + 1;
+        for _ in 0..series {
+            plan.add_series(&mut rng, length);
+        }
+        for second in 1..length.as_secs() {
+            plan.push(
+                Duration::from_secs(second),
+                rng.random_range(0..size.controls),
+                Fault::Configure,
+            );
+        }
+        if rng.random_bool(DISK_SHARE) {
+            plan.add_lost_disk(&mut rng, length);
+        }
+        plan.steps.sort_by_key(|step| step.at);
+        plan
+    }
+
+    fn push(&mut self, at: Duration, target: usize, fault: Fault) {
+        self.steps.push(Step { at, target, fault });
+    }
+
+    /// Adds one to three faults of one kind; a series may overlap with others.
+    fn add_series(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let kind = rng.random_range(0..18);
+        let target = rng.random_range(0..self.size.processes());
+        let worker = rng.random_range(0..self.size.agents);
+        let mut at = length.mul_f64(rng.random_range(0.0..0.9));
+        for _ in 0..rng.random_range(1..=3) {
+            let until = at + Duration::from_millis(rng.random_range(LENGTH_MS));
+            let delay = Duration::from_millis(rng.random_range(1..120));
+            match kind {
+                0 | 1 => self.pair(at, until, target, Fault::Pause, Fault::Resume),
+                2 | 3 => self.pair(at, until, target, Fault::Kill, Fault::Start),
+                4 => self.pair(at, until, target, Fault::Terminate, Fault::Start),
+                5 => self.push(at, target, Fault::HangUp),
+                6 => self.pair(at, until, target, Fault::Delay(delay), Fault::Clear),
+                7 => self.pair(at, until, target, Fault::HoldInward, Fault::Clear),
+                8 => self.pair(at, until, target, Fault::HoldOutward, Fault::Clear),
+                9 => self.pair(at, until, target, Fault::HoldAll, Fault::Clear),
+                10 => self.push(at, target, Fault::Reset),
+                11 => self.push(at, target, Fault::Silence),
+                12 => self.push(at, worker, Fault::WorkerCrash),
+                13 => self.pair(at, until, worker, Fault::WorkerFail, Fault::WorkerSound),
+                14 => self.pair(at, until, worker, Fault::WorkerSlow, Fault::WorkerSound),
+                15 => self.pair(at, until, worker, Fault::WorkerHang, Fault::WorkerSound),
+                16 => self.pair(at, until, worker, Fault::WorkerMute, Fault::WorkerSound),
+                _ => self.all_controls(at, until, worker),
+            }
+            at = until + Duration::from_millis(rng.random_range(0..800));
+        }
+    }
+
+    fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
+        self.push(from, target, begin);
+        self.push(to, target, end);
+    }
+
+    /// Kills all control processes at a time, some of them in the middle of a write, while a worker leaves.
+    fn all_controls(&mut self, at: Duration, until: Duration, worker: usize) {
+        for control in 0..self.size.controls {
+            let begin = if control % 2 == 0 {
+                Fault::KillTorn
+            } else {
+                Fault::Kill
+            };
+            self.pair(at, until, control, begin, Fault::Start);
+        }
+        self.push(at, worker, Fault::WorkerLeave);
+        self.push(until, worker, Fault::WorkerCrash);
+    }
+
+    /// Adds the loss of one disk, and takes away other faults of control around it.
+    fn add_lost_disk(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let controls = self.size.controls;
+        let at = length.mul_f64(rng.random_range(0.4..0.8));
+        let near = |step: &Step| step.at + DISK_MARGIN > at && step.at < at + DISK_MARGIN;
+        self.steps.retain(|step| {
+            let of_control =
+                step.target < controls && !is_of_worker(step.fault) && step.fault != Fault::Configure;
+            !of_control || !near(step)
+        });
+        let target = rng.random_range(0..controls);
+        let until = at + Duration::from_millis(rng.random_range(LENGTH_MS));
+        // The removed faults may have left a process stopped or its connections held.
+        let calm_from = at.saturating_sub(DISK_MARGIN);
+        for control in 0..controls {
+            self.push(calm_from, control, Fault::Resume);
+            self.push(calm_from, control, Fault::Clear);
+            self.push(calm_from, control, Fault::Start);
+        }
+        self.pair(at, until, target, Fault::KillWiped, Fault::Start);
+    }
+}
+
+fn is_of_worker(fault: Fault) -> bool {
+    matches!(
+        fault,
+        Fault::WorkerCrash
+            | Fault::WorkerLeave
+            | Fault::WorkerFail
+            | Fault::WorkerSlow
+            | Fault::WorkerHang
+            | Fault::WorkerMute
+            | Fault::WorkerSound
+    )
+}
--- /dev/null
+++ b/deploy/soak/src/workers.rs
@@ -0,0 +1,372 @@
+//! Stand-ins for workers: an actor each that owns a model, and an HTTP server before it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_net::{Body, HttpClient, HttpHandler, HttpServer};
+use chestnutfork_standin::LeasedWorker;
+use chestnutfork_types::RunEnd;
+use chestnutfork_worker::{Order, Outcome, Reply};
+use hyper::{Request, Response};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{interval, sleep, timeout};
+
+use crate::dialect::{self, Announced, WorkerCall};
+use crate::error::SoakError;
+use crate::ledger::Seen;
+
+/// Interval at which ends are noticed.
+const TICK: Duration = Duration::from_millis(5);
+/// Interval of announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for an agent to take an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a crashed worker is away.
+const DOWN_TIME: Duration = Duration::from_millis(700);
+/// Longest delay of an order without an answer that is carried out late.
+const LATEST_ORDER: Duration = Duration::from_secs(3);
+/// Slot count of a worker, each of one core.
+const CORES: usize = 6;
+/// Factor on the run time of a slow worker.
+const SLOW_FACTOR: f64 = 6.0;
+/// Run time of tasks that stand still.
+const HANG_TIME: Duration = Duration::from_secs(30);
+/// Share of the calls to a mute worker that get no answer.
+const MUTE_SHARE: f64 = 0.5;
+
+/// How a worker treats its tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mood {
+    Sound,
+    Failing,
+    Slow,
+    Hanging,
+    Mute,
+}
+
+#[derive(Debug)]
+pub(crate) enum WorkerMessage {
+    Call(WorkerCall, oneshot::Sender<Option<Reply>>),
+    /// An order whose caller has given up is carried out late.
+    Late(WorkerCall),
+    Mood(Mood),
+    Crash,
+    Leave,
+    /// Tells the present state, for an announcement; nothing while the worker is away.
+    Announce(oneshot::Sender<Option<Announced>>),
+    /// An announcement was acknowledged.
+    Acknowledged(Announced),
+}
+
+/// Hands calls of the agent to the actor.
+#[derive(Clone, Debug)]
+struct Handler {
+    tx: mpsc::UnboundedSender<WorkerMessage>,
+}
+
+impl HttpHandler for Handler {
+    async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
+        let Some(call) = dialect::read_call(&req) else {
+            return dialect::respond(None);
+        };
+        let (reply, answer) = oneshot::channel();
+        // A worker that has ended answers nothing, like one that drops the call.
+        drop(self.tx.send(WorkerMessage::Call(call, reply)));
+        match answer.await {
+            Ok(reply) => dialect::respond(reply),
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// Running worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) tx: mpsc::UnboundedSender<WorkerMessage>,
+    _server: HttpServer,
+}
+
+impl Worker {
+    /// Starts a worker that announces itself to its agent.
+    pub(crate) async fn start(
+        index: usize,
+        address: SocketAddr,
+        agent: SocketAddr,
+        seed: u64,
+        ledger: mpsc::UnboundedSender<Seen>,
+        http: HttpClient,
+    ) -> Result<Self, SoakError> {
+        let failed = |source| SoakError::Listen {
+            address: address.to_string(),
+            source,
+        };
+        let socket = TcpListener::bind(address).await.map_err(failed)?;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let server = HttpServer::builder(socket).serve(Handler { tx: tx.clone() });
+        let server = server.map_err(failed)?;
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ index as u64);
+        tokio::spawn(State::new(index, rng, ledger, tx.downgrade()).run(rx));
+        tokio::spawn(announce(agent, address, tx.downgrade(), http));
+        Ok(Self { tx, _server: server })
+    }
+}
+
+/// Announces the worker until it ends.
+async fn announce(
+    agent: SocketAddr,
+    address: SocketAddr,
+    tx: mpsc::WeakUnboundedSender<WorkerMessage>,
+    http: HttpClient,
+) {
+    loop {
+        sleep(ANNOUNCE_INTERVAL).await;
+        let Some(tx) = tx.upgrade() else {
+            return;
+        };
+        let (reply, told) = oneshot::channel();
+        drop(tx.send(WorkerMessage::Announce(reply)));
+        let Ok(Some(told)) = told.await else {
+            continue;
+        };
+        let request = dialect::announcement(agent, address, &told);
+        let response = timeout(ANNOUNCE_TIMEOUT, http.request(request)).await;
+        if matches!(response, Ok(Ok(response)) if response.status().is_success()) {
+            drop(tx.send(WorkerMessage::Acknowledged(told)));
+        }
+    }
+}
+
+/// Hold that waits for an end.
+#[derive(Debug)]
+struct Waiting {
+    until: Instant,
+    reply: oneshot::Sender<Option<Reply>>,
+}
+
+#[derive(Debug)]
+struct State {
+    index: usize,
+    model: LeasedWorker,
+    mood: Mood,
+    leaving: bool,
+    away_until: Option<Instant>,
+    sequence: u64,
+    waiting: Vec<Waiting>,
+    rng: ChaCha8Rng,
+    ledger: mpsc::UnboundedSender<Seen>,
+    me: mpsc::WeakUnboundedSender<WorkerMessage>,
+}
+
+impl State {
+    fn new(
+        index: usize,
+        mut rng: ChaCha8Rng,
+        ledger: mpsc::UnboundedSender<Seen>,
+        me: mpsc::WeakUnboundedSender<WorkerMessage>,
+    ) -> Self {
+        let rate = rng.random_range(0.98..1.0);
+        Self {
+            index,
+            model: LeasedWorker::new(Instant::now(), 1, rate),
+            mood: Mood::Sound,
+            leaving: false,
+            away_until: None,
+            sequence: 0,
+            waiting: Vec::new(),
+            rng,
+            ledger,
+            me,
+        }
+    }
+
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<WorkerMessage>) {
+        let mut ticks = interval(TICK);
+        loop {
+            tokio::select! {
+                message = rx.recv() => match message {
+                    Some(message) => self.receive(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn receive(&mut self, message: WorkerMessage) {
+        match message {
+            WorkerMessage::Call(call, reply) => self.on_call(call, reply),
+            WorkerMessage::Late(call) => {
+                // Its caller has gone, so nobody learns the reply.
+                self.carry_out(&call);
+            }
+            WorkerMessage::Mood(mood) => self.mood = mood,
+            WorkerMessage::Crash => self.crash(),
+            WorkerMessage::Leave => self.leaving = true,
+            WorkerMessage::Announce(reply) => {
+                self.sequence += 1;
+                // The asker may be gone.
+                let _ = reply.send(self.announced());
+            }
+            WorkerMessage::Acknowledged(told) => {
+                if told.leaving {
+                    let worker = (self.index, told.incarnation);
+                    let at = Instant::now();
+                    self.tell(Seen::Leaving { worker, at });
+                }
+            }
+        }
+    }
+
+    fn announced(&self) -> Option<Announced> {
+        self.away_until.is_none().then(|| Announced {
+            incarnation: self.model.incarnation,
+            sequence: self.sequence,
+            clock: self.model.clock(Instant::now()),
+            leaving: self.leaving,
+            cores: CORES,
+        })
+    }
+
+    fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<Reply>>) {
+        if self.away_until.is_some() {
+            return;
+        }
+        if self.mood == Mood::Mute && self.rng.random_bool(MUTE_SHARE) {
+            let delay = self.rng.random_range(0.0..LATEST_ORDER.as_secs_f64());
+            let me = self.me.clone();
+            tokio::spawn(async move {
+                sleep(Duration::from_secs_f64(delay)).await;
+                if let Some(me) = me.upgrade() {
+                    drop(me.send(WorkerMessage::Late(call)));
+                }
+            });
+            return;
+        }
+        let answer = self.carry_out(&call);
+        let nothing =
+            matches!(&answer, Some(Reply { outcome: Outcome::Held(held), .. }) if held.ended.is_empty());
+        match call.order {
+            Order::Hold { wait, .. } if nothing && !wait.is_zero() => {
+                let until = Instant::now() + wait;
+                self.waiting.push(Waiting { until, reply });
+            }
+            // The agent may have gone; the same holds below.
+            _ => drop(reply.send(answer)),
+        }
+    }
+
+    /// Carries out an order; nothing stands for one to another incarnation.
+    fn carry_out(&mut self, call: &WorkerCall) -> Option<Reply> {
+        if call.incarnation != self.model.incarnation || self.away_until.is_some() {
+            return None;
+        }
+        let now = Instant::now();
+        let begun_before = match &call.order {
+            Order::Start { task, .. } => self.model.is_running(*task),
+            _ => true,
+        };
+        let (work, end) = self.fate(&call.order);
+        let reply = self.model.carry_out(now, &call.order, work, end);
+        self.tell_ends();
+        if let Order::Start { task, run, spec, .. } = &call.order
+            && reply.outcome == Outcome::Done
+            && !begun_before
+        {
+            let worker = (self.index, self.model.incarnation);
+            let (task, run, spec) = (*task, *run, spec.clone());
+            self.tell(Seen::Started {
+                worker,
+                task,
+                run,
+                spec,
+                at: now,
+            });
+        }
+        Some(reply)
+    }
+
+    /// Returns how long a task runs, from the declared time that its input begins with, and how it ends.
+    fn fate(&mut self, order: &Order) -> (Duration, RunEnd) {
+        let Order::Start { spec, .. } = order else {
+            return (Duration::ZERO, RunEnd::Completed);
+        };
+        let text = String::from_utf8_lossy(spec);
+        let declared = text.split(' ').next().and_then(|word| word.parse().ok());
+        let declared = Duration::from_millis(declared.unwrap_or(0));
+        let work = declared.mul_f64(self.rng.random_range(0.6..1.4));
+        match self.mood {
+            Mood::Sound | Mood::Mute => (work, RunEnd::Completed),
+            Mood::Failing => (work / 4, RunEnd::Failed),
+            Mood::Slow => (work.mul_f64(SLOW_FACTOR), RunEnd::Completed),
+            Mood::Hanging => (HANG_TIME, RunEnd::Completed),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        if self.away_until.is_some_and(|until| until <= now) {
+            self.away_until = None;
+        }
+        self.model.advance(now);
+        self.tell_ends();
+        let held = self.model.lists();
+        let clock = Some(self.model.clock(now));
+        for waiting in std::mem::take(&mut self.waiting) {
+            if held.ended.is_empty() && now < waiting.until {
+                self.waiting.push(waiting);
+            } else {
+                let outcome = Outcome::Held(held.clone());
+                drop(waiting.reply.send(Some(Reply { clock, outcome })));
+            }
+        }
+    }
+
+    /// Loses everything that runs; a new incarnation comes back after a while.
+    fn crash(&mut self) {
+        let now = Instant::now();
+        self.model.advance(now);
+        self.tell_ends();
+        let worker = (self.index, self.model.incarnation);
+        for run in self.model.lists().running {
+            let (task, run) = (run.task, run.run);
+            let end = RunEnd::Lost;
+            self.tell(Seen::Ended {
+                worker,
+                task,
+                run,
+                end,
+                at: now,
+            });
+        }
+        let rate = self.rng.random_range(0.98..1.0);
+        self.model = LeasedWorker::new(now, self.model.incarnation + 1, rate);
+        self.waiting.clear();
+        self.leaving = false;
+        self.sequence = 0;
+        self.away_until = Some(now + DOWN_TIME);
+    }
+
+    fn tell_ends(&mut self) {
+        let worker = (self.index, self.model.incarnation);
+        for past in self.model.take_past() {
+            let (task, run) = (past.run.task, past.run.run);
+            let (end, at) = (past.end, past.at);
+            self.tell(Seen::Ended {
+                worker,
+                task,
+                run,
+                end,
+                at,
+            });
+        }
+    }
+
+    fn tell(&self, seen: Seen) {
+        // Without a ledger the soak is over.
+        drop(self.ledger.send(seen));
+    }
+}
--- /dev/null
+++ b/deploy/soak/tests/ledger.rs
@@ -0,0 +1,165 @@
+//! Tests of the ledger: a check that cannot fail would make every soak pass.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use chestnutfork_soak::{Answer, Ledger, Seen, WorkerIncarnation};
+use chestnutfork_types::{JobId, RunEnd, TaskKey};
+
+const JOB: JobId = 7;
+const TASK: TaskKey = TaskKey {
+    job: JOB,
+    step: 0,
+    index: 0,
+};
+
+/// Ledger with one job of one task.
+struct Run {
+    ledger: Ledger,
+    start: Instant,
+}
+
+impl Run {
+    fn new() -> Self {
+        let mut ledger = Ledger::default();
+        ledger.take(Seen::Submitted {
+            job: JOB,
+            spec: "20 x".to_owned(),
+            tasks: 1,
+        });
+        let start = Instant::now();
+        Self { ledger, start }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_millis(millis)
+    }
+
+    fn started(&mut self, worker: WorkerIncarnation, run: u64, millis: u64) {
+        let (at, spec) = (self.at(millis), Bytes::from_static(b"20 x"));
+        let task = TASK;
+        self.ledger.take(Seen::Started {
+            worker,
+            task,
+            run,
+            spec,
+            at,
+        });
+    }
+
+    fn ended(&mut self, worker: WorkerIncarnation, run: u64, end: RunEnd, millis: u64) {
+        let (at, task) = (self.at(millis), TASK);
+        self.ledger.take(Seen::Ended {
+            worker,
+            task,
+            run,
+            end,
+            at,
+        });
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        let answer = Some(answer);
+        self.ledger.take(Seen::Answered { job: JOB, answer });
+        self.ledger.take(Seen::Finished { job: JOB });
+    }
+
+    fn violations(&self) -> &[String] {
+        &self.ledger.report().violations
+    }
+
+    #[track_caller]
+    fn assert_broken(&self, rule: &str) {
+        assert!(
+            self.violations().iter().any(|text| text.contains(rule)),
+            "{:?}",
+            self.violations()
+        );
+    }
+}
+
+/// Guards against a ledger that reports sound runs.
+#[test]
+fn take_accepts_sound_run() {
+    let mut run = Run::new();
+    run.started((0, 1), 1, 0);
+    run.ended((0, 1), 1, RunEnd::Lost, 100);
+    run.started((1, 1), 2, 100);
+    run.ended((1, 1), 2, RunEnd::Completed, 200);
+    run.answered(Answer::Completed);
+    assert_eq!(run.violations(), Vec::<String>::new());
+    assert_eq!(run.ledger.report().counts.completed, 1);
+}
+
+/// Guards against a soak that misses two runs of a task at a time, whichever end is seen first.
+#[test]
+fn take_notices_two_runs() {
+    let mut run = Run::new();
+    run.started((0, 1), 1, 0);
+    run.started((1, 1), 2, 50);
+    run.ended((0, 1), 1, RunEnd::Completed, 100);
+    run.assert_broken("two runs at the same time");
+}
+
+/// Guards against a soak that misses a false refusal, before or after the start.
+#[test]
+fn take_notices_false_refusal() {
+    let mut run = Run::new();
+    run.started((0, 1), 1, 0);
+    run.answered(Answer::Refused);
+    run.assert_broken("refused although it ran");
+    let mut run = Run::new();
+    run.answered(Answer::Refused);
+    run.started((0, 1), 1, 0);
+    run.assert_broken("started after it was refused");
+}
+
+/// Guards against a soak that misses answers without the work behind them.
+#[test]
+fn take_notices_false_answers() {
+    let mut run = Run::new();
+    run.answered(Answer::Completed);
+    run.assert_broken("completed without the work");
+    let mut run = Run::new();
+    run.answered(Answer::Failed);
+    run.assert_broken("failed without a failure");
+    let mut run = Run::new();
+    run.answered(Answer::NoRoute);
+    run.assert_broken("no route");
+}
+
+/// Guards against a soak that misses tasks that nobody asked for.
+#[test]
+fn take_notices_foreign_input() {
+    let mut run = Run::new();
+    let (task, at) = (TASK, run.start);
+    run.ledger.take(Seen::Started {
+        worker: (0, 1),
+        task,
+        run: 1,
+        spec: Bytes::from_static(b"other"),
+        at,
+    });
+    run.assert_broken("another input");
+}
+
+/// Guards against a soak that misses starts on a worker that has been leaving for too long.
+#[test]
+fn take_notices_start_on_leaving_worker() {
+    let mut run = Run::new();
+    let at = run.start;
+    run.ledger.take(Seen::Leaving { worker: (0, 1), at });
+    run.started((0, 1), 1, 2_500);
+    run.assert_broken("leaving for too long");
+}
+
+/// Guards against a soak that misses a configuration that goes back.
+#[test]
+fn take_notices_older_configuration() {
+    let mut run = Run::new();
+    let (at, asked_at) = (run.start, run.at(2_500));
+    run.ledger.take(Seen::ConfigurationTaken { version: 5, at });
+    let version = Some(4);
+    run.ledger.take(Seen::ConfigurationRead { asked_at, version });
+    run.assert_broken("configuration 4 was read after 5");
+}
