--- a/crates/broker/src/choose.rs
+++ b/crates/broker/src/choose.rs
@@ -25,7 +25,8 @@
 /// one worker, and its input once; the smallest entries have links of 25 Mbit/s.
 const TOGETHER_FACTOR: f64 = 0.85;
 
-/// Time after which a job takes capacity that is set aside for other entries: a little more than two reports of an agent.
+/// Time after which a job takes capacity that is set aside for other entries: a little more than the time
+/// between two reports of an agent.
 const SHARE_PATIENCE: Duration = Duration::from_millis(25);
 
 /// Where a task goes.
--- a/crates/net/src/wakeup.rs
+++ b/crates/net/src/wakeup.rs
@@ -62,15 +62,6 @@
     pub fn set(&self, at: Option<Instant>) {
         self.at.send_replace(at);
     }
-
-    /// Arms the timer only if the time differs from the one that is set.
-    pub fn update(&self, at: Option<Instant>) {
-        self.at.send_if_modified(|current| {
-            let differs = *current != at;
-            *current = at;
-            differs
-        });
-    }
 }
 
 /// Returns the present time on the runtime's clock, which tests can pause.
