soak: Tell a shutdown that a second request cuts short from an end by itself

Trace: the plan asked a draining entry to stop a second time (event 1009, shutdown cut short); the command line documents that a second signal exits at once, with code 1. After one request only success is accepted, as before, and an end without a request is still reported.

--- a/deploy/soak/src/process.rs
+++ b/deploy/soak/src/process.rs
@@ -9,6 +9,9 @@
 
 use crate::error::SoakError;
 
+/// Exit code of a process whose graceful shutdown a second request has cut short.
+const CUT_SHORT: i32 = 1;
+
 /// Process that is started again and again with the same settings.
 #[derive(Debug)]
 pub(crate) struct Process {
@@ -18,8 +21,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
-    /// Whether a signal of the soak explains an end.
-    end_expected: bool,
+    /// Requests to stop since the start.
+    stop_requests: u32,
 }
 
 impl Process {
@@ -31,7 +34,7 @@
             settings: folder.join(format!("{name}.json")),
             log: folder.join(format!("{name}.log")),
             child: None,
-            end_expected: false,
+            stop_requests: 0,
         }
     }
 
@@ -65,7 +68,7 @@
             source,
         })?;
         self.child = Some(child);
-        self.end_expected = false;
+        self.stop_requests = 0;
         Ok(())
     }
 
@@ -92,15 +95,21 @@
 
     /// Asks the process to stop gracefully.
     pub(crate) fn terminate(&mut self) {
-        self.end_expected = true;
+        self.stop_requests += 1;
         self.signal(Signal::TERM);
     }
 
-    /// Returns the exit status if the process has ended, and whether the soak asked it to.
+    /// Returns whether the process has ended, and if so, whether as its requests to stop explain.
     pub(crate) fn ended(&mut self) -> Option<(ExitStatus, bool)> {
         let status = self.child.as_mut()?.try_wait().ok().flatten()?;
         self.child = None;
-        Some((status, self.end_expected))
+        let explained = match self.stop_requests {
+            0 => false,
+            1 => status.success(),
+            // A second request cuts the shutdown short, which the exit code tells.
+            _ => status.success() || status.code() == Some(CUT_SHORT),
+        };
+        Some((status, explained))
     }
 
     pub(crate) fn is_running(&self) -> bool {
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -454,10 +454,9 @@
 
     /// Returns what is wrong with the end of the process, or with its lack.
     fn check_end(&mut self) -> Option<String> {
-        if let Some((status, expected)) = self.process.ended() {
+        if let Some((status, explained)) = self.process.ended() {
             self.asked_to_end = None;
-            let sound = expected && status.success();
-            return (!sound).then(|| format!("{} ended by itself: {status}", self.machine.name));
+            return (!explained).then(|| format!("{} ended by itself: {status}", self.machine.name));
         }
         if !self.process.is_running() {
             self.asked_to_end = None;
