--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -455,7 +455,7 @@
     fn expire_leases(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut lapsed: IndexMap<ProcessId, Vec<TaskKey>> = IndexMap::new();
         for (&task, run) in &self.runs {
-            let stopping = matches!(run.phase, Phase::Stopping(_));
+            let stopping = run.is_stopping();
             if run.owner != NO_OWNER && !stopping && !self.owners.has_lease(run.owner, now) {
                 lapsed.entry(run.owner).or_default().push(task);
             }
