control, broker, leased: Log what explains a configuration that comes into force late

A request without a route left no line at all.

Change: event 6025 states when a control process has applied a document, its size and the number of entries that lacked it. Event 7003 states host, path and the version and its age for a request without a route. Entries count the documents that they receive, their bytes and those that they ignore (documents.received, documents.bytes, documents.ignored).

Tests: missing_route_is_logged_with_version; the tests of broker, events, control and leased pass.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -28,6 +28,8 @@
 pub struct BrokerCore {
     pub(crate) cfg: BrokerConfig,
     pub(crate) routes: Option<RouteTable>,
+    /// When the route table came into force.
+    pub(crate) routes_since: Instant,
     pub(crate) entry_count: usize,
     pub(crate) agents: Agents,
     pub(crate) jobs: IndexMap<JobId, Job>,
@@ -69,6 +71,7 @@
             rng: StdRng::seed_from_u64(cfg.seed),
             cfg,
             routes: None,
+            routes_since: now,
             entry_count: 1,
             agents: Agents::default(),
             jobs: IndexMap::new(),
@@ -167,6 +170,7 @@
                 routes: routes.routes.len() as u64,
             }));
             self.routes = Some(routes);
+            self.routes_since = now;
             for (_, ticket, request) in std::mem::take(&mut self.early_requests) {
                 self.on_request(now, ticket, request, actions);
             }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -250,6 +250,17 @@
         /// Number of routes.
         routes: u64,
     },
+    /// No route matched a request.
+    RouteMissing {
+        /// Host of the request.
+        host: String,
+        /// Path of the request up to the id of the job.
+        queue: String,
+        /// Version of the route table that was used.
+        version: ConfigVersion,
+        /// Time since that version came into force.
+        in_force: Duration,
+    },
     /// A submitted job was accepted.
     JobTaken {
         /// Job that was accepted.
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -29,6 +29,12 @@
             return;
         };
         let Some(route) = routes.find(&request.host, &request.queue).cloned() else {
+            actions.push(Action::Notice(Notice::RouteMissing {
+                host: request.host,
+                queue: request.queue,
+                version: routes.version,
+                in_force: now.saturating_duration_since(self.routes_since),
+            }));
             actions.push(Action::Answer(ticket, Answer::NoRoute));
             return;
         };
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutfork_broker::{
-    Action, Answer, BrokerConfig, BrokerCore, Event, JobState, JobSubmission, RefusalReason, Request,
+    Action, Answer, BrokerConfig, BrokerCore, Event, JobState, JobSubmission, Notice, RefusalReason, Request,
     RequestKind, StepSpec,
 };
 use chestnutfork_routes::{Route, RouteTable, ServiceRule};
@@ -455,6 +455,27 @@
     assert_eq!(entry.attempts().len(), 1);
 }
 
+/// Guards against a refusal for lack of a route that the log cannot explain: the version in force and its age are missing.
+#[test]
+fn missing_route_is_logged_with_version() {
+    let mut entry = Entry::with_workers(1);
+    entry.handle(Event::Routes(table(7)));
+    entry.advance_to(millis(300), &[]);
+    let request = Request {
+        queue: "/unknown/".to_owned(),
+        ..request(1, RequestKind::Lookup)
+    };
+    entry.handle(Event::Request { ticket: 1, request });
+    let logged = entry.actions.iter().any(|action| {
+        matches!(
+            action,
+            Action::Notice(Notice::RouteMissing { queue, version: 7, in_force, .. })
+                if queue == "/unknown/" && *in_force >= millis(250)
+        )
+    });
+    assert!(logged, "{:?}", entry.actions);
+}
+
 /// Guards against tasks that continue to run after their job was cancelled.
 #[test]
 fn cancel_stops_tasks() {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -89,6 +89,8 @@
     shutting_down: bool,
     pub(crate) formation: Option<Formation>,
     pub(crate) directory: Directory,
+    /// Latest document version that was logged as applied.
+    pub(crate) logged_document: ConfigVersion,
     pub(crate) membership_repair: MembershipRepair,
 }
 
@@ -126,6 +128,7 @@
             shutting_down: false,
             formation: None,
             directory: Directory::default(),
+            logged_document: 0,
             membership_repair: MembershipRepair::default(),
         })
     }
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::core::ControlCore;
-use crate::message::{ControlMessage, Document, OperatorRequest, Output, Reply, RequestId};
+use crate::message::{ControlMessage, Document, Notice, OperatorRequest, Output, Reply, RequestId};
 use crate::replica::ReplicaMessage;
 use crate::state_machine::Command;
 
@@ -80,7 +80,16 @@
         let Some(document) = &self.state.document else {
             return;
         };
-        for link in self.directory.take_outdated(document.version) {
+        let outdated = self.directory.take_outdated(document.version);
+        if document.version > self.logged_document {
+            self.logged_document = document.version;
+            self.outputs.push(Output::Notice(Notice::DocumentApplied {
+                version: document.version,
+                bytes: document.content.len() as u64,
+                followers: outdated.len() as u64,
+            }));
+        }
+        for link in outdated {
             let message = ControlMessage::Document(document.clone());
             self.outputs.push(Output::ToSubscriber(link, message));
         }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -355,6 +355,15 @@
         /// Outcome of applying it.
         verdict: chestnutfork_config::Verdict,
     },
+    /// A committed document was applied.
+    DocumentApplied {
+        /// Version of the document.
+        version: ConfigVersion,
+        /// Size of its content.
+        bytes: u64,
+        /// Number of entries to which it is sent.
+        followers: u64,
+    },
     /// The leader proposed a view.
     ViewProposed {
         /// Number of the proposed view.
--- a/crates/control/src/notices.rs
+++ b/crates/control/src/notices.rs
@@ -42,6 +42,15 @@
             operator,
         }),
         Notice::Verdict { patch, verdict } => log_verdict(patch, verdict),
+        Notice::DocumentApplied {
+            version,
+            bytes,
+            followers,
+        } => emit(&ControlEvent::DocumentApplied {
+            version: *version,
+            bytes: *bytes,
+            followers: *followers,
+        }),
         Notice::ViewProposed { view, members } => emit(&ControlEvent::ViewProposed {
             view: *view,
             members: *members,
--- a/crates/events/src/catalogue/control.rs
+++ b/crates/events/src/catalogue/control.rs
@@ -117,6 +117,13 @@
         }
             meaning: "The log up to the index was replaced by a snapshot.",
             remedy: "None.";
+        6025 DocumentApplied "document_applied" Info "document in force at this control process" {
+            version: u64 = "Version of the document.",
+            bytes: u64 = "Size of the document.",
+            followers: u64 = "Entries that had an older version.",
+        }
+            meaning: "This process has applied a committed document, and offers it to entries from now on.",
+            remedy: "None.";
         6030 ViewProposed "view_proposed" Info "entry view proposed" {
             view: u64 = "Number of the view.",
             members: u64 = "Number of entries in the view.",
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -19,6 +19,14 @@
         }
             meaning: "Control accepted a document that is invalid for this entry; the previous one stays in force.",
             remedy: "Upgrade the entry, or submit a corrected document with a higher version.";
+        7003 RouteMissing "route_missing" Info "no route matches the request" {
+            host: &'a str = "Host of the request.",
+            path: &'a str = "Path of the request up to the id of the job.",
+            version: u64 = "Version of the route table that was used.",
+            in_force: Duration = "Time since that version came into force at this entry.",
+        }
+            meaning: "The caller received the answer that the queue does not exist.",
+            remedy: "If the route was added, compare the version with event 6025 of control: the entry may not have it yet.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -284,7 +284,13 @@
 
     fn on_control_message<R: RouteDecoder>(&mut self, message: ControlMessageWire, decoder: &R) {
         match message {
-            ControlMessageWire::Document(version, content) if version > self.version => {
+            ControlMessageWire::Document(version, content) => {
+                self.metrics.count("documents.received", 1);
+                self.metrics.count("documents.bytes", content.len() as u64);
+                if version <= self.version {
+                    self.metrics.count("documents.ignored", 1);
+                    return;
+                }
                 match decoder.decode(&content) {
                     Ok(routes) => {
                         self.version = version;
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -23,6 +23,17 @@
             version: *version,
             routes: *routes,
         }),
+        BrokerNotice::RouteMissing {
+            host,
+            queue,
+            version,
+            in_force,
+        } => emit(&RunsEvent::RouteMissing {
+            host,
+            path: queue,
+            version: *version,
+            in_force: *in_force,
+        }),
         BrokerNotice::JobTaken {
             job,
             route,
