documents, control, leased: Let entries fetch the newest document from one control process

Cause: full state was pushed without flow control. Each control process queued every accepted document, whole, on the link of every entry. An entry read five copies of each version, and every superseded version ahead of the newest. With 1,445 routes a document has 300 KB; five copies take 0.63 s of a link of 19 Mbit/s, so changes that come faster than that pile up.

Evidence: with event 6025 all five control processes had version 124 at 27.6 s, within 20 ms; the entries put it in force between 30.1 s (62 Mbit/s) and 42.1 s (19 Mbit/s), and each entry put all versions in force, one every 0.20 and 0.68 s. That excludes a control process that is behind; the intervals follow the bandwidth, not the processor share.

Change: control announces versions, which are small. An entry fetches the newest announced document from one control process, in parts of 64 KB, and requests a part after it has received the one before. Versions that are superseded meanwhile are skipped. At most one part per entry is on its way, so the delay is bounded by the transfer of two documents. A part that is overdue, or whose link closes, is requested from another control process. Entries of earlier builds still subscribe with Follow and receive whole documents, so control can be upgraded first.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -2,13 +2,14 @@
 
 use bytes::Bytes;
 use chestnutfork_config::Verdict;
+use chestnutfork_documents::Document;
 use chestnutfork_operator::body::{
     AuditBody, ConfigBody, ErrorBody, OUTCOME_UNKNOWN, StatusBody, VerdictBody,
 };
 use chestnutfork_raft::RefusalReason;
 use serde::Serialize;
 
-use crate::message::{Document, Reply};
+use crate::message::Reply;
 
 /// Answer to an operator request.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chestnutfork_config::Patch;
+use chestnutfork_documents::Document;
 use chestnutfork_raft::Message;
 use chestnutfork_register::View;
 use chestnutfork_wire::{
@@ -12,8 +13,8 @@
 };
 
 use crate::message::{
-    Confirmation, ControlMessage, Document, EntryInfo, OperatorRequest, PeerMessage, Renewal, ReplicaHello,
-    Reply, SubscriberMessage, ViewRecord,
+    Confirmation, ControlMessage, EntryInfo, OperatorRequest, PeerMessage, Renewal, ReplicaHello, Reply,
+    SubscriberMessage, ViewRecord,
 };
 
 fn micros(duration: Duration) -> u64 {
@@ -228,6 +229,8 @@
             },
             SubscriberMessageWire::Leaving => Self::Leaving,
             SubscriberMessageWire::Follow(have) => Self::Follow { have },
+            SubscriberMessageWire::Watch => Self::Watch,
+            SubscriberMessageWire::Fetch { version, offset } => Self::Fetch { version, offset },
         }
     }
 }
@@ -244,6 +247,8 @@
             ControlMessage::View(record) => Self::View(record.into()),
             ControlMessage::Document(document) => Self::Document(document.version, document.content),
             ControlMessage::Directory { controls, entries } => Self::Directory(controls, entries),
+            ControlMessage::Announce(version) => Self::Announce(version),
+            ControlMessage::Part(part) => Self::Part(part.into()),
         }
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
+use chestnutfork_documents::Publisher;
 use chestnutfork_raft::{
     Action, Config, Entry, Event as RaftEvent, Membership, Message, Payload, Proposal, Raft, Role, Snapshot,
 };
@@ -89,6 +90,7 @@
     shutting_down: bool,
     pub(crate) formation: Option<Formation>,
     pub(crate) directory: Directory,
+    pub(crate) publisher: Publisher,
     /// Latest document version that was logged as applied.
     pub(crate) logged_document: ConfigVersion,
     pub(crate) membership_repair: MembershipRepair,
@@ -128,6 +130,7 @@
             shutting_down: false,
             formation: None,
             directory: Directory::default(),
+            publisher: Publisher::default(),
             logged_document: 0,
             membership_repair: MembershipRepair::default(),
         })
@@ -195,6 +198,7 @@
             Event::SubscriberUp { link, identity } => self.subscribers.add(link, identity),
             Event::SubscriberDown { link } => {
                 self.subscribers.remove(link);
+                self.publisher.remove(link);
                 if self.directory.remove_follower(link) {
                     self.distribute_directory();
                 }
@@ -359,6 +363,8 @@
             }
             SubscriberMessage::Leaving => self.subscribers.leave(now, link),
             SubscriberMessage::Follow { have } => self.on_follow(link, have),
+            SubscriberMessage::Watch => self.on_watch(link),
+            SubscriberMessage::Fetch { version, offset } => self.on_fetch(link, version, offset),
         }
     }
 
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -1,12 +1,15 @@
 //! Configuration documents of operators: proposals, reads and distribution.
 
 use bytes::Bytes;
+use chestnutfork_documents::Document;
+use chestnutfork_net::LinkId;
 use chestnutfork_raft::Proposal;
+use chestnutfork_types::ConfigVersion;
 use ractor::ActorRef;
 use tokio::sync::oneshot;
 
 use crate::core::ControlCore;
-use crate::message::{ControlMessage, Document, Notice, OperatorRequest, Output, Reply, RequestId};
+use crate::message::{ControlMessage, Notice, OperatorRequest, Output, Reply, RequestId};
 use crate::replica::ReplicaMessage;
 use crate::state_machine::Command;
 
@@ -75,21 +78,45 @@
         self.propose(Proposal { id, command });
     }
 
-    /// Sends the document in force to all followers with an older one.
+    /// Subscribes a process to announcements and to the directory.
+    pub(crate) fn on_watch(&mut self, link: LinkId) {
+        self.publisher.watch(link);
+        // The process fetches documents, so none is sent to it whole.
+        self.on_follow(link, ConfigVersion::MAX);
+    }
+
+    /// Sends the requested part of a document.
+    pub(crate) fn on_fetch(&mut self, link: LinkId, version: ConfigVersion, offset: u64) {
+        let Some(document) = &self.state.document else {
+            return;
+        };
+        if let Some(part) = self.publisher.fetch(link, version, offset, document) {
+            let message = ControlMessage::Part(part);
+            self.outputs.push(Output::ToSubscriber(link, message));
+        }
+    }
+
+    /// Announces the document in force to all watchers, and sends it to the followers with an older one.
     pub(crate) fn distribute_document(&mut self) {
         let Some(document) = &self.state.document else {
             return;
         };
-        let outdated = self.directory.take_outdated(document.version);
-        if document.version > self.logged_document {
-            self.logged_document = document.version;
+        let version = document.version;
+        let watchers = self.publisher.announce(version);
+        let followers = self.directory.take_outdated(version);
+        if version > self.logged_document {
+            self.logged_document = version;
             self.outputs.push(Output::Notice(Notice::DocumentApplied {
-                version: document.version,
+                version,
                 bytes: document.content.len() as u64,
-                followers: outdated.len() as u64,
+                followers: (watchers.len() + followers.len()) as u64,
             }));
         }
-        for link in outdated {
+        for link in watchers {
+            let message = ControlMessage::Announce(version);
+            self.outputs.push(Output::ToSubscriber(link, message));
+        }
+        for link in followers {
             let message = ControlMessage::Document(document.clone());
             self.outputs.push(Output::ToSubscriber(link, message));
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,12 +31,13 @@
 mod subscribers;
 
 pub use crate::core::{ControlCore, CoreConfig};
+pub use chestnutfork_documents::Document;
 pub use documents::{DocumentClient, DocumentReply};
 pub use error::ControlError;
 pub use http::Operator;
 pub use message::{
-    Confirmation, ControlMessage, Document, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage,
-    ProbeId, Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
+    Confirmation, ControlMessage, EntryInfo, Event, Notice, OperatorRequest, Output, PeerMessage, ProbeId,
+    Renewal, ReplicaHello, Reply, RequestId, SubscriberIdentity, SubscriberMessage, ViewRecord,
 };
 pub use replica::ReplicaStatus;
 pub use run::{ControlConfig, ControlConfigBuilder, Member, RunningControl, start};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chestnutfork_config::Patch;
+use chestnutfork_documents::{Document, Part};
 use chestnutfork_net::LinkId;
 use chestnutfork_raft::{MembershipChange, Message};
 use chestnutfork_register::View;
@@ -93,15 +94,6 @@
     GetDocument,
 }
 
-/// Configuration document of an operator, which control stores without parsing it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Document {
-    /// Version assigned by the operator.
-    pub version: ConfigVersion,
-    /// Opaque bytes of the document.
-    pub content: Bytes,
-}
-
 /// Encoded reply to an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
@@ -183,6 +175,15 @@
         /// Version of the document in force at the sender.
         have: ConfigVersion,
     },
+    /// Subscribes to announcements of document versions, and to the directory of processes.
+    Watch,
+    /// Requests a part of a document.
+    Fetch {
+        /// Version of the document.
+        version: ConfigVersion,
+        /// Position of the first byte of the part.
+        offset: u64,
+    },
 }
 
 /// View with the names and addresses of its entries.
@@ -203,7 +204,7 @@
     Confirm(Confirmation),
     /// Entry view in force.
     View(ViewRecord),
-    /// Newest document.
+    /// Newest document, whole.
     Document(Document),
     /// Addresses of the processes to dial.
     Directory {
@@ -212,6 +213,10 @@
         /// Addresses of entries.
         entries: Vec<String>,
     },
+    /// Version of the newest document at this process.
+    Announce(ConfigVersion),
+    /// Part of a document.
+    Part(Part),
 }
 
 /// Process at the other end of a subscriber's link.
@@ -361,7 +366,7 @@
         version: ConfigVersion,
         /// Size of its content.
         bytes: u64,
-        /// Number of entries to which it is sent.
+        /// Number of entries to which it is sent or announced.
         followers: u64,
     },
     /// The leader proposed a view.
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -2,12 +2,13 @@
 
 use bytes::Bytes;
 use chestnutfork_config::{ConfigStore, PatchCommand, Verdict};
+use chestnutfork_documents::Document;
 use chestnutfork_raft::{Entry, Payload};
 use chestnutfork_types::{ConfigVersion, LogIndex};
 use chestnutfork_wire::{CommandWire, StateWire, ViewWire};
 
 use crate::error::ControlError;
-use crate::message::{Document, ViewRecord};
+use crate::message::ViewRecord;
 
 /// Command of the replicated log.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -8,6 +8,7 @@
 use chestnutfork_control::{
     ControlMessage, Document, EntryInfo, Event, OperatorRequest, SubscriberIdentity, SubscriberMessage,
 };
+use chestnutfork_documents::Part;
 use chestnutfork_storage::MemoryFolder;
 use group::{Group, SECOND};
 
@@ -56,6 +57,24 @@
     group.run_for(SECOND);
 }
 
+fn watch(group: &mut Group, node: u64, link: u64) {
+    let info = EntryInfo {
+        process: link,
+        name: format!("process-{link}"),
+        address: "10.2.0.1:70".to_owned(),
+        failure_domain: String::new(),
+    };
+    let identity = SubscriberIdentity { info, is_entry: true };
+    group.deliver(node, Event::SubscriberUp { link, identity });
+    let messages = vec![SubscriberMessage::Watch];
+    group.deliver(node, Event::FromSubscriber { link, messages });
+}
+
+fn fetch(group: &mut Group, node: u64, link: u64, version: u64, offset: u64) {
+    let messages = vec![SubscriberMessage::Fetch { version, offset }];
+    group.deliver(node, Event::FromSubscriber { link, messages });
+}
+
 /// Guards against an acknowledged document that is replaced by a lower version, or by other content with the same
 /// version.
 #[test]
@@ -117,6 +136,67 @@
     assert_eq!(versions.collect::<Vec<_>>(), [3, 8]);
 }
 
+/// Returns the announced versions and the received parts of a watcher, in order.
+fn watched(group: &Group, watcher: u64) -> (Vec<u64>, Vec<Part>) {
+    let mut versions = Vec::new();
+    let mut parts = Vec::new();
+    for (_, link, message) in &group.subscriber_messages {
+        match message {
+            ControlMessage::Announce(version) if *link == watcher => versions.push(*version),
+            ControlMessage::Part(part) if *link == watcher => parts.push(part.clone()),
+            _ => {}
+        }
+    }
+    (versions, parts)
+}
+
+/// Guards against documents that are sent to an entry that has not asked for them, so that superseded ones fill the link of
+/// a slow entry ahead of the newest.
+#[test]
+fn watch_sends_only_requested_parts() {
+    let (mut group, leader) = Group::formed(3);
+    watch(&mut group, leader, 70);
+    for version in 1..=30 {
+        assert_eq!(put(&mut group, leader, version, "content"), 200);
+    }
+    let (versions, parts) = watched(&group, 70);
+    assert_eq!(versions, (1..=30).collect::<Vec<_>>());
+    assert_eq!(parts, []);
+    fetch(&mut group, leader, 70, 4, 0);
+    let (_, parts) = watched(&group, 70);
+    let newest = Part {
+        version: 30,
+        total: 7,
+        offset: 0,
+        content: Bytes::from_static(b"content"),
+    };
+    assert_eq!(parts, [newest]);
+}
+
+/// Guards against a transfer that starts again with each change, and so never completes while changes are frequent.
+#[test]
+fn fetch_completes_while_document_changes() {
+    let (mut group, leader) = Group::formed(3);
+    watch(&mut group, leader, 70);
+    let large: &'static str = Box::leak("x".repeat(200_000).into_boxed_str());
+    assert_eq!(put(&mut group, leader, 1, large), 200);
+    let mut received = 0;
+    while received < large.len() as u64 {
+        fetch(&mut group, leader, 70, 1, received);
+        assert_eq!(put(&mut group, leader, 2 + received, "newer"), 200);
+        let (_, parts) = watched(&group, 70);
+        let part = parts.last().expect("a part");
+        assert_eq!((part.version, part.offset), (1, received));
+        received += part.content.len() as u64;
+    }
+    fetch(&mut group, leader, 70, 1, 0);
+    let (_, parts) = watched(&group, 70);
+    assert_eq!(
+        parts.last().map(|part| part.content.clone()),
+        Some("newer".into())
+    );
+}
+
 /// Guards against a directory that lacks a connected entry, or lists one whose link has closed.
 #[test]
 fn directory_lists_entries_while_linked() {
--- a/crates/control/tests/group/chaos.rs
+++ b/crates/control/tests/group/chaos.rs
@@ -294,7 +294,10 @@
                             .confirm(*at, confirmation.version, confirmation.age);
                     }
                     ControlMessage::View(_) => {}
-                    ControlMessage::Document(_) | ControlMessage::Directory { .. } => {
+                    ControlMessage::Document(_)
+                    | ControlMessage::Directory { .. }
+                    | ControlMessage::Announce(_)
+                    | ControlMessage::Part(_) => {
                         panic!(
                             "a subscriber that does not follow documents received a document or a directory"
                         );
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -176,7 +176,10 @@
                 confirmed |= confirm.probe() == 5 && confirm.version() == expected;
             }
             ControlMessageWire::View(_) => view_received = true,
-            ControlMessageWire::Document(..) | ControlMessageWire::Directory(..) => {
+            ControlMessageWire::Document(..)
+            | ControlMessageWire::Directory(..)
+            | ControlMessageWire::Announce(_)
+            | ControlMessageWire::Part(_) => {
                 panic!("a subscriber that does not follow documents received a document or a directory");
             }
         }
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -27,6 +27,13 @@
         }
             meaning: "The caller received the answer that the queue does not exist.",
             remedy: "If the route was added, compare the version with event 6025 of control: the entry may not have it yet.";
+        7004 DocumentReceived "document_received" Info "document received from control" {
+            version: u64 = "Version of the document.",
+            bytes: u64 = "Size of the document.",
+            behind: Duration = "Time since the oldest version that it supersedes, or this one, was announced to this entry.",
+        }
+            meaning: "The entry has fetched the document, and puts it in force unless event 7002 follows.",
+            remedy: "If it is far behind, check the link of the entry and compare the time with event 6025 of control.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
--- a/crates/leased/src/agent.rs
+++ b/crates/leased/src/agent.rs
@@ -5,7 +5,9 @@
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Metrics};
 use chestnutfork_types::{WorkerName, WorkerToEntry};
-use chestnutfork_wire::{ControlMessageWire, EntryToWorkerWire, Role, WorkerToEntryWire};
+use chestnutfork_wire::{
+    ControlMessageWire, EntryToWorkerWire, Role, SubscriberMessageWire, WorkerToEntryWire,
+};
 use chestnutfork_worker::{Action, Announcement, CallId, Event, Notice, Order, Reply, WorkerCore};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -219,9 +221,12 @@
     fn on_control_event(&mut self, event: ControlEvent) {
         match event {
             // Agents need no documents. Reporting the highest version keeps control from sending any.
-            ControlEvent::LinkOpened { link, tx } => self.control.link_opened(link, tx, u64::MAX),
+            ControlEvent::LinkOpened { link, tx } => {
+                self.control
+                    .link_opened(link, tx, SubscriberMessageWire::Follow(u64::MAX));
+            }
             ControlEvent::LinkClosed { link } => self.control.link_closed(link),
-            ControlEvent::Messages(messages) => {
+            ControlEvent::Messages { messages, .. } => {
                 for message in messages {
                     if let ControlMessageWire::Directory(controls, entries) = message {
                         self.control.dial(controls);
--- a/crates/leased/src/control.rs
+++ b/crates/leased/src/control.rs
@@ -1,7 +1,6 @@
 //! Links to control processes, which deliver documents and the directory of processes.
 
 use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkError, LinkHandler, LinkId, LinkSender};
-use chestnutfork_types::ConfigVersion;
 use chestnutfork_wire::{ControlMessageWire, Role, SubscriberMessageWire};
 use indexmap::IndexMap;
 
@@ -15,7 +14,10 @@
     LinkClosed {
         link: LinkId,
     },
-    Messages(Vec<ControlMessageWire>),
+    Messages {
+        link: LinkId,
+        messages: Vec<ControlMessageWire>,
+    },
 }
 
 /// Receiver of control events, usually a thin wrapper around an actor's mailbox.
@@ -37,8 +39,8 @@
         self.observer.notify(ControlEvent::LinkOpened { link, tx });
     }
 
-    fn received(&self, _link: LinkId, messages: Vec<ControlMessageWire>) {
-        self.observer.notify(ControlEvent::Messages(messages));
+    fn received(&self, link: LinkId, messages: Vec<ControlMessageWire>) {
+        self.observer.notify(ControlEvent::Messages { link, messages });
     }
 
     fn closed(&self, link: LinkId, _error: LinkError) {
@@ -78,17 +80,25 @@
         }
     }
 
+    /// Records an open link and sends the first message on it.
     pub(crate) fn link_opened(
         &mut self,
         link: LinkId,
         tx: LinkSender<SubscriberMessageWire>,
-        config_version: ConfigVersion,
+        first: SubscriberMessageWire,
     ) {
         // If the link is closed, the handler reports that separately.
-        tx.send(SubscriberMessageWire::Follow(config_version));
+        tx.send(first);
         self.links.insert(link, tx);
     }
 
+    /// Sends a message on a link. One that is closed needs no message: the handler reports the closure separately.
+    pub(crate) fn send(&self, link: LinkId, message: SubscriberMessageWire) {
+        if let Some(tx) = self.links.get(&link) {
+            tx.send(message);
+        }
+    }
+
     pub(crate) fn link_closed(&mut self, link: LinkId) {
         self.links.swap_remove(&link);
     }
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -1,13 +1,15 @@
 //! Actor that owns the entry core, the links to agents and the pending requests of callers.
 
 use std::fmt::Display;
+use std::time::{Duration, Instant};
 
 use chestnutfork_broker::{Action, Answer, BrokerCore, Event, Notice, Request, Ticket};
+use chestnutfork_documents::{Document, FetchAction, Fetcher, Part};
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_net::{Identity, LinkId, LinkSender, Metrics};
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::ConfigVersion;
-use chestnutfork_wire::{ControlMessageWire, EntryToWorkerWire, WorkerToEntryWire};
+use chestnutfork_wire::{ControlMessageWire, EntryToWorkerWire, SubscriberMessageWire, WorkerToEntryWire};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::oneshot;
@@ -163,6 +165,8 @@
     control: ControlConnections<EntryControlObserver>,
     agents: IndexMap<LinkId, LinkSender<EntryToWorkerWire>>,
     pending_replies: IndexMap<Ticket, oneshot::Sender<Answer>>,
+    fetcher: Fetcher,
+    fetch_actions: Vec<FetchAction>,
     version: ConfigVersion,
     reports_unready: bool,
     drain_replies: Vec<oneshot::Sender<()>>,
@@ -192,6 +196,8 @@
             control,
             agents: IndexMap::new(),
             pending_replies: IndexMap::new(),
+            fetcher: Fetcher::default(),
+            fetch_actions: Vec::new(),
             version: 0,
             reports_unready: false,
             drain_replies: Vec::new(),
@@ -246,6 +252,8 @@
             }
             EntryMessage::Tick => {
                 self.timer.on_fired();
+                self.fetcher.on_tick(self.timer.now(), &mut self.fetch_actions);
+                self.execute_fetch_actions(decoder);
                 self.handle_event(Event::Tick);
             }
             EntryMessage::Status(reply) => {
@@ -271,36 +279,34 @@
     }
 
     fn on_control_event<R: RouteDecoder>(&mut self, event: ControlEvent, decoder: &R) {
+        let now = self.timer.now();
         match event {
-            ControlEvent::LinkOpened { link, tx } => self.control.link_opened(link, tx, self.version),
-            ControlEvent::LinkClosed { link } => self.control.link_closed(link),
-            ControlEvent::Messages(messages) => {
+            ControlEvent::LinkOpened { link, tx } => {
+                self.control.link_opened(link, tx, SubscriberMessageWire::Watch);
+            }
+            ControlEvent::LinkClosed { link } => {
+                self.control.link_closed(link);
+                self.fetcher.on_closed(now, link, &mut self.fetch_actions);
+            }
+            ControlEvent::Messages { link, messages } => {
                 for message in messages {
-                    self.on_control_message(message, decoder);
+                    self.on_control_message(now, link, message);
                 }
             }
         }
+        self.execute_fetch_actions(decoder);
     }
 
-    fn on_control_message<R: RouteDecoder>(&mut self, message: ControlMessageWire, decoder: &R) {
+    fn on_control_message(&mut self, now: Instant, link: LinkId, message: ControlMessageWire) {
         match message {
-            ControlMessageWire::Document(version, content) => {
-                self.metrics.count("documents.received", 1);
-                self.metrics.count("documents.bytes", content.len() as u64);
-                if version <= self.version {
-                    self.metrics.count("documents.ignored", 1);
-                    return;
-                }
-                match decoder.decode(&content) {
-                    Ok(routes) => {
-                        self.version = version;
-                        self.handle_event(Event::Routes(routes));
-                    }
-                    Err(error) => emit(&RunsEvent::DocumentUnreadable {
-                        version,
-                        error: &error.to_string(),
-                    }),
-                }
+            ControlMessageWire::Announce(version) => {
+                self.fetcher
+                    .on_announced(now, link, version, &mut self.fetch_actions);
+            }
+            ControlMessageWire::Part(part) => {
+                let part = Part::from(part);
+                self.metrics.count("documents.bytes", part.content.len() as u64);
+                self.fetcher.on_part(now, link, &part, &mut self.fetch_actions);
             }
             ControlMessageWire::Directory(controls, entries) => {
                 self.control.dial(controls);
@@ -310,13 +316,58 @@
         }
     }
 
+    fn execute_fetch_actions<R: RouteDecoder>(&mut self, decoder: &R) {
+        for action in std::mem::take(&mut self.fetch_actions) {
+            match action {
+                FetchAction::Request {
+                    link,
+                    version,
+                    offset,
+                } => {
+                    self.metrics.count("documents.requests", 1);
+                    let message = SubscriberMessageWire::Fetch { version, offset };
+                    self.control.send(link, message);
+                }
+                FetchAction::Deliver { document, behind } => self.on_document(&document, behind, decoder),
+            }
+        }
+        self.arm_timer();
+    }
+
+    fn on_document<R: RouteDecoder>(&mut self, document: &Document, behind: Duration, decoder: &R) {
+        self.metrics.count("documents.received", 1);
+        self.metrics.time("documents.behind", behind);
+        let version = document.version;
+        emit(&RunsEvent::DocumentReceived {
+            version,
+            bytes: document.content.len() as u64,
+            behind,
+        });
+        match decoder.decode(&document.content) {
+            Ok(routes) => {
+                self.version = version;
+                self.handle_event(Event::Routes(routes));
+            }
+            Err(error) => emit(&RunsEvent::DocumentUnreadable {
+                version,
+                error: &error.to_string(),
+            }),
+        }
+    }
+
+    fn arm_timer(&mut self) {
+        let wakeup = self.core.next_wakeup();
+        let fetch = self.fetcher.next_wakeup();
+        self.timer.arm(fetch.map_or(wakeup, |at| at.min(wakeup)));
+    }
+
     fn handle_event(&mut self, event: Event) {
         let now = self.timer.now();
         self.core.handle(now, event, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
             self.execute(action);
         }
-        self.timer.arm(self.core.next_wakeup());
+        self.arm_timer();
         if self.core.jobs_in_progress() == 0 {
             for reply in self.drain_replies.drain(..) {
                 let _ = reply.send(());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,4 +23,6 @@
     ReplicaHelloWire, ReplicaMessageWire, StateWire,
 };
 pub use runs::{EntryToWorkerWire, LoadWire, RunOutcomeWire, WorkerToEntryWire};
-pub use subscription::{ConfirmWire, ControlMessageWire, EntryInfoWire, SubscriberMessageWire, ViewWire};
+pub use subscription::{
+    ConfirmWire, ControlMessageWire, EntryInfoWire, PartWire, SubscriberMessageWire, ViewWire,
+};
--- a/crates/wire/src/subscription.rs
+++ b/crates/wire/src/subscription.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chestnutfork_documents::Part;
 use serde::{Deserialize, Serialize};
 
 use crate::raft::micros;
@@ -39,9 +40,23 @@
     /// Ends the lease before the subscriber shuts down.
     #[serde(rename = "l")]
     Leaving,
-    /// Subscribes to documents after a version and to the directory of processes.
+    /// Subscribes to documents after a version, which are sent whole, and to the directory of processes. Agents send it,
+    /// and entries of builds that do not fetch documents.
     #[serde(rename = "f")]
     Follow(u64),
+    /// Subscribes to announcements of document versions and to the directory of processes.
+    #[serde(rename = "w")]
+    Watch,
+    /// Requests a part of a document.
+    #[serde(rename = "g")]
+    Fetch {
+        /// Version of the document.
+        #[serde(rename = "v")]
+        version: u64,
+        /// Position of the first byte of the part.
+        #[serde(rename = "o")]
+        offset: u64,
+    },
 }
 
 /// Message from control to an entry or agent.
@@ -62,6 +77,60 @@
     /// Lists the addresses of control processes and of entries.
     #[serde(rename = "p")]
     Directory(Vec<String>, Vec<String>),
+    /// Version of the newest document at this control process.
+    #[serde(rename = "n")]
+    Announce(u64),
+    /// Part of a document.
+    #[serde(rename = "t")]
+    Part(PartWire),
+}
+
+/// Part of a document, sent in reply to a request for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartWire {
+    #[serde(rename = "v")]
+    version: u64,
+    /// Size of the whole document in bytes.
+    #[serde(rename = "t")]
+    total: u64,
+    #[serde(rename = "o")]
+    offset: u64,
+    #[serde(rename = "b")]
+    content: Bytes,
+}
+
+impl From<Part> for PartWire {
+    fn from(part: Part) -> Self {
+        let Part {
+            version,
+            total,
+            offset,
+            content,
+        } = part;
+        Self {
+            version,
+            total,
+            offset,
+            content,
+        }
+    }
+}
+
+impl From<PartWire> for Part {
+    fn from(wire: PartWire) -> Self {
+        let PartWire {
+            version,
+            total,
+            offset,
+            content,
+        } = wire;
+        Self {
+            version,
+            total,
+            offset,
+            content,
+        }
+    }
 }
 
 /// Confirmation that a configuration version was current, sent in reply to a lease renewal.
