--- a/crates/subscriber/src/actor.rs
+++ b/crates/subscriber/src/actor.rs
@@ -370,8 +370,11 @@
                 age: confirm.age(),
             }),
             ControlMessageWire::View(view) => self.handle_event(Event::View(control_view(view))),
-            // Control sends these only to followers.
-            ControlMessageWire::Document(..) | ControlMessageWire::Directory(..) => {}
+            // Control sends these only to followers and watchers.
+            ControlMessageWire::Document(..)
+            | ControlMessageWire::Directory(..)
+            | ControlMessageWire::Announce(_)
+            | ControlMessageWire::Part(_) => {}
         }
     }
 
