soak: Check that entries have the last configuration in force

After the last fault it now sends 20 configurations one after the other, each with a queue of its own, and checks that every entry has the last one in force within the bound. It does not slow the links of entries down, because its proxies stand before control and would slow replication as well; put_config_is_not_delayed_by_superseded_versions covers that.

--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -51,16 +51,32 @@
     })
 }
 
-/// Returns a configuration; its version shows in the time limit of the route.
+/// Returns a configuration, which has a queue of its own for its version.
 pub(crate) fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str| {
+        json!({"name": name, "host": HOST, "path_prefix": prefix, "timeout_ms": 1500, "target_latency_ms": 60,
+               "service": SERVICE, "max_attempts": 3, "stretch_factor": 3.0})
+    };
     json!({
         "version": version,
-        "routes": [{"name": "r", "host": HOST, "path_prefix": QUEUE, "timeout_ms": 1500 + version % 100,
-                    "target_latency_ms": 60, "service": SERVICE, "max_attempts": 3, "stretch_factor": 3.0}],
+        "routes": [route("r", QUEUE), route("version", &version_queue(version))],
         "services": [{"name": SERVICE, "enforces_capacity": true}]
     })
 }
 
+fn version_queue(version: u64) -> String {
+    format!("/v{version}/")
+}
+
+/// Returns the request for the length of the queue that only this version of the configuration has.
+pub(crate) fn get_version_queue(entry: SocketAddr, version: u64) -> Request<Body> {
+    let url = format!("http://{entry}{}", version_queue(version));
+    let mut request = request(Method::GET, &url, &Value::Null);
+    let host = hyper::header::HeaderValue::from_static(HOST);
+    request.headers_mut().insert("host", host);
+    request
+}
+
 pub(crate) fn put_configuration(control: SocketAddr, version: u64) -> Request<Body> {
     request(
         Method::PUT,
--- a/deploy/soak/src/ledger.rs
+++ b/deploy/soak/src/ledger.rs
@@ -10,7 +10,7 @@
 /// Time after which a leaving worker gets no more tasks, as the deployments' settings allow.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time after which an accepted configuration is in force, as the deployments' settings allow.
-const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+pub(crate) const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 
 /// One incarnation of a worker: its position and the number of the incarnation.
 pub type WorkerIncarnation = (usize, u64);
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -13,7 +13,7 @@
 use crate::callers::{self, exchange};
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
-use crate::ledger::{Ledger, Report, Seen};
+use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report, Seen};
 use crate::plan::{Fault, Plan, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
@@ -35,6 +35,8 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a process has ended that was asked to: the grace of the settings, and a second.
 const END_WITHIN: Duration = Duration::from_secs(7);
+/// Configurations that are sent one after the other when all faults are over.
+const LAST_CHANGES: u64 = 20;
 /// Bytes of a torn record.
 const TORN: [u8; 11] = [0, 0, 0, 40, 1, 2, 3, 4, 5, 6, 7];
 
@@ -140,6 +142,7 @@
     system.heal().await?;
     system.watch_for(RECOVERY).await;
     system.tell(Seen::Calm);
+    system.change_and_check_entries().await;
     system.watch_for(CALM).await;
     // A caller that has ended by a panic shows in the counts.
     let _ = stop.send(true);
@@ -327,6 +330,38 @@
         });
     }
 
+    /// Sends several configurations without faults, and checks that every entry has the last one in force in time.
+    async fn change_and_check_entries(&mut self) {
+        let mut taken = true;
+        for change in 0..LAST_CHANGES {
+            self.version += 1;
+            let control = usize::try_from(change).unwrap_or(0) % self.size.controls;
+            let control = self.nodes[control].machine.public(CONTROL_PORT);
+            let request = dialect::put_configuration(control, self.version);
+            let reply = exchange(&self.http, request, CONTROL_TIMEOUT).await;
+            taken = reply.is_some_and(|(status, _)| status == StatusCode::OK);
+        }
+        let version = self.version;
+        if !taken {
+            self.tell(Seen::Violated(format!(
+                "configuration {version} was not acknowledged after all faults were over"
+            )));
+            return;
+        }
+        let at = Instant::now();
+        self.tell(Seen::ConfigurationTaken { version, at });
+        self.watch_for(CONFIGURATION_BOUND).await;
+        for entry in self.entry_addresses() {
+            let request = dialect::get_version_queue(entry, version);
+            let reply = exchange(&self.http, request, CONTROL_TIMEOUT).await;
+            if reply.is_none_or(|(status, _)| status != StatusCode::OK) {
+                self.tell(Seen::Violated(format!(
+                    "configuration {version} is not in force at {entry} {CONFIGURATION_BOUND:?} after it was acknowledged"
+                )));
+            }
+        }
+    }
+
     /// Ends all faults and starts what does not run.
     async fn heal(&mut self) -> Result<(), SoakError> {
         for worker in 0..self.workers.len() {
