routes, broker: Look routes up in an index

Cause: each request compared its host and path with every route.

Change: RouteIndex holds the routes of each host sorted by prefix, and a lookup takes a few searches. It replaces RouteTable::find.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use chestnutfork_routes::RouteTable;
+use chestnutfork_routes::{RouteIndex, RouteTable};
 use chestnutfork_types::{
     AttemptKey, AttemptNumber, EntryToWorker, JobId, LinkNumber, NodeName, ProcessId, TaskKey, WorkerToEntry,
 };
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub struct BrokerCore {
     pub(crate) cfg: BrokerConfig,
-    pub(crate) routes: Option<RouteTable>,
+    pub(crate) routes: Option<RouteIndex>,
     /// When the route table came into force.
     pub(crate) routes_since: Instant,
     pub(crate) entry_count: usize,
@@ -163,13 +163,13 @@
         let newer = self
             .routes
             .as_ref()
-            .is_none_or(|known| routes.version > known.version);
+            .is_none_or(|known| routes.version > known.version());
         if newer {
             actions.push(Action::Notice(Notice::RoutesInForce {
                 version: routes.version,
                 routes: routes.routes.len() as u64,
             }));
-            self.routes = Some(routes);
+            self.routes = Some(RouteIndex::from(routes));
             self.routes_since = now;
             for (_, ticket, request) in std::mem::take(&mut self.early_requests) {
                 self.on_request(now, ticket, request, actions);
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_routes::Route;
+use chestnutfork_routes::{Route, RouteIndex};
 use chestnutfork_types::{JobId, TaskIndex};
 
 use crate::admission::RETRY_AFTER;
@@ -32,7 +32,7 @@
             actions.push(Action::Notice(Notice::RouteMissing {
                 host: request.host,
                 queue: request.queue,
-                version: routes.version,
+                version: routes.version(),
                 in_force: now.saturating_duration_since(self.routes_since),
             }));
             actions.push(Action::Answer(ticket, Answer::NoRoute));
@@ -157,7 +157,7 @@
         actions.push(Action::Notice(Notice::JobTaken {
             job: id,
             route: route.name.clone(),
-            version: self.routes.as_ref().map_or(0, |routes| routes.version),
+            version: self.routes.as_ref().map_or(0, RouteIndex::version),
             tasks: tasks.len() as u64,
             objective,
             waiting: self.waiting.len() as u64,
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -45,23 +45,3 @@
     /// Services that routes may refer to.
     pub services: IndexMap<ServiceName, ServiceRule>,
 }
-
-impl RouteTable {
-    /// Returns the route that matches a host and path; the one with the longest prefix takes precedence.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use chestnutfork_routes::RouteTable;
-    ///
-    /// assert!(RouteTable::default().find("example", "/queue/1").is_none());
-    /// ```
-    #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let matching = self
-            .routes
-            .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix));
-        matching.max_by_key(|route| route.prefix.len())
-    }
-}
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -1,8 +1,10 @@
 //! Tests of the route table.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use chestnutfork_routes::{Route, RouteTable, ServiceRule, TableError};
+use chestnutfork_routes::{Route, RouteIndex, RouteTable, ServiceRule, TableError};
+use quickcheck::QuickCheck;
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -29,12 +31,29 @@
 /// Guards against a short prefix taking precedence over a longer one.
 #[test]
 fn find_prefers_longest_prefix() {
-    let table = table(vec![route("short", "/q/"), route("long", "/q/urgent/")]);
-    let found = |path| table.find("A.example", path).map(|route| route.name.as_str());
+    let index = RouteIndex::from(table(vec![route("short", "/q/"), route("long", "/q/urgent/")]));
+    let found = |path| index.find("A.example", path).map(|route| route.name.as_str());
     assert_eq!(found("/q/urgent/1"), Some("long"));
     assert_eq!(found("/q/1"), Some("short"));
     assert_eq!(found("/other/1"), None);
-    assert_eq!(table.find("b.example", "/q/1"), None);
+    assert_eq!(index.find("b.example", "/q/1"), None);
+}
+
+/// Guards against an index that finds another route than a comparison with every prefix, where prefixes are nested or share
+/// a beginning.
+#[test]
+fn find_agrees_with_linear_search() {
+    fn property(prefixes: Vec<Vec<bool>>, path: Vec<bool>) -> bool {
+        let text = |bits: Vec<bool>| bits.into_iter().map(|bit| if bit { 'a' } else { 'é' }).collect();
+        let prefixes: BTreeSet<String> = prefixes.into_iter().map(text).collect();
+        let path: String = text(path);
+        let matching = prefixes.iter().filter(|prefix| path.starts_with(*prefix));
+        let longest = matching.max_by_key(|prefix| prefix.len());
+        let routes = prefixes.iter().map(|prefix| route(prefix, prefix)).collect();
+        let index = RouteIndex::from(table(routes));
+        index.find("a.example", &path).map(|route| &route.prefix) == longest
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<Vec<bool>>, Vec<bool>) -> bool);
 }
 
 /// Guards against accepting a table with unroutable or ambiguous requests, or with requests that time out immediately.
