leased: Fetch the configuration of an entry in an actor of its own

Cause: announcements and parts of documents waited in the mailbox of the entry behind requests and reports.

Change: ConfigurationActor owns the links of an entry to control, fetches and decodes, and passes route tables to the entry. The entry's actor no longer decodes documents, and no longer depends on the decoder. A route table that waits in the mailbox of the entry needs no precedence: requests that arrive after it wait behind it.

--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -1,37 +1,18 @@
 //! Actor that owns the entry core, the links to agents and the pending requests of callers.
 
-use std::fmt::Display;
-use std::time::{Duration, Instant};
-
 use chestnutfork_broker::{Action, Answer, BrokerCore, Event, Notice, Request, Ticket};
-use chestnutfork_documents::{Document, FetchAction, Fetcher, Part};
-use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_net::{Identity, LinkId, LinkSender, Metrics};
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::ConfigVersion;
-use chestnutfork_wire::{ControlMessageWire, EntryToWorkerWire, SubscriberMessageWire, WorkerToEntryWire};
+use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::oneshot;
 
 use crate::clock::LeaseClock;
-use crate::control::{ControlConnections, ControlEvent, ControlObserver};
 use crate::notices;
 use crate::timer::LeaseTimer;
 
-/// Decodes the documents of operators.
-pub trait RouteDecoder: Send + Sync + 'static {
-    /// Reason why a document cannot be used.
-    type Error: Display;
-
-    /// Decodes a document to a route table.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the document cannot be decoded or violates an invariant of the table.
-    fn decode(&self, content: &[u8]) -> Result<RouteTable, Self::Error>;
-}
-
 /// Status of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EntryStatus {
@@ -46,7 +27,10 @@
 /// Message to the actor of an entry.
 #[derive(Debug)]
 pub(crate) enum EntryMessage {
-    Control(ControlEvent),
+    /// A configuration was received.
+    Routes(RouteTable),
+    /// The number of entries that are connected to control changed.
+    EntryCount(usize),
     AgentUp {
         link: LinkId,
         peer: Identity,
@@ -131,30 +115,15 @@
     }
 }
 
-#[derive(Clone, Debug)]
-pub(crate) struct EntryControlObserver {
-    actor: ActorRef<EntryMessage>,
-}
-
-impl ControlObserver for EntryControlObserver {
-    fn notify(&self, event: ControlEvent) {
-        // The cast fails only if the actor has stopped and needs no events.
-        drop(self.actor.cast(EntryMessage::Control(event)));
-    }
-}
-
-/// Actor of an entry that decodes documents with `R`.
-pub(crate) struct EntryActor<R> {
-    pub(crate) decoder: R,
-}
+/// Actor of an entry.
+#[derive(Debug)]
+pub(crate) struct EntryActor;
 
 /// Start-up arguments of the actor.
 #[derive(Debug)]
 pub(crate) struct EntryArguments {
     pub(crate) core: BrokerCore,
     pub(crate) clock: LeaseClock,
-    pub(crate) dial_template: chestnutfork_net::DialTemplate,
-    pub(crate) seeds: Vec<String>,
     pub(crate) metrics: Metrics,
 }
 
@@ -162,11 +131,8 @@
 pub(crate) struct EntryState {
     core: BrokerCore,
     timer: LeaseTimer,
-    control: ControlConnections<EntryControlObserver>,
     agents: IndexMap<LinkId, LinkSender<EntryToWorkerWire>>,
     pending_replies: IndexMap<Ticket, oneshot::Sender<Answer>>,
-    fetcher: Fetcher,
-    fetch_actions: Vec<FetchAction>,
     version: ConfigVersion,
     reports_unready: bool,
     drain_replies: Vec<oneshot::Sender<()>>,
@@ -174,7 +140,7 @@
     actions: Vec<Action>,
 }
 
-impl<R: RouteDecoder> Actor for EntryActor<R> {
+impl Actor for EntryActor {
     type Msg = EntryMessage;
     type State = EntryState;
     type Arguments = EntryArguments;
@@ -184,20 +150,13 @@
         myself: ActorRef<EntryMessage>,
         arguments: EntryArguments,
     ) -> Result<EntryState, ActorProcessingErr> {
-        let tick_target = myself.clone();
-        let notify = move || drop(tick_target.cast(EntryMessage::Tick));
+        let notify = move || drop(myself.cast(EntryMessage::Tick));
         let timer = LeaseTimer::start(arguments.clock, notify);
-        let mut control =
-            ControlConnections::new(arguments.dial_template, EntryControlObserver { actor: myself });
-        control.dial(arguments.seeds);
         let mut state = EntryState {
             core: arguments.core,
             timer,
-            control,
             agents: IndexMap::new(),
             pending_replies: IndexMap::new(),
-            fetcher: Fetcher::default(),
-            fetch_actions: Vec::new(),
             version: 0,
             reports_unready: false,
             drain_replies: Vec::new(),
@@ -214,15 +173,19 @@
         message: EntryMessage,
         state: &mut EntryState,
     ) -> Result<(), ActorProcessingErr> {
-        state.handle_message(message, &self.decoder);
+        state.handle_message(message);
         Ok(())
     }
 }
 
 impl EntryState {
-    fn handle_message<R: RouteDecoder>(&mut self, message: EntryMessage, decoder: &R) {
+    fn handle_message(&mut self, message: EntryMessage) {
         match message {
-            EntryMessage::Control(event) => self.on_control_event(event, decoder),
+            EntryMessage::Routes(routes) => {
+                self.version = self.version.max(routes.version);
+                self.handle_event(Event::Routes(routes));
+            }
+            EntryMessage::EntryCount(entries) => self.handle_event(Event::EntryCount(entries)),
             EntryMessage::AgentUp { link, peer, tx } => {
                 self.agents.insert(link, tx);
                 let (agent, process) = (peer.name, peer.process);
@@ -252,8 +215,6 @@
             }
             EntryMessage::Tick => {
                 self.timer.on_fired();
-                self.fetcher.on_tick(self.timer.now(), &mut self.fetch_actions);
-                self.execute_fetch_actions(decoder);
                 self.handle_event(Event::Tick);
             }
             EntryMessage::Status(reply) => {
@@ -278,96 +239,13 @@
         }
     }
 
-    fn on_control_event<R: RouteDecoder>(&mut self, event: ControlEvent, decoder: &R) {
-        let now = self.timer.now();
-        match event {
-            ControlEvent::LinkOpened { link, tx } => {
-                self.control.link_opened(link, tx, SubscriberMessageWire::Watch);
-            }
-            ControlEvent::LinkClosed { link } => {
-                self.control.link_closed(link);
-                self.fetcher.on_closed(now, link, &mut self.fetch_actions);
-            }
-            ControlEvent::Messages { link, messages } => {
-                for message in messages {
-                    self.on_control_message(now, link, message);
-                }
-            }
-        }
-        self.execute_fetch_actions(decoder);
-    }
-
-    fn on_control_message(&mut self, now: Instant, link: LinkId, message: ControlMessageWire) {
-        match message {
-            ControlMessageWire::Announce(version) => {
-                self.fetcher
-                    .on_announced(now, link, version, &mut self.fetch_actions);
-            }
-            ControlMessageWire::Part(part) => {
-                let part = Part::from(part);
-                self.metrics.count("documents.bytes", part.content.len() as u64);
-                self.fetcher.on_part(now, link, &part, &mut self.fetch_actions);
-            }
-            ControlMessageWire::Directory(controls, entries) => {
-                self.control.dial(controls);
-                self.handle_event(Event::EntryCount(entries.len()));
-            }
-            _ => {}
-        }
-    }
-
-    fn execute_fetch_actions<R: RouteDecoder>(&mut self, decoder: &R) {
-        for action in std::mem::take(&mut self.fetch_actions) {
-            match action {
-                FetchAction::Request {
-                    link,
-                    version,
-                    offset,
-                } => {
-                    self.metrics.count("documents.requests", 1);
-                    let message = SubscriberMessageWire::Fetch { version, offset };
-                    self.control.send(link, message);
-                }
-                FetchAction::Deliver { document, behind } => self.on_document(&document, behind, decoder),
-            }
-        }
-        self.arm_timer();
-    }
-
-    fn on_document<R: RouteDecoder>(&mut self, document: &Document, behind: Duration, decoder: &R) {
-        self.metrics.count("documents.received", 1);
-        self.metrics.time("documents.behind", behind);
-        let version = document.version;
-        emit(&RunsEvent::DocumentReceived {
-            version,
-            bytes: document.content.len() as u64,
-            behind,
-        });
-        match decoder.decode(&document.content) {
-            Ok(routes) => {
-                self.version = version;
-                self.handle_event(Event::Routes(routes));
-            }
-            Err(error) => emit(&RunsEvent::DocumentUnreadable {
-                version,
-                error: &error.to_string(),
-            }),
-        }
-    }
-
-    fn arm_timer(&mut self) {
-        let wakeup = self.core.next_wakeup();
-        let fetch = self.fetcher.next_wakeup();
-        self.timer.arm(fetch.map_or(wakeup, |at| at.min(wakeup)));
-    }
-
     fn handle_event(&mut self, event: Event) {
         let now = self.timer.now();
         self.core.handle(now, event, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
             self.execute(action);
         }
-        self.arm_timer();
+        self.timer.arm(self.core.next_wakeup());
         if self.core.jobs_in_progress() == 0 {
             for reply in self.drain_replies.drain(..) {
                 let _ = reply.send(());
--- a/crates/leased/src/lib.rs
+++ b/crates/leased/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod agent;
 mod clock;
+mod configuration;
 mod control;
 mod entry;
 mod error;
@@ -18,6 +19,7 @@
 
 pub use agent::{AgentClient, WorkerClient};
 pub use clock::LeaseClock;
-pub use entry::{EntryClient, EntryStatus, RouteDecoder};
+pub use configuration::RouteDecoder;
+pub use entry::{EntryClient, EntryStatus};
 pub use error::LeasedError;
 pub use run::{NodeConfig, NodeConfigBuilder, RunningAgent, RunningEntry, start_agent, start_entry};
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -16,7 +16,8 @@
 
 use crate::agent::{AgentActor, AgentArguments, AgentClient, AgentMessage, WorkerClient};
 use crate::clock::LeaseClock;
-use crate::entry::{EntryActor, EntryArguments, EntryClient, EntryMessage, RouteDecoder};
+use crate::configuration::{ConfigurationActor, ConfigurationArguments, ConfigurationMessage, RouteDecoder};
+use crate::entry::{EntryActor, EntryArguments, EntryClient, EntryMessage};
 use crate::error::LeasedError;
 use crate::links::AgentLinkHandler;
 
@@ -130,6 +131,7 @@
     process: ProcessId,
     address: String,
     actor: ActorRef<EntryMessage>,
+    configuration: ActorRef<ConfigurationMessage>,
     _listener: Listener,
 }
 
@@ -172,6 +174,7 @@
     /// Stops the entry and returns the number of unfinished jobs.
     pub async fn stop(self) -> u64 {
         let status = self.client().status().await;
+        self.configuration.stop(None);
         self.actor.stop(None);
         status.map_or(0, |status| status.jobs_in_progress as u64)
     }
@@ -235,12 +238,20 @@
         .build();
     let arguments = EntryArguments {
         core: BrokerCore::new(broker, clock.now()),
+        clock,
+        metrics: cfg.metrics.clone(),
+    };
+    let (actor, _) = Actor::spawn(None, EntryActor, arguments)
+        .await
+        .map_err(|error| actor_error(&error))?;
+    let arguments = ConfigurationArguments {
         clock,
         dial_template: dial_template(&cfg, &identity),
         seeds: cfg.seeds.clone(),
         metrics: cfg.metrics.clone(),
+        entry: actor.clone(),
     };
-    let (actor, _) = Actor::spawn(None, EntryActor { decoder }, arguments)
+    let (configuration, _) = Actor::spawn(None, ConfigurationActor { decoder }, arguments)
         .await
         .map_err(|error| actor_error(&error))?;
     let links = AgentLinkHandler { actor: actor.clone() };
@@ -252,6 +263,7 @@
         process,
         address,
         actor,
+        configuration,
         _listener: listener,
     })
 }
