documents: Accept the highest version, and name the failover of a transfer

A version of 2^64 - 1, which an operator can assign, overflowed when the announced versions were divided: a panic in debug builds, and no effect in release builds. Found by reading; highest_version_is_delivered panics before. The other changes are names and comments.

--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -81,7 +81,7 @@
     /// Subscribes a process to announcements and to the directory.
     pub(crate) fn on_watch(&mut self, link: LinkId) {
         self.publisher.watch(link);
-        // The process fetches documents, so none is sent to it whole.
+        // Reporting the highest version keeps control from pushing documents, which this process fetches.
         self.on_follow(link, ConfigVersion::MAX);
     }
 
--- a/crates/documents/src/document.rs
+++ b/crates/documents/src/document.rs
@@ -17,7 +17,7 @@
 pub struct Part {
     /// Version of the document.
     pub version: ConfigVersion,
-    /// Size of the whole document in bytes.
+    /// Size of the document in bytes.
     pub total: u64,
     /// Position of the first byte of this part.
     pub offset: u64,
--- a/crates/documents/src/fetcher.rs
+++ b/crates/documents/src/fetcher.rs
@@ -100,14 +100,14 @@
             .as_ref()
             .is_some_and(|transfer| transfer.link == link)
         {
-            self.continue_elsewhere(now, actions);
+            self.fail_over(now, actions);
         }
     }
 
     /// Continues a transfer on another link if its next part is overdue.
     pub fn on_tick(&mut self, now: Instant, actions: &mut Vec<FetchAction>) {
         if self.next_wakeup().is_some_and(|at| at <= now) {
-            self.continue_elsewhere(now, actions);
+            self.fail_over(now, actions);
         }
     }
 
@@ -124,7 +124,7 @@
         }
         let expected = part.version == transfer.version && part.offset == transfer.content.len() as u64;
         if !expected {
-            // The part was sent twice, or belongs to a document that is no longer fetched.
+            // A duplicate, or a part of a superseded document.
             return;
         }
         transfer.link = link;
@@ -145,9 +145,8 @@
     /// Records a version as delivered and returns the time since the oldest version up to it was announced.
     fn deliver(&mut self, now: Instant, version: ConfigVersion) -> Duration {
         self.delivered = version;
-        let later = self.pending.split_off(&(version + 1));
-        let reached = std::mem::replace(&mut self.pending, later);
-        let oldest = reached.values().min().copied();
+        let oldest = self.pending.range(..=version).map(|(_, &since)| since).min();
+        self.pending.retain(|&pending, _| pending > version);
         oldest.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
@@ -178,12 +177,12 @@
         });
     }
 
-    /// Requests the rest of the document in transfer on the next link that offers it, or starts with a newer document.
-    fn continue_elsewhere(&mut self, now: Instant, actions: &mut Vec<FetchAction>) {
+    /// Requests the rest of the document in transfer from another control process, or starts with the newest document.
+    fn fail_over(&mut self, now: Instant, actions: &mut Vec<FetchAction>) {
         let Some(mut transfer) = self.transfer.take() else {
             return;
         };
-        // The link that did not send the part becomes the last choice.
+        // The link without progress becomes the last choice.
         if let Some(announced) = self.announced.shift_remove(&transfer.link) {
             self.announced.insert(transfer.link, announced);
         }
--- a/crates/documents/src/publisher.rs
+++ b/crates/documents/src/publisher.rs
@@ -5,7 +5,7 @@
 
 use crate::document::{Document, Part};
 
-/// Maximum size of a part in bytes. A link of 19 Mbit/s carries it in 28 ms, far below the idle timeout of a link.
+/// Maximum size of a part in bytes. Its transfer takes 28 ms at 19 Mbit/s, far less than the idle timeout of a link.
 const PART_BYTES: usize = 64 * 1024;
 
 /// Subscribers of a control process, and the version that was announced last to each.
--- a/crates/documents/tests/transfer.rs
+++ b/crates/documents/tests/transfer.rs
@@ -7,7 +7,7 @@
 use chestnutfork_documents::{Document, FetchAction, Fetcher, Part, Publisher, parts};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-/// Time without a part after which a fetcher asks another control process.
+/// Time without a part after which a fetcher requests the rest from another control process.
 const PART_TIMEOUT: Duration = Duration::from_secs(1);
 
 fn document(version: u64, bytes: usize) -> Document {
@@ -169,7 +169,7 @@
 
 /// Guards against an entry that stays behind because its only source does not answer while others have the version.
 #[test]
-fn overdue_part_is_requested_elsewhere() {
+fn overdue_part_is_requested_from_other_source() {
     let mut deployment = Deployment::new(2);
     deployment.publish(1, 300_000);
     let (link, version, _) = deployment.requests[0];
@@ -201,7 +201,7 @@
     assert_eq!(deployment.delivered_versions(), [1]);
 }
 
-/// Guards against an entry that follows a control process that is behind, and ignores a newer version offered elsewhere.
+/// Guards against an entry that follows a control process that is behind, and ignores a newer version of another one.
 #[test]
 fn newest_announced_version_is_chosen() {
     let mut fetcher = Fetcher::default();
@@ -266,6 +266,15 @@
     );
 }
 
+/// Guards against an overflow at the highest version that an operator can assign.
+#[test]
+fn highest_version_is_delivered() {
+    let mut deployment = Deployment::new(1);
+    deployment.publish(u64::MAX, 10);
+    deployment.answer_all();
+    assert_eq!(deployment.delivered_versions(), [u64::MAX]);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Publish { bytes: u16 },
