routes, control: Remove unused accessors of the route index, and shorten comments

RouteIndex::len and is_empty have no callers: the number of routes is logged before the index is built. No behaviour changes; the tests of routes and broker pass.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -204,7 +204,7 @@
     Confirm(Confirmation),
     /// Entry view in force.
     View(ViewRecord),
-    /// Newest document, whole.
+    /// Newest document in full.
     Document(Document),
     /// Addresses of the processes to dial.
     Directory {
--- a/crates/routes/src/index.rs
+++ b/crates/routes/src/index.rs
@@ -34,18 +34,6 @@
         self.table.version
     }
 
-    /// Returns the number of routes.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.table.routes.len()
-    }
-
-    /// Returns whether there are no routes.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.table.routes.is_empty()
-    }
-
     /// Returns the route that matches a host and path; the one with the longest prefix takes precedence.
     ///
     /// # Examples
--- a/crates/wire/src/subscription.rs
+++ b/crates/wire/src/subscription.rs
@@ -40,7 +40,7 @@
     /// Ends the lease before the subscriber shuts down.
     #[serde(rename = "l")]
     Leaving,
-    /// Subscribes to documents after a version, which are sent whole, and to the directory of processes. Agents send it,
+    /// Subscribes to documents after a version, which are sent in full, and to the directory of processes. Agents send it,
     /// and entries of builds that do not fetch documents.
     #[serde(rename = "f")]
     Follow(u64),
