worker, leased: Log what proves the end of a run, and why a worker counts as gone

Events 7032 (run, worker, evidence), 7023 (reason) and 7021 (start of the incarnation) now tell them apart. No decision changes; the tests of the three crates pass.

--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -108,6 +108,7 @@
             worker: &'a str = "The worker.",
             pool: &'a str = "Its pool.",
             cpu_millis: u64 = "Its capacity in thousandths of a core.",
+            started_ms: u64 = "Start of this incarnation, in milliseconds since the Unix epoch.",
         }
             meaning: "A new incarnation of the worker accepts tasks.",
             remedy: "None.";
@@ -120,6 +121,7 @@
         7023 WorkerGone "worker_gone" Info "worker left or was replaced" {
             worker: &'a str = "The worker.",
             lost: u64 = "Runs that ended with it.",
+            reason: &'a str = "`withdrawn`, `renamed` (another worker announced itself) or `restarted` (under the same name).",
         }
             meaning: "The worker left or was replaced by another incarnation.",
             remedy: "None if it was stopped intentionally; otherwise check the worker.";
@@ -159,6 +161,9 @@
             attempt: u64 = "Number of the attempt.",
             end: &'a str = "How it ended: `failed`, `stopped`, `lost` or `not_started`.",
             ran: Duration = "Time that it ran.",
+            run: u64 = "Number of the run.",
+            worker: &'a str = "The worker.",
+            evidence: &'a str = "What proves the end: `listed`, `unlisted`, `not_ordered`, `rejected`, `lease`, `restart` or `withdrawal`.",
         }
             meaning: "The run has certainly ended and is reported to its entry.",
             remedy: "None if it is rare.";
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -129,16 +129,22 @@
             worker,
             pool,
             cpu_millis,
+            started_at,
         } => emit(&RunsEvent::WorkerJoined {
             worker,
             pool,
             cpu_millis: *cpu_millis,
+            started_ms: u64::try_from(started_at.as_millis()).unwrap_or(u64::MAX),
         }),
         WorkerNotice::WorkerLeaving { worker, running } => emit(&RunsEvent::WorkerLeaving {
             worker,
             running: *running,
         }),
-        WorkerNotice::WorkerGone { worker, lost } => emit(&RunsEvent::WorkerGone { worker, lost: *lost }),
+        WorkerNotice::WorkerGone { worker, lost, reason } => emit(&RunsEvent::WorkerGone {
+            worker,
+            lost: *lost,
+            reason: reason.as_str(),
+        }),
         WorkerNotice::WorkerSilent { worker, silent } => emit(&RunsEvent::WorkerSilent {
             worker,
             silent: *silent,
@@ -160,13 +166,19 @@
         }),
         WorkerNotice::RunEnded {
             key,
+            run,
+            worker,
             outcome,
             run_time,
+            evidence,
         } => emit(&RunsEvent::RunEnded {
             task: &format_task_key(key.task),
             attempt: u64::from(key.attempt),
             end: outcome.as_str(),
             ran: *run_time,
+            run: *run,
+            worker,
+            evidence: evidence.as_str(),
         }),
         WorkerNotice::OrphanStopped { run } => emit(&RunsEvent::OrphanStopped {
             task: &format_task_key(run.task),
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -10,7 +10,9 @@
 
 use crate::clock::WorkerClock;
 use crate::config::WorkerConfig;
-use crate::event::{Action, Announcement, CallId, Event, FencingToken, ListedEnd, ListedRun, Notice};
+use crate::event::{
+    Action, Announcement, CallId, Event, Evidence, FencingToken, GoneReason, ListedEnd, ListedRun, Notice,
+};
 use crate::health::Health;
 use crate::orders::Call;
 use crate::owners::Owners;
@@ -191,7 +193,14 @@
         if same {
             self.update_session(now, announcement, actions);
         } else {
-            self.end_session(now, actions);
+            let renamed =
+                known.is_some_and(|known| known.description.worker != announcement.description.worker);
+            let reason = if renamed {
+                GoneReason::Renamed
+            } else {
+                GoneReason::Restarted
+            };
+            self.end_session(now, reason, actions);
             self.begin_session(now, announcement, actions);
         }
     }
@@ -221,6 +230,7 @@
             worker: description.worker.clone(),
             pool: description.pool.clone(),
             cpu_millis: description.capacity.cpu_millis,
+            started_at: announcement.started_at,
         }));
         let clock = announcement.clock;
         self.session = Some(Session {
@@ -248,31 +258,32 @@
             .as_ref()
             .map(|session| &session.worker.description.worker);
         if current == Some(worker) {
-            self.end_session(now, actions);
+            self.end_session(now, GoneReason::Withdrawn, actions);
             self.broadcast_description(actions);
         }
     }
 
     /// Ends the session with an incarnation that has ended, and all its runs.
-    fn end_session(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(session) = self.session.take() else {
+    fn end_session(&mut self, now: Instant, reason: GoneReason, actions: &mut Vec<Action>) {
+        if self.session.is_none() {
             return;
-        };
+        }
         self.calls.clear();
         let tasks: Vec<TaskKey> = self.runs.keys().copied().collect();
         let lost = tasks.len() as u64;
         for task in tasks {
             let waiting = self.runs.get(&task).is_some_and(Run::is_waiting);
-            let outcome = if waiting {
-                RunOutcome::NotStarted
-            } else {
-                RunOutcome::Lost
+            let (outcome, evidence) = match reason {
+                _ if waiting => (RunOutcome::NotStarted, Evidence::NotOrdered),
+                GoneReason::Withdrawn => (RunOutcome::Lost, Evidence::Withdrawn),
+                GoneReason::Renamed | GoneReason::Restarted => (RunOutcome::Lost, Evidence::Restarted),
             };
-            self.end_run(now, task, outcome, actions);
+            self.end_run(now, task, outcome, evidence, actions);
         }
         self.ended_runs.clear();
-        let worker = session.worker.description.worker;
-        actions.push(Action::Notice(Notice::WorkerGone { worker, lost }));
+        let worker = self.worker_name();
+        self.session = None;
+        actions.push(Action::Notice(Notice::WorkerGone { worker, lost, reason }));
     }
 
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
@@ -412,7 +423,9 @@
             return;
         };
         match run.phase {
-            Phase::Waiting { .. } => self.end_run(now, task, RunOutcome::NotStarted, actions),
+            Phase::Waiting { .. } => {
+                self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
+            }
             Phase::Stopping(_) => {}
             Phase::Starting { .. } | Phase::Unconfirmed { .. } | Phase::Running { .. } => {
                 run.phase = Phase::Stopping(Stop::begin(now, outcome_if_unlisted));
@@ -426,6 +439,7 @@
         now: Instant,
         task: TaskKey,
         outcome: RunOutcome,
+        evidence: Evidence,
         actions: &mut Vec<Action>,
     ) {
         let Some(run) = self.runs.swap_remove(&task) else {
@@ -441,8 +455,11 @@
             let key = run.key;
             actions.push(Action::Notice(Notice::RunEnded {
                 key,
+                run: run.number,
+                worker: self.worker_name(),
                 outcome,
                 run_time,
+                evidence,
             }));
         }
         if !run.is_waiting() {
@@ -466,7 +483,13 @@
         let keys: Vec<AttemptKey> = waiting.map(|run| run.key).collect();
         for key in keys {
             actions.push(Action::Notice(Notice::StartRefused { key, reason }));
-            self.end_run(now, key.task, RunOutcome::NotStarted, actions);
+            self.end_run(
+                now,
+                key.task,
+                RunOutcome::NotStarted,
+                Evidence::NotOrdered,
+                actions,
+            );
         }
     }
 
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -199,6 +199,64 @@
     Notice(Notice),
 }
 
+/// What proves that a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// The worker listed the end.
+    Listed,
+    /// A list requested after the start or the stop was confirmed does not include the run.
+    Unlisted,
+    /// No start order was sent.
+    NotOrdered,
+    /// The worker rejected the start order, or it could not be delivered.
+    Rejected,
+    /// Every lease that was requested from the worker has expired.
+    LeaseExpired,
+    /// The worker has started again.
+    Restarted,
+    /// The worker withdrew its announcement.
+    Withdrawn,
+}
+
+impl Evidence {
+    /// Returns the name of the evidence in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Unlisted => "unlisted",
+            Self::NotOrdered => "not_ordered",
+            Self::Rejected => "rejected",
+            Self::LeaseExpired => "lease",
+            Self::Restarted => "restart",
+            Self::Withdrawn => "withdrawal",
+        }
+    }
+}
+
+/// How the agent learned that an incarnation of the worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GoneReason {
+    /// The worker withdrew its announcement.
+    Withdrawn,
+    /// A worker of another name announced itself.
+    Renamed,
+    /// A later incarnation of the same name showed itself.
+    Restarted,
+}
+
+impl GoneReason {
+    /// Returns the name of the reason in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Withdrawn => "withdrawn",
+            Self::Renamed => "renamed",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
 /// Decision or state change to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
@@ -210,6 +268,8 @@
         pool: String,
         /// Capacity in thousandths of a core.
         cpu_millis: u64,
+        /// Start time of the incarnation since the Unix epoch.
+        started_at: Duration,
     },
     /// The worker accepts no new tasks.
     WorkerLeaving {
@@ -224,6 +284,8 @@
         worker: WorkerName,
         /// Number of runs that ended with it.
         lost: u64,
+        /// How the agent learned of the end.
+        reason: GoneReason,
     },
     /// The worker does not answer calls.
     WorkerSilent {
@@ -262,10 +324,16 @@
     RunEnded {
         /// Attempt that ended.
         key: AttemptKey,
+        /// Number of the run.
+        run: RunNumber,
+        /// Worker of the run.
+        worker: WorkerName,
         /// How the run ended.
         outcome: RunOutcome,
         /// Run time.
         run_time: Duration,
+        /// What proves the end.
+        evidence: Evidence,
     },
     /// A run of an earlier agent process that no entry listed is stopped.
     OrphanStopped {
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -26,7 +26,7 @@
 pub use clock::WorkerClock;
 pub use config::{WorkerConfig, WorkerConfigBuilder};
 pub use event::{
-    Action, Announcement, CallId, CallOutcome, Event, FencingToken, ListedEnd, ListedRun, Notice, Order,
-    Refusal, Reply, RunList,
+    Action, Announcement, CallId, CallOutcome, Event, Evidence, FencingToken, GoneReason, ListedEnd,
+    ListedRun, Notice, Order, Refusal, Reply, RunList,
 };
 pub use verify::Violation;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -5,7 +5,7 @@
 use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
 
 use crate::core::{Session, WorkerCore};
-use crate::event::{Action, CallId, Notice, Order};
+use crate::event::{Action, CallId, Evidence, Notice, Order};
 use crate::run::{NO_OWNER, Phase, Run};
 
 /// Call in flight to the worker.
@@ -177,7 +177,7 @@
         let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
         let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         for task in tasks {
-            self.end_run(now, task, RunOutcome::Lost, actions);
+            self.end_run(now, task, RunOutcome::Lost, Evidence::LeaseExpired, actions);
         }
     }
 
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -6,7 +6,7 @@
 use chestnutfork_types::{AttemptKey, EndedRun, ProcessId, Resources, RunOutcome};
 
 use crate::core::WorkerCore;
-use crate::event::{Action, ListedRun};
+use crate::event::{Action, Evidence, ListedRun};
 use crate::run::{Phase, Run};
 
 /// Attempt that an entry listed in an `EntryToWorker::Reconcile` message.
@@ -69,7 +69,7 @@
                 .position(|end| end.run.task == key.task);
             if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
                 self.adopt(now, entry, key, listed.run);
-                self.end_run(now, key.task, listed.outcome, actions);
+                self.end_run(now, key.task, listed.outcome, Evidence::Listed, actions);
                 return;
             }
         }
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -5,7 +5,9 @@
 use chestnutfork_types::{RunOutcome, TaskKey};
 
 use crate::core::{Session, WorkerCore};
-use crate::event::{Action, CallId, CallOutcome, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList};
+use crate::event::{
+    Action, CallId, CallOutcome, Evidence, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList,
+};
 use crate::orders::Call;
 use crate::run::{Phase, Stop};
 
@@ -120,7 +122,7 @@
             run.started_at = None;
             actions.push(Action::Notice(Notice::StartRefused { key, reason }));
         }
-        self.end_run(now, task, RunOutcome::NotStarted, actions);
+        self.end_run(now, task, RunOutcome::NotStarted, Evidence::Rejected, actions);
     }
 
     /// Corrects the cause of a refused start where possible, and schedules another attempt.
@@ -237,7 +239,7 @@
                     _ => {}
                 }
             }
-            self.end_run(now, task, listed.outcome, actions);
+            self.end_run(now, task, listed.outcome, Evidence::Listed, actions);
         }
     }
 
@@ -272,7 +274,7 @@
             }
         }
         for (task, outcome) in ended {
-            self.end_run(now, task, outcome, actions);
+            self.end_run(now, task, outcome, Evidence::Unlisted, actions);
         }
     }
 
