--- /dev/null
+++ b/crates/worker/tests/inferred_ends.rs
@@ -0,0 +1,119 @@
+//! Tests of ends that the agent core infers because the worker does not list them: no run may continue on a worker after
+//! its attempt was reported as ended, because the entry then starts the task on another worker.
+
+mod common;
+
+use std::time::Duration;
+
+use chestnutfork_types::{RunOutcome, WorkerName};
+use chestnutfork_worker::{Announcement, CallId, CallOutcome, Event, Order, RunList};
+use common::{Agent, LINK, announcement, attempt, is_renewal, is_start, is_stop, listed, millis};
+
+/// Name of the worker in [`announcement`]`(1, _)`.
+const WORKER: &str = "w-1";
+
+/// Returns an announcement of the next incarnation under the same name, whose clock has started anew.
+fn restarted() -> Announcement {
+    let mut announcement = announcement(2, 1);
+    announcement.description.worker = WorkerName::from(WORKER);
+    announcement.clock = millis(1_000);
+    announcement
+}
+
+/// Returns an agent with a confirmed run, and its renewal in flight.
+fn agent_with_run() -> (Agent, CallId) {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let (start, renewal) = (agent.call(is_start), agent.call(is_renewal));
+    agent.reply(start, CallOutcome::Done);
+    (agent, renewal)
+}
+
+fn list_of_run() -> RunList {
+    RunList {
+        running: vec![listed(attempt(0, 1), 1)],
+        ..RunList::default()
+    }
+}
+
+/// Returns the lease end that an order requests, on the worker's clock.
+fn lease_end(order: &Order) -> Option<Duration> {
+    match order {
+        Order::Start { until, .. } | Order::RenewLease { until, .. } => Some(*until),
+        Order::Stop { .. } => None,
+    }
+}
+
+/// Guards against reporting a run as lost that was ordered before the announcement of a restarted worker, but that the
+/// new incarnation has started.
+#[test]
+fn restarted_worker_keeps_run_that_it_lists() {
+    let (mut agent, _) = agent_with_run();
+    agent.handle(Event::Announced(restarted()));
+    assert_eq!(agent.ended(), []);
+    agent.answer_renewal(list_of_run());
+    assert_eq!(agent.ended(), []);
+    assert_eq!(agent.core.runs_in_progress(), 1);
+}
+
+/// Guards against placing a task again while the order for its former run may still reach a restarted worker of the same
+/// name.
+#[test]
+fn restarted_worker_is_ordered_to_stop_before_report() {
+    let (mut agent, _) = agent_with_run();
+    agent.handle(Event::Announced(restarted()));
+    agent.now += millis(1);
+    agent.answer_renewal(RunList::default());
+    assert_eq!(agent.ended(), []);
+    let stop = agent.call(is_stop);
+    let renewal = agent.call(is_renewal);
+    agent.now += millis(1);
+    agent.reply(stop, CallOutcome::Done);
+    agent.reply(renewal, CallOutcome::LeaseRenewed(RunList::default()));
+    assert_eq!(agent.ended(), []);
+    agent.answer_renewal(RunList::default());
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
+}
+
+/// Guards against renewals that keep the runs of a lost entry alive while their stops go unanswered, beyond the time after
+/// which that entry or another one starts the tasks again.
+#[test]
+fn lapsed_entry_lease_is_not_prolonged_by_renewals() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.handle(Event::EntryDown { link: LINK });
+    let (mut renewal, mut latest) = (Some(renewal), None);
+    for elapsed in (500..2_000).step_by(10) {
+        agent.advance_to(millis(elapsed));
+        let mut calls = agent.calls();
+        if let Some(call) = renewal.take() {
+            agent.reply(call, CallOutcome::LeaseRenewed(list_of_run()));
+            calls.extend(agent.calls());
+        }
+        for (call, order) in calls {
+            latest = latest.max(lease_end(&order));
+            if is_renewal(&order) {
+                renewal = Some(call);
+            } else {
+                agent.reply(call, CallOutcome::NoAnswer);
+            }
+        }
+    }
+    // The entry's lease ends after 500 ms, and the worker's lease lasts 700 ms from the latest renewal before that.
+    assert!(
+        latest <= Some(millis(10_000 + 500 + 700)),
+        "a renewal extended the lease to {latest:?} on the worker's clock"
+    );
+}
+
+/// Guards against reporting the runs of a worker as lost when it withdraws: it ends some time later, and its runs continue
+/// until then.
+#[test]
+fn withdrawn_worker_reports_runs_after_its_end() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.handle(Event::Withdrawn(WorkerName::from(WORKER)));
+    assert_eq!(agent.ended(), []);
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    assert_eq!(agent.ended(), []);
+    agent.advance_to(millis(760));
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
+}
