--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -19,6 +19,7 @@
 mod replies;
 mod report;
 mod run;
+mod session;
 mod shares;
 mod verify;
 
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -4,9 +4,10 @@
 
 use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
 
-use crate::core::{Session, WorkerCore};
+use crate::core::WorkerCore;
 use crate::event::{Action, CallId, Evidence, Notice, Order};
 use crate::run::{NO_OWNER, Phase, Run};
+use crate::session::Session;
 
 /// Call in flight to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -4,12 +4,13 @@
 
 use chestnutfork_types::{RunOutcome, TaskKey};
 
-use crate::core::{Session, WorkerCore};
+use crate::core::WorkerCore;
 use crate::event::{
     Action, CallId, CallOutcome, Evidence, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList,
 };
 use crate::orders::Call;
 use crate::run::{Phase, Stop};
+use crate::session::Session;
 
 /// Refusals of a start after which it is reported as not started, so that the entry can use another worker.
 const MAX_START_REFUSALS: u32 = 3;
