worker: End the runs of a restarted worker only when its new incarnation lacks them

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: the end of a run was inferred from an announcement. Orders name the worker and not its incarnation, so a worker that restarts under its name carries out orders that were meant for the former one, also before its first announcement is processed. That announcement then ended the session, and its runs were reported as lost although the new incarnation had started them. The new session's fencing token, taken from a clock that starts anew, was lower than the one that the worker had seen meanwhile, so that neither stops nor renewals were accepted.

Change: a reply states its incarnation by the start time in lists of runs; without it, a clock that is behind an earlier reading shows the restart. On a restart the runs stay unresolved: those that the new incarnation lists continue, the others are ordered to stop and end once a later list lacks them. Tokens exceed those for former incarnations, and rise exponentially when they are refused.

--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -121,7 +121,7 @@
         7023 WorkerGone "worker_gone" Info "worker left or was replaced" {
             worker: &'a str = "The worker.",
             lost: u64 = "Runs that ended with it.",
-            reason: &'a str = "`withdrawn`, `renamed` (another worker announced itself) or `restarted` (under the same name).",
+            reason: &'a str = "`withdrawn`, or `renamed` if another worker announced itself.",
         }
             meaning: "The worker left or was replaced by another incarnation.",
             remedy: "None if it was stopped intentionally; otherwise check the worker.";
@@ -142,6 +142,13 @@
         }
             meaning: "The entry has not acknowledged a heartbeat in time, so its runs are stopped.",
             remedy: "Check the entry and the network.";
+        7027 WorkerRestarted "worker_restarted" Warn "worker restarted under its name" {
+            worker: &'a str = "The worker.",
+            unresolved: u64 = "Runs that end unless the new incarnation lists them.",
+            unannounced: bool = "Whether a reply showed the restart before an announcement did.",
+        }
+            meaning: "The worker ended without a withdrawal, and a new incarnation answers under the same name.",
+            remedy: "If it persists, check the worker; event 7032 names the runs that were lost.";
         7030 StartRefused "start_refused" Info "start refused" {
             task: &'a str = "Job, step and index of the task.",
             attempt: u64 = "Number of the attempt.",
@@ -163,7 +170,7 @@
             ran: Duration = "Time that it ran.",
             run: u64 = "Number of the run.",
             worker: &'a str = "The worker.",
-            evidence: &'a str = "What proves the end: `listed`, `unlisted`, `not_ordered`, `rejected`, `lease`, `restart` or `withdrawal`.",
+            evidence: &'a str = "What proves the end: `listed`, `unlisted`, `not_ordered`, `rejected`, `lease`, `renamed` or `withdrawal`.",
         }
             meaning: "The run has certainly ended and is reported to its entry.",
             remedy: "None if it is rare.";
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -140,6 +140,15 @@
             worker,
             running: *running,
         }),
+        WorkerNotice::WorkerRestarted {
+            worker,
+            unresolved,
+            unannounced,
+        } => emit(&RunsEvent::WorkerRestarted {
+            worker,
+            unresolved: *unresolved,
+            unannounced: *unannounced,
+        }),
         WorkerNotice::WorkerGone { worker, lost, reason } => emit(&RunsEvent::WorkerGone {
             worker,
             lost: *lost,
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -372,6 +372,7 @@
         } else {
             Reply {
                 clock: None,
+                started_at: None,
                 outcome: CallOutcome::OtherIncarnation,
             }
         };
@@ -620,6 +621,7 @@
 fn lost_reply() -> Reply {
     Reply {
         clock: None,
+        started_at: None,
         outcome: CallOutcome::NoAnswer,
     }
 }
--- a/crates/standin/src/leased_worker.rs
+++ b/crates/standin/src/leased_worker.rs
@@ -147,6 +147,7 @@
         };
         Reply {
             clock: Some(self.clock(now)),
+            started_at: None,
             outcome,
         }
     }
--- a/crates/worker/src/clock.rs
+++ b/crates/worker/src/clock.rs
@@ -4,6 +4,9 @@
 
 use crate::config::CLOCK_TOLERANCE_DIVISOR;
 
+/// Longest lease that a worker accepts; it shortens a longer one.
+const MAX_WORKER_LEASE: Duration = Duration::from_secs(1);
+
 /// Latest reading of the worker's clock and latest lease end that was requested.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerClock {
@@ -23,6 +26,21 @@
         }
     }
 
+    /// Creates a clock of a worker that may have started a run without an order of this session, for the longest lease.
+    #[must_use]
+    pub fn with_unknown_lease(read_at: Instant, value: Duration) -> Self {
+        Self {
+            latest_lease_end: value + MAX_WORKER_LEASE,
+            ..Self::new(read_at, value)
+        }
+    }
+
+    /// Returns the latest reading.
+    #[must_use]
+    pub fn reading(&self) -> Duration {
+        self.value
+    }
+
     /// Records a reading; a delayed one that is older than the latest is ignored.
     pub fn observe(&mut self, read_at: Instant, value: Duration) {
         if value >= self.value {
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 
 use crate::config::WorkerConfig;
-use crate::event::{Action, CallId, Event, Evidence, Notice};
-use crate::orders::Call;
+use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
+use crate::orders::PendingCall;
 use crate::owners::Owners;
 use crate::reconcile::ListedAttempt;
 use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, Stop};
@@ -24,10 +24,12 @@
 pub struct WorkerCore {
     pub(crate) cfg: WorkerConfig,
     pub(crate) session: Option<Session>,
+    /// Highest fencing token of the sessions that have ended.
+    pub(crate) former_token: FencingToken,
     pub(crate) owners: Owners,
     pub(crate) runs: IndexMap<TaskKey, Run>,
     pub(crate) ended_runs: IndexMap<TaskKey, EndedRunRecord>,
-    pub(crate) calls: IndexMap<CallId, Call>,
+    pub(crate) calls: IndexMap<CallId, PendingCall>,
     pub(crate) next_call: CallId,
     /// Attempts listed by entries that cannot be reconciled before the worker has listed its runs.
     pub(crate) unreconciled: Vec<ListedAttempt>,
@@ -66,6 +68,7 @@
         Self {
             cfg,
             session: None,
+            former_token: 0,
             owners: Owners::default(),
             runs: IndexMap::new(),
             ended_runs: IndexMap::new(),
@@ -217,6 +220,7 @@
         match session {
             None => Some("no worker is connected"),
             Some(session) if session.worker.description.leaving => Some("the worker is leaving"),
+            Some(session) if !session.announced => Some("the worker has restarted and not announced itself"),
             Some(session) if !session.available => Some("the worker does not answer"),
             Some(_) => None,
         }
@@ -238,6 +242,7 @@
             phase: Phase::Waiting { not_before: now },
             started_at: None,
             refusals: 0,
+            former_incarnation: false,
         };
         self.runs.insert(task.key.task, run);
     }
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -136,6 +136,8 @@
 pub struct Reply {
     /// Reading of the worker's clock, if the worker replied.
     pub clock: Option<Duration>,
+    /// Start time of the incarnation that replied, if the reply states it.
+    pub started_at: Option<Duration>,
     /// Outcome of the call.
     pub outcome: CallOutcome,
 }
@@ -212,8 +214,8 @@
     Rejected,
     /// Every lease that was requested from the worker has expired.
     LeaseExpired,
-    /// The worker has started again.
-    Restarted,
+    /// A worker of another name, which rejects orders for the former one, has announced itself.
+    Renamed,
     /// The worker withdrew its announcement.
     Withdrawn,
 }
@@ -228,7 +230,7 @@
             Self::NotOrdered => "not_ordered",
             Self::Rejected => "rejected",
             Self::LeaseExpired => "lease",
-            Self::Restarted => "restart",
+            Self::Renamed => "renamed",
             Self::Withdrawn => "withdrawal",
         }
     }
@@ -241,8 +243,6 @@
     Withdrawn,
     /// A worker of another name announced itself.
     Renamed,
-    /// A later incarnation of the same name showed itself.
-    Restarted,
 }
 
 impl GoneReason {
@@ -252,7 +252,6 @@
         match self {
             Self::Withdrawn => "withdrawn",
             Self::Renamed => "renamed",
-            Self::Restarted => "restarted",
         }
     }
 }
@@ -278,6 +277,15 @@
         /// Number of runs still in progress.
         running: u64,
     },
+    /// The worker restarted under its name, and its new incarnation has to list the runs of the former one.
+    WorkerRestarted {
+        /// Name of both incarnations.
+        worker: WorkerName,
+        /// Number of runs that may be on either incarnation.
+        unresolved: u64,
+        /// Whether a reply showed the restart before an announcement did.
+        unannounced: bool,
+    },
     /// The worker shut down or was replaced.
     WorkerGone {
         /// Worker that ended.
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -17,10 +17,20 @@
     RenewLease { sent_at: Instant },
 }
 
+/// Call in flight, and the latest reading of the worker's clock when it was sent.
+///
+/// The worker's clock is monotonic, so a reply with a lower reading is from another incarnation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingCall {
+    pub(crate) call: Call,
+    pub(crate) clock: Duration,
+}
+
 impl WorkerCore {
     /// Starts waiting runs, most urgent first, while they fit into the worker's capacity.
     pub(crate) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let ready = self.session.as_ref().is_some_and(|session| session.available);
+        let ready = |session: &Session| session.available && session.announced;
+        let ready = self.session.as_ref().is_some_and(ready);
         if !ready {
             return;
         }
@@ -184,7 +194,9 @@
 
     fn begin_call(&mut self, call: Call) -> CallId {
         self.next_call += 1;
-        self.calls.insert(self.next_call, call);
+        let clock = self.session.as_ref().map(|session| session.clock.reading());
+        let clock = clock.unwrap_or_default();
+        self.calls.insert(self.next_call, PendingCall { call, clock });
         self.next_call
     }
 
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -94,6 +94,7 @@
             phase: Phase::Running { since: now },
             started_at: Some(now),
             refusals: 0,
+            former_incarnation: false,
         };
         self.runs.insert(key.task, run);
     }
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -8,7 +8,7 @@
 use crate::event::{
     Action, CallId, CallOutcome, Evidence, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList,
 };
-use crate::orders::Call;
+use crate::orders::{Call, PendingCall};
 use crate::run::{Phase, Stop};
 use crate::session::Session;
 
@@ -27,14 +27,34 @@
         let Some(pending) = self.calls.swap_remove(&call) else {
             return;
         };
+        if self.is_from_later_incarnation(pending, &reply) {
+            let clock = reply.clock.unwrap_or_default();
+            self.restart_session(now, reply.started_at, clock, true, actions);
+            return;
+        }
         self.record_contact(now, &reply, actions);
-        match pending {
+        match pending.call {
             Call::Start(task) => self.on_start_reply(now, call, task, &reply.outcome, actions),
             Call::Stop(task) => self.on_stop_reply(now, call, task, &reply.outcome),
             Call::RenewLease { sent_at } => self.on_renewal(now, sent_at, reply.outcome, actions),
         }
     }
 
+    /// Returns whether a reply is from an incarnation that started after the one of the session.
+    fn is_from_later_incarnation(&mut self, pending: PendingCall, reply: &Reply) -> bool {
+        let Some(session) = self.session.as_mut() else {
+            return false;
+        };
+        match (reply.started_at, session.started_at) {
+            (Some(started_at), Some(known)) => started_at > known,
+            (Some(started_at), None) if started_at > session.worker.started_at => {
+                session.started_at = Some(started_at);
+                false
+            }
+            _ => reply.clock.is_some_and(|clock| clock < pending.clock),
+        }
+    }
+
     /// Updates the availability and the clock of the worker from a reply.
     fn record_contact(&mut self, now: Instant, reply: &Reply, actions: &mut Vec<Action>) {
         let worker = self.worker_name();
@@ -157,7 +177,8 @@
     fn raise_token(&mut self, now: Instant) {
         if let Some(session) = self.session.as_mut() {
             let clock = u64::try_from(session.clock.estimate(now).as_millis()).unwrap_or(u64::MAX);
-            session.token = clock.max(session.token + 1);
+            // The refusal does not state the highest token that the worker has seen, so grow exponentially.
+            session.token = clock.max(session.token.saturating_mul(2)).max(session.token + 1);
         }
     }
 
@@ -259,7 +280,12 @@
                 }
                 // The start was lost or may still be carried out late; a stop prevents the latter.
                 Phase::Unconfirmed { since } if !list.truncated && since <= sent_at => {
-                    run.phase = Phase::Stopping(Stop::begin(now, RunOutcome::NotStarted));
+                    let outcome = if run.former_incarnation {
+                        RunOutcome::Lost
+                    } else {
+                        RunOutcome::NotStarted
+                    };
+                    run.phase = Phase::Stopping(Stop::begin(now, outcome));
                 }
                 // Only a list requested after the start was confirmed is newer than the run.
                 Phase::Running { since } if !listed && !list.truncated && since < sent_at => {
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -133,7 +133,7 @@
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             run_time_permille: health.run_time_permille(&mut in_progress),
             failure_permille: health.failure_permille(now),
-            available: session.is_some_and(|session| session.available),
+            available: session.is_some_and(|session| session.available && session.announced),
             last_order,
         }
     }
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -65,6 +65,9 @@
     pub(crate) started_at: Option<Instant>,
     /// Number of refused starts that were followed by a retry.
     pub(crate) refusals: u32,
+    /// Whether the order was sent to a former incarnation of the same name, so that the run is lost unless the current
+    /// one lists it.
+    pub(crate) former_incarnation: bool,
 }
 
 impl Run {
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -1,6 +1,6 @@
 //! Sessions with incarnations of the worker: announcements, withdrawals and restarts.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnutfork_types::{RunOutcome, TaskKey, WorkerName};
 
@@ -8,12 +8,17 @@
 use crate::core::WorkerCore;
 use crate::event::{Action, Announcement, Evidence, FencingToken, GoneReason, ListedEnd, ListedRun, Notice};
 use crate::health::Health;
-use crate::run::Run;
+use crate::run::{Phase, Run, Stop};
 
 /// State kept for one incarnation of the worker.
 #[derive(Debug)]
 pub(crate) struct Session {
+    /// Latest announcement; of the former incarnation of the same name until the current one announces itself.
     pub(crate) worker: Announcement,
+    /// Start time of the incarnation, unless only its clock has shown that it is later than the announced one.
+    pub(crate) started_at: Option<Duration>,
+    /// Whether the incarnation has announced itself, and thereby its capacity.
+    pub(crate) announced: bool,
     pub(crate) clock: WorkerClock,
     pub(crate) token: FencingToken,
     /// Whether a lease renewal is in flight.
@@ -34,6 +39,31 @@
     pub(crate) orphan_ends: Vec<ListedEnd>,
 }
 
+impl Session {
+    fn new(now: Instant, worker: Announcement, clock: WorkerClock, former_token: FencingToken) -> Self {
+        // The worker's clock is monotonic, so a later process of this agent gets a higher token. It also exceeds the tokens
+        // for former incarnations, so that the worker rejects orders for those that it receives late.
+        let token = u64::try_from(clock.reading().as_millis()).unwrap_or(u64::MAX);
+        Self {
+            clock,
+            token: token.max(former_token + 1),
+            started_at: Some(worker.started_at),
+            announced: true,
+            worker,
+            renewal_pending: false,
+            renew_at: now,
+            last_received_end: 0,
+            synced_at: None,
+            replied_at: now,
+            unanswered: 0,
+            available: true,
+            health: Health::default(),
+            orphans: Vec::new(),
+            orphan_ends: Vec::new(),
+        }
+    }
+}
+
 impl WorkerCore {
     pub(crate) fn on_announced(
         &mut self,
@@ -41,26 +71,27 @@
         announcement: Announcement,
         actions: &mut Vec<Action>,
     ) {
-        let known = self.session.as_ref().map(|session| &session.worker);
-        let age = |worker: &Announcement| (worker.started_at, worker.sequence);
-        if known.is_some_and(|known| age(&announcement) <= age(known)) {
+        let Some(session) = &self.session else {
+            self.begin_session(now, announcement, actions);
             return;
-        }
-        let same = known.is_some_and(|known| {
-            known.started_at == announcement.started_at
-                && known.description.worker == announcement.description.worker
-        });
-        if same {
+        };
+        let known = &session.worker;
+        let same_name = known.description.worker == announcement.description.worker;
+        let started_at = announcement.started_at;
+        let identified = session.started_at.unwrap_or(known.started_at);
+        if same_name && started_at == identified && session.started_at.is_some() {
+            if !session.announced || announcement.sequence > known.sequence {
+                self.update_session(now, announcement, actions);
+            }
+        } else if started_at <= identified {
+            // A delayed announcement of an earlier incarnation.
+        } else if same_name && session.started_at.is_none() {
+            self.update_session(now, announcement, actions);
+        } else if same_name {
+            self.restart_session(now, Some(started_at), announcement.clock, false, actions);
             self.update_session(now, announcement, actions);
         } else {
-            let renamed =
-                known.is_some_and(|known| known.description.worker != announcement.description.worker);
-            let reason = if renamed {
-                GoneReason::Renamed
-            } else {
-                GoneReason::Restarted
-            };
-            self.end_session(now, reason, actions);
+            self.end_session(now, GoneReason::Renamed, actions);
             self.begin_session(now, announcement, actions);
         }
     }
@@ -71,8 +102,15 @@
         };
         session.clock.observe(now, announcement.clock);
         let changed = session.worker.description != announcement.description;
+        let joined = !session.announced;
         let leaves = announcement.description.leaving && !session.worker.description.leaving;
+        session.started_at = Some(announcement.started_at);
+        session.announced = true;
         session.worker = announcement;
+        if joined {
+            let notice = joined_notice(&session.worker);
+            actions.push(Action::Notice(notice));
+        }
         if leaves {
             self.refuse_waiting(now, "the worker is leaving", actions);
             let running = self.runs.len() as u64;
@@ -85,30 +123,10 @@
     }
 
     fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
-        let description = &announcement.description;
-        actions.push(Action::Notice(Notice::WorkerJoined {
-            worker: description.worker.clone(),
-            pool: description.pool.clone(),
-            cpu_millis: description.capacity.cpu_millis,
-            started_at: announcement.started_at,
-        }));
+        actions.push(Action::Notice(joined_notice(&announcement)));
         let clock = announcement.clock;
-        self.session = Some(Session {
-            clock: WorkerClock::new(now, clock),
-            // The worker's clock is monotonic, so a later process of this agent gets a higher token.
-            token: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
-            worker: announcement,
-            renewal_pending: false,
-            renew_at: now,
-            last_received_end: 0,
-            synced_at: None,
-            replied_at: now,
-            unanswered: 0,
-            available: true,
-            health: Health::default(),
-            orphans: Vec::new(),
-            orphan_ends: Vec::new(),
-        });
+        let clock = WorkerClock::new(now, clock);
+        self.session = Some(Session::new(now, announcement, clock, self.former_token));
         self.broadcast_description(actions);
     }
 
@@ -136,13 +154,68 @@
             let (outcome, evidence) = match reason {
                 _ if waiting => (RunOutcome::NotStarted, Evidence::NotOrdered),
                 GoneReason::Withdrawn => (RunOutcome::Lost, Evidence::Withdrawn),
-                GoneReason::Renamed | GoneReason::Restarted => (RunOutcome::Lost, Evidence::Restarted),
+                GoneReason::Renamed => (RunOutcome::Lost, Evidence::Renamed),
             };
             self.end_run(now, task, outcome, evidence, actions);
         }
         self.ended_runs.clear();
         let worker = self.worker_name();
+        self.retain_token();
         self.session = None;
         actions.push(Action::Notice(Notice::WorkerGone { worker, lost, reason }));
     }
+
+    /// Begins a session with a later incarnation of the same name.
+    ///
+    /// Orders name the worker and not its incarnation, so each one that was sent may have reached, or may still reach, the
+    /// new incarnation. Its runs therefore end only once this incarnation has been ordered to stop them and does not
+    /// list them.
+    pub(crate) fn restart_session(
+        &mut self,
+        now: Instant,
+        started_at: Option<Duration>,
+        clock: Duration,
+        unannounced: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        self.refuse_waiting(now, "the worker has restarted", actions);
+        self.retain_token();
+        let Some(former) = self.session.take() else {
+            return;
+        };
+        self.calls.clear();
+        for run in self.runs.values_mut() {
+            run.former_incarnation = true;
+            run.phase = match run.phase {
+                Phase::Stopping(_) => Phase::Stopping(Stop::begin(now, RunOutcome::Lost)),
+                _ => Phase::Unconfirmed { since: now },
+            };
+        }
+        actions.push(Action::Notice(Notice::WorkerRestarted {
+            worker: former.worker.description.worker.clone(),
+            unresolved: self.runs.len() as u64,
+            unannounced,
+        }));
+        let clock = WorkerClock::with_unknown_lease(now, clock);
+        self.session = Some(Session {
+            started_at,
+            announced: false,
+            ..Session::new(now, former.worker, clock, self.former_token)
+        });
+    }
+
+    fn retain_token(&mut self) {
+        let token = self.session.as_ref().map_or(0, |session| session.token);
+        self.former_token = self.former_token.max(token);
+    }
+}
+
+fn joined_notice(worker: &Announcement) -> Notice {
+    let description = &worker.description;
+    Notice::WorkerJoined {
+        worker: description.worker.clone(),
+        pool: description.pool.clone(),
+        cpu_millis: description.capacity.cpu_millis,
+        started_at: worker.started_at,
+    }
 }
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -21,6 +21,8 @@
     pub start: Instant,
     pub now: Instant,
     pub actions: Vec<Action>,
+    /// Reading of the worker's clock at `start`.
+    pub clock_at_start: Duration,
 }
 
 pub fn millis(value: u64) -> Duration {
@@ -69,6 +71,7 @@
             start: now,
             now,
             actions: Vec::new(),
+            clock_at_start: millis(10_000),
         }
     }
 
@@ -145,8 +148,12 @@
 
     pub fn reply(&mut self, call: CallId, outcome: CallOutcome) {
         let elapsed = self.now.saturating_duration_since(self.start);
-        let clock = (outcome != CallOutcome::NoAnswer).then_some(millis(10_000) + elapsed);
-        let reply = Reply { clock, outcome };
+        let clock = (outcome != CallOutcome::NoAnswer).then_some(self.clock_at_start + elapsed);
+        let reply = Reply {
+            clock,
+            started_at: None,
+            outcome,
+        };
         self.handle(Event::Replied { call, reply });
     }
 
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use chestnutfork_types::{RunOutcome, WorkerName};
-use chestnutfork_worker::{Announcement, CallId, CallOutcome, Event, Order, RunList};
+use chestnutfork_types::{EntryToWorker, RunOutcome, WorkerName};
+use chestnutfork_worker::{Action, Announcement, CallId, CallOutcome, Event, Notice, Order, Reply, RunList};
 use common::{Agent, LINK, announcement, attempt, is_renewal, is_start, is_stop, listed, millis};
 
 /// Name of the worker in [`announcement`]`(1, _)`.
@@ -49,6 +49,7 @@
 #[test]
 fn restarted_worker_keeps_run_that_it_lists() {
     let (mut agent, _) = agent_with_run();
+    agent.clock_at_start = millis(1_000);
     agent.handle(Event::Announced(restarted()));
     assert_eq!(agent.ended(), []);
     agent.answer_renewal(list_of_run());
@@ -61,6 +62,7 @@
 #[test]
 fn restarted_worker_is_ordered_to_stop_before_report() {
     let (mut agent, _) = agent_with_run();
+    agent.clock_at_start = millis(1_000);
     agent.handle(Event::Announced(restarted()));
     agent.now += millis(1);
     agent.answer_renewal(RunList::default());
@@ -117,3 +119,46 @@
     agent.advance_to(millis(760));
     assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
 }
+
+/// Guards against state of the former incarnation, such as its capacity and its runs, after the new one has answered a call
+/// before its announcement arrived.
+#[test]
+fn restart_is_noticed_in_reply() {
+    for started_at in [Some(millis(2)), None] {
+        let (mut agent, renewal) = agent_with_run();
+        agent.now += millis(10);
+        agent.handle(Event::Replied {
+            call: renewal,
+            reply: Reply {
+                clock: Some(millis(1_000)),
+                started_at,
+                outcome: CallOutcome::LeaseRenewed(RunList::default()),
+            },
+        });
+        let is_restart = |action: &Action| matches!(action, Action::Notice(Notice::WorkerRestarted { .. }));
+        assert!(agent.actions.iter().any(is_restart));
+        agent.start(&[attempt(1, 1)]);
+        assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+        agent.handle(Event::Announced(restarted()));
+        assert!(!agent.actions.iter().any(is_restart));
+        agent.send(EntryToWorker::HeartbeatAck(1));
+        agent.start(&[attempt(1, 2)]);
+        assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
+    }
+}
+
+/// Guards against orders for a former incarnation that the new one of the same name carries out late.
+#[test]
+fn restarted_worker_gets_higher_token() {
+    let token = |agent: &Agent| {
+        let tokens = agent.calls().into_iter().map(|(_, order)| match order {
+            Order::Start { token, .. } | Order::Stop { token, .. } | Order::RenewLease { token, .. } => token,
+        });
+        tokens.max().expect("an order was sent")
+    };
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let former = token(&agent);
+    agent.handle(Event::Announced(restarted()));
+    assert!(token(&agent) > former);
+}
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -319,7 +319,12 @@
                 self.waiting.push(waiting);
             } else {
                 let outcome = CallOutcome::LeaseRenewed(held.clone());
-                drop(waiting.reply.send(Some(Reply { clock, outcome })));
+                let reply = Reply {
+                    clock,
+                    started_at: None,
+                    outcome,
+                };
+                drop(waiting.reply.send(Some(reply)));
             }
         }
     }
