leased: Restart workers under their former name in the simulation

Cause: each incarnation of a simulated worker had a name of its own, so orders under the state of a former incarnation never reached the next one.

Change: the scenario `reuse` crashes workers, which start again under their name at once or within 3 s and announce themselves up to 1.5 s later.

--- a/crates/leased/examples/leased_random_run.rs
+++ b/crates/leased/examples/leased_random_run.rs
@@ -1,6 +1,6 @@
 //! Randomised run of the entry and agent cores with seeded faults.
 //!
-//! Usage: `leased_random_run --seed N --count K [--broken hasty|lasting]`. With `--broken`, the run injects a defect that the
+//! Usage: `leased_random_run --seed N --count K [--broken hasty|lasting] [--scenarios standard|reuse]`. With `--broken`, the run injects a defect that the
 //! checks must detect: `hasty` shortens the run expiry of entries, `lasting` lengthens the lease of entries on agents.
 
 use std::process::ExitCode;
@@ -12,6 +12,7 @@
     let mut seed = 1;
     let mut count = 100;
     let mut defect = None;
+    let mut scenarios = sim::Scenarios::of(&[sim::Scenario::Standard]);
     let mut args = std::env::args().skip(1);
     while let Some(name) = args.next() {
         let value = args.next().unwrap_or_default();
@@ -20,6 +21,8 @@
             ("--count", _, Some(value)) => count = value,
             ("--broken", "hasty", _) => defect = Some(sim::InjectedDefect::ShortRunExpiry),
             ("--broken", "lasting", _) => defect = Some(sim::InjectedDefect::LongEntryLease),
+            ("--scenarios", "reuse", _) => scenarios = sim::Scenarios::of(&[sim::Scenario::NameReuse]),
+            ("--scenarios", "standard", _) => {}
             _ => {
                 eprintln!("invalid argument {name}; expected --seed N, --count K or --broken hasty|lasting");
                 return ExitCode::FAILURE;
@@ -29,7 +32,7 @@
     let mut failed = 0;
     let mut total = sim::Counts::default();
     for seed in seed..seed + count {
-        let run = sim::Sim::run(seed, defect);
+        let run = sim::Sim::run(seed, defect, scenarios);
         for violation in &run.violations {
             println!("seed {seed}: {violation}");
         }
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use sim::{Counts, InjectedDefect, Sim};
+use sim::{Counts, InjectedDefect, Scenario, Scenarios, Sim};
 
 /// Guards against concurrent runs of one task, refusals of jobs that have started, and jobs reported as completed before
 /// all their tasks are, under all simulated faults.
@@ -10,7 +10,7 @@
 fn random_run_prevents_concurrent_runs() {
     let mut total = Counts::default();
     for seed in 0..40 {
-        let sim = Sim::run(seed, None);
+        let sim = Sim::run(seed, None, Scenarios::of(&[Scenario::Standard]));
         assert_eq!(
             sim.violations,
             Vec::<String>::new(),
@@ -30,9 +30,13 @@
 #[test]
 fn random_run_detects_short_run_expiry() {
     let detected = (0..40).any(|seed| {
-        !Sim::run(seed, Some(InjectedDefect::ShortRunExpiry))
-            .violations
-            .is_empty()
+        !Sim::run(
+            seed,
+            Some(InjectedDefect::ShortRunExpiry),
+            Scenarios::of(&[Scenario::Standard]),
+        )
+        .violations
+        .is_empty()
     });
     assert!(detected);
 }
@@ -41,9 +45,33 @@
 #[test]
 fn random_run_detects_long_entry_lease() {
     let detected = (0..40).any(|seed| {
-        !Sim::run(seed, Some(InjectedDefect::LongEntryLease))
-            .violations
-            .is_empty()
+        !Sim::run(
+            seed,
+            Some(InjectedDefect::LongEntryLease),
+            Scenarios::of(&[Scenario::Standard]),
+        )
+        .violations
+        .is_empty()
     });
     assert!(detected);
 }
+
+/// Guards against reporting runs as lost that a new incarnation of the worker has started under its former name.
+#[test]
+fn reused_name_prevents_concurrent_runs() {
+    let mut total = Counts::default();
+    for seed in 0..40 {
+        let sim = Sim::run(seed, None, Scenarios::of(&[Scenario::NameReuse]));
+        assert_eq!(
+            sim.violations,
+            Vec::<String>::new(),
+            "seed {seed}: {:?}",
+            sim.counts
+        );
+        total.add(&sim.counts);
+    }
+    assert!(
+        total.name_reuses > 40 && total.orders_before_announcement > 40,
+        "{total:?}"
+    );
+}
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -3,6 +3,8 @@
 //! Time is virtual. Replies of workers are lost and orders are executed seconds late, links are partitioned and reset,
 //! entries, agents and workers are killed, and callers disconnect and submit their jobs again to a random entry.
 
+mod scenario;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -14,7 +16,8 @@
 use chestnutfork_routes::{Route, RouteTable, ServiceRule};
 use chestnutfork_standin::LeasedWorker;
 use chestnutfork_types::{
-    EntryToWorker, JobId, LinkNumber, Resources, RunOutcome, TaskKey, WorkerDescription, WorkerToEntry,
+    EntryToWorker, JobId, LinkNumber, Resources, RunOutcome, TaskKey, WorkerDescription, WorkerName,
+    WorkerToEntry,
 };
 use chestnutfork_worker::{
     Action as AgentAction, Announcement, CallId, CallOutcome, Event as AgentEvent, Order, Reply,
@@ -23,6 +26,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use scenario::{Scenario, Scenarios};
+
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
 /// Delay before a caller submits a job again that was not answered.
@@ -39,10 +44,12 @@
 enum ScheduledEvent {
     EntryTick(usize),
     AgentTick(usize),
-    Heartbeat(usize),
+    /// Announcement of the worker, by its incarnation.
+    Heartbeat(usize, u64),
     ToAgent(LinkNumber, EntryToWorker),
     ToEntry(LinkNumber, WorkerToEntry),
-    Order(usize, u64, Option<CallId>, u64, Order),
+    Order(usize, u64, Option<CallId>, WorkerName, Order),
+    RestartWorker(usize),
     Reply(usize, u64, CallId, Reply),
     Submit(JobId),
     Fault,
@@ -76,6 +83,8 @@
     pub starts: u64,
     pub late_orders: u64,
     pub faults: u64,
+    pub name_reuses: u64,
+    pub orders_before_announcement: u64,
 }
 
 impl Counts {
@@ -87,6 +96,8 @@
         self.starts += other.starts;
         self.late_orders += other.late_orders;
         self.faults += other.faults;
+        self.name_reuses += other.name_reuses;
+        self.orders_before_announcement += other.orders_before_announcement;
     }
 }
 
@@ -102,6 +113,13 @@
     entry_processes: Vec<u64>,
     agents: Vec<(u64, WorkerCore)>,
     workers: Vec<LeasedWorker>,
+    /// Names of the workers, which may be reused by later incarnations.
+    worker_names: Vec<WorkerName>,
+    /// Whether each worker has crashed and has not started again.
+    worker_down: Vec<bool>,
+    /// Whether each worker's incarnation has announced itself.
+    worker_announced: Vec<bool>,
+    scenarios: Scenarios,
     links: HashMap<LinkNumber, Link>,
     jobs: HashMap<JobId, Job>,
     completed_tasks: HashSet<TaskKey>,
@@ -122,8 +140,8 @@
 }
 
 impl Sim {
-    pub fn run(seed: u64, defect: Option<InjectedDefect>) -> Self {
-        let mut sim = Self::new(seed, defect);
+    pub fn run(seed: u64, defect: Option<InjectedDefect>, scenarios: Scenarios) -> Self {
+        let mut sim = Self::new(seed, defect, scenarios);
         while let Some(((at, _), event)) = sim.queue.pop_first() {
             if at > sim.end || !sim.violations.is_empty() {
                 break;
@@ -135,7 +153,7 @@
         sim
     }
 
-    fn new(seed: u64, defect: Option<InjectedDefect>) -> Self {
+    fn new(seed: u64, defect: Option<InjectedDefect>, scenarios: Scenarios) -> Self {
         let now = Instant::now();
         let mut sim = Self {
             now,
@@ -147,6 +165,10 @@
             entry_processes: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
+            worker_names: Vec::new(),
+            worker_down: vec![false; AGENTS],
+            worker_announced: vec![false; AGENTS],
+            scenarios,
             links: HashMap::new(),
             jobs: HashMap::new(),
             completed_tasks: HashSet::new(),
@@ -165,10 +187,11 @@
         for agent in 0..AGENTS {
             let rate = sim.rng.random_range(0.98..=1.0);
             sim.workers.push(LeasedWorker::new(now, 1, rate));
+            sim.worker_names.push(format!("w{agent}-1"));
             let core = WorkerCore::new(sim.agent_config(), now);
             let process = sim.rng.random();
             sim.agents.push((process, core));
-            sim.schedule(Duration::ZERO, ScheduledEvent::Heartbeat(agent));
+            sim.schedule(Duration::ZERO, ScheduledEvent::Heartbeat(agent, 1));
             for entry in 0..ENTRIES {
                 sim.schedule(Duration::from_millis(10), ScheduledEvent::Connect(entry, agent));
             }
@@ -220,7 +243,12 @@
                     self.handle_agent_event(agent, AgentEvent::Tick);
                 }
             }
-            ScheduledEvent::Heartbeat(agent) => self.announce_worker(agent),
+            ScheduledEvent::Heartbeat(agent, incarnation) => {
+                if self.workers[agent].incarnation == incarnation && !self.worker_down[agent] {
+                    self.announce_worker(agent);
+                }
+            }
+            ScheduledEvent::RestartWorker(agent) => self.restart_worker(agent, true),
             ScheduledEvent::ToAgent(link, message) => {
                 if let Some(agent) = self
                     .links
@@ -241,8 +269,8 @@
                     self.handle_entry_event(entry, EntryEvent::FromAgent { link, message });
                 }
             }
-            ScheduledEvent::Order(agent, process, call, incarnation, order) => {
-                self.deliver_order(agent, process, call, incarnation, &order);
+            ScheduledEvent::Order(agent, process, call, worker, order) => {
+                self.deliver_order(agent, process, call, &worker, &order);
             }
             ScheduledEvent::Reply(agent, process, call, reply) => {
                 if self.agents[agent].0 == process {
@@ -264,10 +292,11 @@
     }
 
     fn announce_worker(&mut self, agent: usize) {
+        self.worker_announced[agent] = true;
         let worker = &self.workers[agent];
         let announcement = Announcement {
             description: WorkerDescription {
-                worker: format!("w{agent}-{}", worker.incarnation),
+                worker: self.worker_names[agent].clone(),
                 pool: "pool".to_owned(),
                 failure_domain: "zone-a".to_owned(),
                 labels: Vec::new(),
@@ -284,7 +313,9 @@
             clock: worker.clock(self.now),
         };
         self.handle_agent_event(agent, AgentEvent::Announced(announcement));
-        self.schedule(Duration::from_secs(1), ScheduledEvent::Heartbeat(agent));
+        let incarnation = self.workers[agent].incarnation;
+        let next = ScheduledEvent::Heartbeat(agent, incarnation);
+        self.schedule(Duration::from_secs(1), next);
     }
 
     fn handle_entry_event(&mut self, entry: usize, event: EntryEvent) {
@@ -312,7 +343,7 @@
                 }
                 AgentAction::Call {
                     call, worker, order, ..
-                } => self.send_order(agent, process, call, &worker, order),
+                } => self.send_order(agent, process, call, worker, order),
                 AgentAction::Notice(_) => {}
             }
         }
@@ -323,16 +354,11 @@
         self.schedule(at - self.now, ScheduledEvent::AgentTick(agent));
     }
 
-    fn send_order(&mut self, agent: usize, process: u64, call: CallId, worker: &str, order: Order) {
-        let (_, incarnation) = worker.rsplit_once('-').expect("names of workers have a number");
-        let incarnation = incarnation.parse().expect("a number");
-        if self.rng.random_bool(0.04) {
+    fn send_order(&mut self, agent: usize, process: u64, call: CallId, worker: WorkerName, order: Order) {
+        if self.scenarios.contains(Scenario::Standard) && self.rng.random_bool(0.04) {
             self.counts.late_orders += 1;
             let late = Duration::from_millis(self.rng.random_range(2_000..12_000));
-            self.schedule(
-                late,
-                ScheduledEvent::Order(agent, process, None, incarnation, order),
-            );
+            self.schedule(late, ScheduledEvent::Order(agent, process, None, worker, order));
             let lost = lost_reply();
             self.schedule(CALL_TIMEOUT, ScheduledEvent::Reply(agent, process, call, lost));
             return;
@@ -342,18 +368,11 @@
             _ => Duration::ZERO,
         };
         let delay = Duration::from_millis(self.rng.random_range(1..4)) + wait;
-        let event = ScheduledEvent::Order(agent, process, Some(call), incarnation, order);
+        let event = ScheduledEvent::Order(agent, process, Some(call), worker, order);
         self.schedule(delay, event);
     }
 
-    fn deliver_order(
-        &mut self,
-        agent: usize,
-        process: u64,
-        call: Option<CallId>,
-        incarnation: u64,
-        order: &Order,
-    ) {
+    fn deliver_order(&mut self, agent: usize, process: u64, call: Option<CallId>, name: &str, order: &Order) {
         let is_long = self.rng.random_bool(0.1);
         let work = if is_long {
             self.rng.random_range(1_000..3_000)
@@ -367,7 +386,12 @@
             RunOutcome::Completed
         };
         let worker = &mut self.workers[agent];
-        let reply = if worker.incarnation == incarnation {
+        let reply = if self.worker_down[agent] {
+            Reply {
+                clock: None,
+                outcome: CallOutcome::Unreachable,
+            }
+        } else if self.worker_names[agent] == name {
             worker.carry_out(self.now, order, work, end)
         } else {
             Reply {
@@ -377,6 +401,7 @@
         };
         if let (Order::Start { task, .. }, CallOutcome::Done) = (order, &reply.outcome) {
             self.counts.starts += 1;
+            self.counts.orders_before_announcement += u64::from(!self.worker_announced[agent]);
             self.started_jobs.insert(task.job);
         }
         if let CallOutcome::LeaseRenewed(list) = &reply.outcome {
@@ -525,7 +550,13 @@
         let links: Vec<LinkNumber> = self.links.keys().copied().collect();
         let mut links = links;
         links.sort_unstable();
-        match self.rng.random_range(0..6) {
+        let reuse = self.scenarios.contains(Scenario::NameReuse);
+        let kind = if self.scenarios.contains(Scenario::Standard) {
+            self.rng.random_range(0..if reuse { 7 } else { 6 })
+        } else {
+            6
+        };
+        match kind {
             0 if !links.is_empty() => {
                 let link = links[self.rng.random_range(0..links.len())];
                 self.disconnect(link);
@@ -539,17 +570,51 @@
             }
             3 => self.kill_agent(),
             4 => self.kill_entry(),
-            _ => {
+            5 => {
                 let agent = self.rng.random_range(0..AGENTS);
-                let worker = &self.workers[agent];
-                let restarted = LeasedWorker::new(self.now, worker.incarnation + 1, 0.99);
-                self.workers[agent] = restarted;
+                if !self.worker_down[agent] {
+                    self.restart_worker(agent, false);
+                }
             }
+            _ if reuse => self.crash_worker(),
+            _ => {}
         }
         let next = Duration::from_millis(self.rng.random_range(100..1_200));
         self.schedule(next, ScheduledEvent::Fault);
     }
 
+    /// Crashes a worker, which starts again under its name at once or within 3 s.
+    fn crash_worker(&mut self) {
+        let agent = self.rng.random_range(0..AGENTS);
+        if self.worker_down[agent] {
+            return;
+        }
+        self.counts.name_reuses += 1;
+        if self.rng.random_bool(0.5) {
+            self.restart_worker(agent, true);
+            return;
+        }
+        self.worker_down[agent] = true;
+        let incarnation = self.workers[agent].incarnation;
+        self.workers[agent] = LeasedWorker::new(self.now, incarnation, 1.0);
+        let down = Duration::from_millis(self.rng.random_range(0..3_000));
+        self.schedule(down, ScheduledEvent::RestartWorker(agent));
+    }
+
+    /// Starts an incarnation that knows nothing of the former one.
+    fn restart_worker(&mut self, agent: usize, keep_name: bool) {
+        self.worker_down[agent] = false;
+        self.worker_announced[agent] = false;
+        let incarnation = self.workers[agent].incarnation + 1;
+        let rate = self.rng.random_range(0.98..=1.0);
+        self.workers[agent] = LeasedWorker::new(self.now, incarnation, rate);
+        if !keep_name {
+            self.worker_names[agent] = format!("w{agent}-{incarnation}");
+        }
+        let first = Duration::from_millis(self.rng.random_range(0..1_500));
+        self.schedule(first, ScheduledEvent::Heartbeat(agent, incarnation));
+    }
+
     fn kill_agent(&mut self) {
         let agent = self.rng.random_range(0..AGENTS);
         let process = self.rng.random();
