worker: Stop renewing the worker's lease while a run has to end

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: entries infer that a run has ended 1.31 s after the last heartbeat of its agent, and callers submit a lost job again after 1.3 s. Both bounds assume that the worker's lease is not renewed once the run is to be stopped. The lease covers everything on the worker, and the agent renewed it while any run had not ended, the ones to be stopped included. If the worker left the stops unanswered, and carried them out seconds later, while it answered renewals, the run went on without a bound.

Change: while the stop of a run is not confirmed, a renewal requests the list without a lease end and no start is ordered, at once if the entry's lease has expired and after 500 ms otherwise. The lease then expires in time and ends the run.

--- a/crates/standin/src/leased_worker.rs
+++ b/crates/standin/src/leased_worker.rs
@@ -140,7 +140,9 @@
                 ..
             } => {
                 self.token = token;
-                self.extend(now, until);
+                if let Some(until) = until {
+                    self.extend(now, until);
+                }
                 self.ended.retain(|end| end.number > last_received_end);
                 CallOutcome::LeaseRenewed(self.lists())
             }
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -53,10 +53,10 @@
         /// Fencing token of this process.
         token: FencingToken,
     },
-    /// Renews the worker's lease and requests the list of current and ended runs.
+    /// Requests the list of current and ended runs, and renews the worker's lease.
     RenewLease {
-        /// End of the worker's lease, on the worker's clock.
-        until: Duration,
+        /// End of the worker's lease, on the worker's clock; without it the order only requests the list.
+        until: Option<Duration>,
         /// Number of the last end received; the worker need not list it or earlier ones again.
         last_received_end: u64,
         /// How long the worker waits for a run to end before it replies.
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -29,6 +29,10 @@
 impl WorkerCore {
     /// Starts waiting runs, most urgent first, while they fit into the worker's capacity.
     pub(crate) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        // A start renews the lease of every run on the worker.
+        if !self.may_renew(now) {
+            return;
+        }
         let ready = |session: &Session| session.available && session.announced;
         let ready = self.session.as_ref().is_some_and(ready);
         if !ready {
@@ -110,6 +114,19 @@
         uncertain || self.has_started()
     }
 
+    /// Returns whether the worker's lease may be renewed.
+    ///
+    /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose
+    /// entry's lease has expired, or whose stop is not confirmed.
+    fn may_renew(&self, now: Instant) -> bool {
+        self.runs.values().all(|run| match run.phase {
+            Phase::Stopping(stop) if stop.confirmed_at.is_none() => {
+                now < stop.renew_until && self.owners.has_lease(run.owner, now)
+            }
+            _ => true,
+        })
+    }
+
     /// Renews the worker's lease with a long poll, which returns when a run ends.
     pub(crate) fn renew_lease(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let needed = self.needs_renewal();
@@ -129,14 +146,14 @@
         } else {
             Duration::ZERO
         };
-        let lease = self.cfg.worker_lease;
+        let lease = self.may_renew(now).then_some(self.cfg.worker_lease);
         let call = self.begin_call(Call::RenewLease { sent_at: now });
         let Some(session) = self.session.as_mut() else {
             return;
         };
         session.renewal_pending = true;
         let order = Order::RenewLease {
-            until: session.clock.grant(now, lease),
+            until: lease.map(|lease| session.clock.grant(now, lease)),
             last_received_end: session.last_received_end,
             wait,
             token: session.token,
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -10,6 +10,10 @@
 /// Owner of runs that an earlier agent process started and no entry has listed.
 pub(crate) const NO_OWNER: ProcessId = 0;
 
+/// Time for which the worker's lease is renewed although a stop is not confirmed. With the worker's lease after it, a run
+/// ends within the 1.3 s after which a caller that got no answer submits its job again.
+const UNCONFIRMED_STOP_GRACE: Duration = Duration::from_millis(500);
+
 /// Progress of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -34,6 +38,8 @@
     pub(crate) retry_at: Instant,
     /// When the worker confirmed the stop order.
     pub(crate) confirmed_at: Option<Instant>,
+    /// Until when the worker's lease may be renewed although the stop is not confirmed.
+    pub(crate) renew_until: Instant,
     /// End to report if the worker lists neither the run nor its end.
     pub(crate) outcome_if_unlisted: RunOutcome,
 }
@@ -42,6 +48,7 @@
     /// Creates a stop whose order is due immediately.
     pub(crate) fn begin(now: Instant, outcome_if_unlisted: RunOutcome) -> Self {
         Self {
+            renew_until: now + UNCONFIRMED_STOP_GRACE,
             call: None,
             retry_at: now,
             confirmed_at: None,
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use chestnutfork_types::{EntryToWorker, RunOutcome, WorkerName};
+use chestnutfork_types::{EntryToWorker, RunOutcome, WorkerName, WorkerToEntry};
 use chestnutfork_worker::{Action, Announcement, CallId, CallOutcome, Event, Notice, Order, Reply, RunList};
 use common::{Agent, LINK, announcement, attempt, is_renewal, is_start, is_stop, listed, millis};
 
@@ -39,11 +39,26 @@
 /// Returns the lease end that an order requests, on the worker's clock.
 fn lease_end(order: &Order) -> Option<Duration> {
     match order {
-        Order::Start { until, .. } | Order::RenewLease { until, .. } => Some(*until),
+        Order::Start { until, .. } => Some(*until),
+        Order::RenewLease { until, .. } => *until,
         Order::Stop { .. } => None,
     }
 }
 
+/// Fires the timer, and acknowledges the heartbeat that the agent sends, if any.
+fn tick_and_acknowledge(agent: &mut Agent) {
+    agent.handle(Event::Tick);
+    let before = std::mem::take(&mut agent.actions);
+    let beat = before.iter().find_map(|action| match action {
+        Action::ToEntry(_, WorkerToEntry::Heartbeat(number, _)) => Some(*number),
+        _ => None,
+    });
+    if let Some(beat) = beat {
+        agent.send(EntryToWorker::HeartbeatAck(beat));
+    }
+    agent.actions.splice(0..0, before);
+}
+
 /// Guards against reporting a run as lost that was ordered before the announcement of a restarted worker, but that the
 /// new incarnation has started.
 #[test]
@@ -162,3 +177,31 @@
     agent.handle(Event::Announced(restarted()));
     assert!(token(&agent) > former);
 }
+
+/// Guards against renewals that keep a cancelled run alive while its stops go unanswered, beyond the time after which the
+/// caller of a timed-out job submits it again at another entry.
+#[test]
+fn unconfirmed_stop_ends_renewals() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.send(EntryToWorker::Stop(vec![attempt(0, 1)]));
+    let mut renewal = Some(renewal);
+    for elapsed in (10..1_500).step_by(10) {
+        agent.now = agent.start + millis(elapsed);
+        tick_and_acknowledge(&mut agent);
+        let mut calls = agent.calls();
+        if let Some(call) = renewal.take() {
+            agent.reply(call, CallOutcome::LeaseRenewed(list_of_run()));
+            calls.extend(agent.calls());
+        }
+        for (call, order) in calls {
+            let bound = millis(10_000 + 500 + 700);
+            assert!(lease_end(&order) <= Some(bound), "{order:?} at {elapsed} ms");
+            if is_renewal(&order) {
+                renewal = Some(call);
+            } else {
+                agent.reply(call, CallOutcome::NoAnswer);
+            }
+        }
+    }
+    assert_eq!(agent.core.runs_in_progress(), 0);
+}
--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -179,7 +179,7 @@
             token,
         },
         "/hold" => Order::RenewLease {
-            until,
+            until: number("until_ms").map(Duration::from_millis),
             last_received_end: number("last_seen").unwrap_or(0),
             wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
             token,
