worker: Report the runs of a withdrawn worker only after its end

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: the agent inferred from a withdrawal that all runs had ended. The worker ends after the withdrawal is acknowledged, or some seconds later if it is not, and its runs continue until then. The report left before the acknowledgement. A late withdrawal of a former incarnation ended the session with the present one of the same name.

Change: a withdrawn worker gets no starts and no lease; its runs end when the worker lists them, refuses connections or answers as another worker, or when the lease expires. An announcement after a withdrawal shows that the worker goes on.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -219,8 +219,12 @@
         }
         match session {
             None => Some("no worker is connected"),
-            Some(session) if session.worker.description.leaving => Some("the worker is leaving"),
-            Some(session) if !session.announced => Some("the worker has restarted and not announced itself"),
+            Some(session) if session.worker.description.leaving || session.is_withdrawn() => {
+                Some("the worker is leaving")
+            }
+            Some(session) if !session.is_announced() => {
+                Some("the worker has restarted and not announced itself")
+            }
             Some(session) if !session.available => Some("the worker does not answer"),
             Some(_) => None,
         }
@@ -392,6 +396,7 @@
     /// Performs the work that has become possible or due after an event.
     fn run_due_work(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.expire_worker_lease(now, actions);
+        self.end_withdrawn_session(now, actions);
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
         self.start_waiting(now, actions);
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -216,7 +216,7 @@
     LeaseExpired,
     /// A worker of another name, which rejects orders for the former one, has announced itself.
     Renamed,
-    /// The worker withdrew its announcement.
+    /// The worker withdrew its announcement and accepts no more calls.
     Withdrawn,
 }
 
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -33,7 +33,7 @@
         if !self.may_renew(now) {
             return;
         }
-        let ready = |session: &Session| session.available && session.announced;
+        let ready = |session: &Session| session.available && session.is_announced();
         let ready = self.session.as_ref().is_some_and(ready);
         if !ready {
             return;
@@ -117,8 +117,11 @@
     /// Returns whether the worker's lease may be renewed.
     ///
     /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose
-    /// entry's lease has expired, or whose stop is not confirmed.
+    /// entry's lease has expired, or whose stop is not confirmed, or one on a worker that is about to end.
     fn may_renew(&self, now: Instant) -> bool {
+        if self.session.as_ref().is_some_and(Session::is_withdrawn) {
+            return false;
+        }
         self.runs.values().all(|run| match run.phase {
             Phase::Stopping(stop) if stop.confirmed_at.is_none() => {
                 now < stop.renew_until && self.owners.has_lease(run.owner, now)
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -33,6 +33,7 @@
             return;
         }
         self.record_contact(now, &reply, actions);
+        self.on_reply_after_withdrawal(now, &reply.outcome, actions);
         match pending.call {
             Call::Start(task) => self.on_start_reply(now, call, task, &reply.outcome, actions),
             Call::Stop(task) => self.on_stop_reply(now, call, task, &reply.outcome),
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -10,6 +10,7 @@
 use crate::core::WorkerCore;
 use crate::event::Action;
 use crate::health::run_time_ratio;
+use crate::session::Session;
 
 /// Divisor of the capacity that gives the free amount below which capacity is scarce and load changes are reported between
 /// heartbeats.
@@ -133,7 +134,7 @@
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             run_time_permille: health.run_time_permille(&mut in_progress),
             failure_permille: health.failure_permille(now),
-            available: session.is_some_and(|session| session.available && session.announced),
+            available: session.is_some_and(|session| session.available && session.is_announced()),
             last_order,
         }
     }
@@ -143,7 +144,7 @@
         let mut description = session
             .map(|session| session.worker.description.clone())
             .unwrap_or_default();
-        description.leaving |= self.draining;
+        description.leaving |= self.draining || session.is_some_and(Session::is_withdrawn);
         description
     }
 
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -6,10 +6,22 @@
 
 use crate::clock::WorkerClock;
 use crate::core::WorkerCore;
-use crate::event::{Action, Announcement, Evidence, FencingToken, GoneReason, ListedEnd, ListedRun, Notice};
+use crate::event::{
+    Action, Announcement, CallOutcome, Evidence, FencingToken, GoneReason, ListedEnd, ListedRun, Notice,
+};
 use crate::health::Health;
 use crate::run::{Phase, Run, Stop};
 
+/// What an incarnation of the worker has told its agent about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Presence {
+    /// It has answered calls, but not announced its capacity.
+    Unannounced,
+    Announced,
+    /// It has withdrawn; its runs continue until it ends.
+    Withdrawn,
+}
+
 /// State kept for one incarnation of the worker.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -17,8 +29,7 @@
     pub(crate) worker: Announcement,
     /// Start time of the incarnation, unless only its clock has shown that it is later than the announced one.
     pub(crate) started_at: Option<Duration>,
-    /// Whether the incarnation has announced itself, and thereby its capacity.
-    pub(crate) announced: bool,
+    pub(crate) presence: Presence,
     pub(crate) clock: WorkerClock,
     pub(crate) token: FencingToken,
     /// Whether a lease renewal is in flight.
@@ -48,7 +59,7 @@
             clock,
             token: token.max(former_token + 1),
             started_at: Some(worker.started_at),
-            announced: true,
+            presence: Presence::Announced,
             worker,
             renewal_pending: false,
             renew_at: now,
@@ -62,6 +73,14 @@
             orphan_ends: Vec::new(),
         }
     }
+
+    pub(crate) fn is_announced(&self) -> bool {
+        self.presence == Presence::Announced
+    }
+
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        self.presence == Presence::Withdrawn
+    }
 }
 
 impl WorkerCore {
@@ -80,7 +99,7 @@
         let started_at = announcement.started_at;
         let identified = session.started_at.unwrap_or(known.started_at);
         if same_name && started_at == identified && session.started_at.is_some() {
-            if !session.announced || announcement.sequence > known.sequence {
+            if session.presence == Presence::Unannounced || announcement.sequence > known.sequence {
                 self.update_session(now, announcement, actions);
             }
         } else if started_at <= identified {
@@ -101,11 +120,12 @@
             return;
         };
         session.clock.observe(now, announcement.clock);
-        let changed = session.worker.description != announcement.description;
-        let joined = !session.announced;
+        let changed = session.worker.description != announcement.description || session.is_withdrawn();
+        let joined = session.presence == Presence::Unannounced;
         let leaves = announcement.description.leaving && !session.worker.description.leaving;
         session.started_at = Some(announcement.started_at);
-        session.announced = true;
+        // A withdrawal before this announcement was a delayed one of a former incarnation.
+        session.presence = Presence::Announced;
         session.worker = announcement;
         if joined {
             let notice = joined_notice(&session.worker);
@@ -131,18 +151,40 @@
     }
 
     pub(crate) fn on_withdrawn(&mut self, now: Instant, worker: &WorkerName, actions: &mut Vec<Action>) {
-        let current = self
-            .session
-            .as_ref()
-            .map(|session| &session.worker.description.worker);
-        if current == Some(worker) {
+        let current = self.session.as_mut();
+        let Some(session) = current.filter(|session| session.worker.description.worker == *worker) else {
+            return;
+        };
+        session.presence = Presence::Withdrawn;
+        self.refuse_waiting(now, "the worker is leaving", actions);
+        self.broadcast_description(actions);
+    }
+
+    /// Ends the session with a withdrawn worker on which nothing runs any more.
+    pub(crate) fn end_withdrawn_session(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let withdrawn = self.session.as_ref().is_some_and(Session::is_withdrawn);
+        if withdrawn && self.runs.is_empty() {
+            self.end_session(now, GoneReason::Withdrawn, actions);
+            self.broadcast_description(actions);
+        }
+    }
+
+    /// Ends the session with a withdrawn worker if a reply shows that it has ended.
+    pub(crate) fn on_reply_after_withdrawal(
+        &mut self,
+        now: Instant,
+        outcome: &CallOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let ended = matches!(outcome, CallOutcome::Unreachable | CallOutcome::OtherIncarnation);
+        if ended && self.session.as_ref().is_some_and(Session::is_withdrawn) {
             self.end_session(now, GoneReason::Withdrawn, actions);
             self.broadcast_description(actions);
         }
     }
 
     /// Ends the session with an incarnation that has ended, and all its runs.
-    fn end_session(&mut self, now: Instant, reason: GoneReason, actions: &mut Vec<Action>) {
+    pub(crate) fn end_session(&mut self, now: Instant, reason: GoneReason, actions: &mut Vec<Action>) {
         if self.session.is_none() {
             return;
         }
@@ -199,7 +241,7 @@
         let clock = WorkerClock::with_unknown_lease(now, clock);
         self.session = Some(Session {
             started_at,
-            announced: false,
+            presence: Presence::Unannounced,
             ..Session::new(now, former.worker, clock, self.former_token)
         });
     }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -205,3 +205,25 @@
     }
     assert_eq!(agent.core.runs_in_progress(), 0);
 }
+
+/// Guards against tasks that wait for the lease of a withdrawn worker to expire although its process has ended.
+#[test]
+fn withdrawn_worker_reports_runs_when_unreachable() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.handle(Event::Withdrawn(WorkerName::from(WORKER)));
+    agent.start(&[attempt(1, 1)]);
+    assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+    agent.reply(renewal, CallOutcome::Unreachable);
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
+}
+
+/// Guards against a worker that gets no more tasks because a withdrawal of its former incarnation arrived late.
+#[test]
+fn announcement_after_withdrawal_allows_starts() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    agent.handle(Event::Withdrawn(WorkerName::from(WORKER)));
+    agent.handle(Event::Announced(announcement(1, 2)));
+    agent.start(&[attempt(1, 1)]);
+    assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
+}
