worker: Keep an attempt unresolved while its orphaned run is being stopped

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: after a restart of the agent, a run that no entry lists within 250 ms is stopped and no longer belongs to an attempt. An entry that lists the attempt after that, while the stop is in progress, was told that the run was lost, and started the task elsewhere although the run goes on until the stop takes effect, for seconds if the worker carries it out late.

Change: the listed attempt takes over the run that is being stopped, and an attempt stays unresolved while another run of its task is in progress.

Evidence: reconcile_waits_for_stop_of_orphan failed before.

--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -7,7 +7,7 @@
 
 use crate::core::WorkerCore;
 use crate::event::{Action, Evidence, ListedRun};
-use crate::run::{Phase, Run};
+use crate::run::{NO_OWNER, Phase, Run};
 
 /// Attempt that an entry listed in an `EntryToWorker::Reconcile` message.
 #[derive(Clone, Copy, Debug)]
@@ -31,22 +31,31 @@
             return;
         }
         for attempt in std::mem::take(&mut self.unreconciled) {
-            self.reconcile_attempt(now, attempt.entry, attempt.key, actions);
+            if !self.reconcile_attempt(now, attempt.entry, attempt.key, actions) {
+                self.unreconciled.push(attempt);
+                continue;
+            }
             if !attempt.keep {
                 self.stop_attempt(now, attempt.entry, attempt.key, actions);
             }
         }
     }
 
+    /// Returns whether the attempt is reconciled; it is not while another run of its task may be the attempt's.
     fn reconcile_attempt(
         &mut self,
         now: Instant,
         entry: ProcessId,
         key: AttemptKey,
         actions: &mut Vec<Action>,
-    ) {
-        if self.runs.get(&key.task).is_some_and(|run| run.key == key) {
-            return;
+    ) -> bool {
+        if let Some(run) = self.runs.get_mut(&key.task) {
+            if run.owner == NO_OWNER {
+                // The run is being stopped, because no entry had listed it in time. Its end is reported to this one.
+                run.owner = entry;
+                run.key = key;
+            }
+            return run.key == key && run.owner == entry;
         }
         if let Some(record) = self
             .ended_runs
@@ -55,13 +64,13 @@
         {
             let ended = record.ended;
             self.report(entry, ended);
-            return;
+            return true;
         }
         if let Some(session) = self.session.as_mut() {
             let orphan = session.orphans.iter().position(|run| run.task == key.task);
             if let Some(run) = orphan.map(|at| session.orphans.swap_remove(at)) {
                 self.adopt(now, entry, key, run);
-                return;
+                return true;
             }
             let listed = session
                 .orphan_ends
@@ -70,7 +79,7 @@
             if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
                 self.adopt(now, entry, key, listed.run);
                 self.end_run(now, key.task, listed.outcome, Evidence::Listed, actions);
-                return;
+                return true;
             }
         }
         let ended = EndedRun {
@@ -79,6 +88,7 @@
             run_time: Duration::ZERO,
         };
         self.report(entry, ended);
+        true
     }
 
     /// Takes over a run that an earlier agent process started.
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -227,3 +227,26 @@
     agent.start(&[attempt(1, 1)]);
     assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
 }
+
+/// Guards against reporting an attempt as lost whose run is being stopped, because its entry listed it too late.
+#[test]
+fn reconcile_waits_for_stop_of_orphan() {
+    let mut agent = Agent::new();
+    agent.handle(Event::Announced(announcement(1, 9)));
+    agent.answer_renewal(list_of_run());
+    let renewal = agent.call(is_renewal);
+    agent.advance_to(millis(250));
+    let stop = agent.call(is_stop);
+    agent.connect();
+    agent.send(EntryToWorker::Reconcile {
+        keep: vec![attempt(0, 1)],
+        stop: Vec::new(),
+    });
+    assert_eq!(agent.ended(), []);
+    agent.now += millis(1);
+    agent.reply(stop, CallOutcome::Done);
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    assert_eq!(agent.ended(), []);
+    agent.answer_renewal(RunList::default());
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Stopped);
+}
