worker: Neither renew nor start beside runs that belong to no attempt

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: only the first list of an agent process was searched for runs that it had not started. A run that appeared later, from a start that the worker carried out late, was ignored and kept alive by the renewals.

Change: every list is searched for runs that belong to no attempt. While there are any, or before the first list, the lease is not renewed and nothing is started; their tasks are refused. The longest possible lease is assumed for them.

Evidence: unknown_run_is_stopped and start_waits_for_first_list failed before.

--- a/crates/worker/src/clock.rs
+++ b/crates/worker/src/clock.rs
@@ -26,13 +26,10 @@
         }
     }
 
-    /// Creates a clock of a worker that may have started a run without an order of this session, for the longest lease.
-    #[must_use]
-    pub fn with_unknown_lease(read_at: Instant, value: Duration) -> Self {
-        Self {
-            latest_lease_end: value + MAX_WORKER_LEASE,
-            ..Self::new(read_at, value)
-        }
+    /// Records that runs may have a lease that this process has not requested.
+    pub(crate) fn assume_longest_lease(&mut self, now: Instant) {
+        let until = self.estimate(now) + MAX_WORKER_LEASE;
+        self.latest_lease_end = self.latest_lease_end.max(until);
     }
 
     /// Returns the latest reading.
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -200,7 +200,7 @@
         }
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
-            let busy = self.runs.contains_key(&task.key.task);
+            let busy = self.runs.contains_key(&task.key.task) || self.is_orphan(task.key.task);
             match refusal.or(busy.then_some("another run of the task has not ended")) {
                 Some(reason) => self.refuse(entry, task.key, reason, actions),
                 None => self.accept(now, entry, order, task),
@@ -208,6 +208,11 @@
         }
     }
 
+    fn is_orphan(&self, task: TaskKey) -> bool {
+        let session = self.session.as_ref();
+        session.is_some_and(|session| session.orphans.iter().any(|run| run.task == task))
+    }
+
     /// Returns why start orders of an entry must be refused, if so.
     fn refusal(&self, now: Instant, entry: ProcessId) -> Option<&'static str> {
         let session = self.session.as_ref();
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -5,7 +5,7 @@
 use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
 
 use crate::core::WorkerCore;
-use crate::event::{Action, CallId, Evidence, Notice, Order};
+use crate::event::{Action, CallId, Evidence, ListedRun, Notice, Order};
 use crate::run::{NO_OWNER, Phase, Run};
 use crate::session::Session;
 
@@ -117,9 +117,11 @@
     /// Returns whether the worker's lease may be renewed.
     ///
     /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose
-    /// entry's lease has expired, or whose stop is not confirmed, or one on a worker that is about to end.
+    /// entry's lease has expired, whose stop is not confirmed, that no entry has listed, or whose worker is about to end.
     fn may_renew(&self, now: Instant) -> bool {
-        if self.session.as_ref().is_some_and(Session::is_withdrawn) {
+        let session = self.session.as_ref();
+        let unknown = |session: &Session| session.synced_at.is_none() || !session.orphans.is_empty();
+        if session.is_some_and(|session| session.is_withdrawn() || unknown(session)) {
             return false;
         }
         self.runs.values().all(|run| match run.phase {
@@ -164,7 +166,7 @@
         push_call(session, call, order, actions);
     }
 
-    /// Stops runs of an earlier agent process that no entry listed within the grace period.
+    /// Stops runs that belong to no attempt, those of an earlier agent process after a grace period.
     pub(crate) fn stop_orphans(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let due = self
             .session
@@ -178,11 +180,16 @@
             .session
             .as_mut()
             .map(|session| std::mem::take(&mut session.orphans));
-        for listed in orphans.into_iter().flatten() {
+        let (blocked, free) = orphans
+            .into_iter()
+            .flatten()
+            .partition(|listed: &ListedRun| self.runs.contains_key(&listed.task));
+        if let Some(session) = self.session.as_mut() {
+            session.orphans = blocked;
+        }
+        let free: Vec<ListedRun> = free;
+        for listed in free {
             let task = listed.task;
-            if self.runs.contains_key(&task) {
-                continue;
-            }
             actions.push(Action::Notice(Notice::OrphanStopped { run: listed }));
             let key = AttemptKey { task, attempt: 0 };
             self.adopt(now, NO_OWNER, key, listed);
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -9,8 +9,7 @@
     Action, CallId, CallOutcome, Evidence, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList,
 };
 use crate::orders::{Call, PendingCall};
-use crate::run::{Phase, Stop};
-use crate::session::Session;
+use crate::run::{Phase, Run, Stop};
 
 /// Refusals of a start after which it is reported as not started, so that the entry can use another worker.
 const MAX_START_REFUSALS: u32 = 3;
@@ -235,8 +234,11 @@
         }
         self.process_ends(now, &list.ended, actions);
         self.apply_run_list(now, sent_at, &list, actions);
+        self.record_orphans(now, &list, actions);
         if first {
-            self.record_orphans(&list);
+            if let Some(session) = self.session.as_mut() {
+                session.orphan_ends = list.ended;
+            }
             self.reconcile_attempts(now, actions);
         }
     }
@@ -246,7 +248,6 @@
         for listed in ended {
             if let Some(session) = self.session.as_mut() {
                 session.last_received_end = session.last_received_end.max(listed.number);
-                session.orphans.retain(|run| *run != listed.run);
             }
             let task = listed.run.task;
             let Some(run) = self.runs.get(&task).filter(|run| run.number == listed.run.number) else {
@@ -306,23 +307,27 @@
         }
     }
 
-    /// Records the runs of an earlier agent process, which continue if an entry lists them.
-    fn record_orphans(&mut self, list: &RunList) {
+    /// Records the listed runs that this process has not started, or has reported as ended.
+    ///
+    /// Those of an earlier agent process continue if an entry lists them. Others come from orders that were carried out
+    /// late.
+    fn record_orphans(&mut self, now: Instant, list: &RunList, actions: &mut Vec<Action>) {
         let known = |run: &ListedRun| {
-            self.runs
-                .get(&run.task)
-                .is_some_and(|own| own.number == run.number)
+            let own = self.runs.get(&run.task);
+            own.is_some_and(|own| own.number == run.number)
         };
         let orphans: Vec<ListedRun> = list.running.iter().copied().filter(|run| !known(run)).collect();
-        let ends = list.ended.clone();
-        if let Some(Session {
-            orphans: recorded,
-            orphan_ends,
-            ..
-        }) = self.session.as_mut()
-        {
-            *recorded = orphans;
-            *orphan_ends = ends;
+        for orphan in &orphans {
+            if self.runs.get(&orphan.task).is_some_and(Run::is_waiting) {
+                let outcome = RunOutcome::NotStarted;
+                self.end_run(now, orphan.task, outcome, Evidence::NotOrdered, actions);
+            }
+        }
+        if let Some(session) = self.session.as_mut() {
+            if session.orphans.is_empty() && !orphans.is_empty() {
+                session.clock.assume_longest_lease(now);
+            }
+            session.orphans = orphans;
         }
     }
 }
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -44,7 +44,7 @@
     pub(crate) unanswered: u32,
     pub(crate) available: bool,
     pub(crate) health: Health,
-    /// Runs that an earlier agent process started and no entry has listed.
+    /// Listed runs that belong to no attempt of an entry; most were started by an earlier agent process.
     pub(crate) orphans: Vec<ListedRun>,
     /// Ends of runs that an earlier agent process started.
     pub(crate) orphan_ends: Vec<ListedEnd>,
@@ -238,7 +238,8 @@
             unresolved: self.runs.len() as u64,
             unannounced,
         }));
-        let clock = WorkerClock::with_unknown_lease(now, clock);
+        let mut clock = WorkerClock::new(now, clock);
+        clock.assume_longest_lease(now);
         self.session = Some(Session {
             started_at,
             presence: Presence::Unannounced,
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -152,11 +152,13 @@
         });
         let is_restart = |action: &Action| matches!(action, Action::Notice(Notice::WorkerRestarted { .. }));
         assert!(agent.actions.iter().any(is_restart));
+        let renewal = agent.call(is_renewal);
+        agent.clock_at_start = millis(1_000);
         agent.start(&[attempt(1, 1)]);
         assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
         agent.handle(Event::Announced(restarted()));
         assert!(!agent.actions.iter().any(is_restart));
-        agent.send(EntryToWorker::HeartbeatAck(1));
+        agent.reply(renewal, CallOutcome::LeaseRenewed(RunList::default()));
         agent.start(&[attempt(1, 2)]);
         assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
     }
@@ -228,6 +230,47 @@
     assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
 }
 
+/// Guards against a run that renewals keep alive although no attempt belongs to it: its order was carried out late.
+#[test]
+fn unknown_run_is_stopped() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.advance_to(millis(260));
+    let list = RunList {
+        running: vec![listed(attempt(0, 1), 1), listed(attempt(7, 3), 3)],
+        ..RunList::default()
+    };
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list));
+    let stopped = |order: &Order| matches!(order, Order::Stop { task, .. } if *task == attempt(7, 3).task);
+    assert!(agent.calls().iter().any(|(_, order)| stopped(order)));
+    let renewed = agent
+        .calls()
+        .iter()
+        .any(|(_, order)| is_renewal(order) && lease_end(order).is_some());
+    assert!(!renewed, "the lease is renewed for an unknown run");
+}
+
+/// Guards against a second run of a task that an earlier agent process has started on the worker.
+#[test]
+fn start_waits_for_first_list() {
+    let mut agent = Agent::new();
+    agent.connect();
+    agent.handle(Event::Announced(announcement(1, 9)));
+    let renewal = agent.call(is_renewal);
+    agent.start(&[attempt(0, 2), attempt(1, 1)]);
+    assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+    let refused = agent.ended();
+    assert_eq!((refused.len(), refused[0].key), (1, attempt(0, 2)));
+    let renewal = agent.call(is_renewal);
+    agent.advance_to(millis(250));
+    let stop = agent.call(is_stop);
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    assert!(agent.calls().iter().all(|(_, order)| !is_start(order)));
+    agent.reply(stop, CallOutcome::Done);
+    assert!(agent.calls().iter().any(|(_, order)| is_start(order)));
+}
+
 /// Guards against reporting an attempt as lost whose run is being stopped, because its entry listed it too late.
 #[test]
 fn reconcile_waits_for_stop_of_orphan() {
