standin: Let the model of a worker run a task twice, in a reproducible order

Cause: the model kept one run for each task, so a start with a higher number replaced a run in progress without an end, and two runs of a task on one worker could not be seen. Its lists followed the random order of a hash map.

Change: runs are kept by task and number in an ordered map; a stop concerns all runs up to its number.

--- a/crates/standin/src/leased_worker.rs
+++ b/crates/standin/src/leased_worker.rs
@@ -3,7 +3,7 @@
 //! It has no sockets and no clock of its own. Randomised runs drive it directly; the fault soak puts an HTTP server before
 //! it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::{RunNumber, RunOutcome, TaskKey};
@@ -19,7 +19,6 @@
 /// Run in progress.
 #[derive(Clone, Copy, Debug)]
 struct Active {
-    number: RunNumber,
     ends_at: Instant,
     end: RunOutcome,
 }
@@ -45,7 +44,8 @@
     rate: f64,
     lease_until: Duration,
     token: u64,
-    active: HashMap<TaskKey, Active>,
+    /// Runs in progress, in a reproducible order; a task may have several.
+    active: BTreeMap<(TaskKey, RunNumber), Active>,
     highest: HashMap<TaskKey, RunNumber>,
     ended: Vec<ListedEnd>,
     last_end: u64,
@@ -62,7 +62,7 @@
             rate,
             lease_until: Duration::ZERO,
             token: 0,
-            active: HashMap::new(),
+            active: BTreeMap::new(),
             highest: HashMap::new(),
             ended: Vec::new(),
             last_end: 0,
@@ -80,21 +80,21 @@
     pub fn advance(&mut self, now: Instant) {
         let lapsed = self.clock(now) >= self.lease_until;
         let lapsed_at = self.started_at + self.lease_until.div_f64(self.rate);
-        let over: Vec<TaskKey> = self
+        let over: Vec<(TaskKey, RunNumber)> = self
             .active
             .iter()
             .filter(|(_, run)| lapsed || run.ends_at <= now)
-            .map(|(&task, _)| task)
+            .map(|(&run, _)| run)
             .collect();
-        for task in over {
-            if let Some(run) = self.active.remove(&task) {
+        for (task, number) in over {
+            if let Some(run) = self.active.remove(&(task, number)) {
                 let in_time = run.ends_at <= now && (!lapsed || run.ends_at <= lapsed_at);
                 let (end, at) = if in_time {
                     (run.end, run.ends_at)
                 } else {
                     (RunOutcome::Lost, lapsed_at)
                 };
-                self.list_end(task, run.number, end, at);
+                self.list_end(task, number, end, at);
             }
         }
     }
@@ -102,12 +102,18 @@
     /// Reports whether a run of a task is in progress.
     #[must_use]
     pub fn is_running(&self, task: TaskKey) -> bool {
-        self.active.contains_key(&task)
+        self.running().any(|running| running == task)
     }
 
     /// Iterates over the tasks with a run in progress.
     pub fn running(&self) -> impl Iterator<Item = TaskKey> + '_ {
-        self.active.keys().copied()
+        self.active.keys().map(|&(task, _)| task)
+    }
+
+    /// Iterates over the runs in progress.
+    pub fn runs(&self) -> impl Iterator<Item = ListedRun> + '_ {
+        let runs = self.active.keys();
+        runs.map(|&(task, number)| ListedRun { task, number })
     }
 
     /// Carries out an order; a start runs for `work` and then ends as given.
@@ -165,7 +171,7 @@
         work: Duration,
         end: RunOutcome,
     ) -> CallOutcome {
-        if self.active.get(&task).is_some_and(|run| run.number == number) {
+        if self.active.contains_key(&(task, number)) {
             return CallOutcome::Done;
         }
         if until <= self.clock(now) {
@@ -179,18 +185,18 @@
             return CallOutcome::Refused(Refusal::InsufficientCapacity);
         }
         let ends_at = now + work;
-        self.active.insert(task, Active { number, ends_at, end });
+        self.active.insert((task, number), Active { ends_at, end });
         CallOutcome::Done
     }
 
     fn stop(&mut self, now: Instant, task: TaskKey, number: RunNumber) -> CallOutcome {
         let highest = self.highest.entry(task).or_default();
         *highest = number.max(*highest);
-        if let Some(run) = self.active.get_mut(&task).filter(|run| run.number <= number)
-            && run.ends_at > now + STOP_TIME
-        {
-            run.ends_at = now + STOP_TIME;
-            run.end = RunOutcome::Stopped;
+        for (_, run) in self.active.range_mut((task, 0)..=(task, number)) {
+            if run.ends_at > now + STOP_TIME {
+                run.ends_at = now + STOP_TIME;
+                run.end = RunOutcome::Stopped;
+            }
         }
         CallOutcome::Done
     }
@@ -203,12 +209,8 @@
     /// Lists the runs in progress and the ends that have not been acknowledged.
     #[must_use]
     pub fn lists(&self) -> RunList {
-        let running = self.active.iter().map(|(&task, run)| ListedRun {
-            task,
-            number: run.number,
-        });
         RunList {
-            running: running.collect(),
+            running: self.runs().collect(),
             ended: self.ended.clone(),
             truncated: false,
         }
