--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -2,26 +2,62 @@
 
 mod sim;
 
-use sim::{Counts, InjectedDefect, Scenario, Scenarios, Sim};
+use sim::{Counts, InjectedDefect, Rule, RunOptions, Scenarios, Sim};
 
-/// Guards against concurrent runs of one task, refusals of jobs that have started, and jobs reported as completed before
-/// all their tasks are, under all simulated faults.
-#[test]
-fn random_run_prevents_concurrent_runs() {
+/// Seeds of each test.
+const SEEDS: u64 = 40;
+/// Lines of the trace that a failed test prints.
+const TRACED_LINES: usize = 80;
+
+fn options(scenarios: &str) -> RunOptions {
+    RunOptions {
+        scenarios: Scenarios::parse(scenarios).expect("names of scenarios"),
+        defect: None,
+        trace: false,
+    }
+}
+
+/// Runs seeds, fails with the trace of the first one that breaks a rule, and returns what occurred.
+fn run_seeds(scenarios: &str) -> Counts {
     let mut total = Counts::default();
-    for seed in 0..40 {
-        let sim = Sim::run(seed, None, Scenarios::of(&[Scenario::Standard]));
-        assert_eq!(
-            sim.violations,
-            Vec::<String>::new(),
-            "seed {seed}: {:?}",
-            sim.counts
-        );
+    for seed in 0..SEEDS {
+        let sim = Sim::run(seed, options(scenarios));
+        if !sim.violations.is_empty() {
+            let traced = RunOptions {
+                trace: true,
+                ..options(scenarios)
+            };
+            let lines: Vec<String> = Sim::run(seed, traced).trace.lines().collect();
+            let last = &lines[lines.len().saturating_sub(TRACED_LINES)..];
+            panic!("seed {seed}: {:?}\n{}", sim.violations, last.join("\n"));
+        }
         total.add(&sim.counts);
     }
+    total
+}
+
+/// Returns whether a seed finds two runs of a task at a time with a defect.
+fn detects(defect: InjectedDefect) -> bool {
+    (0..SEEDS).any(|seed| {
+        let options = RunOptions {
+            defect: Some(defect),
+            ..options("standard")
+        };
+        let violations = Sim::run(seed, options).violations;
+        violations
+            .iter()
+            .any(|violation| violation.rule == Rule::ConcurrentRuns)
+    })
+}
+
+/// Guards against concurrent runs of one task, refusals of jobs that have started, and jobs reported as completed before
+/// all their tasks are, under all faults that occur in any deployment.
+#[test]
+fn random_run_prevents_concurrent_runs() {
+    let total = run_seeds("standard");
     // The checks are only meaningful if jobs complete and orders arrive late.
     assert!(
-        total.completed > 40 * 100 && total.late_orders > 40 * 10,
+        total.completed > SEEDS * 100 && total.late_orders > SEEDS * 10,
         "{total:?}"
     );
 }
@@ -29,49 +65,110 @@
 /// Guards against checks that cannot fail: an entry that does not wait for leases to expire must be detected.
 #[test]
 fn random_run_detects_short_run_expiry() {
-    let detected = (0..40).any(|seed| {
-        !Sim::run(
-            seed,
-            Some(InjectedDefect::ShortRunExpiry),
-            Scenarios::of(&[Scenario::Standard]),
-        )
-        .violations
-        .is_empty()
-    });
-    assert!(detected);
+    assert!(detects(InjectedDefect::ShortRunExpiry));
 }
 
 /// Guards against checks that cannot fail: an agent that keeps running the tasks of lost entries must be detected.
 #[test]
 fn random_run_detects_long_entry_lease() {
-    let detected = (0..40).any(|seed| {
-        !Sim::run(
-            seed,
-            Some(InjectedDefect::LongEntryLease),
-            Scenarios::of(&[Scenario::Standard]),
-        )
-        .violations
-        .is_empty()
-    });
-    assert!(detected);
+    assert!(detects(InjectedDefect::LongEntryLease));
 }
 
 /// Guards against reporting runs as lost that a new incarnation of the worker has started under its former name.
 #[test]
 fn reused_name_prevents_concurrent_runs() {
-    let mut total = Counts::default();
-    for seed in 0..40 {
-        let sim = Sim::run(seed, None, Scenarios::of(&[Scenario::NameReuse]));
-        assert_eq!(
-            sim.violations,
-            Vec::<String>::new(),
-            "seed {seed}: {:?}",
-            sim.counts
-        );
-        total.add(&sim.counts);
-    }
+    let total = run_seeds("reuse");
+    let occurred = total.starts_before_announcement > SEEDS && total.orders_of_former_incarnation > SEEDS;
+    assert!(total.name_reuses > SEEDS * 10 && occurred, "{total:?}");
+}
+
+/// Guards against runs that a late order to a former incarnation starts on a new one with the same name.
+#[test]
+fn reused_name_rejects_late_orders() {
+    let total = run_seeds("reuse,starts,stops,calls");
+    assert!(total.orders_of_former_incarnation > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against renewals that prolong runs whose stops are unanswered, while their callers submit again elsewhere.
+#[test]
+fn unanswered_stops_end_runs_in_time() {
+    let total = run_seeds("stops");
+    assert!(total.unanswered_stops > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against runs that a late start begins after its attempt has been given up.
+#[test]
+fn unanswered_starts_begin_no_late_run() {
+    let total = run_seeds("starts");
+    assert!(total.unanswered_starts > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against runs that late renewals prolong beyond the lease that their agent assumes.
+#[test]
+fn unanswered_renewals_prolong_no_run() {
+    let total = run_seeds("renewals");
+    assert!(total.unanswered_renewals > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against late orders of all kinds that prolong or begin runs which nobody knows any more, while agents and entries
+/// are killed.
+#[test]
+fn unanswered_orders_of_killed_processes_end_in_time() {
+    let total = run_seeds("stops,starts,renewals,calls,kills");
+    let unanswered = total.unanswered_stops.min(total.unanswered_starts);
+    assert!(
+        unanswered.min(total.unanswered_renewals) > SEEDS * 10,
+        "{total:?}"
+    );
+}
+
+/// Guards against reporting runs as lost on a worker that has withdrawn and not ended.
+#[test]
+fn withdrawal_waits_for_runs_to_end() {
+    let total = run_seeds("withdrawal");
+    assert!(
+        total.withdrawals_with_runs > SEEDS && total.late_notices > SEEDS,
+        "{total:?}"
+    );
+}
+
+/// Guards against a late withdrawal of a former incarnation that ends the runs of a new one with the same name.
+#[test]
+fn withdrawal_of_former_incarnation_ends_no_run() {
+    let total = run_seeds("withdrawal,reuse");
+    assert!(total.late_notices > SEEDS, "{total:?}");
+}
+
+/// Guards against reporting attempts as lost whose runs a restarted agent is about to stop.
+#[test]
+fn agent_restart_series_prevents_concurrent_runs() {
+    let total = run_seeds("series");
+    assert!(total.repeated_kills > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against runs that outlive the bounds of the leases if an entry and an agent fail together.
+#[test]
+fn entry_and_agent_faults_prevent_concurrent_runs() {
+    let total = run_seeds("pairs");
+    assert!(total.paired_faults > SEEDS * 10, "{total:?}");
+}
+
+/// Guards against starts for callers that submitted again elsewhere while their entry was paused.
+#[test]
+fn entry_pause_prevents_concurrent_runs() {
+    let total = run_seeds("pauses");
+    assert!(
+        total.submissions_during_pause > SEEDS && total.backlog_events > SEEDS * 100,
+        "{total:?}"
+    );
+}
+
+/// Guards against combinations of faults that break a rule although none of them does alone.
+#[test]
+fn all_faults_prevent_concurrent_runs() {
+    let total = run_seeds("all");
     assert!(
-        total.name_reuses > 40 && total.orders_before_announcement > 40,
+        total.completed > SEEDS * 50 && total.late_orders > SEEDS * 10,
         "{total:?}"
     );
 }
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -3,14 +3,70 @@
 /// Class of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scenario {
-    /// Links are reset or partitioned; entries, agents and workers are killed; single orders are carried out late.
-    Standard,
+    /// Links are reset, or partitioned until the loss is detected.
+    LinkFaults,
+    /// Agents and entries are killed and replaced at once.
+    ProcessKills,
+    /// Workers crash and are replaced by workers with a new name.
+    WorkerReplacement,
+    /// Single replies of workers are lost, and single orders are carried out seconds late.
+    UnansweredCalls,
     /// Workers crash and start again under their former name, and announce themselves late.
     NameReuse,
+    /// For some seconds a worker leaves all stops unanswered and carries them out late.
+    UnansweredStops,
+    /// For some seconds a worker leaves all starts unanswered and carries them out late.
+    UnansweredStarts,
+    /// For some seconds a worker leaves all renewals unanswered and carries them out late.
+    UnansweredRenewals,
+    /// Workers leave and withdraw; some end only after the acknowledgement, and some withdrawals arrive late.
+    Withdrawal,
+    /// Agents are killed several times in a row, and entries connect again late.
+    AgentRestartSeries,
+    /// An entry and an agent are killed or cut off together.
+    EntryAndAgentFaults,
+    /// Entries pause and then process what has waited for them in any order.
+    EntryPauses,
+}
+
+impl Scenario {
+    /// Returns all classes.
+    pub const ALL: [Self; 12] = [
+        Self::LinkFaults,
+        Self::ProcessKills,
+        Self::WorkerReplacement,
+        Self::UnansweredCalls,
+        Self::NameReuse,
+        Self::UnansweredStops,
+        Self::UnansweredStarts,
+        Self::UnansweredRenewals,
+        Self::Withdrawal,
+        Self::AgentRestartSeries,
+        Self::EntryAndAgentFaults,
+        Self::EntryPauses,
+    ];
+
+    /// Returns the name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::LinkFaults => "links",
+            Self::ProcessKills => "kills",
+            Self::WorkerReplacement => "replacement",
+            Self::UnansweredCalls => "calls",
+            Self::NameReuse => "reuse",
+            Self::UnansweredStops => "stops",
+            Self::UnansweredStarts => "starts",
+            Self::UnansweredRenewals => "renewals",
+            Self::Withdrawal => "withdrawal",
+            Self::AgentRestartSeries => "series",
+            Self::EntryAndAgentFaults => "pairs",
+            Self::EntryPauses => "pauses",
+        }
+    }
 }
 
 /// Set of fault classes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Scenarios(u16);
 
 impl Scenarios {
@@ -19,6 +75,31 @@
         Self(listed.iter().fold(0, |set, &scenario| set | bit(scenario)))
     }
 
+    /// Returns the set of faults that occur in any deployment.
+    pub fn standard() -> Self {
+        Self::of(&[
+            Scenario::LinkFaults,
+            Scenario::ProcessKills,
+            Scenario::WorkerReplacement,
+            Scenario::UnansweredCalls,
+        ])
+    }
+
+    /// Returns the set that comma-separated names list, in which `standard` and `all` stand for several classes.
+    pub fn parse(names: &str) -> Option<Self> {
+        let mut set = 0;
+        for name in names.split(',') {
+            set |= match name {
+                "standard" => Self::standard().0,
+                "all" => Self::of(&Scenario::ALL).0,
+                _ => bit(Scenario::ALL
+                    .into_iter()
+                    .find(|scenario| scenario.name() == name)?),
+            };
+        }
+        Some(Self(set))
+    }
+
     /// Returns whether a class is in the set.
     pub fn contains(self, scenario: Scenario) -> bool {
         self.0 & bit(scenario) != 0
