--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -82,10 +82,17 @@
     assert!(total.name_reuses > SEEDS * 10 && occurred, "{total:?}");
 }
 
+/// Guards against runs that continue because the worker restarts under its name while its orders are late or unanswered.
+#[test]
+fn reused_name_with_late_orders_prevents_concurrent_runs() {
+    let total = run_seeds("reuse,starts,stops,calls");
+    assert!(total.orders_of_former_incarnation > SEEDS, "{total:?}");
+}
+
 /// Guards against runs that a late order to a former incarnation starts on a new one with the same name.
 #[test]
 fn reused_name_rejects_late_orders() {
-    let total = run_seeds("reuse,starts,stops,calls");
+    let total = run_seeds("reuse,starts,stops,calls,across");
     assert!(total.orders_of_former_incarnation > SEEDS * 10, "{total:?}");
 }
 
--- a/crates/leased/tests/sim/orders.rs
+++ b/crates/leased/tests/sim/orders.rs
@@ -101,7 +101,11 @@
             incarnation,
             order,
         } = sent;
+        let across = self.scenarios.contains(Scenario::OrdersAcrossRestarts);
         let worker = &mut self.workers[agent];
+        if call.is_none() && worker.model.incarnation != incarnation && !across {
+            return;
+        }
         let reply = if worker.is_down() {
             reply_without_clock(CallOutcome::Unreachable)
         } else if worker.name == name {
