worker: Do not renew for an expired run when its entry regains a lease

Callers can see: a task runs on two workers at the same time (TWICE).

A run whose entry's lease expires is stopped; once the entry, which had been paused, has a lease again, the renewals prolonged that run for up to 500 ms although its stop was not confirmed. Its caller had lost the connection 0.6 s before that and submitted the job elsewhere after 1.3 s.

Change: a stop because of an expired lease, or of an orphaned run, allows no renewal before it is confirmed.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -284,7 +284,7 @@
             .get(&key.task)
             .is_some_and(|run| run.key == key && run.owner == entry);
         if known {
-            self.stop(now, key.task, RunOutcome::Stopped, actions);
+            self.stop(now, key.task, Stop::begin(now, RunOutcome::Stopped), actions);
         }
         let unreconciled = self.unreconciled.iter_mut();
         for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.key == key) {
@@ -293,13 +293,7 @@
     }
 
     /// Stops a run; a waiting run ends immediately.
-    pub(crate) fn stop(
-        &mut self,
-        now: Instant,
-        task: TaskKey,
-        outcome_if_unlisted: RunOutcome,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(crate) fn stop(&mut self, now: Instant, task: TaskKey, stop: Stop, actions: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
@@ -309,7 +303,7 @@
             }
             Phase::Stopping(_) => {}
             Phase::Starting { .. } | Phase::Unconfirmed { .. } | Phase::Running { .. } => {
-                run.phase = Phase::Stopping(Stop::begin(now, outcome_if_unlisted));
+                run.phase = Phase::Stopping(stop);
             }
         }
     }
@@ -387,7 +381,7 @@
             let runs = tasks.len() as u64;
             actions.push(Action::Notice(Notice::EntryLapsed { entry, runs }));
             for task in tasks {
-                self.stop(now, task, RunOutcome::Stopped, actions);
+                self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
             }
         }
     }
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -6,7 +6,7 @@
 
 use crate::core::WorkerCore;
 use crate::event::{Action, CallId, Evidence, ListedRun, Notice, Order};
-use crate::run::{NO_OWNER, Phase, Run};
+use crate::run::{NO_OWNER, Phase, Run, Stop};
 use crate::session::Session;
 
 /// Call in flight to the worker.
@@ -193,7 +193,7 @@
             actions.push(Action::Notice(Notice::OrphanStopped { run: listed }));
             let key = AttemptKey { task, attempt: 0 };
             self.adopt(now, NO_OWNER, key, listed);
-            self.stop(now, task, RunOutcome::Stopped, actions);
+            self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
         }
     }
 
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -45,10 +45,18 @@
 }
 
 impl Stop {
-    /// Creates a stop whose order is due immediately.
+    /// Creates a stop whose order is due immediately, of a run whose entry still has its lease.
     pub(crate) fn begin(now: Instant, outcome_if_unlisted: RunOutcome) -> Self {
         Self {
             renew_until: now + UNCONFIRMED_STOP_GRACE,
+            ..Self::begin_expired(now, outcome_if_unlisted)
+        }
+    }
+
+    /// Creates a stop of a run whose time has expired, so that the worker's lease is not renewed before it is confirmed.
+    pub(crate) fn begin_expired(now: Instant, outcome_if_unlisted: RunOutcome) -> Self {
+        Self {
+            renew_until: now,
             call: None,
             retry_at: now,
             confirmed_at: None,
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -229,7 +229,10 @@
         for run in self.runs.values_mut() {
             run.former_incarnation = true;
             run.phase = match run.phase {
-                Phase::Stopping(_) => Phase::Stopping(Stop::begin(now, RunOutcome::Lost)),
+                Phase::Stopping(stop) => Phase::Stopping(Stop {
+                    renew_until: stop.renew_until,
+                    ..Stop::begin(now, RunOutcome::Lost)
+                }),
                 _ => Phase::Unconfirmed { since: now },
             };
         }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -180,6 +180,22 @@
     assert!(token(&agent) > former);
 }
 
+/// Guards against renewals that prolong a run whose entry's lease has expired, once the entry has a lease again: callers that
+/// lost their connection to the entry before submit their jobs elsewhere.
+#[test]
+fn regained_entry_lease_does_not_prolong_expired_run() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.advance_to(millis(500));
+    let stop = agent.call(is_stop);
+    agent.reply(stop, CallOutcome::NoAnswer);
+    agent.now += millis(10);
+    agent.connect();
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    let renewal = agent.calls().into_iter().find(|(_, order)| is_renewal(order));
+    let (_, renewal) = renewal.expect("the list is requested again");
+    assert_eq!(lease_end(&renewal), None);
+}
+
 /// Guards against renewals that keep a cancelled run alive while its stops go unanswered, beyond the time after which the
 /// caller of a timed-out job submits it again at another entry.
 #[test]
