broker: Place nothing until an entry has read what arrived while it was paused

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: an entry that resumes after a freeze reads requests before the ends of their callers' connections. It started jobs whose callers had given up meanwhile and submitted them at another entry, and stopped them some milliseconds later.

Change: an entry whose timer is late by 250 ms or more places nothing for 100 ms, and logs event 7018.

Evidence: paused_entry_reads_disconnects_before_it_places fails without the change.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -20,6 +20,10 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Delay after a load report before waiting tasks are placed, so that several reports are processed together.
 const REPORT_BATCH_DELAY: Duration = Duration::from_millis(2);
+/// Delay of the timer from which the process counts as paused; a quota of processor time delays it by less than 100 ms.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
+/// Time after a pause in which the process reads what has arrived, before it places tasks.
+const PAUSE_SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which expired records are removed while there is no work in progress.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -48,6 +52,8 @@
     pub(crate) draining: bool,
     pub(crate) rng: StdRng,
     tick_at: Instant,
+    /// Until when nothing is placed, because the process was paused and may not have read what arrived meanwhile.
+    resume_at: Instant,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
 }
@@ -84,6 +90,7 @@
             early_requests: VecDeque::new(),
             draining: false,
             tick_at: now,
+            resume_at: now,
             placement_at: None,
         }
     }
@@ -112,6 +119,7 @@
 
     /// Processes one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.detect_pause(now, actions);
         let report = WorkerToEntry::is_load_report;
         let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
         match event {
@@ -154,6 +162,21 @@
         self.placement_at.map_or(self.tick_at, |at| at.min(self.tick_at))
     }
 
+    /// Suspends placement after a pause of this process, until it has read the messages that arrived meanwhile.
+    ///
+    /// Requests whose callers have disconnected are among them, and their jobs may run at another entry already.
+    fn detect_pause(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let paused = now.saturating_duration_since(self.next_wakeup());
+        if paused >= PAUSE_THRESHOLD {
+            self.resume_at = now + PAUSE_SETTLE_TIME;
+            actions.push(Action::Notice(Notice::Paused { paused }));
+        }
+    }
+
+    pub(crate) fn may_place(&self, now: Instant) -> bool {
+        now >= self.resume_at
+    }
+
     /// Schedules the next check within the busy interval, because there is work in progress now.
     pub(crate) fn schedule_check(&mut self, now: Instant) {
         self.tick_at = self.tick_at.min(now + BUSY_CHECK_INTERVAL);
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -243,6 +243,11 @@
 /// Decision or state change to be logged.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
+    /// The process was paused, and places no tasks until it has read what arrived meanwhile.
+    Paused {
+        /// How late its timer was.
+        paused: Duration,
+    },
     /// A route table came into force.
     RoutesInForce {
         /// Version of the table.
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -20,7 +20,7 @@
 
 impl BrokerCore {
     pub(crate) fn place_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.waiting.is_empty() {
+        if self.waiting.is_empty() || !self.may_place(now) {
             return;
         }
         let mut full_services: Vec<ServiceName> = Vec::new();
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -585,3 +585,21 @@
     assert_eq!(starts.len(), 1, "{starts:?}");
     assert_eq!(starts[0].1.tasks.len(), 3);
 }
+
+/// Guards against starting a job that an entry reads after a pause, although its caller has given up meanwhile and submitted
+/// it to another entry.
+#[test]
+fn paused_entry_reads_disconnects_before_it_places() {
+    let mut entry = Entry::with_workers(1);
+    entry.now += millis(3_000);
+    entry.beat(1, 2, 0);
+    entry.submit(1, 5, 1);
+    assert_eq!(entry.attempts(), []);
+    entry.handle(Event::CallerDisconnected { ticket: 1 });
+    entry.submit(2, 6, 1);
+    entry.now += millis(100);
+    entry.beat(1, 3, 0);
+    entry.handle(Event::Tick);
+    let jobs: Vec<u128> = entry.attempts().iter().map(|(_, key)| key.task.job).collect();
+    assert_eq!(jobs, [6]);
+}
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -99,6 +99,11 @@
         }
             meaning: "No tasks are placed there until the agent has reconnected; its attempts may continue.",
             remedy: "If it persists, check the agent and the network.";
+        7018 EntryPaused "entry_paused" Warn "process was paused" {
+            paused: Duration = "How late the timer of the process was.",
+        }
+            meaning: "The process did not run; it places no tasks for 100 ms, in which it reads what arrived meanwhile.",
+            remedy: "If it persists, check the machine of the entry.";
         7020 EntryDiscovered "entry_discovered" Info "entry discovered" {
             address: &'a str = "Address of the entry.",
         }
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -23,6 +23,7 @@
             version: *version,
             routes: *routes,
         }),
+        BrokerNotice::Paused { paused } => emit(&RunsEvent::EntryPaused { paused: *paused }),
         BrokerNotice::RouteMissing {
             host,
             queue,
