broker: Remember the attempt numbers of a refused resubmission

A resubmitted job that was refused before anything was ordered lost the number of its last attempt, so that the next submission at the same entry used the number again. The end of the first attempt, which an agent keeps for 20 s, can then be taken for that of the second.

Change: the number is recorded for refused jobs, too.

Evidence: refused_resubmission_keeps_attempt_numbers fails without the change.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -119,7 +119,7 @@
         self.answer_all(&job, answer, actions);
     }
 
-    /// Refuses a job of which no task was ever ordered.
+    /// Refuses a job of which no task was ordered since its submission.
     pub(crate) fn refuse_job(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.swap_remove(&id) else {
             return;
@@ -127,6 +127,7 @@
         self.waiting.remove(&job.order);
         let waited = now.saturating_duration_since(job.accepted_at);
         self.log_refusal(id, RefusalReason::Overloaded, waited, actions);
+        self.record_attempts(now, &job);
         self.answer_all(&job, refusal(RefusalReason::Overloaded, RETRY_AFTER), actions);
     }
 
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -603,3 +603,35 @@
     let jobs: Vec<u128> = entry.attempts().iter().map(|(_, key)| key.task.job).collect();
     assert_eq!(jobs, [6]);
 }
+
+/// Guards against two attempts with the same number, so that the end of the first one is taken for that of the second.
+#[test]
+fn refused_resubmission_keeps_attempt_numbers() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    entry.handle(Event::CallerDisconnected { ticket: 1 });
+    let (link, first) = entry.attempts()[0];
+    entry.end_attempt(link, first, RunOutcome::Stopped);
+    // The worker is full, so the second submission is refused before anything is ordered.
+    let full = WorkerLoad {
+        free: Resources::default(),
+        share: Resources::default(),
+        ..Entry::load(u64::MAX)
+    };
+    entry.receive(1, WorkerToEntry::Load(full));
+    entry.submit(2, 5, 1);
+    for number in 0..20 {
+        entry.now += millis(25);
+        entry.receive(1, WorkerToEntry::Heartbeat(10 + number, full));
+        entry.handle(Event::Tick);
+    }
+    assert!(matches!(
+        entry.answers().last(),
+        Some((2, Answer::Refused { .. }))
+    ));
+    entry.beat(1, 40, u64::MAX);
+    entry.submit(3, 5, 1);
+    let attempts = entry.attempts();
+    assert_eq!(attempts.len(), 2);
+    assert!(attempts[1].1.attempt > first.attempt);
+}
