worker: Accept a capacity that shrinks below the runs in progress

Cause: the verifier compared what runs use with the capacity of the latest announcement, so an announcement of a smaller capacity stopped a debug build (OverCapacity). A waiting run that needs more than the whole capacity was kept; as the most urgent one it kept all others from starting on that worker.

Change: the core records by how much the runs exceed a capacity that has shrunk, and lowers that amount with each end. The verifier allows this amount and nothing else, so a start that uses missing capacity is still a violation. Waiting runs that need more than the whole capacity are refused as not started. Whether a start fits was already decided with the announced capacity and all started runs, those being stopped included.

Not covered: runs that an earlier agent process started count as no capacity, because entries do not list their resources.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -68,6 +68,8 @@
     pub(crate) reported_free: Resources,
     /// Number of reports to all entries; it rotates the units that remain when the free capacity does not divide evenly.
     pub(crate) share_rotation: u64,
+    /// Amount by which started runs exceed the capacity because it shrank while they were in progress.
+    pub(crate) excess: Resources,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -103,6 +105,7 @@
             load_report_at: now,
             reported_free: Resources::default(),
             share_rotation: 0,
+            excess: Resources::default(),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -203,7 +206,11 @@
         session.clock.observe(now, announcement.clock);
         let changed = session.worker.description != announcement.description;
         let leaves = announcement.description.leaving && !session.worker.description.leaving;
+        let resized = session.worker.description.capacity != announcement.description.capacity;
         session.worker = announcement;
+        if resized {
+            self.record_excess();
+        }
         if leaves {
             self.refuse_waiting(now, "the worker is leaving", actions);
             let running = self.runs.len() as u64;
@@ -431,6 +438,7 @@
         let Some(run) = self.runs.swap_remove(&task) else {
             return;
         };
+        self.lower_excess();
         let run_time = run.run_time(now);
         let ended = EndedRun {
             key: run.key,
@@ -499,6 +507,7 @@
         self.expire_worker_lease(now, actions);
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
+        self.refuse_oversized(now, actions);
         self.start_waiting(now, actions);
         self.send_stops(now, actions);
         self.renew_lease(now, actions);
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -8,6 +8,7 @@
 //!   the entry can start them on another worker after a time that it can compute without contacting the agent.
 //! - The fencing token, taken from the worker's own clock, invalidates orders from an earlier agent process.
 
+mod capacity;
 mod clock;
 mod config;
 mod core;
