broker: Count attempts that are lost, over all submissions of a job

Cause: only attempts that ended as failed counted towards a limit. A task that is lost with its worker was placed again for as long as its job had time, and each submission of the job started from zero.

Change: the entry records each attempt that is lost, by task, for 30 s and for at most 4,096 jobs. A job ends as failed once three attempts at one of its tasks were lost, and a later submission is answered so before anything is ordered. Events 7018 and 7019 and the counters losses_counted and jobs_given_up report it.

Remains: other entries do not know of these losses, and a certain crash counts no more than a lost lease.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -39,6 +39,24 @@
             }));
         }
         self.outstanding_tasks.swap_remove(&run.key.task);
+        let id = run.key.task.job;
+        self.apply_end(now, agent, run, outstanding.stopping, healthy, actions);
+        if run.outcome == RunOutcome::Lost {
+            self.record_loss(now, agent, run.key.task, actions);
+            self.give_up(now, id, actions);
+        }
+    }
+
+    /// Updates the job of an ended attempt.
+    fn apply_end(
+        &mut self,
+        now: Instant,
+        agent: AgentIndex,
+        run: EndedRun,
+        stopping: bool,
+        healthy: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let id = run.key.task.job;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -57,7 +75,7 @@
         }
         task.state = TaskState::Waiting;
         task.avoid = Some(agent);
-        if outstanding.stopping {
+        if stopping {
             task.overdue_stops += 1;
         }
         match run.outcome {
--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -15,6 +15,7 @@
     pub(crate) max_tasks: usize,
     pub(crate) max_jobs: usize,
     pub(crate) answer_retention: Duration,
+    pub(crate) crash_retention: Duration,
     pub(crate) seed: u64,
 }
 
@@ -50,6 +51,7 @@
             max_tasks: 1_024,
             max_jobs: 4_096,
             answer_retention: Duration::from_secs(30),
+            crash_retention: Duration::from_secs(30),
             seed: 0,
         };
         BrokerConfigBuilder { cfg }
@@ -94,6 +96,10 @@
         /// Sets how long answers are retained for resubmitted requests; default 30 s.
         answer_retention: Duration
     );
+    setter!(
+        /// Sets how long the loss of a worker counts against the tasks that it ran; default 30 s.
+        crash_retention: Duration
+    );
     setter!(
         /// Sets the seed for the random selection among similar workers; entries need different seeds. Default 0.
         seed: u64
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -13,6 +13,7 @@
 
 use crate::agents::{AgentIndex, Agents};
 use crate::config::BrokerConfig;
+use crate::crashes::Crashes;
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
 
@@ -43,6 +44,8 @@
     pub(crate) last_attempts: IndexMap<JobId, (AttemptNumber, Instant)>,
     /// Tasks with an attempt that has not been reported as ended, including those of ended jobs.
     pub(crate) outstanding_tasks: IndexMap<TaskKey, AgentIndex>,
+    /// Workers that were lost under tasks.
+    pub(crate) crashes: Crashes,
     /// Requests that arrived before the first route table, and the times at which they are refused.
     pub(crate) early_requests: VecDeque<(Instant, Ticket, Request)>,
     pub(crate) draining: bool,
@@ -81,6 +84,7 @@
             retained_answers: IndexMap::new(),
             last_attempts: IndexMap::new(),
             outstanding_tasks: IndexMap::new(),
+            crashes: Crashes::default(),
             early_requests: VecDeque::new(),
             draining: false,
             tick_at: now,
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -6,7 +6,7 @@
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::{
     AttemptKey, ConfigVersion, EntryToWorker, JobId, Label, LinkNumber, NodeName, ProcessId, Resources,
-    RouteName, RunOutcome, StepIndex, WorkerToEntry,
+    RouteName, RunOutcome, StepIndex, TaskKey, WorkerToEntry,
 };
 
 /// Identifies a request that waits for its answer.
@@ -94,7 +94,7 @@
 pub enum JobEnd {
     /// All tasks have completed.
     Completed,
-    /// A task failed as often as the route allows.
+    /// A task failed as often as the route allows, or lost too many workers.
     Failed,
     /// A caller cancelled the job, or all its callers disconnected.
     Cancelled,
@@ -313,6 +313,24 @@
         /// Run time.
         run_time: Duration,
     },
+    /// A worker was lost under a task.
+    LossCounted {
+        /// Task that the worker ran.
+        task: TaskKey,
+        /// Agent of the worker.
+        agent: NodeName,
+        /// Number of workers lost under the task for an unknown cause.
+        possible: u64,
+    },
+    /// A job is answered as failed, because one of its tasks has lost too many workers.
+    JobGivenUp {
+        /// Task that has lost too many workers.
+        task: TaskKey,
+        /// Number of workers lost under the task for an unknown cause.
+        possible: u64,
+        /// Whether this submission of the job was in progress; otherwise it was answered on arrival.
+        ordered: bool,
+    },
     /// An attempt takes much longer than expected and is stopped.
     AttemptOverdue {
         /// Attempt that is stopped.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -9,6 +9,7 @@
 mod completion;
 mod config;
 mod core;
+mod crashes;
 mod event;
 mod job;
 mod placement;
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -97,6 +97,12 @@
             actions.push(Action::Answer(ticket, *answer));
             return;
         }
+        if self.must_give_up(id, actions) {
+            let answer = JobEnd::Failed.answer();
+            self.retained_answers.insert(id, (answer, now));
+            actions.push(Action::Answer(ticket, answer));
+            return;
+        }
         let mut refused = self.refusal_reason(&submission);
         let mut retry_after = RETRY_AFTER;
         if refused.is_none() && !self.any_worker_fits(&route.service, &submission.steps) {
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -22,6 +22,7 @@
         let retention = self.cfg.answer_retention;
         self.retained_answers.retain(|_, (_, at)| now < *at + retention);
         self.last_attempts.retain(|_, (_, at)| now < *at + retention);
+        self.crashes.remove_expired(now, self.cfg.crash_retention);
     }
 
     /// Ends jobs at their deadline, and refuses unplaced jobs that can no longer meet their objective.
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -99,6 +99,20 @@
         }
             meaning: "No tasks are placed there until the agent has reconnected; its attempts may continue.",
             remedy: "If it persists, check the agent and the network.";
+        7018 LossCounted "loss_counted" Info "worker lost under a task" {
+            task: &'a str = "Job, step and index of the task.",
+            agent: &'a str = "Agent of the worker.",
+            possible: u64 = "Workers lost under the task so far for an unknown cause, which may have been crashes.",
+        }
+            meaning: "The task was on a worker that was lost. The entry counts such losses for 30 s, over all submissions of the job.",
+            remedy: "None if it is rare; otherwise look for the worker in events 7023 and 7024 of the agent.";
+        7019 JobGivenUp "job_given_up" Warn "job given up because its workers were lost" {
+            task: &'a str = "Job, step and index of the task that lost its workers.",
+            possible: u64 = "Workers lost under the task for an unknown cause, which may have been crashes.",
+            ordered: bool = "Whether this submission was in progress; otherwise it was answered on arrival.",
+        }
+            meaning: "The job is answered as failed, and no task of it is started again, because the task probably crashes its workers.",
+            remedy: "Search for the task in events 7018 of all entries, which name the agents, and examine the job's input.";
         7020 EntryDiscovered "entry_discovered" Info "entry discovered" {
             address: &'a str = "Address of the entry.",
         }
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -302,6 +302,8 @@
             Notice::AttemptEnded { outcome, .. } => {
                 metrics.count(&format!("attempts.{}", outcome.as_str()), 1);
             }
+            Notice::LossCounted { .. } => metrics.count("losses.counted", 1),
+            Notice::JobGivenUp { .. } => metrics.count("jobs.given_up", 1),
             Notice::AttemptOverdue { .. } => metrics.count("attempts.overdue", 1),
             _ => {}
         }
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -81,6 +81,7 @@
             outcome,
             run_time,
         } => log_attempt_ended(*key, agent, *outcome, *run_time),
+        BrokerNotice::LossCounted { .. } | BrokerNotice::JobGivenUp { .. } => log_loss_notice(notice),
         BrokerNotice::AttemptOverdue { key, agent, elapsed } => emit(&RunsEvent::AttemptOverdue {
             task: &format_task_key(key.task),
             attempt: u64::from(key.attempt),
@@ -112,6 +113,31 @@
     }
 }
 
+/// Logs notices about workers that were lost under tasks.
+fn log_loss_notice(notice: &BrokerNotice) {
+    match notice {
+        BrokerNotice::LossCounted {
+            task,
+            agent,
+            possible,
+        } => emit(&RunsEvent::LossCounted {
+            task: &format_task_key(*task),
+            agent,
+            possible: *possible,
+        }),
+        BrokerNotice::JobGivenUp {
+            task,
+            possible,
+            ordered,
+        } => emit(&RunsEvent::JobGivenUp {
+            task: &format_task_key(*task),
+            possible: *possible,
+            ordered: *ordered,
+        }),
+        _ => {}
+    }
+}
+
 fn log_attempt_ended(key: AttemptKey, agent: &str, outcome: RunOutcome, run_time: Duration) {
     emit(&RunsEvent::AttemptEnded {
         task: &format_task_key(key.task),
