types, wire, worker, broker: Report crashes of a worker to all entries

Cause: only the entry whose attempts were lost with a worker learnt of that, and only as lost attempts. The count was gone with that entry, and a submission at another one started from zero.

Change: the agent records which tasks were on the worker when another incarnation announced itself without a withdrawal (certain crash), or when the lease expired while the worker did not answer (possible crash, confirmed by the next incarnation if the worker has not answered since). It keeps these records for 30 s, tells all connected entries before it reports the ends of the runs, and repeats the records to each entry that connects. Entries keep them by task and by agent process and incarnation, so that repeated reports and the lost attempt itself count once. A job fails once two certain, or three certain or possible, crashes are counted for one of its tasks, at any entry that has the records.

Encoding: the records are an optional field of the description of the worker. Entries of earlier versions ignore unknown fields of a struct variant, and agents of earlier versions omit it; describe_is_compatible_with_former_version checks both directions with a copy of the former type.

Hooks in crates/worker: record_crash before the session with a crashed incarnation ends, begin_incarnation where a session begins, record_lapse where the worker's lease expires, describe and broadcast_description for the messages, report_crashes before send_reports, and remove_expired in the cleanup. Event 7028, counters workers_crashed and workers_lapsed.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -42,7 +42,7 @@
         let id = run.key.task.job;
         self.apply_end(now, agent, run, outstanding.stopping, healthy, actions);
         if run.outcome == RunOutcome::Lost {
-            self.record_loss(now, agent, run.key.task, actions);
+            self.record_lost_attempt(now, agent, run.key.task, outstanding.ordered_at, actions);
             self.give_up(now, id, actions);
         }
     }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -223,7 +223,8 @@
             return;
         };
         match message {
-            WorkerToEntry::Describe(worker) => {
+            WorkerToEntry::Describe(worker, crashes) => {
+                self.record_crashes(now, at, crashes, actions);
                 let agent = self.agents.get_mut(at);
                 let joined = agent.worker.worker != worker.worker && !worker.pool.is_empty();
                 agent.worker = worker;
--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -1,17 +1,21 @@
 //! Workers that were lost under tasks, by job, and the decision to give a job up.
 //!
-//! The records outlive the jobs, because a caller submits a job again after its connection or its time has ended.
+//! Agents report the losses of their worker to all entries; attempts that end as lost without such a report count too. The
+//! records outlive the jobs, because a caller submits a job again after its connection or its time has ended.
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{JobId, TaskKey};
-use indexmap::IndexMap;
+use chestnutfork_types::{IncarnationNumber, JobId, ProcessId, TaskKey, WorkerCrash};
+use indexmap::{IndexMap, IndexSet};
 
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, JobEnd, Notice};
 
-/// Number of losses, for whatever cause, from which a task is given up.
+/// Number of certain crashes from which a task is given up, as the users' rules allow.
+const MAX_CRASHES: u32 = 2;
+/// Number of losses, certain crashes included, from which a task is given up; one more than certain crashes, because the cause
+/// of the others may lie elsewhere.
 const MAX_LOSSES: u32 = 3;
 /// Maximum number of jobs with records; the oldest record is dropped first.
 const MAX_JOBS: usize = 4_096;
@@ -20,6 +24,14 @@
 #[derive(Clone, Debug)]
 struct Loss {
     task: TaskKey,
+    agent: AgentIndex,
+    /// Incarnation that the agent reported as lost, or `None` if only the attempt was reported as lost.
+    source: Option<(ProcessId, IncarnationNumber)>,
+    /// Whether the worker has certainly crashed.
+    confirmed: bool,
+    /// When the loss was noticed, or when the attempt was ordered if there is no report of the loss.
+    at: Instant,
+    /// Time from which the retention counts.
     recorded_at: Instant,
 }
 
@@ -32,23 +44,78 @@
 /// Number of workers that were lost under a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LossCount {
+    /// Workers that have certainly crashed.
+    pub(crate) confirmed: u32,
     /// Losses for an unknown cause, which may have been crashes.
     pub(crate) possible: u32,
 }
 
 impl LossCount {
     fn is_over_limit(self) -> bool {
-        self.possible >= MAX_LOSSES
+        self.confirmed >= MAX_CRASHES || self.confirmed + self.possible >= MAX_LOSSES
     }
 }
 
 impl Crashes {
-    /// Records that an attempt was lost for an unknown cause.
-    fn record_loss(&mut self, now: Instant, task: TaskKey) {
-        self.losses_of(task.job).push(Loss {
+    /// Records that an attempt was lost, unless its agent has reported the loss of the worker; returns whether it is new.
+    fn record_attempt(
+        &mut self,
+        now: Instant,
+        agent: AgentIndex,
+        task: TaskKey,
+        ordered_at: Instant,
+    ) -> bool {
+        let losses = self.losses_of(task.job);
+        // At most one run of a task is on a worker at a time, so a loss that was noticed after the order is this one.
+        let reported = |loss: &Loss| loss.source.is_some() && loss.agent == agent && loss.at >= ordered_at;
+        if losses.iter().any(|loss| loss.task == task && reported(loss)) {
+            return false;
+        }
+        losses.push(Loss {
             task,
+            agent,
+            source: None,
+            confirmed: false,
+            at: ordered_at,
             recorded_at: now,
         });
+        true
+    }
+
+    /// Records that an agent reported the loss of its worker under a task; returns whether that changes the count.
+    fn record_report(
+        &mut self,
+        agent: AgentIndex,
+        source: (ProcessId, IncarnationNumber),
+        task: TaskKey,
+        confirmed: bool,
+        noticed_at: Instant,
+    ) -> bool {
+        let losses = self.losses_of(task.job);
+        let known = |loss: &&mut Loss| loss.task == task && loss.source == Some(source);
+        if let Some(loss) = losses.iter_mut().find(known) {
+            let changed = confirmed && !loss.confirmed;
+            loss.confirmed |= confirmed;
+            loss.at = loss.at.max(noticed_at);
+            loss.recorded_at = loss.at;
+            return changed;
+        }
+        // The report replaces the record of the attempt whose loss it explains.
+        let attempts = losses.iter().enumerate().filter(|(_, loss)| {
+            loss.task == task && loss.agent == agent && loss.source.is_none() && loss.at <= noticed_at
+        });
+        if let Some((at, _)) = attempts.max_by_key(|(_, loss)| loss.at) {
+            losses.remove(at);
+        }
+        losses.push(Loss {
+            task,
+            agent,
+            source: Some(source),
+            confirmed,
+            at: noticed_at,
+            recorded_at: noticed_at,
+        });
+        true
     }
 
     fn losses_of(&mut self, job: JobId) -> &mut Vec<Loss> {
@@ -61,8 +128,12 @@
     pub(crate) fn count(&self, task: TaskKey) -> LossCount {
         let mut count = LossCount::default();
         let losses = self.jobs.get(&task.job).into_iter().flatten();
-        for _ in losses.filter(|loss| loss.task == task) {
-            count.possible += 1;
+        for loss in losses.filter(|loss| loss.task == task) {
+            if loss.confirmed {
+                count.confirmed += 1;
+            } else {
+                count.possible += 1;
+            }
         }
         count
     }
@@ -84,19 +155,59 @@
 }
 
 impl BrokerCore {
-    /// Records that an attempt was lost for an unknown cause.
-    pub(crate) fn record_loss(
+    /// Records that an attempt that was ordered at `ordered_at` was lost.
+    pub(crate) fn record_lost_attempt(
         &mut self,
         now: Instant,
         agent: AgentIndex,
         task: TaskKey,
+        ordered_at: Instant,
         actions: &mut Vec<Action>,
     ) {
-        self.crashes.record_loss(now, task);
+        if self.crashes.record_attempt(now, agent, task, ordered_at) {
+            let worker = self.agents.get(agent).worker.worker.clone();
+            self.log_loss(agent, worker, task, actions);
+        }
+    }
+
+    /// Records the losses that an agent reports, and gives up the jobs in progress that have lost too many workers.
+    pub(crate) fn record_crashes(
+        &mut self,
+        now: Instant,
+        agent: AgentIndex,
+        crashes: Vec<WorkerCrash>,
+        actions: &mut Vec<Action>,
+    ) {
+        let process = self.agents.get(agent).process;
+        let mut jobs: IndexSet<JobId> = IndexSet::new();
+        for crash in crashes {
+            if crash.age >= self.cfg.crash_retention {
+                continue;
+            }
+            let noticed_at = now.checked_sub(crash.age).unwrap_or(now);
+            let source = (process, crash.incarnation);
+            for task in crash.tasks {
+                if self
+                    .crashes
+                    .record_report(agent, source, task, crash.confirmed, noticed_at)
+                {
+                    self.log_loss(agent, crash.worker.clone(), task, actions);
+                    jobs.insert(task.job);
+                }
+            }
+        }
+        for job in jobs {
+            self.give_up(now, job, actions);
+        }
+    }
+
+    fn log_loss(&self, agent: AgentIndex, worker: String, task: TaskKey, actions: &mut Vec<Action>) {
         let count = self.crashes.count(task);
         actions.push(Action::Notice(Notice::LossCounted {
             task,
             agent: self.agents.get(agent).name.clone(),
+            worker,
+            confirmed: u64::from(count.confirmed),
             possible: u64::from(count.possible),
         }));
     }
@@ -115,6 +226,7 @@
         };
         actions.push(Action::Notice(Notice::JobGivenUp {
             task,
+            confirmed: u64::from(count.confirmed),
             possible: u64::from(count.possible),
             ordered: self.jobs.contains_key(&job),
         }));
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -6,7 +6,7 @@
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::{
     AttemptKey, ConfigVersion, EntryToWorker, JobId, Label, LinkNumber, NodeName, ProcessId, Resources,
-    RouteName, RunOutcome, StepIndex, TaskKey, WorkerToEntry,
+    RouteName, RunOutcome, StepIndex, TaskKey, WorkerName, WorkerToEntry,
 };
 
 /// Identifies a request that waits for its answer.
@@ -319,6 +319,10 @@
         task: TaskKey,
         /// Agent of the worker.
         agent: NodeName,
+        /// Worker that was lost.
+        worker: WorkerName,
+        /// Number of workers that have certainly crashed under the task.
+        confirmed: u64,
         /// Number of workers lost under the task for an unknown cause.
         possible: u64,
     },
@@ -326,6 +330,8 @@
     JobGivenUp {
         /// Task that has lost too many workers.
         task: TaskKey,
+        /// Number of workers that have certainly crashed under the task.
+        confirmed: u64,
         /// Number of workers lost under the task for an unknown cause.
         possible: u64,
         /// Whether this submission of the job was in progress; otherwise it was answered on arrival.
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -8,8 +8,8 @@
 };
 use chestnutfork_routes::{Route, RouteTable, ServiceRule};
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, StartOrder, WorkerDescription, WorkerLoad,
-    WorkerToEntry,
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, StartOrder, WorkerCrash, WorkerDescription,
+    WorkerLoad, WorkerToEntry,
 };
 
 pub const RUN_EXPIRY: Duration = Duration::from_millis(1_300);
@@ -101,6 +101,12 @@
             agent,
             process: link,
         });
+        self.report_crashes(link, Vec::new());
+        self.beat(link, 1, 0);
+    }
+
+    /// Delivers the description of a worker with reports of its crashes.
+    pub fn report_crashes(&mut self, link: u64, crashes: Vec<WorkerCrash>) {
         let worker = WorkerDescription {
             worker: format!("w-{link}"),
             pool: "pool".to_owned(),
@@ -113,8 +119,7 @@
             },
             leaving: false,
         };
-        self.receive(link, WorkerToEntry::Describe(worker));
-        self.beat(link, 1, 0);
+        self.receive(link, WorkerToEntry::Describe(worker, crashes));
     }
 
     pub fn beat(&mut self, link: u64, number: u64, last_order: u64) {
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -102,12 +102,15 @@
         7018 LossCounted "loss_counted" Info "worker lost under a task" {
             task: &'a str = "Job, step and index of the task.",
             agent: &'a str = "Agent of the worker.",
+            worker: &'a str = "The worker.",
+            confirmed: u64 = "Workers that have certainly crashed under the task so far.",
             possible: u64 = "Workers lost under the task so far for an unknown cause, which may have been crashes.",
         }
             meaning: "The task was on a worker that was lost. The entry counts such losses for 30 s, over all submissions of the job.",
-            remedy: "None if it is rare; otherwise look for the worker in events 7023 and 7024 of the agent.";
+            remedy: "None if it is rare; otherwise look for the worker in events 7023, 7024 and 7028 of the agent.";
         7019 JobGivenUp "job_given_up" Warn "job given up because its workers were lost" {
             task: &'a str = "Job, step and index of the task that lost its workers.",
+            confirmed: u64 = "Workers that have certainly crashed under the task.",
             possible: u64 = "Workers lost under the task for an unknown cause, which may have been crashes.",
             ordered: bool = "Whether this submission was in progress; otherwise it was answered on arrival.",
         }
@@ -154,6 +157,14 @@
         }
             meaning: "The entry has not acknowledged a heartbeat in time, so its runs are stopped.",
             remedy: "Check the entry and the network.";
+        7028 WorkerLost "worker_lost" Warn "worker lost with tasks on it" {
+            worker: &'a str = "The worker.",
+            confirmed: bool = "Whether it has certainly crashed; otherwise its lease expired while it did not answer.",
+            count: u64 = "Number of tasks that were on it.",
+            tasks: &'a str = "Job, step and index of the first 20 tasks, separated by spaces.",
+        }
+            meaning: "All entries are told that the worker was lost under these tasks; one of them may have caused it.",
+            remedy: "If one task is named for several workers, examine the input of its job; otherwise check the worker.";
         7030 StartRefused "start_refused" Info "start refused" {
             task: &'a str = "Job, step and index of the task.",
             attempt: u64 = "Number of the attempt.",
--- a/crates/leased/src/agent.rs
+++ b/crates/leased/src/agent.rs
@@ -306,6 +306,8 @@
         match notice {
             Notice::StartRefused { .. } => self.metrics.count("starts.refused", 1),
             Notice::StartUnanswered { .. } => self.metrics.count("starts.unanswered", 1),
+            Notice::WorkerLost { confirmed: true, .. } => self.metrics.count("workers.crashed", 1),
+            Notice::WorkerLost { .. } => self.metrics.count("workers.lapsed", 1),
             Notice::EntryLapsed { .. } => self.metrics.count("entries.lapsed", 1),
             _ => {}
         }
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -7,6 +7,9 @@
 use chestnutfork_types::{AttemptKey, JobId, RunOutcome, TaskKey};
 use chestnutfork_worker::Notice as WorkerNotice;
 
+/// Maximum number of tasks named in one log line.
+const MAX_LOGGED_TASKS: usize = 20;
+
 /// Formats a job id as in the paths of callers' requests.
 fn format_job_id(job: JobId) -> String {
     format!("{job:016x}")
@@ -16,6 +19,16 @@
     format!("{:016x}.{}.{}", task.job, task.step, task.index)
 }
 
+/// Formats the first tasks of a list, so that the length of a log line is bounded.
+fn format_task_keys(tasks: &[TaskKey]) -> String {
+    let names: Vec<String> = tasks
+        .iter()
+        .take(MAX_LOGGED_TASKS)
+        .map(|&task| format_task_key(task))
+        .collect();
+    names.join(" ")
+}
+
 /// Logs a notice of the entry core.
 pub(crate) fn log_broker_notice(notice: &BrokerNotice) {
     match notice {
@@ -119,18 +132,24 @@
         BrokerNotice::LossCounted {
             task,
             agent,
+            worker,
+            confirmed,
             possible,
         } => emit(&RunsEvent::LossCounted {
             task: &format_task_key(*task),
             agent,
+            worker,
+            confirmed: *confirmed,
             possible: *possible,
         }),
         BrokerNotice::JobGivenUp {
             task,
+            confirmed,
             possible,
             ordered,
         } => emit(&RunsEvent::JobGivenUp {
             task: &format_task_key(*task),
+            confirmed: *confirmed,
             possible: *possible,
             ordered: *ordered,
         }),
@@ -165,6 +184,16 @@
             running: *running,
         }),
         WorkerNotice::WorkerGone { worker, lost } => emit(&RunsEvent::WorkerGone { worker, lost: *lost }),
+        WorkerNotice::WorkerLost {
+            worker,
+            confirmed,
+            tasks,
+        } => emit(&RunsEvent::WorkerLost {
+            worker,
+            confirmed: *confirmed,
+            count: tasks.len() as u64,
+            tasks: &format_task_keys(tasks),
+        }),
         WorkerNotice::WorkerSilent { worker, silent } => emit(&RunsEvent::WorkerSilent {
             worker,
             silent: *silent,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod agent;
 mod answer;
+mod crashes;
 mod ids;
 mod job;
 mod policy;
@@ -15,6 +16,7 @@
     AgentToEntry, Announcement, AttemptOutcome, Dispatch, EntryToAgent, RefusalReason, Resolution, TaskResult,
 };
 pub use answer::{Answer, AnswerError, JobOutcome, TaskStatus};
+pub use crashes::{IncarnationNumber, WorkerCrash};
 pub use ids::{
     ConfigVersion, CreditId, FailureDomain, JobId, LogIndex, NodeName, OperatorName, PatchId, PoolName,
     ProcessId, ReplicaId, RouteName, ServiceName, StepIndex, TargetName, TaskIndex, TeamName, Term,
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 
+use crate::crashes::WorkerCrash;
 use crate::ids::{FailureDomain, JobId, PoolName, StepIndex, TaskIndex};
 
 /// Number of a run on one worker; it increases with each start there.
@@ -219,8 +220,8 @@
 /// Message from the agent of a worker to an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerToEntry {
-    /// Describes the worker; the first message on each link, repeated after every change.
-    Describe(WorkerDescription),
+    /// Describes the worker and lists its recent crashes; the first message on each link, repeated after every change.
+    Describe(WorkerDescription, Vec<WorkerCrash>),
     /// Numbered heartbeat with the current load; the entry acknowledges it.
     Heartbeat(HeartbeatNumber, WorkerLoad),
     /// Reports the load between heartbeats.
@@ -237,7 +238,7 @@
     /// ```
     /// use chestnutfork_types::{WorkerDescription, WorkerToEntry};
     ///
-    /// assert!(!WorkerToEntry::Describe(WorkerDescription::default()).is_load_report());
+    /// assert!(!WorkerToEntry::Describe(WorkerDescription::default(), Vec::new()).is_load_report());
     /// ```
     #[must_use]
     pub fn is_load_report(&self) -> bool {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,7 @@
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
     ReplicaHelloWire, ReplicaMessageWire, StateWire,
 };
-pub use runs::{EntryToWorkerWire, LoadWire, RunOutcomeWire, WorkerToEntryWire};
+pub use runs::{EntryToWorkerWire, LoadWire, RunOutcomeWire, WorkerCrashWire, WorkerToEntryWire};
 pub use subscription::{
     ConfirmWire, ControlMessageWire, EntryInfoWire, PartWire, SubscriberMessageWire, ViewWire,
 };
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder,
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerCrash,
     WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,8 @@
 
 /// Wire form of [`AttemptKey`]: high and low half of the job id, step, index and attempt.
 type AttemptWire = (u64, u64, u16, u16, u32);
+/// Wire form of [`TaskKey`]: high and low half of the job id, step and index.
+type TaskWire = (u64, u64, u16, u16);
 /// Wire form of [`Resources`]: thousandths of a core, MB of memory and accelerators.
 type ResourcesWire = (u64, u64, u64);
 
@@ -75,6 +77,9 @@
         /// Whether the worker is being drained and accepts no new tasks.
         #[serde(rename = "l")]
         leaving: bool,
+        /// Recent crashes of the worker. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+        crashes: Vec<WorkerCrashWire>,
     },
     /// Numbered heartbeat with the current load.
     #[serde(rename = "b")]
@@ -87,6 +92,26 @@
     Ended(Vec<(AttemptWire, RunOutcomeWire, u64)>, LoadWire),
 }
 
+/// Wire form of [`WorkerCrash`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCrashWire {
+    /// Number of the incarnation.
+    #[serde(rename = "n")]
+    incarnation: u64,
+    /// Name of the worker.
+    #[serde(rename = "w")]
+    worker: String,
+    /// Whether the incarnation has certainly crashed.
+    #[serde(rename = "c")]
+    confirmed: bool,
+    /// Time since the loss was noticed, in microseconds.
+    #[serde(rename = "a")]
+    age_us: u64,
+    /// Tasks that were on the worker.
+    #[serde(rename = "t")]
+    tasks: Vec<TaskWire>,
+}
+
 /// Wire form of [`WorkerLoad`]: free capacity, share of the entry, queued tasks, run time ratio, failure rate,
 /// availability and latest order.
 pub type LoadWire = (ResourcesWire, ResourcesWire, u32, u32, u32, bool, u64);
@@ -135,21 +160,55 @@
     }
 }
 
-fn attempt_to_wire(key: AttemptKey) -> AttemptWire {
+fn task_to_wire(task: TaskKey) -> TaskWire {
     let [high, low] = [0, 64].map(|shift| {
-        let half = (key.task.job << shift) >> 64;
+        let half = (task.job << shift) >> 64;
         u64::try_from(half).expect("half of the bits fit")
     });
-    (high, low, key.task.step, key.task.index, key.attempt)
+    (high, low, task.step, task.index)
+}
+
+fn task_from_wire(wire: TaskWire) -> TaskKey {
+    let (high, low, step, index) = wire;
+    let job = (u128::from(high) << 64) | u128::from(low);
+    TaskKey { job, step, index }
+}
+
+fn attempt_to_wire(key: AttemptKey) -> AttemptWire {
+    let (high, low, step, index) = task_to_wire(key.task);
+    (high, low, step, index, key.attempt)
 }
 
 fn attempt_from_wire(wire: AttemptWire) -> AttemptKey {
     let (high, low, step, index, attempt) = wire;
-    let job = (u128::from(high) << 64) | u128::from(low);
-    let task = TaskKey { job, step, index };
+    let task = task_from_wire((high, low, step, index));
     AttemptKey { task, attempt }
 }
 
+impl From<WorkerCrash> for WorkerCrashWire {
+    fn from(crash: WorkerCrash) -> Self {
+        Self {
+            incarnation: crash.incarnation,
+            worker: crash.worker,
+            confirmed: crash.confirmed,
+            age_us: micros(crash.age),
+            tasks: crash.tasks.into_iter().map(task_to_wire).collect(),
+        }
+    }
+}
+
+impl From<WorkerCrashWire> for WorkerCrash {
+    fn from(wire: WorkerCrashWire) -> Self {
+        Self {
+            incarnation: wire.incarnation,
+            worker: wire.worker,
+            confirmed: wire.confirmed,
+            age: Duration::from_micros(wire.age_us),
+            tasks: wire.tasks.into_iter().map(task_from_wire).collect(),
+        }
+    }
+}
+
 fn attempts_to_wire(keys: Vec<AttemptKey>) -> Vec<AttemptWire> {
     keys.into_iter().map(attempt_to_wire).collect()
 }
@@ -270,13 +329,14 @@
 impl From<WorkerToEntry> for WorkerToEntryWire {
     fn from(message: WorkerToEntry) -> Self {
         match message {
-            WorkerToEntry::Describe(description) => Self::Describe {
+            WorkerToEntry::Describe(description, crashes) => Self::Describe {
                 worker: description.worker,
                 pool: description.pool,
                 failure_domain: description.failure_domain,
                 labels: description.labels,
                 capacity: resources_to_wire(description.capacity),
                 leaving: description.leaving,
+                crashes: crashes.into_iter().map(Into::into).collect(),
             },
             WorkerToEntry::Heartbeat(number, load) => Self::Heartbeat(number, load_to_wire(load)),
             WorkerToEntry::Load(load) => Self::Load(load_to_wire(load)),
@@ -303,14 +363,18 @@
                 labels,
                 capacity,
                 leaving,
-            } => Self::Describe(WorkerDescription {
-                worker,
-                pool,
-                failure_domain,
-                labels,
-                capacity: resources_from_wire(capacity),
-                leaving,
-            }),
+                crashes,
+            } => {
+                let description = WorkerDescription {
+                    worker,
+                    pool,
+                    failure_domain,
+                    labels,
+                    capacity: resources_from_wire(capacity),
+                    leaving,
+                };
+                Self::Describe(description, crashes.into_iter().map(Into::into).collect())
+            }
             WorkerToEntryWire::Heartbeat(number, load) => Self::Heartbeat(number, load_from_wire(load)),
             WorkerToEntryWire::Load(load) => Self::Load(load_from_wire(load)),
             WorkerToEntryWire::Ended(ended, load) => {
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use chestnutfork_types::{
     AttemptKey, EndedRun, EntryToWorker, JobId, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder,
-    WorkerDescription, WorkerLoad, WorkerToEntry,
+    WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
+use serde::{Deserialize, Serialize};
 
 fn key(job: JobId) -> AttemptKey {
     let task = TaskKey {
@@ -18,6 +19,36 @@
     AttemptKey { task, attempt: 4 }
 }
 
+fn crash() -> WorkerCrash {
+    WorkerCrash {
+        incarnation: 3,
+        worker: "w".to_owned(),
+        confirmed: true,
+        age: Duration::from_micros(17),
+        tasks: vec![key(8).task, key(9).task],
+    }
+}
+
+/// Description of a worker in the form that versions without reports of crashes encode and accept.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum FormerWorkerToEntryWire {
+    #[serde(rename = "d")]
+    Describe {
+        #[serde(rename = "w")]
+        worker: String,
+        #[serde(rename = "p")]
+        pool: String,
+        #[serde(rename = "d")]
+        failure_domain: String,
+        #[serde(rename = "b")]
+        labels: Vec<String>,
+        #[serde(rename = "c")]
+        capacity: (u64, u64, u64),
+        #[serde(rename = "l")]
+        leaving: bool,
+    },
+}
+
 fn load() -> WorkerLoad {
     WorkerLoad {
         free: Resources {
@@ -93,7 +124,8 @@
         run_time: Duration::from_micros(11),
     });
     let messages = [
-        WorkerToEntry::Describe(description),
+        WorkerToEntry::Describe(description.clone(), Vec::new()),
+        WorkerToEntry::Describe(description, vec![crash()]),
         WorkerToEntry::Heartbeat(12, load()),
         WorkerToEntry::Load(load()),
         WorkerToEntry::Ended(ended.to_vec(), load()),
@@ -105,3 +137,24 @@
         assert_eq!(WorkerToEntry::from(wire), message);
     }
 }
+
+/// Guards against a report of crashes that an entry of an earlier version cannot decode, which would close its link, and
+/// against an agent of an earlier version whose description cannot be decoded.
+#[test]
+fn describe_is_compatible_with_former_version() {
+    let description = WorkerDescription {
+        worker: "w".to_owned(),
+        ..WorkerDescription::default()
+    };
+    let mut buf = Vec::new();
+    let message = WorkerToEntry::Describe(description.clone(), vec![crash()]);
+    encode(&WorkerToEntryWire::from(message), &mut buf).expect("encodes");
+    let former: FormerWorkerToEntryWire = decode(&buf).expect("the former version decodes it");
+    let mut buf = Vec::new();
+    encode(&former, &mut buf).expect("encodes");
+    let wire: WorkerToEntryWire = decode(&buf).expect("this version decodes the former one");
+    assert_eq!(
+        WorkerToEntry::from(wire),
+        WorkerToEntry::Describe(description, Vec::new())
+    );
+}
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -13,6 +13,7 @@
     pub(crate) retry_delay: Duration,
     pub(crate) ended_run_retention: Duration,
     pub(crate) orphan_grace_period: Duration,
+    pub(crate) crash_retention: Duration,
 }
 
 /// Builds a [`WorkerConfig`] from the defaults and overrides.
@@ -52,6 +53,7 @@
             ended_run_retention: Duration::from_secs(20),
             // Twice the time an agent needs to discover the entries through control.
             orphan_grace_period: Duration::from_millis(250),
+            crash_retention: Duration::from_secs(30),
         };
         WorkerConfigBuilder { cfg }
     }
@@ -123,6 +125,10 @@
         /// default 250 ms.
         orphan_grace_period
     );
+    setter!(
+        /// Sets how long a loss of the worker is reported to entries that connect; default 30 s.
+        crash_retention
+    );
     setter!(
         /// Sets how long records of ended runs are retained; default 20 s.
         ended_run_retention
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::WorkerClock;
 use crate::config::WorkerConfig;
+use crate::crashes::Crashes;
 use crate::event::{Action, Announcement, CallId, Event, FencingToken, ListedEnd, ListedRun, Notice};
 use crate::health::Health;
 use crate::orders::Call;
@@ -70,6 +71,8 @@
     pub(crate) share_rotation: u64,
     /// Amount by which started runs exceed the capacity because it shrank while they were in progress.
     pub(crate) excess: Resources,
+    /// Recent losses of the worker.
+    pub(crate) crashes: Crashes,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -106,6 +109,7 @@
             reported_free: Resources::default(),
             share_rotation: 0,
             excess: Resources::default(),
+            crashes: Crashes::default(),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -194,6 +198,7 @@
         if same {
             self.update_session(now, announcement, actions);
         } else {
+            self.record_crash(now, actions);
             self.end_session(now, actions);
             self.begin_session(now, announcement, actions);
         }
@@ -218,11 +223,12 @@
             actions.push(Action::Notice(Notice::WorkerLeaving { worker, running }));
         }
         if changed {
-            self.broadcast_description(actions);
+            self.broadcast_description(now, actions);
         }
     }
 
     fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+        self.crashes.begin_incarnation();
         let description = &announcement.description;
         actions.push(Action::Notice(Notice::WorkerJoined {
             worker: description.worker.clone(),
@@ -246,7 +252,7 @@
             orphans: Vec::new(),
             orphan_ends: Vec::new(),
         });
-        self.broadcast_description(actions);
+        self.broadcast_description(now, actions);
     }
 
     fn on_withdrawn(&mut self, now: Instant, worker: &WorkerName, actions: &mut Vec<Action>) {
@@ -256,7 +262,7 @@
             .map(|session| &session.worker.description.worker);
         if current == Some(worker) {
             self.end_session(now, actions);
-            self.broadcast_description(actions);
+            self.broadcast_description(now, actions);
         }
     }
 
@@ -284,7 +290,7 @@
 
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
         self.owners.connect(link, entry);
-        actions.push(Action::ToEntry(link, WorkerToEntry::Describe(self.description())));
+        actions.push(Action::ToEntry(link, self.describe(now)));
         let number = self.owners.next_heartbeat(now);
         let load = self.load(now, entry);
         actions.push(Action::ToEntry(link, WorkerToEntry::Heartbeat(number, load)));
@@ -499,7 +505,7 @@
     fn drain(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.draining = true;
         self.refuse_waiting(now, "the agent is shutting down", actions);
-        self.broadcast_description(actions);
+        self.broadcast_description(now, actions);
     }
 
     /// Performs the work that has become possible or due after an event.
@@ -511,6 +517,7 @@
         self.start_waiting(now, actions);
         self.send_stops(now, actions);
         self.renew_lease(now, actions);
+        self.report_crashes(now, actions);
         self.send_reports(now, actions);
         self.send_heartbeats(now, actions);
         if now >= self.cleanup_at {
@@ -518,6 +525,7 @@
             let retention = self.cfg.ended_run_retention;
             self.ended_runs.retain(|_, record| now < record.at + retention);
             self.owners.remove_idle(now, retention);
+            self.crashes.remove_expired(now, self.cfg.crash_retention);
         }
     }
 
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -225,6 +225,15 @@
         /// Number of runs that ended with it.
         lost: u64,
     },
+    /// The worker was lost with tasks on it, which is reported to all entries.
+    WorkerLost {
+        /// Worker that was lost.
+        worker: WorkerName,
+        /// Whether it has certainly crashed; otherwise the leases of the tasks expired while it did not answer.
+        confirmed: bool,
+        /// Tasks that were on it.
+        tasks: Vec<TaskKey>,
+    },
     /// The worker does not answer calls.
     WorkerSilent {
         /// Worker that does not answer.
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod config;
 mod core;
+mod crashes;
 mod event;
 mod health;
 mod orders;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -174,6 +174,7 @@
         if !expired || !self.has_started() {
             return;
         }
+        self.record_lapse(now, actions);
         let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
         let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         for task in tasks {
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -147,9 +147,15 @@
         description
     }
 
-    pub(crate) fn broadcast_description(&mut self, actions: &mut Vec<Action>) {
-        let description = self.description();
+    /// Returns the first message to an entry: the description of the worker and its recent crashes.
+    pub(crate) fn describe(&self, now: Instant) -> WorkerToEntry {
+        WorkerToEntry::Describe(self.description(), self.crashes.reports(now))
+    }
+
+    pub(crate) fn broadcast_description(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let message = self.describe(now);
+        self.crashes.mark_reported();
         let links = self.owners.iter().filter_map(|(_, owner)| owner.link);
-        actions.extend(links.map(|link| Action::ToEntry(link, WorkerToEntry::Describe(description.clone()))));
+        actions.extend(links.map(|link| Action::ToEntry(link, message.clone())));
     }
 }
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -38,10 +38,11 @@
     AttemptKey { task, attempt: 1 }
 }
 
+/// Returns a number of cores, with memory in proportion.
 pub fn cores(count: u64) -> Resources {
     Resources {
         cpu_millis: count * 1_000,
-        memory_mb: 100,
+        memory_mb: count * 10,
         gpus: 0,
     }
 }
--- a/crates/worker/tests/capacity.rs
+++ b/crates/worker/tests/capacity.rs
@@ -3,7 +3,7 @@
 mod agent;
 
 use agent::{Agent, LINK, announcement, attempt, cores, starts};
-use chestnutfork_types::{AttemptKey, EntryToWorker, Resources, RunOutcome, WorkerToEntry};
+use chestnutfork_types::{AttemptKey, EntryToWorker, RunOutcome, WorkerToEntry};
 use chestnutfork_worker::{Action, Announcement, Event, ListedEnd, ListedRun, RunList};
 
 fn resized(sequence: u64, count: u64) -> Announcement {
@@ -12,13 +12,6 @@
     announcement
 }
 
-fn one_core() -> Resources {
-    Resources {
-        memory_mb: 1,
-        ..cores(1)
-    }
-}
-
 /// Lists the end of a job's run, and returns the resulting actions.
 fn end(agent: &mut Agent, number: u64, job: u128) -> Vec<Action> {
     let run = ListedRun {
@@ -43,17 +36,17 @@
 fn shrunken_capacity_orders_no_start_until_there_is_room() {
     let mut agent = Agent::ready();
     let jobs: Vec<AttemptKey> = (1..=4).map(attempt).collect();
-    assert_eq!(starts(&agent.start(&jobs, one_core())).len(), 4);
+    assert_eq!(starts(&agent.start(&jobs, cores(1))).len(), 4);
     agent.handle(Event::Announced(resized(2, 2)));
     assert_eq!(agent.core.runs_in_progress(), 4);
-    assert_eq!(starts(&agent.start(&[attempt(5)], one_core())), []);
+    assert_eq!(starts(&agent.start(&[attempt(5)], cores(1))), []);
     // After two ends the other two runs still fill the two cores that are left.
     assert_eq!(starts(&end(&mut agent, 1, 1)), []);
     assert_eq!(starts(&end(&mut agent, 2, 2)), []);
     let actions = end(&mut agent, 3, 3);
     assert_eq!(starts(&actions), [5]);
     agent.confirm(&actions);
-    assert_eq!(starts(&agent.start(&[attempt(6)], one_core())), []);
+    assert_eq!(starts(&agent.start(&[attempt(6)], cores(1))), []);
     assert_eq!(starts(&agent.handle(Event::Announced(resized(3, 4)))), [6]);
 }
 
@@ -61,18 +54,18 @@
 #[test]
 fn shrunken_capacity_counts_stopping_runs() {
     let mut agent = Agent::ready();
-    agent.start(&[attempt(1), attempt(2)], one_core());
+    agent.start(&[attempt(1), attempt(2)], cores(1));
     agent.handle(Event::Announced(resized(2, 2)));
     let message = EntryToWorker::Stop(vec![attempt(1)]);
     agent.handle(Event::FromEntry { link: LINK, message });
-    assert_eq!(starts(&agent.start(&[attempt(3)], one_core())), []);
+    assert_eq!(starts(&agent.start(&[attempt(3)], cores(1))), []);
 }
 
 /// Guards against a task that no longer fits into the worker and keeps all others from starting there.
 #[test]
 fn shrunken_capacity_refuses_what_no_longer_fits() {
     let mut agent = Agent::ready();
-    agent.start(&[attempt(1)], one_core());
+    agent.start(&[attempt(1)], cores(1));
     agent.handle(Event::Announced(resized(2, 2)));
     let actions = agent.start(&[attempt(2)], cores(3));
     let refused = actions.iter().any(|action| {
@@ -80,5 +73,5 @@
             if ended[0].key == attempt(2) && ended[0].outcome == RunOutcome::NotStarted)
     });
     assert!(refused, "{actions:?}");
-    assert_eq!(starts(&agent.start(&[attempt(3)], one_core())), [3]);
+    assert_eq!(starts(&agent.start(&[attempt(3)], cores(1))), [3]);
 }
