--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -34,6 +34,11 @@
         }
             meaning: "The entry has fetched the document, and puts it in force unless event 7002 follows.",
             remedy: "If it is far behind, check the link of the entry and compare the time with event 6025 of control.";
+        7005 EntryPaused "entry_paused" Warn "process was paused" {
+            paused: Duration = "How late the timer of the process was.",
+        }
+            meaning: "The process did not run; it places no tasks for 100 ms, in which it reads what arrived meanwhile.",
+            remedy: "If it persists, check the machine of the entry.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
@@ -99,11 +104,23 @@
         }
             meaning: "No tasks are placed there until the agent has reconnected; its attempts may continue.",
             remedy: "If it persists, check the agent and the network.";
-        7018 EntryPaused "entry_paused" Warn "process was paused" {
-            paused: Duration = "How late the timer of the process was.",
-        }
-            meaning: "The process did not run; it places no tasks for 100 ms, in which it reads what arrived meanwhile.",
-            remedy: "If it persists, check the machine of the entry.";
+        7018 LossCounted "loss_counted" Info "worker lost under a task" {
+            task: &'a str = "Job, step and index of the task.",
+            agent: &'a str = "Agent of the worker.",
+            worker: &'a str = "The worker.",
+            confirmed: u64 = "Workers that have certainly crashed under the task so far.",
+            possible: u64 = "Workers lost under the task so far for an unknown cause, which may have been crashes.",
+        }
+            meaning: "The task was on a worker that was lost. The entry counts such losses for 30 s, over all submissions of the job.",
+            remedy: "None if it is rare; otherwise look for the worker in events 7023, 7024 and 7028 of the agent.";
+        7019 JobGivenUp "job_given_up" Warn "job given up because its workers were lost" {
+            task: &'a str = "Job, step and index of the task that lost its workers.",
+            confirmed: u64 = "Workers that have certainly crashed under the task.",
+            possible: u64 = "Workers lost under the task for an unknown cause, which may have been crashes.",
+            ordered: bool = "Whether this submission was in progress; otherwise it was answered on arrival.",
+        }
+            meaning: "The job is answered as failed, and no task of it is started again, because the task probably crashes its workers.",
+            remedy: "Search for the task in events 7018 of all entries, which name the agents, and examine the job's input.";
         7020 EntryDiscovered "entry_discovered" Info "entry discovered" {
             address: &'a str = "Address of the entry.",
         }
@@ -154,6 +171,14 @@
         }
             meaning: "The worker ended without a withdrawal, and a new incarnation answers under the same name.",
             remedy: "If it persists, check the worker; event 7032 names the runs that were lost.";
+        7028 WorkerLost "worker_lost" Warn "worker lost with tasks on it" {
+            worker: &'a str = "The worker.",
+            confirmed: bool = "Whether it has certainly crashed; otherwise its lease expired while it did not answer.",
+            count: u64 = "Number of tasks that were on it.",
+            tasks: &'a str = "Job, step and index of the first 20 tasks, separated by spaces.",
+        }
+            meaning: "All entries are told that the worker was lost under these tasks; one of them may have caused it.",
+            remedy: "If one task is named for several workers, examine the input of its job; otherwise check the worker.";
         7030 StartRefused "start_refused" Info "start refused" {
             task: &'a str = "Job, step and index of the task.",
             attempt: u64 = "Number of the attempt.",
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::config::WorkerConfig;
+use crate::crashes::Crashes;
 use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
 use crate::orders::PendingCall;
 use crate::owners::Owners;
@@ -45,6 +46,10 @@
     pub(crate) reported_free: Resources,
     /// Number of reports to all entries; it rotates the units that remain when the free capacity does not divide evenly.
     pub(crate) share_rotation: u64,
+    /// Amount by which started runs exceed the capacity because it shrank while they were in progress.
+    pub(crate) excess: Resources,
+    /// Recent losses of the worker.
+    pub(crate) crashes: Crashes,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -81,6 +86,8 @@
             load_report_at: now,
             reported_free: Resources::default(),
             share_rotation: 0,
+            excess: Resources::default(),
+            crashes: Crashes::default(),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -158,7 +165,7 @@
 
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
         self.owners.connect(link, entry);
-        actions.push(Action::ToEntry(link, WorkerToEntry::Describe(self.description())));
+        actions.push(Action::ToEntry(link, self.describe(now)));
         let number = self.owners.next_heartbeat(now);
         let load = self.load(now, entry);
         actions.push(Action::ToEntry(link, WorkerToEntry::Heartbeat(number, load)));
@@ -320,6 +327,7 @@
         let Some(run) = self.runs.swap_remove(&task) else {
             return;
         };
+        self.lower_excess();
         let run_time = run.run_time(now);
         let ended = EndedRun {
             key: run.key,
@@ -389,7 +397,7 @@
     fn drain(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.draining = true;
         self.refuse_waiting(now, "the agent is shutting down", actions);
-        self.broadcast_description(actions);
+        self.broadcast_description(now, actions);
     }
 
     /// Performs the work that has become possible or due after an event.
@@ -398,9 +406,11 @@
         self.end_withdrawn_session(now, actions);
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
+        self.refuse_oversized(now, actions);
         self.start_waiting(now, actions);
         self.send_stops(now, actions);
         self.renew_lease(now, actions);
+        self.report_crashes(now, actions);
         self.send_reports(now, actions);
         self.send_heartbeats(now, actions);
         if now >= self.cleanup_at {
@@ -408,6 +418,7 @@
             let retention = self.cfg.ended_run_retention;
             self.ended_runs.retain(|_, record| now < record.at + retention);
             self.owners.remove_idle(now, retention);
+            self.crashes.remove_expired(now, self.cfg.crash_retention);
         }
     }
 
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -295,6 +295,15 @@
         /// How the agent learned of the end.
         reason: GoneReason,
     },
+    /// The worker was lost with tasks on it, which is reported to all entries.
+    WorkerLost {
+        /// Worker that was lost.
+        worker: WorkerName,
+        /// Whether it has certainly crashed; otherwise the leases of the tasks expired while it did not answer.
+        confirmed: bool,
+        /// Tasks that were on it.
+        tasks: Vec<TaskKey>,
+    },
     /// The worker does not answer calls.
     WorkerSilent {
         /// Worker that does not answer.
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -8,9 +8,11 @@
 //!   the entry can start them on another worker after a time that it can compute without contacting the agent.
 //! - The fencing token, taken from the worker's own clock, invalidates orders from an earlier agent process.
 
+mod capacity;
 mod clock;
 mod config;
 mod core;
+mod crashes;
 mod event;
 mod health;
 mod orders;
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -278,6 +278,7 @@
             let listed = is_listed(task, run.number);
             match run.phase {
                 Phase::Starting { .. } | Phase::Unconfirmed { .. } if listed => {
+                    run.former_incarnation = false;
                     run.phase = Phase::Running { since: now };
                 }
                 // The start was lost or may still be carried out late; a stop prevents the latter.
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -110,6 +110,7 @@
             self.restart_session(now, Some(started_at), announcement.clock, false, actions);
             self.update_session(now, announcement, actions);
         } else {
+            self.record_crash(now, actions);
             self.end_session(now, GoneReason::Renamed, actions);
             self.begin_session(now, announcement, actions);
         }
@@ -123,6 +124,7 @@
         let changed = session.worker.description != announcement.description || session.is_withdrawn();
         let joined = session.presence == Presence::Unannounced;
         let leaves = announcement.description.leaving && !session.worker.description.leaving;
+        let resized = session.worker.description.capacity != announcement.description.capacity;
         session.started_at = Some(announcement.started_at);
         // A withdrawal before this announcement was a delayed one of a former incarnation.
         session.presence = Presence::Announced;
@@ -131,23 +133,27 @@
             let notice = joined_notice(&session.worker);
             actions.push(Action::Notice(notice));
         }
+        if resized {
+            self.record_excess();
+        }
         if leaves {
             self.refuse_waiting(now, "the worker is leaving", actions);
             let running = self.runs.len() as u64;
             let worker = self.worker_name();
             actions.push(Action::Notice(Notice::WorkerLeaving { worker, running }));
         }
-        if changed {
-            self.broadcast_description(actions);
+        if changed || joined {
+            self.broadcast_description(now, actions);
         }
     }
 
     fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+        self.crashes.begin_incarnation();
         actions.push(Action::Notice(joined_notice(&announcement)));
         let clock = announcement.clock;
         let clock = WorkerClock::new(now, clock);
         self.session = Some(Session::new(now, announcement, clock, self.former_token));
-        self.broadcast_description(actions);
+        self.broadcast_description(now, actions);
     }
 
     pub(crate) fn on_withdrawn(&mut self, now: Instant, worker: &WorkerName, actions: &mut Vec<Action>) {
@@ -157,7 +163,7 @@
         };
         session.presence = Presence::Withdrawn;
         self.refuse_waiting(now, "the worker is leaving", actions);
-        self.broadcast_description(actions);
+        self.broadcast_description(now, actions);
     }
 
     /// Ends the session with a withdrawn worker on which nothing runs any more.
@@ -165,7 +171,7 @@
         let withdrawn = self.session.as_ref().is_some_and(Session::is_withdrawn);
         if withdrawn && self.runs.is_empty() {
             self.end_session(now, GoneReason::Withdrawn, actions);
-            self.broadcast_description(actions);
+            self.broadcast_description(now, actions);
         }
     }
 
@@ -179,7 +185,7 @@
         let ended = matches!(outcome, CallOutcome::Unreachable | CallOutcome::OtherIncarnation);
         if ended && self.session.as_ref().is_some_and(Session::is_withdrawn) {
             self.end_session(now, GoneReason::Withdrawn, actions);
-            self.broadcast_description(actions);
+            self.broadcast_description(now, actions);
         }
     }
 
@@ -221,6 +227,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.refuse_waiting(now, "the worker has restarted", actions);
+        self.record_crash(now, actions);
         self.retain_token();
         let Some(former) = self.session.take() else {
             return;
