worker: Do not renew for a run that is listed to be stopped

Callers can see: a task runs on two workers at the same time (TWICE).

An entry repeats its stop orders on each link. A new agent process treated such a stop as a new one and allowed renewals for 500 ms more, although the first order was 0.8 s old and its caller submitted the job elsewhere 1.3 s after it.

Change: a stop that a link begins with allows no renewal before it is confirmed.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -186,7 +186,7 @@
             EntryToWorker::Start(order) => self.on_start(now, entry, &order, actions),
             EntryToWorker::Stop(keys) => {
                 for key in keys {
-                    self.stop_attempt(now, entry, key, actions);
+                    self.stop_attempt(now, entry, key, Stop::begin(now, RunOutcome::Stopped), actions);
                 }
             }
             EntryToWorker::Reconcile { keep, stop } => {
@@ -284,6 +284,7 @@
         now: Instant,
         entry: ProcessId,
         key: AttemptKey,
+        stop: Stop,
         actions: &mut Vec<Action>,
     ) {
         let known = self
@@ -291,7 +292,7 @@
             .get(&key.task)
             .is_some_and(|run| run.key == key && run.owner == entry);
         if known {
-            self.stop(now, key.task, Stop::begin(now, RunOutcome::Stopped), actions);
+            self.stop(now, key.task, stop, actions);
         }
         let unreconciled = self.unreconciled.iter_mut();
         for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.key == key) {
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -7,7 +7,7 @@
 
 use crate::core::WorkerCore;
 use crate::event::{Action, Evidence, ListedRun};
-use crate::run::{NO_OWNER, Phase, Run};
+use crate::run::{NO_OWNER, Phase, Run, Stop};
 
 /// Attempt that an entry listed in an `EntryToWorker::Reconcile` message.
 #[derive(Clone, Copy, Debug)]
@@ -36,7 +36,9 @@
                 continue;
             }
             if !attempt.keep {
-                self.stop_attempt(now, attempt.entry, attempt.key, actions);
+                // The stop was ordered before this link opened, so its time may have expired.
+                let stop = Stop::begin_expired(now, RunOutcome::Stopped);
+                self.stop_attempt(now, attempt.entry, attempt.key, stop, actions);
             }
         }
     }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -309,3 +309,23 @@
     agent.answer_renewal(RunList::default());
     assert_eq!(agent.ended()[0].outcome, RunOutcome::Stopped);
 }
+
+/// Guards against renewals that prolong a run that has to be stopped because its agent was restarted meanwhile.
+#[test]
+fn listed_stop_allows_no_renewal() {
+    let mut agent = Agent::new();
+    agent.connect();
+    agent.send(EntryToWorker::Reconcile {
+        keep: Vec::new(),
+        stop: vec![attempt(0, 1)],
+    });
+    agent.handle(Event::Announced(announcement(1, 9)));
+    agent.answer_renewal(list_of_run());
+    assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+    let ends = agent
+        .calls()
+        .iter()
+        .filter_map(|(_, order)| lease_end(order))
+        .count();
+    assert_eq!(ends, 0);
+}
