worker: Do not request a new lease from an unavailable worker

Cause: each renewal to a worker that refuses connections moved the time at which its runs count as lost by 600 ms, so that they were reported only with the next announcement of the worker.

Change: calls to an unavailable worker request its list without a lease.

Evidence: unreachable_worker_is_not_renewed failed before: the run is in progress 730 ms after its start.

--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -151,7 +151,10 @@
         } else {
             Duration::ZERO
         };
-        let lease = self.may_renew(now).then_some(self.cfg.worker_lease);
+        // A renewal that an unavailable worker receives late would only delay the time at which its runs count as lost.
+        let available = self.session.as_ref().is_some_and(|session| session.available);
+        let renews = available && self.may_renew(now);
+        let lease = renews.then_some(self.cfg.worker_lease);
         let call = self.begin_call(Call::RenewLease { sent_at: now });
         let Some(session) = self.session.as_mut() else {
             return;
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -131,6 +131,25 @@
     assert_eq!(agent.core.runs_in_progress(), 0);
 }
 
+/// Guards against runs of a crashed worker that count as lost only with its next announcement, because each call to it
+/// requests a new lease.
+#[test]
+fn unreachable_worker_is_not_renewed() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let (start, renewal) = (agent.call(is_start), agent.call(is_renewal));
+    agent.reply(start, CallOutcome::Done);
+    agent.now += millis(10);
+    agent.reply(renewal, CallOutcome::Unreachable);
+    for elapsed in (20..=730).step_by(10) {
+        agent.advance_to(millis(elapsed));
+        for (call, _) in agent.calls() {
+            agent.reply(call, CallOutcome::Unreachable);
+        }
+    }
+    assert_eq!(agent.core.runs_in_progress(), 0);
+}
+
 /// Guards against runs that continue after their entry failed, whose callers resubmit their jobs.
 #[test]
 fn lost_entry_has_its_runs_stopped() {
