leased: Play jobs that crash their workers in the randomised run

Each fortieth job has a task that crashes every worker that starts it; the worker is back after 1 to 4 s under another name. All other faults go on: killed entries and agents, cut links, late orders, callers that submit again at any entry.

--- a/crates/leased/examples/leased_random_run.rs
+++ b/crates/leased/examples/leased_random_run.rs
@@ -1,7 +1,8 @@
 //! Randomised run of the entry and agent cores with seeded faults.
 //!
-//! Usage: `leased_random_run --seed N --count K [--broken hasty|lasting]`. With `--broken`, the run injects a defect that the
-//! checks must detect: `hasty` shortens the run expiry of entries, `lasting` lengthens the lease of entries on agents.
+//! Usage: `leased_random_run --seed N --count K [--broken hasty|lasting] [--jobs crashing]`. With `--broken`, the run injects
+//! a defect that the checks must detect: `hasty` shortens the run expiry of entries, `lasting` lengthens the lease of entries
+//! on agents. With `--jobs crashing`, some jobs have a task that crashes each worker that starts it.
 
 use std::process::ExitCode;
 
@@ -12,6 +13,7 @@
     let mut seed = 1;
     let mut count = 100;
     let mut defect = None;
+    let mut crashing_jobs = false;
     let mut args = std::env::args().skip(1);
     while let Some(name) = args.next() {
         let value = args.next().unwrap_or_default();
@@ -20,8 +22,11 @@
             ("--count", _, Some(value)) => count = value,
             ("--broken", "hasty", _) => defect = Some(sim::InjectedDefect::ShortRunExpiry),
             ("--broken", "lasting", _) => defect = Some(sim::InjectedDefect::LongEntryLease),
+            ("--jobs", "crashing", _) => crashing_jobs = true,
             _ => {
-                eprintln!("invalid argument {name}; expected --seed N, --count K or --broken hasty|lasting");
+                eprintln!(
+                    "invalid argument {name}; expected --seed N, --count K, --broken hasty|lasting or --jobs crashing"
+                );
                 return ExitCode::FAILURE;
             }
         }
@@ -29,7 +34,11 @@
     let mut failed = 0;
     let mut total = sim::Counts::default();
     for seed in seed..seed + count {
-        let run = sim::Sim::run(seed, defect);
+        let run = if crashing_jobs {
+            sim::Sim::run_with_crashing_jobs(seed)
+        } else {
+            sim::Sim::run(seed, defect)
+        };
         for violation in &run.violations {
             println!("seed {seed}: {violation}");
         }
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -26,6 +26,29 @@
     );
 }
 
+/// Guards against a task that crashes one worker after another, with jobs that are submitted again at any entry and with killed
+/// entries and agents.
+#[test]
+fn random_run_gives_up_tasks_that_crash_workers() {
+    let mut total = Counts::default();
+    for seed in 0..20 {
+        let sim = Sim::run_with_crashing_jobs(seed);
+        assert_eq!(
+            sim.violations,
+            Vec::<String>::new(),
+            "seed {seed}: {:?}",
+            sim.counts
+        );
+        total.add(&sim.counts);
+    }
+    // The check is only meaningful if workers crash, and if more than half of the 100 jobs that crash them are given up; the
+    // others are refused, because few workers are left, or have not ended when the run ends.
+    assert!(
+        total.crashes > 20 * 5 && total.crashing_failed > 100 / 2,
+        "{total:?}"
+    );
+}
+
 /// Guards against checks that cannot fail: an entry that does not wait for leases to expire must be detected.
 #[test]
 fn random_run_detects_short_run_expiry() {
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -34,6 +34,9 @@
 /// Time after which an unanswered call to a worker is treated as lost.
 const CALL_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Distance between the ids of jobs with a task that crashes its workers.
+const CRASHING_JOB_INTERVAL: JobId = 40;
+
 /// Event at a point of virtual time.
 #[derive(Debug)]
 enum ScheduledEvent {
@@ -48,6 +51,7 @@
     Fault,
     Connect(usize, usize),
     LinkDown(LinkNumber),
+    Crash(usize, u64),
 }
 
 #[derive(Debug)]
@@ -76,6 +80,14 @@
     pub starts: u64,
     pub late_orders: u64,
     pub faults: u64,
+    /// Crashes of workers under tasks of crashing jobs.
+    pub crashes: u64,
+    /// Answers that a crashing job has failed.
+    pub crashing_failed: u64,
+    /// Answers that another job has failed.
+    pub others_failed: u64,
+    /// Largest number of starts of one crashing task.
+    pub most_starts: u64,
 }
 
 impl Counts {
@@ -87,6 +99,10 @@
         self.starts += other.starts;
         self.late_orders += other.late_orders;
         self.faults += other.faults;
+        self.crashes += other.crashes;
+        self.crashing_failed += other.crashing_failed;
+        self.others_failed += other.others_failed;
+        self.most_starts = self.most_starts.max(other.most_starts);
     }
 }
 
@@ -107,6 +123,12 @@
     completed_tasks: HashSet<TaskKey>,
     started_jobs: HashSet<JobId>,
     pub counts: Counts,
+    /// Whether some jobs have a task that crashes each worker that starts it.
+    crashing_jobs: bool,
+    /// When each worker is back after its latest crash.
+    down_until: Vec<Instant>,
+    /// Starts and crashes of each crashing task, and its starts after the third crash.
+    crashing_tasks: HashMap<TaskKey, (u64, u64, u64)>,
     pub violations: Vec<String>,
     /// Defect that is injected to verify that the checks detect it.
     defect: Option<InjectedDefect>,
@@ -123,7 +145,18 @@
 
 impl Sim {
     pub fn run(seed: u64, defect: Option<InjectedDefect>) -> Self {
-        let mut sim = Self::new(seed, defect);
+        Self::new(seed, defect).play()
+    }
+
+    /// Runs with jobs that have a task which crashes each worker that starts it.
+    pub fn run_with_crashing_jobs(seed: u64) -> Self {
+        let mut sim = Self::new(seed, None);
+        sim.crashing_jobs = true;
+        sim.play()
+    }
+
+    fn play(mut self) -> Self {
+        let sim = &mut self;
         while let Some(((at, _), event)) = sim.queue.pop_first() {
             if at > sim.end || !sim.violations.is_empty() {
                 break;
@@ -132,7 +165,7 @@
             sim.process(event);
             sim.check_concurrent_runs();
         }
-        sim
+        self
     }
 
     fn new(seed: u64, defect: Option<InjectedDefect>) -> Self {
@@ -152,6 +185,9 @@
             completed_tasks: HashSet::new(),
             started_jobs: HashSet::new(),
             counts: Counts::default(),
+            crashing_jobs: false,
+            down_until: vec![now; AGENTS],
+            crashing_tasks: HashMap::new(),
             violations: Vec::new(),
             defect,
         };
@@ -253,6 +289,7 @@
             ScheduledEvent::Fault => self.inject_fault(),
             ScheduledEvent::Connect(entry, agent) => self.connect(entry, agent),
             ScheduledEvent::LinkDown(link) => self.disconnect(link),
+            ScheduledEvent::Crash(agent, incarnation) => self.crash_worker(agent, incarnation),
         }
     }
 
@@ -264,6 +301,11 @@
     }
 
     fn announce_worker(&mut self, agent: usize) {
+        if self.now < self.down_until[agent] {
+            let delay = self.down_until[agent] - self.now;
+            self.schedule(delay, ScheduledEvent::Heartbeat(agent));
+            return;
+        }
         let worker = &self.workers[agent];
         let announcement = Announcement {
             description: WorkerDescription {
@@ -354,6 +396,17 @@
         incarnation: u64,
         order: &Order,
     ) {
+        if self.now < self.down_until[agent] {
+            if let Some(call) = call {
+                let reply = Reply {
+                    outcome: CallOutcome::Unreachable,
+                    ..lost_reply()
+                };
+                let delay = Duration::from_millis(1);
+                self.schedule(delay, ScheduledEvent::Reply(agent, process, call, reply));
+            }
+            return;
+        }
         let is_long = self.rng.random_bool(0.1);
         let work = if is_long {
             self.rng.random_range(1_000..3_000)
@@ -378,6 +431,7 @@
         if let (Order::Start { task, .. }, CallOutcome::Done) = (order, &reply.outcome) {
             self.counts.starts += 1;
             self.started_jobs.insert(task.job);
+            self.on_start(agent, incarnation, *task);
         }
         if let CallOutcome::LeaseRenewed(list) = &reply.outcome {
             let completed = list
@@ -399,6 +453,47 @@
         }
     }
 
+    /// Returns whether a task crashes the workers that start it.
+    fn is_crashing(&self, task: TaskKey) -> bool {
+        self.crashing_jobs && task.job % CRASHING_JOB_INTERVAL == 7 && task.index == 0
+    }
+
+    /// Checks that a task which has crashed three workers isn't started three times more, and schedules the next crash.
+    fn on_start(&mut self, agent: usize, incarnation: u64, task: TaskKey) {
+        if !self.is_crashing(task) {
+            return;
+        }
+        let (starts, crashes, late_starts) = self.crashing_tasks.entry(task).or_default();
+        *starts += 1;
+        self.counts.most_starts = self.counts.most_starts.max(*starts);
+        if *crashes >= 3 {
+            *late_starts += 1;
+        }
+        if *late_starts >= 3 {
+            self.violations.push(format!(
+                "{task:?} started {late_starts} times after {crashes} workers had crashed under it"
+            ));
+        }
+        let delay = Duration::from_millis(self.rng.random_range(1..30));
+        self.schedule(delay, ScheduledEvent::Crash(agent, incarnation));
+    }
+
+    fn crash_worker(&mut self, agent: usize, incarnation: u64) {
+        if self.workers[agent].incarnation != incarnation {
+            return;
+        }
+        self.counts.crashes += 1;
+        let running: Vec<TaskKey> = self.workers[agent].running().collect();
+        for task in running {
+            if self.is_crashing(task) {
+                self.crashing_tasks.entry(task).or_default().1 += 1;
+            }
+        }
+        let away = Duration::from_millis(self.rng.random_range(1_000..4_000));
+        self.down_until[agent] = self.now + away;
+        self.workers[agent] = LeasedWorker::new(self.now + away, incarnation + 1, 0.99);
+    }
+
     fn submit(&mut self, id: JobId) {
         let entry = self.rng.random_range(0..ENTRIES);
         let ticket = self.rng.random();
@@ -428,7 +523,9 @@
     }
 
     fn schedule_resubmission(&mut self, id: JobId) {
-        if self.jobs[&id].submissions < 3 {
+        let crashing = self.crashing_jobs && id % CRASHING_JOB_INTERVAL == 7;
+        let limit = if crashing { 10 } else { 3 };
+        if self.jobs[&id].submissions < limit {
             self.schedule(RESUBMIT_DELAY, ScheduledEvent::Submit(id));
         }
     }
@@ -478,7 +575,14 @@
                 job.refused_only = false;
                 self.schedule_resubmission(id);
             }
-            Answer::State(JobState::Failed) => job.refused_only = false,
+            Answer::State(JobState::Failed) => {
+                job.refused_only = false;
+                if self.crashing_jobs && id % CRASHING_JOB_INTERVAL == 7 {
+                    self.counts.crashing_failed += 1;
+                } else {
+                    self.counts.others_failed += 1;
+                }
+            }
             other => self
                 .violations
                 .push(format!("job {id} received an unexpected answer: {other:?}")),
