broker: Separate the suspects of a crash, and hold the rest of their job

Cause: tasks of a job are placed together and retried tasks go where others run, so a second crash named all of them again, and each crash made further tasks suspect. Good jobs were given up for the crashes of others.

Change: a task whose worker was reported as lost is a suspect until it has completed. An entry places a suspect only on a worker on which no other suspect of its own is outstanding, at most two of one job at a time, and keeps other jobs away from such workers as long as half of the suitable workers remain. The other tasks of the job wait. When a task is given up, its crashes no longer count for tasks under which fewer workers have crashed; three losses of any kind remain the limit.

--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -11,12 +11,16 @@
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, JobEnd, Notice};
+use crate::job::{Job, TaskState};
 
 /// Number of certain crashes from which a task is given up, as the users' rules allow.
 const MAX_CRASHES: u32 = 2;
-/// Number of losses, certain crashes included, from which a task is given up; one more than certain crashes, because the cause
-/// of the others may lie elsewhere.
+/// Number of losses of any kind from which a task is given up; one more than certain crashes, because the cause of the others
+/// may lie elsewhere.
 const MAX_LOSSES: u32 = 3;
+/// Maximum number of suspect tasks of one job that are placed at a time. It limits the number of workers that a job whose tasks
+/// all crash their workers takes at once; one at a time would make most innocent jobs late.
+const MAX_PLACED_SUSPECTS: usize = 2;
 /// Maximum number of jobs with records; the oldest record is dropped first.
 const MAX_JOBS: usize = 4_096;
 
@@ -29,6 +33,8 @@
     source: Option<(ProcessId, IncarnationNumber)>,
     /// Whether the worker has certainly crashed.
     confirmed: bool,
+    /// Whether another task, which was given up, was on the worker too.
+    explained: bool,
     /// When the loss was noticed, or when the attempt was ordered if there is no report of the loss.
     at: Instant,
     /// Time from which the retention counts.
@@ -48,11 +54,14 @@
     pub(crate) confirmed: u32,
     /// Losses for an unknown cause, which may have been crashes.
     pub(crate) possible: u32,
+    /// Losses, certain or possible, for which another task was given up.
+    pub(crate) explained: u32,
 }
 
 impl LossCount {
     fn is_over_limit(self) -> bool {
-        self.confirmed >= MAX_CRASHES || self.confirmed + self.possible >= MAX_LOSSES
+        let all = self.confirmed + self.possible + self.explained;
+        self.confirmed >= MAX_CRASHES || all >= MAX_LOSSES
     }
 }
 
@@ -76,6 +85,7 @@
             agent,
             source: None,
             confirmed: false,
+            explained: false,
             at: ordered_at,
             recorded_at: now,
         });
@@ -112,6 +122,7 @@
             agent,
             source: Some(source),
             confirmed,
+            explained: false,
             at: noticed_at,
             recorded_at: noticed_at,
         });
@@ -125,11 +136,27 @@
         self.jobs.entry(job).or_default()
     }
 
+    /// Returns whether a worker was lost under a task, which may therefore crash the next one too.
+    ///
+    /// One attempt that was lost without a report of its agent does not suffice: the agent itself was lost then.
+    pub(crate) fn is_suspect(&self, task: TaskKey) -> bool {
+        let losses = self.jobs.get(&task.job).into_iter().flatten();
+        let losses = losses.filter(|loss| loss.task == task && !loss.explained);
+        let (reported, others): (Vec<&Loss>, Vec<&Loss>) = losses.partition(|loss| loss.source.is_some());
+        !reported.is_empty() || others.len() > 1
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
     pub(crate) fn count(&self, task: TaskKey) -> LossCount {
         let mut count = LossCount::default();
         let losses = self.jobs.get(&task.job).into_iter().flatten();
         for loss in losses.filter(|loss| loss.task == task) {
-            if loss.confirmed {
+            if loss.explained {
+                count.explained += 1;
+            } else if loss.confirmed {
                 count.confirmed += 1;
             } else {
                 count.possible += 1;
@@ -145,6 +172,27 @@
         counts.find(|(_, count)| count.is_over_limit())
     }
 
+    /// Attributes the losses of workers to a task that is given up, for the other tasks that were on them.
+    ///
+    /// Tasks under which as many workers have crashed are as likely to be the cause, so their losses count on.
+    fn explain(&mut self, guilty: TaskKey) {
+        let limit = self.count(guilty).confirmed;
+        let losses = self.jobs.get(&guilty.job).into_iter().flatten();
+        let losses = losses.filter(|loss| loss.task == guilty && !loss.explained);
+        let sources: Vec<_> = losses.filter_map(|loss| loss.source).collect();
+        let mut innocent: Vec<TaskKey> = Vec::new();
+        for loss in self.jobs.values().flatten() {
+            let shared = loss.source.is_some_and(|source| sources.contains(&source));
+            if shared && loss.task != guilty && self.count(loss.task).confirmed < limit {
+                innocent.push(loss.task);
+            }
+        }
+        for loss in self.jobs.values_mut().flatten() {
+            let shared = loss.source.is_some_and(|source| sources.contains(&source));
+            loss.explained |= shared && innocent.contains(&loss.task);
+        }
+    }
+
     /// Removes the records that are older than the retention time.
     pub(crate) fn remove_expired(&mut self, now: Instant, retention: Duration) {
         self.jobs.retain(|_, losses| {
@@ -155,6 +203,30 @@
 }
 
 impl BrokerCore {
+    /// Returns whether a task of a job must wait until suspects of the job have completed.
+    ///
+    /// The other tasks of a job with a suspect wait, because they may be of the same kind, and so do further suspects.
+    pub(crate) fn is_held(&self, job: &Job, task: usize) -> bool {
+        if self.crashes.is_empty() {
+            return false;
+        }
+        let is_suspect = |at: usize| self.crashes.is_suspect(job.key(at));
+        let suspects = (0..job.tasks.len()).filter(|&at| is_suspect(at));
+        let unfinished = suspects.filter(|&at| job.tasks[at].state != TaskState::Completed);
+        if is_suspect(task) {
+            let placed = unfinished.filter(|&at| matches!(job.tasks[at].state, TaskState::Placed(_)));
+            placed.count() >= MAX_PLACED_SUSPECTS
+        } else {
+            unfinished.count() > 0
+        }
+    }
+
+    /// Returns whether a suspect task that this entry ordered may be on the worker of an agent.
+    pub(crate) fn has_suspect(&self, agent: AgentIndex) -> bool {
+        let mut keys = self.agents.get(agent).outstanding.keys();
+        !self.crashes.is_empty() && keys.any(|key| self.crashes.is_suspect(key.task))
+    }
+
     /// Records that an attempt that was ordered at `ordered_at` was lost.
     pub(crate) fn record_lost_attempt(
         &mut self,
@@ -197,7 +269,10 @@
             }
         }
         for job in jobs {
-            self.give_up(now, job, actions);
+            if let Some((task, _)) = self.crashes.task_over_limit(job) {
+                self.crashes.explain(task);
+                self.give_up(now, job, actions);
+            }
         }
     }
 
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -63,14 +63,15 @@
             };
             let delayed = job.tasks[task].retry_at.is_some_and(|at| now < at);
             let waiting = job.tasks[task].state == TaskState::Waiting && !delayed;
-            if !waiting || self.outstanding_tasks.contains_key(&job.key(task)) {
+            if !waiting || self.outstanding_tasks.contains_key(&job.key(task)) || self.is_held(job, task) {
                 continue;
             }
+            let suspect = self.crashes.is_suspect(job.key(task));
             let ordered: Vec<AgentIndex> = orders.keys().copied().collect();
             match self.select_worker(now, pool, job, task, &ordered) {
                 Choice::Place { agent, expected } => {
                     if let Some(order) = self.record_order(now, id, task, agent, expected) {
-                        pool.reserve(agent, order.resources);
+                        pool.reserve(agent, order.resources, suspect);
                         orders.entry(agent).or_default().push(order);
                     }
                 }
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -34,7 +34,7 @@
 pub(crate) enum Choice {
     /// Place the task on a worker with free capacity; `expected` is the expected run time.
     Place { agent: AgentIndex, expected: Duration },
-    /// Wait for a faster worker, which is full but could still meet the objective.
+    /// Wait for a faster worker, which is full but could still meet the objective, or for one without another suspect.
     Wait,
     /// No suitable worker has free capacity.
     Full,
@@ -56,6 +56,8 @@
     share: Resources,
     /// Random fraction added to the score.
     jitter: f64,
+    /// Whether a task that may crash the worker was ordered there.
+    has_suspect: bool,
 }
 
 /// Worker that could run a task.
@@ -65,14 +67,17 @@
     expected: Duration,
     score: f64,
     has_capacity: bool,
+    /// Whether a task that may crash the worker was ordered there.
+    has_suspect: bool,
 }
 
 impl PoolSnapshot {
     /// Deducts the resources of a placed task from a worker's free capacity.
-    pub(crate) fn reserve(&mut self, agent: AgentIndex, resources: Resources) {
+    pub(crate) fn reserve(&mut self, agent: AgentIndex, resources: Resources, suspect: bool) {
         if let Some(worker) = self.workers.iter_mut().find(|worker| worker.agent == agent) {
             worker.free = worker.free.saturating_sub(resources);
             worker.share = worker.share.saturating_sub(resources);
+            worker.has_suspect |= suspect;
         }
     }
 }
@@ -82,12 +87,13 @@
     pub(crate) fn pool_snapshot(&mut self, now: Instant, service: &str) -> PoolSnapshot {
         let mean_run_time_ratio = self.mean_run_time_ratio(now, service);
         let usable = self.agents.usable(now, self.cfg.stale_after, service);
-        let rng = &mut self.rng;
-        let workers = usable.map(|(agent, state)| WorkerSnapshot {
+        let usable: Vec<AgentIndex> = usable.map(|(agent, _)| agent).collect();
+        let workers = usable.into_iter().map(|agent| WorkerSnapshot {
             agent,
-            free: state.free(),
-            share: state.share(),
-            jitter: rng.random_range(0.0..JITTER),
+            free: self.agents.get(agent).free(),
+            share: self.agents.get(agent).share(),
+            jitter: self.rng.random_range(0.0..JITTER),
+            has_suspect: self.has_suspect(agent),
         });
         PoolSnapshot {
             mean_run_time_ratio,
@@ -120,7 +126,12 @@
             eligible.min_by(|a, b| a.score.total_cmp(&b.score))
         };
         let Some(placed) = best(true) else {
-            return Choice::Full;
+            // Other tasks may use the workers that a suspect can't.
+            return if self.crashes.is_suspect(job.key(task)) {
+                Choice::Wait
+            } else {
+                Choice::Full
+            };
         };
         let left = job.objective_at.saturating_duration_since(now);
         if placed.expected > left
@@ -161,16 +172,19 @@
     fn candidates(&self, pool: &PoolSnapshot, job: &Job, task: usize, ignore_shares: bool) -> Vec<Candidate> {
         let Task { step, avoid, .. } = job.tasks[task];
         let spec = &job.steps[usize::from(step)];
+        let suspect = self.crashes.is_suspect(job.key(task));
         let suitable = pool.workers.iter().filter(|worker| {
             let agent = self.agents.get(worker.agent);
-            is_suitable(agent, spec) && below_limit(job, step, spec, worker.agent)
+            // Two suspects on one worker could not be told apart if it crashes.
+            let separate = !(suspect && worker.has_suspect);
+            separate && is_suitable(agent, spec) && below_limit(job, step, spec, worker.agent)
         });
         let all: Vec<Candidate> = suitable
             .map(|worker| self.candidate(*worker, spec, pool.mean_run_time_ratio, ignore_shares))
             .collect();
         let healthy = |candidate: &&Candidate| {
             let agent = self.agents.get(candidate.agent);
-            agent.is_healthy() && avoid != Some(candidate.agent)
+            agent.is_healthy() && avoid != Some(candidate.agent) && !candidate.has_suspect
         };
         let preferred: Vec<Candidate> = all.iter().filter(healthy).copied().collect();
         // If more than half of the workers would be excluded, use all of them: the tasks may be at fault.
@@ -202,6 +216,7 @@
             has_capacity: step
                 .resources
                 .fits_within(if ignore_shares { worker.free } else { worker.share }),
+            has_suspect: worker.has_suspect,
         }
     }
 
--- a/crates/broker/tests/crashes.rs
+++ b/crates/broker/tests/crashes.rs
@@ -195,3 +195,123 @@
     assert_eq!(entry.answers(), [(1, Answer::State(JobState::Failed))]);
     assert_eq!(entry.stops(), 1);
 }
+
+/// Reports a certain crash of a worker under all its attempts, and their ends.
+fn crash_worker(entry: &mut Entry, link: u64, incarnation: u64, keys: &[AttemptKey]) {
+    let tasks: Vec<TaskKey> = keys.iter().map(|key| key.task).collect();
+    entry.report_crashes(link, vec![crash(incarnation, true, &tasks)]);
+    entry.actions.clear();
+    for &key in keys {
+        entry.end_attempt(link, key, RunOutcome::Lost);
+    }
+}
+
+/// Returns an entry with one more worker after the worker of link 1 has crashed under one task of each of two jobs.
+fn after_shared_crash(workers: u64) -> Entry {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 1);
+    entry.submit(2, 2, 1);
+    let keys: Vec<AttemptKey> = entry.attempts().into_iter().map(|(_, key)| key).collect();
+    for link in 2..=workers {
+        entry.connect(link);
+    }
+    crash_worker(&mut entry, 1, 1, &keys);
+    entry
+}
+
+/// Guards against a second crash that cannot be attributed, because the tasks of the first one are together again.
+#[test]
+fn suspects_are_placed_apart() {
+    let mut entry = after_shared_crash(4);
+    let links: Vec<u64> = entry.attempts().into_iter().map(|(link, _)| link).collect();
+    assert_eq!(links.len(), 2);
+    assert_ne!(links[0], links[1]);
+}
+
+/// Guards against two suspects on the only worker that is left, and against a suspect that is never placed.
+#[test]
+fn suspect_waits_for_worker_without_another_suspect() {
+    let mut entry = after_shared_crash(1);
+    let first = entry.attempts();
+    assert_eq!(first.len(), 1);
+    // Tasks that are no suspects use the capacity.
+    entry.submit(3, 3, 1);
+    assert_eq!(attempts_of(&mut entry, 3).len(), 1);
+    entry.end_attempt(first[0].0, first[0].1, RunOutcome::Completed);
+    assert_eq!(entry.attempts().len(), 3);
+}
+
+/// Guards against a job whose tasks all crash their workers and that takes all workers at once, and against starting its other
+/// tasks before the suspects have completed.
+#[test]
+fn other_tasks_wait_for_suspects_of_their_job() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 5);
+    let keys: Vec<AttemptKey> = entry.attempts().into_iter().map(|(_, key)| key).collect();
+    assert_eq!(keys.len(), 4);
+    for link in 2..=6 {
+        entry.connect(link);
+    }
+    // The fifth task was placed on a worker that joined.
+    let (link, other) = *attempts_of(&mut entry, 1).last().expect("an attempt was ordered");
+    entry.end_attempt(link, other, RunOutcome::NotStarted);
+    crash_worker(&mut entry, 1, 1, &keys);
+    // The delay after which a task that was not started is placed again.
+    entry.now += millis(50);
+    let mut placed = entry.attempts();
+    for completed in 1..=4 {
+        assert!(placed.len() <= 2, "{placed:?}");
+        assert!(placed.iter().all(|(_, key)| key.task != other.task));
+        let (link, key) = placed.remove(0);
+        entry.actions.clear();
+        entry.end_attempt(link, key, RunOutcome::Completed);
+        placed.extend(entry.attempts());
+        assert_eq!(placed.len(), 2.min(4 - completed).max(1));
+    }
+    assert_eq!(placed[0].1.task, other.task);
+}
+
+/// Guards against an innocent task that is lost with the worker that a suspect crashes.
+#[test]
+fn other_jobs_avoid_workers_with_suspects() {
+    let mut entry = after_shared_crash(6);
+    let suspects: Vec<u64> = entry.attempts().into_iter().map(|(link, _)| link).collect();
+    entry.actions.clear();
+    for job in 3..=12 {
+        entry.submit(job, u128::from(job), 1);
+    }
+    let others: Vec<u64> = entry.attempts().into_iter().map(|(link, _)| link).collect();
+    assert_eq!(others.len(), 10);
+    assert!(!others.iter().any(|link| suspects.contains(link)), "{others:?}");
+}
+
+/// Guards against giving up an innocent task for crashes that another task, given up since, has caused; and against a task that
+/// escapes the limit because its crashes are attributed to others.
+#[test]
+fn crashes_of_given_up_task_do_not_count_for_others() {
+    let mut entry = Entry::with_workers(5);
+    entry.report_crashes(1, vec![crash(1, true, &[task(1), task(2)])]);
+    entry.report_crashes(2, vec![crash(1, true, &[task(1)])]);
+    entry.report_crashes(3, vec![crash(1, true, &[task(2)])]);
+    entry.submit(1, 1, 1);
+    assert_eq!(entry.answers(), [(1, Answer::State(JobState::Failed))]);
+    entry.submit(2, 2, 1);
+    assert_eq!(attempts_of(&mut entry, 2).len(), 1);
+    entry.actions.clear();
+    entry.report_crashes(4, vec![crash(1, true, &[task(2)])]);
+    assert_eq!(entry.answers(), [(2, Answer::State(JobState::Failed))]);
+}
+
+/// Guards against a choice between two tasks that are equally likely to have caused two crashes.
+#[test]
+fn crashes_shared_by_two_tasks_give_up_both() {
+    let mut entry = Entry::with_workers(5);
+    for link in 1..=2 {
+        entry.report_crashes(link, vec![crash(1, true, &[task(1), task(2)])]);
+    }
+    for job in 1..=2 {
+        entry.submit(job, u128::from(job), 1);
+    }
+    let failed = Answer::State(JobState::Failed);
+    assert_eq!(entry.answers(), [(1, failed), (2, failed)]);
+}
