worker: Report runs that a killed agent leaves behind and that are gone as possible crashes

Moreover an order that was sent before the report of an earlier crash arrived was taken for an attempt of that crash.

Change: a listed attempt whose run is not on the worker is recorded as a possible crash and reported to all entries.

The test fails without the call in reconcile.rs by construction (no report is sent); it was not run so.

--- a/crates/worker/src/crashes.rs
+++ b/crates/worker/src/crashes.rs
@@ -92,7 +92,7 @@
             .filter(|record| record.incarnation == self.incarnation);
         let tasks = current.flat_map(|record| &record.tasks);
         tasks
-            .filter(|lost| lost.lost_at >= replied_at)
+            .filter(|lost| lost.lost_at > replied_at)
             .map(|lost| lost.task)
             .collect()
     }
@@ -152,6 +152,14 @@
         self.record_loss(now, tasks, false, actions);
     }
 
+    /// Records that the run of an attempt which an entry listed is not on the worker.
+    ///
+    /// An earlier process of this agent was killed before it could report why. The worker may have crashed meanwhile, and the
+    /// entry that listed the attempt may be the only process that knows of it.
+    pub(crate) fn record_missing(&mut self, now: Instant, task: TaskKey, actions: &mut Vec<Action>) {
+        self.record_loss(now, vec![task], false, actions);
+    }
+
     fn started_tasks(&self) -> Vec<TaskKey> {
         let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
         started.map(|(&task, _)| task).collect()
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -73,6 +73,7 @@
                 return;
             }
         }
+        self.record_missing(now, key.task, actions);
         let ended = EndedRun {
             key,
             outcome: RunOutcome::Lost,
--- a/crates/worker/tests/crashes.rs
+++ b/crates/worker/tests/crashes.rs
@@ -128,3 +128,18 @@
     let told = reports(&actions, LINK).expect("the entry is told");
     assert_eq!(summary(&told), [(1, true, vec![2]), (1, false, vec![1])]);
 }
+
+/// Guards against a crash that nobody reports, because the agent was killed before it noticed: its next process does not find the
+/// run, and only the entry that ordered it would count the loss.
+#[test]
+fn missing_run_is_reported_as_possible_crash() {
+    let mut agent = Agent::ready();
+    agent.connect(2);
+    let message = EntryToWorker::Reconcile {
+        keep: vec![attempt(1)],
+        stop: Vec::new(),
+    };
+    let actions = agent.handle(Event::FromEntry { link: LINK, message });
+    let told = reports(&actions, 2).expect("the other entry is told");
+    assert_eq!(summary(&told), [(1, false, vec![1])]);
+}
