--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -62,6 +62,19 @@
     );
 }
 
+/// Guards against a task that crashes one worker after another, with jobs that are submitted again at any entry and with killed
+/// entries and agents.
+#[test]
+fn random_run_gives_up_tasks_that_crash_workers() {
+    let total = run_seeds("standard,crashing");
+    // The check is only meaningful if workers crash, and if jobs are given up in about every run. Other jobs that crash their
+    // workers are refused, because few workers are left, or have not ended when the run ends.
+    assert!(
+        total.crashes > SEEDS * 5 && total.crashing_failed > SEEDS,
+        "{total:?}"
+    );
+}
+
 /// Guards against checks that cannot fail: an entry that does not wait for leases to expire must be detected.
 #[test]
 fn random_run_detects_short_run_expiry() {
--- a/crates/leased/tests/sim/callers.rs
+++ b/crates/leased/tests/sim/callers.rs
@@ -133,7 +133,8 @@
     }
 
     fn schedule_resubmission(&mut self, id: JobId) {
-        if self.jobs[&id].submissions < 3 {
+        let limit = if self.is_crashing_job(id) { 10 } else { 3 };
+        if self.jobs[&id].submissions < limit {
             self.schedule(RESUBMIT_DELAY, ScheduledEvent::Submit(id));
         }
     }
@@ -192,7 +193,12 @@
                 job.refused_only = false;
                 self.schedule_resubmission(id);
             }
-            Answer::State(JobState::Failed) => job.refused_only = false,
+            Answer::State(JobState::Failed) => {
+                job.refused_only = false;
+                let crashing = self.is_crashing_job(id);
+                self.counts.crashing_failed += u64::from(crashing);
+                self.counts.others_failed += u64::from(!crashing);
+            }
             other => {
                 let message = format!("job {id} received an unexpected answer: {other:?}");
                 self.violate(Rule::Answer, None, message);
--- a/crates/leased/tests/sim/checks.rs
+++ b/crates/leased/tests/sim/checks.rs
@@ -16,6 +16,8 @@
     ConcurrentRuns,
     /// A run was in progress although its attempt had been reported to its entry as ended.
     EndedAttempt,
+    /// A task was started too often after several workers had crashed under it.
+    StartedAfterCrashes,
     /// A caller got a wrong answer.
     Answer,
 }
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -49,6 +49,12 @@
     entry_pauses,
     /// Jobs submitted to another entry while the former one was paused.
     submissions_during_pause,
+    /// Crashes of workers under tasks that crash them.
+    crashes,
+    /// Answers that a job with such a task has failed.
+    crashing_failed,
+    /// Answers that another job has failed.
+    others_failed,
     /// Events that an entry processed after a pause.
     backlog_events,
 }
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod counts;
+mod crashing;
 mod entries;
 mod faults;
 mod links;
@@ -29,6 +30,7 @@
 use checks::Attempts;
 pub use checks::{Rule, Violation};
 pub use counts::Counts;
+use crashing::CrashingTask;
 use entries::{Channel, EntryHost};
 use links::Link;
 use orders::SentOrder;
@@ -82,6 +84,7 @@
     Submit(JobId),
     CallerReset(JobId, Ticket),
     CallerLost(usize, ProcessId, Ticket),
+    CrashWorker(usize, u64),
     Fault,
 }
 
@@ -124,6 +127,7 @@
     completed_tasks: HashSet<TaskKey>,
     started_jobs: HashSet<JobId>,
     attempts: Attempts,
+    crashing_tasks: HashMap<TaskKey, CrashingTask>,
     pub counts: Counts,
     pub violations: Vec<Violation>,
     pub trace: Trace,
@@ -163,6 +167,7 @@
             completed_tasks: HashSet::new(),
             started_jobs: HashSet::new(),
             attempts: Attempts::default(),
+            crashing_tasks: HashMap::new(),
             counts: Counts::default(),
             violations: Vec::new(),
             trace: Trace::new(now, options.trace),
@@ -227,6 +232,7 @@
                 agent_process,
             } => self.connect(entry, entry_process, agent, agent_process),
             ScheduledEvent::Order(sent) => self.deliver_order(sent),
+            ScheduledEvent::CrashWorker(agent, incarnation) => self.crash_worker(agent, incarnation),
             ScheduledEvent::Reply(agent, process, call, reply) => {
                 if self.agents[agent].process == process {
                     self.handle_agent_event(agent, AgentEvent::Replied { call, reply });
--- a/crates/leased/tests/sim/orders.rs
+++ b/crates/leased/tests/sim/orders.rs
@@ -140,6 +140,7 @@
             self.counts.late_starts += u64::from(late);
             self.counts.starts_before_announcement += u64::from(!self.workers[agent].announced);
             self.started_jobs.insert(task.job);
+            self.observe_crashing_start(agent, self.workers[agent].model.incarnation, *task);
         }
         if let CallOutcome::LeaseRenewed(list) = outcome {
             let ended = list.ended.iter();
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -31,13 +31,15 @@
     EntryAndAgentFaults,
     /// Entries pause and then process what has waited for them in any order.
     EntryPauses,
+    /// Some jobs have a task that crashes every worker that starts it.
+    CrashingTasks,
     /// Workers carry out late what was ordered from a former incarnation of the same name.
     OrdersAcrossRestarts,
 }
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -52,6 +54,7 @@
         Self::AgentRestartSeries,
         Self::EntryAndAgentFaults,
         Self::EntryPauses,
+        Self::CrashingTasks,
         Self::OrdersAcrossRestarts,
     ];
 
@@ -72,6 +75,7 @@
             Self::AgentRestartSeries => "series",
             Self::EntryAndAgentFaults => "pairs",
             Self::EntryPauses => "pauses",
+            Self::CrashingTasks => "crashing",
             Self::OrdersAcrossRestarts => "across",
         }
     }
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -84,6 +84,7 @@
                 return true;
             }
         }
+        self.record_missing(now, key.task, actions);
         let ended = EndedRun {
             key,
             outcome: RunOutcome::Lost,
