soak: Restart workers under their former name

Cause: the soak gave each incarnation of a worker a name of its own, so that calls to a former one were turned away.

Change: the name and the start of a worker are apart from its incarnation; heartbeats and the lists that hold returns carry the start. A plan draws series of restarts under the same name, after 50 to 400 ms or 1 to 5 s, half of them with a first heartbeat up to 1.5 s after the worker answers calls, half of them on a worker that leaves orders unanswered and carries them out late. They are drawn from a stream of random numbers of their own, so that the other faults of a seed stay.

--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -127,9 +127,18 @@
     }
 }
 
+/// Name of a worker, which may outlast its incarnations, and the start of the present one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Identity {
+    pub(crate) name: u64,
+    /// Time since the Unix epoch.
+    pub(crate) started_at: Duration,
+}
+
 /// What a worker tells about itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Announced {
+    pub(crate) identity: Identity,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) clock: Duration,
@@ -139,13 +148,13 @@
 
 /// Returns the announcement of a worker for its agent.
 pub(crate) fn announcement(agent: SocketAddr, worker: SocketAddr, told: &Announced) -> Request<Body> {
-    let url = format!("http://{agent}/instances/i-{}", told.incarnation);
+    let url = format!("http://{agent}/instances/i-{}", told.identity.name);
     let state = if told.leaving { "draining" } else { "ready" };
     let body = json!({
         "service": SERVICE, "address": worker, "zone": "a", "version": "v1", "slots": told.cores, "state": state,
         "cold_remaining_ms": 0, "capacity": {"cpu": told.cores * 1000, "mem_mb": 4096, "gpu": 0},
         "labels": ["a", "r1-1"], "clock_ms": told.clock.as_millis(), "sequence": told.sequence,
-        "born": told.incarnation
+        "born": told.identity.started_at.as_millis()
     });
     request(Method::PUT, &url, &body)
 }
@@ -153,14 +162,22 @@
 /// Call of an agent to its worker.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerCall {
-    pub(crate) incarnation: u64,
+    /// Name of the worker that the agent means.
+    pub(crate) name: u64,
     pub(crate) order: Order,
 }
 
+/// Reply of a worker and the incarnation that gave it.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerReply {
+    pub(crate) started_at: Duration,
+    pub(crate) reply: Reply,
+}
+
 /// Reads a call of an agent.
 pub(crate) fn read_call(req: &Request<Bytes>) -> Option<WorkerCall> {
     let named = req.headers().get("expect-instance")?.to_str().ok()?;
-    let incarnation = named.strip_prefix("i-")?.parse().ok()?;
+    let name = named.strip_prefix("i-")?.parse().ok()?;
     let body: Value = serde_json::from_slice(req.body()).ok()?;
     let number = |name: &str| body[name].as_u64();
     let token = number("fencing_token").unwrap_or(0);
@@ -186,17 +203,19 @@
         },
         _ => return None,
     };
-    Some(WorkerCall { incarnation, order })
+    Some(WorkerCall { name, order })
 }
 
-/// Answers a call of an agent; nothing stands for a call to another incarnation.
-pub(crate) fn respond(reply: Option<Reply>) -> Response<Body> {
-    let Some(reply) = reply else {
+/// Answers a call of an agent; nothing stands for a call to a worker of another name.
+pub(crate) fn respond(reply: Option<WorkerReply>) -> Response<Body> {
+    let Some(WorkerReply { started_at, reply }) = reply else {
         return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({}));
     };
     let clock = reply.clock.unwrap_or_default().as_millis();
     match reply.outcome {
-        CallOutcome::LeaseRenewed(held) => json_response(StatusCode::OK, &held_json(&held, clock)),
+        CallOutcome::LeaseRenewed(held) => {
+            json_response(StatusCode::OK, &held_json(&held, clock, started_at))
+        }
         CallOutcome::Refused(refusal) => {
             let reason = match refusal {
                 Refusal::Fenced => "fence",
@@ -213,7 +232,7 @@
     }
 }
 
-fn held_json(held: &RunList, clock: u128) -> Value {
+fn held_json(held: &RunList, clock: u128, started_at: Duration) -> Value {
     let running = held.running.iter();
     let running = running.map(|run| json!([task_name(run.task), run.number, "", 100, 0]));
     let ended = held.ended.iter().map(|ended| {
@@ -226,7 +245,7 @@
         json!([ended.number, task_name(ended.run.task), ended.run.number, how, ""])
     });
     json!({
-        "clock_ms": clock, "running": running.collect::<Vec<_>>(), "ended": ended.collect::<Vec<_>>()
+        "clock_ms": clock, "born": started_at.as_millis(), "running": running.collect::<Vec<_>>(), "ended": ended.collect::<Vec<_>>()
     })
 }
 
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use error::SoakError;
 pub use ledger::{Answer, Counts, Ledger, Report, Seen, WorkerIncarnation};
-pub use plan::{Fault, Plan, Size, Step};
+pub use plan::{Fault, Plan, Restart, Size, Step};
 pub use run::{SoakConfig, soak};
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -8,6 +8,8 @@
 
 /// Fewest and most series of faults in ten seconds.
 const SERIES: Range<u64> = 4..10;
+/// Fewest and most series of restarts of workers in ten seconds.
+const RESTARTS: Range<u64> = 2..7;
 /// Shortest and longest fault.
 const LENGTH_MS: Range<u64> = 150..3_000;
 /// Time around the loss of a disk without other faults of control: one loss at a time is tolerated.
@@ -15,6 +17,17 @@
 /// Share of the plans in which a control process loses its disk.
 const DISK_SHARE: f64 = 0.3;
 
+/// Share of the restarts under the former name that take seconds.
+const SLOW_RESTART_SHARE: f64 = 0.3;
+/// Time that a worker is away at a quick and at a slow restart.
+const QUICK_RESTART_MS: Range<u64> = 50..400;
+const SLOW_RESTART_MS: Range<u64> = 1_000..5_000;
+/// Share of the restarts whose first announcement is delayed, and its longest delay.
+const SILENT_SHARE: f64 = 0.5;
+const SILENT_MS: Range<u64> = 0..1_500;
+/// Stream of the random numbers for [`Plan::add_restarts`], so that it leaves the other faults of a seed as they are.
+const RESTART_STREAM: u64 = 1;
+
 /// Number of processes of each role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -32,6 +45,38 @@
     }
 }
 
+/// How a crashed worker comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// Whether it has the name that it had.
+    pub same_name: bool,
+    /// Time that it is away.
+    pub down: Duration,
+    /// Time that it answers calls before its first announcement.
+    pub silent: Duration,
+}
+
+impl Restart {
+    /// Draws a restart under the former name.
+    fn random(rng: &mut ChaCha8Rng) -> Self {
+        let down = if rng.random_bool(SLOW_RESTART_SHARE) {
+            rng.random_range(SLOW_RESTART_MS)
+        } else {
+            rng.random_range(QUICK_RESTART_MS)
+        };
+        let silent = if rng.random_bool(SILENT_SHARE) {
+            rng.random_range(SILENT_MS)
+        } else {
+            0
+        };
+        Self {
+            same_name: true,
+            down: Duration::from_millis(down),
+            silent: Duration::from_millis(silent),
+        }
+    }
+}
+
 /// What is done to a process, to its connections or to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -67,6 +112,8 @@
     Silence,
     /// The worker crashes and comes back as another incarnation.
     WorkerCrash,
+    /// The worker crashes and comes back as given.
+    WorkerRestart(Restart),
     /// The worker says that it leaves.
     WorkerLeave,
     /// The worker fails all tasks.
@@ -138,6 +185,11 @@
         if rng.random_bool(DISK_SHARE) {
             plan.add_lost_disk(&mut rng, length);
         }
+        rng.set_stream(RESTART_STREAM);
+        let restarts = rng.random_range(RESTARTS) * length.as_secs().max(1) / 10 + 1;
+        for _ in 0..restarts {
+            plan.add_restarts(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -177,6 +229,23 @@
         }
     }
 
+    /// Restarts a worker one to three times under its name; it may have left orders unanswered before.
+    fn add_restarts(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let mut at = length.mul_f64(rng.random_range(0.0..0.9));
+        let mute = rng.random_bool(0.5);
+        if mute {
+            self.push(at, worker, Fault::WorkerMute);
+        }
+        for _ in 0..rng.random_range(1..=3) {
+            at += Duration::from_millis(rng.random_range(LENGTH_MS));
+            self.push(at, worker, Fault::WorkerRestart(Restart::random(rng)));
+        }
+        if mute {
+            self.push(at, worker, Fault::WorkerSound);
+        }
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
@@ -223,6 +292,7 @@
     matches!(
         fault,
         Fault::WorkerCrash
+            | Fault::WorkerRestart(_)
             | Fault::WorkerLeave
             | Fault::WorkerFail
             | Fault::WorkerSlow
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -290,6 +290,7 @@
         let Step { target, fault, .. } = step;
         match fault {
             Fault::WorkerCrash => self.tell_worker(target, WorkerMessage::Crash),
+            Fault::WorkerRestart(restart) => self.tell_worker(target, WorkerMessage::Restart(restart)),
             Fault::WorkerLeave => self.tell_worker(target, WorkerMessage::Leave),
             Fault::WorkerFail => self.tell_worker(target, WorkerMessage::Mood(Mood::Failing)),
             Fault::WorkerSlow => self.tell_worker(target, WorkerMessage::Mood(Mood::Slow)),
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for workers: an actor each that owns a model, and an HTTP server before it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use chestnutfork_net::{Body, HttpClient, HttpHandler, HttpServer};
@@ -13,11 +13,13 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout};
 
-use crate::dialect::{self, Announced, WorkerCall};
+use crate::dialect::{self, Announced, Identity, WorkerCall, WorkerReply};
 use crate::error::SoakError;
 use crate::ledger::Seen;
+use crate::plan::Restart;
 
 /// Interval at which ends are noticed.
 const TICK: Duration = Duration::from_millis(5);
@@ -25,8 +27,12 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for an agent to take an announcement.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that a crashed worker is away.
-const DOWN_TIME: Duration = Duration::from_millis(700);
+/// Restart of a crashed worker that another one replaces.
+const REPLACEMENT: Restart = Restart {
+    same_name: false,
+    down: Duration::from_millis(700),
+    silent: Duration::ZERO,
+};
 /// Longest delay of an order without an answer that is carried out late.
 const LATEST_ORDER: Duration = Duration::from_secs(3);
 /// Slot count of a worker, each of one core.
@@ -50,14 +56,13 @@
 
 #[derive(Debug)]
 pub(crate) enum WorkerMessage {
-    Call(WorkerCall, oneshot::Sender<Option<Reply>>),
+    Call(WorkerCall, oneshot::Sender<Option<WorkerReply>>),
     /// An order whose caller has given up is carried out late.
     Late(WorkerCall),
     Mood(Mood),
     Crash,
+    Restart(Restart),
     Leave,
-    /// Tells the present state, for an announcement; nothing while the worker is away.
-    Announce(oneshot::Sender<Option<Announced>>),
     /// An announcement was acknowledged.
     Acknowledged(Announced),
 }
@@ -109,34 +114,29 @@
         let server = HttpServer::builder(socket).serve(Handler { tx: tx.clone() });
         let server = server.map_err(failed)?;
         let rng = ChaCha8Rng::seed_from_u64(seed ^ index as u64);
-        tokio::spawn(State::new(index, rng, ledger, tx.downgrade()).run(rx));
-        tokio::spawn(announce(agent, address, tx.downgrade(), http));
+        let route = Route { agent, address, http };
+        tokio::spawn(State::new(index, rng, ledger, tx.downgrade(), route).run(rx));
         Ok(Self { tx, _server: server })
     }
 }
 
-/// Announces the worker until it ends.
-async fn announce(
+/// Way of the announcements to the agent.
+#[derive(Clone, Debug)]
+struct Route {
     agent: SocketAddr,
     address: SocketAddr,
-    tx: mpsc::WeakUnboundedSender<WorkerMessage>,
     http: HttpClient,
-) {
-    loop {
-        sleep(ANNOUNCE_INTERVAL).await;
-        let Some(tx) = tx.upgrade() else {
-            return;
-        };
-        let (reply, told) = oneshot::channel();
-        drop(tx.send(WorkerMessage::Announce(reply)));
-        let Ok(Some(told)) = told.await else {
-            continue;
-        };
-        let request = dialect::announcement(agent, address, &told);
-        let response = timeout(ANNOUNCE_TIMEOUT, http.request(request)).await;
-        if matches!(response, Ok(Ok(response)) if response.status().is_success()) {
-            drop(tx.send(WorkerMessage::Acknowledged(told)));
-        }
+}
+
+/// Sends one announcement and notes its acknowledgement.
+async fn announce(route: Route, told: Announced, tx: mpsc::WeakUnboundedSender<WorkerMessage>) {
+    let request = dialect::announcement(route.agent, route.address, &told);
+    let response = timeout(ANNOUNCE_TIMEOUT, route.http.request(request)).await;
+    if matches!(response, Ok(Ok(response)) if response.status().is_success())
+        && let Some(tx) = tx.upgrade()
+    {
+        // The worker may have ended.
+        drop(tx.send(WorkerMessage::Acknowledged(told)));
     }
 }
 
@@ -144,17 +144,22 @@
 #[derive(Debug)]
 struct Waiting {
     until: Instant,
-    reply: oneshot::Sender<Option<Reply>>,
+    reply: oneshot::Sender<Option<WorkerReply>>,
 }
 
 #[derive(Debug)]
 struct State {
     index: usize,
+    route: Route,
+    identity: Identity,
     model: LeasedWorker,
     mood: Mood,
     leaving: bool,
     away_until: Option<Instant>,
     sequence: u64,
+    next_announcement: Instant,
+    /// Announcement without an answer yet; the next one waits for it.
+    announcing: Option<JoinHandle<()>>,
     waiting: Vec<Waiting>,
     rng: ChaCha8Rng,
     ledger: mpsc::UnboundedSender<Seen>,
@@ -167,15 +172,23 @@
         mut rng: ChaCha8Rng,
         ledger: mpsc::UnboundedSender<Seen>,
         me: mpsc::WeakUnboundedSender<WorkerMessage>,
+        route: Route,
     ) -> Self {
         let rate = rng.random_range(0.98..1.0);
         Self {
             index,
+            route,
+            identity: Identity {
+                name: 1,
+                started_at: unix_time(),
+            },
             model: LeasedWorker::new(Instant::now(), 1, rate),
             mood: Mood::Sound,
             leaving: false,
             away_until: None,
             sequence: 0,
+            next_announcement: Instant::now() + ANNOUNCE_INTERVAL,
+            announcing: None,
             waiting: Vec::new(),
             rng,
             ledger,
@@ -204,13 +217,9 @@
                 self.carry_out(&call);
             }
             WorkerMessage::Mood(mood) => self.mood = mood,
-            WorkerMessage::Crash => self.crash(),
+            WorkerMessage::Crash => self.crash(REPLACEMENT),
+            WorkerMessage::Restart(restart) => self.crash(restart),
             WorkerMessage::Leave => self.leaving = true,
-            WorkerMessage::Announce(reply) => {
-                self.sequence += 1;
-                // The asker may be gone.
-                let _ = reply.send(self.announced());
-            }
             WorkerMessage::Acknowledged(told) => {
                 if told.leaving {
                     let worker = (self.index, told.incarnation);
@@ -221,17 +230,27 @@
         }
     }
 
-    fn announced(&self) -> Option<Announced> {
-        self.away_until.is_none().then(|| Announced {
+    /// Announces the worker when that is due.
+    fn announce(&mut self, now: Instant) {
+        let in_progress = self.announcing.as_ref().is_some_and(|task| !task.is_finished());
+        if now < self.next_announcement || in_progress || self.away_until.is_some() {
+            return;
+        }
+        self.sequence += 1;
+        self.next_announcement = now + ANNOUNCE_INTERVAL;
+        let told = Announced {
+            identity: self.identity,
             incarnation: self.model.incarnation,
             sequence: self.sequence,
-            clock: self.model.clock(Instant::now()),
+            clock: self.model.clock(now),
             leaving: self.leaving,
             cores: CORES,
-        })
+        };
+        let sent = announce(self.route.clone(), told, self.me.clone());
+        self.announcing = Some(tokio::spawn(sent));
     }
 
-    fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<Reply>>) {
+    fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<WorkerReply>>) {
         if self.away_until.is_some() {
             return;
         }
@@ -254,13 +273,18 @@
                 self.waiting.push(Waiting { until, reply });
             }
             // The agent may have gone; the same holds below.
-            _ => drop(reply.send(answer)),
+            _ => drop(reply.send(answer.map(|answer| self.signed(answer)))),
         }
     }
 
-    /// Carries out an order; nothing stands for one to another incarnation.
+    fn signed(&self, reply: Reply) -> WorkerReply {
+        let started_at = self.identity.started_at;
+        WorkerReply { started_at, reply }
+    }
+
+    /// Carries out an order; nothing stands for one to a worker of another name.
     fn carry_out(&mut self, call: &WorkerCall) -> Option<Reply> {
-        if call.incarnation != self.model.incarnation || self.away_until.is_some() {
+        if call.name != self.identity.name || self.away_until.is_some() {
             return None;
         }
         let now = Instant::now();
@@ -312,6 +336,7 @@
         }
         self.model.advance(now);
         self.tell_ends();
+        self.announce(now);
         let held = self.model.lists();
         let clock = Some(self.model.clock(now));
         for waiting in std::mem::take(&mut self.waiting) {
@@ -319,13 +344,13 @@
                 self.waiting.push(waiting);
             } else {
                 let outcome = CallOutcome::LeaseRenewed(held.clone());
-                drop(waiting.reply.send(Some(Reply { clock, outcome })));
+                drop(waiting.reply.send(Some(self.signed(Reply { clock, outcome }))));
             }
         }
     }
 
-    /// Loses everything that runs; a new incarnation comes back after a while.
-    fn crash(&mut self) {
+    /// Loses everything that runs and all that it knows; a new incarnation comes back after a while.
+    fn crash(&mut self, restart: Restart) {
         let now = Instant::now();
         self.model.advance(now);
         self.tell_ends();
@@ -342,11 +367,21 @@
             });
         }
         let rate = self.rng.random_range(0.98..1.0);
-        self.model = LeasedWorker::new(now, self.model.incarnation + 1, rate);
+        let incarnation = self.model.incarnation + 1;
+        let starts_at = now + restart.down;
+        self.model = LeasedWorker::new(starts_at, incarnation, rate);
+        self.identity.started_at = unix_time() + restart.down;
+        if !restart.same_name {
+            self.identity.name = incarnation;
+        }
         self.waiting.clear();
         self.leaving = false;
         self.sequence = 0;
-        self.away_until = Some(now + DOWN_TIME);
+        self.away_until = Some(starts_at);
+        self.next_announcement = starts_at + restart.silent;
+        if let Some(announcing) = self.announcing.take() {
+            announcing.abort();
+        }
     }
 
     fn tell_ends(&mut self) {
@@ -369,3 +404,9 @@
         drop(self.ledger.send(seen));
     }
 }
+
+/// Returns the time since the Unix epoch.
+fn unix_time() -> Duration {
+    // The clock of the machine is after 1970.
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
