soak: Add tasks that crash each worker that starts them

Change: the first task of one job in 80 crashes its worker within its declared time; four in five such workers come back under their name. Runs and crashes are written to workers.log of the seed's folder, each start with whether the order was carried out late, and overlapping runs are reported with worker, incarnation, run number and times, so that they can be traced.

--- a/deploy/soak/src/callers.rs
+++ b/deploy/soak/src/callers.rs
@@ -25,6 +25,19 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(60);
 /// Most tasks of a job.
 const MOST_TASKS: u16 = 6;
+/// One in this many jobs has a task that crashes each worker that starts it.
+const CRASHING_SHARE: JobId = 80;
+
+/// What callers submit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Traffic {
+    /// All kinds of jobs.
+    Mixed,
+    /// Jobs that crash no worker.
+    Harmless,
+    /// Nothing more.
+    Ended,
+}
 
 /// Job of a caller.
 #[derive(Clone, Copy, Debug)]
@@ -32,20 +45,26 @@
     pub(crate) id: JobId,
     pub(crate) tasks: u16,
     pub(crate) declared: Duration,
+    /// Whether its first task crashes each worker that starts it.
+    pub(crate) crashes: bool,
 }
 
 impl Submission {
-    fn random(rng: &mut ChaCha8Rng) -> Self {
+    fn random(rng: &mut ChaCha8Rng, traffic: Traffic) -> Self {
+        let id = JobId::from(rng.random::<u64>());
         Self {
-            id: JobId::from(rng.random::<u64>()),
+            id,
             tasks: rng.random_range(1..=MOST_TASKS),
             declared: Duration::from_millis(rng.random_range(20..200)),
+            crashes: traffic == Traffic::Mixed && id.is_multiple_of(CRASHING_SHARE),
         }
     }
 
-    /// Returns the input of its tasks: the declared time, from which workers derive theirs, and the job.
+    /// Returns the input of its tasks: the declared time, from which workers derive theirs, the job, and the mark of one
+    /// that crashes workers.
     pub(crate) fn spec(&self) -> String {
-        format!("{} {:016x}", self.declared.as_millis(), self.id)
+        let mark = if self.crashes { " crash" } else { "" };
+        format!("{} {:016x}{mark}", self.declared.as_millis(), self.id)
     }
 }
 
@@ -64,30 +83,34 @@
     timeout(limit, exchange).await.ok().flatten()
 }
 
-/// Submits jobs until told to stop.
+/// Submits jobs until the traffic has ended.
 pub(crate) async fn run(
     seed: u64,
     entries: Vec<SocketAddr>,
     ledger: mpsc::UnboundedSender<Seen>,
-    mut stop: watch::Receiver<bool>,
+    mut traffic: watch::Receiver<Traffic>,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let http = http_client(CONNECT_TIMEOUT);
     let first = rng.random_range(0..entries.len());
-    while !*stop.borrow_and_update() {
-        submit(&mut rng, &http, &entries, first, &ledger).await;
+    loop {
+        let traffic = *traffic.borrow_and_update();
+        if traffic == Traffic::Ended {
+            return;
+        }
+        let job = Submission::random(&mut rng, traffic);
+        submit(job, &http, &entries, first, &ledger).await;
         sleep(LONGEST_PAUSE.mul_f64(rng.random())).await;
     }
 }
 
 async fn submit(
-    rng: &mut ChaCha8Rng,
+    job: Submission,
     http: &HttpClient,
     entries: &[SocketAddr],
     first: usize,
     ledger: &mpsc::UnboundedSender<Seen>,
 ) {
-    let job = Submission::random(rng);
     // Without a ledger the soak is over; the same holds below.
     drop(ledger.send(Seen::Submitted {
         job: job.id,
--- a/deploy/soak/src/ledger.rs
+++ b/deploy/soak/src/ledger.rs
@@ -1,12 +1,16 @@
 //! Ledger of what callers and workers see; it checks the promises while the soak runs.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::fs::File;
+use std::io::Write;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use chestnutfork_types::{JobId, RunNumber, RunOutcome, TaskKey};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::limits::Crashes;
+
 /// Time after which a leaving worker gets no more tasks, as the deployments' settings allow.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time after which an accepted configuration is in force, as the deployments' settings allow.
@@ -15,6 +19,17 @@
 /// One incarnation of a worker: its position and the number of the incarnation.
 pub type WorkerIncarnation = (usize, u64);
 
+/// When a worker carried out an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timing {
+    /// While its caller waited for the answer.
+    InTime,
+    /// After its caller had given up.
+    Late,
+    /// After its caller had given up, and by a later incarnation than the one that had received it.
+    LateAfterRestart,
+}
+
 /// What a submission was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -64,6 +79,8 @@
         run: RunNumber,
         /// Input that it was given.
         spec: Bytes,
+        /// When the order was carried out, as its caller sees it.
+        timing: Timing,
         /// When.
         at: Instant,
     },
@@ -80,6 +97,17 @@
         /// When.
         at: Instant,
     },
+    /// A worker crashed.
+    Crashed {
+        /// Where.
+        worker: WorkerIncarnation,
+        /// The task that crashed it, if one did.
+        cause: Option<TaskKey>,
+        /// Why, and how it comes back.
+        note: String,
+        /// When.
+        at: Instant,
+    },
     /// An agent acknowledged that its worker leaves.
     Leaving {
         /// The worker.
@@ -120,6 +148,10 @@
     pub refused: u64,
     /// Runs that workers began.
     pub starts: u64,
+    /// Workers that tasks crashed.
+    pub crashes: u64,
+    /// Most crashes by one task.
+    pub most_crashes: u64,
     /// Jobs of the calm end.
     pub calm_jobs: u64,
     /// Jobs of the calm end that completed.
@@ -170,6 +202,7 @@
 struct Run {
     worker: WorkerIncarnation,
     number: RunNumber,
+    timing: Timing,
     began: Instant,
     ended: Option<(RunOutcome, Instant)>,
 }
@@ -179,6 +212,14 @@
         let before = |one: &Self, two: &Self| one.ended.is_some_and(|(_, at)| at <= two.began);
         !before(self, other) && !before(other, self)
     }
+
+    /// Describes the run with times that can be compared with those of the logs.
+    fn describe(&self) -> String {
+        let (worker, number, timing) = (self.worker, self.number, self.timing);
+        let began = unix_millis(self.began);
+        let ended = self.ended.map(|(end, at)| (end, unix_millis(at)));
+        format!("run {number} on {worker:?} from {began} {timing:?}, ended {ended:?}")
+    }
 }
 
 /// Record of jobs, runs and configurations.
@@ -187,13 +228,25 @@
     jobs: HashMap<JobId, Job>,
     runs: HashMap<TaskKey, Vec<Run>>,
     leaving: HashMap<WorkerIncarnation, Instant>,
+    crashes: Crashes,
     taken: Vec<(u64, Instant)>,
     reported: HashSet<(TaskKey, &'static str)>,
     calm: bool,
     report: Report,
+    /// Where runs and crashes are written for traces.
+    log: Option<File>,
 }
 
 impl Ledger {
+    /// Creates a ledger that writes runs and crashes to a file.
+    #[must_use]
+    pub fn with_log(log: File) -> Self {
+        Self {
+            log: Some(log),
+            ..Self::default()
+        }
+    }
+
     /// Takes in what is seen until all observers are gone.
     pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Seen>) {
         while let Some(seen) = rx.recv().await {
@@ -203,6 +256,7 @@
 
     /// Takes in one observation.
     pub fn take(&mut self, seen: Seen) {
+        self.write(&seen);
         match seen {
             Seen::Submitted { job, spec, tasks } => {
                 self.report.counts.jobs += 1;
@@ -223,8 +277,18 @@
                 task,
                 run,
                 spec,
+                timing,
                 at,
-            } => self.on_started(worker, task, run, &spec, at),
+            } => {
+                let run = Run {
+                    worker,
+                    number: run,
+                    timing,
+                    began: at,
+                    ended: None,
+                };
+                self.on_started(task, run, &spec);
+            }
             Seen::Ended {
                 worker,
                 task,
@@ -232,6 +296,7 @@
                 end,
                 at,
             } => self.on_ended(worker, task, run, end, at),
+            Seen::Crashed { cause, .. } => self.on_crashed(cause),
             Seen::Leaving { worker, at } => {
                 self.leaving.entry(worker).or_insert(at);
             }
@@ -252,14 +317,46 @@
         &self.report
     }
 
+    fn write(&mut self, seen: &Seen) {
+        let Some(log) = self.log.as_mut() else {
+            return;
+        };
+        let line = match seen {
+            Seen::Started {
+                worker,
+                task,
+                run,
+                timing,
+                at,
+                ..
+            } => (
+                at,
+                worker,
+                format!("started {}: run {run} {timing:?}", name(*task)),
+            ),
+            Seen::Ended {
+                worker,
+                task,
+                run,
+                end,
+                at,
+            } => (at, worker, format!("ended {}: run {run} {end:?}", name(*task))),
+            Seen::Crashed { worker, note, at, .. } => (at, worker, note.clone()),
+            Seen::Leaving { worker, at } => (at, worker, "leaves, acknowledged".to_owned()),
+            _ => return,
+        };
+        let (at, worker, text) = line;
+        // The log serves traces only; without it the checks hold.
+        let _ = writeln!(log, "{} {worker:?} {text}", unix_millis(*at));
+    }
+
     fn violate(&mut self, text: String) {
         self.report.violations.push(text);
     }
 
     fn violate_once(&mut self, task: TaskKey, rule: &'static str) {
         if self.reported.insert((task, rule)) {
-            let TaskKey { job, step, index } = task;
-            self.violate(format!("{rule}: task {job:016x}.{step}.{index}"));
+            self.violate(format!("{rule}: task {}", name(task)));
         }
     }
 
@@ -318,28 +415,27 @@
         }
     }
 
-    fn on_started(
-        &mut self,
-        worker: WorkerIncarnation,
-        task: TaskKey,
-        number: RunNumber,
-        spec: &Bytes,
-        at: Instant,
-    ) {
+    fn on_crashed(&mut self, cause: Option<TaskKey>) {
+        if let Some(task) = cause {
+            let crashes = self.crashes.record(task);
+            let counts = &mut self.report.counts;
+            counts.crashes += 1;
+            counts.most_crashes = counts.most_crashes.max(crashes);
+        }
+    }
+
+    fn on_started(&mut self, task: TaskKey, run: Run, spec: &Bytes) {
         self.report.counts.starts += 1;
         let leaving = self
             .leaving
-            .get(&worker)
-            .is_some_and(|&since| at > since + DRAIN_BOUND);
+            .get(&run.worker)
+            .is_some_and(|&since| run.began > since + DRAIN_BOUND);
         if leaving {
             self.violate_once(task, "started on a worker that has been leaving for too long");
         }
-        let run = Run {
-            worker,
-            number,
-            began: at,
-            ended: None,
-        };
+        if self.crashes.is_start_excessive(task) {
+            self.violate_once(task, "started too often after it had crashed its workers");
+        }
         self.runs.entry(task).or_default().push(run);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             self.violate_once(task, "started although nobody submitted it");
@@ -371,9 +467,11 @@
         };
         run.ended = Some((end, at));
         let ended = *run;
-        let doubled = runs.iter().filter(|run| run.overlaps(&ended)).count() > 1;
-        if doubled {
-            self.violate_once(task, "two runs at the same time");
+        let together = runs.iter().filter(|run| run.overlaps(&ended));
+        let together: Vec<String> = together.map(Run::describe).collect();
+        let rule = "two runs at the same time";
+        if together.len() > 1 && self.reported.insert((task, rule)) {
+            self.violate(format!("{rule}: task {}: {}", name(task), together.join("; ")));
         }
     }
 
@@ -394,3 +492,15 @@
         }
     }
 }
+
+fn name(task: TaskKey) -> String {
+    let TaskKey { job, step, index } = task;
+    format!("{job:016x}.{step}.{index}")
+}
+
+/// Returns the milliseconds from the Unix epoch to a past instant.
+fn unix_millis(at: Instant) -> u128 {
+    let past = SystemTime::now().checked_sub(at.elapsed());
+    let since = past.and_then(|past| past.duration_since(UNIX_EPOCH).ok());
+    since.unwrap_or_default().as_millis()
+}
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod error;
 mod ledger;
+mod limits;
 mod plan;
 mod process;
 mod proxy;
@@ -17,6 +18,6 @@
 mod workers;
 
 pub use error::SoakError;
-pub use ledger::{Answer, Counts, Ledger, Report, Seen, WorkerIncarnation};
+pub use ledger::{Answer, Counts, Ledger, Report, Seen, Timing, WorkerIncarnation};
 pub use plan::{Fault, Plan, Restart, Size, Step};
 pub use run::{SoakConfig, soak};
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -58,7 +58,7 @@
 
 impl Restart {
     /// Draws a restart under the former name.
-    fn random(rng: &mut ChaCha8Rng) -> Self {
+    pub(crate) fn random(rng: &mut ChaCha8Rng) -> Self {
         let down = if rng.random_bool(SLOW_RESTART_SHARE) {
             rng.random_range(SLOW_RESTART_MS)
         } else {
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One soak: starts the system, injects the faults of a plan, and waits for it to serve again.
 
+use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, sleep_until};
 
-use crate::callers::{self, exchange};
+use crate::callers::{self, Traffic, exchange};
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
 use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report, Seen};
@@ -122,30 +123,28 @@
 pub async fn soak(cfg: &SoakConfig) -> Result<Report, SoakError> {
     let plan = Plan::draw(cfg.seed, cfg.size, cfg.length);
     let (ledger, rx) = mpsc::unbounded_channel();
-    tokio::spawn(Ledger::default().run(rx));
+    let log = cfg.folder.join("workers.log");
+    let log = File::create(&log).map_err(|source| SoakError::Write { path: log, source })?;
+    tokio::spawn(Ledger::with_log(log).run(rx));
     let mut system = System::start(cfg, ledger.clone()).await?;
     system.await_ready().await?;
-    let (stop, stopped) = watch::channel(false);
+    let (traffic, rx) = watch::channel(Traffic::Mixed);
     let entries = system.entry_addresses();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(caller);
-            tokio::spawn(callers::run(
-                seed,
-                entries.clone(),
-                ledger.clone(),
-                stopped.clone(),
-            ))
+            tokio::spawn(callers::run(seed, entries.clone(), ledger.clone(), rx.clone()))
         })
         .collect();
     system.play(&plan.steps).await?;
+    // A caller that has ended by a panic shows in the counts; the same holds below.
+    let _ = traffic.send(Traffic::Harmless);
     system.heal().await?;
     system.watch_for(RECOVERY).await;
     system.tell(Seen::Calm);
     system.change_and_check_entries().await;
     system.watch_for(CALM).await;
-    // A caller that has ended by a panic shows in the counts.
-    let _ = stop.send(true);
+    let _ = traffic.send(Traffic::Ended);
     sleep(LAST_ANSWERS).await;
     for caller in callers {
         caller.abort();
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use chestnutfork_net::{Body, HttpClient, HttpHandler, HttpServer};
 use chestnutfork_standin::LeasedWorker;
-use chestnutfork_types::RunOutcome;
+use chestnutfork_types::{RunOutcome, TaskKey};
 use chestnutfork_worker::{CallOutcome, Order, Reply};
 use hyper::{Request, Response};
 use rand::{RngExt, SeedableRng};
@@ -18,7 +18,7 @@
 
 use crate::dialect::{self, Announced, Identity, WorkerCall, WorkerReply};
 use crate::error::SoakError;
-use crate::ledger::Seen;
+use crate::ledger::{Seen, Timing};
 use crate::plan::Restart;
 
 /// Interval at which ends are noticed.
@@ -41,6 +41,10 @@
 const SLOW_FACTOR: f64 = 6.0;
 /// Run time of tasks that stand still.
 const HANG_TIME: Duration = Duration::from_secs(30);
+/// Time that a task which crashes its worker would run.
+const CRASHING_TIME: Duration = Duration::from_secs(2);
+/// Share of the crashes by tasks after which the worker has its former name.
+const SAME_NAME_SHARE: f64 = 0.8;
 /// Share of the calls to a mute worker that get no answer.
 const MUTE_SHARE: f64 = 0.5;
 
@@ -57,8 +61,8 @@
 #[derive(Debug)]
 pub(crate) enum WorkerMessage {
     Call(WorkerCall, oneshot::Sender<Option<WorkerReply>>),
-    /// An order whose caller has given up is carried out late.
-    Late(WorkerCall),
+    /// An order that this incarnation received and whose caller has given up is carried out late.
+    Late(WorkerCall, u64),
     Mood(Mood),
     Crash,
     Restart(Restart),
@@ -161,6 +165,8 @@
     /// Announcement without an answer yet; the next one waits for it.
     announcing: Option<JoinHandle<()>>,
     waiting: Vec<Waiting>,
+    /// Tasks that crash the worker, and when, if they still run then.
+    crashing: Vec<(TaskKey, Instant)>,
     rng: ChaCha8Rng,
     ledger: mpsc::UnboundedSender<Seen>,
     me: mpsc::WeakUnboundedSender<WorkerMessage>,
@@ -190,6 +196,7 @@
             next_announcement: Instant::now() + ANNOUNCE_INTERVAL,
             announcing: None,
             waiting: Vec::new(),
+            crashing: Vec::new(),
             rng,
             ledger,
             me,
@@ -212,13 +219,18 @@
     fn receive(&mut self, message: WorkerMessage) {
         match message {
             WorkerMessage::Call(call, reply) => self.on_call(call, reply),
-            WorkerMessage::Late(call) => {
+            WorkerMessage::Late(call, incarnation) => {
+                let timing = if incarnation == self.model.incarnation {
+                    Timing::Late
+                } else {
+                    Timing::LateAfterRestart
+                };
                 // Its caller has gone, so nobody learns the reply.
-                self.carry_out(&call);
+                self.carry_out(&call, timing);
             }
             WorkerMessage::Mood(mood) => self.mood = mood,
-            WorkerMessage::Crash => self.crash(REPLACEMENT),
-            WorkerMessage::Restart(restart) => self.crash(restart),
+            WorkerMessage::Crash => self.crash(REPLACEMENT, None),
+            WorkerMessage::Restart(restart) => self.crash(restart, None),
             WorkerMessage::Leave => self.leaving = true,
             WorkerMessage::Acknowledged(told) => {
                 if told.leaving {
@@ -256,16 +268,16 @@
         }
         if self.mood == Mood::Mute && self.rng.random_bool(MUTE_SHARE) {
             let delay = self.rng.random_range(0.0..LATEST_ORDER.as_secs_f64());
-            let me = self.me.clone();
+            let (me, incarnation) = (self.me.clone(), self.model.incarnation);
             tokio::spawn(async move {
                 sleep(Duration::from_secs_f64(delay)).await;
                 if let Some(me) = me.upgrade() {
-                    drop(me.send(WorkerMessage::Late(call)));
+                    drop(me.send(WorkerMessage::Late(call, incarnation)));
                 }
             });
             return;
         }
-        let answer = self.carry_out(&call);
+        let answer = self.carry_out(&call, Timing::InTime);
         let nothing = matches!(&answer, Some(Reply { outcome: CallOutcome::LeaseRenewed(held), .. }) if held.ended.is_empty());
         match call.order {
             Order::RenewLease { wait, .. } if nothing && !wait.is_zero() => {
@@ -283,7 +295,7 @@
     }
 
     /// Carries out an order; nothing stands for one to a worker of another name.
-    fn carry_out(&mut self, call: &WorkerCall) -> Option<Reply> {
+    fn carry_out(&mut self, call: &WorkerCall, timing: Timing) -> Option<Reply> {
         if call.name != self.identity.name || self.away_until.is_some() {
             return None;
         }
@@ -306,8 +318,13 @@
                 task,
                 run,
                 spec,
+                timing,
                 at: now,
             });
+            if let Some(declared) = crash_time(&call.order) {
+                let after = declared.mul_f64(self.rng.random());
+                self.crashing.push((task, now + after));
+            }
         }
         Some(reply)
     }
@@ -317,9 +334,10 @@
         let Order::Start { spec, .. } = order else {
             return (Duration::ZERO, RunOutcome::Completed);
         };
-        let text = String::from_utf8_lossy(spec);
-        let declared = text.split(' ').next().and_then(|word| word.parse().ok());
-        let declared = Duration::from_millis(declared.unwrap_or(0));
+        if crash_time(order).is_some() {
+            return (CRASHING_TIME, RunOutcome::Completed);
+        }
+        let declared = declared_time(spec);
         let work = declared.mul_f64(self.rng.random_range(0.6..1.4));
         match self.mood {
             Mood::Sound | Mood::Mute => (work, RunOutcome::Completed),
@@ -336,6 +354,13 @@
         }
         self.model.advance(now);
         self.tell_ends();
+        let mut due = self.crashing.iter().filter(|(_, at)| *at <= now);
+        let cause = due.find(|(task, _)| self.model.is_running(*task));
+        if let Some(&(task, _)) = cause {
+            let same_name = self.rng.random_bool(SAME_NAME_SHARE);
+            let restart = Restart::random(&mut self.rng);
+            self.crash(Restart { same_name, ..restart }, Some(task));
+        }
         self.announce(now);
         let held = self.model.lists();
         let clock = Some(self.model.clock(now));
@@ -350,11 +375,17 @@
     }
 
     /// Loses everything that runs and all that it knows; a new incarnation comes back after a while.
-    fn crash(&mut self, restart: Restart) {
+    fn crash(&mut self, restart: Restart, cause: Option<TaskKey>) {
         let now = Instant::now();
         self.model.advance(now);
         self.tell_ends();
         let worker = (self.index, self.model.incarnation);
+        self.tell(Seen::Crashed {
+            worker,
+            cause,
+            note: format!("crashed by {cause:?}, {restart:?}"),
+            at: now,
+        });
         for run in self.model.lists().running {
             let (task, run) = (run.task, run.number);
             let end = RunOutcome::Lost;
@@ -375,6 +406,7 @@
             self.identity.name = incarnation;
         }
         self.waiting.clear();
+        self.crashing.clear();
         self.leaving = false;
         self.sequence = 0;
         self.away_until = Some(starts_at);
@@ -405,6 +437,23 @@
     }
 }
 
+/// Returns the declared time that an input begins with.
+fn declared_time(spec: &[u8]) -> Duration {
+    let text = String::from_utf8_lossy(spec);
+    let declared = text.split(' ').next().and_then(|word| word.parse().ok());
+    Duration::from_millis(declared.unwrap_or(0))
+}
+
+/// Returns the time within which a started task crashes its worker, if it does.
+fn crash_time(order: &Order) -> Option<Duration> {
+    match order {
+        Order::Start { task, spec, .. } if task.index == 0 && spec.ends_with(b" crash") => {
+            Some(declared_time(spec))
+        }
+        _ => None,
+    }
+}
+
 /// Returns the time since the Unix epoch.
 fn unix_time() -> Duration {
     // The clock of the machine is after 1970.
--- a/deploy/soak/tests/ledger.rs
+++ b/deploy/soak/tests/ledger.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnutfork_soak::{Answer, Ledger, Seen, WorkerIncarnation};
+use chestnutfork_soak::{Answer, Ledger, Seen, Timing, WorkerIncarnation};
 use chestnutfork_types::{JobId, RunOutcome, TaskKey};
 
 const JOB: JobId = 7;
@@ -43,6 +43,7 @@
             task,
             run,
             spec,
+            timing: Timing::InTime,
             at,
         });
     }
@@ -58,6 +59,16 @@
         });
     }
 
+    fn crashed(&mut self, worker: WorkerIncarnation, millis: u64) {
+        self.ended(worker, worker.1, RunOutcome::Lost, millis);
+        self.ledger.take(Seen::Crashed {
+            worker,
+            cause: Some(TASK),
+            note: String::new(),
+            at: self.at(millis),
+        });
+    }
+
     fn answered(&mut self, answer: Answer) {
         let answer = Some(answer);
         self.ledger.take(Seen::Answered { job: JOB, answer });
@@ -138,6 +149,7 @@
         task,
         run: 1,
         spec: Bytes::from_static(b"other"),
+        timing: Timing::InTime,
         at,
     });
     run.assert_broken("another input");
@@ -153,6 +165,21 @@
     run.assert_broken("leaving for too long");
 }
 
+/// Guards against a soak that misses a task that goes on crashing workers, or reports one that is given up in time.
+#[test]
+fn take_notices_starts_after_crashes() {
+    let mut run = Run::new();
+    for life in 1..=5 {
+        let at = life * 100;
+        run.started((0, life), life, at);
+        run.crashed((0, life), at + 50);
+    }
+    assert_eq!(run.violations(), Vec::<String>::new());
+    assert_eq!(run.ledger.report().counts.most_crashes, 5);
+    run.started((0, 6), 6, 600);
+    run.assert_broken("started too often after it had crashed its workers");
+}
+
 /// Guards against a soak that misses a configuration that goes back.
 #[test]
 fn take_notices_older_configuration() {
