soak: Withdraw leaving workers, and end their runs a little later

Cause: a leaving worker of the soak never withdrew; it announced its departure until a crash.

Change: a worker that leaves withdraws 2 to 4 s after the acknowledgement, or 4 s after the beginning without one. Three withdrawals in ten are lost. Up to 600 ms later its runs end, and it comes back as a restart, half of the times under its name. A plan draws departures from a stream of their own, half of them with a pause or the death of the agent at the time of the withdrawal. Sending moved to a module of its own.

--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -159,6 +159,12 @@
     request(Method::PUT, &url, &body)
 }
 
+/// Returns the withdrawal of a worker that ends.
+pub(crate) fn withdrawal(agent: SocketAddr, identity: Identity) -> Request<Body> {
+    let url = format!("http://{agent}/instances/i-{}", identity.name);
+    request(Method::DELETE, &url, &Value::Null)
+}
+
 /// Call of an agent to its worker.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerCall {
--- a/deploy/soak/src/ledger.rs
+++ b/deploy/soak/src/ledger.rs
@@ -97,13 +97,13 @@
         /// When.
         at: Instant,
     },
-    /// A worker crashed.
-    Crashed {
+    /// A worker crashed or left.
+    WorkerEnded {
         /// Where.
         worker: WorkerIncarnation,
         /// The task that crashed it, if one did.
         cause: Option<TaskKey>,
-        /// Why, and how it comes back.
+        /// How it ended, and how it comes back.
         note: String,
         /// When.
         at: Instant,
@@ -296,7 +296,7 @@
                 end,
                 at,
             } => self.on_ended(worker, task, run, end, at),
-            Seen::Crashed { cause, .. } => self.on_crashed(cause),
+            Seen::WorkerEnded { cause, .. } => self.on_worker_ended(cause),
             Seen::Leaving { worker, at } => {
                 self.leaving.entry(worker).or_insert(at);
             }
@@ -341,7 +341,7 @@
                 end,
                 at,
             } => (at, worker, format!("ended {}: run {run} {end:?}", name(*task))),
-            Seen::Crashed { worker, note, at, .. } => (at, worker, note.clone()),
+            Seen::WorkerEnded { worker, note, at, .. } => (at, worker, note.clone()),
             Seen::Leaving { worker, at } => (at, worker, "leaves, acknowledged".to_owned()),
             _ => return,
         };
@@ -415,7 +415,7 @@
         }
     }
 
-    fn on_crashed(&mut self, cause: Option<TaskKey>) {
+    fn on_worker_ended(&mut self, cause: Option<TaskKey>) {
         if let Some(task) = cause {
             let crashes = self.crashes.record(task);
             let counts = &mut self.report.counts;
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! workers see, that no task has two runs at a time, that refusals and answers are true, and that accepted configurations
 //! stay in force. After the last fault the system must serve again.
 
+mod announcements;
 mod callers;
 mod dialect;
 mod error;
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -25,8 +25,13 @@
 /// Share of the restarts whose first announcement is delayed, and its longest delay.
 const SILENT_SHARE: f64 = 0.5;
 const SILENT_MS: Range<u64> = 0..1_500;
-/// Stream of the random numbers for [`Plan::add_restarts`], so that it leaves the other faults of a seed as they are.
+/// Streams of random numbers for faults that came later, so that they leave the other faults of a seed as they are.
 const RESTART_STREAM: u64 = 1;
+const DEPARTURE_STREAM: u64 = 2;
+/// Fewest and most departures of workers in ten seconds.
+const DEPARTURES: Range<u64> = 1..4;
+/// Time from the beginning of a departure to a fault of the agent, which may lose the withdrawal.
+const DEPARTURE_MS: Range<u64> = 1_000..4_500;
 
 /// Number of processes of each role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,7 +119,7 @@
     WorkerCrash,
     /// The worker crashes and comes back as given.
     WorkerRestart(Restart),
-    /// The worker says that it leaves.
+    /// The worker says that it leaves, and does so.
     WorkerLeave,
     /// The worker fails all tasks.
     WorkerFail,
@@ -190,6 +195,11 @@
         for _ in 0..restarts {
             plan.add_restarts(&mut rng, length);
         }
+        rng.set_stream(DEPARTURE_STREAM);
+        let departures = rng.random_range(DEPARTURES) * length.as_secs().max(1) / 10;
+        for _ in 0..departures {
+            plan.add_departure(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -246,6 +256,21 @@
         }
     }
 
+    /// Makes a worker leave, half of the times with a pause or the death of its agent when it withdraws.
+    fn add_departure(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let agent = self.size.controls + self.size.entries + worker;
+        let at = length.mul_f64(rng.random_range(0.0..0.9));
+        self.push(at, worker, Fault::WorkerLeave);
+        let from = at + Duration::from_millis(rng.random_range(DEPARTURE_MS));
+        let to = from + Duration::from_millis(rng.random_range(LENGTH_MS));
+        match rng.random_range(0..4) {
+            0 => self.pair(from, to, agent, Fault::Pause, Fault::Resume),
+            1 => self.pair(from, to, agent, Fault::Kill, Fault::Start),
+            _ => {}
+        }
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -14,8 +14,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep};
 
+use crate::announcements::Route;
 use crate::dialect::{self, Announced, Identity, WorkerCall, WorkerReply};
 use crate::error::SoakError;
 use crate::ledger::{Seen, Timing};
@@ -25,8 +26,16 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Interval of announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for an agent to take an announcement.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a leaving worker serves after the acknowledgement, as the deployments' settings allow, and the longest time
+/// beyond it.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+const LONGEST_STAY: Duration = Duration::from_secs(2);
+/// Time after which a leaving worker without an acknowledgement ends.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(4);
+/// Share of the withdrawals that reach the agent.
+const WITHDRAWAL_SHARE: f64 = 0.7;
+/// Longest time that runs go on after the withdrawal.
+const LONGEST_END: Duration = Duration::from_millis(600);
 /// Restart of a crashed worker that another one replaces.
 const REPLACEMENT: Restart = Restart {
     same_name: false,
@@ -124,24 +133,13 @@
     }
 }
 
-/// Way of the announcements to the agent.
-#[derive(Clone, Debug)]
-struct Route {
-    agent: SocketAddr,
-    address: SocketAddr,
-    http: HttpClient,
-}
-
-/// Sends one announcement and notes its acknowledgement.
-async fn announce(route: Route, told: Announced, tx: mpsc::WeakUnboundedSender<WorkerMessage>) {
-    let request = dialect::announcement(route.agent, route.address, &told);
-    let response = timeout(ANNOUNCE_TIMEOUT, route.http.request(request)).await;
-    if matches!(response, Ok(Ok(response)) if response.status().is_success())
-        && let Some(tx) = tx.upgrade()
-    {
-        // The worker may have ended.
-        drop(tx.send(WorkerMessage::Acknowledged(told)));
-    }
+/// End of a worker that leaves.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    acknowledged: bool,
+    withdraws_at: Instant,
+    /// End of its runs, once it has withdrawn.
+    ends_at: Option<Instant>,
 }
 
 /// Hold that waits for an end.
@@ -158,7 +156,7 @@
     identity: Identity,
     model: LeasedWorker,
     mood: Mood,
-    leaving: bool,
+    departure: Option<Departure>,
     away_until: Option<Instant>,
     sequence: u64,
     next_announcement: Instant,
@@ -190,7 +188,7 @@
             },
             model: LeasedWorker::new(Instant::now(), 1, rate),
             mood: Mood::Sound,
-            leaving: false,
+            departure: None,
             away_until: None,
             sequence: 0,
             next_announcement: Instant::now() + ANNOUNCE_INTERVAL,
@@ -229,14 +227,30 @@
                 self.carry_out(&call, timing);
             }
             WorkerMessage::Mood(mood) => self.mood = mood,
-            WorkerMessage::Crash => self.crash(REPLACEMENT, None),
-            WorkerMessage::Restart(restart) => self.crash(restart, None),
-            WorkerMessage::Leave => self.leaving = true,
+            WorkerMessage::Crash => self.end("crashed", REPLACEMENT, None),
+            WorkerMessage::Restart(restart) => self.end("crashed", restart, None),
+            WorkerMessage::Leave => {
+                let withdraws_at = Instant::now() + UNACKNOWLEDGED_TIME;
+                self.departure.get_or_insert(Departure {
+                    acknowledged: false,
+                    withdraws_at,
+                    ends_at: None,
+                });
+            }
             WorkerMessage::Acknowledged(told) => {
                 if told.leaving {
                     let worker = (self.index, told.incarnation);
                     let at = Instant::now();
                     self.tell(Seen::Leaving { worker, at });
+                    let stay = DRAIN_TIME + LONGEST_STAY.mul_f64(self.rng.random());
+                    if let Some(departure) = self
+                        .departure
+                        .as_mut()
+                        .filter(|departure| !departure.acknowledged)
+                    {
+                        departure.acknowledged = true;
+                        departure.withdraws_at = at + stay;
+                    }
                 }
             }
         }
@@ -245,7 +259,10 @@
     /// Announces the worker when that is due.
     fn announce(&mut self, now: Instant) {
         let in_progress = self.announcing.as_ref().is_some_and(|task| !task.is_finished());
-        if now < self.next_announcement || in_progress || self.away_until.is_some() {
+        let withdrawn = self
+            .departure
+            .is_some_and(|departure| departure.ends_at.is_some());
+        if now < self.next_announcement || in_progress || withdrawn || self.away_until.is_some() {
             return;
         }
         self.sequence += 1;
@@ -255,13 +272,41 @@
             incarnation: self.model.incarnation,
             sequence: self.sequence,
             clock: self.model.clock(now),
-            leaving: self.leaving,
+            leaving: self.departure.is_some(),
             cores: CORES,
         };
-        let sent = announce(self.route.clone(), told, self.me.clone());
+        let sent = self.route.clone().announce(told, self.me.clone());
         self.announcing = Some(tokio::spawn(sent));
     }
 
+    /// Withdraws a leaving worker when that is due, and ends it a little later.
+    fn depart(&mut self, now: Instant) {
+        match self.departure {
+            Some(Departure {
+                ends_at: Some(ends_at),
+                ..
+            }) if ends_at <= now => {
+                let same_name = self.rng.random_bool(0.5);
+                let restart = Restart::random(&mut self.rng);
+                self.end("left", Restart { same_name, ..restart }, None);
+            }
+            Some(Departure {
+                withdraws_at,
+                ends_at: None,
+                ..
+            }) if withdraws_at <= now => {
+                if self.rng.random_bool(WITHDRAWAL_SHARE) {
+                    tokio::spawn(self.route.clone().withdraw(self.identity));
+                }
+                let ends_at = now + LONGEST_END.mul_f64(self.rng.random());
+                if let Some(departure) = self.departure.as_mut() {
+                    departure.ends_at = Some(ends_at);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<WorkerReply>>) {
         if self.away_until.is_some() {
             return;
@@ -359,8 +404,9 @@
         if let Some(&(task, _)) = cause {
             let same_name = self.rng.random_bool(SAME_NAME_SHARE);
             let restart = Restart::random(&mut self.rng);
-            self.crash(Restart { same_name, ..restart }, Some(task));
+            self.end("crashed", Restart { same_name, ..restart }, Some(task));
         }
+        self.depart(now);
         self.announce(now);
         let held = self.model.lists();
         let clock = Some(self.model.clock(now));
@@ -375,15 +421,15 @@
     }
 
     /// Loses everything that runs and all that it knows; a new incarnation comes back after a while.
-    fn crash(&mut self, restart: Restart, cause: Option<TaskKey>) {
+    fn end(&mut self, how: &str, restart: Restart, cause: Option<TaskKey>) {
         let now = Instant::now();
         self.model.advance(now);
         self.tell_ends();
         let worker = (self.index, self.model.incarnation);
-        self.tell(Seen::Crashed {
+        self.tell(Seen::WorkerEnded {
             worker,
             cause,
-            note: format!("crashed by {cause:?}, {restart:?}"),
+            note: format!("{how}, by {cause:?}, {restart:?}"),
             at: now,
         });
         for run in self.model.lists().running {
@@ -407,7 +453,7 @@
         }
         self.waiting.clear();
         self.crashing.clear();
-        self.leaving = false;
+        self.departure = None;
         self.sequence = 0;
         self.away_until = Some(starts_at);
         self.next_announcement = starts_at + restart.silent;
--- a/deploy/soak/tests/ledger.rs
+++ b/deploy/soak/tests/ledger.rs
@@ -61,7 +61,7 @@
 
     fn crashed(&mut self, worker: WorkerIncarnation, millis: u64) {
         self.ended(worker, worker.1, RunOutcome::Lost, millis);
-        self.ledger.take(Seen::Crashed {
+        self.ledger.take(Seen::WorkerEnded {
             worker,
             cause: Some(TASK),
             note: String::new(),
