--- a/deploy/soak/src/proxy.rs
+++ b/deploy/soak/src/proxy.rs
@@ -1,7 +1,7 @@
 //! Loopback proxy before one process: delays, holds and resets its connections.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -15,6 +15,10 @@
 /// Bytes that are forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Time for an address to become free, and the interval at which it is tried.
+const FREE_WITHIN: Duration = Duration::from_secs(5);
+const FREE_POLL: Duration = Duration::from_millis(50);
+
 /// What happens to the bytes of all connections to a process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Weather {
@@ -67,11 +71,7 @@
         local: SocketAddr,
         weather: watch::Receiver<Weather>,
     ) -> Result<Self, SoakError> {
-        let listener = TcpListener::bind(public).await;
-        let listener = listener.map_err(|source| SoakError::Listen {
-            address: public.to_string(),
-            source,
-        })?;
+        let listener = listen(public).await?;
         let task = tokio::spawn(async move {
             loop {
                 // A failed accept concerns one connection only.
@@ -84,6 +84,21 @@
     }
 }
 
+/// Listens on an address; listeners of an earlier seed close a moment after its end.
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, SoakError> {
+    let begun = Instant::now();
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(_) if begun.elapsed() < FREE_WITHIN => sleep(FREE_POLL).await,
+            Err(source) => {
+                let address = address.to_string();
+                return Err(SoakError::Listen { address, source });
+            }
+        }
+    }
+}
+
 /// Forwards one connection in both directions until either side closes or a reset is due.
 async fn forward(client: TcpStream, local: SocketAddr, mut weather: watch::Receiver<Weather>) {
     let generation = weather.borrow().generation;
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -11,7 +11,6 @@
 use hyper::{Request, Response};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep};
@@ -21,6 +20,7 @@
 use crate::error::SoakError;
 use crate::ledger::{Seen, Timing};
 use crate::plan::Restart;
+use crate::proxy::listen;
 
 /// Interval at which ends are noticed.
 const TICK: Duration = Duration::from_millis(5);
@@ -122,7 +122,7 @@
             address: address.to_string(),
             source,
         };
-        let socket = TcpListener::bind(address).await.map_err(failed)?;
+        let socket = listen(address).await?;
         let (tx, rx) = mpsc::unbounded_channel();
         let server = HttpServer::builder(socket).serve(Handler { tx: tx.clone() });
         let server = server.map_err(failed)?;
