soak: Shrink and restore the capacity of workers

Cause: workers of the soak always said the same capacity and turned away what did not fit, so that no order beyond a reduced capacity showed.

Change: plans reduce the capacity of workers for 0.5 to 9 s. The service no longer guards its capacity; the ledger reports a start beyond the highest capacity of the last 4.5 s, and an order for which a worker has no room at its full capacity.

Measured: the new test of the ledger passes, and fails when the check is switched off.

--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -60,7 +60,7 @@
     json!({
         "version": version,
         "routes": [route("r", QUEUE), route("version", &version_queue(version))],
-        "services": [{"name": SERVICE, "enforces_capacity": true}]
+        "services": [{"name": SERVICE, "enforces_capacity": false}]
     })
 }
 
--- a/deploy/soak/src/ledger.rs
+++ b/deploy/soak/src/ledger.rs
@@ -9,13 +9,16 @@
 use chestnutfork_types::{JobId, RunNumber, RunOutcome, TaskKey};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::limits::Crashes;
+use crate::limits::{Capacities, Crashes};
 
 /// Time after which a leaving worker gets no more tasks, as the deployments' settings allow.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time after which an accepted configuration is in force, as the deployments' settings allow.
 pub(crate) const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 
+/// Rule that a start broke which a reduced capacity does not allow.
+const BEYOND_CAPACITY: &str = "started beyond the capacity of a worker";
+
 /// One incarnation of a worker: its position and the number of the incarnation.
 pub type WorkerIncarnation = (usize, u64);
 
@@ -108,6 +111,26 @@
         /// When.
         at: Instant,
     },
+    /// A worker has another capacity from now on.
+    CapacityChanged {
+        /// Position of the worker, whatever its incarnation.
+        worker: usize,
+        /// Runs that fit.
+        slots: usize,
+        /// When.
+        at: Instant,
+    },
+    /// A start was turned away that the worker has no room for at any capacity.
+    Overfilled {
+        /// Where.
+        worker: WorkerIncarnation,
+        /// The task.
+        task: TaskKey,
+        /// When the order was carried out, as its caller sees it.
+        timing: Timing,
+        /// When.
+        at: Instant,
+    },
     /// An agent acknowledged that its worker leaves.
     Leaving {
         /// The worker.
@@ -229,6 +252,7 @@
     runs: HashMap<TaskKey, Vec<Run>>,
     leaving: HashMap<WorkerIncarnation, Instant>,
     crashes: Crashes,
+    capacities: Capacities,
     taken: Vec<(u64, Instant)>,
     reported: HashSet<(TaskKey, &'static str)>,
     calm: bool,
@@ -297,6 +321,16 @@
                 at,
             } => self.on_ended(worker, task, run, end, at),
             Seen::WorkerEnded { cause, .. } => self.on_worker_ended(cause),
+            Seen::CapacityChanged { worker, slots, at } => self.capacities.change(worker, at, slots),
+            Seen::Overfilled {
+                worker,
+                task,
+                timing,
+                at,
+            } => {
+                let text = format!("{} on {worker:?} at {} {timing:?}", name(task), unix_millis(at));
+                self.violate(format!("ordered beyond the capacity of a worker: task {text}"));
+            }
             Seen::Leaving { worker, at } => {
                 self.leaving.entry(worker).or_insert(at);
             }
@@ -342,6 +376,12 @@
                 at,
             } => (at, worker, format!("ended {}: run {run} {end:?}", name(*task))),
             Seen::WorkerEnded { worker, note, at, .. } => (at, worker, note.clone()),
+            Seen::Overfilled {
+                worker,
+                task,
+                timing,
+                at,
+            } => (at, worker, format!("no room for {} {timing:?}", name(*task))),
             Seen::Leaving { worker, at } => (at, worker, "leaves, acknowledged".to_owned()),
             _ => return,
         };
@@ -433,6 +473,15 @@
         if leaving {
             self.violate_once(task, "started on a worker that has been leaving for too long");
         }
+        let excess = self.capacities.start(run.worker, run.began);
+        if excess > 0 && self.reported.insert((task, BEYOND_CAPACITY)) {
+            self.violate(format!(
+                "{BEYOND_CAPACITY}: task {}: {} beyond it, {}",
+                name(task),
+                excess,
+                run.describe()
+            ));
+        }
         if self.crashes.is_start_excessive(task) {
             self.violate_once(task, "started too often after it had crashed its workers");
         }
@@ -466,6 +515,7 @@
             return;
         };
         run.ended = Some((end, at));
+        self.capacities.end(worker);
         let ended = *run;
         let together = runs.iter().filter(|run| run.overlaps(&ended));
         let together: Vec<String> = together.map(Run::describe).collect();
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -30,6 +30,14 @@
 const DEPARTURE_STREAM: u64 = 2;
 /// Fewest and most departures of workers in ten seconds.
 const DEPARTURES: Range<u64> = 1..4;
+const CAPACITY_STREAM: u64 = 3;
+/// Fewest and most series of changes of a worker's capacity in ten seconds.
+const CAPACITY_CHANGES: Range<u64> = 1..4;
+/// Runs that fit on a worker, and that fit at least while its capacity is reduced.
+pub(crate) const FULL_CAPACITY: usize = 6;
+const LEAST_CAPACITY: usize = 1;
+/// Time for which a capacity stays; most are longer than the bound on what shrinks.
+const CAPACITY_MS: Range<u64> = 500..9_000;
 /// Time from the beginning of a departure to a fault of the agent, which may lose the withdrawal.
 const DEPARTURE_MS: Range<u64> = 1_000..4_500;
 
@@ -119,6 +127,8 @@
     WorkerCrash,
     /// The worker crashes and comes back as given.
     WorkerRestart(Restart),
+    /// The worker has room for as many runs of one core from now on.
+    WorkerCapacity(usize),
     /// The worker says that it leaves, and does so.
     WorkerLeave,
     /// The worker fails all tasks.
@@ -200,6 +210,11 @@
         for _ in 0..departures {
             plan.add_departure(&mut rng, length);
         }
+        rng.set_stream(CAPACITY_STREAM);
+        let changes = rng.random_range(CAPACITY_CHANGES) * length.as_secs().max(1) / 10;
+        for _ in 0..changes {
+            plan.add_capacity_changes(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -271,6 +286,18 @@
         }
     }
 
+    /// Reduces the capacity of a worker once or twice, and restores it.
+    fn add_capacity_changes(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let mut at = length.mul_f64(rng.random_range(0.0..0.7));
+        for _ in 0..rng.random_range(1..=2) {
+            let slots = rng.random_range(LEAST_CAPACITY..FULL_CAPACITY);
+            self.push(at, worker, Fault::WorkerCapacity(slots));
+            at += Duration::from_millis(rng.random_range(CAPACITY_MS));
+        }
+        self.push(at, worker, Fault::WorkerCapacity(FULL_CAPACITY));
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
@@ -318,6 +345,7 @@
         fault,
         Fault::WorkerCrash
             | Fault::WorkerRestart(_)
+            | Fault::WorkerCapacity(_)
             | Fault::WorkerLeave
             | Fault::WorkerFail
             | Fault::WorkerSlow
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -15,7 +15,7 @@
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
 use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report, Seen};
-use crate::plan::{Fault, Plan, Size, Step};
+use crate::plan::{FULL_CAPACITY, Fault, Plan, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
 use crate::workers::{Mood, Worker, WorkerMessage};
@@ -290,6 +290,7 @@
         match fault {
             Fault::WorkerCrash => self.tell_worker(target, WorkerMessage::Crash),
             Fault::WorkerRestart(restart) => self.tell_worker(target, WorkerMessage::Restart(restart)),
+            Fault::WorkerCapacity(slots) => self.tell_worker(target, WorkerMessage::Capacity(slots)),
             Fault::WorkerLeave => self.tell_worker(target, WorkerMessage::Leave),
             Fault::WorkerFail => self.tell_worker(target, WorkerMessage::Mood(Mood::Failing)),
             Fault::WorkerSlow => self.tell_worker(target, WorkerMessage::Mood(Mood::Slow)),
@@ -366,6 +367,7 @@
     async fn heal(&mut self) -> Result<(), SoakError> {
         for worker in 0..self.workers.len() {
             self.tell_worker(worker, WorkerMessage::Mood(Mood::Sound));
+            self.tell_worker(worker, WorkerMessage::Capacity(FULL_CAPACITY));
         }
         for node in &mut self.nodes {
             node.inject(Fault::Resume)?;
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -7,7 +7,7 @@
 use chestnutfork_net::{Body, HttpClient, HttpHandler, HttpServer};
 use chestnutfork_standin::LeasedWorker;
 use chestnutfork_types::{RunOutcome, TaskKey};
-use chestnutfork_worker::{CallOutcome, Order, Reply};
+use chestnutfork_worker::{CallOutcome, Order, Refusal, Reply};
 use hyper::{Request, Response};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,7 +19,7 @@
 use crate::dialect::{self, Announced, Identity, WorkerCall, WorkerReply};
 use crate::error::SoakError;
 use crate::ledger::{Seen, Timing};
-use crate::plan::Restart;
+use crate::plan::{FULL_CAPACITY, Restart};
 use crate::proxy::listen;
 
 /// Interval at which ends are noticed.
@@ -44,8 +44,6 @@
 };
 /// Longest delay of an order without an answer that is carried out late.
 const LATEST_ORDER: Duration = Duration::from_secs(3);
-/// Slot count of a worker, each of one core.
-const CORES: usize = 6;
 /// Factor on the run time of a slow worker.
 const SLOW_FACTOR: f64 = 6.0;
 /// Run time of tasks that stand still.
@@ -75,6 +73,8 @@
     Mood(Mood),
     Crash,
     Restart(Restart),
+    /// Changes the number of runs that the worker says it has room for; it starts more if told to.
+    Capacity(usize),
     Leave,
     /// An announcement was acknowledged.
     Acknowledged(Announced),
@@ -156,6 +156,7 @@
     identity: Identity,
     model: LeasedWorker,
     mood: Mood,
+    slots: usize,
     departure: Option<Departure>,
     away_until: Option<Instant>,
     sequence: u64,
@@ -188,6 +189,7 @@
             },
             model: LeasedWorker::new(Instant::now(), 1, rate),
             mood: Mood::Sound,
+            slots: FULL_CAPACITY,
             departure: None,
             away_until: None,
             sequence: 0,
@@ -202,6 +204,7 @@
     }
 
     async fn run(mut self, mut rx: mpsc::UnboundedReceiver<WorkerMessage>) {
+        self.change_capacity(FULL_CAPACITY);
         let mut ticks = interval(TICK);
         loop {
             tokio::select! {
@@ -229,6 +232,7 @@
             WorkerMessage::Mood(mood) => self.mood = mood,
             WorkerMessage::Crash => self.end("crashed", REPLACEMENT, None),
             WorkerMessage::Restart(restart) => self.end("crashed", restart, None),
+            WorkerMessage::Capacity(slots) => self.change_capacity(slots),
             WorkerMessage::Leave => {
                 let withdraws_at = Instant::now() + UNACKNOWLEDGED_TIME;
                 self.departure.get_or_insert(Departure {
@@ -273,12 +277,21 @@
             sequence: self.sequence,
             clock: self.model.clock(now),
             leaving: self.departure.is_some(),
-            cores: CORES,
+            cores: self.slots,
         };
         let sent = self.route.clone().announce(told, self.me.clone());
         self.announcing = Some(tokio::spawn(sent));
     }
 
+    fn change_capacity(&mut self, slots: usize) {
+        self.slots = slots;
+        self.tell(Seen::CapacityChanged {
+            worker: self.index,
+            slots,
+            at: Instant::now(),
+        });
+    }
+
     /// Withdraws a leaving worker when that is due, and ends it a little later.
     fn depart(&mut self, now: Instant) {
         match self.departure {
@@ -352,6 +365,17 @@
         let (work, end) = self.fate(&call.order);
         let reply = self.model.carry_out(now, &call.order, work, end);
         self.tell_ends();
+        if let Order::Start { task, .. } = &call.order
+            && reply.outcome == CallOutcome::Refused(Refusal::InsufficientCapacity)
+        {
+            let (worker, task) = ((self.index, self.model.incarnation), *task);
+            self.tell(Seen::Overfilled {
+                worker,
+                task,
+                timing,
+                at: now,
+            });
+        }
         if let Order::Start { task, run, spec, .. } = &call.order
             && reply.outcome == CallOutcome::Done
             && !begun_before
--- a/deploy/soak/tests/ledger.rs
+++ b/deploy/soak/tests/ledger.rs
@@ -180,6 +180,24 @@
     run.assert_broken("started too often after it had crashed its workers");
 }
 
+/// Guards against a soak that misses starts beyond a capacity that has shrunk, or reports those that the bound allows.
+#[test]
+fn take_notices_start_beyond_capacity() {
+    let mut run = Run::new();
+    for (slots, millis) in [(2, 0), (1, 1_000)] {
+        let at = run.at(millis);
+        run.ledger.take(Seen::CapacityChanged { worker: 0, slots, at });
+    }
+    run.started((0, 1), 1, 5_400);
+    run.ended((0, 1), 1, RunOutcome::Lost, 5_410);
+    run.started((0, 1), 2, 5_420);
+    run.started((0, 1), 3, 5_450);
+    assert_eq!(run.violations(), Vec::<String>::new());
+    run.ended((0, 1), 3, RunOutcome::Lost, 5_500);
+    run.started((0, 1), 4, 5_550);
+    run.assert_broken("started beyond the capacity of a worker");
+}
+
 /// Guards against a soak that misses a configuration that goes back.
 #[test]
 fn take_notices_older_configuration() {
