--- a/crates/standin/src/leased_worker.rs
+++ b/crates/standin/src/leased_worker.rs
@@ -140,13 +140,16 @@
                 ..
             } => {
                 self.token = token;
-                self.extend(now, until);
+                if let Some(until) = until {
+                    self.extend(now, until);
+                }
                 self.ended.retain(|end| end.number > last_received_end);
                 CallOutcome::LeaseRenewed(self.lists())
             }
         };
         Reply {
             clock: Some(self.clock(now)),
+            started_at: None,
             outcome,
         }
     }
--- a/crates/worker/src/clock.rs
+++ b/crates/worker/src/clock.rs
@@ -4,6 +4,9 @@
 
 use crate::config::CLOCK_TOLERANCE_DIVISOR;
 
+/// Longest lease that a worker accepts; it shortens a longer one.
+const MAX_WORKER_LEASE: Duration = Duration::from_secs(1);
+
 /// Latest reading of the worker's clock and latest lease end that was requested.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerClock {
@@ -23,6 +26,18 @@
         }
     }
 
+    /// Records that runs may have a lease that this process has not requested.
+    pub(crate) fn assume_longest_lease(&mut self, now: Instant) {
+        let until = self.estimate(now) + MAX_WORKER_LEASE;
+        self.latest_lease_end = self.latest_lease_end.max(until);
+    }
+
+    /// Returns the latest reading.
+    #[must_use]
+    pub fn reading(&self) -> Duration {
+        self.value
+    }
+
     /// Records a reading; a delayed one that is older than the latest is ignored.
     pub fn observe(&mut self, read_at: Instant, value: Duration) {
         if value >= self.value {
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -8,51 +8,28 @@
 };
 use indexmap::IndexMap;
 
-use crate::clock::WorkerClock;
 use crate::config::WorkerConfig;
-use crate::event::{Action, Announcement, CallId, Event, FencingToken, ListedEnd, ListedRun, Notice};
-use crate::health::Health;
-use crate::orders::Call;
+use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
+use crate::orders::PendingCall;
 use crate::owners::Owners;
 use crate::reconcile::ListedAttempt;
 use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, Stop};
+use crate::session::Session;
 
 /// Interval at which expired records of runs and entries are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// State kept for one incarnation of the worker.
-#[derive(Debug)]
-pub(crate) struct Session {
-    pub(crate) worker: Announcement,
-    pub(crate) clock: WorkerClock,
-    pub(crate) token: FencingToken,
-    /// Whether a lease renewal is in flight.
-    pub(crate) renewal_pending: bool,
-    pub(crate) renew_at: Instant,
-    /// Number of the latest end that was processed.
-    pub(crate) last_received_end: u64,
-    /// When the first lease renewal of this process was answered, which lists all runs.
-    pub(crate) synced_at: Option<Instant>,
-    pub(crate) replied_at: Instant,
-    /// Consecutive calls without an answer from this incarnation.
-    pub(crate) unanswered: u32,
-    pub(crate) available: bool,
-    pub(crate) health: Health,
-    /// Runs that an earlier agent process started and no entry has listed.
-    pub(crate) orphans: Vec<ListedRun>,
-    /// Ends of runs that an earlier agent process started.
-    pub(crate) orphan_ends: Vec<ListedEnd>,
-}
-
 /// Agent core of one worker.
 #[derive(Debug)]
 pub struct WorkerCore {
     pub(crate) cfg: WorkerConfig,
     pub(crate) session: Option<Session>,
+    /// Highest fencing token of the sessions that have ended.
+    pub(crate) former_token: FencingToken,
     pub(crate) owners: Owners,
     pub(crate) runs: IndexMap<TaskKey, Run>,
     pub(crate) ended_runs: IndexMap<TaskKey, EndedRunRecord>,
-    pub(crate) calls: IndexMap<CallId, Call>,
+    pub(crate) calls: IndexMap<CallId, PendingCall>,
     pub(crate) next_call: CallId,
     /// Attempts listed by entries that cannot be reconciled before the worker has listed its runs.
     pub(crate) unreconciled: Vec<ListedAttempt>,
@@ -91,6 +68,7 @@
         Self {
             cfg,
             session: None,
+            former_token: 0,
             owners: Owners::default(),
             runs: IndexMap::new(),
             ended_runs: IndexMap::new(),
@@ -178,103 +156,6 @@
         self.runs.values().any(|run| !run.is_waiting())
     }
 
-    fn on_announced(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
-        let known = self.session.as_ref().map(|session| &session.worker);
-        let age = |worker: &Announcement| (worker.started_at, worker.sequence);
-        if known.is_some_and(|known| age(&announcement) <= age(known)) {
-            return;
-        }
-        let same = known.is_some_and(|known| {
-            known.started_at == announcement.started_at
-                && known.description.worker == announcement.description.worker
-        });
-        if same {
-            self.update_session(now, announcement, actions);
-        } else {
-            self.end_session(now, actions);
-            self.begin_session(now, announcement, actions);
-        }
-    }
-
-    fn update_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
-        let Some(session) = self.session.as_mut() else {
-            return;
-        };
-        session.clock.observe(now, announcement.clock);
-        let changed = session.worker.description != announcement.description;
-        let leaves = announcement.description.leaving && !session.worker.description.leaving;
-        session.worker = announcement;
-        if leaves {
-            self.refuse_waiting(now, "the worker is leaving", actions);
-            let running = self.runs.len() as u64;
-            let worker = self.worker_name();
-            actions.push(Action::Notice(Notice::WorkerLeaving { worker, running }));
-        }
-        if changed {
-            self.broadcast_description(actions);
-        }
-    }
-
-    fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
-        let description = &announcement.description;
-        actions.push(Action::Notice(Notice::WorkerJoined {
-            worker: description.worker.clone(),
-            pool: description.pool.clone(),
-            cpu_millis: description.capacity.cpu_millis,
-        }));
-        let clock = announcement.clock;
-        self.session = Some(Session {
-            clock: WorkerClock::new(now, clock),
-            // The worker's clock is monotonic, so a later process of this agent gets a higher token.
-            token: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
-            worker: announcement,
-            renewal_pending: false,
-            renew_at: now,
-            last_received_end: 0,
-            synced_at: None,
-            replied_at: now,
-            unanswered: 0,
-            available: true,
-            health: Health::default(),
-            orphans: Vec::new(),
-            orphan_ends: Vec::new(),
-        });
-        self.broadcast_description(actions);
-    }
-
-    fn on_withdrawn(&mut self, now: Instant, worker: &WorkerName, actions: &mut Vec<Action>) {
-        let current = self
-            .session
-            .as_ref()
-            .map(|session| &session.worker.description.worker);
-        if current == Some(worker) {
-            self.end_session(now, actions);
-            self.broadcast_description(actions);
-        }
-    }
-
-    /// Ends the session with an incarnation that has ended, and all its runs.
-    fn end_session(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let Some(session) = self.session.take() else {
-            return;
-        };
-        self.calls.clear();
-        let tasks: Vec<TaskKey> = self.runs.keys().copied().collect();
-        let lost = tasks.len() as u64;
-        for task in tasks {
-            let waiting = self.runs.get(&task).is_some_and(Run::is_waiting);
-            let outcome = if waiting {
-                RunOutcome::NotStarted
-            } else {
-                RunOutcome::Lost
-            };
-            self.end_run(now, task, outcome, actions);
-        }
-        self.ended_runs.clear();
-        let worker = session.worker.description.worker;
-        actions.push(Action::Notice(Notice::WorkerGone { worker, lost }));
-    }
-
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
         self.owners.connect(link, entry);
         actions.push(Action::ToEntry(link, WorkerToEntry::Describe(self.description())));
@@ -319,7 +200,7 @@
         }
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
-            let busy = self.runs.contains_key(&task.key.task);
+            let busy = self.runs.contains_key(&task.key.task) || self.is_orphan(task.key.task);
             match refusal.or(busy.then_some("another run of the task has not ended")) {
                 Some(reason) => self.refuse(entry, task.key, reason, actions),
                 None => self.accept(now, entry, order, task),
@@ -327,6 +208,11 @@
         }
     }
 
+    fn is_orphan(&self, task: TaskKey) -> bool {
+        let session = self.session.as_ref();
+        session.is_some_and(|session| session.orphans.iter().any(|run| run.task == task))
+    }
+
     /// Returns why start orders of an entry must be refused, if so.
     fn refusal(&self, now: Instant, entry: ProcessId) -> Option<&'static str> {
         let session = self.session.as_ref();
@@ -338,7 +224,12 @@
         }
         match session {
             None => Some("no worker is connected"),
-            Some(session) if session.worker.description.leaving => Some("the worker is leaving"),
+            Some(session) if session.worker.description.leaving || session.is_withdrawn() => {
+                Some("the worker is leaving")
+            }
+            Some(session) if !session.is_announced() => {
+                Some("the worker has restarted and not announced itself")
+            }
             Some(session) if !session.available => Some("the worker does not answer"),
             Some(_) => None,
         }
@@ -360,6 +251,7 @@
             phase: Phase::Waiting { not_before: now },
             started_at: None,
             refusals: 0,
+            former_incarnation: false,
         };
         self.runs.insert(task.key.task, run);
     }
@@ -412,7 +304,9 @@
             return;
         };
         match run.phase {
-            Phase::Waiting { .. } => self.end_run(now, task, RunOutcome::NotStarted, actions),
+            Phase::Waiting { .. } => {
+                self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
+            }
             Phase::Stopping(_) => {}
             Phase::Starting { .. } | Phase::Unconfirmed { .. } | Phase::Running { .. } => {
                 run.phase = Phase::Stopping(Stop::begin(now, outcome_if_unlisted));
@@ -426,6 +320,7 @@
         now: Instant,
         task: TaskKey,
         outcome: RunOutcome,
+        evidence: Evidence,
         actions: &mut Vec<Action>,
     ) {
         let Some(run) = self.runs.swap_remove(&task) else {
@@ -441,8 +336,11 @@
             let key = run.key;
             actions.push(Action::Notice(Notice::RunEnded {
                 key,
+                run: run.number,
+                worker: self.worker_name(),
                 outcome,
                 run_time,
+                evidence,
             }));
         }
         if !run.is_waiting() {
@@ -461,12 +359,18 @@
         }
     }
 
-    fn refuse_waiting(&mut self, now: Instant, reason: &'static str, actions: &mut Vec<Action>) {
+    pub(crate) fn refuse_waiting(&mut self, now: Instant, reason: &'static str, actions: &mut Vec<Action>) {
         let waiting = self.runs.values().filter(|run| run.is_waiting());
         let keys: Vec<AttemptKey> = waiting.map(|run| run.key).collect();
         for key in keys {
             actions.push(Action::Notice(Notice::StartRefused { key, reason }));
-            self.end_run(now, key.task, RunOutcome::NotStarted, actions);
+            self.end_run(
+                now,
+                key.task,
+                RunOutcome::NotStarted,
+                Evidence::NotOrdered,
+                actions,
+            );
         }
     }
 
@@ -497,6 +401,7 @@
     /// Performs the work that has become possible or due after an event.
     fn run_due_work(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.expire_worker_lease(now, actions);
+        self.end_withdrawn_session(now, actions);
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
         self.start_waiting(now, actions);
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -53,10 +53,10 @@
         /// Fencing token of this process.
         token: FencingToken,
     },
-    /// Renews the worker's lease and requests the list of current and ended runs.
+    /// Requests the list of current and ended runs, and renews the worker's lease.
     RenewLease {
-        /// End of the worker's lease, on the worker's clock.
-        until: Duration,
+        /// End of the worker's lease, on the worker's clock; without it the order only requests the list.
+        until: Option<Duration>,
         /// Number of the last end received; the worker need not list it or earlier ones again.
         last_received_end: u64,
         /// How long the worker waits for a run to end before it replies.
@@ -136,6 +136,8 @@
 pub struct Reply {
     /// Reading of the worker's clock, if the worker replied.
     pub clock: Option<Duration>,
+    /// Start time of the incarnation that replied, if the reply states it.
+    pub started_at: Option<Duration>,
     /// Outcome of the call.
     pub outcome: CallOutcome,
 }
@@ -199,6 +201,61 @@
     Notice(Notice),
 }
 
+/// What proves that a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// The worker listed the end.
+    Listed,
+    /// A list requested after the start or the stop was confirmed does not include the run.
+    Unlisted,
+    /// No start order was sent.
+    NotOrdered,
+    /// The worker rejected the start order, or it could not be delivered.
+    Rejected,
+    /// Every lease that was requested from the worker has expired.
+    LeaseExpired,
+    /// A worker of another name, which rejects orders for the former one, has announced itself.
+    Renamed,
+    /// The worker withdrew its announcement and accepts no more calls.
+    Withdrawn,
+}
+
+impl Evidence {
+    /// Returns the name of the evidence in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Unlisted => "unlisted",
+            Self::NotOrdered => "not_ordered",
+            Self::Rejected => "rejected",
+            Self::LeaseExpired => "lease",
+            Self::Renamed => "renamed",
+            Self::Withdrawn => "withdrawal",
+        }
+    }
+}
+
+/// How the agent learned that an incarnation of the worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GoneReason {
+    /// The worker withdrew its announcement.
+    Withdrawn,
+    /// A worker of another name announced itself.
+    Renamed,
+}
+
+impl GoneReason {
+    /// Returns the name of the reason in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Withdrawn => "withdrawn",
+            Self::Renamed => "renamed",
+        }
+    }
+}
+
 /// Decision or state change to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
@@ -210,6 +267,8 @@
         pool: String,
         /// Capacity in thousandths of a core.
         cpu_millis: u64,
+        /// Start time of the incarnation since the Unix epoch.
+        started_at: Duration,
     },
     /// The worker accepts no new tasks.
     WorkerLeaving {
@@ -218,12 +277,23 @@
         /// Number of runs still in progress.
         running: u64,
     },
+    /// The worker restarted under its name, and its new incarnation has to list the runs of the former one.
+    WorkerRestarted {
+        /// Name of both incarnations.
+        worker: WorkerName,
+        /// Number of runs that may be on either incarnation.
+        unresolved: u64,
+        /// Whether a reply showed the restart before an announcement did.
+        unannounced: bool,
+    },
     /// The worker shut down or was replaced.
     WorkerGone {
         /// Worker that ended.
         worker: WorkerName,
         /// Number of runs that ended with it.
         lost: u64,
+        /// How the agent learned of the end.
+        reason: GoneReason,
     },
     /// The worker does not answer calls.
     WorkerSilent {
@@ -262,10 +332,16 @@
     RunEnded {
         /// Attempt that ended.
         key: AttemptKey,
+        /// Number of the run.
+        run: RunNumber,
+        /// Worker of the run.
+        worker: WorkerName,
         /// How the run ended.
         outcome: RunOutcome,
         /// Run time.
         run_time: Duration,
+        /// What proves the end.
+        evidence: Evidence,
     },
     /// A run of an earlier agent process that no entry listed is stopped.
     OrphanStopped {
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -4,9 +4,10 @@
 
 use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
 
-use crate::core::{Session, WorkerCore};
-use crate::event::{Action, CallId, Notice, Order};
+use crate::core::WorkerCore;
+use crate::event::{Action, CallId, Evidence, ListedRun, Notice, Order};
 use crate::run::{NO_OWNER, Phase, Run};
+use crate::session::Session;
 
 /// Call in flight to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,10 +17,24 @@
     RenewLease { sent_at: Instant },
 }
 
+/// Call in flight, and the latest reading of the worker's clock when it was sent.
+///
+/// The worker's clock is monotonic, so a reply with a lower reading is from another incarnation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingCall {
+    pub(crate) call: Call,
+    pub(crate) clock: Duration,
+}
+
 impl WorkerCore {
     /// Starts waiting runs, most urgent first, while they fit into the worker's capacity.
     pub(crate) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let ready = self.session.as_ref().is_some_and(|session| session.available);
+        // A start renews the lease of every run on the worker.
+        if !self.may_renew(now) {
+            return;
+        }
+        let ready = |session: &Session| session.available && session.is_announced();
+        let ready = self.session.as_ref().is_some_and(ready);
         if !ready {
             return;
         }
@@ -99,6 +114,24 @@
         uncertain || self.has_started()
     }
 
+    /// Returns whether the worker's lease may be renewed.
+    ///
+    /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose
+    /// entry's lease has expired, whose stop is not confirmed, that no entry has listed, or whose worker is about to end.
+    fn may_renew(&self, now: Instant) -> bool {
+        let session = self.session.as_ref();
+        let unknown = |session: &Session| session.synced_at.is_none() || !session.orphans.is_empty();
+        if session.is_some_and(|session| session.is_withdrawn() || unknown(session)) {
+            return false;
+        }
+        self.runs.values().all(|run| match run.phase {
+            Phase::Stopping(stop) if stop.confirmed_at.is_none() => {
+                now < stop.renew_until && self.owners.has_lease(run.owner, now)
+            }
+            _ => true,
+        })
+    }
+
     /// Renews the worker's lease with a long poll, which returns when a run ends.
     pub(crate) fn renew_lease(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let needed = self.needs_renewal();
@@ -118,14 +151,14 @@
         } else {
             Duration::ZERO
         };
-        let lease = self.cfg.worker_lease;
+        let lease = self.may_renew(now).then_some(self.cfg.worker_lease);
         let call = self.begin_call(Call::RenewLease { sent_at: now });
         let Some(session) = self.session.as_mut() else {
             return;
         };
         session.renewal_pending = true;
         let order = Order::RenewLease {
-            until: session.clock.grant(now, lease),
+            until: lease.map(|lease| session.clock.grant(now, lease)),
             last_received_end: session.last_received_end,
             wait,
             token: session.token,
@@ -133,7 +166,7 @@
         push_call(session, call, order, actions);
     }
 
-    /// Stops runs of an earlier agent process that no entry listed within the grace period.
+    /// Stops runs that belong to no attempt, those of an earlier agent process after a grace period.
     pub(crate) fn stop_orphans(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let due = self
             .session
@@ -147,11 +180,16 @@
             .session
             .as_mut()
             .map(|session| std::mem::take(&mut session.orphans));
-        for listed in orphans.into_iter().flatten() {
+        let (blocked, free) = orphans
+            .into_iter()
+            .flatten()
+            .partition(|listed: &ListedRun| self.runs.contains_key(&listed.task));
+        if let Some(session) = self.session.as_mut() {
+            session.orphans = blocked;
+        }
+        let free: Vec<ListedRun> = free;
+        for listed in free {
             let task = listed.task;
-            if self.runs.contains_key(&task) {
-                continue;
-            }
             actions.push(Action::Notice(Notice::OrphanStopped { run: listed }));
             let key = AttemptKey { task, attempt: 0 };
             self.adopt(now, NO_OWNER, key, listed);
@@ -177,13 +215,15 @@
         let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
         let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         for task in tasks {
-            self.end_run(now, task, RunOutcome::Lost, actions);
+            self.end_run(now, task, RunOutcome::Lost, Evidence::LeaseExpired, actions);
         }
     }
 
     fn begin_call(&mut self, call: Call) -> CallId {
         self.next_call += 1;
-        self.calls.insert(self.next_call, call);
+        let clock = self.session.as_ref().map(|session| session.clock.reading());
+        let clock = clock.unwrap_or_default();
+        self.calls.insert(self.next_call, PendingCall { call, clock });
         self.next_call
     }
 
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -4,10 +4,12 @@
 
 use chestnutfork_types::{RunOutcome, TaskKey};
 
-use crate::core::{Session, WorkerCore};
-use crate::event::{Action, CallId, CallOutcome, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList};
-use crate::orders::Call;
-use crate::run::{Phase, Stop};
+use crate::core::WorkerCore;
+use crate::event::{
+    Action, CallId, CallOutcome, Evidence, ListedEnd, ListedRun, Notice, Refusal, Reply, RunList,
+};
+use crate::orders::{Call, PendingCall};
+use crate::run::{Phase, Run, Stop};
 
 /// Refusals of a start after which it is reported as not started, so that the entry can use another worker.
 const MAX_START_REFUSALS: u32 = 3;
@@ -24,14 +26,35 @@
         let Some(pending) = self.calls.swap_remove(&call) else {
             return;
         };
+        if self.is_from_later_incarnation(pending, &reply) {
+            let clock = reply.clock.unwrap_or_default();
+            self.restart_session(now, reply.started_at, clock, true, actions);
+            return;
+        }
         self.record_contact(now, &reply, actions);
-        match pending {
+        self.on_reply_after_withdrawal(now, &reply.outcome, actions);
+        match pending.call {
             Call::Start(task) => self.on_start_reply(now, call, task, &reply.outcome, actions),
             Call::Stop(task) => self.on_stop_reply(now, call, task, &reply.outcome),
             Call::RenewLease { sent_at } => self.on_renewal(now, sent_at, reply.outcome, actions),
         }
     }
 
+    /// Returns whether a reply is from an incarnation that started after the one of the session.
+    fn is_from_later_incarnation(&mut self, pending: PendingCall, reply: &Reply) -> bool {
+        let Some(session) = self.session.as_mut() else {
+            return false;
+        };
+        match (reply.started_at, session.started_at) {
+            (Some(started_at), Some(known)) => started_at > known,
+            (Some(started_at), None) if started_at > session.worker.started_at => {
+                session.started_at = Some(started_at);
+                false
+            }
+            _ => reply.clock.is_some_and(|clock| clock < pending.clock),
+        }
+    }
+
     /// Updates the availability and the clock of the worker from a reply.
     fn record_contact(&mut self, now: Instant, reply: &Reply, actions: &mut Vec<Action>) {
         let worker = self.worker_name();
@@ -120,7 +143,7 @@
             run.started_at = None;
             actions.push(Action::Notice(Notice::StartRefused { key, reason }));
         }
-        self.end_run(now, task, RunOutcome::NotStarted, actions);
+        self.end_run(now, task, RunOutcome::NotStarted, Evidence::Rejected, actions);
     }
 
     /// Corrects the cause of a refused start where possible, and schedules another attempt.
@@ -154,7 +177,8 @@
     fn raise_token(&mut self, now: Instant) {
         if let Some(session) = self.session.as_mut() {
             let clock = u64::try_from(session.clock.estimate(now).as_millis()).unwrap_or(u64::MAX);
-            session.token = clock.max(session.token + 1);
+            // The refusal does not state the highest token that the worker has seen, so grow exponentially.
+            session.token = clock.max(session.token.saturating_mul(2)).max(session.token + 1);
         }
     }
 
@@ -210,8 +234,11 @@
         }
         self.process_ends(now, &list.ended, actions);
         self.apply_run_list(now, sent_at, &list, actions);
+        self.record_orphans(now, &list, actions);
         if first {
-            self.record_orphans(&list);
+            if let Some(session) = self.session.as_mut() {
+                session.orphan_ends = list.ended;
+            }
             self.reconcile_attempts(now, actions);
         }
     }
@@ -221,7 +248,6 @@
         for listed in ended {
             if let Some(session) = self.session.as_mut() {
                 session.last_received_end = session.last_received_end.max(listed.number);
-                session.orphans.retain(|run| *run != listed.run);
             }
             let task = listed.run.task;
             let Some(run) = self.runs.get(&task).filter(|run| run.number == listed.run.number) else {
@@ -237,7 +263,7 @@
                     _ => {}
                 }
             }
-            self.end_run(now, task, listed.outcome, actions);
+            self.end_run(now, task, listed.outcome, Evidence::Listed, actions);
         }
     }
 
@@ -256,7 +282,12 @@
                 }
                 // The start was lost or may still be carried out late; a stop prevents the latter.
                 Phase::Unconfirmed { since } if !list.truncated && since <= sent_at => {
-                    run.phase = Phase::Stopping(Stop::begin(now, RunOutcome::NotStarted));
+                    let outcome = if run.former_incarnation {
+                        RunOutcome::Lost
+                    } else {
+                        RunOutcome::NotStarted
+                    };
+                    run.phase = Phase::Stopping(Stop::begin(now, outcome));
                 }
                 // Only a list requested after the start was confirmed is newer than the run.
                 Phase::Running { since } if !listed && !list.truncated && since < sent_at => {
@@ -272,27 +303,31 @@
             }
         }
         for (task, outcome) in ended {
-            self.end_run(now, task, outcome, actions);
+            self.end_run(now, task, outcome, Evidence::Unlisted, actions);
         }
     }
 
-    /// Records the runs of an earlier agent process, which continue if an entry lists them.
-    fn record_orphans(&mut self, list: &RunList) {
+    /// Records the listed runs that this process has not started, or has reported as ended.
+    ///
+    /// Those of an earlier agent process continue if an entry lists them. Others come from orders that were carried out
+    /// late.
+    fn record_orphans(&mut self, now: Instant, list: &RunList, actions: &mut Vec<Action>) {
         let known = |run: &ListedRun| {
-            self.runs
-                .get(&run.task)
-                .is_some_and(|own| own.number == run.number)
+            let own = self.runs.get(&run.task);
+            own.is_some_and(|own| own.number == run.number)
         };
         let orphans: Vec<ListedRun> = list.running.iter().copied().filter(|run| !known(run)).collect();
-        let ends = list.ended.clone();
-        if let Some(Session {
-            orphans: recorded,
-            orphan_ends,
-            ..
-        }) = self.session.as_mut()
-        {
-            *recorded = orphans;
-            *orphan_ends = ends;
+        for orphan in &orphans {
+            if self.runs.get(&orphan.task).is_some_and(Run::is_waiting) {
+                let outcome = RunOutcome::NotStarted;
+                self.end_run(now, orphan.task, outcome, Evidence::NotOrdered, actions);
+            }
+        }
+        if let Some(session) = self.session.as_mut() {
+            if session.orphans.is_empty() && !orphans.is_empty() {
+                session.clock.assume_longest_lease(now);
+            }
+            session.orphans = orphans;
         }
     }
 }
--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -173,13 +173,6 @@
     pub(crate) order: Order,
 }
 
-/// Reply of a worker and the incarnation that gave it.
-#[derive(Clone, Debug)]
-pub(crate) struct WorkerReply {
-    pub(crate) started_at: Duration,
-    pub(crate) reply: Reply,
-}
-
 /// Reads a call of an agent.
 pub(crate) fn read_call(req: &Request<Bytes>) -> Option<WorkerCall> {
     let named = req.headers().get("expect-instance")?.to_str().ok()?;
@@ -202,7 +195,7 @@
             token,
         },
         "/hold" => Order::RenewLease {
-            until,
+            until: number("until_ms").map(Duration::from_millis),
             last_received_end: number("last_seen").unwrap_or(0),
             wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
             token,
@@ -213,11 +206,12 @@
 }
 
 /// Answers a call of an agent; nothing stands for a call to a worker of another name.
-pub(crate) fn respond(reply: Option<WorkerReply>) -> Response<Body> {
-    let Some(WorkerReply { started_at, reply }) = reply else {
+pub(crate) fn respond(reply: Option<Reply>) -> Response<Body> {
+    let Some(reply) = reply else {
         return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({}));
     };
     let clock = reply.clock.unwrap_or_default().as_millis();
+    let started_at = reply.started_at.unwrap_or_default();
     match reply.outcome {
         CallOutcome::LeaseRenewed(held) => {
             json_response(StatusCode::OK, &held_json(&held, clock, started_at))
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -16,7 +16,7 @@
 use tokio::time::{interval, sleep};
 
 use crate::announcements::Route;
-use crate::dialect::{self, Announced, Identity, WorkerCall, WorkerReply};
+use crate::dialect::{self, Announced, Identity, WorkerCall};
 use crate::error::SoakError;
 use crate::ledger::{Seen, Timing};
 use crate::plan::{FULL_CAPACITY, Restart};
@@ -67,7 +67,7 @@
 
 #[derive(Debug)]
 pub(crate) enum WorkerMessage {
-    Call(WorkerCall, oneshot::Sender<Option<WorkerReply>>),
+    Call(WorkerCall, oneshot::Sender<Option<Reply>>),
     /// An order that this incarnation received and whose caller has given up is carried out late.
     Late(WorkerCall, u64),
     Mood(Mood),
@@ -146,7 +146,7 @@
 #[derive(Debug)]
 struct Waiting {
     until: Instant,
-    reply: oneshot::Sender<Option<WorkerReply>>,
+    reply: oneshot::Sender<Option<Reply>>,
 }
 
 #[derive(Debug)]
@@ -320,7 +320,7 @@
         }
     }
 
-    fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<WorkerReply>>) {
+    fn on_call(&mut self, call: WorkerCall, reply: oneshot::Sender<Option<Reply>>) {
         if self.away_until.is_some() {
             return;
         }
@@ -347,9 +347,12 @@
         }
     }
 
-    fn signed(&self, reply: Reply) -> WorkerReply {
-        let started_at = self.identity.started_at;
-        WorkerReply { started_at, reply }
+    /// Adds the start of this incarnation to a reply.
+    fn signed(&self, reply: Reply) -> Reply {
+        Reply {
+            started_at: Some(self.identity.started_at),
+            ..reply
+        }
     }
 
     /// Carries out an order; nothing stands for one to a worker of another name.
@@ -439,7 +442,11 @@
                 self.waiting.push(waiting);
             } else {
                 let outcome = CallOutcome::LeaseRenewed(held.clone());
-                drop(waiting.reply.send(Some(self.signed(Reply { clock, outcome }))));
+                drop(waiting.reply.send(Some(self.signed(Reply {
+                    clock,
+                    started_at: None,
+                    outcome,
+                }))));
             }
         }
     }
