soak: Kill all entries or all agents one after the other

Cause: kills were drawn one process at a time, so jobs rarely met an entry and its successor, or the agents of both their workers, going down within a second.

Change: half of the plans kill all processes of one of the two roles in series, 50 to 700 ms apart, each down for 0.1 to 1.5 s, from a stream of random numbers of its own.

--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -31,6 +31,12 @@
 /// Fewest and most departures of workers in ten seconds.
 const DEPARTURES: Range<u64> = 1..4;
 const CAPACITY_STREAM: u64 = 3;
+const KILL_STREAM: u64 = 4;
+/// Share of the plans in which all entries or all agents are killed one after the other.
+const KILL_SHARE: f64 = 0.5;
+/// Time between two kills of such a series, and from a kill to the start.
+const KILL_GAP_MS: Range<u64> = 50..700;
+const KILL_DOWN_MS: Range<u64> = 100..1_500;
 /// Fewest and most series of changes of a worker's capacity in ten seconds.
 const CAPACITY_CHANGES: Range<u64> = 1..4;
 /// Runs that fit on a worker, and that fit at least while its capacity is reduced.
@@ -215,6 +221,10 @@
         for _ in 0..changes {
             plan.add_capacity_changes(&mut rng, length);
         }
+        rng.set_stream(KILL_STREAM);
+        if rng.random_bool(KILL_SHARE) {
+            plan.add_kills(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -298,6 +308,26 @@
         self.push(at, worker, Fault::WorkerCapacity(FULL_CAPACITY));
     }
 
+    /// Kills all entries or all agents one after the other; some are down at the same time.
+    fn add_kills(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let Size {
+            controls,
+            entries,
+            agents,
+        } = self.size;
+        let (first, count) = if rng.random_bool(0.5) {
+            (controls, entries)
+        } else {
+            (controls + entries, agents)
+        };
+        let mut at = length.mul_f64(rng.random_range(0.1..0.8));
+        for target in first..first + count {
+            let until = at + Duration::from_millis(rng.random_range(KILL_DOWN_MS));
+            self.pair(at, until, target, Fault::Kill, Fault::Start);
+            at += Duration::from_millis(rng.random_range(KILL_GAP_MS));
+        }
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
