--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod process;
 mod proxy;
 mod run;
+mod worker_actor;
 mod workers;
 
 pub use error::SoakError;
--- a/deploy/soak/src/proxy.rs
+++ b/deploy/soak/src/proxy.rs
@@ -37,6 +37,12 @@
 }
 
 impl Weather {
+    /// Makes all open connections end with a reset.
+    pub(crate) fn reset(&mut self) {
+        self.generation += 1;
+        self.reset_below = self.generation;
+    }
+
     fn holds(&self, direction: Direction, generation: u64) -> bool {
         let held = match direction {
             Direction::Inward => self.hold_inward,
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -475,10 +475,7 @@
                 weather.hold_inward = false;
                 weather.hold_outward = false;
             }),
-            Fault::Reset => self.weather.send_modify(|weather| {
-                weather.generation += 1;
-                weather.reset_below = weather.generation;
-            }),
+            Fault::Reset => self.weather.send_modify(Weather::reset),
             Fault::Silence => self.weather.send_modify(|weather| {
                 weather.generation += 1;
                 weather.silent_below = weather.generation;
