--- a/deploy/soak/src/callers.rs
+++ b/deploy/soak/src/callers.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::dialect;
-use crate::ledger::{Answer, Seen};
+use crate::seen::{Answer, Seen};
 
 /// Time that a caller waits for its answer.
 const PATIENCE: Duration = Duration::from_millis(3_500);
--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -12,8 +12,8 @@
 use serde_json::{Value, json};
 
 use crate::callers::Submission;
-use crate::ledger::Answer;
 use crate::run::Machine;
+use crate::seen::Answer;
 
 /// Ports of every machine.
 pub(crate) const LINK_PORT: u16 = 7_720;
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -16,10 +16,12 @@
 mod process;
 mod proxy;
 mod run;
+mod seen;
 mod worker_actor;
 mod workers;
 
 pub use error::SoakError;
-pub use ledger::{Answer, Counts, Ledger, Report, Seen, Timing, WorkerIncarnation};
+pub use ledger::{Counts, Ledger, Report};
 pub use plan::{Fault, Plan, Restart, Size, Step};
 pub use run::{SoakConfig, soak};
+pub use seen::{Answer, Seen, Timing, WorkerIncarnation};
--- a/deploy/soak/src/limits.rs
+++ b/deploy/soak/src/limits.rs
@@ -5,7 +5,7 @@
 
 use chestnutfork_types::TaskKey;
 
-use crate::ledger::WorkerIncarnation;
+use crate::seen::WorkerIncarnation;
 
 /// Time after a reduction of a worker's capacity in which starts may still count on the former one.
 const CAPACITY_BOUND: Duration = Duration::from_millis(4_500);
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -14,10 +14,11 @@
 use crate::callers::{self, Traffic, exchange};
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
-use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report, Seen};
+use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report};
 use crate::plan::{FULL_CAPACITY, Fault, Plan, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
+use crate::seen::Seen;
 use crate::workers::{Mood, Worker, WorkerMessage};
 
 /// Callers that submit jobs at the same time.
--- a/deploy/soak/src/worker_actor.rs
+++ b/deploy/soak/src/worker_actor.rs
@@ -13,9 +13,9 @@
 
 use crate::announcements::Route;
 use crate::dialect::{Announced, Identity, WorkerCall};
-use crate::ledger::{Seen, Timing};
 use crate::plan::{FULL_CAPACITY, Restart};
 use crate::proxy::Weather;
+use crate::seen::{Seen, Timing};
 use crate::workers::{Mood, WorkerMessage};
 
 /// Interval at which ends are noticed.
--- a/deploy/soak/src/workers.rs
+++ b/deploy/soak/src/workers.rs
@@ -13,9 +13,9 @@
 use crate::announcements::Route;
 use crate::dialect::{self, Announced, WorkerCall};
 use crate::error::SoakError;
-use crate::ledger::Seen;
 use crate::plan::Restart;
 use crate::proxy::{Proxy, Weather, listen};
+use crate::seen::Seen;
 use crate::worker_actor::State;
 
 /// Port of the server behind the proxy of a worker.
