--- a/deploy/soak/src/main.rs
+++ b/deploy/soak/src/main.rs
@@ -6,8 +6,6 @@
 
 use chestnutfork_soak::{Plan, Report, Size, SoakConfig, SoakError, soak};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
 const AFTER_HELP: &str = "\
@@ -162,17 +160,10 @@
 
 fn config(matches: &ArgMatches, seed: u64, slot: u64) -> SoakConfig {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(0);
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let drawn = rng.random_range(4..=12);
-    let agents = match number("agents") {
-        0 => drawn,
-        agents => usize::try_from(agents).unwrap_or(drawn),
-    };
-    let size = Size {
-        controls: if rng.random_bool(0.3) { 5 } else { 3 },
-        entries: rng.random_range(2..=3),
-        agents,
-    };
+    let mut size = Size::draw(seed);
+    if let Ok(agents @ 1..) = usize::try_from(number("agents")) {
+        size.agents = agents;
+    }
     let binary = matches
         .get_one::<PathBuf>("binary")
         .cloned()
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -59,6 +59,18 @@
 }
 
 impl Size {
+    /// Draws the processes of a seed.
+    #[must_use]
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let agents = rng.random_range(4..=12);
+        Self {
+            controls: if rng.random_bool(0.3) { 5 } else { 3 },
+            entries: rng.random_range(2..=3),
+            agents,
+        }
+    }
+
     fn processes(self) -> usize {
         self.controls + self.entries + self.agents
     }
