--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -6,17 +6,22 @@
 //! workers see, that no task has two runs at a time, that refusals and answers are true, and that accepted configurations
 //! stay in force. After the last fault the system must serve again.
 
+mod announcements;
 mod callers;
 mod dialect;
 mod error;
 mod ledger;
+mod limits;
 mod plan;
 mod process;
 mod proxy;
 mod run;
+mod seen;
+mod worker_actor;
 mod workers;
 
 pub use error::SoakError;
-pub use ledger::{Answer, Counts, Ledger, Report, Seen, WorkerIncarnation};
-pub use plan::{Fault, Plan, Size, Step};
+pub use ledger::{Counts, Ledger, Report};
+pub use plan::{Fault, Plan, Restart, Size, Step};
 pub use run::{SoakConfig, soak};
+pub use seen::{Answer, Seen, Timing, WorkerIncarnation};
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -8,6 +8,8 @@
 
 /// Fewest and most series of faults in ten seconds.
 const SERIES: Range<u64> = 4..10;
+/// Fewest and most series of restarts of workers in ten seconds.
+const RESTARTS: Range<u64> = 2..7;
 /// Shortest and longest fault.
 const LENGTH_MS: Range<u64> = 150..3_000;
 /// Time around the loss of a disk without other faults of control: one loss at a time is tolerated.
@@ -15,6 +17,36 @@
 /// Share of the plans in which a control process loses its disk.
 const DISK_SHARE: f64 = 0.3;
 
+/// Share of the restarts under the former name that take seconds.
+const SLOW_RESTART_SHARE: f64 = 0.3;
+/// Time that a worker is away at a quick and at a slow restart.
+const QUICK_RESTART_MS: Range<u64> = 50..400;
+const SLOW_RESTART_MS: Range<u64> = 1_000..5_000;
+/// Share of the restarts whose first announcement is delayed, and its longest delay.
+const SILENT_SHARE: f64 = 0.5;
+const SILENT_MS: Range<u64> = 0..1_500;
+/// Streams of random numbers for faults that came later, so that they leave the other faults of a seed as they are.
+const RESTART_STREAM: u64 = 1;
+const DEPARTURE_STREAM: u64 = 2;
+/// Fewest and most departures of workers in ten seconds.
+const DEPARTURES: Range<u64> = 1..4;
+const CAPACITY_STREAM: u64 = 3;
+const KILL_STREAM: u64 = 4;
+/// Share of the plans in which all entries or all agents are killed one after the other.
+const KILL_SHARE: f64 = 0.5;
+/// Time between two kills of such a series, and from a kill to the start.
+const KILL_GAP_MS: Range<u64> = 50..700;
+const KILL_DOWN_MS: Range<u64> = 100..1_500;
+/// Fewest and most series of changes of a worker's capacity in ten seconds.
+const CAPACITY_CHANGES: Range<u64> = 1..4;
+/// Runs that fit on a worker, and that fit at least while its capacity is reduced.
+pub(crate) const FULL_CAPACITY: usize = 6;
+const LEAST_CAPACITY: usize = 1;
+/// Time for which a capacity stays; most are longer than the bound on what shrinks.
+const CAPACITY_MS: Range<u64> = 500..9_000;
+/// Time from the beginning of a departure to a fault of the agent, which may lose the withdrawal.
+const DEPARTURE_MS: Range<u64> = 1_000..4_500;
+
 /// Number of processes of each role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -27,11 +59,55 @@
 }
 
 impl Size {
+    /// Draws the processes of a seed.
+    #[must_use]
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let agents = rng.random_range(4..=12);
+        Self {
+            controls: if rng.random_bool(0.3) { 5 } else { 3 },
+            entries: rng.random_range(2..=3),
+            agents,
+        }
+    }
+
     fn processes(self) -> usize {
         self.controls + self.entries + self.agents
     }
 }
 
+/// How a crashed worker comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// Whether it has the name that it had.
+    pub same_name: bool,
+    /// Time that it is away.
+    pub down: Duration,
+    /// Time that it answers calls before its first announcement.
+    pub silent: Duration,
+}
+
+impl Restart {
+    /// Draws a restart under the former name.
+    pub(crate) fn random(rng: &mut ChaCha8Rng) -> Self {
+        let down = if rng.random_bool(SLOW_RESTART_SHARE) {
+            rng.random_range(SLOW_RESTART_MS)
+        } else {
+            rng.random_range(QUICK_RESTART_MS)
+        };
+        let silent = if rng.random_bool(SILENT_SHARE) {
+            rng.random_range(SILENT_MS)
+        } else {
+            0
+        };
+        Self {
+            same_name: true,
+            down: Duration::from_millis(down),
+            silent: Duration::from_millis(silent),
+        }
+    }
+}
+
 /// What is done to a process, to its connections or to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -67,7 +143,11 @@
     Silence,
     /// The worker crashes and comes back as another incarnation.
     WorkerCrash,
-    /// The worker says that it leaves.
+    /// The worker crashes and comes back as given.
+    WorkerRestart(Restart),
+    /// The worker has room for as many runs of one core from now on.
+    WorkerCapacity(usize),
+    /// The worker says that it leaves, and does so.
     WorkerLeave,
     /// The worker fails all tasks.
     WorkerFail,
@@ -138,6 +218,25 @@
         if rng.random_bool(DISK_SHARE) {
             plan.add_lost_disk(&mut rng, length);
         }
+        rng.set_stream(RESTART_STREAM);
+        let restarts = rng.random_range(RESTARTS) * length.as_secs().max(1) / 10 + 1;
+        for _ in 0..restarts {
+            plan.add_restarts(&mut rng, length);
+        }
+        rng.set_stream(DEPARTURE_STREAM);
+        let departures = rng.random_range(DEPARTURES) * length.as_secs().max(1) / 10;
+        for _ in 0..departures {
+            plan.add_departure(&mut rng, length);
+        }
+        rng.set_stream(CAPACITY_STREAM);
+        let changes = rng.random_range(CAPACITY_CHANGES) * length.as_secs().max(1) / 10;
+        for _ in 0..changes {
+            plan.add_capacity_changes(&mut rng, length);
+        }
+        rng.set_stream(KILL_STREAM);
+        if rng.random_bool(KILL_SHARE) {
+            plan.add_kills(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -177,6 +276,70 @@
         }
     }
 
+    /// Restarts a worker one to three times under its name; it may have left orders unanswered before.
+    fn add_restarts(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let mut at = length.mul_f64(rng.random_range(0.0..0.9));
+        let mute = rng.random_bool(0.5);
+        if mute {
+            self.push(at, worker, Fault::WorkerMute);
+        }
+        for _ in 0..rng.random_range(1..=3) {
+            at += Duration::from_millis(rng.random_range(LENGTH_MS));
+            self.push(at, worker, Fault::WorkerRestart(Restart::random(rng)));
+        }
+        if mute {
+            self.push(at, worker, Fault::WorkerSound);
+        }
+    }
+
+    /// Makes a worker leave, half of the times with a pause or the death of its agent when it withdraws.
+    fn add_departure(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let agent = self.size.controls + self.size.entries + worker;
+        let at = length.mul_f64(rng.random_range(0.0..0.9));
+        self.push(at, worker, Fault::WorkerLeave);
+        let from = at + Duration::from_millis(rng.random_range(DEPARTURE_MS));
+        let to = from + Duration::from_millis(rng.random_range(LENGTH_MS));
+        match rng.random_range(0..4) {
+            0 => self.pair(from, to, agent, Fault::Pause, Fault::Resume),
+            1 => self.pair(from, to, agent, Fault::Kill, Fault::Start),
+            _ => {}
+        }
+    }
+
+    /// Reduces the capacity of a worker once or twice, and restores it.
+    fn add_capacity_changes(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let worker = rng.random_range(0..self.size.agents);
+        let mut at = length.mul_f64(rng.random_range(0.0..0.7));
+        for _ in 0..rng.random_range(1..=2) {
+            let slots = rng.random_range(LEAST_CAPACITY..FULL_CAPACITY);
+            self.push(at, worker, Fault::WorkerCapacity(slots));
+            at += Duration::from_millis(rng.random_range(CAPACITY_MS));
+        }
+        self.push(at, worker, Fault::WorkerCapacity(FULL_CAPACITY));
+    }
+
+    /// Kills all entries or all agents one after the other; some are down at the same time.
+    fn add_kills(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let Size {
+            controls,
+            entries,
+            agents,
+        } = self.size;
+        let (first, count) = if rng.random_bool(0.5) {
+            (controls, entries)
+        } else {
+            (controls + entries, agents)
+        };
+        let mut at = length.mul_f64(rng.random_range(0.1..0.8));
+        for target in first..first + count {
+            let until = at + Duration::from_millis(rng.random_range(KILL_DOWN_MS));
+            self.pair(at, until, target, Fault::Kill, Fault::Start);
+            at += Duration::from_millis(rng.random_range(KILL_GAP_MS));
+        }
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
@@ -223,6 +386,8 @@
     matches!(
         fault,
         Fault::WorkerCrash
+            | Fault::WorkerRestart(_)
+            | Fault::WorkerCapacity(_)
             | Fault::WorkerLeave
             | Fault::WorkerFail
             | Fault::WorkerSlow
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One soak: starts the system, injects the faults of a plan, and waits for it to serve again.
 
+use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -10,13 +11,14 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, sleep_until};
 
-use crate::callers::{self, exchange};
+use crate::callers::{self, Traffic, exchange};
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
-use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report, Seen};
-use crate::plan::{Fault, Plan, Size, Step};
+use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report};
+use crate::plan::{FULL_CAPACITY, Fault, Plan, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
+use crate::seen::Seen;
 use crate::workers::{Mood, Worker, WorkerMessage};
 
 /// Callers that submit jobs at the same time.
@@ -122,30 +124,28 @@
 pub async fn soak(cfg: &SoakConfig) -> Result<Report, SoakError> {
     let plan = Plan::draw(cfg.seed, cfg.size, cfg.length);
     let (ledger, rx) = mpsc::unbounded_channel();
-    tokio::spawn(Ledger::default().run(rx));
+    let log = cfg.folder.join("workers.log");
+    let log = File::create(&log).map_err(|source| SoakError::Write { path: log, source })?;
+    tokio::spawn(Ledger::with_log(log).run(rx));
     let mut system = System::start(cfg, ledger.clone()).await?;
     system.await_ready().await?;
-    let (stop, stopped) = watch::channel(false);
+    let (traffic, rx) = watch::channel(Traffic::Mixed);
     let entries = system.entry_addresses();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let seed = cfg.seed.wrapping_mul(1_000).wrapping_add(caller);
-            tokio::spawn(callers::run(
-                seed,
-                entries.clone(),
-                ledger.clone(),
-                stopped.clone(),
-            ))
+            tokio::spawn(callers::run(seed, entries.clone(), ledger.clone(), rx.clone()))
         })
         .collect();
     system.play(&plan.steps).await?;
+    // A caller that has ended by a panic shows in the counts; the same holds below.
+    let _ = traffic.send(Traffic::Harmless);
     system.heal().await?;
     system.watch_for(RECOVERY).await;
     system.tell(Seen::Calm);
     system.change_and_check_entries().await;
     system.watch_for(CALM).await;
-    // A caller that has ended by a panic shows in the counts.
-    let _ = stop.send(true);
+    let _ = traffic.send(Traffic::Ended);
     sleep(LAST_ANSWERS).await;
     for caller in callers {
         caller.abort();
@@ -290,6 +290,8 @@
         let Step { target, fault, .. } = step;
         match fault {
             Fault::WorkerCrash => self.tell_worker(target, WorkerMessage::Crash),
+            Fault::WorkerRestart(restart) => self.tell_worker(target, WorkerMessage::Restart(restart)),
+            Fault::WorkerCapacity(slots) => self.tell_worker(target, WorkerMessage::Capacity(slots)),
             Fault::WorkerLeave => self.tell_worker(target, WorkerMessage::Leave),
             Fault::WorkerFail => self.tell_worker(target, WorkerMessage::Mood(Mood::Failing)),
             Fault::WorkerSlow => self.tell_worker(target, WorkerMessage::Mood(Mood::Slow)),
@@ -366,6 +368,7 @@
     async fn heal(&mut self) -> Result<(), SoakError> {
         for worker in 0..self.workers.len() {
             self.tell_worker(worker, WorkerMessage::Mood(Mood::Sound));
+            self.tell_worker(worker, WorkerMessage::Capacity(FULL_CAPACITY));
         }
         for node in &mut self.nodes {
             node.inject(Fault::Resume)?;
@@ -473,10 +476,7 @@
                 weather.hold_inward = false;
                 weather.hold_outward = false;
             }),
-            Fault::Reset => self.weather.send_modify(|weather| {
-                weather.generation += 1;
-                weather.reset_below = weather.generation;
-            }),
+            Fault::Reset => self.weather.send_modify(Weather::reset),
             Fault::Silence => self.weather.send_modify(|weather| {
                 weather.generation += 1;
                 weather.silent_below = weather.generation;
--- a/deploy/soak/tests/ledger.rs
+++ b/deploy/soak/tests/ledger.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnutfork_soak::{Answer, Ledger, Seen, WorkerIncarnation};
+use chestnutfork_soak::{Answer, Ledger, Seen, Timing, WorkerIncarnation};
 use chestnutfork_types::{JobId, RunOutcome, TaskKey};
 
 const JOB: JobId = 7;
@@ -43,6 +43,7 @@
             task,
             run,
             spec,
+            timing: Timing::InTime,
             at,
         });
     }
@@ -58,6 +59,16 @@
         });
     }
 
+    fn crashed(&mut self, worker: WorkerIncarnation, millis: u64) {
+        self.ended(worker, worker.1, RunOutcome::Lost, millis);
+        self.ledger.take(Seen::WorkerEnded {
+            worker,
+            cause: Some(TASK),
+            note: String::new(),
+            at: self.at(millis),
+        });
+    }
+
     fn answered(&mut self, answer: Answer) {
         let answer = Some(answer);
         self.ledger.take(Seen::Answered { job: JOB, answer });
@@ -138,6 +149,7 @@
         task,
         run: 1,
         spec: Bytes::from_static(b"other"),
+        timing: Timing::InTime,
         at,
     });
     run.assert_broken("another input");
@@ -153,6 +165,39 @@
     run.assert_broken("leaving for too long");
 }
 
+/// Guards against a soak that misses a task that goes on crashing workers, or reports one that is given up in time.
+#[test]
+fn take_notices_starts_after_crashes() {
+    let mut run = Run::new();
+    for life in 1..=5 {
+        let at = life * 100;
+        run.started((0, life), life, at);
+        run.crashed((0, life), at + 50);
+    }
+    assert_eq!(run.violations(), Vec::<String>::new());
+    assert_eq!(run.ledger.report().counts.most_crashes, 5);
+    run.started((0, 6), 6, 600);
+    run.assert_broken("started too often after it had crashed its workers");
+}
+
+/// Guards against a soak that misses starts beyond a capacity that has shrunk, or reports those that the bound allows.
+#[test]
+fn take_notices_start_beyond_capacity() {
+    let mut run = Run::new();
+    for (slots, millis) in [(2, 0), (1, 1_000)] {
+        let at = run.at(millis);
+        run.ledger.take(Seen::CapacityChanged { worker: 0, slots, at });
+    }
+    run.started((0, 1), 1, 5_400);
+    run.ended((0, 1), 1, RunOutcome::Lost, 5_410);
+    run.started((0, 1), 2, 5_420);
+    run.started((0, 1), 3, 5_450);
+    assert_eq!(run.violations(), Vec::<String>::new());
+    run.ended((0, 1), 3, RunOutcome::Lost, 5_500);
+    run.started((0, 1), 4, 5_550);
+    run.assert_broken("started beyond the capacity of a worker");
+}
+
 /// Guards against a soak that misses a configuration that goes back.
 #[test]
 fn take_notices_older_configuration() {
