broker: Check a job for records of losses before its tasks are compared

is_held compared all tasks of a job with each waiting one while any job had a record, which is quadratic in the tasks. Jobs without records now cost one look-up for each waiting task. By reading; the cost was not measured. All tests of the crate pass.

--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -146,6 +146,11 @@
         !reported.is_empty() || others.len() > 1
     }
 
+    /// Returns whether a worker was lost under any task of a job.
+    fn has_records(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.jobs.is_empty()
     }
@@ -207,7 +212,7 @@
     ///
     /// The other tasks of a job with a suspect wait, because they may be of the same kind, and so do further suspects.
     pub(crate) fn is_held(&self, job: &Job, task: usize) -> bool {
-        if self.crashes.is_empty() {
+        if !self.crashes.has_records(job.id) {
             return false;
         }
         let is_suspect = |at: usize| self.crashes.is_suspect(job.key(at));
