worker: End the grace of a stop when its entry's lease expires

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: a run that was being stopped on request kept its 500 ms of grace when the lease of its entry expired, and renewals resumed once the entry had a lease again.

Evidence: regained_lease_does_not_prolong_run_stopped_before fails without the change.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -380,9 +380,13 @@
     /// Stops the runs of entries whose lease has expired.
     fn expire_entry_leases(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut expired: IndexMap<ProcessId, Vec<TaskKey>> = IndexMap::new();
-        for (&task, run) in &self.runs {
-            let stopping = run.is_stopping();
-            if run.owner != NO_OWNER && !stopping && !self.owners.has_lease(run.owner, now) {
+        for (&task, run) in &mut self.runs {
+            if run.owner == NO_OWNER || self.owners.has_lease(run.owner, now) {
+                continue;
+            }
+            if let Phase::Stopping(stop) = &mut run.phase {
+                stop.renew_until = stop.renew_until.min(now);
+            } else {
                 expired.entry(run.owner).or_default().push(task);
             }
         }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -329,3 +329,21 @@
         .count();
     assert_eq!(ends, 0);
 }
+
+/// Guards against renewals that prolong a run that was being stopped when its entry's lease expired, once the entry has a lease
+/// again.
+#[test]
+fn regained_lease_does_not_prolong_run_stopped_before() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.now += millis(440);
+    agent.send(EntryToWorker::Stop(vec![attempt(0, 1)]));
+    let stop = agent.call(is_stop);
+    agent.reply(stop, CallOutcome::NoAnswer);
+    agent.advance_to(millis(500));
+    agent.now += millis(20);
+    agent.connect();
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    let renewal = agent.calls().into_iter().find(|(_, order)| is_renewal(order));
+    let (_, renewal) = renewal.expect("the list is requested again");
+    assert_eq!(lease_end(&renewal), None);
+}
