worker: Shorten the grace of a stop that is ordered again with an earlier bound

Callers can see: a task runs on two workers at the same time (TWICE).

Cause: a stop of a run that was being stopped already was ignored, also if it allows no renewal.

Evidence: listed_stop_shortens_grace_of_earlier_stop fails without the change.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -305,11 +305,11 @@
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
-        match run.phase {
+        match &mut run.phase {
             Phase::Waiting { .. } => {
                 self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
             }
-            Phase::Stopping(_) => {}
+            Phase::Stopping(known) => known.renew_until = known.renew_until.min(stop.renew_until),
             Phase::Starting { .. } | Phase::Unconfirmed { .. } | Phase::Running { .. } => {
                 run.phase = Phase::Stopping(stop);
             }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -347,3 +347,20 @@
     let (_, renewal) = renewal.expect("the list is requested again");
     assert_eq!(lease_end(&renewal), None);
 }
+
+/// Guards against renewals that prolong a run because it was being stopped already when its entry listed it to be stopped.
+#[test]
+fn listed_stop_shortens_grace_of_earlier_stop() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.send(EntryToWorker::Stop(vec![attempt(0, 1)]));
+    let stop = agent.call(is_stop);
+    agent.reply(stop, CallOutcome::NoAnswer);
+    agent.send(EntryToWorker::Reconcile {
+        keep: Vec::new(),
+        stop: vec![attempt(0, 1)],
+    });
+    agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+    let renewal = agent.calls().into_iter().find(|(_, order)| is_renewal(order));
+    let (_, renewal) = renewal.expect("the list is requested again");
+    assert_eq!(lease_end(&renewal), None);
+}
