worker: Take any other start time in a reply as that of a later incarnation

Callers can see: a task runs on two workers at the same time (TWICE), or a worker gets no tasks.

Cause: incarnations were ordered by their start on the time of day, which may step back. A list with an earlier start counted as one of the known incarnation.

Evidence: reply_with_earlier_start_time_shows_restart fails without the change. An announcement alone with an earlier start is still ignored, because it may be a late one of a former incarnation.

--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -46,8 +46,10 @@
             return false;
         };
         match (reply.started_at, session.started_at) {
-            (Some(started_at), Some(known)) => started_at > known,
-            (Some(started_at), None) if started_at > session.worker.started_at => {
+            // The call was sent in this session, so an earlier incarnation cannot have answered it. The time of day may have
+            // stepped back between the incarnations.
+            (Some(started_at), Some(known)) => started_at != known,
+            (Some(started_at), None) if started_at != session.worker.started_at => {
                 session.started_at = Some(started_at);
                 false
             }
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -98,7 +98,7 @@
         let same_name = known.description.worker == announcement.description.worker;
         let started_at = announcement.started_at;
         let identified = session.started_at.unwrap_or(known.started_at);
-        if same_name && started_at == identified && session.started_at.is_some() {
+        if same_name && session.started_at == Some(started_at) {
             if session.presence == Presence::Unannounced || announcement.sequence > known.sequence {
                 self.update_session(now, announcement, actions);
             }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -364,3 +364,24 @@
     let (_, renewal) = renewal.expect("the list is requested again");
     assert_eq!(lease_end(&renewal), None);
 }
+
+/// Guards against state of the former incarnation after a restart on a machine whose time of day has stepped back.
+#[test]
+fn reply_with_earlier_start_time_shows_restart() {
+    let (mut agent, renewal) = agent_with_run();
+    agent.handle(Event::Replied {
+        call: renewal,
+        reply: Reply {
+            clock: Some(millis(1_000)),
+            started_at: Some(Duration::ZERO),
+            outcome: CallOutcome::LeaseRenewed(list_of_run()),
+        },
+    });
+    let is_restart = |action: &Action| matches!(action, Action::Notice(Notice::WorkerRestarted { .. }));
+    assert!(agent.actions.iter().any(is_restart));
+    let mut earlier = restarted();
+    earlier.started_at = Duration::ZERO;
+    agent.handle(Event::Announced(earlier));
+    let is_joined = |action: &Action| matches!(action, Action::Notice(Notice::WorkerJoined { .. }));
+    assert!(agent.actions.iter().any(is_joined));
+}
