--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -8,6 +8,7 @@
 use crate::core::WorkerCore;
 use crate::event::{Action, Evidence, ListedRun};
 use crate::run::{NO_OWNER, Phase, Run, Stop};
+use crate::session::Session;
 
 /// Attempt that an entry listed in an `EntryToWorker::Reconcile` message.
 #[derive(Clone, Copy, Debug)]
@@ -23,10 +24,9 @@
     ///
     /// An attempt without a run is reported as ended, and one that its entry no longer wants is stopped.
     pub(crate) fn reconcile_attempts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let known = match &self.session {
-            Some(session) => session.synced_at.is_some(),
-            None => now >= self.former_runs_expire_at,
-        };
+        let synced = |session: &Session| session.synced_at.is_some();
+        // No lease is renewed before the first list, so the runs of an earlier process end even if no list arrives.
+        let known = self.session.as_ref().is_some_and(synced) || now >= self.former_runs_expire_at;
         if !known {
             return;
         }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -385,3 +385,21 @@
     let is_joined = |action: &Action| matches!(action, Action::Notice(Notice::WorkerJoined { .. }));
     assert!(agent.actions.iter().any(is_joined));
 }
+
+/// Guards against attempts that are never reported because the agent was restarted while its worker is down, after it received
+/// a late announcement.
+#[test]
+fn reconcile_ends_if_worker_never_answers() {
+    let mut agent = Agent::new();
+    agent.connect();
+    agent.send(EntryToWorker::Reconcile {
+        keep: vec![attempt(0, 2)],
+        stop: Vec::new(),
+    });
+    agent.handle(Event::Announced(announcement(1, 9)));
+    let renewal = agent.call(is_renewal);
+    agent.reply(renewal, CallOutcome::Unreachable);
+    assert_eq!(agent.ended(), []);
+    agent.advance_to(millis(830));
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
+}
