leased: Kill agents repeatedly while no entry can reach them

Change: `isolated` kills an agent twice or three times within 700 ms, and lets entries connect only after 1.4 to 3 s.

--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -143,6 +143,13 @@
     assert!(total.repeated_kills > SEEDS * 5, "{total:?}");
 }
 
+/// Guards against runs that successors of a killed agent prolong beyond the time after which entries place them again.
+#[test]
+fn isolated_agent_restarts_prolong_no_run() {
+    let total = run_seeds("isolated");
+    assert!(total.repeated_kills > SEEDS * 5, "{total:?}");
+}
+
 /// Guards against runs that outlive the bounds of the leases if an entry and an agent fail together.
 #[test]
 fn entry_and_agent_faults_prevent_concurrent_runs() {
--- a/crates/leased/tests/sim/agents.rs
+++ b/crates/leased/tests/sim/agents.rs
@@ -14,6 +14,14 @@
 /// Span within which a further kill of an agent belongs to a series.
 const SERIES_SPAN: Duration = Duration::from_millis(1_500);
 
+/// Shortest and longest delay in milliseconds before an entry connects to the successor of a killed agent.
+pub(super) type ConnectionDelay = (u64, u64);
+
+pub(super) const AT_ONCE: ConnectionDelay = (50, 50);
+pub(super) const LATE_CONNECTION: ConnectionDelay = (50, 1_500);
+/// Longer than the run expiry of entries, which is 1.313 s.
+pub(super) const ISOLATED: ConnectionDelay = (1_400, 3_000);
+
 /// Agent process.
 #[derive(Debug)]
 pub(super) struct AgentHost {
@@ -130,8 +138,8 @@
         }
     }
 
-    /// Replaces an agent by a new process, to which entries connect after a delay of up to `connection_delay`.
-    pub(super) fn kill_agent(&mut self, agent: usize, connection_delay: Duration) {
+    /// Replaces an agent by a new process, to which entries connect after a delay.
+    pub(super) fn kill_agent(&mut self, agent: usize, (shortest, longest): ConnectionDelay) {
         let former = &self.agents[agent];
         let former_process = former.process;
         self.counts.repeated_kills += u64::from(former.is_recent(self.now));
@@ -141,11 +149,12 @@
         self.schedule_agent_tick(agent);
         self.close_matching(|link| link.agent_process == former_process);
         for entry in 0..ENTRIES {
-            let delay = Duration::from_millis(50);
-            let delay = if connection_delay > delay {
-                self.rng.random_range(delay..connection_delay)
+            let shortest = Duration::from_millis(shortest);
+            let longest = Duration::from_millis(longest);
+            let delay = if shortest < longest {
+                self.rng.random_range(shortest..longest)
             } else {
-                delay
+                shortest
             };
             self.schedule_connection(delay, entry, agent);
         }
--- a/crates/leased/tests/sim/faults.rs
+++ b/crates/leased/tests/sim/faults.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt;
 
+use super::agents::{AT_ONCE, ConnectionDelay, ISOLATED, LATE_CONNECTION};
 use super::{AGENTS, ENTRIES, Scenario, ScheduledEvent, Sim};
 
 /// Fault that is injected at a random time.
@@ -21,6 +22,7 @@
     Leave,
     LeaveWithLateNotice,
     KillAgentRepeatedly,
+    KillIsolatedAgent,
     FailEntryAndAgent,
     PauseEntry,
 }
@@ -41,6 +43,7 @@
     (Scenario::Withdrawal, Fault::Leave),
     (Scenario::LateNotices, Fault::LeaveWithLateNotice),
     (Scenario::AgentRestartSeries, Fault::KillAgentRepeatedly),
+    (Scenario::IsolatedAgentRestarts, Fault::KillIsolatedAgent),
     (Scenario::EntryAndAgentFaults, Fault::FailEntryAndAgent),
     (Scenario::EntryPauses, Fault::PauseEntry),
 ];
@@ -75,7 +78,7 @@
                 let detection_delay = self.detection_delay();
                 self.cut(link.into_iter().collect(), detection_delay);
             }
-            Fault::KillAgent => self.kill_agent(agent, Duration::ZERO),
+            Fault::KillAgent => self.kill_agent(agent, AT_ONCE),
             Fault::KillEntry => self.kill_entry(entry),
             Fault::PauseEntry => self.pause_entry(entry),
             Fault::ReplaceWorker if !self.workers[agent].is_down() => {
@@ -92,21 +95,22 @@
             }
             Fault::Leave => self.leave(agent, false),
             Fault::LeaveWithLateNotice => self.leave(agent, true),
-            Fault::KillAgentRepeatedly => self.kill_agent_repeatedly(agent),
+            Fault::KillAgentRepeatedly => self.kill_agent_repeatedly(agent, LATE_CONNECTION, 1_500),
+            Fault::KillIsolatedAgent => self.kill_agent_repeatedly(agent, ISOLATED, 700),
             Fault::FailEntryAndAgent => self.fail_entry_and_agent(entry, agent),
         }
     }
 
-    /// Kills an agent twice or three times within 1.5 s; entries connect to the successors late.
-    fn kill_agent_repeatedly(&mut self, agent: usize) {
+    /// Kills an agent twice or three times within a span in milliseconds; entries connect to the successors late.
+    fn kill_agent_repeatedly(&mut self, agent: usize, connection: ConnectionDelay, span: u64) {
         if self.agents[agent].is_recent(self.now) {
             return;
         }
         let further = self.rng.random_range(1..=2);
-        self.kill_agent(agent, Duration::from_millis(1_500));
+        self.kill_agent(agent, connection);
         for _ in 0..further {
-            let delay = Duration::from_millis(self.rng.random_range(50..1_500));
-            self.schedule(delay, ScheduledEvent::KillAgent(agent));
+            let delay = Duration::from_millis(self.rng.random_range(50..span));
+            self.schedule(delay, ScheduledEvent::KillAgent(agent, connection));
         }
     }
 
@@ -126,7 +130,7 @@
         }
         let delay = Duration::from_millis(self.rng.random_range(0..300));
         let event = if self.rng.random_bool(0.5) {
-            ScheduledEvent::KillAgent(agent)
+            ScheduledEvent::KillAgent(agent, LATE_CONNECTION)
         } else {
             ScheduledEvent::CutAgent(agent)
         };
--- a/crates/leased/tests/sim/mod.rs
+++ b/crates/leased/tests/sim/mod.rs
@@ -24,7 +24,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use agents::AgentHost;
+use agents::{AgentHost, ConnectionDelay};
 use callers::Job;
 use checks::Attempts;
 pub use checks::{Rule, Violation};
@@ -40,8 +40,6 @@
 const AGENTS: usize = 4;
 /// Delay of messages between entries and agents. It is constant to preserve their order.
 const LINK_DELAY: Duration = Duration::from_millis(2);
-/// Upper bound of the delays after which entries connect to an agent that was killed in a series or with an entry.
-const CONNECTION_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Event at a point of virtual time.
 #[derive(Debug)]
@@ -50,7 +48,7 @@
     EntryBacklog(usize, ProcessId),
     ResumeEntry(usize, ProcessId),
     AgentTick(usize),
-    KillAgent(usize),
+    KillAgent(usize, ConnectionDelay),
     CutAgent(usize),
     ToAgent(LinkNumber, EntryToWorker),
     ToEntry(LinkNumber, WorkerToEntry),
@@ -193,7 +191,7 @@
             ScheduledEvent::EntryBacklog(entry, process) => self.process_backlog(entry, process),
             ScheduledEvent::ResumeEntry(entry, process) => self.resume_entry(entry, process),
             ScheduledEvent::AgentTick(agent) => self.tick_agent(agent),
-            ScheduledEvent::KillAgent(agent) => self.kill_agent(agent, CONNECTION_DELAY),
+            ScheduledEvent::KillAgent(agent, connection) => self.kill_agent(agent, connection),
             ScheduledEvent::CutAgent(agent) => self.cut_agent(agent),
             ScheduledEvent::ToAgent(link, message) => {
                 if let Some(agent) = self
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -27,6 +27,8 @@
     LateNotices,
     /// Agents are killed several times in a row, and entries connect again late.
     AgentRestartSeries,
+    /// Agents that no entry can reach for more than the run expiry are killed several times in a row.
+    IsolatedAgentRestarts,
     /// An entry and an agent are killed or cut off together.
     EntryAndAgentFaults,
     /// Entries pause and then process what has waited for them in any order.
@@ -35,7 +37,7 @@
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -48,6 +50,7 @@
         Self::Withdrawal,
         Self::LateNotices,
         Self::AgentRestartSeries,
+        Self::IsolatedAgentRestarts,
         Self::EntryAndAgentFaults,
         Self::EntryPauses,
     ];
@@ -67,6 +70,7 @@
             Self::Withdrawal => "withdrawal",
             Self::LateNotices => "notices",
             Self::AgentRestartSeries => "series",
+            Self::IsolatedAgentRestarts => "isolated",
             Self::EntryAndAgentFaults => "pairs",
             Self::EntryPauses => "pauses",
         }
