--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -27,6 +27,8 @@
     LateNotices,
     /// Agents are killed several times in a row, and entries connect again late.
     AgentRestartSeries,
+    /// Agents that no entry can reach for more than the run expiry are killed several times in a row.
+    IsolatedAgentRestarts,
     /// An entry and an agent are killed or cut off together.
     EntryAndAgentFaults,
     /// Entries pause and then process what has waited for them in any order.
@@ -39,7 +41,7 @@
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -52,6 +54,7 @@
         Self::Withdrawal,
         Self::LateNotices,
         Self::AgentRestartSeries,
+        Self::IsolatedAgentRestarts,
         Self::EntryAndAgentFaults,
         Self::EntryPauses,
         Self::CrashingTasks,
@@ -73,6 +76,7 @@
             Self::Withdrawal => "withdrawal",
             Self::LateNotices => "notices",
             Self::AgentRestartSeries => "series",
+            Self::IsolatedAgentRestarts => "isolated",
             Self::EntryAndAgentFaults => "pairs",
             Self::EntryPauses => "pauses",
             Self::CrashingTasks => "crashing",
@@ -83,7 +87,7 @@
 
 /// Set of fault classes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Scenarios(u16);
+pub struct Scenarios(u32);
 
 impl Scenarios {
     /// Creates the set of the listed classes.
@@ -124,6 +128,6 @@
     }
 }
 
-fn bit(scenario: Scenario) -> u16 {
-    1 << scenario as u16
+fn bit(scenario: Scenario) -> u32 {
+    1 << scenario as u32
 }
