worker: Add failing tests for a restart without a reply and for a time of day that steps back

Both fail: the run is reported as lost at 780 ms although a restarted worker may run it for 1 s, and an announcement with an earlier start time is ignored.

--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -403,3 +403,38 @@
     agent.advance_to(millis(830));
     assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
 }
+
+/// Guards against reporting a run as lost while a restarted worker, which shortens the lease of an order to 1 s on its own
+/// clock, still runs it: the order was carried out, but no reply arrives.
+#[test]
+fn lease_expiry_covers_unnoticed_restart() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let mut pending: Vec<CallId> = agent.calls().iter().map(|(call, _)| *call).collect();
+    for elapsed in (60..1_000).step_by(60) {
+        agent.advance_to(millis(elapsed));
+        let mut calls = agent.calls();
+        let mut ended = agent.ended();
+        for call in std::mem::take(&mut pending) {
+            agent.reply(call, CallOutcome::NoAnswer);
+            calls.extend(agent.calls());
+            ended.extend(agent.ended());
+        }
+        pending = calls.into_iter().map(|(call, _)| call).collect();
+        assert_eq!(ended, [], "at {elapsed} ms");
+    }
+}
+
+/// Guards against a worker that gets no tasks because its time of day stepped back before it restarted.
+#[test]
+fn announcement_with_earlier_start_time_is_used() {
+    let mut agent = Agent::new();
+    agent.handle(Event::Announced(announcement(1_000, 9)));
+    agent.answer_renewal(RunList::default());
+    let mut earlier = announcement(900, 1);
+    earlier.description.worker = WorkerName::from("w-1000");
+    earlier.clock = millis(5);
+    agent.handle(Event::Announced(earlier));
+    let is_joined = |action: &Action| matches!(action, Action::Notice(Notice::WorkerJoined { .. }));
+    assert!(agent.actions.iter().any(is_joined));
+}
