broker, worker: Answer a job as failed only for certain crashes

Cause: any attempt that ended as lost counted as a possible crash, and three of them ended the job as failed. Runs that lapse because their entry was cut off, and runs of withdrawn workers, were reported as lost, too.

Change: a job fails only if two workers have certainly crashed under one of its tasks. After three losses of any kind the task is not started again while they are on record, and the job is answered as timed out at once. Runs that the worker lists as ended, that lapse on a worker that answers, or that end with a withdrawn worker, are reported as stopped.

--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -15,8 +15,8 @@
 
 /// Number of certain crashes from which a task is given up, as the users' rules allow.
 const MAX_CRASHES: u32 = 2;
-/// Number of losses of any kind from which a task is given up; one more than certain crashes, because the cause of the others
-/// may lie elsewhere.
+/// Number of losses of any kind after which a task is not started again while they are on record. Without certain crashes its
+/// job has not failed.
 const MAX_LOSSES: u32 = 3;
 /// Maximum number of suspect tasks of one job that are placed at a time. It limits the number of workers that a job whose tasks
 /// all crash their workers takes at once; one at a time would make most innocent jobs late.
@@ -59,9 +59,14 @@
 }
 
 impl LossCount {
-    fn is_over_limit(self) -> bool {
+    /// Returns how a job with such a task ends, if the task must not be started again.
+    fn end(self) -> Option<JobEnd> {
         let all = self.confirmed + self.possible + self.explained;
-        self.confirmed >= MAX_CRASHES || all >= MAX_LOSSES
+        if self.confirmed >= MAX_CRASHES {
+            Some(JobEnd::Failed)
+        } else {
+            (all >= MAX_LOSSES).then_some(JobEnd::TimedOut)
+        }
     }
 }
 
@@ -170,11 +175,13 @@
         count
     }
 
-    /// Returns a task of the job that has lost too many workers, if there is one.
-    fn task_over_limit(&self, job: JobId) -> Option<(TaskKey, LossCount)> {
+    /// Returns a task of the job that has lost too many workers and how the job ends, if there is one. Tasks under which workers
+    /// have certainly crashed come first.
+    fn task_over_limit(&self, job: JobId) -> Option<(TaskKey, LossCount, JobEnd)> {
         let losses = self.jobs.get(&job)?;
-        let mut counts = losses.iter().map(|loss| (loss.task, self.count(loss.task)));
-        counts.find(|(_, count)| count.is_over_limit())
+        let counts = losses.iter().map(|loss| (loss.task, self.count(loss.task)));
+        let ended = counts.filter_map(|(task, count)| Some((task, count, count.end()?)));
+        ended.max_by_key(|(.., end)| *end == JobEnd::Failed)
     }
 
     /// Attributes the losses of workers to a task that is given up, for the other tasks that were on them.
@@ -274,7 +281,7 @@
             }
         }
         for job in jobs {
-            if let Some((task, _)) = self.crashes.task_over_limit(job) {
+            if let Some((task, ..)) = self.crashes.task_over_limit(job) {
                 self.crashes.explain(task);
                 self.give_up(now, job, actions);
             }
@@ -292,24 +299,24 @@
         }));
     }
 
-    /// Ends a job in progress as failed if one of its tasks has lost too many workers.
+    /// Ends a job in progress if one of its tasks has lost too many workers.
     pub(crate) fn give_up(&mut self, now: Instant, job: JobId, actions: &mut Vec<Action>) {
-        if self.jobs.contains_key(&job) && self.must_give_up(job, actions) {
-            self.end_job(now, job, JobEnd::Failed, actions);
+        if self.jobs.contains_key(&job)
+            && let Some(end) = self.end_after_losses(job, actions)
+        {
+            self.end_job(now, job, end, actions);
         }
     }
 
-    /// Returns whether a job must be given up because one of its tasks has lost too many workers.
-    pub(crate) fn must_give_up(&self, job: JobId, actions: &mut Vec<Action>) -> bool {
-        let Some((task, count)) = self.crashes.task_over_limit(job) else {
-            return false;
-        };
+    /// Returns how a job ends because one of its tasks has lost too many workers, if so.
+    pub(crate) fn end_after_losses(&self, job: JobId, actions: &mut Vec<Action>) -> Option<JobEnd> {
+        let (task, count, end) = self.crashes.task_over_limit(job)?;
         actions.push(Action::Notice(Notice::JobGivenUp {
             task,
             confirmed: u64::from(count.confirmed),
             possible: u64::from(count.possible),
             ordered: self.jobs.contains_key(&job),
         }));
-        true
+        Some(end)
     }
 }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -97,9 +97,11 @@
             actions.push(Action::Answer(ticket, *answer));
             return;
         }
-        if self.must_give_up(id, actions) {
-            let answer = JobEnd::Failed.answer();
-            self.retained_answers.insert(id, (answer, now));
+        if let Some(end) = self.end_after_losses(id, actions) {
+            let answer = end.answer();
+            if end == JobEnd::Failed {
+                self.retained_answers.insert(id, (answer, now));
+            }
             actions.push(Action::Answer(ticket, answer));
             return;
         }
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -148,9 +148,9 @@
     Completed,
     /// The task failed, because of the task itself or of the worker.
     Failed,
-    /// The run was stopped on request.
+    /// The run was stopped on request, or its lease expired on a worker that goes on.
     Stopped,
-    /// The run ended without a result: its lease expired or its worker restarted.
+    /// The run ended without a result: its worker was lost.
     Lost,
     /// The run did not start and never will.
     NotStarted,
--- a/crates/worker/src/crashes.rs
+++ b/crates/worker/src/crashes.rs
@@ -148,16 +148,17 @@
         self.crashes.begin_incarnation();
     }
 
-    /// Records that the leases of all started runs have expired while the worker did not answer.
-    pub(crate) fn record_lapse(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    /// Records that the leases of all started runs have expired, if the worker did not answer; returns whether it is so.
+    pub(crate) fn record_lapse(&mut self, now: Instant, actions: &mut Vec<Action>) -> bool {
         // A worker that answers is alive; its lease expires because it was not renewed.
         let limit = self.cfg.worker_lease / 2;
         let silent = |session: &Session| !session.is_withdrawn() && now >= session.replied_at + limit;
         if !self.session.as_ref().is_some_and(silent) {
-            return;
+            return false;
         }
         let tasks = self.started_tasks();
         self.record_loss(now, tasks, false, actions);
+        true
     }
 
     /// Records that the run of an attempt which an entry listed is not on the worker.
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -215,11 +215,16 @@
         if !expired || !self.has_started() {
             return;
         }
-        self.record_lapse(now, actions);
+        // The runs of a worker that answers have ended because its lease was not renewed.
+        let outcome = if self.record_lapse(now, actions) {
+            RunOutcome::Lost
+        } else {
+            RunOutcome::Stopped
+        };
         let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
         let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         for task in tasks {
-            self.end_run(now, task, RunOutcome::Lost, Evidence::LeaseExpired, actions);
+            self.end_run(now, task, outcome, Evidence::LeaseExpired, actions);
         }
     }
 
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -265,7 +265,12 @@
                     _ => {}
                 }
             }
-            self.end_run(now, task, listed.outcome, Evidence::Listed, actions);
+            let outcome = match listed.outcome {
+                // A worker that lists the end of a run has not crashed under it.
+                RunOutcome::Lost => RunOutcome::Stopped,
+                outcome => outcome,
+            };
+            self.end_run(now, task, outcome, Evidence::Listed, actions);
         }
     }
 
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -201,7 +201,8 @@
             let waiting = self.runs.get(&task).is_some_and(Run::is_waiting);
             let (outcome, evidence) = match reason {
                 _ if waiting => (RunOutcome::NotStarted, Evidence::NotOrdered),
-                GoneReason::Withdrawn => (RunOutcome::Lost, Evidence::Withdrawn),
+                // A withdrawal is planned, so the worker has not been lost under these tasks.
+                GoneReason::Withdrawn => (RunOutcome::Stopped, Evidence::Withdrawn),
                 GoneReason::Renamed => (RunOutcome::Lost, Evidence::Renamed),
             };
             self.end_run(now, task, outcome, evidence, actions);
