soak: Accept a job as failed if two workers have crashed under one of its tasks

The check required a run that ended as failed. It is as strict otherwise: one crash does not suffice, and workers that leave do not count. take_accepts_failure_after_two_crashes covers both sides.

--- a/deploy/soak/src/ledger.rs
+++ b/deploy/soak/src/ledger.rs
@@ -105,12 +105,17 @@
     }
 }
 
+/// Workers that have to have crashed under a task for its job to count as failed.
+const CRASHES_OF_FAILED_TASK: usize = 2;
+
 /// Record of jobs, runs and configurations.
 #[derive(Debug, Default)]
 pub struct Ledger {
     jobs: HashMap<JobId, Job>,
     runs: HashMap<TaskKey, Vec<Run>>,
     leaving: HashMap<WorkerIncarnation, Instant>,
+    /// When workers ended without having announced that they leave.
+    crashed: HashMap<WorkerIncarnation, Instant>,
     crashes: Crashes,
     capacities: Capacities,
     taken: Vec<(u64, Instant)>,
@@ -180,7 +185,9 @@
                 end,
                 at,
             } => self.on_ended(worker, task, run, end, at),
-            Seen::WorkerEnded { cause, .. } => self.on_worker_ended(cause),
+            Seen::WorkerEnded {
+                worker, cause, at, ..
+            } => self.on_worker_ended(worker, cause, at),
             Seen::CapacityChanged { worker, slots, at } => self.capacities.change(worker, at, slots),
             Seen::Overfilled {
                 worker,
@@ -267,6 +274,15 @@
             runs.into_iter()
                 .any(|run| run.ended.is_some_and(|(end, _)| end == wanted))
         };
+        let crashed = &self.crashed;
+        let has_crashed_workers = |task: TaskKey| {
+            let runs = runs.get(&task).into_iter().flatten();
+            let under = runs.filter(|run| {
+                let crash = crashed.get(&run.worker);
+                crash.is_some_and(|&crash| run.ended.is_none_or(|(_, at)| at >= crash))
+            });
+            under.count() >= CRASHES_OF_FAILED_TASK
+        };
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -288,7 +304,7 @@
             Some(Answer::Failed) => {
                 job.leave_open();
                 let mut keys = keys;
-                (!keys.any(|key| ended(key, RunOutcome::Failed)))
+                (!keys.any(|key| ended(key, RunOutcome::Failed) || has_crashed_workers(key)))
                     .then_some("answered as failed without a failure")
             }
             Some(Answer::Refused) => None,
@@ -315,7 +331,10 @@
         }
     }
 
-    fn on_worker_ended(&mut self, cause: Option<TaskKey>) {
+    fn on_worker_ended(&mut self, worker: WorkerIncarnation, cause: Option<TaskKey>, at: Instant) {
+        if !self.leaving.contains_key(&worker) {
+            self.crashed.insert(worker, at);
+        }
         if let Some(task) = cause {
             let crashes = self.crashes.record(task);
             let counts = &mut self.report.counts;
--- a/deploy/soak/tests/ledger.rs
+++ b/deploy/soak/tests/ledger.rs
@@ -139,6 +139,20 @@
     run.assert_broken("no route");
 }
 
+/// Guards against a soak that reports a job under whose task two workers have crashed, or accepts one under which one has.
+#[test]
+fn take_accepts_failure_after_two_crashes() {
+    for crashes in [1, 2] {
+        let mut run = Run::new();
+        for life in 1..=crashes {
+            run.started((0, life), life, life * 100);
+            run.crashed((0, life), life * 100 + 50);
+        }
+        run.answered(Answer::Failed);
+        assert_eq!(run.violations().is_empty(), crashes == 2, "{crashes} crashes");
+    }
+}
+
 /// Guards against a soak that misses tasks that nobody asked for.
 #[test]
 fn take_notices_foreign_input() {
