--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -196,3 +196,10 @@
         "{total:?}"
     );
 }
+
+/// Guards against a task that goes on crashing workers because a further fault loses what the processes know of its crashes.
+#[test]
+fn all_faults_give_up_crashing_tasks() {
+    let total = run_seeds("all,crashing");
+    assert!(total.crashes > SEEDS * 5, "{total:?}");
+}
