worker: Count a crash as certain only for runs that were in progress

Cause: when another incarnation announced itself, every task that had been ordered since counted as a certain crash, also one whose start was never answered, whose run had been stopped, or whose worker had been silent for a while or was leaving.

Change: the evidence for a crash under a task is a list of runs that names it, or a confirmed start, followed within 150 ms by a refused connection or an answer of another incarnation, with no stop ordered and no departure announced. All other losses stay possible crashes, which never answer a job as failed. The tests of certain crashes now let the worker list its runs and refuse connections, which is what they assumed.

--- a/crates/worker/src/crashes.rs
+++ b/crates/worker/src/crashes.rs
@@ -11,21 +11,33 @@
 
 use crate::core::WorkerCore;
 use crate::event::{Action, Notice};
-use crate::run::Run;
+use crate::run::{Phase, Run};
 use crate::session::Session;
 
 /// Maximum number of incarnations with records; a worker that is back after 2 s crashes about as often in 30 s.
 const MAX_RECORDS: usize = 16;
 /// Maximum number of tasks in a record, which keeps a description below the size of a frame.
 const MAX_TASKS: usize = 256;
+/// Longest time between the latest list of runs and the first sign that the worker has gone for which the listed runs count as
+/// in progress at the crash. A list follows each end at once, and a lost call is repeated within this time.
+const CRASH_WINDOW: Duration = Duration::from_millis(150);
 
 /// Task that was on an incarnation when it was lost.
 #[derive(Clone, Copy, Debug)]
 struct LostTask {
     task: TaskKey,
     lost_at: Instant,
-    /// Whether the incarnation has certainly crashed.
+    /// Whether the incarnation has certainly crashed under the task.
     confirmed: bool,
+    /// Whether the run was certainly in progress when the incarnation ended, if it did not end as planned.
+    in_progress: bool,
+}
+
+/// Task that is recorded as lost, and whether its run was certainly in progress when the incarnation ended.
+#[derive(Clone, Copy, Debug)]
+struct LostRun {
+    task: TaskKey,
+    in_progress: bool,
 }
 
 /// Losses of one incarnation of the worker.
@@ -52,10 +64,8 @@
         self.incarnation += 1;
     }
 
-    fn record(&mut self, now: Instant, worker: WorkerName, tasks: Vec<TaskKey>, confirmed: bool) {
-        if tasks.is_empty() {
-            return;
-        }
+    /// Records lost runs; they count as crashes if the incarnation has crashed and they were in progress.
+    fn record(&mut self, now: Instant, worker: WorkerName, runs: &[LostRun], crashed: bool) {
         self.changed = true;
         let incarnation = self.incarnation;
         if self.records.back().map(|record| record.incarnation) != Some(incarnation) {
@@ -71,23 +81,26 @@
         let Some(record) = self.records.back_mut() else {
             return;
         };
-        for task in tasks {
+        for &LostRun { task, in_progress } in runs {
+            let confirmed = crashed && in_progress;
             let lost = LostTask {
                 task,
                 lost_at: now,
                 confirmed,
+                in_progress,
             };
             if let Some(known) = record.tasks.iter_mut().find(|known| known.task == task) {
                 known.lost_at = now;
                 known.confirmed |= confirmed;
+                known.in_progress |= in_progress;
             } else if record.tasks.len() < MAX_TASKS {
                 record.tasks.push(lost);
             }
         }
     }
 
-    /// Returns the tasks of the current incarnation that were lost after its last reply.
-    fn unresolved(&self, replied_at: Instant) -> Vec<TaskKey> {
+    /// Returns the runs of the current incarnation that were lost after its last reply.
+    fn unresolved(&self, replied_at: Instant) -> Vec<LostRun> {
         let current = self
             .records
             .iter()
@@ -95,7 +108,10 @@
         let tasks = current.flat_map(|record| &record.tasks);
         tasks
             .filter(|lost| lost.lost_at > replied_at)
-            .map(|lost| lost.task)
+            .map(|lost| LostRun {
+                task: lost.task,
+                in_progress: lost.in_progress,
+            })
             .collect()
     }
 
@@ -134,30 +150,35 @@
 }
 
 impl WorkerCore {
-    /// Records that the current incarnation has crashed: another one has shown itself without a withdrawal.
+    /// Records that the current incarnation has ended: another one has shown itself without a withdrawal.
+    ///
+    /// Only runs that were in progress then count as crashes under their tasks; the others may have ended before, or may
+    /// never have begun.
     pub(crate) fn record_crash(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(session) = self.session.as_ref().filter(|session| !session.is_withdrawn()) else {
             return;
         };
+        let crashed = !session.worker.description.leaving;
         // A crash is noticed only with the next announcement, and by then the leases of its tasks may have expired. If the
         // worker has answered since, it was alive, and those tasks were not on it.
-        let mut tasks = self.crashes.unresolved(session.replied_at);
-        tasks.extend(session.orphans.iter().map(|run| run.task));
-        tasks.extend(self.started_tasks());
-        self.record_loss(now, tasks, true, actions);
+        let mut runs = self.crashes.unresolved(session.replied_at);
+        runs.extend(self.lost_orphans());
+        runs.extend(self.lost_runs());
+        self.record_loss(now, &runs, crashed, actions);
         self.crashes.begin_incarnation();
     }
 
-    /// Records that the leases of all started runs have expired, if the worker did not answer; returns whether it is so.
-    pub(crate) fn record_lapse(&mut self, now: Instant, actions: &mut Vec<Action>) -> bool {
+    /// Records that the leases of started runs have expired, if the worker did not answer; returns whether it is so.
+    pub(crate) fn record_lapse(&mut self, now: Instant, expired: &[TaskKey], actions: &mut Vec<Action>) -> bool {
         // A worker that answers is alive; its lease expires because it was not renewed.
         let limit = self.cfg.worker_lease / 2;
         let silent = |session: &Session| !session.is_withdrawn() && now >= session.replied_at + limit;
         if !self.session.as_ref().is_some_and(silent) {
             return false;
         }
-        let tasks = self.started_tasks();
-        self.record_loss(now, tasks, false, actions);
+        let runs = self.lost_runs().into_iter();
+        let runs: Vec<LostRun> = runs.filter(|run| expired.contains(&run.task)).collect();
+        self.record_loss(now, &runs, false, actions);
         true
     }
 
@@ -166,27 +187,59 @@
     /// An earlier process of this agent was killed before it could report why. The worker may have crashed meanwhile, and the
     /// entry that listed the attempt may be the only process that knows of it.
     pub(crate) fn record_missing(&mut self, now: Instant, task: TaskKey, actions: &mut Vec<Action>) {
-        self.record_loss(now, vec![task], false, actions);
+        let run = LostRun {
+            task,
+            in_progress: false,
+        };
+        self.record_loss(now, &[run], false, actions);
     }
 
-    /// Returns the tasks that may be on the current incarnation; those of a former one were recorded with its crash.
-    fn started_tasks(&self) -> Vec<TaskKey> {
+    /// Returns the runs that may be on the current incarnation; those of a former one were recorded with its crash.
+    fn lost_runs(&self) -> Vec<LostRun> {
+        let listed = self.was_gone_after_list();
         let on_current = |run: &Run| !run.is_waiting() && !run.former_incarnation;
         let started = self.runs.iter().filter(|(_, run)| on_current(run));
-        started.map(|(&task, _)| task).collect()
+        let lost = started.map(|(&task, run)| LostRun {
+            task,
+            in_progress: listed && matches!(run.phase, Phase::Running { .. }),
+        });
+        lost.collect()
+    }
+
+    fn lost_orphans(&self) -> Vec<LostRun> {
+        let in_progress = self.was_gone_after_list();
+        let orphans = self.session.iter().flat_map(|session| &session.orphans);
+        let lost = orphans.map(|run| LostRun {
+            task: run.task,
+            in_progress,
+        });
+        lost.collect()
     }
 
-    fn record_loss(&mut self, now: Instant, tasks: Vec<TaskKey>, confirmed: bool, actions: &mut Vec<Action>) {
-        if tasks.is_empty() {
+    /// Returns whether the worker had gone shortly after its latest list of runs.
+    fn was_gone_after_list(&self) -> bool {
+        let session = self.session.as_ref();
+        let times = session.and_then(|session| session.listed_at.zip(session.gone_at));
+        times.is_some_and(|(listed_at, gone_at)| gone_at <= listed_at + CRASH_WINDOW)
+    }
+
+    fn record_loss(&mut self, now: Instant, runs: &[LostRun], crashed: bool, actions: &mut Vec<Action>) {
+        if runs.is_empty() {
             return;
         }
         let worker = self.worker_name();
-        actions.push(Action::Notice(Notice::WorkerLost {
-            worker: worker.clone(),
-            confirmed,
-            tasks: tasks.clone(),
-        }));
-        self.crashes.record(now, worker, tasks, confirmed);
+        for in_progress in [true, false] {
+            let tasks = runs.iter().filter(|run| run.in_progress == in_progress);
+            let tasks: Vec<TaskKey> = tasks.map(|run| run.task).collect();
+            if !tasks.is_empty() {
+                actions.push(Action::Notice(Notice::WorkerLost {
+                    worker: worker.clone(),
+                    confirmed: crashed && in_progress,
+                    tasks,
+                }));
+            }
+        }
+        self.crashes.record(now, worker, runs, crashed);
     }
 
     /// Reports new losses to all entries, before the ends of the runs that were lost.
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -215,14 +215,14 @@
         if !expired || !self.has_started() {
             return;
         }
+        let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
+        let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         // The runs of a worker that answers have ended because its lease was not renewed.
-        let outcome = if self.record_lapse(now, actions) {
+        let outcome = if self.record_lapse(now, &tasks, actions) {
             RunOutcome::Lost
         } else {
             RunOutcome::Stopped
         };
-        let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
-        let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         for task in tasks {
             self.end_run(now, task, outcome, Evidence::LeaseExpired, actions);
         }
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -67,12 +67,15 @@
             session.clock.observe(now, clock);
         }
         match reply.outcome {
-            CallOutcome::NoAnswer | CallOutcome::Unreachable | CallOutcome::OtherIncarnation => {
+            CallOutcome::NoAnswer => session.unanswered += 1,
+            CallOutcome::Unreachable | CallOutcome::OtherIncarnation => {
                 session.unanswered += 1;
+                session.gone_at.get_or_insert(now);
             }
             _ => {
                 session.unanswered = 0;
                 session.replied_at = now;
+                session.gone_at = None;
             }
         }
         let unreachable =
@@ -230,6 +233,7 @@
             return;
         };
         session.renew_at = now;
+        session.listed_at = Some(now);
         let first = session.synced_at.is_none();
         if first {
             session.synced_at = Some(now);
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -40,6 +40,10 @@
     /// When the first lease renewal of this process was answered, which lists all runs.
     pub(crate) synced_at: Option<Instant>,
     pub(crate) replied_at: Instant,
+    /// When the latest list of runs arrived.
+    pub(crate) listed_at: Option<Instant>,
+    /// When the worker first refused a connection, or another incarnation answered, since its latest reply.
+    pub(crate) gone_at: Option<Instant>,
     /// Consecutive calls without an answer from this incarnation.
     pub(crate) unanswered: u32,
     pub(crate) available: bool,
@@ -66,6 +70,8 @@
             last_received_end: 0,
             synced_at: None,
             replied_at: now,
+            listed_at: None,
+            gone_at: None,
             unanswered: 0,
             available: true,
             health: Health::default(),
--- a/crates/worker/tests/crashes.rs
+++ b/crates/worker/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use agent::{Agent, LINK, announcement, attempt, cores, millis, starts};
 use chestnutfork_types::{AttemptKey, EntryToWorker, WorkerCrash, WorkerToEntry};
-use chestnutfork_worker::{Action, CallOutcome, Event, Reply, RunList};
+use chestnutfork_worker::{Action, CallOutcome, Event, ListedRun, Reply, RunList};
 
 /// Returns the latest reports of crashes among the actions, for one link.
 fn reports(actions: &[Action], to: u64) -> Option<Vec<WorkerCrash>> {
@@ -23,6 +23,19 @@
         .collect()
 }
 
+/// Lets the worker list the runs of these jobs and refuse connections after that, as a crashed one does.
+fn crash_under(agent: &mut Agent, jobs: &[u128]) {
+    let running = jobs.iter().map(|&job| ListedRun {
+        task: attempt(job).task,
+        number: 1,
+    });
+    agent.answer_renewal(RunList {
+        running: running.collect(),
+        ..RunList::default()
+    });
+    agent.refuse_connection();
+}
+
 /// Advances the clock with unanswered calls, and returns all actions; the entry acknowledges all heartbeats.
 fn advance(agent: &mut Agent, elapsed: u64) -> Vec<Action> {
     let mut all = Vec::new();
@@ -59,6 +72,7 @@
     let mut agent = Agent::ready();
     agent.connect(2);
     agent.start(&[attempt(1), attempt(2)], cores(1));
+    crash_under(&mut agent, &[1, 2]);
     let actions = agent.handle(Event::Announced(announcement(2, 1)));
     for link in [LINK, 2] {
         let reports = reports(&actions, link).expect("each entry is told");
@@ -77,6 +91,7 @@
 fn crash_is_repeated_to_entries_that_connect() {
     let mut agent = Agent::ready();
     agent.start(&[attempt(1)], cores(1));
+    crash_under(&mut agent, &[1]);
     agent.handle(Event::Announced(announcement(2, 1)));
     agent.now += millis(10_000);
     let told = reports(&agent.connect(2), 2).expect("a link begins with a description");
@@ -99,6 +114,7 @@
     let mut agent = Agent::ready();
     let keys: Vec<AttemptKey> = (1..=2).map(attempt).collect();
     assert_eq!(starts(&agent.start(&keys, cores(3))), [1]);
+    crash_under(&mut agent, &[1]);
     let actions = agent.handle(Event::Announced(announcement(2, 1)));
     let reports = reports(&actions, LINK).expect("the entry is told");
     assert_eq!(summary(&reports), [(1, true, vec![1])]);
@@ -110,6 +126,7 @@
 fn lapse_is_reported_as_possible_crash_and_confirmed_later() {
     let mut agent = Agent::ready();
     agent.start(&[attempt(1)], cores(1));
+    crash_under(&mut agent, &[1]);
     let actions = advance(&mut agent, 1_500);
     assert_eq!(agent.core.runs_in_progress(), 0);
     let told = reports(&actions, LINK).expect("the entry is told");
@@ -130,6 +147,7 @@
     agent.answer_renewal(RunList::default());
     agent.connect(LINK);
     assert_eq!(starts(&agent.start(&[attempt(2)], cores(1))), [2]);
+    crash_under(&mut agent, &[2]);
     let actions = agent.handle(Event::Announced(announcement(2, 1)));
     let told = reports(&actions, LINK).expect("the entry is told");
     assert_eq!(summary(&told), [(1, true, vec![2]), (1, false, vec![1])]);
@@ -149,3 +167,55 @@
     let told = reports(&actions, 2).expect("the other entry is told");
     assert_eq!(summary(&told), [(1, false, vec![1])]);
 }
+
+/// Returns what all entries are told when another incarnation announces itself.
+fn reports_of_next_incarnation(agent: &mut Agent) -> Vec<(u64, bool, Vec<u128>)> {
+    let actions = agent.handle(Event::Announced(announcement(2, 1)));
+    summary(&reports(&actions, LINK).expect("the entry is told"))
+}
+
+/// Guards against a job that is answered as failed because of a start that its worker never carried out.
+#[test]
+fn unanswered_start_is_no_certain_crash() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(1)], cores(1));
+    agent.order(&[attempt(2)], cores(1));
+    crash_under(&mut agent, &[1]);
+    assert_eq!(
+        reports_of_next_incarnation(&mut agent),
+        [(1, true, vec![1]), (1, false, vec![2])]
+    );
+}
+
+/// Guards against blaming a task for a crash that came after its run was stopped.
+#[test]
+fn stopped_run_is_no_certain_crash() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(1)], cores(1));
+    crash_under(&mut agent, &[1]);
+    let message = EntryToWorker::Stop(vec![attempt(1)]);
+    agent.handle(Event::FromEntry { link: LINK, message });
+    assert_eq!(reports_of_next_incarnation(&mut agent), [(1, false, vec![1])]);
+}
+
+/// Guards against blaming a task whose run may have ended while its worker did not answer, long before the crash.
+#[test]
+fn crash_after_silence_stays_possible() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(1)], cores(1));
+    advance(&mut agent, 400);
+    agent.refuse_connection();
+    assert_eq!(reports_of_next_incarnation(&mut agent), [(1, false, vec![1])]);
+}
+
+/// Guards against blaming the tasks of a worker that was leaving, and ended although its withdrawal was lost.
+#[test]
+fn end_of_leaving_worker_stays_possible() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(1)], cores(1));
+    let mut leaving = announcement(1, 2);
+    leaving.description.leaving = true;
+    agent.handle(Event::Announced(leaving));
+    crash_under(&mut agent, &[1]);
+    assert_eq!(reports_of_next_incarnation(&mut agent), [(1, false, vec![1])]);
+}
