worker: Wait for unanswered starts beyond the worker's lease

Cause: a start without an answer may reach a worker that has restarted under its name. The run then has the longest lease on the new clock (1 s), not the one that was requested, and an order that is carried out seconds later may come before the first order of a higher token. The agent reported the run as lost after the requested lease, at 780 ms.

Confirmed runs expire as before.

--- a/crates/worker/src/clock.rs
+++ b/crates/worker/src/clock.rs
@@ -5,7 +5,7 @@
 use crate::config::CLOCK_TOLERANCE_DIVISOR;
 
 /// Longest lease that a worker accepts; it shortens a longer one.
-const MAX_WORKER_LEASE: Duration = Duration::from_secs(1);
+pub(crate) const MAX_WORKER_LEASE: Duration = Duration::from_secs(1);
 
 /// Latest reading of the worker's clock and latest lease end that was requested.
 #[derive(Clone, Copy, Debug)]
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -74,10 +74,15 @@
 
     /// Returns the longest time for which runs can continue after the last call to the worker.
     pub(crate) fn worker_lease_expiry(&self) -> Duration {
-        self.worker_lease + self.worker_lease / CLOCK_TOLERANCE_DIVISOR + TIMING_SLACK
+        lease_expiry_time(self.worker_lease)
     }
 }
 
+/// Returns the longest time for which runs can continue after a call that grants the worker a lease.
+pub(crate) fn lease_expiry_time(lease: Duration) -> Duration {
+    lease + lease / CLOCK_TOLERANCE_DIVISOR + TIMING_SLACK
+}
+
 /// Reciprocal of the largest fraction by which a worker's clock may be slow: 2%, rounded up to 1/40.
 pub(crate) const CLOCK_TOLERANCE_DIVISOR: u32 = 40;
 /// Allowance for timers that fire late and for calls in transit.
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -148,8 +148,7 @@
         let session = self.session.as_ref();
         let renewal = session.filter(|session| !session.renewal_pending && self.needs_renewal());
         let renewal = renewal.map(|session| session.renew_at);
-        let expiry = session.filter(|_| self.has_started());
-        let expiry = expiry.map(|session| session.clock.latest_expiry());
+        let expiry = session.and_then(|session| self.next_expiry(session));
         let orphans = session.and_then(|session| self.orphan_stop_time(session));
         let unreconciled = (!self.unreconciled.is_empty()).then_some(self.former_runs_expire_at);
         let due = runs.chain(leases).chain(report).chain(renewal);
@@ -257,6 +256,7 @@
             spec: order.spec.clone(),
             phase: Phase::Waiting { not_before: now },
             started_at: None,
+            confirmed: false,
             refusals: 0,
             former_incarnation: false,
         };
--- a/crates/worker/src/crashes.rs
+++ b/crates/worker/src/crashes.rs
@@ -169,7 +169,12 @@
     }
 
     /// Records that the leases of started runs have expired, if the worker did not answer; returns whether it is so.
-    pub(crate) fn record_lapse(&mut self, now: Instant, expired: &[TaskKey], actions: &mut Vec<Action>) -> bool {
+    pub(crate) fn record_lapse(
+        &mut self,
+        now: Instant,
+        expired: &[TaskKey],
+        actions: &mut Vec<Action>,
+    ) -> bool {
         // A worker that answers is alive; its lease expires because it was not renewed.
         let limit = self.cfg.worker_lease / 2;
         let silent = |session: &Session| !session.is_withdrawn() && now >= session.replied_at + limit;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -4,11 +4,16 @@
 
 use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
 
+use crate::clock::MAX_WORKER_LEASE;
+use crate::config::lease_expiry_time;
 use crate::core::WorkerCore;
 use crate::event::{Action, CallId, Evidence, ListedRun, Notice, Order};
 use crate::run::{NO_OWNER, Phase, Run, Stop};
 use crate::session::Session;
 
+/// Longest delay with which an order that got no answer is carried out.
+const LATE_ORDER_LIMIT: Duration = Duration::from_secs(15);
+
 /// Call in flight to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Call {
@@ -63,6 +68,7 @@
             return;
         };
         run.phase = Phase::Starting { call };
+        run.confirmed = false;
         run.started_at = Some(now);
         let order = Order::Start {
             task,
@@ -206,17 +212,42 @@
         Some(synced.max(self.orphan_deadline))
     }
 
-    /// Reports all started runs as lost once the worker's lease has certainly expired.
+    /// Returns when a started run has certainly ended although nothing more is heard from the worker.
+    ///
+    /// A start without an answer may not have been carried out yet. A worker that has restarted unnoticed shortens its lease to
+    /// the longest one on its own clock, and an order to a worker that has gone may reach its next incarnation seconds later,
+    /// before the first order of a higher token.
+    fn run_expiry(session: &Session, run: &Run) -> Instant {
+        let lease_expiry = session.clock.latest_expiry();
+        let Some(ordered_at) = run.started_at.filter(|_| !run.confirmed) else {
+            return lease_expiry;
+        };
+        let may_arrive_later = run.former_incarnation || session.gone_at.is_some();
+        let limit = if may_arrive_later {
+            LATE_ORDER_LIMIT
+        } else {
+            lease_expiry_time(MAX_WORKER_LEASE)
+        };
+        lease_expiry.max(ordered_at + limit)
+    }
+
+    /// Returns when the next started run has certainly ended, if no further reply arrives.
+    pub(crate) fn next_expiry(&self, session: &Session) -> Option<Instant> {
+        let started = self.runs.values().filter(|run| !run.is_waiting());
+        started.map(|run| Self::run_expiry(session, run)).min()
+    }
+
+    /// Reports started runs as lost once they have certainly ended without a reply of the worker.
     pub(crate) fn expire_worker_lease(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let expired = self
-            .session
-            .as_ref()
-            .is_some_and(|session| session.clock.latest_expiry() <= now);
-        if !expired || !self.has_started() {
+        let Some(session) = self.session.as_ref() else {
+            return;
+        };
+        let expired = |run: &Run| !run.is_waiting() && Self::run_expiry(session, run) <= now;
+        let expired = self.runs.iter().filter(|(_, run)| expired(run));
+        let tasks: Vec<TaskKey> = expired.map(|(&task, _)| task).collect();
+        if tasks.is_empty() {
             return;
         }
-        let started = self.runs.iter().filter(|(_, run)| !run.is_waiting());
-        let tasks: Vec<TaskKey> = started.map(|(&task, _)| task).collect();
         // The runs of a worker that answers have ended because its lease was not renewed.
         let outcome = if self.record_lapse(now, &tasks, actions) {
             RunOutcome::Lost
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -106,6 +106,7 @@
             spec: bytes::Bytes::new(),
             phase: Phase::Running { since: now },
             started_at: Some(now),
+            confirmed: true,
             refusals: 0,
             former_incarnation: false,
         };
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -110,7 +110,10 @@
         }
         let refusals = run.refusals;
         match outcome {
-            CallOutcome::Done | CallOutcome::LeaseRenewed(_) => run.phase = Phase::Running { since: now },
+            CallOutcome::Done | CallOutcome::LeaseRenewed(_) => {
+                run.confirmed = true;
+                run.phase = Phase::Running { since: now };
+            }
             CallOutcome::NoAnswer => {
                 let (key, number) = (run.key, run.number);
                 run.phase = Phase::Unconfirmed { since: now };
@@ -287,6 +290,7 @@
         let mut ended = Vec::new();
         for (&task, run) in &mut self.runs {
             let listed = is_listed(task, run.number);
+            run.confirmed |= listed;
             match run.phase {
                 Phase::Starting { .. } | Phase::Unconfirmed { .. } if listed => {
                     run.former_incarnation = false;
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -78,6 +78,8 @@
     pub(crate) spec: Bytes,
     pub(crate) phase: Phase,
     pub(crate) started_at: Option<Instant>,
+    /// Whether the worker has confirmed the start or listed the run, so that the order cannot be carried out later.
+    pub(crate) confirmed: bool,
     /// Number of refused starts that were followed by a retry.
     pub(crate) refusals: u32,
     /// Whether the order was sent to a former incarnation of the same name, so that the run is lost unless the current
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -466,3 +466,29 @@
     }
     assert!(ended > 0, "the lease expires");
 }
+
+/// Guards against placing a task again while a start that got no answer may still be carried out by the next incarnation of
+/// the worker, which has seen no fencing token.
+#[test]
+fn unanswered_start_waits_for_next_incarnation() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1)]);
+    let (start, renewal) = (agent.call(is_start), agent.call(is_renewal));
+    agent.reply(start, CallOutcome::NoAnswer);
+    agent.reply(renewal, CallOutcome::Unreachable);
+    for elapsed in (100..3_000).step_by(100) {
+        agent.now = agent.start + millis(elapsed);
+        tick_and_acknowledge(&mut agent);
+        assert_eq!(agent.ended(), [], "at {elapsed} ms");
+    }
+    agent.clock_at_start = millis(1_000);
+    agent.handle(Event::Announced(restarted()));
+    agent.now += millis(1);
+    agent.answer_renewal(RunList::default());
+    let (stop, renewal) = (agent.call(is_stop), agent.call(is_renewal));
+    agent.now += millis(1);
+    agent.reply(stop, CallOutcome::Done);
+    agent.reply(renewal, CallOutcome::LeaseRenewed(RunList::default()));
+    agent.answer_renewal(RunList::default());
+    assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
+}
