worker: Use announcements of replacements whose time of day is behind

Cause: an announcement with an earlier start time than the session's counted as a delayed one of a former incarnation. A worker that restarted after its time of day had stepped back got no tasks until a call showed its start time.

Change: the agent remembers the start times of the last 16 incarnations and ignores only theirs. Under the same name any other start time begins a new incarnation; the next list corrects that if the announcement was delayed. Under another name the agent asks the current worker for its list first, and uses the announcement once that worker has gone.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -1,5 +1,6 @@
 //! State of the agent core, its event handlers and its timer.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::{
@@ -27,6 +28,8 @@
     pub(crate) session: Option<Session>,
     /// Highest fencing token of the sessions that have ended.
     pub(crate) former_token: FencingToken,
+    /// Start times of the latest incarnations that have ended.
+    pub(crate) former_starts: VecDeque<Duration>,
     pub(crate) owners: Owners,
     pub(crate) runs: IndexMap<TaskKey, Run>,
     pub(crate) ended_runs: IndexMap<TaskKey, EndedRunRecord>,
@@ -74,6 +77,7 @@
             cfg,
             session: None,
             former_token: 0,
+            former_starts: VecDeque::new(),
             owners: Owners::default(),
             runs: IndexMap::new(),
             ended_runs: IndexMap::new(),
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -117,6 +117,7 @@
             return false;
         };
         let uncertain = session.synced_at.is_none() || !session.available || !session.orphans.is_empty();
+        let uncertain = uncertain || session.may_be_replaced;
         uncertain || self.has_started()
     }
 
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -226,6 +226,7 @@
             return;
         };
         session.renewal_pending = false;
+        session.may_be_replaced = false;
         let CallOutcome::LeaseRenewed(list) = outcome else {
             session.renew_at = match outcome {
                 _ if !session.available => now + UNAVAILABLE_RETRY_DELAY,
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -12,6 +12,9 @@
 use crate::health::Health;
 use crate::run::{Phase, Run, Stop};
 
+/// Maximum number of former incarnations whose delayed announcements are recognised.
+const MAX_FORMER_STARTS: usize = 16;
+
 /// What an incarnation of the worker has told its agent about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Presence {
@@ -44,6 +47,8 @@
     pub(crate) listed_at: Option<Instant>,
     /// When the worker first refused a connection, or another incarnation answered, since its latest reply.
     pub(crate) gone_at: Option<Instant>,
+    /// Whether an announcement may be that of a replacement, so that the next list of runs has to show who answers.
+    pub(crate) may_be_replaced: bool,
     /// Consecutive calls without an answer from this incarnation.
     pub(crate) unanswered: u32,
     pub(crate) available: bool,
@@ -72,6 +77,7 @@
             replied_at: now,
             listed_at: None,
             gone_at: None,
+            may_be_replaced: false,
             unanswered: 0,
             available: true,
             health: Health::default(),
@@ -103,22 +109,26 @@
         let known = &session.worker;
         let same_name = known.description.worker == announcement.description.worker;
         let started_at = announcement.started_at;
-        let identified = session.started_at.unwrap_or(known.started_at);
+        let is_later = started_at > session.started_at.unwrap_or(known.started_at);
         if same_name && session.started_at == Some(started_at) {
             if session.presence == Presence::Unannounced || announcement.sequence > known.sequence {
                 self.update_session(now, announcement, actions);
             }
-        } else if started_at <= identified {
+        } else if self.former_starts.contains(&started_at) {
             // A delayed announcement of an earlier incarnation.
         } else if same_name && session.started_at.is_none() {
             self.update_session(now, announcement, actions);
         } else if same_name {
+            // The start time may be earlier, because the time of day has stepped back. If the announcement is a delayed one
+            // instead, the next list of runs shows the incarnation that answers.
             self.restart_session(now, Some(started_at), announcement.clock, false, actions);
             self.update_session(now, announcement, actions);
-        } else {
+        } else if is_later || session.gone_at.is_some() {
             self.record_crash(now, actions);
             self.end_session(now, GoneReason::Renamed, actions);
             self.begin_session(now, announcement, actions);
+        } else if let Some(session) = self.session.as_mut() {
+            session.may_be_replaced = true;
         }
     }
 
@@ -216,6 +226,7 @@
         self.ended_runs.clear();
         let worker = self.worker_name();
         self.retain_token();
+        self.retain_start();
         self.session = None;
         actions.push(Action::Notice(Notice::WorkerGone { worker, lost, reason }));
     }
@@ -236,6 +247,7 @@
         self.refuse_waiting(now, "the worker has restarted", actions);
         self.record_crash(now, actions);
         self.retain_token();
+        self.retain_start();
         let Some(former) = self.session.take() else {
             return;
         };
@@ -264,6 +276,18 @@
         });
     }
 
+    /// Records the start time of an incarnation that has ended, to recognise its delayed announcements.
+    fn retain_start(&mut self) {
+        let Some(session) = self.session.as_ref() else {
+            return;
+        };
+        let started_at = session.started_at.unwrap_or(session.worker.started_at);
+        self.former_starts.push_back(started_at);
+        if self.former_starts.len() > MAX_FORMER_STARTS {
+            self.former_starts.pop_front();
+        }
+    }
+
     fn retain_token(&mut self) {
         let token = self.session.as_ref().map_or(0, |session| session.token);
         self.former_token = self.former_token.max(token);
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -492,3 +492,24 @@
     agent.answer_renewal(RunList::default());
     assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
 }
+
+/// Guards against a worker that gets no tasks because it was replaced by one of another name whose time of day is behind.
+#[test]
+fn replacement_with_earlier_start_time_is_used() {
+    let mut agent = Agent::new();
+    agent.handle(Event::Announced(announcement(1_000, 9)));
+    agent.answer_renewal(RunList::default());
+    let is_joined = |action: &Action| matches!(action, Action::Notice(Notice::WorkerJoined { .. }));
+    agent.handle(Event::Announced(announcement(900, 1)));
+    assert!(
+        !agent.actions.iter().any(is_joined),
+        "a delayed announcement is not excluded"
+    );
+    let renewal = agent.call(is_renewal);
+    agent.reply(renewal, CallOutcome::OtherIncarnation);
+    agent.handle(Event::Announced(announcement(900, 2)));
+    assert!(agent.actions.iter().any(is_joined));
+    // An announcement of the replaced worker that arrives late must not end the session.
+    agent.handle(Event::Announced(announcement(1_000, 10)));
+    assert!(!agent.actions.iter().any(is_joined));
+}
