broker, worker: Pass records of lost workers on to restarted agents

Cause: the records of a task that crashes its workers were kept by the agents that noticed the losses and by the entries of that time.

Change: on each new link an entry passes the records of tasks under which two or more workers were lost on to the agent, which stores up to 128 of them and repeats them to all entries. A record names the process that noticed the loss, so it counts once. Agents say in their description that they accept the new message; earlier ones never get it.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -38,6 +38,8 @@
     /// Arrival of the latest heartbeat.
     pub(crate) last_heartbeat_at: Instant,
     pub(crate) last_order: OrderNumber,
+    /// Link on which records of the losses of other workers were passed on.
+    pub(crate) forwarded_on: Option<LinkNumber>,
     pub(crate) outstanding: IndexMap<AttemptKey, Outstanding>,
 }
 
@@ -52,6 +54,7 @@
             last_heartbeat: 0,
             last_heartbeat_at: now,
             last_order: 0,
+            forwarded_on: None,
             outstanding: IndexMap::new(),
         }
     }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -248,6 +248,7 @@
         match message {
             WorkerToEntry::Describe(worker, crashes) => {
                 self.record_crashes(now, at, crashes, actions);
+                self.forward_losses(now, link, at, worker.stores_losses, actions);
                 let agent = self.agents.get_mut(at);
                 let joined = agent.worker.worker != worker.worker && !worker.pool.is_empty();
                 agent.worker = worker;
--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -5,7 +5,9 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{IncarnationNumber, JobId, ProcessId, TaskKey, WorkerCrash};
+use chestnutfork_types::{
+    EntryToWorker, IncarnationNumber, JobId, LinkNumber, ProcessId, TaskKey, WorkerCrash, WorkerName,
+};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::agents::AgentIndex;
@@ -24,11 +26,16 @@
 /// Maximum number of jobs with records; the oldest record is dropped first.
 const MAX_JOBS: usize = 4_096;
 
+/// Number of losses of a task from which its records are passed on to agents.
+const MIN_FORWARDED_LOSSES: usize = 2;
+
 /// Worker that was lost while it ran a task.
 #[derive(Clone, Debug)]
 struct Loss {
     task: TaskKey,
-    agent: AgentIndex,
+    /// Agent of the worker, or `None` if another agent has passed the record on.
+    agent: Option<AgentIndex>,
+    worker: WorkerName,
     /// Incarnation that the agent reported as lost, or `None` if only the attempt was reported as lost.
     source: Option<(ProcessId, IncarnationNumber)>,
     /// Whether the worker has certainly crashed.
@@ -81,13 +88,15 @@
     ) -> bool {
         let losses = self.losses_of(task.job);
         // At most one run of a task is on a worker at a time, so a loss that was noticed after the order is this one.
-        let reported = |loss: &Loss| loss.source.is_some() && loss.agent == agent && loss.at >= ordered_at;
+        let reported =
+            |loss: &Loss| loss.source.is_some() && loss.agent == Some(agent) && loss.at >= ordered_at;
         if losses.iter().any(|loss| loss.task == task && reported(loss)) {
             return false;
         }
         losses.push(Loss {
             task,
-            agent,
+            agent: Some(agent),
+            worker: WorkerName::new(),
             source: None,
             confirmed: false,
             explained: false,
@@ -98,42 +107,65 @@
     }
 
     /// Records that an agent reported the loss of its worker under a task; returns whether that changes the count.
-    fn record_report(
-        &mut self,
-        agent: AgentIndex,
-        source: (ProcessId, IncarnationNumber),
-        task: TaskKey,
-        confirmed: bool,
-        noticed_at: Instant,
-    ) -> bool {
+    fn record_report(&mut self, report: Loss) -> bool {
+        let Loss {
+            task,
+            agent,
+            source,
+            confirmed,
+            at: noticed_at,
+            ..
+        } = report;
         let losses = self.losses_of(task.job);
-        let known = |loss: &&mut Loss| loss.task == task && loss.source == Some(source);
+        let known = |loss: &&mut Loss| loss.task == task && loss.source == source;
         if let Some(loss) = losses.iter_mut().find(known) {
             let changed = confirmed && !loss.confirmed;
             loss.confirmed |= confirmed;
             loss.at = loss.at.max(noticed_at);
             loss.recorded_at = loss.at;
+            loss.agent = loss.agent.or(agent);
             return changed;
         }
         // The report replaces the record of the attempt whose loss it explains.
         let attempts = losses.iter().enumerate().filter(|(_, loss)| {
-            loss.task == task && loss.agent == agent && loss.source.is_none() && loss.at <= noticed_at
+            let same_run = loss.task == task && loss.agent == agent && loss.source.is_none();
+            same_run && loss.at <= noticed_at
         });
         if let Some((at, _)) = attempts.max_by_key(|(_, loss)| loss.at) {
             losses.remove(at);
         }
-        losses.push(Loss {
-            task,
-            agent,
-            source: Some(source),
-            confirmed,
-            explained: false,
-            at: noticed_at,
-            recorded_at: noticed_at,
-        });
+        losses.push(report);
         true
     }
 
+    /// Returns the records of tasks under which several workers were lost, except those that a process has reported itself.
+    ///
+    /// They are passed on, because a task may go on crashing workers once every process that knows of its losses is gone.
+    pub(crate) fn forwarded(&self, now: Instant, to: ProcessId) -> Vec<WorkerCrash> {
+        let mut records = Vec::new();
+        for losses in self.jobs.values() {
+            let count = |task: TaskKey| losses.iter().filter(|loss| loss.task == task).count();
+            for loss in losses
+                .iter()
+                .filter(|loss| count(loss.task) >= MIN_FORWARDED_LOSSES)
+            {
+                let Some((reporter, incarnation)) = loss.source.filter(|(reporter, _)| *reporter != to)
+                else {
+                    continue;
+                };
+                records.push(WorkerCrash {
+                    reporter: Some(reporter),
+                    incarnation,
+                    worker: loss.worker.clone(),
+                    confirmed: loss.confirmed,
+                    age: now.saturating_duration_since(loss.at),
+                    tasks: vec![loss.task],
+                });
+            }
+        }
+        records
+    }
+
     fn losses_of(&mut self, job: JobId) -> &mut Vec<Loss> {
         if self.jobs.len() >= MAX_JOBS && !self.jobs.contains_key(&job) {
             self.jobs.shift_remove_index(0);
@@ -269,12 +301,19 @@
                 continue;
             }
             let noticed_at = now.checked_sub(crash.age).unwrap_or(now);
-            let source = (process, crash.incarnation);
+            let source = (crash.reporter.unwrap_or(process), crash.incarnation);
             for task in crash.tasks {
-                if self
-                    .crashes
-                    .record_report(agent, source, task, crash.confirmed, noticed_at)
-                {
+                let loss = Loss {
+                    task,
+                    agent: crash.reporter.is_none().then_some(agent),
+                    worker: crash.worker.clone(),
+                    source: Some(source),
+                    confirmed: crash.confirmed,
+                    explained: false,
+                    at: noticed_at,
+                    recorded_at: noticed_at,
+                };
+                if self.crashes.record_report(loss) {
                     self.log_loss(agent, crash.worker.clone(), task, actions);
                     jobs.insert(task.job);
                 }
@@ -288,6 +327,26 @@
         }
     }
 
+    /// Passes records of other agents on to an agent process, once on each link.
+    pub(crate) fn forward_losses(
+        &mut self,
+        now: Instant,
+        link: LinkNumber,
+        at: AgentIndex,
+        stores_losses: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let agent = self.agents.get_mut(at);
+        if !stores_losses || agent.forwarded_on == Some(link) {
+            return;
+        }
+        agent.forwarded_on = Some(link);
+        let losses = self.crashes.forwarded(now, agent.process);
+        if !losses.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::Losses(losses)));
+        }
+    }
+
     fn log_loss(&self, agent: AgentIndex, worker: String, task: TaskKey, actions: &mut Vec<Action>) {
         let count = self.crashes.count(task);
         actions.push(Action::Notice(Notice::LossCounted {
--- a/crates/broker/tests/crashes.rs
+++ b/crates/broker/tests/crashes.rs
@@ -2,8 +2,8 @@
 
 mod entry;
 
-use chestnutfork_broker::{Answer, Event, JobState};
-use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey, WorkerCrash};
+use chestnutfork_broker::{Action, Answer, Event, JobState};
+use chestnutfork_types::{AttemptKey, EntryToWorker, RunOutcome, TaskKey, WorkerCrash};
 use entry::{Entry, millis};
 
 /// Returns the attempts of one job with their links.
@@ -26,6 +26,7 @@
         confirmed,
         age: millis(0),
         tasks: tasks.to_vec(),
+        reporter: None,
     }
 }
 
@@ -316,3 +317,43 @@
     let failed = Answer::State(JobState::Failed);
     assert_eq!(entry.answers(), [(1, failed), (2, failed)]);
 }
+
+/// Returns the records that were passed on to an agent.
+fn passed_on(entry: &Entry, to: u64) -> Vec<WorkerCrash> {
+    let records = entry.actions.iter().filter_map(|action| match action {
+        Action::ToAgent(link, EntryToWorker::Losses(losses)) if *link == to => Some(losses.clone()),
+        _ => None,
+    });
+    records.flatten().collect()
+}
+
+/// Guards against a task that goes on crashing workers because the agents that reported its losses have been killed, and then
+/// the entries too.
+#[test]
+fn losses_of_several_workers_are_passed_on() {
+    let mut entry = Entry::with_workers(3);
+    entry.report_crashes(1, vec![crash(1, false, &[task(1), task(2)])]);
+    entry.report_crashes(2, vec![crash(4, true, &[task(1)])]);
+    entry.actions.clear();
+    // An agent gets records once on each link, and those of other processes only.
+    entry.connect(4);
+    let losses = passed_on(&entry, 4);
+    let sources: Vec<_> = losses
+        .iter()
+        .map(|loss| (loss.reporter, loss.incarnation))
+        .collect();
+    assert_eq!(sources, [(Some(1), 1), (Some(2), 4)]);
+    assert!(losses.iter().all(|loss| loss.tasks == [task(1)]));
+    entry.actions.clear();
+    entry.report_crashes(4, Vec::new());
+    assert_eq!(passed_on(&entry, 4), []);
+    // The next entry learns of them from that agent, and counts each of them once.
+    let mut successor = Entry::with_workers(3);
+    successor.report_crashes(3, losses.clone());
+    successor.report_crashes(2, losses);
+    successor.report_crashes(2, vec![crash(4, true, &[task(1)])]);
+    successor.report_crashes(3, vec![crash(1, true, &[task(1)])]);
+    successor.submit(1, 1, 1);
+    assert_eq!(successor.answers(), [(1, Answer::State(JobState::Failed))]);
+    assert_eq!(successor.attempts(), []);
+}
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -118,6 +118,7 @@
                 gpus: 0,
             },
             leaving: false,
+            stores_losses: true,
         };
         self.receive(link, WorkerToEntry::Describe(worker, crashes));
     }
--- a/crates/leased/tests/sim/workers.rs
+++ b/crates/leased/tests/sim/workers.rs
@@ -78,6 +78,7 @@
                     gpus: 0,
                 },
                 leaving: worker.state == WorkerState::Leaving,
+                stores_losses: false,
             },
             address: "worker:1".to_owned(),
             started_at: Duration::from_secs(incarnation),
--- a/crates/types/src/crashes.rs
+++ b/crates/types/src/crashes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::ids::ProcessId;
 use crate::runs::{TaskKey, WorkerName};
 
 /// Number of an incarnation of a worker, as counted by one process of its agent.
@@ -12,6 +13,8 @@
 /// The process of the agent and the number identify the incarnation, so a report that arrives several times counts once.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerCrash {
+    /// Process of the agent that noticed the loss, unless the agent that sends the record noticed it itself.
+    pub reporter: Option<ProcessId>,
     /// Number of the incarnation.
     pub incarnation: IncarnationNumber,
     /// Name of the worker.
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -139,6 +139,8 @@
         /// Attempts to stop; an earlier stop message may have been lost with the previous link.
         stop: Vec<AttemptKey>,
     },
+    /// Records of lost workers that other agents have reported, which the agent passes on to the entries.
+    Losses(Vec<WorkerCrash>),
 }
 
 /// Outcome of a run.
@@ -196,6 +198,8 @@
     pub capacity: Resources,
     /// Whether the worker is being drained and accepts no new tasks.
     pub leaving: bool,
+    /// Whether the agent accepts records of the losses of other workers.
+    pub stores_losses: bool,
 }
 
 /// Load and health of a worker as observed by its agent.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -51,6 +51,9 @@
     /// Lists the attempts that the entry has recorded for the agent: those to continue and those to stop.
     #[serde(rename = "c")]
     Reconcile(Vec<AttemptWire>, Vec<AttemptWire>),
+    /// Records of lost workers. Earlier versions do not know it; agents that do say so in their description.
+    #[serde(rename = "k")]
+    Losses(Vec<WorkerCrashWire>),
 }
 
 /// Wire form of [`WorkerToEntry`].
@@ -80,6 +83,9 @@
         /// Recent crashes of the worker. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
         crashes: Vec<WorkerCrashWire>,
+        /// Whether the agent accepts [`EntryToWorkerWire::Losses`]. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+        stores_losses: bool,
     },
     /// Numbered heartbeat with the current load.
     #[serde(rename = "b")]
@@ -110,6 +116,9 @@
     /// Tasks that were on the worker.
     #[serde(rename = "t")]
     tasks: Vec<TaskWire>,
+    /// Process that noticed the loss, if it is not the sender. Earlier versions do not send this field, and ignore it.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    reporter: Option<u64>,
 }
 
 /// Wire form of [`WorkerLoad`]: free capacity, share of the entry, queued tasks, run time ratio, failure rate,
@@ -193,6 +202,7 @@
             confirmed: crash.confirmed,
             age_us: micros(crash.age),
             tasks: crash.tasks.into_iter().map(task_to_wire).collect(),
+            reporter: crash.reporter,
         }
     }
 }
@@ -205,6 +215,7 @@
             confirmed: wire.confirmed,
             age: Duration::from_micros(wire.age_us),
             tasks: wire.tasks.into_iter().map(task_from_wire).collect(),
+            reporter: wire.reporter,
         }
     }
 }
@@ -289,6 +300,7 @@
             EntryToWorker::Reconcile { keep, stop } => {
                 Self::Reconcile(attempts_to_wire(keep), attempts_to_wire(stop))
             }
+            EntryToWorker::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
 }
@@ -322,6 +334,7 @@
                 keep: attempts_from_wire(keep),
                 stop: attempts_from_wire(stop),
             },
+            EntryToWorkerWire::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
 }
@@ -336,6 +349,7 @@
                 labels: description.labels,
                 capacity: resources_to_wire(description.capacity),
                 leaving: description.leaving,
+                stores_losses: description.stores_losses,
                 crashes: crashes.into_iter().map(Into::into).collect(),
             },
             WorkerToEntry::Heartbeat(number, load) => Self::Heartbeat(number, load_to_wire(load)),
@@ -364,6 +378,7 @@
                 capacity,
                 leaving,
                 crashes,
+                stores_losses,
             } => {
                 let description = WorkerDescription {
                     worker,
@@ -372,6 +387,7 @@
                     labels,
                     capacity: resources_from_wire(capacity),
                     leaving,
+                    stores_losses,
                 };
                 Self::Describe(description, crashes.into_iter().map(Into::into).collect())
             }
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -26,6 +26,7 @@
         confirmed: true,
         age: Duration::from_micros(17),
         tasks: vec![key(8).task, key(9).task],
+        reporter: Some(11),
     }
 }
 
@@ -91,6 +92,7 @@
             keep: vec![key(1)],
             stop: vec![key(2)],
         },
+        EntryToWorker::Losses(vec![crash()]),
     ];
     for message in messages {
         let mut buf = Vec::new();
@@ -110,6 +112,7 @@
         labels: vec!["a".to_owned(), "r1-1".to_owned()],
         capacity: load().free,
         leaving: true,
+        stores_losses: true,
     };
     let outcomes = [
         RunOutcome::Completed,
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -198,6 +198,7 @@
                 self.unreconciled.extend(stop.into_iter().map(listed(false)));
                 self.reconcile_attempts(now, actions);
             }
+            EntryToWorker::Losses(losses) => self.crashes.store(now, losses),
         }
     }
 
--- a/crates/worker/src/crashes.rs
+++ b/crates/worker/src/crashes.rs
@@ -18,6 +18,9 @@
 const MAX_RECORDS: usize = 16;
 /// Maximum number of tasks in a record, which keeps a description below the size of a frame.
 const MAX_TASKS: usize = 256;
+/// Maximum number of records of other workers that an agent stores; entries pass on only those of tasks that lost several
+/// workers.
+const MAX_STORED_LOSSES: usize = 128;
 /// Longest time between the latest list of runs and the first sign that the worker has gone for which the listed runs count as
 /// in progress at the crash. A list follows each end at once, and a lost call is repeated within this time.
 const CRASH_WINDOW: Duration = Duration::from_millis(150);
@@ -48,12 +51,21 @@
     tasks: Vec<LostTask>,
 }
 
-/// Recent losses of the worker.
+/// Loss that another agent process has noticed, and when.
+#[derive(Clone, Debug)]
+struct StoredLoss {
+    loss: WorkerCrash,
+    noticed_at: Instant,
+}
+
+/// Recent losses of the worker, and records of the losses of others.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     records: VecDeque<Record>,
     /// Number of the current incarnation.
     incarnation: IncarnationNumber,
+    /// Losses of other workers, which entries have passed on.
+    stored: Vec<StoredLoss>,
     /// Whether the entries have not been told of the latest change.
     changed: bool,
 }
@@ -130,17 +142,47 @@
                     confirmed,
                     age: now.saturating_duration_since(latest),
                     tasks: tasks.map(|lost| lost.task).collect(),
+                    reporter: None,
                 });
             }
         }
+        reports.extend(self.stored.iter().map(|stored| WorkerCrash {
+            age: now.saturating_duration_since(stored.noticed_at),
+            ..stored.loss.clone()
+        }));
         reports
     }
 
+    /// Stores losses that other agent processes have noticed, so that they outlive those processes and the entries.
+    pub(crate) fn store(&mut self, now: Instant, losses: Vec<WorkerCrash>) {
+        for mut loss in losses {
+            let same = |stored: &&StoredLoss| {
+                let other = &stored.loss;
+                (other.reporter, other.incarnation, other.confirmed)
+                    == (loss.reporter, loss.incarnation, loss.confirmed)
+            };
+            let known = self
+                .stored
+                .iter()
+                .filter(same)
+                .flat_map(|stored| &stored.loss.tasks);
+            let known: Vec<TaskKey> = known.copied().collect();
+            loss.tasks.retain(|task| !known.contains(task));
+            let noticed_at = now.checked_sub(loss.age).unwrap_or(now);
+            let has_room = self.stored.len() < MAX_STORED_LOSSES;
+            if loss.reporter.is_some() && !loss.tasks.is_empty() && has_room {
+                self.changed = true;
+                self.stored.push(StoredLoss { loss, noticed_at });
+            }
+        }
+    }
+
     pub(crate) fn remove_expired(&mut self, now: Instant, retention: Duration) {
         for record in &mut self.records {
             record.tasks.retain(|lost| now < lost.lost_at + retention);
         }
         self.records.retain(|record| !record.tasks.is_empty());
+        self.stored.retain(|stored| now < stored.noticed_at + retention);
     }
 
     /// Notes that all connected entries are told of the records.
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -145,6 +145,7 @@
             .map(|session| session.worker.description.clone())
             .unwrap_or_default();
         description.leaving |= self.draining || session.is_some_and(Session::is_withdrawn);
+        description.stores_losses = true;
         description
     }
 
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -57,6 +57,7 @@
             labels: Vec::new(),
             capacity: cores(4),
             leaving: false,
+            stores_losses: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -51,6 +51,7 @@
                 gpus: 0,
             },
             leaving: false,
+            stores_losses: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
--- a/crates/worker/tests/crashes.rs
+++ b/crates/worker/tests/crashes.rs
@@ -219,3 +219,29 @@
     crash_under(&mut agent, &[1]);
     assert_eq!(reports_of_next_incarnation(&mut agent), [(1, false, vec![1])]);
 }
+
+/// Guards against records of losses that are lost because an agent does not repeat those that an entry passed on to it.
+#[test]
+fn passed_on_losses_are_reported_to_entries() {
+    let mut agent = Agent::ready();
+    agent.connect(2);
+    let loss = WorkerCrash {
+        reporter: Some(9),
+        incarnation: 4,
+        worker: "v".to_owned(),
+        confirmed: true,
+        age: millis(500),
+        tasks: vec![attempt(1).task],
+    };
+    let message = EntryToWorker::Losses(vec![loss.clone()]);
+    let actions = agent.handle(Event::FromEntry {
+        link: LINK,
+        message: message.clone(),
+    });
+    assert_eq!(reports(&actions, 2), Some(vec![loss.clone()]));
+    let actions = agent.handle(Event::FromEntry { link: 2, message });
+    assert_eq!(reports(&actions, LINK), None, "a known record is not repeated");
+    agent.now += millis(30_000);
+    agent.handle(Event::Tick);
+    assert_eq!(reports(&agent.connect(3), 3), Some(Vec::new()));
+}
