worker: Cover unnoticed restarts in the wait of a new agent process

Cause: an agent was killed 250 ms after it had sent starts to a worker that had restarted under its name.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -9,7 +9,8 @@
 };
 use indexmap::IndexMap;
 
-use crate::config::WorkerConfig;
+use crate::clock::MAX_WORKER_LEASE;
+use crate::config::{WorkerConfig, lease_expiry_time};
 use crate::crashes::Crashes;
 use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
 use crate::orders::PendingCall;
@@ -85,7 +86,7 @@
             next_call: 0,
             unreconciled: Vec::new(),
             orphan_deadline: now + cfg.orphan_grace_period,
-            former_runs_expire_at: now + cfg.worker_lease_expiry(),
+            former_runs_expire_at: now + lease_expiry_time(MAX_WORKER_LEASE),
             heartbeat_at: now,
             load_report_at: now,
             reported_free: Resources::default(),
