raft, control: Elect a leader at once after a restart of all replicas

Cause: replicas that all start again know their members and hear each other, but wait for a whole election timeout (300 to 600 ms on the users' platform) although none of them follows a leader. Entries have no routes meanwhile.

Change: a control process tells its replica when a quorum of the voters is connected for the first time. A replica that has not heard of a leader then starts its pre-vote after half a heartbeat for each voter with a lower id, so that votes do not split. A replica that restarts alone loses its pre-vote.

--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -69,6 +69,7 @@
         for link in self.peers.links() {
             self.outputs.push(Output::ToPeer(link, hello.clone()));
         }
+        self.check_quorum();
         Some(change)
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -19,7 +19,7 @@
 use crate::formation::Formation;
 use crate::leases::Leases;
 use crate::membership_repair::MembershipRepair;
-use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, SubscriberMessage};
+use crate::message::{Event, Notice, Output, PeerMessage, ProbeId, ReplicaHello, SubscriberMessage};
 use crate::peers::Peers;
 use crate::persist;
 use crate::requests::Requests;
@@ -89,6 +89,8 @@
     was_leader: bool,
     shutting_down: bool,
     pub(crate) formation: Option<Formation>,
+    /// Whether a quorum of the voters has been connected since the start of the process.
+    quorum_was_connected: bool,
     pub(crate) directory: Directory,
     pub(crate) publisher: Publisher,
     /// Latest document version that was logged as applied.
@@ -129,6 +131,7 @@
             was_leader: false,
             shutting_down: false,
             formation: None,
+            quorum_was_connected: false,
             directory: Directory::default(),
             publisher: Publisher::default(),
             logged_document: 0,
@@ -321,11 +324,25 @@
         }
     }
 
+    /// Notes when a quorum of the voters is connected for the first time, so that the first election need not wait.
+    pub(crate) fn check_quorum(&mut self) {
+        let members = self.raft.membership();
+        let connected = members.voters.iter().filter(|&&voter| {
+            let formed = |hello: &ReplicaHello| !hello.members.is_empty();
+            voter == self.replica() || self.peers.hello_of(voter).is_some_and(formed)
+        });
+        if !self.quorum_was_connected && !members.voters.is_empty() && connected.count() >= members.quorum() {
+            self.quorum_was_connected = true;
+            self.raft_events.push(RaftEvent::QuorumConnected);
+        }
+    }
+
     fn on_peer_message(&mut self, now: Instant, wall: SystemTime, link: u64, message: PeerMessage) {
         match message {
             PeerMessage::Hello(hello) => {
                 self.peers.record_hello(link, hello);
                 self.check_formation();
+                self.check_quorum();
             }
             PeerMessage::Raft(message) => self.raft_events.push(RaftEvent::Message(message)),
             PeerMessage::Probe(probe) => self.on_probe(now, link, probe),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -68,6 +68,13 @@
         &self.hellos
     }
 
+    /// Returns the introduction of a replica with an open link.
+    pub(crate) fn hello_of(&self, replica: ReplicaId) -> Option<&ReplicaHello> {
+        self.link(replica)?;
+        let mut hellos = self.hellos.values();
+        hellos.find(|hello| hello.replica == replica)
+    }
+
     /// Returns the name of a replica; it remains known after the link has closed.
     pub(crate) fn name(&self, replica: ReplicaId) -> Option<&str> {
         self.names.get(&replica).map(String::as_str)
--- a/crates/control/tests/core.rs
+++ b/crates/control/tests/core.rs
@@ -291,3 +291,27 @@
     assert!(!left.view.members.contains(&3));
     assert_eq!(left.view.floor, None);
 }
+
+/// Guards against a group that waits for a whole election timeout although all its processes have just started again, as after
+/// a loss of all power: entries have no routes until there is a leader.
+#[test]
+fn elect_after_restart_of_all_does_not_wait() {
+    for size in [3, 5] {
+        for gap in [0, 20, 90] {
+            let gap = Duration::from_millis(gap);
+            let (mut group, leader) = Group::formed(size);
+            assert_eq!(group.ask(leader, patch(0, 1, service(1))).0, 200);
+            group.run_for(SECOND);
+            let count = size as u64;
+            let folders: Vec<MemoryFolder> = (0..count).map(|node| group.stop(node)).collect();
+            group.run_for(SECOND);
+            for (node, folder) in (0..count).zip(folders) {
+                group.start(node, folder);
+                group.run_for(gap);
+            }
+            group.run_for(Duration::from_millis(350).saturating_sub(gap));
+            let leader = group.leader().expect("a leader within 350 ms of the last start");
+            assert_eq!(group.core(leader).version(), 1, "{size} processes, {gap:?} apart");
+        }
+    }
+}
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -8,6 +8,9 @@
 use crate::message::MessageBody;
 use crate::raft::{Raft, Role};
 
+/// Elections that fit into a heartbeat interval when all replicas have restarted. One takes two round trips and a synced write.
+const ELECTIONS_PER_HEARTBEAT: u32 = 2;
+
 /// Last term and last index of a log; the log with the larger pair is more up to date.
 pub(crate) type LogEnd = (Term, LogIndex);
 
@@ -46,6 +49,23 @@
         self.send_to_voters(self.hard_state.term + 1, &body, actions);
     }
 
+    /// Shortens the wait for the first election if this replica has not heard of a leader since it started.
+    ///
+    /// After a restart of all replicas nobody follows a leader, so there is nothing to wait for. A replica that restarts alone
+    /// loses its pre-vote, because the others follow a leader. The voters start one after the other, in the order of their ids,
+    /// so that they do not split the votes.
+    pub(crate) fn on_quorum_connected(&mut self, now: Instant) {
+        if self.role != Role::Follower || self.leader.is_some() || self.last_leader_contact.is_some() {
+            return;
+        }
+        let members = self.membership();
+        let rank = members.voters.iter().position(|&voter| voter == self.cfg.id);
+        if let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) {
+            let delay = self.cfg.heartbeat / ELECTIONS_PER_HEARTBEAT * rank;
+            self.election_deadline = self.election_deadline.min(now + delay);
+        }
+    }
+
     /// Starts an election without a pre-vote, at the request of the leader.
     pub(crate) fn on_timeout_now(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let votes = self.membership().is_voter(self.cfg.id);
--- a/crates/raft/src/event.rs
+++ b/crates/raft/src/event.rs
@@ -46,6 +46,8 @@
         /// Id that the outcome refers to.
         id: ReadId,
     },
+    /// A quorum of the voters is connected for the first time since this replica started.
+    QuorumConnected,
     /// Transfers leadership, for example before a shutdown.
     TransferLeadership {
         /// Voter that takes over; if absent, the active voter with the most complete log.
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -230,6 +230,7 @@
             Event::Propose(proposals) => self.on_propose(now, proposals, actions),
             Event::ProposeMembership { id, change } => self.on_propose_membership(now, id, change, actions),
             Event::Read { id } => self.on_read(now, id, actions),
+            Event::QuorumConnected => self.on_quorum_connected(now),
             Event::TransferLeadership { to } => self.on_transfer(now, to, actions),
             Event::Compact { index, data } => self.on_compact(index, data, actions),
             Event::StorageFailed { .. } | Event::StorageReady => {}
--- a/crates/raft/tests/random_run.rs
+++ b/crates/raft/tests/random_run.rs
@@ -18,7 +18,8 @@
     violations.map(|violation| violation.name()).collect()
 }
 
-/// Guards against violations of Raft's invariants, and against a group that does not recover, under seeded faults.
+/// Guards against violations of Raft's invariants, and against a group that does not recover, under seeded faults. Replicas of
+/// even seeds begin elections as soon as they start.
 #[test]
 fn run_seed_faults_keep_rules() {
     for seed in SEEDS {
--- a/crates/raft/tests/sim/chaos.rs
+++ b/crates/raft/tests/sim/chaos.rs
@@ -36,6 +36,7 @@
         crash_probability: 0.000_5,
         compact_every: 10 + seed % 40,
         snapshot_size: 1000,
+        early_elections: injected_bug == InjectedBug::None && seed.is_multiple_of(2),
         injected_bug,
     };
     let cluster = Cluster::new(size, seed, options);
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/sim/mod.rs
@@ -38,6 +38,8 @@
     pub compact_every: u64,
     /// Size of a snapshot in bytes; at least 8 are used, for the digest of the state machine.
     pub snapshot_size: usize,
+    /// Whether each replica treats a quorum as connected as soon as it starts, whoever is connected.
+    pub early_elections: bool,
     pub injected_bug: InjectedBug,
 }
 
@@ -50,6 +52,7 @@
             crash_probability: 0.0,
             compact_every: 50,
             snapshot_size: 16,
+            early_elections: false,
             injected_bug: InjectedBug::None,
         }
     }
@@ -182,6 +185,9 @@
         node.digest = decode(&snapshot.data);
         node.raft = Some(raft);
         self.verifier.record_restart(id);
+        if self.options.early_elections {
+            self.handle_event(id, Event::QuorumConnected);
+        }
     }
 
     /// Stops a replica; unsynced persist actions are lost.
