--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -15,6 +15,7 @@
 use crate::identity::{ClusterSecret, Identity};
 use crate::link::{LinkError, LinkHandler, Session, socket_config};
 use crate::metrics::Metrics;
+use crate::staggered::first_result;
 use crate::timing::LinkTiming;
 
 /// Lifetime after which a link counts as stable and resets the backoff.
@@ -212,7 +213,7 @@
 }
 
 async fn connect(cfg: &DialConfig) -> Result<Session, LinkError> {
-    let stream = TcpStream::connect(&cfg.address).await?;
+    let stream = first_result(|| TcpStream::connect(cfg.address.clone())).await?;
     stream.set_nodelay(true)?;
     let url = format!("ws://{}/link", cfg.address);
     let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config())).await?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 mod listen;
 mod metrics;
 mod registry;
+mod staggered;
 mod timing;
 mod wakeup;
 
