broker, worker: Let full workers refuse orders instead of queueing them

Cause: with many entries each one has a share of a worker's free capacity that is often nothing, so a job waited 25 ms for a share and then in the queue of a worker that other entries had filled, while other workers had room.

Change: an order names capacity in the share first and reported capacity beyond it otherwise, at once, and asks the agent to refuse tasks that cannot start now. A refusal carries the load; the task goes to another worker at once. After three refusals the next order may wait, because few workers have room. A job whose orders were all refused has not run, so it is refused and not timed out. Earlier agents ignore the new field and queue as before.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -24,6 +24,8 @@
     pub(crate) overdue_at: Instant,
     /// Whether the agent was ordered to stop the attempt.
     pub(crate) stopping: bool,
+    /// Whether the agent refuses the attempt if it cannot start at once.
+    pub(crate) refuse_if_full: bool,
 }
 
 /// Agent and the reported state of its worker.
--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::admission::RETRY_AFTER;
-use crate::agents::AgentIndex;
+use crate::agents::{AgentIndex, Outstanding};
 use crate::core::BrokerCore;
 use crate::event::{Action, Answer, JobEnd, Notice, RefusalReason};
 use crate::job::{Job, TaskState};
@@ -40,7 +40,7 @@
         }
         self.outstanding_tasks.swap_remove(&run.key.task);
         let id = run.key.task.job;
-        self.apply_end(now, agent, run, outstanding.stopping, healthy, actions);
+        self.apply_end(now, agent, run, outstanding, healthy, actions);
         if run.outcome == RunOutcome::Lost {
             self.record_lost_attempt(now, agent, run.key.task, outstanding.ordered_at, actions);
             self.give_up(now, id, actions);
@@ -53,7 +53,7 @@
         now: Instant,
         agent: AgentIndex,
         run: EndedRun,
-        stopping: bool,
+        outstanding: Outstanding,
         healthy: bool,
         actions: &mut Vec<Action>,
     ) {
@@ -75,12 +75,21 @@
         }
         task.state = TaskState::Waiting;
         task.avoid = Some(agent);
-        if stopping {
+        if run.outcome == RunOutcome::NotStarted {
+            job.possible_starts -= 1;
+            if job.possible_starts == 0 {
+                // Nothing of the job has run, so it can still be refused.
+                job.placed_at = None;
+            }
+        }
+        let task = &mut job.tasks[at];
+        if outstanding.stopping {
             task.overdue_stops += 1;
         }
         match run.outcome {
             RunOutcome::Failed if !healthy => task.unhealthy_worker_failures += 1,
             RunOutcome::Failed => task.failures += 1,
+            RunOutcome::NotStarted if outstanding.refuse_if_full => task.refusals += 1,
             RunOutcome::NotStarted => task.retry_at = Some(now + NOT_STARTED_RETRY_DELAY),
             _ => {}
         }
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -35,6 +35,8 @@
     pub(crate) unhealthy_worker_failures: u32,
     /// Earliest time at which the task may be placed again.
     pub(crate) retry_at: Option<Instant>,
+    /// Orders that agents have refused because their workers were full.
+    pub(crate) refusals: u32,
     /// Attempts that were stopped as overdue.
     pub(crate) overdue_stops: u32,
     /// Agent of the latest attempt that did not complete.
@@ -58,6 +60,8 @@
     /// When the first task was placed.
     pub(crate) placed_at: Option<Instant>,
     pub(crate) attempts: u64,
+    /// Attempts that may have started: all but those that were reported as not started.
+    pub(crate) possible_starts: u64,
     /// Key in the queue of waiting jobs: latency objective and order of arrival.
     pub(crate) order: (Instant, u64),
 }
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -18,6 +18,16 @@
 /// Constant added to that multiple, which covers the time that the task waits at the agent.
 const OVERDUE_SLACK: Duration = Duration::from_millis(250);
 
+/// Full workers that may refuse a task one after the other. The next order lets it wait at the worker, because few have room.
+const MAX_REFUSALS: u32 = 3;
+
+/// Tasks of a job that one order starts on a worker.
+#[derive(Debug, Default)]
+struct PendingOrder {
+    tasks: Vec<TaskOrder>,
+    refuse_if_full: bool,
+}
+
 impl BrokerCore {
     pub(crate) fn place_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.waiting.is_empty() || !self.may_place(now) {
@@ -54,7 +64,7 @@
         pool: &mut PoolSnapshot,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let mut orders: IndexMap<AgentIndex, Vec<TaskOrder>> = IndexMap::new();
+        let mut orders: IndexMap<AgentIndex, PendingOrder> = IndexMap::new();
         let mut has_capacity = true;
         let count = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
         for task in 0..count {
@@ -67,12 +77,15 @@
                 continue;
             }
             let suspect = self.crashes.is_suspect(job.key(task));
+            let refusals = job.tasks[task].refusals;
             let ordered: Vec<AgentIndex> = orders.keys().copied().collect();
             match self.select_worker(now, pool, job, task, &ordered) {
                 Choice::Place { agent, expected } => {
-                    if let Some(order) = self.record_order(now, id, task, agent, expected) {
-                        pool.reserve(agent, order.resources, suspect);
-                        orders.entry(agent).or_default().push(order);
+                    if let Some(task) = self.record_order(now, id, task, agent, expected) {
+                        pool.reserve(agent, task.resources, suspect);
+                        let order = orders.entry(agent).or_default();
+                        order.tasks.push(task);
+                        order.refuse_if_full |= refusals < MAX_REFUSALS;
                     }
                 }
                 Choice::Wait => {}
@@ -82,8 +95,8 @@
                 }
             }
         }
-        for (agent, tasks) in orders {
-            self.send_order(now, id, agent, tasks, actions);
+        for (agent, order) in orders {
+            self.send_order(now, id, agent, order, actions);
         }
         if let Some(job) = self.jobs.get(&id).filter(|job| !job.has_waiting()) {
             self.waiting.remove(&job.order);
@@ -112,6 +125,7 @@
         let step = &job.steps[usize::from(task.step)];
         let (resources, declared_run_time) = (step.resources, step.declared_run_time);
         job.attempts += 1;
+        job.possible_starts += 1;
         job.placed_at.get_or_insert(now);
         let agent_state = self.agents.get_mut(agent);
         let outstanding = Outstanding {
@@ -120,6 +134,7 @@
             ordered_at: now,
             overdue_at: now + expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_SLACK,
             stopping: false,
+            refuse_if_full: false,
         };
         agent_state.outstanding.insert(key, outstanding);
         self.outstanding_tasks.insert(key.task, agent);
@@ -135,7 +150,10 @@
         now: Instant,
         id: JobId,
         agent: AgentIndex,
-        tasks: Vec<TaskOrder>,
+        PendingOrder {
+            tasks,
+            refuse_if_full,
+        }: PendingOrder,
         actions: &mut Vec<Action>,
     ) {
         let Some(job) = self.jobs.get(&id) else {
@@ -143,12 +161,18 @@
         };
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
+        for task in &tasks {
+            if let Some(outstanding) = agent_state.outstanding.get_mut(&task.key) {
+                outstanding.refuse_if_full = refuse_if_full;
+            }
+        }
         let order = StartOrder {
             number: agent_state.last_order,
             last_heartbeat: agent_state.last_heartbeat,
             time_to_objective: job.objective_at.saturating_duration_since(now),
             spec: job.spec.clone(),
             tasks,
+            refuse_if_full,
         };
         if let Some(link) = agent_state.link {
             actions.push(Action::ToAgent(link, EntryToWorker::Start(order)));
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -155,6 +155,7 @@
                 failures: 0,
                 unhealthy_worker_failures: 0,
                 retry_at: None,
+                refusals: 0,
                 overdue_stops: 0,
                 avoid: None,
             })
@@ -184,6 +185,7 @@
             deadline: now + timeout,
             placed_at: None,
             attempts: 0,
+            possible_starts: 0,
             order: (objective_at, self.next_order),
         };
         self.waiting.insert(job.order, id);
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -25,10 +25,6 @@
 /// tasks of a job on a worker, and the smallest entries have links of 25 Mbit/s.
 const SAME_ORDER_FACTOR: f64 = 0.85;
 
-/// Time after which a job may use capacity allocated to other entries: slightly more than the time between two reports
-/// of an agent.
-const SHARE_TIMEOUT: Duration = Duration::from_millis(25);
-
 /// Result of selecting a worker for a task.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
@@ -67,6 +63,7 @@
     expected: Duration,
     score: f64,
     has_capacity: bool,
+    in_share: bool,
     /// Whether a task that may crash the worker was ordered there.
     has_suspect: bool,
 }
@@ -112,20 +109,20 @@
         task: usize,
         ordered: &[AgentIndex],
     ) -> Choice {
-        let ignore_shares = now >= job.accepted_at + SHARE_TIMEOUT;
-        let mut candidates = self.candidates(pool, job, task, ignore_shares);
+        let mut candidates = self.candidates(pool, job, task);
         for candidate in &mut candidates {
             if ordered.contains(&candidate.agent) {
                 candidate.score *= SAME_ORDER_FACTOR;
             }
         }
-        let best = |with_capacity: bool| {
-            let eligible = candidates
-                .iter()
-                .filter(|candidate| candidate.has_capacity || !with_capacity);
+        let best = |eligible: fn(&&Candidate) -> bool| {
+            let eligible = candidates.iter().filter(eligible);
             eligible.min_by(|a, b| a.score.total_cmp(&b.score))
         };
-        let Some(placed) = best(true) else {
+        // Another entry may use capacity outside the share first, and the worker then refuses the task.
+        let placed =
+            best(|candidate| candidate.in_share).or_else(|| best(|candidate| candidate.has_capacity));
+        let Some(placed) = placed else {
             // Other tasks may use the workers that a suspect can't.
             return if self.crashes.is_suspect(job.key(task)) {
                 Choice::Wait
@@ -135,7 +132,7 @@
         };
         let left = job.objective_at.saturating_duration_since(now);
         if placed.expected > left
-            && let Some(faster) = best(false)
+            && let Some(faster) = best(|_| true)
             && faster.expected + OBJECTIVE_MARGIN < left
         {
             return Choice::Wait;
@@ -169,7 +166,7 @@
         }
     }
 
-    fn candidates(&self, pool: &PoolSnapshot, job: &Job, task: usize, ignore_shares: bool) -> Vec<Candidate> {
+    fn candidates(&self, pool: &PoolSnapshot, job: &Job, task: usize) -> Vec<Candidate> {
         let Task { step, avoid, .. } = job.tasks[task];
         let spec = &job.steps[usize::from(step)];
         let suspect = self.crashes.is_suspect(job.key(task));
@@ -180,7 +177,7 @@
             separate && is_suitable(agent, spec) && below_limit(job, step, spec, worker.agent)
         });
         let all: Vec<Candidate> = suitable
-            .map(|worker| self.candidate(*worker, spec, pool.mean_run_time_ratio, ignore_shares))
+            .map(|worker| self.candidate(*worker, spec, pool.mean_run_time_ratio))
             .collect();
         let healthy = |candidate: &&Candidate| {
             let agent = self.agents.get(candidate.agent);
@@ -192,13 +189,7 @@
         if enough { preferred } else { all }
     }
 
-    fn candidate(
-        &self,
-        worker: WorkerSnapshot,
-        step: &StepSpec,
-        mean: f64,
-        ignore_shares: bool,
-    ) -> Candidate {
+    fn candidate(&self, worker: WorkerSnapshot, step: &StepSpec, mean: f64) -> Candidate {
         let agent = self.agents.get(worker.agent);
         let expected = self.expected_run_time(agent, step, mean);
         let domain_cost = if agent.worker.failure_domain == self.cfg.failure_domain {
@@ -213,9 +204,8 @@
             agent: worker.agent,
             expected,
             score,
-            has_capacity: step
-                .resources
-                .fits_within(if ignore_shares { worker.free } else { worker.share }),
+            has_capacity: step.resources.fits_within(worker.free),
+            in_share: step.resources.fits_within(worker.share),
             has_suspect: worker.has_suspect,
         }
     }
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -6,7 +6,9 @@
     Action, Answer, Event, JobState, JobSubmission, Notice, RefusalReason, Request, RequestKind, StepSpec,
 };
 use chestnutfork_routes::RouteTable;
-use chestnutfork_types::{AttemptKey, EntryToWorker, Resources, RunOutcome, WorkerLoad, WorkerToEntry};
+use chestnutfork_types::{
+    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, WorkerLoad, WorkerToEntry,
+};
 use entry::{Entry, RUN_EXPIRY, millis, request, submission, table};
 
 /// Guards against an answer before all tasks have completed, and against a second answer.
@@ -361,18 +363,70 @@
     assert_eq!(links, [2, 2, 2, 2]);
 }
 
-/// Guards against a job that waits for a share although no other entry uses the free capacity.
+/// Returns a load report of a full worker that includes all orders.
+fn full_load() -> WorkerLoad {
+    WorkerLoad {
+        free: Resources::default(),
+        share: Resources::default(),
+        ..Entry::load(u64::MAX)
+    }
+}
+
+/// Guards against a job that waits for a share although the worker has room, and against a task that waits at a worker whose
+/// free capacity another entry has used.
 #[test]
-fn placement_ignores_share_after_timeout() {
+fn placement_uses_capacity_outside_share() {
     let mut entry = Entry::with_workers(1);
     let mut load = Entry::load(0);
     load.share = Resources::default();
     entry.receive(1, WorkerToEntry::Load(load));
     entry.submit(1, 1, 1);
-    assert!(entry.attempts().is_empty());
-    entry.now += millis(25);
-    entry.handle(Event::Tick);
-    assert_eq!(entry.attempts().len(), 1);
+    let starts = entry.starts();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].1.refuse_if_full);
+}
+
+/// Guards against a task that waits before it is placed again although another worker has room.
+#[test]
+fn refused_task_is_placed_again_at_once() {
+    let mut entry = Entry::with_workers(5);
+    entry.submit(1, 1, 1);
+    let mut links = Vec::new();
+    for _ in 0..3 {
+        let (link, order) = entry.starts().pop().expect("an order");
+        assert!(order.refuse_if_full);
+        links.push(link);
+        let ended = EndedRun {
+            key: order.tasks[0].key,
+            outcome: RunOutcome::NotStarted,
+            run_time: millis(0),
+        };
+        entry.receive(link, WorkerToEntry::Ended(vec![ended], full_load()));
+    }
+    // Few workers have room, so the task may wait at the next one.
+    let (link, order) = entry.starts().pop().expect("an order");
+    assert!(!order.refuse_if_full);
+    assert!(!links.contains(&link), "{link} has refused the task: {links:?}");
+}
+
+/// Guards against a job that is answered as timed out although every order for it was refused, so that it has not run.
+#[test]
+fn job_of_refused_orders_is_refused() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 1);
+    let (link, key) = entry.attempts()[0];
+    let ended = EndedRun {
+        key,
+        outcome: RunOutcome::NotStarted,
+        run_time: millis(0),
+    };
+    entry.receive(link, WorkerToEntry::Ended(vec![ended], full_load()));
+    for number in 0..20 {
+        entry.now += millis(25);
+        entry.receive(1, WorkerToEntry::Heartbeat(10 + number, full_load()));
+        entry.handle(Event::Tick);
+    }
+    assert!(matches!(entry.answers()[..], [(1, Answer::Refused { .. })]));
 }
 
 /// Guards against one order per task: each order includes the job's input, and small entries have slow links.
--- a/crates/broker/tests/crashes.rs
+++ b/crates/broker/tests/crashes.rs
@@ -256,10 +256,11 @@
     }
     // The fifth task was placed on a worker that joined.
     let (link, other) = *attempts_of(&mut entry, 1).last().expect("an attempt was ordered");
-    entry.end_attempt(link, other, RunOutcome::NotStarted);
     crash_worker(&mut entry, 1, 1, &keys);
+    entry.end_attempt(link, other, RunOutcome::NotStarted);
     // The delay after which a task that was not started is placed again.
     entry.now += millis(50);
+    entry.handle(Event::Tick);
     let mut placed = entry.attempts();
     for completed in 1..=4 {
         assert!(placed.len() <= 2, "{placed:?}");
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -121,6 +121,8 @@
     pub spec: Bytes,
     /// Tasks to start.
     pub tasks: Vec<TaskOrder>,
+    /// Whether the agent refuses tasks that cannot start at once; otherwise they wait for capacity.
+    pub refuse_if_full: bool,
 }
 
 /// Message from an entry to the agent of a worker.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -41,6 +41,9 @@
         /// Tasks to start: attempt, resources and declared run time in microseconds.
         #[serde(rename = "t")]
         tasks: Vec<(AttemptWire, ResourcesWire, u64)>,
+        /// Whether to refuse tasks that cannot start at once. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
+        refuse_if_full: bool,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -283,6 +286,7 @@
                 last_heartbeat: order.last_heartbeat,
                 time_to_objective_us: micros(order.time_to_objective),
                 spec: order.spec,
+                refuse_if_full: order.refuse_if_full,
                 tasks: order
                     .tasks
                     .into_iter()
@@ -314,8 +318,10 @@
                 time_to_objective_us,
                 spec,
                 tasks,
+                refuse_if_full,
             } => Self::Start(StartOrder {
                 number,
+                refuse_if_full,
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -74,6 +74,7 @@
 #[test]
 fn entry_to_worker_round_trips() {
     let order = StartOrder {
+        refuse_if_full: true,
         number: 1,
         last_heartbeat: 2,
         time_to_objective: Duration::from_micros(3),
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -213,7 +213,9 @@
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
             let busy = self.runs.contains_key(&task.key.task) || self.is_orphan(task.key.task);
-            match refusal.or(busy.then_some("another run of the task has not ended")) {
+            let busy = busy.then_some("another run of the task has not ended");
+            let full = order.refuse_if_full && !self.can_start_now(now, task.resources);
+            match refusal.or(busy).or(full.then_some("the worker is full")) {
                 Some(reason) => self.refuse(entry, task.key, reason, actions),
                 None => self.accept(now, entry, order, task),
             }
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{AttemptKey, RunOutcome, TaskKey};
+use chestnutfork_types::{AttemptKey, Resources, RunOutcome, TaskKey};
 
 use crate::clock::MAX_WORKER_LEASE;
 use crate::config::lease_expiry_time;
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns whether a task could start at once.
+    pub(crate) fn can_start_now(&self, now: Instant, resources: Resources) -> bool {
+        self.may_renew(now) && resources.fits_within(self.free())
+    }
+
     /// Returns the most urgent waiting run if it fits; smaller, less urgent runs do not overtake it.
     fn next_start(&self, now: Instant) -> Option<TaskKey> {
         let due = self
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -1,5 +1,7 @@
 //! Agent core with a virtual clock, for tests of capacities and crashes.
 
+#![allow(dead_code, reason = "each test binary uses a part of the agent")]
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -135,6 +137,7 @@
             declared_run_time: millis(100),
         });
         let message = EntryToWorker::Start(StartOrder {
+            refuse_if_full: false,
             number: 1,
             last_heartbeat: self.heartbeat,
             time_to_objective: millis(200),
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -114,6 +114,11 @@
     }
 
     pub fn start(&mut self, keys: &[AttemptKey]) {
+        self.order(keys, false);
+    }
+
+    /// Orders the start of attempts, which wait for capacity unless `refuse_if_full` is set.
+    pub fn order(&mut self, keys: &[AttemptKey], refuse_if_full: bool) {
         let tasks = keys.iter().map(|&key| TaskOrder {
             key,
             resources: Resources {
@@ -124,6 +129,7 @@
             declared_run_time: millis(100),
         });
         self.send(EntryToWorker::Start(StartOrder {
+            refuse_if_full,
             number: 1,
             last_heartbeat: 1,
             time_to_objective: millis(200),
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -427,6 +427,7 @@
             declared_run_time: millis(100),
         });
         let order = StartOrder {
+            refuse_if_full: false,
             number,
             last_heartbeat: entry,
             time_to_objective: millis(200),
@@ -555,3 +556,17 @@
     });
     assert_eq!(agent.ended().len(), 2);
 }
+
+/// Guards against a task that waits at a full worker although its entry would rather place it elsewhere.
+#[test]
+fn refuse_if_full_task_does_not_wait() {
+    let mut agent = Agent::ready();
+    agent.start(&[attempt(0, 1), attempt(1, 1)]);
+    agent.order(&[attempt(2, 1)], true);
+    let refused = agent.ended();
+    assert_eq!((refused.len(), refused[0].key), (1, attempt(2, 1)));
+    assert_eq!(refused[0].outcome, RunOutcome::NotStarted);
+    agent.order(&[attempt(3, 1)], false);
+    assert_eq!(agent.ended(), []);
+    assert_eq!(agent.core.runs_in_progress(), 3);
+}
