broker: Refuse submissions whose declared run times overflow

Cause: an entry adds the declared run times of dependent steps and multiplies the sum by the stretch factor of the route. A submission of 1,000 steps of u64::MAX milliseconds each exceeded the range of a duration, and the panic ended the entry's actor with all its jobs.

Change: a job whose declared run time exceeds 24 h is malformed, and the sum saturates.

Result: submission_with_excessive_run_times_is_refused panicked before ("cannot convert float seconds to Duration").

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -4,12 +4,15 @@
 
 use crate::core::BrokerCore;
 use crate::event::{JobSubmission, RefusalReason, StepSpec};
-use crate::job::TaskState;
+use crate::job::{TaskState, critical_path};
 use crate::selection::is_suitable;
 
 /// Default delay after which a refused caller may retry, used when there is no estimate.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest declared run time of a job. Callers may declare anything; times near the range of a duration would overflow.
+pub(crate) const MAX_RUN_TIME: Duration = Duration::from_hours(24);
+
 impl BrokerCore {
     /// Returns why a submission must be refused, if so.
     pub(crate) fn refusal_reason(&self, submission: &JobSubmission) -> Option<RefusalReason> {
@@ -32,7 +35,11 @@
         let tasks: usize = submission.steps.iter().map(|step| usize::from(step.tasks)).sum();
         let ordered =
             |(at, step): (usize, &StepSpec)| step.depends_on.iter().all(|&before| usize::from(before) < at);
-        tasks > 0 && tasks <= self.cfg.max_tasks && submission.steps.iter().enumerate().all(ordered)
+        let run_time = critical_path(&submission.steps);
+        tasks > 0
+            && tasks <= self.cfg.max_tasks
+            && run_time <= MAX_RUN_TIME
+            && submission.steps.iter().enumerate().all(ordered)
     }
 
     /// Returns whether each step fits some known worker of a pool; also true if no worker of the pool is known yet.
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -128,7 +128,7 @@
     for step in steps {
         let before = step.depends_on.iter().filter_map(|&at| ends.get(usize::from(at)));
         let begin = before.max().copied().unwrap_or_default();
-        ends.push(begin + step.declared_run_time);
+        ends.push(begin.saturating_add(step.declared_run_time));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -5,7 +5,7 @@
 use chestnutfork_routes::{Route, RouteIndex};
 use chestnutfork_types::{JobId, TaskIndex};
 
-use crate::admission::RETRY_AFTER;
+use crate::admission::{MAX_RUN_TIME, RETRY_AFTER};
 use crate::core::BrokerCore;
 use crate::event::{
     Action, Answer, JobEnd, JobSubmission, Notice, RefusalReason, Request, RequestKind, Ticket,
@@ -110,9 +110,10 @@
         if refused.is_none() && !self.any_worker_fits(&route.service, &submission.steps) {
             refused = Some(RefusalReason::NeverFits);
         }
-        let objective = critical_path(&submission.steps).mul_f64(route.stretch_factor) + route.overhead;
+        let run_time = critical_path(&submission.steps).min(MAX_RUN_TIME);
+        let objective = run_time.mul_f64(route.stretch_factor) + route.overhead;
         let wait = self.expected_wait(now, &route.service, now + objective);
-        if refused.is_none() && wait + critical_path(&submission.steps) > objective {
+        if refused.is_none() && wait + run_time > objective {
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -488,3 +488,30 @@
     assert_eq!(attempts.len(), 2);
     assert!(attempts[1].1.attempt > first.attempt);
 }
+
+/// Guards against an entry that a submission ends: the sum of the declared run times exceeds the range of a duration.
+#[test]
+fn submission_with_excessive_run_times_is_refused() {
+    let mut entry = Entry::with_workers(1);
+    for steps in [1, 2, 1_000] {
+        let ticket = u64::from(steps);
+        let step = |at: u16| StepSpec {
+            tasks: 1,
+            declared_run_time: millis(u64::MAX),
+            depends_on: at.checked_sub(1).into_iter().collect(),
+            ..StepSpec::default()
+        };
+        let submission = JobSubmission {
+            steps: (0..steps).map(step).collect(),
+            ..JobSubmission::default()
+        };
+        let request = request(u128::from(steps), RequestKind::Submit(submission));
+        entry.handle(Event::Request { ticket, request });
+        entry.handle(Event::Tick);
+        let answer = entry.answers().last().copied();
+        assert!(
+            matches!(answer, Some((answered, Answer::Refused { .. })) if answered == ticket),
+            "{steps} steps: {answer:?}"
+        );
+    }
+}
