worker: Saturate numbers that the worker states

Cause: fencing tokens, run numbers and capacities come from the worker or from whoever writes to the agent. An announcement whose clock is u64::MAX milliseconds overflowed the token of the next session, which ends a debug build and wraps the token to zero in a release build.

Change: sums and products of these numbers saturate.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -257,7 +257,7 @@
         let run = Run {
             key: task.key,
             owner,
-            number: u64::from(task.key.attempt).max(last + 1),
+            number: u64::from(task.key.attempt).max(last.saturating_add(1)),
             resources: task.resources,
             declared_run_time: task.declared_run_time,
             objective_at: now + order.time_to_objective,
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -170,7 +170,7 @@
             Refusal::StaleRun => {
                 if let Some(run) = self.runs.get_mut(&task) {
                     // The refusal does not state the highest number that the worker has seen, so grow exponentially.
-                    run.number = run.number * 2 + 1;
+                    run.number = run.number.saturating_mul(2).saturating_add(1);
                 }
                 "the run number was too low"
             }
@@ -186,7 +186,9 @@
         if let Some(session) = self.session.as_mut() {
             let clock = u64::try_from(session.clock.estimate(now).as_millis()).unwrap_or(u64::MAX);
             // The refusal does not state the highest token that the worker has seen, so grow exponentially.
-            session.token = clock.max(session.token.saturating_mul(2)).max(session.token + 1);
+            session.token = clock
+                .max(session.token.saturating_mul(2))
+                .max(session.token.saturating_add(1));
         }
     }
 
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -66,7 +66,7 @@
         let token = u64::try_from(clock.reading().as_millis()).unwrap_or(u64::MAX);
         Self {
             clock,
-            token: token.max(former_token + 1),
+            token: token.max(former_token.saturating_add(1)),
             started_at: Some(worker.started_at),
             presence: Presence::Announced,
             worker,
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -30,7 +30,7 @@
         let allocated = if self.is_scarce(free) {
             units
         } else {
-            units * OVERCOMMIT_FACTOR
+            units.saturating_mul(OVERCOMMIT_FACTOR)
         };
         let count = competitors.len() as u64;
         let rank = (position as u64 + self.share_rotation) % count;
@@ -66,9 +66,9 @@
 
 fn scale(unit: Resources, count: u64) -> Resources {
     Resources {
-        cpu_millis: unit.cpu_millis * count,
-        memory_mb: unit.memory_mb * count,
-        gpus: unit.gpus * count,
+        cpu_millis: unit.cpu_millis.saturating_mul(count),
+        memory_mb: unit.memory_mb.saturating_mul(count),
+        gpus: unit.gpus.saturating_mul(count),
     }
 }
 
