--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -8,6 +8,7 @@
     WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 fn key(job: JobId) -> AttemptKey {
@@ -162,3 +163,37 @@
         WorkerToEntry::Describe(description, Vec::new())
     );
 }
+
+/// Decodes variants of an encoded message, each with one byte replaced or the end missing, and converts what can be decoded.
+fn decode_variants<W, M>(message: M)
+where
+    W: From<M> + Into<M> + Serialize + DeserializeOwned,
+{
+    let mut buf = Vec::new();
+    encode(&W::from(message), &mut buf).expect("encodes");
+    for at in 0..buf.len() {
+        // Any result is fine; the receiver closes the link on an error.
+        let _ = decode::<W>(&buf[..at]);
+        let original = buf[at];
+        for byte in 0..=u8::MAX {
+            buf[at] = byte;
+            if let Ok(wire) = decode::<W>(&buf) {
+                let _: M = wire.into();
+            }
+        }
+        buf[at] = original;
+    }
+}
+
+/// Guards against a process that one malformed message between entries and agents ends.
+#[test]
+fn decode_malformed_message_does_not_panic() {
+    decode_variants::<EntryToWorkerWire, _>(EntryToWorker::Stop(vec![key(1)]));
+    decode_variants::<EntryToWorkerWire, _>(EntryToWorker::Losses(vec![crash()]));
+    decode_variants::<WorkerToEntryWire, _>(WorkerToEntry::Heartbeat(12, load()));
+    let description = WorkerDescription {
+        worker: "w".to_owned(),
+        ..WorkerDescription::default()
+    };
+    decode_variants::<WorkerToEntryWire, _>(WorkerToEntry::Describe(description, vec![crash()]));
+}
