--- a/crates/broker/src/crashes.rs
+++ b/crates/broker/src/crashes.rs
@@ -140,7 +140,7 @@
 
     /// Returns the records of tasks under which several workers were lost, except those that a process has reported itself.
     ///
-    /// They are passed on, because a task may go on crashing workers once every process that knows of its losses is gone.
+    /// They are passed on, because a task may go on crashing workers once every process with records of its losses has ended.
     pub(crate) fn forwarded(&self, now: Instant, to: ProcessId) -> Vec<WorkerCrash> {
         let mut records = Vec::new();
         for losses in self.jobs.values() {
--- a/crates/types/src/crashes.rs
+++ b/crates/types/src/crashes.rs
@@ -19,7 +19,7 @@
     pub incarnation: IncarnationNumber,
     /// Name of the worker.
     pub worker: WorkerName,
-    /// Whether the incarnation has certainly crashed. Otherwise its lease expired while it did not answer.
+    /// Whether the incarnation has certainly crashed while the tasks ran. Otherwise they may have ended before, or not begun.
     pub confirmed: bool,
     /// Time since the loss was noticed.
     pub age: Duration,
