--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -49,7 +49,7 @@
         self.send_to_voters(self.hard_state.term + 1, &body, actions);
     }
 
-    /// Shortens the wait for the first election if this replica has not heard of a leader since it started.
+    /// Shortens the wait for the first election if this replica has had no contact with a leader since it started.
     ///
     /// After a restart of all replicas nobody follows a leader, so there is nothing to wait for. A replica that restarts alone
     /// loses its pre-vote, because the others follow a leader. The voters start one after the other, in the order of their ids,
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -218,7 +218,7 @@
         Some(synced.max(self.orphan_deadline))
     }
 
-    /// Returns when a started run has certainly ended although nothing more is heard from the worker.
+    /// Returns when a started run has certainly ended if the worker sends no further reply.
     ///
     /// A start without an answer may not have been carried out yet. A worker that has restarted unnoticed shortens its lease to
     /// the longest one on its own clock, and an order to a worker that has gone may reach its next incarnation seconds later,
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Agent core driven by single events in virtual time.
 
+#![allow(dead_code, reason = "each test binary uses a part of the agent")]
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
