review: Show that a restarted agent overfills its runner

An agent that takes over the runs of its former process counts them as using nothing, because neither entries nor the runner name their resources. It then starts tasks in the capacity that they use.

The stand-in of a runner now closes its connections when it crashes.

--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -142,6 +142,7 @@
         self.changed = asyncio.Event()
         self.state = "ready"
         self.server = None
+        self.connections = set()
         self.tasks = []
         self.alive = True
 
@@ -157,6 +158,8 @@
         for task in self.tasks:
             task.cancel()
         self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
         for run in list(self.running.values()):
             self.end(run, "gone")
 
@@ -207,6 +210,7 @@
         return sum(self.cpu_of.get(run.task.split(".")[0], 0) for run in self.running.values())
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -221,6 +225,7 @@
         except (ConnectionError, OSError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, path, headers, body):
