worker: Verify announcements under another name before they end a session

Cause: an announcement under another name with a later start time counted as proof that the worker in use had ended. All its runs were reported as lost while they went on, and its later announcements were ignored, because its start time was recorded as that of a former incarnation.

Change: the agent calls the announced worker at its address and ends the session with the one in use only if the announced one answers. Every other worker answers that it is another incarnation. Former incarnations are recognised by name and start time. Event 7029 tells of rejections.

new_incarnation_ends_all_runs and replacement_with_earlier_start_time_is_used expected the replacement without an answer, which is the fault; they now demand it with one, and that nothing is reported before.

--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -179,6 +179,13 @@
         }
             meaning: "All entries are told that the worker was lost under these tasks; one of them may have caused it.",
             remedy: "If one task is named for several workers, examine the input of its job; otherwise check the worker.";
+        7029 AnnouncementRejected "announcement_rejected" Warn "announcement of another worker rejected" {
+            worker: &'a str = "Name in the announcement.",
+            pool: &'a str = "Pool in the announcement.",
+            reason: &'a str = "Reason for the rejection.",
+        }
+            meaning: "The announcement names another worker than the one in use, and that worker does not answer at its address; nothing changes.",
+            remedy: "None if it is rare; otherwise find the process that sends heartbeats to this agent under the name.";
         7030 StartRefused "start_refused" Info "start refused" {
             task: &'a str = "Job, step and index of the task.",
             attempt: u64 = "Number of the attempt.",
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -182,6 +182,9 @@
             cpu_millis: *cpu_millis,
             started_ms: u64::try_from(started_at.as_millis()).unwrap_or(u64::MAX),
         }),
+        WorkerNotice::AnnouncementRejected { worker, pool, reason } => {
+            emit(&RunsEvent::AnnouncementRejected { worker, pool, reason });
+        }
         WorkerNotice::WorkerLeaving { worker, running } => emit(&RunsEvent::WorkerLeaving {
             worker,
             running: *running,
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -187,6 +187,14 @@
     );
 }
 
+/// Guards against reporting the runs of a worker as lost because another sender's announcement reached its agent.
+#[test]
+fn foreign_announcements_end_no_run() {
+    let total = run_seeds("foreign,replacement");
+    let served = total.completed > SEEDS * 50;
+    assert!(served && total.foreign_announcements > SEEDS * 10, "{total:?}");
+}
+
 /// Guards against combinations of faults that break a rule although none of them does alone.
 #[test]
 fn all_faults_prevent_concurrent_runs() {
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -55,6 +55,8 @@
     crashing_failed,
     /// Answers that another job has failed.
     others_failed,
+    /// Announcements of workers that do not exist.
+    foreign_announcements,
     /// Events that an entry processed after a pause.
     backlog_events,
 }
--- a/crates/leased/tests/sim/faults.rs
+++ b/crates/leased/tests/sim/faults.rs
@@ -25,6 +25,7 @@
     KillIsolatedAgent,
     FailEntryAndAgent,
     PauseEntry,
+    AnnounceForeign,
 }
 
 /// Faults of each class; a fault listed twice is twice as likely.
@@ -46,6 +47,7 @@
     (Scenario::IsolatedAgentRestarts, Fault::KillIsolatedAgent),
     (Scenario::EntryAndAgentFaults, Fault::FailEntryAndAgent),
     (Scenario::EntryPauses, Fault::PauseEntry),
+    (Scenario::ForeignAnnouncements, Fault::AnnounceForeign),
 ];
 
 impl Sim {
@@ -81,6 +83,7 @@
             Fault::KillAgent => self.kill_agent(agent, AT_ONCE),
             Fault::KillEntry => self.kill_entry(entry),
             Fault::PauseEntry => self.pause_entry(entry),
+            Fault::AnnounceForeign => self.announce_foreign(agent),
             Fault::ReplaceWorker if !self.workers[agent].is_down() => {
                 self.end_worker(agent);
                 let delay = Duration::from_millis(self.rng.random_range(0..1_000));
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -37,11 +37,13 @@
     CrashingTasks,
     /// Workers carry out late what was ordered from a former incarnation of the same name.
     OrdersAcrossRestarts,
+    /// Agents receive announcements of workers that do not exist, or of another system.
+    ForeignAnnouncements,
 }
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -59,6 +61,7 @@
         Self::EntryPauses,
         Self::CrashingTasks,
         Self::OrdersAcrossRestarts,
+        Self::ForeignAnnouncements,
     ];
 
     /// Returns the name on the command line.
@@ -81,6 +84,7 @@
             Self::EntryPauses => "pauses",
             Self::CrashingTasks => "crashing",
             Self::OrdersAcrossRestarts => "across",
+            Self::ForeignAnnouncements => "foreign",
         }
     }
 }
--- a/crates/leased/tests/sim/workers.rs
+++ b/crates/leased/tests/sim/workers.rs
@@ -24,6 +24,9 @@
     pub(super) unanswered_until: [Option<Instant>; 3],
 }
 
+/// Numbers from here on are not names of workers of the run.
+const FIRST_FOREIGN_NAME: NameNumber = 1_000_000;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WorkerState {
     Serving,
@@ -44,6 +47,29 @@
     format!("w{agent}-{name}")
 }
 
+/// Returns the first announcement of an incarnation.
+fn announcement(worker: WorkerName, incarnation: u64) -> Announcement {
+    Announcement {
+        description: WorkerDescription {
+            worker,
+            pool: "pool".to_owned(),
+            failure_domain: "zone-a".to_owned(),
+            labels: Vec::new(),
+            capacity: Resources {
+                cpu_millis: 6_000,
+                memory_mb: 6_000,
+                gpus: 0,
+            },
+            leaving: false,
+            stores_losses: false,
+        },
+        address: "worker:1".to_owned(),
+        started_at: Duration::from_secs(incarnation),
+        sequence: 1,
+        clock: Duration::ZERO,
+    }
+}
+
 impl Sim {
     pub(super) fn add_worker(&mut self) {
         let rate = self.rng.random_range(0.98..=1.0);
@@ -66,24 +92,17 @@
             return;
         }
         worker.sequence += 1;
+        let announcement = Announcement {
+            sequence: worker.sequence,
+            clock: worker.model.clock(self.now),
+            ..announcement(format_name(agent, worker.name), incarnation)
+        };
         let announcement = Announcement {
             description: WorkerDescription {
-                worker: format_name(agent, worker.name),
-                pool: "pool".to_owned(),
-                failure_domain: "zone-a".to_owned(),
-                labels: Vec::new(),
-                capacity: Resources {
-                    cpu_millis: 6_000,
-                    memory_mb: 6_000,
-                    gpus: 0,
-                },
                 leaving: worker.state == WorkerState::Leaving,
-                stores_losses: false,
+                ..announcement.description
             },
-            address: "worker:1".to_owned(),
-            started_at: Duration::from_secs(incarnation),
-            sequence: worker.sequence,
-            clock: worker.model.clock(self.now),
+            ..announcement
         };
         let delayed = self.scenarios.contains(Scenario::LateNotices) && self.rng.random_bool(0.1);
         let delay = if delayed {
@@ -122,6 +141,16 @@
         self.handle_agent_event(agent, AgentEvent::Announced(announcement));
     }
 
+    /// Delivers an announcement of a worker that does not exist, with a start time before or after that of the real one.
+    pub(super) fn announce_foreign(&mut self, agent: usize) {
+        self.counts.foreign_announcements += 1;
+        let name = self.rng.random_range(FIRST_FOREIGN_NAME..=NameNumber::MAX);
+        let incarnation = self.rng.random_range(0..1_000);
+        let foreign = announcement(format_name(agent, name), incarnation);
+        self.trace(|| format!("agent {agent} receives a foreign announcement of {name}"));
+        self.handle_agent_event(agent, AgentEvent::Announced(foreign));
+    }
+
     /// Ends a worker without notice.
     pub(super) fn end_worker(&mut self, agent: usize) {
         let worker = &mut self.workers[agent];
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -16,6 +16,7 @@
 use crate::orders::PendingCall;
 use crate::owners::Owners;
 use crate::reconcile::ListedAttempt;
+use crate::replacement::Candidate;
 use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, Stop};
 use crate::session::Session;
 
@@ -29,8 +30,10 @@
     pub(crate) session: Option<Session>,
     /// Highest fencing token of the sessions that have ended.
     pub(crate) former_token: FencingToken,
-    /// Start times of the latest incarnations that have ended.
-    pub(crate) former_starts: VecDeque<Duration>,
+    /// Names and start times of the latest incarnations that have ended.
+    pub(crate) former_incarnations: VecDeque<(WorkerName, Duration)>,
+    /// Announced worker that replaces the one in use once it answers.
+    pub(crate) candidate: Option<Candidate>,
     pub(crate) owners: Owners,
     pub(crate) runs: IndexMap<TaskKey, Run>,
     pub(crate) ended_runs: IndexMap<TaskKey, EndedRunRecord>,
@@ -78,7 +81,8 @@
             cfg,
             session: None,
             former_token: 0,
-            former_starts: VecDeque::new(),
+            former_incarnations: VecDeque::new(),
+            candidate: None,
             owners: Owners::default(),
             runs: IndexMap::new(),
             ended_runs: IndexMap::new(),
@@ -158,6 +162,7 @@
         let unreconciled = (!self.unreconciled.is_empty()).then_some(self.former_runs_expire_at);
         let due = runs.chain(leases).chain(report).chain(renewal);
         let due = due.chain(expiry).chain(orphans).chain(unreconciled);
+        let due = due.chain(self.candidate_call_time());
         // Work that was due at the last event is done, or waits for something other than time.
         let due = due.filter(|&at| at > self.handled_at);
         due.fold(self.heartbeat_at.min(self.cleanup_at), Instant::min)
@@ -423,6 +428,7 @@
         self.start_waiting(now, actions);
         self.send_stops(now, actions);
         self.renew_lease(now, actions);
+        self.call_candidate(now, actions);
         self.report_crashes(now, actions);
         self.send_reports(now, actions);
         self.send_heartbeats(now, actions);
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -214,7 +214,7 @@
     Rejected,
     /// Every lease that was requested from the worker has expired.
     LeaseExpired,
-    /// A worker of another name, which rejects orders for the former one, has announced itself.
+    /// A worker of another name, which rejects orders for the former one, answers at its address.
     Renamed,
     /// The worker withdrew its announcement and accepts no more calls.
     Withdrawn,
@@ -241,7 +241,7 @@
 pub enum GoneReason {
     /// The worker withdrew its announcement.
     Withdrawn,
-    /// A worker of another name announced itself.
+    /// A worker of another name announced itself and answers.
     Renamed,
 }
 
@@ -270,6 +270,15 @@
         /// Start time of the incarnation since the Unix epoch.
         started_at: Duration,
     },
+    /// An announcement under another name than that of the worker in use has no effect.
+    AnnouncementRejected {
+        /// Name in the announcement.
+        worker: WorkerName,
+        /// Pool in the announcement.
+        pool: String,
+        /// Cause of the rejection.
+        reason: &'static str,
+    },
     /// The worker accepts no new tasks.
     WorkerLeaving {
         /// Worker that is leaving.
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod owners;
 mod reconcile;
+mod replacement;
 mod replies;
 mod report;
 mod run;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -19,7 +19,11 @@
 pub(crate) enum Call {
     Start(TaskKey),
     Stop(TaskKey),
-    RenewLease { sent_at: Instant },
+    RenewLease {
+        sent_at: Instant,
+    },
+    /// Shows whether an announced worker answers at its address.
+    VerifyReplacement,
 }
 
 /// Call in flight, and the latest reading of the worker's clock when it was sent.
@@ -265,7 +269,7 @@
         }
     }
 
-    fn begin_call(&mut self, call: Call) -> CallId {
+    pub(crate) fn begin_call(&mut self, call: Call) -> CallId {
         self.next_call += 1;
         let clock = self.session.as_ref().map(|session| session.clock.reading());
         let clock = clock.unwrap_or_default();
--- a/crates/worker/src/replies.rs
+++ b/crates/worker/src/replies.rs
@@ -26,6 +26,10 @@
         let Some(pending) = self.calls.swap_remove(&call) else {
             return;
         };
+        if pending.call == Call::VerifyReplacement {
+            self.on_candidate_reply(now, call, &reply.outcome, actions);
+            return;
+        }
         if self.is_from_later_incarnation(pending, &reply) {
             let clock = reply.clock.unwrap_or_default();
             self.restart_session(now, reply.started_at, clock, true, actions);
@@ -37,6 +41,8 @@
             Call::Start(task) => self.on_start_reply(now, call, task, &reply.outcome, actions),
             Call::Stop(task) => self.on_stop_reply(now, call, task, &reply.outcome),
             Call::RenewLease { sent_at } => self.on_renewal(now, sent_at, reply.outcome, actions),
+            // Handled above, because the reply is not from the worker in use.
+            Call::VerifyReplacement => {}
         }
     }
 
--- a/crates/worker/src/session.rs
+++ b/crates/worker/src/session.rs
@@ -13,7 +13,7 @@
 use crate::run::{Phase, Run, Stop};
 
 /// Maximum number of former incarnations whose delayed announcements are recognised.
-const MAX_FORMER_STARTS: usize = 16;
+const MAX_FORMER_INCARNATIONS: usize = 16;
 
 /// What an incarnation of the worker has told its agent about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,7 +47,7 @@
     pub(crate) listed_at: Option<Instant>,
     /// When the worker first refused a connection, or another incarnation answered, since its latest reply.
     pub(crate) gone_at: Option<Instant>,
-    /// Whether an announcement may be that of a replacement, so that the next list of runs has to show who answers.
+    /// Whether a worker at another address may have replaced this one, so that the next list has to show whether it answers.
     pub(crate) may_be_replaced: bool,
     /// Consecutive calls without an answer from this incarnation.
     pub(crate) unanswered: u32,
@@ -106,15 +106,13 @@
             self.begin_session(now, announcement, actions);
             return;
         };
-        let known = &session.worker;
-        let same_name = known.description.worker == announcement.description.worker;
+        let same_name = session.worker.description.worker == announcement.description.worker;
         let started_at = announcement.started_at;
-        let is_later = started_at > session.started_at.unwrap_or(known.started_at);
         if same_name && session.started_at == Some(started_at) {
-            if session.presence == Presence::Unannounced || announcement.sequence > known.sequence {
+            if session.presence == Presence::Unannounced || announcement.sequence > session.worker.sequence {
                 self.update_session(now, announcement, actions);
             }
-        } else if self.former_starts.contains(&started_at) {
+        } else if self.is_former_incarnation(&announcement) {
             // A delayed announcement of an earlier incarnation.
         } else if same_name && session.started_at.is_none() {
             self.update_session(now, announcement, actions);
@@ -123,15 +121,18 @@
             // instead, the next list of runs shows the incarnation that answers.
             self.restart_session(now, Some(started_at), announcement.clock, false, actions);
             self.update_session(now, announcement, actions);
-        } else if is_later || session.gone_at.is_some() {
-            self.record_crash(now, actions);
-            self.end_session(now, GoneReason::Renamed, actions);
-            self.begin_session(now, announcement, actions);
-        } else if let Some(session) = self.session.as_mut() {
-            session.may_be_replaced = true;
+        } else {
+            self.consider_replacement(now, announcement);
         }
     }
 
+    fn is_former_incarnation(&self, announcement: &Announcement) -> bool {
+        let former = &self.former_incarnations;
+        former.iter().any(|(name, started_at)| {
+            *name == announcement.description.worker && *started_at == announcement.started_at
+        })
+    }
+
     fn update_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
         let Some(session) = self.session.as_mut() else {
             return;
@@ -163,7 +164,12 @@
         }
     }
 
-    fn begin_session(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<Action>) {
+    pub(crate) fn begin_session(
+        &mut self,
+        now: Instant,
+        announcement: Announcement,
+        actions: &mut Vec<Action>,
+    ) {
         self.crashes.begin_incarnation();
         actions.push(Action::Notice(joined_notice(&announcement)));
         let clock = announcement.clock;
@@ -226,7 +232,7 @@
         self.ended_runs.clear();
         let worker = self.worker_name();
         self.retain_token();
-        self.retain_start();
+        self.retain_incarnation();
         self.session = None;
         actions.push(Action::Notice(Notice::WorkerGone { worker, lost, reason }));
     }
@@ -247,7 +253,7 @@
         self.refuse_waiting(now, "the worker has restarted", actions);
         self.record_crash(now, actions);
         self.retain_token();
-        self.retain_start();
+        self.retain_incarnation();
         let Some(former) = self.session.take() else {
             return;
         };
@@ -276,15 +282,16 @@
         });
     }
 
-    /// Records the start time of an incarnation that has ended, to recognise its delayed announcements.
-    fn retain_start(&mut self) {
+    /// Records an incarnation that has ended, to recognise its delayed announcements.
+    fn retain_incarnation(&mut self) {
         let Some(session) = self.session.as_ref() else {
             return;
         };
         let started_at = session.started_at.unwrap_or(session.worker.started_at);
-        self.former_starts.push_back(started_at);
-        if self.former_starts.len() > MAX_FORMER_STARTS {
-            self.former_starts.pop_front();
+        let name = session.worker.description.worker.clone();
+        self.former_incarnations.push_back((name, started_at));
+        if self.former_incarnations.len() > MAX_FORMER_INCARNATIONS {
+            self.former_incarnations.pop_front();
         }
     }
 
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -274,6 +274,7 @@
     let start = agent.call(is_start);
     agent.reply(start, CallOutcome::Done);
     agent.handle(Event::Announced(announcement(2, 1)));
+    agent.answer_renewal(RunList::default());
     assert_eq!(agent.ended()[0].outcome, RunOutcome::Lost);
 }
 
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -508,9 +508,11 @@
         !agent.actions.iter().any(is_joined),
         "a delayed announcement is not excluded"
     );
-    let renewal = agent.call(is_renewal);
-    agent.reply(renewal, CallOutcome::OtherIncarnation);
+    let question = agent.call(is_renewal);
+    agent.reply(question, CallOutcome::OtherIncarnation);
+    assert!(!agent.actions.iter().any(is_joined));
     agent.handle(Event::Announced(announcement(900, 2)));
+    agent.answer_renewal(RunList::default());
     assert!(agent.actions.iter().any(is_joined));
     // An announcement of the replaced worker that arrives late must not end the session.
     agent.handle(Event::Announced(announcement(1_000, 10)));
