worker, broker, wire: Count what runs use that an agent takes over

Cause: neither the worker's list nor the entry's claim stated what a run uses, so a run that was taken over counted as nothing.

Change: entries state the resources of the attempts that they list, in a message that only agents receive which say that they read it. A run whose resources are not known counts as more than any capacity. Attempts are listed after the first description on a link instead of when it opens.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -40,6 +40,8 @@
     /// Arrival of the latest heartbeat.
     pub(crate) last_heartbeat_at: Instant,
     pub(crate) last_order: OrderNumber,
+    /// Whether the recorded attempts were listed on the current link.
+    pub(crate) attempts_listed: bool,
     /// Link on which records of the losses of other workers were passed on.
     pub(crate) forwarded_on: Option<LinkNumber>,
     pub(crate) outstanding: IndexMap<AttemptKey, Outstanding>,
@@ -56,6 +58,7 @@
             last_heartbeat: 0,
             last_heartbeat_at: now,
             last_order: 0,
+            attempts_listed: false,
             forwarded_on: None,
             outstanding: IndexMap::new(),
         }
@@ -130,6 +133,7 @@
         }
         // Heartbeats and load reports on the earlier link do not cover orders on this one, so wait for a new report.
         agent.load = None;
+        agent.attempts_listed = false;
         if let Some(old) = agent.link.replace(link) {
             self.links.swap_remove(&old);
         }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -5,7 +5,7 @@
 
 use chestnutfork_routes::{RouteIndex, RouteTable};
 use chestnutfork_types::{
-    AttemptKey, AttemptNumber, EntryToWorker, JobId, LinkNumber, NodeName, ProcessId, TaskKey, WorkerToEntry,
+    AttemptNumber, EntryToWorker, JobId, LinkNumber, RecordedAttempt, TaskKey, WorkerToEntry,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -130,7 +130,9 @@
             Event::Tick => {}
             Event::Routes(routes) => self.on_routes(now, routes, actions),
             Event::EntryCount(entries) => self.entry_count = entries.max(1),
-            Event::AgentUp { link, agent, process } => self.on_agent_up(now, link, agent, process, actions),
+            Event::AgentUp { link, agent, process } => {
+                self.agents.connect(now, link, agent, process);
+            }
             Event::AgentDown { link } => self.on_agent_down(link, actions),
             Event::FromAgent { link, message } => self.on_agent_message(now, link, message, actions),
             Event::Request { ticket, request } => self.on_request(now, ticket, request, actions),
@@ -204,24 +206,31 @@
         }
     }
 
-    fn on_agent_up(
+    /// Lists the recorded attempts to an agent, once on each link.
+    fn list_attempts(
         &mut self,
-        now: Instant,
         link: LinkNumber,
-        agent: NodeName,
-        process: ProcessId,
+        at: AgentIndex,
+        reads_resources: bool,
         actions: &mut Vec<Action>,
     ) {
-        let at = self.agents.connect(now, link, agent, process);
-        let outstanding = &self.agents.get(at).outstanding;
-        let attempts = |stopping: bool| -> Vec<AttemptKey> {
-            let matching = outstanding.iter().filter(|(_, run)| run.stopping == stopping);
-            matching.map(|(&key, _)| key).collect()
+        let agent = self.agents.get_mut(at);
+        if std::mem::replace(&mut agent.attempts_listed, true) || agent.outstanding.is_empty() {
+            return;
+        }
+        let attempts = |stopping: bool| -> Vec<RecordedAttempt> {
+            let matching = agent
+                .outstanding
+                .iter()
+                .filter(|(_, run)| run.stopping == stopping);
+            let recorded = matching.map(|(&key, run)| RecordedAttempt {
+                key,
+                resources: reads_resources.then_some(run.resources),
+            });
+            recorded.collect()
         };
         let (keep, stop) = (attempts(false), attempts(true));
-        if !outstanding.is_empty() {
-            actions.push(Action::ToAgent(link, EntryToWorker::Reconcile { keep, stop }));
-        }
+        actions.push(Action::ToAgent(link, EntryToWorker::Reconcile { keep, stop }));
     }
 
     fn on_agent_down(&mut self, link: LinkNumber, actions: &mut Vec<Action>) {
@@ -247,6 +256,7 @@
         };
         match message {
             WorkerToEntry::Describe(worker, crashes) => {
+                self.list_attempts(link, at, worker.reads_resources, actions);
                 self.record_crashes(now, at, crashes, actions);
                 self.forward_losses(now, link, at, worker.stores_losses, actions);
                 let agent = self.agents.get_mut(at);
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -119,6 +119,7 @@
             },
             leaving: false,
             stores_losses: true,
+            reads_resources: true,
         };
         self.receive(link, WorkerToEntry::Describe(worker, crashes));
     }
--- a/crates/leased/tests/many_entries.rs
+++ b/crates/leased/tests/many_entries.rs
@@ -453,6 +453,7 @@
             },
             leaving: false,
             stores_losses: false,
+            reads_resources: false,
         },
         address: "w:1".to_owned(),
         started_at: Duration::from_secs(1),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -30,6 +30,6 @@
 pub use refusal::{Execution, Refusal, RefusalCode};
 pub use runs::{
     AttemptKey, AttemptNumber, EndedRun, EntryToWorker, HeartbeatNumber, Label, LinkNumber, OrderNumber,
-    Resources, RunNumber, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerDescription, WorkerLoad,
-    WorkerName, WorkerToEntry,
+    RecordedAttempt, Resources, RunNumber, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerDescription,
+    WorkerLoad, WorkerName, WorkerToEntry,
 };
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -125,6 +125,15 @@
     pub refuse_if_full: bool,
 }
 
+/// Attempt that an entry has recorded for an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordedAttempt {
+    /// The attempt.
+    pub key: AttemptKey,
+    /// Capacity that the task occupies while it runs; `None` in messages from or to earlier versions.
+    pub resources: Option<Resources>,
+}
+
 /// Message from an entry to the agent of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EntryToWorker {
@@ -134,12 +143,12 @@
     Stop(Vec<AttemptKey>),
     /// Acknowledges a heartbeat, which renews the entry's lease on its runs.
     HeartbeatAck(HeartbeatNumber),
-    /// Lists the attempts that the entry has recorded for this agent; the first message on each link.
+    /// Lists the attempts that the entry has recorded for this agent; follows the first description on each link.
     Reconcile {
         /// Attempts to continue.
-        keep: Vec<AttemptKey>,
+        keep: Vec<RecordedAttempt>,
         /// Attempts to stop; an earlier stop message may have been lost with the previous link.
-        stop: Vec<AttemptKey>,
+        stop: Vec<RecordedAttempt>,
     },
     /// Records of lost workers that other agents have reported, which the agent passes on to the entries.
     Losses(Vec<WorkerCrash>),
@@ -202,6 +211,8 @@
     pub leaving: bool,
     /// Whether the agent accepts records of the losses of other workers.
     pub stores_losses: bool,
+    /// Whether the agent reads the resources of recorded attempts.
+    pub reads_resources: bool,
 }
 
 /// Load and health of a worker as observed by its agent.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerCrash,
-    WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, EndedRun, EntryToWorker, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey,
+    TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,8 @@
 type TaskWire = (u64, u64, u16, u16);
 /// Wire form of [`Resources`]: thousandths of a core, MB of memory and accelerators.
 type ResourcesWire = (u64, u64, u64);
+/// Wire form of [`RecordedAttempt`] with its resources.
+type SizedAttemptWire = (AttemptWire, ResourcesWire);
 
 /// Wire form of [`EntryToWorker`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +56,10 @@
     /// Lists the attempts that the entry has recorded for the agent: those to continue and those to stop.
     #[serde(rename = "c")]
     Reconcile(Vec<AttemptWire>, Vec<AttemptWire>),
+    /// Lists attempts like [`Self::Reconcile`], with their resources. Earlier versions do not know it; agents that do say so in
+    /// their description.
+    #[serde(rename = "r")]
+    ReconcileSized(Vec<SizedAttemptWire>, Vec<SizedAttemptWire>),
     /// Records of lost workers. Earlier versions do not know it; agents that do say so in their description.
     #[serde(rename = "k")]
     Losses(Vec<WorkerCrashWire>),
@@ -89,6 +95,10 @@
         /// Whether the agent accepts [`EntryToWorkerWire::Losses`]. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
         stores_losses: bool,
+        /// Whether the agent accepts [`EntryToWorkerWire::ReconcileSized`]. Earlier versions do not send this field, and
+        /// ignore it.
+        #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+        reads_resources: bool,
     },
     /// Numbered heartbeat with the current load.
     #[serde(rename = "b")]
@@ -231,6 +241,40 @@
     wires.into_iter().map(attempt_from_wire).collect()
 }
 
+/// Returns `None` if the resources of an attempt are unknown.
+fn sized_to_wire(attempts: &[RecordedAttempt]) -> Option<Vec<SizedAttemptWire>> {
+    let sized = attempts.iter().map(|attempt| {
+        Some((
+            attempt_to_wire(attempt.key),
+            resources_to_wire(attempt.resources?),
+        ))
+    });
+    sized.collect()
+}
+
+fn sized_from_wire(wires: Vec<SizedAttemptWire>) -> Vec<RecordedAttempt> {
+    let attempts = wires.into_iter().map(|(key, resources)| RecordedAttempt {
+        key: attempt_from_wire(key),
+        resources: Some(resources_from_wire(resources)),
+    });
+    attempts.collect()
+}
+
+fn recorded_to_wire(attempts: &[RecordedAttempt]) -> Vec<AttemptWire> {
+    attempts
+        .iter()
+        .map(|attempt| attempt_to_wire(attempt.key))
+        .collect()
+}
+
+fn recorded_from_wire(wires: Vec<AttemptWire>) -> Vec<RecordedAttempt> {
+    let attempts = wires.into_iter().map(|key| RecordedAttempt {
+        key: attempt_from_wire(key),
+        resources: None,
+    });
+    attempts.collect()
+}
+
 fn resources_to_wire(resources: Resources) -> ResourcesWire {
     (resources.cpu_millis, resources.memory_mb, resources.gpus)
 }
@@ -301,9 +345,10 @@
             },
             EntryToWorker::Stop(keys) => Self::Stop(attempts_to_wire(keys)),
             EntryToWorker::HeartbeatAck(number) => Self::HeartbeatAck(number),
-            EntryToWorker::Reconcile { keep, stop } => {
-                Self::Reconcile(attempts_to_wire(keep), attempts_to_wire(stop))
-            }
+            EntryToWorker::Reconcile { keep, stop } => match (sized_to_wire(&keep), sized_to_wire(&stop)) {
+                (Some(keep), Some(stop)) => Self::ReconcileSized(keep, stop),
+                _ => Self::Reconcile(recorded_to_wire(&keep), recorded_to_wire(&stop)),
+            },
             EntryToWorker::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
@@ -337,8 +382,12 @@
             EntryToWorkerWire::Stop(keys) => Self::Stop(attempts_from_wire(keys)),
             EntryToWorkerWire::HeartbeatAck(number) => Self::HeartbeatAck(number),
             EntryToWorkerWire::Reconcile(keep, stop) => Self::Reconcile {
-                keep: attempts_from_wire(keep),
-                stop: attempts_from_wire(stop),
+                keep: recorded_from_wire(keep),
+                stop: recorded_from_wire(stop),
+            },
+            EntryToWorkerWire::ReconcileSized(keep, stop) => Self::Reconcile {
+                keep: sized_from_wire(keep),
+                stop: sized_from_wire(stop),
             },
             EntryToWorkerWire::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
@@ -356,6 +405,7 @@
                 capacity: resources_to_wire(description.capacity),
                 leaving: description.leaving,
                 stores_losses: description.stores_losses,
+                reads_resources: description.reads_resources,
                 crashes: crashes.into_iter().map(Into::into).collect(),
             },
             WorkerToEntry::Heartbeat(number, load) => Self::Heartbeat(number, load_to_wire(load)),
@@ -385,6 +435,7 @@
                 leaving,
                 crashes,
                 stores_losses,
+                reads_resources,
             } => {
                 let description = WorkerDescription {
                     worker,
@@ -394,6 +445,7 @@
                     capacity: resources_from_wire(capacity),
                     leaving,
                     stores_losses,
+                    reads_resources,
                 };
                 Self::Describe(description, crashes.into_iter().map(Into::into).collect())
             }
--- a/crates/worker/src/capacity.rs
+++ b/crates/worker/src/capacity.rs
@@ -21,7 +21,7 @@
         started.fold(Resources::default(), |sum, run| sum.saturating_add(run.resources))
     }
 
-    /// Records by how much the runs in progress exceed the capacity that the worker has just announced.
+    /// Records by how much the runs in progress exceed the capacity, after it has been announced or a run was taken over.
     pub(crate) fn record_excess(&mut self) {
         self.excess = self.used().saturating_sub(self.capacity());
     }
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -53,7 +53,8 @@
     pub(crate) reported_free: Resources,
     /// Number of reports to all entries; it rotates the units that remain when the free capacity does not divide evenly.
     pub(crate) share_rotation: u64,
-    /// Amount by which started runs exceed the capacity because it shrank while they were in progress.
+    /// Amount by which started runs exceed the capacity, because it shrank while they were in progress or because it is not
+    /// known what they use.
     pub(crate) excess: Resources,
     /// Recent losses of the worker.
     pub(crate) crashes: Crashes,
@@ -199,7 +200,7 @@
                 }
             }
             EntryToWorker::Reconcile { keep, stop } => {
-                let listed = |keep| move |key| ListedAttempt { entry, key, keep };
+                let listed = |keep| move |attempt| ListedAttempt { entry, attempt, keep };
                 self.unreconciled.extend(keep.into_iter().map(listed(true)));
                 self.unreconciled.extend(stop.into_iter().map(listed(false)));
                 self.reconcile_attempts(now, actions);
@@ -308,7 +309,7 @@
             self.stop(now, key.task, stop, actions);
         }
         let unreconciled = self.unreconciled.iter_mut();
-        for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.key == key) {
+        for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.attempt.key == key) {
             attempt.keep = false;
         }
     }
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{AttemptKey, Resources, RunOutcome, TaskKey};
+use chestnutfork_types::{AttemptKey, RecordedAttempt, Resources, RunOutcome, TaskKey};
 
 use crate::clock::MAX_WORKER_LEASE;
 use crate::config::lease_expiry_time;
@@ -210,8 +210,11 @@
         for listed in free {
             let task = listed.task;
             actions.push(Action::Notice(Notice::OrphanStopped { run: listed }));
-            let key = AttemptKey { task, attempt: 0 };
-            self.adopt(now, NO_OWNER, key, listed);
+            let unclaimed = RecordedAttempt {
+                key: AttemptKey { task, attempt: 0 },
+                resources: None,
+            };
+            self.adopt(now, NO_OWNER, unclaimed, listed);
             self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
         }
     }
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -3,18 +3,25 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{AttemptKey, EndedRun, ProcessId, Resources, RunOutcome};
+use chestnutfork_types::{EndedRun, ProcessId, RecordedAttempt, Resources, RunOutcome};
 
 use crate::core::WorkerCore;
 use crate::event::{Action, Evidence, ListedRun};
 use crate::run::{NO_OWNER, Phase, Run, Stop};
 use crate::session::Session;
 
+/// Resources of a run that are not known; they exceed every capacity.
+const UNKNOWN_RESOURCES: Resources = Resources {
+    cpu_millis: u64::MAX,
+    memory_mb: u64::MAX,
+    gpus: u64::MAX,
+};
+
 /// Attempt that an entry listed in an `EntryToWorker::Reconcile` message.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ListedAttempt {
     pub(crate) entry: ProcessId,
-    pub(crate) key: AttemptKey,
+    pub(crate) attempt: RecordedAttempt,
     /// Whether the entry wants the attempt to continue; otherwise it is stopped.
     pub(crate) keep: bool,
 }
@@ -30,15 +37,15 @@
         if !known {
             return;
         }
-        for attempt in std::mem::take(&mut self.unreconciled) {
-            if !self.reconcile_attempt(now, attempt.entry, attempt.key, actions) {
-                self.unreconciled.push(attempt);
+        for listed in std::mem::take(&mut self.unreconciled) {
+            if !self.reconcile_attempt(now, listed.entry, listed.attempt, actions) {
+                self.unreconciled.push(listed);
                 continue;
             }
-            if !attempt.keep {
+            if !listed.keep {
                 // The stop was ordered before this link opened, so its time may have expired.
                 let stop = Stop::begin_expired(now, RunOutcome::Stopped);
-                self.stop_attempt(now, attempt.entry, attempt.key, stop, actions);
+                self.stop_attempt(now, listed.entry, listed.attempt.key, stop, actions);
             }
         }
     }
@@ -48,14 +55,16 @@
         &mut self,
         now: Instant,
         entry: ProcessId,
-        key: AttemptKey,
+        attempt: RecordedAttempt,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let key = attempt.key;
         if let Some(run) = self.runs.get_mut(&key.task) {
             if run.owner == NO_OWNER {
                 // The run is being stopped, because no entry had listed it in time. Its end is reported to this one.
                 run.owner = entry;
                 run.key = key;
+                run.resources = attempt.resources.unwrap_or(run.resources);
             }
             return run.key == key && run.owner == entry;
         }
@@ -71,7 +80,7 @@
         if let Some(session) = self.session.as_mut() {
             let orphan = session.orphans.iter().position(|run| run.task == key.task);
             if let Some(run) = orphan.map(|at| session.orphans.swap_remove(at)) {
-                self.adopt(now, entry, key, run);
+                self.adopt(now, entry, attempt, run);
                 return true;
             }
             let listed = session
@@ -79,7 +88,7 @@
                 .iter()
                 .position(|end| end.run.task == key.task);
             if let Some(listed) = listed.map(|at| session.orphan_ends.swap_remove(at)) {
-                self.adopt(now, entry, key, listed.run);
+                self.adopt(now, entry, attempt, listed.run);
                 self.end_run(now, key.task, listed.outcome, Evidence::Listed, actions);
                 return true;
             }
@@ -95,12 +104,21 @@
     }
 
     /// Takes over a run that an earlier agent process started.
-    pub(crate) fn adopt(&mut self, now: Instant, owner: ProcessId, key: AttemptKey, listed: ListedRun) {
+    ///
+    /// The list of the worker does not state what the run uses. Unless its entry does, nothing starts before its end.
+    pub(crate) fn adopt(
+        &mut self,
+        now: Instant,
+        owner: ProcessId,
+        attempt: RecordedAttempt,
+        listed: ListedRun,
+    ) {
+        let key = attempt.key;
         let run = Run {
             key,
             owner,
             number: listed.number,
-            resources: Resources::default(),
+            resources: attempt.resources.unwrap_or(UNKNOWN_RESOURCES),
             declared_run_time: Duration::ZERO,
             objective_at: now,
             spec: bytes::Bytes::new(),
@@ -111,5 +129,6 @@
             former_incarnation: false,
         };
         self.runs.insert(key.task, run);
+        self.record_excess();
     }
 }
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -146,6 +146,7 @@
             .unwrap_or_default();
         description.leaving |= self.draining || session.is_some_and(Session::is_withdrawn);
         description.stores_losses = true;
+        description.reads_resources = true;
         description
     }
 
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -60,6 +60,7 @@
             capacity: cores(4),
             leaving: false,
             stores_losses: false,
+            reads_resources: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
