broker: End jobs that callers may have submitted elsewhere during a silence

Cause: an entry that was paused took each submission without a sign of its caller's end for a new one, and placed tasks again whose runs the agents had stopped. The end of a connection may be lost, and the caller has then submitted the job to another entry. An idle entry did not notice pauses of up to 1.25 s, and no entry noticed that its network was cut.

Change: a late timer, or no message of any connected agent for 500 ms, shows a silence. What is read just after it is refused as never run if it could not end before another entry may have received it; what is accepted, and jobs whose runs the agents have stopped, end in time. The delay after which callers submit again comes from the settings.

paused_entry_reads_disconnects_before_it_places submitted its second job within the same 100 ms as the first one, where it is now refused, and submits it 500 ms later instead; it still allows that job only.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -148,6 +148,11 @@
         Some(at)
     }
 
+    /// Returns whether a link to an agent is open.
+    pub(crate) fn any_connected(&self) -> bool {
+        !self.links.is_empty()
+    }
+
     pub(crate) fn index_of(&self, link: LinkNumber) -> Option<AgentIndex> {
         self.links.get(&link).copied()
     }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -16,15 +16,12 @@
 use crate::crashes::Crashes;
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
+use crate::silence::Silence;
 
 /// Interval at which deadlines, overdue attempts and missing heartbeats are checked while there is work in progress.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Delay after a load report before waiting tasks are placed, so that several reports are processed together.
 const REPORT_BATCH_DELAY: Duration = Duration::from_millis(2);
-/// Delay of the timer from which the process counts as paused; a quota of processor time delays it by less than 100 ms.
-const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
-/// Time after a pause in which the process reads what has arrived, before it places tasks.
-const PAUSE_SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which expired records are removed while there is no work in progress.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -55,8 +52,7 @@
     pub(crate) draining: bool,
     pub(crate) rng: StdRng,
     tick_at: Instant,
-    /// Until when nothing is placed, because the process was paused and may not have read what arrived meanwhile.
-    resume_at: Instant,
+    pub(crate) silence: Silence,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
 }
@@ -94,7 +90,7 @@
             early_requests: VecDeque::new(),
             draining: false,
             tick_at: now,
-            resume_at: now,
+            silence: Silence::new(now),
             placement_at: None,
         }
     }
@@ -123,7 +119,8 @@
 
     /// Processes one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
-        self.detect_pause(now, actions);
+        self.detect_silence(now, matches!(event, Event::Tick), actions);
+        self.silence.record_event(now);
         let report = WorkerToEntry::is_load_report;
         let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
         match event {
@@ -131,10 +128,14 @@
             Event::Routes(routes) => self.on_routes(now, routes, actions),
             Event::EntryCount(entries) => self.entry_count = entries.max(1),
             Event::AgentUp { link, agent, process } => {
+                self.silence.record_report(now);
                 self.agents.connect(now, link, agent, process);
             }
             Event::AgentDown { link } => self.on_agent_down(link, actions),
-            Event::FromAgent { link, message } => self.on_agent_message(now, link, message, actions),
+            Event::FromAgent { link, message } => {
+                self.silence.record_report(now);
+                self.on_agent_message(now, link, message, actions);
+            }
             Event::Request { ticket, request } => self.on_request(now, ticket, request, actions),
             Event::CallerDisconnected { ticket } => self.on_caller_disconnected(now, ticket, actions),
             Event::Drain => self.draining = true,
@@ -168,21 +169,6 @@
         self.placement_at.map_or(self.tick_at, |at| at.min(self.tick_at))
     }
 
-    /// Suspends placement after a pause of this process, until it has read the messages that arrived meanwhile.
-    ///
-    /// Requests whose callers have disconnected are among them, and their jobs may run at another entry already.
-    fn detect_pause(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let paused = now.saturating_duration_since(self.next_wakeup());
-        if paused >= PAUSE_THRESHOLD {
-            self.resume_at = now + PAUSE_SETTLE_TIME;
-            actions.push(Action::Notice(Notice::Paused { paused }));
-        }
-    }
-
-    pub(crate) fn may_place(&self, now: Instant) -> bool {
-        now >= self.resume_at
-    }
-
     /// Schedules the next check within the busy interval, because there is work in progress now.
     pub(crate) fn schedule_check(&mut self, now: Instant) {
         self.tick_at = self.tick_at.min(now + BUSY_CHECK_INTERVAL);
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -141,6 +141,8 @@
     TooManyJobs,
     /// The backlog would make the job miss its objective, or it missed the objective while it waited.
     Overloaded,
+    /// Nothing reached this process for a while, and the caller may have submitted the job to another entry meanwhile.
+    Silence,
 }
 
 impl RefusalReason {
@@ -155,6 +157,7 @@
             Self::NeverFits => "never_fits",
             Self::TooManyJobs => "too_many",
             Self::Overloaded => "overloaded",
+            Self::Silence => "silence",
         }
     }
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod requests;
 mod selection;
+mod silence;
 mod timers;
 mod verify;
 
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -117,6 +117,10 @@
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
+        let age = self.silence.submission_age(now);
+        if refused.is_none() && !age.is_zero() && age + objective > self.cfg.unverified_job_time() {
+            refused = Some(RefusalReason::Silence);
+        }
         if let Some(reason) = refused {
             self.log_refusal(id, reason, Duration::ZERO, actions);
             actions.push(Action::Answer(ticket, refusal(reason, retry_after)));
@@ -162,6 +166,11 @@
             })
         });
         let tasks: Vec<Task> = tasks.collect();
+        let age = self.silence.submission_age(now);
+        let mut deadline = now + timeout;
+        if !age.is_zero() {
+            deadline = deadline.min(now + self.cfg.unverified_job_time().saturating_sub(age));
+        }
         self.next_order += 1;
         let objective_at = now + objective;
         actions.push(Action::Notice(Notice::JobTaken {
@@ -183,7 +192,7 @@
             tickets: vec![ticket],
             accepted_at: now,
             objective_at,
-            deadline: now + timeout,
+            deadline,
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
--- /dev/null
+++ b/crates/broker/src/silence.rs
@@ -0,0 +1,101 @@
+//! Times in which nothing reached this process, because it was paused or cut off.
+//!
+//! What arrives after such a time may have waited in buffers. A caller may have given up meanwhile and submitted its job to
+//! another entry, and the end of its connection may have been lost. A job of such a caller therefore ends before another
+//! entry can have received it.
+
+use std::time::{Duration, Instant};
+
+use crate::core::BrokerCore;
+use crate::event::{Action, Notice};
+
+/// Delay of the timer from which the process counts as paused; a quota of processor time delays it by less than 100 ms.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
+/// Time without a message of any connected agent from which the process counts as paused or cut off: two heartbeats are
+/// missing.
+const SILENCE_THRESHOLD: Duration = Duration::from_millis(500);
+/// Time after a pause in which the process reads what has arrived, before it places tasks.
+const PAUSE_SETTLE_TIME: Duration = Duration::from_millis(100);
+/// Divisor of the length of a silence that gives the time in which the requests that waited are read, and the longest such
+/// time. Requests are read several times as fast as they arrive.
+const BACKLOG_DIVISOR: u32 = 4;
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(500);
+
+/// What is known of the latest time in which nothing reached this process.
+#[derive(Debug)]
+pub(crate) struct Silence {
+    /// Time of the last event.
+    handled_at: Instant,
+    /// Arrival of the latest message of an agent.
+    reported_at: Instant,
+    /// When the latest silence began.
+    since: Instant,
+    /// Until when nothing is placed, because the process may not have read what arrived meanwhile.
+    resume_at: Instant,
+    /// Until when submissions may be read that waited during the silence.
+    backlog_until: Instant,
+}
+
+impl Silence {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            handled_at: now,
+            reported_at: now,
+            since: now,
+            resume_at: now,
+            backlog_until: now,
+        }
+    }
+
+    pub(crate) fn record_event(&mut self, now: Instant) {
+        self.handled_at = now;
+    }
+
+    pub(crate) fn record_report(&mut self, now: Instant) {
+        self.reported_at = now;
+    }
+
+    /// Returns how long ago the caller of a submission that is read now may have sent it.
+    pub(crate) fn submission_age(&self, now: Instant) -> Duration {
+        if now < self.backlog_until {
+            now.saturating_duration_since(self.since)
+        } else {
+            Duration::ZERO
+        }
+    }
+}
+
+impl BrokerCore {
+    /// Detects that nothing reached this process for a while: its timer is late, or all agents were silent although links to
+    /// them are open.
+    pub(crate) fn detect_silence(&mut self, now: Instant, is_tick: bool, actions: &mut Vec<Action>) {
+        let late = now.saturating_duration_since(self.next_wakeup());
+        let paused = (late >= PAUSE_THRESHOLD).then_some(self.silence.handled_at);
+        let unreported = now.saturating_duration_since(self.silence.reported_at);
+        // The timer goes on while the process is cut off, so only what arrives shows the end of the silence.
+        let cut_off = !is_tick && unreported >= SILENCE_THRESHOLD && self.agents.any_connected();
+        let cut_off = cut_off.then_some(self.silence.reported_at);
+        let Some(since) = paused.into_iter().chain(cut_off).min() else {
+            return;
+        };
+        let length = now.saturating_duration_since(since);
+        self.silence = Silence {
+            handled_at: now,
+            reported_at: now,
+            since,
+            resume_at: now + PAUSE_SETTLE_TIME,
+            backlog_until: now + (length / BACKLOG_DIVISOR).clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME),
+        };
+        // Agents have stopped the runs of an entry that was silent for longer than its lease.
+        if length >= self.cfg.entry_lease {
+            for job in self.jobs.values_mut() {
+                job.deadline = job.deadline.min(job.accepted_at + self.cfg.unverified_job_time());
+            }
+        }
+        actions.push(Action::Notice(Notice::Paused { paused: length }));
+    }
+
+    pub(crate) fn may_place(&self, now: Instant) -> bool {
+        now >= self.silence.resume_at
+    }
+}
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -482,9 +482,12 @@
     entry.submit(1, 5, 1);
     assert_eq!(entry.attempts(), []);
     entry.handle(Event::CallerDisconnected { ticket: 1 });
+    for number in 3..24 {
+        entry.now += millis(25);
+        entry.beat(1, number, 0);
+    }
     entry.submit(2, 6, 1);
-    entry.now += millis(100);
-    entry.beat(1, 3, 0);
+    entry.beat(1, 24, 0);
     entry.handle(Event::Tick);
     let jobs: Vec<u128> = entry.attempts().iter().map(|(_, key)| key.task.job).collect();
     assert_eq!(jobs, [6]);
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -1,5 +1,7 @@
 //! Entry core with a virtual clock, for the tests of this crate.
 
+#![allow(dead_code, reason = "each test binary uses a part of the entry")]
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/broker/tests/silence.rs
@@ -0,0 +1,129 @@
+//! Tests of an entry that was paused or cut off: callers may have submitted their jobs to another entry meanwhile, and the end
+//! of their connections may have been lost.
+
+mod entry;
+
+use chestnutfork_broker::{Answer, Event, RefusalReason};
+use chestnutfork_types::RunOutcome;
+use entry::{Entry, millis};
+
+/// Lets time pass with heartbeats of all agents, so that the entry counts as connected.
+fn serve(entry: &mut Entry, from: u64, elapsed: u64) {
+    for step in 0..elapsed / 25 {
+        entry.now += millis(25);
+        entry.beat(1, from + step, u64::MAX);
+        entry.handle(Event::Tick);
+    }
+}
+
+fn is_refused_after_silence(answer: Option<&(u64, Answer)>) -> bool {
+    matches!(
+        answer,
+        Some((
+            _,
+            Answer::Refused {
+                reason: RefusalReason::Silence,
+                ..
+            }
+        ))
+    )
+}
+
+/// Guards against two runs of a task at a time: a submission waited while the entry was paused, and its caller, whose
+/// disconnection was lost, has submitted it to another entry.
+#[test]
+fn pause_refuses_submission_that_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(1);
+    serve(&mut entry, 10, 500);
+    entry.now += millis(1_250);
+    entry.submit(1, 5, 1);
+    assert!(is_refused_after_silence(entry.answers().last()));
+    serve(&mut entry, 50, 500);
+    assert_eq!(entry.attempts(), []);
+}
+
+/// Guards against a pause that an idle entry does not notice, because its timer is due about when it ends.
+#[test]
+fn pause_of_idle_entry_refuses_submission_that_may_run_elsewhere() {
+    for paused in [1_100, 1_200, 1_240] {
+        let mut entry = Entry::with_workers(1);
+        entry.beat(1, 2, 0);
+        entry.now += millis(paused);
+        entry.submit(1, 5, 1);
+        assert!(is_refused_after_silence(entry.answers().last()), "{paused} ms");
+    }
+}
+
+/// Guards against the same fault after the network of the entry was cut: its timer goes on, but no agent is heard.
+#[test]
+fn cut_refuses_submission_that_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(2);
+    serve(&mut entry, 10, 200);
+    for _ in 0..50 {
+        entry.now += millis(25);
+        entry.handle(Event::Tick);
+    }
+    entry.submit(1, 5, 1);
+    assert!(is_refused_after_silence(entry.answers().last()));
+}
+
+/// Guards against refusals of callers that cannot have submitted their jobs elsewhere yet, or whose requests are new.
+#[test]
+fn pause_accepts_what_can_run_nowhere_else() {
+    let mut entry = Entry::with_workers(1);
+    serve(&mut entry, 10, 200);
+    entry.now += millis(600);
+    entry.submit(1, 5, 1);
+    assert_eq!(entry.answers(), []);
+    let mut entry = Entry::with_workers(1);
+    entry.now += millis(2_000);
+    entry.beat(1, 2, 0);
+    serve(&mut entry, 10, 525);
+    entry.submit(2, 6, 1);
+    assert_eq!(entry.answers(), []);
+    assert_eq!(entry.attempts().len(), 1);
+}
+
+/// Guards against starting a task again for a job whose runs the agents have stopped during a pause, when its caller may have
+/// submitted it elsewhere.
+#[test]
+fn pause_ends_job_that_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.now += millis(1_250);
+    entry.beat(1, 2, u64::MAX);
+    entry.end_attempt(link, key, RunOutcome::Stopped);
+    serve(&mut entry, 10, 300);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+    assert_eq!(entry.attempts().len(), 1);
+}
+
+/// Guards against a job that was accepted after a pause and still runs when another entry may have received it.
+#[test]
+fn job_accepted_after_pause_ends_before_it_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(1);
+    serve(&mut entry, 10, 200);
+    entry.now += millis(600);
+    entry.submit(1, 5, 1);
+    serve(&mut entry, 50, 575);
+    assert_eq!(entry.attempts().len(), 1);
+    assert_eq!(entry.answers(), []);
+    serve(&mut entry, 100, 50);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+    assert!(entry.stops() >= 1);
+}
+
+/// Guards against giving up a job in progress because its entry was paused for less than its lease.
+#[test]
+fn short_pause_keeps_job_in_progress() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    serve(&mut entry, 10, 1_000);
+    entry.now += millis(400);
+    serve(&mut entry, 100, 200);
+    assert_eq!(entry.answers(), []);
+    let (link, key) = entry.attempts()[0];
+    entry.end_attempt(link, key, RunOutcome::Completed);
+    assert_eq!(entry.answers().len(), 1);
+}
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -34,11 +34,11 @@
         }
             meaning: "The entry has fetched the document, and puts it in force unless event 7002 follows.",
             remedy: "If it is far behind, check the link of the entry and compare the time with event 6025 of control.";
-        7005 EntryPaused "entry_paused" Warn "process was paused" {
-            paused: Duration = "How late the timer of the process was.",
+        7005 EntryPaused "entry_paused" Warn "process was paused or cut off" {
+            paused: Duration = "Time in which nothing reached the process.",
         }
-            meaning: "The process did not run; it places no tasks for 100 ms, in which it reads what arrived meanwhile.",
-            remedy: "If it persists, check the machine of the entry.";
+            meaning: "The process did not run or was cut off; it places no tasks for 100 ms, and refuses what may have waited for too long.",
+            remedy: "If it persists, check the machine of the entry and its network.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
@@ -51,7 +51,7 @@
             remedy: "None.";
         7011 JobRefused "job_not_taken" Info "job refused" {
             job: &'a str = "Id of the job.",
-            reason: &'a str = "Reason: `overloaded`, `draining`, `no_routes`, `unsupported`, `malformed`, `never_fits` or `too_many`.",
+            reason: &'a str = "Reason: `overloaded`, `draining`, `no_routes`, `unsupported`, `malformed`, `never_fits`, `too_many` or `silence`.",
             waited: Duration = "Time that the job waited, zero if it was refused at once.",
             waiting: u64 = "Jobs that are waiting for capacity at this entry.",
         }
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -33,6 +33,7 @@
     timing: LinkTiming,
     worker: WorkerConfig,
     remote_factor: f64,
+    resubmission_delay: Duration,
     metrics: Metrics,
 }
 
@@ -66,6 +67,7 @@
             timing: LinkTiming::fast_reconnect(),
             worker: WorkerConfig::builder().build(),
             remote_factor: 1.5,
+            resubmission_delay: Duration::from_millis(1_300),
             metrics: Metrics::disabled(),
         };
         NodeConfigBuilder { cfg }
@@ -113,6 +115,10 @@
         /// Sets the factor on the run time of a task that is placed away from its data.
         remote_factor: f64
     );
+    setter!(
+        /// Sets the shortest time after which a caller that has lost its connection submits its job again.
+        resubmission_delay: Duration
+    );
     setter!(
         /// Sets the destination of metrics.
         metrics: Metrics
@@ -234,6 +240,8 @@
     let clock = LeaseClock::new();
     let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_expiry())
         .remote_factor(cfg.remote_factor)
+        .entry_lease(cfg.worker.entry_lease())
+        .resubmission_delay(cfg.resubmission_delay)
         .seed(process)
         .build();
     let arguments = EntryArguments {
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -187,6 +187,13 @@
     );
 }
 
+/// Guards against starts for callers that left a paused entry without its knowledge and submitted again elsewhere.
+#[test]
+fn silent_callers_of_paused_entry_cause_no_concurrent_runs() {
+    let total = run_seeds("pauses,silent");
+    assert!(total.silent_callers > SEEDS * 5, "{total:?}");
+}
+
 /// Guards against reporting the runs of a worker as lost because another sender's announcement reached its agent.
 #[test]
 fn foreign_announcements_end_no_run() {
--- a/crates/leased/tests/sim/callers.rs
+++ b/crates/leased/tests/sim/callers.rs
@@ -11,7 +11,7 @@
 
 use super::checks::Rule;
 use super::entries::Channel;
-use super::{ENTRIES, ScheduledEvent, Sim};
+use super::{ENTRIES, Scenario, ScheduledEvent, Sim};
 
 /// Delay before a caller submits a job again that was not answered.
 const RESUBMIT_DELAY: Duration = Duration::from_millis(1_300);
@@ -88,6 +88,10 @@
     pub(super) fn reset_caller(&mut self, id: JobId, ticket: Ticket) {
         if let Some((entry, _)) = self.jobs[&id].pending.filter(|&(_, pending)| pending == ticket) {
             self.lose_caller(id);
+            if self.scenarios.contains(Scenario::SilentCallers) && self.entries[entry].is_paused() {
+                self.counts.silent_callers += 1;
+                return;
+            }
             self.deliver_to_entry(
                 entry,
                 Channel::Caller(ticket),
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -55,6 +55,8 @@
     crashing_failed,
     /// Answers that another job has failed.
     others_failed,
+    /// Callers that left a paused entry without its knowledge.
+    silent_callers,
     /// Announcements of workers that do not exist.
     foreign_announcements,
     /// Events that an entry processed after a pause.
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -39,11 +39,13 @@
     OrdersAcrossRestarts,
     /// Agents receive announcements of workers that do not exist, or of another system.
     ForeignAnnouncements,
+    /// A paused entry never receives the end of a caller's connection.
+    SilentCallers,
 }
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -62,6 +64,7 @@
         Self::CrashingTasks,
         Self::OrdersAcrossRestarts,
         Self::ForeignAnnouncements,
+        Self::SilentCallers,
     ];
 
     /// Returns the name on the command line.
@@ -85,6 +88,7 @@
             Self::CrashingTasks => "crashing",
             Self::OrdersAcrossRestarts => "across",
             Self::ForeignAnnouncements => "foreign",
+            Self::SilentCallers => "silent",
         }
     }
 }
