broker, worker, wire: Stop runs at the deadline of their job without an order

Cause: only the entry knew when to stop them, and its lease lets them go on for 600 ms.

Change: a start order carries the time left to the deadline of its job, in a field that earlier versions ignore, and the agent stops the run then.

--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -12,8 +12,7 @@
 pub struct BrokerConfig {
     pub(crate) failure_domain: FailureDomain,
     pub(crate) run_expiry: Duration,
-    pub(crate) entry_lease: Duration,
-    pub(crate) resubmission_delay: Duration,
+    pub(crate) unverified_job_time: Duration,
     pub(crate) stale_after: Duration,
     pub(crate) cross_domain_cost: Duration,
     pub(crate) remote_factor: f64,
@@ -50,8 +49,7 @@
         let cfg = BrokerConfig {
             failure_domain: failure_domain.into(),
             run_expiry,
-            entry_lease: Duration::from_millis(600),
-            resubmission_delay: Duration::from_millis(1_300),
+            unverified_job_time: Duration::from_millis(1_300).saturating_sub(STOP_ALLOWANCE),
             stale_after: Duration::from_millis(550),
             cross_domain_cost: Duration::from_millis(3),
             remote_factor: 1.5,
@@ -63,11 +61,6 @@
         };
         BrokerConfigBuilder { cfg }
     }
-
-    /// Returns how long after its submission a job may run whose caller may have submitted it again elsewhere.
-    pub(crate) fn unverified_job_time(&self) -> Duration {
-        self.resubmission_delay.saturating_sub(STOP_ALLOWANCE)
-    }
 }
 
 /// Declares a chainable setter of the builder.
@@ -83,14 +76,6 @@
 }
 
 impl BrokerConfigBuilder {
-    setter!(
-        /// Sets the time without acknowledged heartbeats after which agents stop the runs of this entry; default 600 ms.
-        entry_lease: Duration
-    );
-    setter!(
-        /// Sets the shortest time after which a caller that has lost its connection submits its job again; default 1.3 s.
-        resubmission_delay: Duration
-    );
     setter!(
         /// Sets the time without a heartbeat after which an agent gets no more tasks; default 550 ms, more than two
         /// heartbeat intervals.
@@ -125,6 +110,15 @@
         seed: u64
     );
 
+    /// Sets the shortest time after which a caller that has lost its connection submits its job again; default 1.3 s.
+    ///
+    /// Jobs whose callers may have left while nothing reached this process end within it.
+    #[must_use]
+    pub fn resubmission_delay(mut self, resubmission_delay: Duration) -> Self {
+        self.cfg.unverified_job_time = resubmission_delay.saturating_sub(STOP_ALLOWANCE);
+        self
+    }
+
     /// Returns the configuration.
     #[must_use]
     pub fn build(self) -> BrokerConfig {
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -170,6 +170,7 @@
             number: agent_state.last_order,
             last_heartbeat: agent_state.last_heartbeat,
             time_to_objective: job.objective_at.saturating_duration_since(now),
+            time_limit: Some(job.deadline.saturating_duration_since(now)),
             spec: job.spec.clone(),
             tasks,
             refuse_if_full,
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -117,8 +117,7 @@
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
-        let age = self.silence.submission_age(now);
-        if refused.is_none() && !age.is_zero() && age + objective > self.cfg.unverified_job_time() {
+        if refused.is_none() && now + objective > self.unverified_deadline(now, now + objective) {
             refused = Some(RefusalReason::Silence);
         }
         if let Some(reason) = refused {
@@ -166,11 +165,6 @@
             })
         });
         let tasks: Vec<Task> = tasks.collect();
-        let age = self.silence.submission_age(now);
-        let mut deadline = now + timeout;
-        if !age.is_zero() {
-            deadline = deadline.min(now + self.cfg.unverified_job_time().saturating_sub(age));
-        }
         self.next_order += 1;
         let objective_at = now + objective;
         actions.push(Action::Notice(Notice::JobTaken {
@@ -192,7 +186,7 @@
             tickets: vec![ticket],
             accepted_at: now,
             objective_at,
-            deadline,
+            deadline: self.unverified_deadline(now, now + timeout),
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -55,13 +55,9 @@
         self.reported_at = now;
     }
 
-    /// Returns how long ago the caller of a submission that is read now may have sent it.
-    pub(crate) fn submission_age(&self, now: Instant) -> Duration {
-        if now < self.backlog_until {
-            now.saturating_duration_since(self.since)
-        } else {
-            Duration::ZERO
-        }
+    /// Returns when the silence began if a submission that is read now may have waited during it.
+    pub(crate) fn backlog_since(&self, now: Instant) -> Option<Instant> {
+        (now < self.backlog_until).then_some(self.since)
     }
 }
 
@@ -86,15 +82,22 @@
             resume_at: now + PAUSE_SETTLE_TIME,
             backlog_until: now + (length / BACKLOG_DIVISOR).clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME),
         };
-        // Agents have stopped the runs of an entry that was silent for longer than its lease.
-        if length >= self.cfg.entry_lease {
-            for job in self.jobs.values_mut() {
-                job.deadline = job.deadline.min(job.accepted_at + self.cfg.unverified_job_time());
-            }
+        // Callers of jobs in progress may have left as well.
+        let deadline = since + self.cfg.unverified_job_time;
+        for job in self.jobs.values_mut() {
+            job.deadline = job.deadline.min(deadline);
         }
         actions.push(Action::Notice(Notice::Paused { paused: length }));
     }
 
+    /// Returns the deadline of a submission that is read now, which is earlier if it may have waited during a silence.
+    pub(crate) fn unverified_deadline(&self, now: Instant, deadline: Instant) -> Instant {
+        let since = self.silence.backlog_since(now);
+        since.map_or(deadline, |since| {
+            deadline.min(since + self.cfg.unverified_job_time)
+        })
+    }
+
     pub(crate) fn may_place(&self, now: Instant) -> bool {
         now >= self.silence.resume_at
     }
--- a/crates/broker/tests/silence.rs
+++ b/crates/broker/tests/silence.rs
@@ -99,6 +99,23 @@
     assert_eq!(entry.attempts().len(), 1);
 }
 
+/// Guards against starting a task again after a pause that is shorter than the lease of the entry, and going on with it when
+/// its caller may have submitted it elsewhere.
+#[test]
+fn job_in_progress_during_pause_ends_before_it_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 5, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.now += millis(550);
+    entry.beat(1, 2, 0);
+    entry.end_attempt(link, key, RunOutcome::Failed);
+    serve(&mut entry, 10, 625);
+    assert_eq!(entry.attempts().len(), 2);
+    assert_eq!(entry.answers(), []);
+    serve(&mut entry, 50, 50);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+}
+
 /// Guards against a job that was accepted after a pause and still runs when another entry may have received it.
 #[test]
 fn job_accepted_after_pause_ends_before_it_may_run_elsewhere() {
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -240,7 +240,6 @@
     let clock = LeaseClock::new();
     let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_expiry())
         .remote_factor(cfg.remote_factor)
-        .entry_lease(cfg.worker.entry_lease())
         .resubmission_delay(cfg.resubmission_delay)
         .seed(process)
         .build();
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -119,6 +119,8 @@
     pub time_to_objective: Duration,
     /// Input of the tasks.
     pub spec: Bytes,
+    /// Time left until the runs are stopped, also if the entry sends no stop; `None` from entries of earlier versions.
+    pub time_limit: Option<Duration>,
     /// Tasks to start.
     pub tasks: Vec<TaskOrder>,
     /// Whether the agent refuses tasks that cannot start at once; otherwise they wait for capacity.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -46,6 +46,9 @@
         /// Whether to refuse tasks that cannot start at once. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
         refuse_if_full: bool,
+        /// Time left until the runs are stopped, in microseconds. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+        time_limit_us: Option<u64>,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -331,6 +334,7 @@
                 time_to_objective_us: micros(order.time_to_objective),
                 spec: order.spec,
                 refuse_if_full: order.refuse_if_full,
+                time_limit_us: order.time_limit.map(micros),
                 tasks: order
                     .tasks
                     .into_iter()
@@ -364,9 +368,11 @@
                 spec,
                 tasks,
                 refuse_if_full,
+                time_limit_us,
             } => Self::Start(StartOrder {
                 number,
                 refuse_if_full,
+                time_limit: time_limit_us.map(Duration::from_micros),
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -64,12 +64,6 @@
         self.worker_lease
     }
 
-    /// Returns how long an entry's runs continue after the last heartbeat that it acknowledged.
-    #[must_use]
-    pub fn entry_lease(&self) -> Duration {
-        self.entry_lease
-    }
-
     /// Returns the longest time for which a run can continue after the last heartbeat that its entry acknowledged was sent.
     ///
     /// Entries measure from the arrival of the heartbeat instead, which is later and therefore safe.
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -153,6 +153,8 @@
             _ => None,
         });
         let busy = !self.runs.is_empty();
+        let limits = self.runs.values().filter(|run| !run.is_stopping());
+        let limit = limits.filter_map(|run| run.stop_at).min();
         let leases = self.owners.iter().filter_map(|(_, owner)| owner.lease_until);
         let leases = leases.filter(|_| busy);
         let session = self.session.as_ref();
@@ -163,7 +165,7 @@
         let unreconciled = (!self.unreconciled.is_empty()).then_some(self.former_runs_expire_at);
         let due = runs.chain(leases).chain(report).chain(renewal);
         let due = due.chain(expiry).chain(orphans).chain(unreconciled);
-        let due = due.chain(self.candidate_call_time());
+        let due = due.chain(self.candidate_call_time()).chain(limit);
         // Work that was due at the last event is done, or waits for something other than time.
         let due = due.filter(|&at| at > self.handled_at);
         due.fold(self.heartbeat_at.min(self.cleanup_at), Instant::min)
@@ -267,6 +269,7 @@
             resources: task.resources,
             declared_run_time: task.declared_run_time,
             objective_at: now + order.time_to_objective,
+            stop_at: order.time_limit.and_then(|limit| now.checked_add(limit)),
             spec: order.spec.clone(),
             phase: Phase::Waiting { not_before: now },
             started_at: None,
@@ -413,6 +416,18 @@
         }
     }
 
+    /// Stops the runs whose time limit has passed; their entry may be paused, and their callers may have submitted elsewhere.
+    fn stop_expired_runs(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let expired = self
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_stopping() && run.stop_at.is_some_and(|at| at <= now));
+        let expired: Vec<TaskKey> = expired.map(|(&task, _)| task).collect();
+        for task in expired {
+            self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
+        }
+    }
+
     fn drain(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.draining = true;
         self.refuse_waiting(now, "the agent is shutting down", actions);
@@ -422,6 +437,7 @@
     /// Performs the work that has become possible or due after an event.
     fn run_due_work(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.expire_worker_lease(now, actions);
+        self.stop_expired_runs(now, actions);
         self.end_withdrawn_session(now, actions);
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -121,6 +121,7 @@
             resources: attempt.resources.unwrap_or(UNKNOWN_RESOURCES),
             declared_run_time: Duration::ZERO,
             objective_at: now,
+            stop_at: None,
             spec: bytes::Bytes::new(),
             phase: Phase::Running { since: now },
             started_at: Some(now),
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -75,6 +75,8 @@
     pub(crate) declared_run_time: Duration,
     /// Latency objective of the job; waiting runs start in this order, earliest first.
     pub(crate) objective_at: Instant,
+    /// When the run is stopped although its entry has not ordered it.
+    pub(crate) stop_at: Option<Instant>,
     pub(crate) spec: Bytes,
     pub(crate) phase: Phase,
     pub(crate) started_at: Option<Instant>,
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -141,6 +141,7 @@
         });
         self.send(EntryToWorker::Start(StartOrder {
             refuse_if_full,
+            time_limit: None,
             number: 1,
             last_heartbeat: 1,
             time_to_objective: millis(200),
