broker: Notice cuts that last until the links to agents are given up

A cut of more than a second was not noticed as a silence: the entry gives up its links to agents after one second, which counted as the end of the silence, and without links nothing was expected to arrive. Submissions that waited during the cut were then taken for new ones.

Cause: lost links are local events, and the expectation of reports ended with them. Change: only what arrives ends a silence, and links that are given up while no agent was heard keep the expectation. Agents that are killed close their links at once and are no silence.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -119,7 +119,8 @@
 
     /// Processes one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
-        self.detect_silence(now, matches!(event, Event::Tick), actions);
+        let is_arrival = !matches!(event, Event::Tick | Event::AgentDown { .. } | Event::Drain);
+        self.detect_silence(now, is_arrival, actions);
         self.silence.record_event(now);
         let report = WorkerToEntry::is_load_report;
         let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
@@ -131,7 +132,10 @@
                 self.silence.record_report(now);
                 self.agents.connect(now, link, agent, process);
             }
-            Event::AgentDown { link } => self.on_agent_down(link, actions),
+            Event::AgentDown { link } => {
+                self.silence.record_lost_link(now);
+                self.on_agent_down(link, actions);
+            }
             Event::FromAgent { link, message } => {
                 self.silence.record_report(now);
                 self.on_agent_message(now, link, message, actions);
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -28,6 +28,8 @@
     handled_at: Instant,
     /// Arrival of the latest message of an agent.
     reported_at: Instant,
+    /// Whether a link was given up after no agent had been heard for a while, which a killed agent does not cause.
+    lost_silently: bool,
     /// When the latest silence began.
     since: Instant,
     /// Until when nothing is placed, because the process may not have read what arrived meanwhile.
@@ -41,6 +43,7 @@
         Self {
             handled_at: now,
             reported_at: now,
+            lost_silently: false,
             since: now,
             resume_at: now,
             backlog_until: now,
@@ -53,6 +56,11 @@
 
     pub(crate) fn record_report(&mut self, now: Instant) {
         self.reported_at = now;
+        self.lost_silently = false;
+    }
+
+    pub(crate) fn record_lost_link(&mut self, now: Instant) {
+        self.lost_silently |= now >= self.reported_at + SILENCE_THRESHOLD;
     }
 
     /// Returns when the silence began if a submission that is read now may have waited during it.
@@ -63,13 +71,16 @@
 
 impl BrokerCore {
     /// Detects that nothing reached this process for a while: its timer is late, or all agents were silent although links to
-    /// them are open.
-    pub(crate) fn detect_silence(&mut self, now: Instant, is_tick: bool, actions: &mut Vec<Action>) {
+    /// them were open.
+    ///
+    /// `is_arrival` states whether the event that is processed came from outside. The timer goes on while the process is cut
+    /// off, and links are given up then, so only an arrival shows the end of the silence.
+    pub(crate) fn detect_silence(&mut self, now: Instant, is_arrival: bool, actions: &mut Vec<Action>) {
         let late = now.saturating_duration_since(self.next_wakeup());
         let paused = (late >= PAUSE_THRESHOLD).then_some(self.silence.handled_at);
         let unreported = now.saturating_duration_since(self.silence.reported_at);
-        // The timer goes on while the process is cut off, so only what arrives shows the end of the silence.
-        let cut_off = !is_tick && unreported >= SILENCE_THRESHOLD && self.agents.any_connected();
+        let expects_reports = self.agents.any_connected() || self.silence.lost_silently;
+        let cut_off = is_arrival && unreported >= SILENCE_THRESHOLD && expects_reports;
         let cut_off = cut_off.then_some(self.silence.reported_at);
         let Some(since) = paused.into_iter().chain(cut_off).min() else {
             return;
@@ -78,6 +89,7 @@
         self.silence = Silence {
             handled_at: now,
             reported_at: now,
+            lost_silently: false,
             since,
             resume_at: now + PAUSE_SETTLE_TIME,
             backlog_until: now + (length / BACKLOG_DIVISOR).clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME),
--- a/crates/broker/tests/silence.rs
+++ b/crates/broker/tests/silence.rs
@@ -67,6 +67,46 @@
     assert!(is_refused_after_silence(entry.answers().last()));
 }
 
+/// Guards against the same fault after a cut that lasts until the entry has given up its links.
+#[test]
+fn long_cut_refuses_submission_that_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(2);
+    serve(&mut entry, 10, 200);
+    for _ in 0..40 {
+        entry.now += millis(25);
+        entry.handle(Event::Tick);
+    }
+    for link in [1, 2] {
+        entry.handle(Event::AgentDown { link });
+    }
+    for _ in 0..20 {
+        entry.now += millis(25);
+        entry.handle(Event::Tick);
+    }
+    entry.connect(3);
+    entry.submit(1, 5, 1);
+    assert!(is_refused_after_silence(entry.answers().last()));
+    assert_eq!(entry.attempts(), []);
+}
+
+/// Guards against taking killed agents, whose links close at once, for a cut of the entry's own network.
+#[test]
+fn killed_agents_are_no_silence() {
+    let mut entry = Entry::with_workers(2);
+    serve(&mut entry, 10, 200);
+    for link in [1, 2] {
+        entry.handle(Event::AgentDown { link });
+    }
+    for _ in 0..60 {
+        entry.now += millis(25);
+        entry.handle(Event::Tick);
+    }
+    entry.connect(3);
+    entry.submit(1, 5, 1);
+    assert_eq!(entry.answers(), []);
+    assert_eq!(entry.attempts().len(), 1);
+}
+
 /// Guards against refusals of callers that cannot have submitted their jobs elsewhere yet, or whose requests are new.
 #[test]
 fn pause_accepts_what_can_run_nowhere_else() {
