--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -246,7 +246,7 @@
 /// Decision or state change to be logged.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
-    /// The process was paused, and places no tasks until it has read what arrived meanwhile.
+    /// Nothing reached the process for a while, and it places no tasks until it has read what arrived meanwhile.
     Paused {
         /// How late its timer was.
         paused: Duration,
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -16,9 +16,10 @@
 const SILENCE_THRESHOLD: Duration = Duration::from_millis(500);
 /// Time after a pause in which the process reads what has arrived, before it places tasks.
 const PAUSE_SETTLE_TIME: Duration = Duration::from_millis(100);
-/// Divisor of the length of a silence that gives the time in which the requests that waited are read, and the longest such
-/// time. Requests are read several times as fast as they arrive.
+/// Divisor of the length of a silence that gives the time in which the requests that waited are read; they are read several
+/// times as fast as they arrive.
 const BACKLOG_DIVISOR: u32 = 4;
+/// Longest time in which the requests that waited during a silence are read.
 const MAX_BACKLOG_TIME: Duration = Duration::from_millis(500);
 
 /// What is known of the latest time in which nothing reached this process.
@@ -28,7 +29,7 @@
     handled_at: Instant,
     /// Arrival of the latest message of an agent.
     reported_at: Instant,
-    /// Whether a link was given up after no agent had been heard for a while, which a killed agent does not cause.
+    /// Whether a link was given up after a time without a message of any agent; a killed agent closes its link at once.
     lost_silently: bool,
     /// When the latest silence began.
     since: Instant,
--- a/crates/broker/tests/silence.rs
+++ b/crates/broker/tests/silence.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Guards against the same fault after the network of the entry was cut: its timer goes on, but no agent is heard.
+/// Guards against the same fault after the network of the entry was cut: its timer goes on, but no message arrives.
 #[test]
 fn cut_refuses_submission_that_may_run_elsewhere() {
     let mut entry = Entry::with_workers(2);
