broker, leased: Hold requests to the time of their arrival

Event::Request carries received_at, stamped when the process has read the request. Objective, deadline and the wait for the first routes count from it, and so do the logged times of a job.

The randomised run stamps requests when a paused entry reads them, as a process does.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -128,11 +128,11 @@
         let waited = job
             .placed_at
             .unwrap_or(now)
-            .saturating_duration_since(job.accepted_at);
+            .saturating_duration_since(job.received_at);
         actions.push(Action::Notice(Notice::JobEnded {
             job: id,
             end,
-            took: now.saturating_duration_since(job.accepted_at),
+            took: now.saturating_duration_since(job.received_at),
             waited,
             attempts: job.attempts,
             on_time: end == JobEnd::Completed && now <= job.objective_at,
@@ -152,7 +152,7 @@
             return;
         };
         self.waiting.remove(&job.order);
-        let waited = now.saturating_duration_since(job.accepted_at);
+        let waited = now.saturating_duration_since(job.received_at);
         self.log_refusal(id, RefusalReason::Overloaded, waited, actions);
         self.record_attempts(now, &job);
         self.answer_all(&job, refusal(RefusalReason::Overloaded, RETRY_AFTER), actions);
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -16,6 +16,7 @@
 use crate::crashes::Crashes;
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
+use crate::requests::Arrival;
 use crate::silence::Silence;
 
 /// Interval at which deadlines, overdue attempts and missing heartbeats are checked while there is work in progress.
@@ -48,7 +49,7 @@
     /// Workers that were lost under tasks.
     pub(crate) crashes: Crashes,
     /// Requests that arrived before the first route table, and the times at which they are refused.
-    pub(crate) early_requests: VecDeque<(Instant, Ticket, Request)>,
+    pub(crate) early_requests: VecDeque<(Instant, Arrival, Request)>,
     pub(crate) draining: bool,
     pub(crate) rng: StdRng,
     tick_at: Instant,
@@ -140,7 +141,15 @@
                 self.silence.record_report(now);
                 self.on_agent_message(now, link, message, actions);
             }
-            Event::Request { ticket, request } => self.on_request(now, ticket, request, actions),
+            Event::Request {
+                ticket,
+                request,
+                received_at,
+            } => {
+                let received_at = received_at.min(now);
+                let arrival = Arrival { ticket, received_at };
+                self.on_request(now, arrival, request, actions);
+            }
             Event::CallerDisconnected { ticket } => self.on_caller_disconnected(now, ticket, actions),
             Event::Drain => self.draining = true,
         }
@@ -190,8 +199,8 @@
             }));
             self.routes = Some(RouteIndex::from(routes));
             self.routes_since = now;
-            for (_, ticket, request) in std::mem::take(&mut self.early_requests) {
-                self.on_request(now, ticket, request, actions);
+            for (_, arrival, request) in std::mem::take(&mut self.early_requests) {
+                self.on_request(now, arrival, request, actions);
             }
         }
     }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -1,6 +1,6 @@
 //! Input events and output actions of the entry core.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutfork_routes::RouteTable;
@@ -222,6 +222,9 @@
         ticket: Ticket,
         /// Content of the request.
         request: Request,
+        /// When the request reached the process. Its objective and its deadline count from then, because it may wait
+        /// before the core reads it.
+        received_at: Instant,
     },
     /// A caller disconnected before it was answered.
     CallerDisconnected {
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -54,7 +54,8 @@
     pub(crate) steps: Vec<StepSpec>,
     pub(crate) tasks: Vec<Task>,
     pub(crate) tickets: Vec<Ticket>,
-    pub(crate) accepted_at: Instant,
+    /// When the submission reached the process.
+    pub(crate) received_at: Instant,
     pub(crate) objective_at: Instant,
     pub(crate) deadline: Instant,
     /// When the first task was placed.
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -16,16 +16,24 @@
 /// longer wait would exceed the objective of most jobs.
 const ROUTES_WAIT: Duration = Duration::from_millis(500);
 
+/// Request that waits for its answer, and when it reached the process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) ticket: Ticket,
+    pub(crate) received_at: Instant,
+}
+
 impl BrokerCore {
     pub(crate) fn on_request(
         &mut self,
         now: Instant,
-        ticket: Ticket,
+        arrival: Arrival,
         request: Request,
         actions: &mut Vec<Action>,
     ) {
+        let ticket = arrival.ticket;
         let Some(routes) = &self.routes else {
-            self.wait_for_routes(now, ticket, request, actions);
+            self.wait_for_routes(now, arrival, request, actions);
             return;
         };
         let Some(route) = routes.find(&request.host, &request.queue).cloned() else {
@@ -41,7 +49,7 @@
         let answer = match (request.kind, request.job) {
             (RequestKind::Submit(submission), Some(job)) => {
                 let timeout = request.timeout.unwrap_or(route.timeout);
-                self.submit(now, ticket, job, &route, submission, timeout, actions);
+                self.submit(now, arrival, job, &route, submission, timeout, actions);
                 return;
             }
             (RequestKind::Submit(_), None) => refusal(RefusalReason::Malformed, RETRY_AFTER),
@@ -54,22 +62,28 @@
     }
 
     /// Holds a request until the first route table arrives, which takes a moment after a restart.
-    fn wait_for_routes(&mut self, now: Instant, ticket: Ticket, request: Request, actions: &mut Vec<Action>) {
+    fn wait_for_routes(
+        &mut self,
+        now: Instant,
+        arrival: Arrival,
+        request: Request,
+        actions: &mut Vec<Action>,
+    ) {
         if self.draining || self.early_requests.len() >= self.cfg.max_jobs {
             let answer = refusal(RefusalReason::NoRoutes, RETRY_AFTER);
-            actions.push(Action::Answer(ticket, answer));
+            actions.push(Action::Answer(arrival.ticket, answer));
             return;
         }
-        self.early_requests
-            .push_back((now + ROUTES_WAIT, ticket, request));
+        let until = arrival.received_at + ROUTES_WAIT;
+        self.early_requests.push_back((until, arrival, request));
         self.schedule_check(now);
     }
 
     /// Refuses the requests that have waited too long for a route table.
     pub(crate) fn refuse_expired_requests(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        while let Some((_, ticket, _)) = self.early_requests.pop_front_if(|(until, ..)| *until <= now) {
+        while let Some((_, arrival, _)) = self.early_requests.pop_front_if(|(until, ..)| *until <= now) {
             let answer = refusal(RefusalReason::NoRoutes, RETRY_AFTER);
-            actions.push(Action::Answer(ticket, answer));
+            actions.push(Action::Answer(arrival.ticket, answer));
         }
     }
 
@@ -80,16 +94,17 @@
     fn submit(
         &mut self,
         now: Instant,
-        ticket: Ticket,
+        arrival: Arrival,
         id: JobId,
         route: &Route,
         submission: JobSubmission,
         timeout: Duration,
         actions: &mut Vec<Action>,
     ) {
+        let Arrival { ticket, received_at } = arrival;
         if let Some(job) = self.jobs.get_mut(&id) {
             job.tickets.push(ticket);
-            job.deadline = job.deadline.max(now + timeout);
+            job.deadline = job.deadline.max(received_at + timeout);
             self.tickets.insert(ticket, id);
             return;
         }
@@ -112,12 +127,13 @@
         }
         let run_time = critical_path(&submission.steps).min(MAX_RUN_TIME);
         let objective = run_time.mul_f64(route.stretch_factor) + route.overhead;
-        let wait = self.expected_wait(now, &route.service, now + objective);
-        if refused.is_none() && wait + run_time > objective {
+        let objective_at = received_at + objective;
+        let wait = self.expected_wait(now, &route.service, objective_at);
+        if refused.is_none() && now + wait + run_time > objective_at {
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
-        if refused.is_none() && now + objective > self.unverified_deadline(now, now + objective) {
+        if refused.is_none() && objective_at > self.unverified_deadline(now, objective_at) {
             refused = Some(RefusalReason::Silence);
         }
         if let Some(reason) = refused {
@@ -126,14 +142,14 @@
             return;
         }
         self.tickets.insert(ticket, id);
-        self.accept(now, ticket, id, route, submission, timeout, objective, actions);
+        self.accept(now, arrival, id, route, submission, timeout, objective, actions);
     }
 
     #[expect(clippy::too_many_arguments, reason = "each part of a job has its own source")]
     fn accept(
         &mut self,
         now: Instant,
-        ticket: Ticket,
+        Arrival { ticket, received_at }: Arrival,
         id: JobId,
         route: &Route,
         submission: JobSubmission,
@@ -166,7 +182,7 @@
         });
         let tasks: Vec<Task> = tasks.collect();
         self.next_order += 1;
-        let objective_at = now + objective;
+        let objective_at = received_at + objective;
         actions.push(Action::Notice(Notice::JobTaken {
             job: id,
             route: route.name.clone(),
@@ -184,9 +200,9 @@
             steps: submission.steps,
             tasks,
             tickets: vec![ticket],
-            accepted_at: now,
+            received_at,
             objective_at,
-            deadline: self.unverified_deadline(now, now + timeout),
+            deadline: self.unverified_deadline(now, received_at + timeout),
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
@@ -224,7 +240,7 @@
 
     /// Cancels a job once all its callers have disconnected; a resubmission runs it again.
     pub(crate) fn on_caller_disconnected(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
-        self.early_requests.retain(|(_, other, _)| *other != ticket);
+        self.early_requests.retain(|(_, other, _)| other.ticket != ticket);
         let Some(id) = self.tickets.swap_remove(&ticket) else {
             return;
         };
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -206,7 +206,7 @@
     let mut entry = Entry::with_workers(1);
     for (ticket, submission) in (1..).zip([long_running, durable, gang]) {
         let request = request(u128::from(ticket), RequestKind::Submit(submission));
-        entry.handle(Event::Request { ticket, request });
+        entry.request(ticket, request);
     }
     assert_eq!(entry.attempts(), []);
     let unsupported = |(_, answer): &(u64, Answer)| {
@@ -239,7 +239,7 @@
     };
     chained.steps.push(second);
     let request = request(1, RequestKind::Submit(chained));
-    entry.handle(Event::Request { ticket: 1, request });
+    entry.request(1, request);
     let attempts = entry.attempts();
     assert_eq!(attempts.len(), 1);
     entry.end_attempt(attempts[0].0, attempts[0].1, RunOutcome::Completed);
@@ -299,7 +299,7 @@
         queue: "/unknown/".to_owned(),
         ..request(1, RequestKind::Lookup)
     };
-    entry.handle(Event::Request { ticket: 1, request });
+    entry.request(1, request);
     let logged = entry.actions.iter().any(|action| {
         matches!(
             action,
@@ -316,7 +316,7 @@
     let mut entry = Entry::with_workers(1);
     entry.submit(1, 1, 2);
     let request = request(1, RequestKind::Cancel);
-    entry.handle(Event::Request { ticket: 2, request });
+    entry.request(2, request);
     assert_eq!(entry.stops(), 1);
     assert!(entry.answers().contains(&(2, Answer::Cancelled)));
 }
@@ -360,7 +360,7 @@
     long.steps[0].declared_run_time = millis(900);
     for ticket in 1..=2 {
         let request = request(u128::from(ticket), RequestKind::Submit(long.clone()));
-        entry.handle(Event::Request { ticket, request });
+        entry.request(ticket, request);
     }
     entry.submit(3, 3, 1);
     let refused: Vec<u64> = entry.answers().into_iter().map(|(ticket, _)| ticket).collect();
@@ -542,7 +542,7 @@
             ..JobSubmission::default()
         };
         let request = request(u128::from(steps), RequestKind::Submit(submission));
-        entry.handle(Event::Request { ticket, request });
+        entry.request(ticket, request);
         entry.handle(Event::Tick);
         let answer = entry.answers().last().copied();
         assert!(
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -158,9 +158,18 @@
         self.core.handle(self.now, event, &mut self.actions);
     }
 
+    pub fn request(&mut self, ticket: u64, request: Request) {
+        let received_at = self.now;
+        self.handle(Event::Request {
+            ticket,
+            request,
+            received_at,
+        });
+    }
+
     pub fn submit(&mut self, ticket: u64, job: u128, tasks: u16) {
         let request = request(job, RequestKind::Submit(submission(tasks)));
-        self.handle(Event::Request { ticket, request });
+        self.request(ticket, request);
     }
 
     /// Advances the clock in steps of the core's busy interval, with heartbeats on the given links.
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -1,5 +1,7 @@
 //! Actor that owns the entry core, the links to agents and the pending requests of callers.
 
+use std::time::Instant;
+
 use chestnutfork_broker::{Action, Answer, BrokerCore, Event, Notice, Request, Ticket};
 use chestnutfork_net::{Identity, LinkId, LinkSender, Metrics};
 use chestnutfork_routes::RouteTable;
@@ -46,6 +48,8 @@
     Request {
         ticket: Ticket,
         request: Request,
+        /// When the process had read the request.
+        received_at: Instant,
         reply: oneshot::Sender<Answer>,
     },
     /// A caller disconnected before its request was answered.
@@ -64,6 +68,7 @@
 #[derive(Clone, Debug)]
 pub struct EntryClient {
     actor: ActorRef<EntryMessage>,
+    clock: LeaseClock,
 }
 
 /// Reports the caller as disconnected if its request is dropped before it is answered.
@@ -82,14 +87,15 @@
 }
 
 impl EntryClient {
-    pub(crate) fn new(actor: ActorRef<EntryMessage>) -> Self {
-        Self { actor }
+    pub(crate) fn new(actor: ActorRef<EntryMessage>, clock: LeaseClock) -> Self {
+        Self { actor, clock }
     }
 
     /// Serves a request. Dropping the future reports the caller as disconnected.
     ///
     /// Returns `None` if the entry has stopped.
     pub async fn request(&self, request: Request) -> Option<Answer> {
+        let received_at = self.clock.now();
         let ticket = rand::random();
         let mut guard = CallerGuard {
             actor: self.actor.clone(),
@@ -99,6 +105,7 @@
         let message = EntryMessage::Request {
             ticket,
             request,
+            received_at,
             reply,
         };
         self.actor.cast(message).ok()?;
@@ -204,10 +211,15 @@
             EntryMessage::Request {
                 ticket,
                 request,
+                received_at,
                 reply,
             } => {
                 self.pending_replies.insert(ticket, reply);
-                self.handle_event(Event::Request { ticket, request });
+                self.handle_event(Event::Request {
+                    ticket,
+                    request,
+                    received_at,
+                });
             }
             EntryMessage::CallerDisconnected(ticket) => {
                 self.pending_replies.swap_remove(&ticket);
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -137,6 +137,7 @@
     process: ProcessId,
     address: String,
     actor: ActorRef<EntryMessage>,
+    clock: LeaseClock,
     configuration: ActorRef<ConfigurationMessage>,
     _listener: Listener,
 }
@@ -157,7 +158,7 @@
     /// Returns a client for requests.
     #[must_use]
     pub fn client(&self) -> EntryClient {
-        EntryClient::new(self.actor.clone())
+        EntryClient::new(self.actor.clone(), self.clock)
     }
 
     /// Reports the entry as not ready and continues to serve for `duration`, so that callers can be routed to
@@ -270,6 +271,7 @@
         process,
         address,
         actor,
+        clock,
         configuration,
         _listener: listener,
     })
--- a/crates/leased/tests/many_entries.rs
+++ b/crates/leased/tests/many_entries.rs
@@ -341,7 +341,14 @@
             kind: RequestKind::Submit(submission),
         };
         let ticket = u64::try_from(id).expect("ids are small");
-        self.handle_entry(entry, EntryEvent::Request { ticket, request });
+        self.handle_entry(
+            entry,
+            EntryEvent::Request {
+                ticket,
+                request,
+                received_at: self.now,
+            },
+        );
     }
 
     fn handle_entry(&mut self, entry: u16, event: EntryEvent) {
--- a/crates/leased/tests/sim/callers.rs
+++ b/crates/leased/tests/sim/callers.rs
@@ -70,7 +70,11 @@
         self.deliver_to_entry(
             entry,
             Channel::Caller(ticket),
-            EntryEvent::Request { ticket, request },
+            EntryEvent::Request {
+                ticket,
+                request,
+                received_at: self.now,
+            },
         );
         if self.rng.random_bool(0.1) {
             self.reset_caller(id, ticket);
--- a/crates/leased/tests/sim/entries.rs
+++ b/crates/leased/tests/sim/entries.rs
@@ -89,7 +89,11 @@
         }
     }
 
-    fn handle_entry_event(&mut self, entry: usize, event: EntryEvent) {
+    fn handle_entry_event(&mut self, entry: usize, mut event: EntryEvent) {
+        if let EntryEvent::Request { received_at, .. } = &mut event {
+            // A process sees a request only when it reads the connection, which it does not do during a pause.
+            *received_at = self.now;
+        }
         let mut actions = Vec::new();
         let host = &mut self.entries[entry];
         let process = host.process;
