broker, leased, events: Report how far an entry is behind

The core keeps the time by which the latest attempts took longer than their runs. Its lower quartile is what nearly every attempt meets: a full worker delays some attempts, a busy process delays all. Events 7006 and 7007 report when an entry falls behind and when it has caught up; the metrics are requests.waited and entry.processing_delay_ms.

Tests: late_reports_show_entry_as_behind, single_late_report_is_no_processing_delay.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -14,6 +14,7 @@
 use crate::agents::{AgentIndex, Agents};
 use crate::config::BrokerConfig;
 use crate::crashes::Crashes;
+use crate::delays::Delays;
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
 use crate::requests::Arrival;
@@ -51,6 +52,7 @@
     /// Requests that arrived before the first route table, and the times at which they are refused.
     pub(crate) early_requests: VecDeque<(Instant, Arrival, Request)>,
     pub(crate) draining: bool,
+    pub(crate) delays: Delays,
     pub(crate) rng: StdRng,
     tick_at: Instant,
     pub(crate) silence: Silence,
@@ -90,6 +92,7 @@
             crashes: Crashes::default(),
             early_requests: VecDeque::new(),
             draining: false,
+            delays: Delays::default(),
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -254,6 +254,20 @@
         /// How late its timer was.
         paused: Duration,
     },
+    /// The process has begun to send orders and read reports late.
+    Behind {
+        /// Delay of the latest attempts beyond their run time.
+        delay: Duration,
+        /// Number of jobs in progress.
+        jobs: u64,
+        /// Number of jobs with tasks that wait for capacity.
+        waiting: u64,
+    },
+    /// The process sends orders and reads reports in time again.
+    CaughtUp {
+        /// Time since it fell behind.
+        lasted: Duration,
+    },
     /// A route table came into force.
     RoutesInForce {
         /// Version of the table.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod core;
 mod crashes;
+mod delays;
 mod event;
 mod job;
 mod placement;
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -14,6 +14,7 @@
 
 impl BrokerCore {
     pub(crate) fn process_timers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.report_processing_delay(now, actions);
         self.expire_agents(now, actions);
         self.stop_overdue(now, actions);
         self.end_late_jobs(now, actions);
--- /dev/null
+++ b/crates/broker/tests/delays.rs
@@ -0,0 +1,71 @@
+//! Tests of an entry that is short of processor time, so that its orders leave late and it reads reports late.
+
+mod entry;
+
+use chestnutfork_broker::{Action, Event, Notice};
+use chestnutfork_types::{AttemptKey, EndedRun, RunOutcome, WorkerToEntry};
+use entry::{Entry, millis};
+
+/// Reports runs of 100 ms as completed.
+fn complete(entry: &mut Entry, attempts: &[(u64, AttemptKey)]) {
+    for &(link, key) in attempts {
+        let run = EndedRun {
+            key,
+            outcome: RunOutcome::Completed,
+            run_time: millis(100),
+        };
+        entry.receive(link, WorkerToEntry::Ended(vec![run], Entry::load(u64::MAX)));
+    }
+}
+
+/// Runs jobs of one task each whose completion is read `delay` milliseconds late.
+fn run_jobs(entry: &mut Entry, first: u64, count: u64, delay: u64) {
+    let before = entry.attempts().len();
+    for job in first..first + count {
+        entry.submit(job, u128::from(job), 1);
+    }
+    let attempts = entry.attempts()[before..].to_vec();
+    assert_eq!(attempts.len(), usize::try_from(count).unwrap());
+    let read_at = entry.now - entry.start + millis(100 + delay);
+    entry.advance_to(read_at, &[1, 2]);
+    complete(entry, &attempts);
+    entry.now += millis(25);
+    entry.handle(Event::Tick);
+}
+
+fn notices(entry: &Entry) -> Vec<&Notice> {
+    let notice = |action| match action {
+        &Action::Notice(ref notice @ (Notice::Behind { .. } | Notice::CaughtUp { .. })) => Some(notice),
+        _ => None,
+    };
+    entry.actions.iter().filter_map(notice).collect()
+}
+
+/// Guards against an entry that is short of processor time and shows it to no operator.
+#[test]
+fn late_reports_show_entry_as_behind() {
+    let mut entry = Entry::with_workers(2);
+    run_jobs(&mut entry, 1, 4, 150);
+    assert!(entry.core.processing_delay(entry.now) >= millis(150));
+    assert!(matches!(notices(&entry)[..], [Notice::Behind { jobs: 0, .. }]));
+    run_jobs(&mut entry, 11, 4, 0);
+    assert!(matches!(
+        notices(&entry)[..],
+        [Notice::Behind { .. }, Notice::CaughtUp { .. }]
+    ));
+}
+
+/// Guards against taking one slow worker for a process that is behind.
+#[test]
+fn single_late_report_is_no_processing_delay() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 1, 4);
+    let attempts = entry.attempts();
+    entry.advance_to(millis(100), &[1, 2]);
+    complete(&mut entry, &attempts[1..]);
+    entry.advance_to(millis(200), &[1, 2]);
+    complete(&mut entry, &attempts[..1]);
+    entry.handle(Event::Tick);
+    assert!(entry.core.processing_delay(entry.now) < millis(25));
+    assert!(notices(&entry).is_empty());
+}
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -39,6 +39,18 @@
         }
             meaning: "The process did not run or was cut off; it places no tasks for 100 ms, and refuses what may have waited for too long.",
             remedy: "If it persists, check the machine of the entry and its network.";
+        7006 EntryBehind "entry_behind" Warn "process is behind with its messages" {
+            delay: Duration = "Time by which the latest attempts took longer than their runs.",
+            jobs: u64 = "Jobs in progress.",
+            waiting: u64 = "Jobs that are waiting for capacity at this entry.",
+        }
+            meaning: "Orders leave late and reports are read late; submissions that would miss their objective for that are refused.",
+            remedy: "Give the entry more processor time or bandwidth, or spread the callers over more entries.";
+        7007 EntryCaughtUp "entry_caught_up" Info "process has caught up with its messages" {
+            lasted: Duration = "Time since event 7006.",
+        }
+            meaning: "Orders leave and reports are read in time again.",
+            remedy: "None.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -215,6 +215,8 @@
                 reply,
             } => {
                 self.pending_replies.insert(ticket, reply);
+                let waited = self.timer.now().saturating_duration_since(received_at);
+                self.metrics.time("requests.waited", waited);
                 self.handle_event(Event::Request {
                     ticket,
                     request,
@@ -228,6 +230,9 @@
             EntryMessage::Tick => {
                 self.timer.on_fired();
                 self.handle_event(Event::Tick);
+                let delay = self.core.processing_delay(self.timer.now());
+                let delay = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+                self.metrics.gauge("entry.processing_delay_ms", delay);
             }
             EntryMessage::Status(reply) => {
                 // The requester may have dropped the receiver.
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -37,6 +37,12 @@
             routes: *routes,
         }),
         BrokerNotice::Paused { paused } => emit(&RunsEvent::EntryPaused { paused: *paused }),
+        BrokerNotice::Behind { delay, jobs, waiting } => emit(&RunsEvent::EntryBehind {
+            delay: *delay,
+            jobs: *jobs,
+            waiting: *waiting,
+        }),
+        BrokerNotice::CaughtUp { lasted } => emit(&RunsEvent::EntryCaughtUp { lasted: *lasted }),
         BrokerNotice::RouteMissing {
             host,
             queue,
