broker, platform: Refuse what the entry's own delay would make late

Late jobs used the processor time of those that could have been in time.

A submission is refused (429, reason `behind`) if its wait, the typical delay of the latest attempts and its run time exceed what is left of its objective; queued jobs likewise. Jobs with long objectives are still accepted. Without new attempts the measure expires after 250 ms, so refusals end by themselves.

entry_behind_refuses_what_would_be_late fails without the check.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -141,6 +141,8 @@
     TooManyJobs,
     /// The backlog would make the job miss its objective, or it missed the objective while it waited.
     Overloaded,
+    /// This process sends orders and reads reports so late that the job would miss its objective.
+    Behind,
     /// Nothing reached this process for a while, and the caller may have submitted the job to another entry meanwhile.
     Silence,
 }
@@ -157,6 +159,7 @@
             Self::NeverFits => "never_fits",
             Self::TooManyJobs => "too_many",
             Self::Overloaded => "overloaded",
+            Self::Behind => "behind",
             Self::Silence => "silence",
         }
     }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -133,6 +133,10 @@
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
+        let delay = self.processing_delay(now);
+        if refused.is_none() && now + wait + delay + run_time > objective_at {
+            refused = Some(RefusalReason::Behind);
+        }
         if refused.is_none() && objective_at > self.unverified_deadline(now, objective_at) {
             refused = Some(RefusalReason::Silence);
         }
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -1,6 +1,6 @@
 //! Timers: deadlines, missed objectives, overdue attempts and agents without heartbeats.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use chestnutfork_types::{AttemptKey, JobId};
 
@@ -28,10 +28,11 @@
 
     /// Ends jobs at their deadline, and refuses unplaced jobs that can no longer meet their objective.
     fn end_late_jobs(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let delay = self.processing_delay(now);
         let expired: Vec<JobId> = self
             .jobs
             .values()
-            .filter(|job| now >= job.deadline || self.cannot_meet_objective(now, job))
+            .filter(|job| now >= job.deadline || self.cannot_meet_objective(now, delay, job))
             .map(|job| job.id)
             .collect();
         for id in expired {
@@ -45,7 +46,7 @@
     }
 
     /// Returns whether a job of which no task was placed can no longer meet its objective.
-    fn cannot_meet_objective(&self, now: Instant, job: &Job) -> bool {
+    fn cannot_meet_objective(&self, now: Instant, delay: Duration, job: &Job) -> bool {
         if job.placed_at.is_some() {
             return false;
         }
@@ -54,7 +55,7 @@
             .iter()
             .filter_map(|step| self.shortest_run(now, &job.service, step))
             .max();
-        now + longest.unwrap_or_default() > job.objective_at
+        now + delay + longest.unwrap_or_default() > job.objective_at
     }
 
     /// Stops attempts that take much longer than expected, if another worker can still complete the task in time.
--- a/crates/broker/tests/delays.rs
+++ b/crates/broker/tests/delays.rs
@@ -2,9 +2,9 @@
 
 mod entry;
 
-use chestnutfork_broker::{Action, Event, Notice};
+use chestnutfork_broker::{Action, Answer, Event, Notice, RefusalReason, RequestKind};
 use chestnutfork_types::{AttemptKey, EndedRun, RunOutcome, WorkerToEntry};
-use entry::{Entry, millis};
+use entry::{Entry, millis, request, submission};
 
 /// Reports runs of 100 ms as completed.
 fn complete(entry: &mut Entry, attempts: &[(u64, AttemptKey)]) {
@@ -69,3 +69,47 @@
     assert!(entry.core.processing_delay(entry.now) < millis(25));
     assert!(notices(&entry).is_empty());
 }
+
+fn refusals(entry: &Entry) -> Vec<(u64, RefusalReason)> {
+    let refusal = |(ticket, answer)| match answer {
+        Answer::Refused { reason, .. } => Some((ticket, reason)),
+        _ => None,
+    };
+    entry.answers().into_iter().filter_map(refusal).collect()
+}
+
+/// Guards against an entry that accepts what it can only answer late, and then serves nearly every job late: the jobs that
+/// are late already use the processor time of those that could be in time.
+#[test]
+fn entry_behind_refuses_what_would_be_late() {
+    let mut entry = Entry::with_workers(2);
+    // The objective is 300 ms for a run of 100 ms.
+    run_jobs(&mut entry, 1, 4, 220);
+    entry.submit(11, 11, 1);
+    assert_eq!(refusals(&entry), [(11, RefusalReason::Behind)]);
+}
+
+/// Guards against refusing jobs that the delay of the entry leaves time for.
+#[test]
+fn entry_behind_accepts_what_can_be_in_time() {
+    let mut entry = Entry::with_workers(2);
+    run_jobs(&mut entry, 1, 4, 150);
+    entry.submit(11, 11, 1);
+    assert_eq!(refusals(&entry), []);
+    run_jobs(&mut entry, 21, 3, 220);
+    let mut long = submission(1);
+    long.steps[0].declared_run_time = millis(900);
+    entry.request(31, request(31, RequestKind::Submit(long)));
+    assert_eq!(refusals(&entry), []);
+}
+
+/// Guards against an entry that goes on refusing after it has caught up, because it gets no new measurement.
+#[test]
+fn refusals_end_without_further_reports() {
+    let mut entry = Entry::with_workers(2);
+    run_jobs(&mut entry, 1, 4, 220);
+    let elapsed = entry.now - entry.start;
+    entry.advance_to(elapsed + millis(250), &[1, 2]);
+    entry.submit(11, 11, 1);
+    assert_eq!(refusals(&entry), []);
+}
