broker: Estimate the wait from the work that the entry completes

Admission gave each entry an equal part of the pool.

The estimate uses the larger of the equal part and the declared work that the entry has completed within the last second, which is the part that it gets.

expected_wait_follows_own_throughput fails without it.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -63,7 +63,7 @@
             }
             for task in job.tasks.iter().filter(|task| task.state == TaskState::Waiting) {
                 let step = &job.steps[usize::from(task.step)];
-                backlog += step.declared_run_time.as_secs_f64() * as_f64(step.resources.cpu_millis);
+                backlog += declared_work(step);
             }
         }
         if backlog == 0.0 {
@@ -76,7 +76,10 @@
                 as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
             })
             .sum();
-        let rate_per_entry = rate / as_f64(self.entry_count.max(1) as u64);
+        let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
+        // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
+        let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
+        let rate_per_entry = equal_part.max(own_rate);
         if rate_per_entry <= 0.0 {
             return self.cfg.run_expiry;
         }
@@ -84,6 +87,11 @@
     }
 }
 
+/// Returns the declared work of a task of the step, in core-seconds times 1,000.
+pub(crate) fn declared_work(step: &StepSpec) -> f64 {
+    step.declared_run_time.as_secs_f64() * as_f64(step.resources.cpu_millis)
+}
+
 #[expect(clippy::cast_precision_loss, reason = "an estimate needs no exact digits")]
 fn as_f64(value: u64) -> f64 {
     value as f64
--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -5,7 +5,7 @@
 use chestnutfork_types::{AttemptKey, EndedRun, EntryToWorker, JobId, RunOutcome};
 use indexmap::IndexMap;
 
-use crate::admission::RETRY_AFTER;
+use crate::admission::{RETRY_AFTER, declared_work};
 use crate::agents::{AgentIndex, Outstanding};
 use crate::core::BrokerCore;
 use crate::event::{Action, Answer, JobEnd, Notice, RefusalReason};
@@ -73,6 +73,9 @@
         }
         if run.outcome == RunOutcome::Completed {
             task.state = TaskState::Completed;
+            let step = &job.steps[usize::from(task.step)];
+            let (service, work) = (job.service.clone(), declared_work(step));
+            self.throughput.entry(service).or_default().record(now, work);
             self.continue_job(now, id, actions);
             return;
         }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -5,7 +5,7 @@
 
 use chestnutfork_routes::{RouteIndex, RouteTable};
 use chestnutfork_types::{
-    AttemptNumber, EntryToWorker, JobId, LinkNumber, RecordedAttempt, TaskKey, WorkerToEntry,
+    AttemptNumber, EntryToWorker, JobId, LinkNumber, RecordedAttempt, ServiceName, TaskKey, WorkerToEntry,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -19,6 +19,7 @@
 use crate::job::Job;
 use crate::requests::Arrival;
 use crate::silence::Silence;
+use crate::throughput::Throughput;
 
 /// Interval at which deadlines, overdue attempts and missing heartbeats are checked while there is work in progress.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -53,6 +54,7 @@
     pub(crate) early_requests: VecDeque<(Instant, Arrival, Request)>,
     pub(crate) draining: bool,
     pub(crate) delays: Delays,
+    pub(crate) throughput: IndexMap<ServiceName, Throughput>,
     pub(crate) rng: StdRng,
     tick_at: Instant,
     pub(crate) silence: Silence,
@@ -93,6 +95,7 @@
             early_requests: VecDeque::new(),
             draining: false,
             delays: Delays::default(),
+            throughput: IndexMap::new(),
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -17,6 +17,7 @@
 mod requests;
 mod selection;
 mod silence;
+mod throughput;
 mod timers;
 mod verify;
 
--- a/crates/broker/tests/delays.rs
+++ b/crates/broker/tests/delays.rs
@@ -113,3 +113,26 @@
     entry.submit(11, 11, 1);
     assert_eq!(refusals(&entry), []);
 }
+
+/// Guards against refusals by an entry whose callers are more than those of the others: it gets more than an equal part of
+/// the workers, as the work that it has completed shows.
+#[test]
+fn expected_wait_follows_own_throughput() {
+    let refused_with = |completed_before: u64| {
+        let mut entry = Entry::with_workers(2);
+        entry.handle(Event::EntryCount(8));
+        for round in 0..completed_before {
+            run_jobs(&mut entry, 1 + round * 10, 8, 0);
+        }
+        // These reports cover no order that follows, so the workers fill up.
+        for link in [1, 2] {
+            entry.beat(link, 10_000, 0);
+        }
+        for job in 1_001..=1_012 {
+            entry.submit(job, u128::from(job), 1);
+        }
+        refusals(&entry).len()
+    };
+    assert!(refused_with(0) > 0);
+    assert_eq!(refused_with(8), 0);
+}
