events: Retry partial writes of the log and count lines of failed ones

Cause: the writer thread ignored every error of `write_all`. Where standard output took part of a batch and then returned WouldBlock, the rest of the batch was lost, the line in progress broke off before the next one, and event 1010 did not report it. Only lines dropped at a full queue were counted, and their report waited for a further event.

Change: `LogWriter` writes what the output accepts, retries a writer that is not ready (WouldBlock, Interrupted) after 1 to 20 ms, completes a line that was accepted in part before it writes the next one, and counts the lines of a failed write. It writes event 1010 itself in the place of the missing lines, and tries a failed output again after 1 s if nothing more is logged. Counts belong to the output instead of a static. `init_stdout` writes to standard output without the buffer of `Stdout`, which may be discarded when the process ends. Memory is bounded by the queue and one batch, as before. The text of event 1010 names failed writes.

--- a/crates/events/src/batch.rs
+++ b/crates/events/src/batch.rs
@@ -3,7 +3,7 @@
 //! A busy process logs hundreds of lines per second. Waking the writer and making a system call for each line would
 //! cost more than the work that the lines report.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::mem;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -14,8 +14,9 @@
 use spdlog::{ErrorHandler, Level, LevelFilter, Record, StringBuf};
 
 use crate::format::LineFormatter;
+use crate::writer::{Batch, FormatDropped, LogWriter};
 
-/// Capacity of the queue in lines; further lines are dropped and counted.
+/// Capacity of the queue in lines beside the batch being written; further lines are dropped and counted.
 const QUEUE_LINES: usize = 8_192;
 /// Maximum delay of a line that is not urgent; a killed process loses at most the lines of this period.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
@@ -23,12 +24,13 @@
 const BATCH_BYTES: usize = 64 * 1024;
 /// Limit on the time to flush when the process ends, because the log reader may have stopped.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Delay before a failed writer is tried again if no more lines are queued.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Sink with a bounded queue of formatted lines.
 pub(crate) struct BatchSink {
     prop: SinkProp,
     queue: Arc<Queue>,
-    on_drop: fn(&Record<'_>),
 }
 
 #[derive(Default)]
@@ -42,7 +44,7 @@
 
 #[derive(Default)]
 struct Lines {
-    text: String,
+    batch: Batch,
     count: usize,
     /// Whether the text is to be written without waiting for more lines.
     urgent: bool,
@@ -56,24 +58,30 @@
     }
 
     /// Waits for lines, and up to [`BATCH_DELAY`] for more unless they are urgent.
-    fn next_batch(&self) -> String {
+    ///
+    /// If no line is queued before the timeout, the batch is empty.
+    fn next_batch(&self, timeout: Option<Duration>) -> Batch {
         let empty = |lines: &mut Lines| lines.count == 0;
-        let queued = self.ready.wait_while(self.lock(), empty);
-        let queued = queued.unwrap_or_else(PoisonError::into_inner);
-        let collecting = |lines: &mut Lines| !lines.urgent;
+        let collecting = |lines: &mut Lines| lines.count > 0 && !lines.urgent;
+        let queued = if let Some(timeout) = timeout {
+            let waited = self.ready.wait_timeout_while(self.lock(), timeout, empty);
+            waited.unwrap_or_else(PoisonError::into_inner).0
+        } else {
+            let waited = self.ready.wait_while(self.lock(), empty);
+            waited.unwrap_or_else(PoisonError::into_inner)
+        };
         let collected = self.ready.wait_timeout_while(queued, BATCH_DELAY, collecting);
         let (mut lines, _) = collected.unwrap_or_else(PoisonError::into_inner);
         lines.count = 0;
         lines.urgent = false;
         lines.writing = true;
-        mem::take(&mut lines.text)
+        mem::take(&mut lines.batch)
     }
 
-    fn write_to(&self, mut writer: impl Write) {
+    fn write_to<W: Write, F: FormatDropped>(&self, mut writer: LogWriter<W, F>) {
         loop {
-            let batch = self.next_batch();
-            // Errors are ignored, so that the loss of the log reader does not end the process.
-            let _ = writer.write_all(batch.as_bytes()).and_then(|()| writer.flush());
+            let timeout = writer.has_backlog().then_some(RETRY_DELAY);
+            writer.write_batch(&self.next_batch(timeout));
             self.lock().writing = false;
             self.idle.notify_all();
         }
@@ -81,21 +89,22 @@
 }
 
 impl BatchSink {
-    /// Starts the writer thread; `on_drop` is called with each record that does not fit into the queue.
-    pub(crate) fn start<W: Write + Send + 'static>(
-        writer: W,
-        formatter: LineFormatter,
-        on_drop: fn(&Record<'_>),
-    ) -> std::io::Result<Self> {
+    /// Starts the writer thread; `dropped` formats the reports of dropped lines.
+    pub(crate) fn start<W, F>(writer: W, formatter: LineFormatter, dropped: F) -> io::Result<Self>
+    where
+        W: Write + Send + 'static,
+        F: FormatDropped + Send + 'static,
+    {
         let queue = Arc::new(Queue::default());
         let thread_queue = Arc::clone(&queue);
+        let writer = LogWriter::new(writer, dropped);
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || thread_queue.write_to(writer))?;
         let prop = SinkProp::default();
         prop.set_formatter(formatter);
         prop.set_error_handler(ErrorHandler::new(|_| {}));
-        Ok(Self { prop, queue, on_drop })
+        Ok(Self { prop, queue })
     }
 }
 
@@ -113,14 +122,13 @@
             .format(record, &mut line, &mut FormatterContext::new())?;
         let mut lines = self.queue.lock();
         if lines.count >= QUEUE_LINES {
-            drop(lines);
-            (self.on_drop)(record);
+            lines.batch.dropped += 1;
             return Ok(());
         }
-        lines.text.push_str(&line);
+        lines.batch.text.push_str(&line);
         lines.count += 1;
         let is_severe = LevelFilter::MoreSevereEqual(Level::Warn).test(record.level());
-        let urgent = is_severe || lines.text.len() >= BATCH_BYTES;
+        let urgent = is_severe || lines.batch.text.len() >= BATCH_BYTES;
         let wake = lines.count == 1 || (urgent && !lines.urgent);
         lines.urgent |= urgent;
         drop(lines);
--- a/crates/events/src/catalogue/process.rs
+++ b/crates/events/src/catalogue/process.rs
@@ -66,8 +66,8 @@
         1010 LogDropped "log_dropped" Warn "log events dropped" {
             events: u64 = "Number of events that were not written.",
         }
-            meaning: "The reader of the log was too slow or stopped, so events were dropped instead of blocking the process.",
-            remedy: "Check the reader of standard error; raise `log.level` if there are too many events.";
+            meaning: "The reader of the log was too slow or stopped, or a write failed, so events were dropped instead of blocking the process.",
+            remedy: "Check the reader and the storage of the log; raise `log.level` if there are too many events.";
         1011 Reloaded "reloaded" Info "settings read again" {
             node: &'a str = "Name of the process.",
             changed: bool = "Whether a setting that the process uses differs from the one in force.",
--- a/crates/events/src/format.rs
+++ b/crates/events/src/format.rs
@@ -9,7 +9,7 @@
 use crate::time::rfc3339;
 
 /// Key of the event number. It and [`NAME_KEY`] identify the event and are not data fields.
-pub(crate) const EVENT_KEY: &str = "event";
+const EVENT_KEY: &str = "event";
 /// Key of the event name.
 const NAME_KEY: &str = "name";
 
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -19,6 +19,7 @@
 mod output;
 mod page;
 mod time;
+mod writer;
 
 pub use catalogue::{
     AgentEvent, ConfigEvent, ControlEvent, EntryEvent, GROUPS, Group, LinkEvent, ProcessEvent, RunsEvent,
--- a/crates/events/src/output.rs
+++ b/crates/events/src/output.rs
@@ -1,19 +1,20 @@
 //! Set-up of the log output and the function that logs an event.
 
+use std::fs::File;
 use std::io::Write;
+use std::mem;
+use std::os::fd::AsFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
-use spdlog::{ErrorHandler, LevelFilter, Logger, Record};
+use spdlog::sink::{Sink, WriteSink};
+use spdlog::{ErrorHandler, LevelFilter, Logger};
 use thiserror::Error;
 
 use crate::batch::BatchSink;
 use crate::catalogue::ProcessEvent;
 use crate::declaration::{Event, Severity};
-use crate::format::{EVENT_KEY, Format, LineFormatter};
-
-/// Number of events dropped since the last report because the queue was full.
-static DROPPED: AtomicU64 = AtomicU64::new(0);
+use crate::format::{Format, LineFormatter};
+use crate::writer::FormatDropped;
 
 /// Failure to set up the log output.
 #[derive(Debug, Error)]
@@ -23,15 +24,51 @@
     Logger(#[from] spdlog::Error),
     /// The writer thread cannot be started.
     #[error("cannot start the log thread: {0}; raise the limit on threads or memory")]
-    Thread(#[from] std::io::Error),
+    Thread(#[source] std::io::Error),
+    /// Standard output cannot be opened.
+    #[error("cannot open standard output: {0}; raise the limit on open files")]
+    Output(#[source] std::io::Error),
+}
+
+/// Formatter of event 1010, which writes to memory through a logger of its own.
+struct DroppedFormatter {
+    logger: Logger,
+    sink: Arc<WriteSink<Vec<u8>>>,
+}
+
+impl DroppedFormatter {
+    fn new(level_filter: LevelFilter, formatter: LineFormatter) -> Result<Self, spdlog::Error> {
+        let sink = WriteSink::builder().formatter(formatter).target(Vec::new());
+        let sink = sink.build_arc()?;
+        let logger = build_logger(level_filter, Arc::clone(&sink) as Arc<dyn Sink>)?;
+        Ok(Self { logger, sink })
+    }
+}
+
+impl FormatDropped for DroppedFormatter {
+    fn format_dropped(&self, events: u64) -> Vec<u8> {
+        ProcessEvent::LogDropped { events }.log(&self.logger);
+        self.sink.with_target(mem::take)
+    }
+}
+
+fn build_logger(level_filter: LevelFilter, sink: Arc<dyn Sink>) -> Result<Logger, spdlog::Error> {
+    Logger::builder()
+        .level_filter(level_filter)
+        .error_handler(ErrorHandler::new(|_| {}))
+        .sink(sink)
+        .build()
 }
 
 /// Logs an event if its severity passes the level filter.
 ///
 /// A process that has not called [`init`] logs with spdlog's defaults. After [`init`], a dedicated thread writes the
-/// lines in batches; lines below severity warn are delayed by up to 50 ms. A log reader that has stopped cannot block
-/// the caller: when the queue is full, events are dropped, and their number is logged later. Failed writes are ignored,
-/// so that the loss of the log reader does not end the process.
+/// lines in batches; lines below severity warn are delayed by up to 50 ms. A log reader that is slow or has stopped
+/// cannot block the caller: when the queue is full, events are dropped. The events of a failed write are dropped too, so
+/// that the loss of the log reader does not end the process. Event 1010 reports how many events were dropped, in their
+/// place, as soon as writing works again. A line that was written in part is completed before the next line.
+///
+/// When the process ends, it waits up to 200 ms for queued lines; those not written by then are lost without a report.
 ///
 /// # Examples
 ///
@@ -41,35 +78,7 @@
 /// emit(&ProcessEvent::Started { role: "entry", node: "entry-1", process: 7 });
 /// ```
 pub fn emit<E: Event>(event: &E) {
-    let logger = spdlog::default_logger();
-    if DROPPED.load(Ordering::Relaxed) > 0 {
-        report_dropped(&logger);
-    }
-    event.log(&logger);
-}
-
-/// Logs the number of dropped events; if this event is dropped as well, [`count_dropped`] restores the count.
-fn report_dropped(logger: &Logger) {
-    let events = DROPPED.swap(0, Ordering::Relaxed);
-    if events > 0 {
-        ProcessEvent::LogDropped { events }.log(logger);
-    }
-}
-
-/// Counts an event that was dropped; a dropped report counts as the events that it reports.
-fn count_dropped(record: &Record<'_>) {
-    let value = |name: &str| {
-        let mut values = record.key_values().into_iter();
-        values.find_map(|(key, value)| (key.as_str() == name).then(|| value.to_u64())?)
-    };
-    let report = ProcessEvent::LogDropped { events: 0 };
-    let is_report = value(EVENT_KEY) == Some(u64::from(report.declaration().number));
-    let events = if is_report {
-        value("events").unwrap_or(0)
-    } else {
-        1
-    };
-    DROPPED.fetch_add(events, Ordering::Relaxed);
+    event.log(&spdlog::default_logger());
 }
 
 /// Sends the events of the process to standard error, from the given severity upwards.
@@ -94,7 +103,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the logger cannot be built.
+/// Fails if the logger cannot be built or the process has too many open files.
 ///
 /// # Examples
 ///
@@ -105,7 +114,10 @@
 /// # Ok::<(), chestnutfork_events::InitError>(())
 /// ```
 pub fn init_stdout(min_severity: Severity, format: Format) -> Result<(), InitError> {
-    init_with_writer(std::io::stdout(), min_severity, format)
+    // `Stdout` buffers the end of a partial write and may discard it when the process ends.
+    let stdout = std::io::stdout().as_fd().try_clone_to_owned();
+    let stdout = File::from(stdout.map_err(InitError::Output)?);
+    init_with_writer(stdout, min_severity, format)
 }
 
 /// Sends the events of the process to a writer, from the given severity upwards.
@@ -127,12 +139,11 @@
     min_severity: Severity,
     format: Format,
 ) -> Result<(), InitError> {
-    let sink = BatchSink::start(writer, LineFormatter(format), count_dropped)?;
-    let logger = Logger::builder()
-        .level_filter(LevelFilter::MoreSevereEqual(min_severity.level()))
-        .error_handler(ErrorHandler::new(|_| {}))
-        .sink(Arc::new(sink))
-        .build_arc()?;
-    spdlog::set_default_logger(logger);
+    let level_filter = LevelFilter::MoreSevereEqual(min_severity.level());
+    let formatter = LineFormatter(format);
+    let dropped = DroppedFormatter::new(level_filter, formatter.clone())?;
+    let sink = BatchSink::start(writer, formatter, dropped).map_err(InitError::Thread)?;
+    let logger = build_logger(level_filter, Arc::new(sink))?;
+    spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
