types, wire, worker, broker: Limit the load reports that an entry gets

While workers are nearly full, each agent reports its load to each entry up to 50 times a second.

An order states the shortest interval between two reports that its entry accepts, so that all agents together send at most 500 a second. Heartbeats and the reports of ended runs carry the load as before. Earlier versions ignore the field and do not send it.

The test report_waits_for_interval_of_entry fails with the interval ignored.

--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -21,6 +21,10 @@
 /// Full workers that may refuse a task one after the other. The next order lets it wait at the worker, because few have room.
 const MAX_REFUSALS: u32 = 3;
 
+/// Load reports a second, other than heartbeats, that an entry asks its agents for. Each costs about as much processor time as
+/// an order, and while workers are nearly full each agent has one every 20 ms.
+const MAX_REPORTS_PER_SECOND: u32 = 500;
+
 /// Tasks of a job that one order starts on a worker.
 #[derive(Debug, Default)]
 struct PendingOrder {
@@ -104,6 +108,12 @@
         has_capacity
     }
 
+    /// Returns the shortest time between two load reports of one agent at which all agents together stay within the limit.
+    fn report_interval(&self) -> Duration {
+        let agents = u32::try_from(self.agents.connected()).unwrap_or(u32::MAX);
+        Duration::from_secs(1) * agents / MAX_REPORTS_PER_SECOND
+    }
+
     /// Records a new attempt at a task, and returns the order for it.
     fn record_order(
         &mut self,
@@ -159,6 +169,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        let report_interval = self.report_interval();
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
         for task in &tasks {
@@ -172,6 +183,7 @@
             time_to_objective: job.objective_at.saturating_duration_since(now),
             time_limit: Some(job.deadline.saturating_duration_since(now)),
             spec: job.spec.clone(),
+            report_interval: Some(report_interval),
             tasks,
             refuse_if_full,
         };
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -121,6 +121,9 @@
     pub spec: Bytes,
     /// Time left until the runs are stopped, also if the entry sends no stop; `None` from entries of earlier versions.
     pub time_limit: Option<Duration>,
+    /// Shortest time between two reports of the load to the entry, other than heartbeats; `None` from entries of earlier
+    /// versions.
+    pub report_interval: Option<Duration>,
     /// Tasks to start.
     pub tasks: Vec<TaskOrder>,
     /// Whether the agent refuses tasks that cannot start at once; otherwise they wait for capacity.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -49,6 +49,10 @@
         /// Time left until the runs are stopped, in microseconds. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
         time_limit_us: Option<u64>,
+        /// Shortest time between two reports of the load, in microseconds. Earlier versions do not send this field, and ignore
+        /// it.
+        #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+        report_interval_us: Option<u64>,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -335,6 +339,7 @@
                 spec: order.spec,
                 refuse_if_full: order.refuse_if_full,
                 time_limit_us: order.time_limit.map(micros),
+                report_interval_us: order.report_interval.map(micros),
                 tasks: order
                     .tasks
                     .into_iter()
@@ -369,10 +374,12 @@
                 tasks,
                 refuse_if_full,
                 time_limit_us,
+                report_interval_us,
             } => Self::Start(StartOrder {
                 number,
                 refuse_if_full,
                 time_limit: time_limit_us.map(Duration::from_micros),
+                report_interval: report_interval_us.map(Duration::from_micros),
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -82,6 +82,7 @@
     let order = StartOrder {
         refuse_if_full: true,
         time_limit: Some(Duration::from_micros(4)),
+        report_interval: Some(Duration::from_micros(5)),
         number: 1,
         last_heartbeat: 2,
         time_to_objective: Duration::from_micros(3),
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -217,6 +217,7 @@
         if let Some(owner) = self.owners.get_mut(entry) {
             owner.last_order = owner.last_order.max(order.number);
             owner.last_order_at = Some(now);
+            owner.report_interval = order.report_interval.unwrap_or_default();
         }
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -20,6 +20,10 @@
     pub(crate) last_order: OrderNumber,
     /// Share of the free capacity that was last reported to the entry.
     pub(crate) share: Resources,
+    /// When the load was last reported to the entry.
+    pub(crate) reported_at: Option<Instant>,
+    /// Shortest time between two reports of the load, other than heartbeats, that the entry has asked for.
+    pub(crate) report_interval: Duration,
     /// Arrival of the latest start order.
     pub(crate) last_order_at: Option<Instant>,
     /// Ended runs not yet reported, because there is no link or a report can be deferred.
@@ -70,10 +74,22 @@
         owner.map_or_else(Vec::new, |owner| std::mem::take(&mut owner.outbox))
     }
 
-    /// Records the share reported to an entry, and returns the one reported before.
-    pub(crate) fn replace_share(&mut self, entry: ProcessId, share: Resources) -> Resources {
-        let owner = self.entries.get_mut(&entry);
-        owner.map_or(share, |owner| std::mem::replace(&mut owner.share, share))
+    /// Records the share that is reported to an entry now.
+    pub(crate) fn record_report(&mut self, entry: ProcessId, now: Instant, share: Resources) {
+        if let Some(owner) = self.entries.get_mut(&entry) {
+            owner.share = share;
+            owner.reported_at = Some(now);
+        }
+    }
+
+    /// Returns whether a share differs from the one last reported to an entry, and the entry accepts a report now.
+    pub(crate) fn is_report_due(&self, entry: ProcessId, now: Instant, share: Resources) -> bool {
+        self.entries.get(&entry).is_some_and(|owner| {
+            let accepts = owner
+                .reported_at
+                .is_none_or(|at| now >= at + owner.report_interval);
+            accepts && owner.share != share
+        })
     }
 
     /// Returns whether an entry has acknowledged a heartbeat that was sent at most `limit` ago.
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -34,7 +34,7 @@
         for (link, entry) in waiting {
             let load = self.load(now, entry);
             let ended = self.owners.take_outbox(entry);
-            self.owners.replace_share(entry, load.share);
+            self.owners.record_report(entry, now, load.share);
             actions.push(Action::ToEntry(link, WorkerToEntry::Ended(ended, load)));
         }
     }
@@ -75,10 +75,10 @@
                 continue;
             }
             let load = self.load(now, entry);
-            let previous = self.owners.replace_share(entry, load.share);
-            if number.is_none() && previous == load.share {
+            if number.is_none() && !self.owners.is_report_due(entry, now, load.share) {
                 continue;
             }
+            self.owners.record_report(entry, now, load.share);
             let message = number.map_or(WorkerToEntry::Load(load), |number| {
                 WorkerToEntry::Heartbeat(number, load)
             });
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -140,6 +140,7 @@
         let message = EntryToWorker::Start(StartOrder {
             refuse_if_full: false,
             time_limit: None,
+            report_interval: None,
             number: 1,
             last_heartbeat: self.heartbeat,
             time_to_objective: millis(200),
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -142,6 +142,7 @@
         self.send(EntryToWorker::Start(StartOrder {
             refuse_if_full,
             time_limit: None,
+            report_interval: None,
             number: 1,
             last_heartbeat: 1,
             time_to_objective: millis(200),
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use chestnutfork_types::{
     AttemptKey, EntryToWorker, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerToEntry,
@@ -414,6 +416,11 @@
 
     /// Sends an order of single-core tasks from one of the sharing entries.
     fn send_order(&mut self, entry: u64, number: u64, tasks: u16) {
+        self.send_order_with(entry, number, tasks, None);
+    }
+
+    /// Sends such an order from an entry that asks for an interval between load reports.
+    fn send_order_with(&mut self, entry: u64, number: u64, tasks: u16, report_interval: Option<Duration>) {
         let tasks = (0..tasks).map(|index| TaskOrder {
             key: AttemptKey {
                 task: TaskKey {
@@ -433,6 +440,7 @@
         let order = StartOrder {
             refuse_if_full: false,
             time_limit: None,
+            report_interval,
             number,
             last_heartbeat: entry,
             time_to_objective: millis(200),
@@ -531,6 +539,24 @@
     );
 }
 
+/// Guards against an entry that has no processor time for its callers, because many nearly full workers report each change.
+#[test]
+fn report_waits_for_interval_of_entry() {
+    let reports = |interval: Option<Duration>| {
+        let mut agent = Agent::with_sharing_entries();
+        agent.send_order(2, 9, 6);
+        agent.advance_to(millis(200));
+        agent.acknowledge(SHARING_ENTRIES + 1);
+        agent.send_order_with(1, 10, 0, interval);
+        agent.send_order(2, 10, 1);
+        agent.advance_to(millis(222));
+        agent.reported().iter().filter(|(entry, _)| *entry == 1).count()
+    };
+    assert_eq!(reports(None), 1);
+    assert_eq!(reports(Some(millis(20))), 1);
+    assert_eq!(reports(Some(millis(150))), 0);
+}
+
 /// Guards against a separate report for each task of a step, since the entry can only proceed after the last one.
 #[test]
 fn ends_of_step_are_reported_together() {
--- a/crates/worker/tests/time_limit.rs
+++ b/crates/worker/tests/time_limit.rs
@@ -15,6 +15,7 @@
     agent.send(EntryToWorker::Start(StartOrder {
         refuse_if_full: false,
         time_limit: Some(millis(300)),
+        report_interval: None,
         number: 1,
         last_heartbeat: 1,
         time_to_objective: millis(200),
