broker: End and refuse jobs of an entry that is stopped again and again

Cause: a silence was one late timer (250 ms) or 500 ms without a report. Each stop was shorter, and each was forgotten before the next one.

A stop of 100 ms or more that begins before the process has read what waited during the former one now continues the same silence, which began with the first of them. Its length decides about refusals and deadlines as the length of a pause did, so the bound on the age of a submission grows with each stop and holds until the backlog is read. A single stop below 250 ms and a quota of processor time (below 100 ms) have no effect, as before. A submission counts by its arrival in the process, and a resubmission no longer extends a deadline beyond what the silence allows. The idle timer is due every 50 ms; with one second it was rarely due during a stop.

The randomised run has the class `lagging`: an entry runs 0.5 to 3 ms between stops of 150 to 240 ms, for 2 to 6 s. Three of the five new tests of silence.rs fail without the change; the other two guard against giving up too much.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -24,8 +24,9 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Delay after a load report before waiting tasks are placed, so that several reports are processed together.
 const REPORT_BATCH_DELAY: Duration = Duration::from_millis(2);
-/// Interval at which expired records are removed while there is no work in progress.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which expired records are removed while there is no work in progress. A stop of the process is noticed only if
+/// the timer is due meanwhile.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Entry core, which places the tasks of all jobs submitted to one entry.
 #[derive(Debug)]
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -102,9 +102,10 @@
         actions: &mut Vec<Action>,
     ) {
         let Arrival { ticket, received_at } = arrival;
+        let deadline = self.unverified_deadline(received_at, received_at + timeout);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.tickets.push(ticket);
-            job.deadline = job.deadline.max(received_at + timeout);
+            job.deadline = job.deadline.max(deadline);
             self.tickets.insert(ticket, id);
             return;
         }
@@ -133,7 +134,7 @@
             refused = Some(RefusalReason::Overloaded);
             retry_after = wait.max(RETRY_AFTER);
         }
-        if refused.is_none() && objective_at > self.unverified_deadline(now, objective_at) {
+        if refused.is_none() && objective_at > self.unverified_deadline(received_at, objective_at) {
             refused = Some(RefusalReason::Silence);
         }
         if let Some(reason) = refused {
@@ -202,7 +203,7 @@
             tickets: vec![ticket],
             received_at,
             objective_at,
-            deadline: self.unverified_deadline(now, received_at + timeout),
+            deadline: self.unverified_deadline(received_at, received_at + timeout),
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -1,15 +1,20 @@
-//! Times in which nothing reached this process, because it was paused or cut off.
+//! Times in which nothing reached this process, because it was paused, stopped again and again, or cut off.
 //!
 //! What arrives after such a time may have waited in buffers. A caller may have given up meanwhile and submitted its job to
 //! another entry, and the end of its connection may have been lost. A job of such a caller therefore ends before another
 //! entry can have received it.
+//!
+//! A stop that begins before the process has read what waited during the former one continues the same silence: what waits
+//! may have waited since its beginning, however short each stop is.
 
 use std::time::{Duration, Instant};
 
 use crate::core::BrokerCore;
 use crate::event::{Action, Notice};
 
-/// Delay of the timer from which the process counts as paused; a quota of processor time delays it by less than 100 ms.
+/// Delay of the timer from which the process counts as stopped; a quota of processor time delays it by less than 100 ms.
+const STOP_THRESHOLD: Duration = Duration::from_millis(100);
+/// Length of one or several stops from which the process counts as paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
 /// Time without a message of any connected agent from which the process counts as paused or cut off: two heartbeats are
 /// missing.
@@ -33,10 +38,8 @@
     lost_silently: bool,
     /// When the latest silence began.
     since: Instant,
-    /// Until when nothing is placed, because the process may not have read what arrived meanwhile.
-    resume_at: Instant,
-    /// Until when submissions may be read that waited during the silence.
-    backlog_until: Instant,
+    /// When the last stop of that silence ended.
+    ended_at: Instant,
 }
 
 impl Silence {
@@ -46,8 +49,7 @@
             reported_at: now,
             lost_silently: false,
             since: now,
-            resume_at: now,
-            backlog_until: now,
+            ended_at: now,
         }
     }
 
@@ -64,9 +66,36 @@
         self.lost_silently |= now >= self.reported_at + SILENCE_THRESHOLD;
     }
 
-    /// Returns when the silence began if a submission that is read now may have waited during it.
-    pub(crate) fn backlog_since(&self, now: Instant) -> Option<Instant> {
-        (now < self.backlog_until).then_some(self.since)
+    /// Records a stop that ends now.
+    fn record_stop(&mut self, began_at: Instant, now: Instant) {
+        if began_at >= self.backlog_until() {
+            self.since = began_at;
+        }
+        self.ended_at = now;
+        self.handled_at = now;
+        self.reported_at = now;
+        self.lost_silently = false;
+    }
+
+    fn length(&self) -> Duration {
+        self.ended_at.saturating_duration_since(self.since)
+    }
+
+    /// Returns whether the latest silence was long enough for callers to have given up.
+    fn is_pause(&self) -> bool {
+        self.length() >= PAUSE_THRESHOLD
+    }
+
+    /// Returns until when submissions may be read that waited during the silence.
+    fn backlog_until(&self) -> Instant {
+        let backlog_time = self.length() / BACKLOG_DIVISOR;
+        self.ended_at + backlog_time.clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME)
+    }
+
+    /// Returns when the silence began if a submission that reached the process at the given time may have waited during it.
+    pub(crate) fn backlog_since(&self, received_at: Instant) -> Option<Instant> {
+        let waited = self.is_pause() && received_at < self.backlog_until();
+        waited.then(|| self.since.min(received_at))
     }
 }
 
@@ -78,40 +107,37 @@
     /// off, and links are given up then, so only an arrival shows the end of the silence.
     pub(crate) fn detect_silence(&mut self, now: Instant, is_arrival: bool, actions: &mut Vec<Action>) {
         let late = now.saturating_duration_since(self.next_wakeup());
-        let paused = (late >= PAUSE_THRESHOLD).then_some(self.silence.handled_at);
+        let stopped = (late >= STOP_THRESHOLD).then_some(self.silence.handled_at);
         let unreported = now.saturating_duration_since(self.silence.reported_at);
         let expects_reports = self.agents.any_connected() || self.silence.lost_silently;
         let cut_off = is_arrival && unreported >= SILENCE_THRESHOLD && expects_reports;
         let cut_off = cut_off.then_some(self.silence.reported_at);
-        let Some(since) = paused.into_iter().chain(cut_off).min() else {
+        let Some(began_at) = stopped.into_iter().chain(cut_off).min() else {
             return;
         };
-        let length = now.saturating_duration_since(since);
-        self.silence = Silence {
-            handled_at: now,
-            reported_at: now,
-            lost_silently: false,
-            since,
-            resume_at: now + PAUSE_SETTLE_TIME,
-            backlog_until: now + (length / BACKLOG_DIVISOR).clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME),
-        };
+        self.silence.record_stop(began_at, now);
+        if !self.silence.is_pause() {
+            return;
+        }
         // Callers of jobs in progress may have left as well.
-        let deadline = since + self.cfg.unverified_job_time;
+        let deadline = self.silence.since + self.cfg.unverified_job_time;
         for job in self.jobs.values_mut() {
             job.deadline = job.deadline.min(deadline);
         }
-        actions.push(Action::Notice(Notice::Paused { paused: length }));
+        actions.push(Action::Notice(Notice::Paused {
+            paused: self.silence.length(),
+        }));
     }
 
-    /// Returns the deadline of a submission that is read now, which is earlier if it may have waited during a silence.
-    pub(crate) fn unverified_deadline(&self, now: Instant, deadline: Instant) -> Instant {
-        let since = self.silence.backlog_since(now);
+    /// Returns the deadline of a submission, which is earlier if it may have waited during a silence.
+    pub(crate) fn unverified_deadline(&self, received_at: Instant, deadline: Instant) -> Instant {
+        let since = self.silence.backlog_since(received_at);
         since.map_or(deadline, |since| {
             deadline.min(since + self.cfg.unverified_job_time)
         })
     }
 
     pub(crate) fn may_place(&self, now: Instant) -> bool {
-        now >= self.silence.resume_at
+        !self.silence.is_pause() || now >= self.silence.ended_at + PAUSE_SETTLE_TIME
     }
 }
--- a/crates/broker/tests/silence.rs
+++ b/crates/broker/tests/silence.rs
@@ -184,3 +184,89 @@
     entry.end_attempt(link, key, RunOutcome::Completed);
     assert_eq!(entry.answers().len(), 1);
 }
+
+/// Stops an entry over and over, each time too shortly for a pause; in between it reads a heartbeat and its timer.
+fn stop_repeatedly(entry: &mut Entry, from: u64, stops: u64) {
+    for stop in 0..stops {
+        entry.now += millis(200);
+        entry.beat(1, from + stop, u64::MAX);
+        entry.now += millis(1);
+        entry.handle(Event::Tick);
+    }
+}
+
+/// Guards against two runs of a task at a time: a submission waited while the entry was stopped again and again, each time for
+/// less than a pause, and its caller has submitted it to another entry.
+#[test]
+fn repeated_stops_refuse_submission_that_may_run_elsewhere() {
+    for busy in [false, true] {
+        let mut entry = Entry::with_workers(1);
+        serve(&mut entry, 10, 500);
+        if busy {
+            entry.submit(1, 5, 1);
+        }
+        stop_repeatedly(&mut entry, 50, 6);
+        entry.submit(2, 6, 1);
+        assert!(is_refused_after_silence(entry.answers().last()), "busy: {busy}");
+        serve(&mut entry, 100, 75);
+        entry.submit(3, 7, 1);
+        assert!(is_refused_after_silence(entry.answers().last()), "busy: {busy}");
+    }
+}
+
+/// Guards against a job that still runs when another entry may have received it, because its entry was stopped again and again
+/// and has not read that its caller has left.
+#[test]
+fn repeated_stops_end_job_before_it_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    assert_eq!(entry.attempts().len(), 1);
+    stop_repeatedly(&mut entry, 50, 6);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+    assert!(entry.stops() >= 1);
+}
+
+/// Guards against a job that was accepted between two stops and still runs when another entry may have received it.
+#[test]
+fn job_accepted_between_stops_ends_before_it_may_run_elsewhere() {
+    let mut entry = Entry::with_workers(1);
+    serve(&mut entry, 10, 200);
+    stop_repeatedly(&mut entry, 50, 3);
+    entry.submit(1, 5, 1);
+    assert_eq!(entry.answers(), []);
+    serve(&mut entry, 100, 600);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+}
+
+/// Guards against refusals by an entry that has read what waited during its stops.
+#[test]
+fn repeated_stops_accept_what_arrives_afterwards() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    stop_repeatedly(&mut entry, 50, 10);
+    serve(&mut entry, 100, 525);
+    entry.submit(2, 6, 1);
+    assert_eq!(entry.answers(), [(1, Answer::TimedOut)]);
+    assert_eq!(entry.attempts().len(), 2);
+}
+
+/// Guards against refusals and ended jobs because of a quota of processor time, which stops the entry for less than 100 ms at a
+/// time, or because of a single stop that is shorter than a pause.
+#[test]
+fn quota_and_single_stop_keep_jobs_in_progress() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    for period in 0..10 {
+        entry.now += millis(88);
+        entry.beat(1, 50 + period, u64::MAX);
+        entry.now += millis(12);
+        entry.handle(Event::Tick);
+    }
+    entry.submit(2, 6, 1);
+    serve(&mut entry, 100, 100);
+    stop_repeatedly(&mut entry, 150, 1);
+    entry.submit(3, 7, 1);
+    serve(&mut entry, 200, 200);
+    assert_eq!(entry.answers(), []);
+    assert_eq!(entry.attempts().len(), 3);
+}
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -194,6 +194,24 @@
     assert!(total.silent_callers > SEEDS * 5, "{total:?}");
 }
 
+/// Guards against starts for callers that submitted again elsewhere while their entry was short of processor time: no single
+/// stop is long, and what callers send waits for several of them.
+#[test]
+fn lagging_entry_prevents_concurrent_runs() {
+    let total = run_seeds("lagging");
+    assert!(
+        total.entry_lags > SEEDS && total.backlog_events > SEEDS * 100,
+        "{total:?}"
+    );
+}
+
+/// Guards against the same fault with callers that leave without the knowledge of the entry.
+#[test]
+fn silent_callers_of_lagging_entry_cause_no_concurrent_runs() {
+    let total = run_seeds("lagging,silent");
+    assert!(total.silent_callers > SEEDS * 5, "{total:?}");
+}
+
 /// Guards against reporting the runs of a worker as lost because another sender's announcement reached its agent.
 #[test]
 fn foreign_announcements_end_no_run() {
--- a/crates/leased/tests/sim/callers.rs
+++ b/crates/leased/tests/sim/callers.rs
@@ -63,7 +63,7 @@
             timeout: Some(CALLER_TIMEOUT),
             kind: RequestKind::Submit(submission(tasks)),
         };
-        if self.entries[entry].is_paused() {
+        if self.entries[entry].is_behind(self.now) {
             let patience = Duration::from_millis(self.rng.random_range(100..1_500));
             self.schedule_reset(patience, id);
         }
@@ -92,7 +92,7 @@
     pub(super) fn reset_caller(&mut self, id: JobId, ticket: Ticket) {
         if let Some((entry, _)) = self.jobs[&id].pending.filter(|&(_, pending)| pending == ticket) {
             self.lose_caller(id);
-            if self.scenarios.contains(Scenario::SilentCallers) && self.entries[entry].is_paused() {
+            if self.scenarios.contains(Scenario::SilentCallers) && self.entries[entry].is_behind(self.now) {
                 self.counts.silent_callers += 1;
                 return;
             }
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -55,7 +55,9 @@
     crashing_failed,
     /// Answers that another job has failed.
     others_failed,
-    /// Callers that left a paused entry without its knowledge.
+    /// Times in which an entry ran only between short stops.
+    entry_lags,
+    /// Callers that left a paused or lagging entry without its knowledge.
     silent_callers,
     /// Announcements of workers that do not exist.
     foreign_announcements,
--- a/crates/leased/tests/sim/entries.rs
+++ b/crates/leased/tests/sim/entries.rs
@@ -32,6 +32,8 @@
     pub(super) cut_until: Option<Instant>,
     /// Events that wait, while the entry is paused or has not caught up.
     inbox: Option<Inbox>,
+    /// Until when the entry runs only between short stops.
+    lagging_until: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +53,11 @@
     pub(super) fn is_paused(&self) -> bool {
         self.inbox.as_ref().is_some_and(|inbox| !inbox.resumed)
     }
+
+    /// Returns whether the process does not run, or runs only between short stops.
+    pub(super) fn is_behind(&self, now: Instant) -> bool {
+        self.is_paused() || self.lagging_until.is_some_and(|until| now < until)
+    }
 }
 
 impl Sim {
@@ -61,6 +68,7 @@
             tick_at: None,
             cut_until: None,
             inbox: None,
+            lagging_until: None,
         };
         self.entries.push(host);
         self.schedule_entry_tick(self.entries.len() - 1);
@@ -153,7 +161,7 @@
 
     /// Pauses an entry; its callers' connections break meanwhile, and some callers submit again elsewhere.
     pub(super) fn pause_entry(&mut self, entry: usize) {
-        if self.entries[entry].inbox.is_some() {
+        if self.entries[entry].inbox.is_some() || self.entries[entry].is_behind(self.now) {
             return;
         }
         self.counts.entry_pauses += 1;
@@ -162,12 +170,7 @@
         self.trace(|| format!("entry {entry} is paused for {} ms", pause.as_millis()));
         let process = self.entries[entry].process;
         self.schedule(pause, ScheduledEvent::ResumeEntry(entry, process));
-        for job in self.jobs_at(entry) {
-            if self.rng.random_bool(0.8) {
-                let delay = Duration::from_millis(self.rng.random_range(0..500));
-                self.schedule_reset(delay, job);
-            }
-        }
+        self.lose_patience(entry);
         for link in self.matching_links(|link| link.entry == entry) {
             // The agents' ends of the links detect the missing messages.
             let detection_delay = self.detection_delay();
@@ -177,6 +180,44 @@
         }
     }
 
+    /// Stops an entry again and again, each time for less than a pause and more than a quota of processor time does.
+    pub(super) fn lag_entry(&mut self, entry: usize) {
+        let host = &mut self.entries[entry];
+        if host.inbox.is_some() || host.is_behind(self.now) {
+            return;
+        }
+        self.counts.entry_lags += 1;
+        let span = Duration::from_millis(self.rng.random_range(2_000..6_000));
+        host.lagging_until = Some(self.now + span);
+        let process = host.process;
+        self.trace(|| format!("entry {entry} lags for {} ms", span.as_millis()));
+        self.lose_patience(entry);
+        self.stop_lagging_entry(entry, process);
+    }
+
+    /// Stops an entry for a moment, until its lag ends.
+    pub(super) fn stop_lagging_entry(&mut self, entry: usize, process: ProcessId) {
+        let host = &mut self.entries[entry];
+        if host.process != process || host.lagging_until.is_none_or(|until| until <= self.now) {
+            return;
+        }
+        host.inbox.get_or_insert_default().resumed = false;
+        let stop = Duration::from_millis(self.rng.random_range(150..240));
+        self.schedule(stop, ScheduledEvent::ResumeEntry(entry, process));
+        let slice = Duration::from_micros(self.rng.random_range(500..3_000));
+        self.schedule(stop + slice, ScheduledEvent::StopLaggingEntry(entry, process));
+    }
+
+    /// Lets most callers of an entry give up soon.
+    fn lose_patience(&mut self, entry: usize) {
+        for job in self.jobs_at(entry) {
+            if self.rng.random_bool(0.8) {
+                let delay = Duration::from_millis(self.rng.random_range(0..500));
+                self.schedule_reset(delay, job);
+            }
+        }
+    }
+
     pub(super) fn resume_entry(&mut self, entry: usize, process: ProcessId) {
         let host = &mut self.entries[entry];
         if host.process != process {
@@ -195,7 +236,7 @@
         if host.process != process {
             return;
         }
-        let Some(inbox) = &mut host.inbox else {
+        let Some(inbox) = host.inbox.as_mut().filter(|inbox| inbox.resumed) else {
             return;
         };
         inbox.waiting.retain(|_, events| !events.is_empty());
@@ -224,6 +265,7 @@
             tick_at: None,
             cut_until: None,
             inbox: None,
+            lagging_until: None,
         };
         self.entries[entry] = host;
         self.trace(|| format!("entry {entry} is killed"));
--- a/crates/leased/tests/sim/faults.rs
+++ b/crates/leased/tests/sim/faults.rs
@@ -25,6 +25,7 @@
     KillIsolatedAgent,
     FailEntryAndAgent,
     PauseEntry,
+    LagEntry,
     AnnounceForeign,
 }
 
@@ -47,6 +48,7 @@
     (Scenario::IsolatedAgentRestarts, Fault::KillIsolatedAgent),
     (Scenario::EntryAndAgentFaults, Fault::FailEntryAndAgent),
     (Scenario::EntryPauses, Fault::PauseEntry),
+    (Scenario::EntryLags, Fault::LagEntry),
     (Scenario::ForeignAnnouncements, Fault::AnnounceForeign),
 ];
 
@@ -83,6 +85,7 @@
             Fault::KillAgent => self.kill_agent(agent, AT_ONCE),
             Fault::KillEntry => self.kill_entry(entry),
             Fault::PauseEntry => self.pause_entry(entry),
+            Fault::LagEntry => self.lag_entry(entry),
             Fault::AnnounceForeign => self.announce_foreign(agent),
             Fault::ReplaceWorker if !self.workers[agent].is_down() => {
                 self.end_worker(agent);
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -39,13 +39,15 @@
     OrdersAcrossRestarts,
     /// Agents receive announcements of workers that do not exist, or of another system.
     ForeignAnnouncements,
-    /// A paused entry never receives the end of a caller's connection.
+    /// A paused or lagging entry never receives the end of a caller's connection.
     SilentCallers,
+    /// Entries run for a few milliseconds between short stops, for seconds, so that events wait for them.
+    EntryLags,
 }
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -65,6 +67,7 @@
         Self::OrdersAcrossRestarts,
         Self::ForeignAnnouncements,
         Self::SilentCallers,
+        Self::EntryLags,
     ];
 
     /// Returns the name on the command line.
@@ -89,6 +92,7 @@
             Self::OrdersAcrossRestarts => "across",
             Self::ForeignAnnouncements => "foreign",
             Self::SilentCallers => "silent",
+            Self::EntryLags => "lagging",
         }
     }
 }
