broker, worker, wire: Tell agents of deadlines that a silence has shortened

Cause: an order carries the deadline that its job has at that time. A silence shortens it, and only a stop from the entry enforced the shorter one.

The entry now sends agents the time that is left to these attempts (TimeLimits), also after the list of attempts on a new link, and agents stop them by themselves. A limit is never extended. Agents say in their description whether they know the message; others get none, as before.

A request that has waited in the process for as long as callers need to submit elsewhere counts as a silence too: the news that callers have left waits in the same queue.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -125,7 +125,11 @@
     /// Processes one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         let is_arrival = !matches!(event, Event::Tick | Event::AgentDown { .. } | Event::Drain);
-        self.detect_silence(now, is_arrival, actions);
+        let received_at = match event {
+            Event::Request { received_at, .. } => received_at.min(now),
+            _ => now,
+        };
+        self.detect_silence(now, received_at, is_arrival, actions);
         self.silence.record_event(now);
         let report = WorkerToEntry::is_load_report;
         let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
@@ -259,6 +263,7 @@
         };
         match message {
             WorkerToEntry::Describe(worker, crashes) => {
+                let is_first = !self.agents.get(at).attempts_listed;
                 self.list_attempts(link, at, worker.reads_resources, actions);
                 self.record_crashes(now, at, crashes, actions);
                 self.forward_losses(now, link, at, worker.stores_losses, actions);
@@ -272,6 +277,9 @@
                         outstanding: agent.outstanding.len() as u64,
                     }));
                 }
+                if is_first {
+                    self.send_time_limits(now, at, |_| true, actions);
+                }
             }
             WorkerToEntry::Heartbeat(number, load) => {
                 let agent = self.agents.get_mut(at);
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -9,6 +9,10 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutfork_types::{EntryToWorker, JobId};
+use indexmap::IndexSet;
+
+use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, Notice};
 
@@ -100,19 +104,27 @@
 }
 
 impl BrokerCore {
-    /// Detects that nothing reached this process for a while: its timer is late, or all agents were silent although links to
-    /// them were open.
+    /// Detects that nothing reached this process for a while: its timer is late, all agents were silent although links to them
+    /// were open, or the event has waited for so long that callers may have left since and submitted their jobs elsewhere.
     ///
     /// `is_arrival` states whether the event that is processed came from outside. The timer goes on while the process is cut
     /// off, and links are given up then, so only an arrival shows the end of the silence.
-    pub(crate) fn detect_silence(&mut self, now: Instant, is_arrival: bool, actions: &mut Vec<Action>) {
+    pub(crate) fn detect_silence(
+        &mut self,
+        now: Instant,
+        received_at: Instant,
+        is_arrival: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let late = now.saturating_duration_since(self.next_wakeup());
         let stopped = (late >= STOP_THRESHOLD).then_some(self.silence.handled_at);
         let unreported = now.saturating_duration_since(self.silence.reported_at);
         let expects_reports = self.agents.any_connected() || self.silence.lost_silently;
         let cut_off = is_arrival && unreported >= SILENCE_THRESHOLD && expects_reports;
         let cut_off = cut_off.then_some(self.silence.reported_at);
-        let Some(began_at) = stopped.into_iter().chain(cut_off).min() else {
+        let unread = now >= received_at + self.cfg.unverified_job_time;
+        let unread = unread.then_some(received_at);
+        let Some(began_at) = stopped.into_iter().chain(cut_off).chain(unread).min() else {
             return;
         };
         self.silence.record_stop(began_at, now);
@@ -121,14 +133,46 @@
         }
         // Callers of jobs in progress may have left as well.
         let deadline = self.silence.since + self.cfg.unverified_job_time;
-        for job in self.jobs.values_mut() {
-            job.deadline = job.deadline.min(deadline);
+        let mut shortened = IndexSet::new();
+        for job in self.jobs.values_mut().filter(|job| deadline < job.deadline) {
+            job.deadline = deadline;
+            shortened.insert(job.id);
+        }
+        if !shortened.is_empty() {
+            for (at, _) in self.agents.iter() {
+                self.send_time_limits(now, at, |job| shortened.contains(&job), actions);
+            }
         }
         actions.push(Action::Notice(Notice::Paused {
             paused: self.silence.length(),
         }));
     }
 
+    /// Sends an agent the deadlines of the selected jobs of which it runs attempts.
+    ///
+    /// The process may be stopped again when they pass, and the orders of these attempts carried later ones.
+    pub(crate) fn send_time_limits(
+        &self,
+        now: Instant,
+        at: AgentIndex,
+        is_selected: impl Fn(JobId) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let agent = self.agents.get(at);
+        let Some(link) = agent.link.filter(|_| agent.worker.reads_time_limits) else {
+            return;
+        };
+        let attempts = agent.outstanding.iter().filter(|(_, run)| !run.stopping);
+        let limits = attempts.filter_map(|(&key, _)| {
+            let job = self.jobs.get(&key.task.job).filter(|job| is_selected(job.id))?;
+            Some((key, job.deadline.saturating_duration_since(now)))
+        });
+        let limits: Vec<_> = limits.collect();
+        if !limits.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::TimeLimits(limits)));
+        }
+    }
+
     /// Returns the deadline of a submission, which is earlier if it may have waited during a silence.
     pub(crate) fn unverified_deadline(&self, received_at: Instant, deadline: Instant) -> Instant {
         let since = self.silence.backlog_since(received_at);
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -122,6 +122,7 @@
             leaving: false,
             stores_losses: true,
             reads_resources: true,
+            reads_time_limits: true,
         };
         self.receive(link, WorkerToEntry::Describe(worker, crashes));
     }
--- a/crates/broker/tests/silence.rs
+++ b/crates/broker/tests/silence.rs
@@ -3,9 +3,11 @@
 
 mod entry;
 
-use chestnutfork_broker::{Answer, Event, RefusalReason};
-use chestnutfork_types::RunOutcome;
-use entry::{Entry, millis};
+use std::time::Duration;
+
+use chestnutfork_broker::{Action, Answer, Event, RefusalReason, RequestKind};
+use chestnutfork_types::{AttemptKey, EntryToWorker, RunOutcome};
+use entry::{Entry, millis, request};
 
 /// Lets time pass with heartbeats of all agents, so that the entry counts as connected.
 fn serve(entry: &mut Entry, from: u64, elapsed: u64) {
@@ -270,3 +272,67 @@
     assert_eq!(entry.answers(), []);
     assert_eq!(entry.attempts().len(), 3);
 }
+
+/// Guards against runs that go on because the entry is stopped again when their job must end: their orders carry the deadline
+/// that the job had before the silence.
+#[test]
+fn pause_limits_attempts_in_progress() {
+    let mut entry = Entry::with_workers(2);
+    entry.submit(1, 5, 1);
+    let (link, key) = entry.attempts()[0];
+    entry.now += millis(550);
+    entry.beat(2, 2, 0);
+    assert_eq!(time_limits(&entry), [(link, vec![(key, millis(1_200 - 550))])]);
+    entry.now += millis(600);
+    entry.beat(2, 3, 0);
+    assert_eq!(time_limits(&entry).len(), 1, "the deadline is the same");
+}
+
+/// Guards against the same fault if the link to the agent was lost during the pause.
+#[test]
+fn agent_connected_after_pause_receives_time_limits() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    let (_, key) = entry.attempts()[0];
+    entry.now += millis(550);
+    entry.handle(Event::AgentDown { link: 1 });
+    entry.handle(Event::AgentUp {
+        link: 3,
+        agent: "agent-1".to_owned(),
+        process: 1,
+    });
+    entry.report_crashes(3, Vec::new());
+    // The first link received them as well: its end was read after the pause had been noticed.
+    assert_eq!(
+        time_limits(&entry).last(),
+        Some(&(3, vec![(key, millis(1_200 - 550))]))
+    );
+}
+
+fn time_limits(entry: &Entry) -> Vec<(u64, Vec<(AttemptKey, Duration)>)> {
+    let limits = entry.actions.iter().filter_map(|action| match action {
+        Action::ToAgent(link, EntryToWorker::TimeLimits(limits)) => Some((*link, limits.clone())),
+        _ => None,
+    });
+    limits.collect()
+}
+
+/// Guards against jobs whose callers may have left and submitted them elsewhere, while the news waits behind other messages of
+/// a process that never stops.
+#[test]
+fn long_waiting_messages_end_jobs_in_progress() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 5, 1);
+    serve(&mut entry, 10, 1_300);
+    for (waited, ended) in [(1_100, false), (1_200, true)] {
+        let request = request(6, RequestKind::Lookup);
+        let received_at = entry.now.checked_sub(millis(waited)).unwrap();
+        entry.handle(Event::Request {
+            ticket: waited,
+            request,
+            received_at,
+        });
+        serve(&mut entry, 100, 50);
+        assert_eq!(entry.answers().contains(&(1, Answer::TimedOut)), ended);
+    }
+}
--- a/crates/leased/tests/many_entries.rs
+++ b/crates/leased/tests/many_entries.rs
@@ -461,6 +461,7 @@
             leaving: false,
             stores_losses: false,
             reads_resources: false,
+            reads_time_limits: false,
         },
         address: "w:1".to_owned(),
         started_at: Duration::from_secs(1),
--- a/crates/leased/tests/sim/workers.rs
+++ b/crates/leased/tests/sim/workers.rs
@@ -63,6 +63,7 @@
             leaving: false,
             stores_losses: false,
             reads_resources: false,
+            reads_time_limits: false,
         },
         address: "worker:1".to_owned(),
         started_at: Duration::from_secs(incarnation),
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -152,6 +152,8 @@
         /// Attempts to stop; an earlier stop message may have been lost with the previous link.
         stop: Vec<RecordedAttempt>,
     },
+    /// Sets the time left until attempts are stopped, also if the entry sends no stop. A limit is never extended.
+    TimeLimits(Vec<(AttemptKey, Duration)>),
     /// Records of lost workers that other agents have reported, which the agent passes on to the entries.
     Losses(Vec<WorkerCrash>),
 }
@@ -197,6 +199,10 @@
 }
 
 /// Properties of a worker that placement depends on.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag states a property that the others do not imply"
+)]
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerDescription {
     /// Name of the worker's incarnation.
@@ -215,6 +221,8 @@
     pub stores_losses: bool,
     /// Whether the agent reads the resources of recorded attempts.
     pub reads_resources: bool,
+    /// Whether the agent accepts time limits of attempts that it has started.
+    pub reads_time_limits: bool,
 }
 
 /// Load and health of a worker as observed by its agent.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -63,6 +63,10 @@
     /// their description.
     #[serde(rename = "r")]
     ReconcileSized(Vec<SizedAttemptWire>, Vec<SizedAttemptWire>),
+    /// Sets the time left to attempts, in microseconds. Earlier versions do not know it; agents that do say so in their
+    /// description.
+    #[serde(rename = "l")]
+    TimeLimits(Vec<(AttemptWire, u64)>),
     /// Records of lost workers. Earlier versions do not know it; agents that do say so in their description.
     #[serde(rename = "k")]
     Losses(Vec<WorkerCrashWire>),
@@ -102,6 +106,9 @@
         /// ignore it.
         #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
         reads_resources: bool,
+        /// Whether the agent accepts [`EntryToWorkerWire::TimeLimits`]. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "t", default, skip_serializing_if = "std::ops::Not::not")]
+        reads_time_limits: bool,
     },
     /// Numbered heartbeat with the current load.
     #[serde(rename = "b")]
@@ -353,6 +360,14 @@
                 (Some(keep), Some(stop)) => Self::ReconcileSized(keep, stop),
                 _ => Self::Reconcile(recorded_to_wire(&keep), recorded_to_wire(&stop)),
             },
+            EntryToWorker::TimeLimits(limits) => {
+                let limits = limits.into_iter();
+                Self::TimeLimits(
+                    limits
+                        .map(|(key, limit)| (attempt_to_wire(key), micros(limit)))
+                        .collect(),
+                )
+            }
             EntryToWorker::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
@@ -395,6 +410,11 @@
                 keep: sized_from_wire(keep),
                 stop: sized_from_wire(stop),
             },
+            EntryToWorkerWire::TimeLimits(limits) => {
+                let limits = limits.into_iter();
+                let limit = |(key, limit)| (attempt_from_wire(key), Duration::from_micros(limit));
+                Self::TimeLimits(limits.map(limit).collect())
+            }
             EntryToWorkerWire::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
@@ -412,6 +432,7 @@
                 leaving: description.leaving,
                 stores_losses: description.stores_losses,
                 reads_resources: description.reads_resources,
+                reads_time_limits: description.reads_time_limits,
                 crashes: crashes.into_iter().map(Into::into).collect(),
             },
             WorkerToEntry::Heartbeat(number, load) => Self::Heartbeat(number, load_to_wire(load)),
@@ -442,6 +463,7 @@
                 crashes,
                 stores_losses,
                 reads_resources,
+                reads_time_limits,
             } => {
                 let description = WorkerDescription {
                     worker,
@@ -452,6 +474,7 @@
                     leaving,
                     stores_losses,
                     reads_resources,
+                    reads_time_limits,
                 };
                 Self::Describe(description, crashes.into_iter().map(Into::into).collect())
             }
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -104,6 +104,7 @@
             keep: vec![recorded(1, None)],
             stop: vec![recorded(2, None)],
         },
+        EntryToWorker::TimeLimits(vec![(key(1), Duration::from_micros(5))]),
         EntryToWorker::Losses(vec![crash()]),
     ];
     for message in messages {
@@ -126,6 +127,7 @@
         leaving: true,
         stores_losses: true,
         reads_resources: true,
+        reads_time_limits: true,
     };
     let outcomes = [
         RunOutcome::Completed,
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -207,10 +207,23 @@
                 self.unreconciled.extend(stop.into_iter().map(listed(false)));
                 self.reconcile_attempts(now, actions);
             }
+            EntryToWorker::TimeLimits(limits) => {
+                for (key, limit) in limits {
+                    self.limit_attempt(now, entry, key, limit);
+                }
+            }
             EntryToWorker::Losses(losses) => self.crashes.store(now, losses),
         }
     }
 
+    fn limit_attempt(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, limit: Duration) {
+        let run = self.runs.get_mut(&key.task);
+        if let Some(run) = run.filter(|run| run.key == key && run.owner == entry) {
+            let stop_at = now.checked_add(limit);
+            run.stop_at = run.stop_at.into_iter().chain(stop_at).min();
+        }
+    }
+
     fn on_start(&mut self, now: Instant, entry: ProcessId, order: &StartOrder, actions: &mut Vec<Action>) {
         self.owners
             .acknowledge(entry, order.last_heartbeat, self.cfg.entry_lease);
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -147,6 +147,7 @@
         description.leaving |= self.draining || session.is_some_and(Session::is_withdrawn);
         description.stores_losses = true;
         description.reads_resources = true;
+        description.reads_time_limits = true;
         description
     }
 
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -67,6 +67,7 @@
             leaving: false,
             stores_losses: false,
             reads_resources: false,
+            reads_time_limits: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
