--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -25,8 +25,9 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Delay after a load report before waiting tasks are placed, so that several reports are processed together.
 const REPORT_BATCH_DELAY: Duration = Duration::from_millis(2);
-/// Interval at which expired records are removed while there is no work in progress.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which expired records are removed while there is no work in progress. A stop of the process is noticed only if
+/// the timer is due meanwhile.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Entry core, which places the tasks of all jobs submitted to one entry.
 #[derive(Debug)]
@@ -127,7 +128,11 @@
     /// Processes one event and appends the resulting actions.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         let is_arrival = !matches!(event, Event::Tick | Event::AgentDown { .. } | Event::Drain);
-        self.detect_silence(now, is_arrival, actions);
+        let received_at = match event {
+            Event::Request { received_at, .. } => received_at.min(now),
+            _ => now,
+        };
+        self.detect_silence(now, received_at, is_arrival, actions);
         self.silence.record_event(now);
         let report = WorkerToEntry::is_load_report;
         let is_report = matches!(&event, Event::FromAgent { message, .. } if report(message));
@@ -261,6 +266,7 @@
         };
         match message {
             WorkerToEntry::Describe(worker, crashes) => {
+                let is_first = !self.agents.get(at).attempts_listed;
                 self.list_attempts(link, at, worker.reads_resources, actions);
                 self.record_crashes(now, at, crashes, actions);
                 self.forward_losses(now, link, at, worker.stores_losses, actions);
@@ -274,6 +280,9 @@
                         outstanding: agent.outstanding.len() as u64,
                     }));
                 }
+                if is_first {
+                    self.send_time_limits(now, at, |_| true, actions);
+                }
             }
             WorkerToEntry::Heartbeat(number, load) => {
                 let agent = self.agents.get_mut(at);
