--- a/crates/events/src/output.rs
+++ b/crates/events/src/output.rs
@@ -1,9 +1,7 @@
 //! Set-up of the log output and the function that logs an event.
 
-use std::fs::File;
 use std::io::Write;
 use std::mem;
-use std::os::fd::AsFd;
 use std::sync::Arc;
 
 use spdlog::sink::{Sink, WriteSink};
@@ -25,9 +23,20 @@
     /// The writer thread cannot be started.
     #[error("cannot start the log thread: {0}; raise the limit on threads or memory")]
     Thread(#[source] std::io::Error),
-    /// Standard output cannot be opened.
-    #[error("cannot open standard output: {0}; raise the limit on open files")]
-    Output(#[source] std::io::Error),
+}
+
+/// Standard output without the buffer of [`std::io::Stdout`], which holds the end of a partial write and may discard it when
+/// the process ends.
+struct UnbufferedStdout;
+
+impl Write for UnbufferedStdout {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        Ok(rustix::io::write(rustix::stdio::stdout(), buf)?)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Formatter of event 1010, which writes to memory through a logger of its own.
@@ -103,7 +112,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the logger cannot be built or the process has too many open files.
+/// Fails if the logger cannot be built.
 ///
 /// # Examples
 ///
@@ -114,10 +123,7 @@
 /// # Ok::<(), chestnutfork_events::InitError>(())
 /// ```
 pub fn init_stdout(min_severity: Severity, format: Format) -> Result<(), InitError> {
-    // `Stdout` buffers the end of a partial write and may discard it when the process ends.
-    let stdout = std::io::stdout().as_fd().try_clone_to_owned();
-    let stdout = File::from(stdout.map_err(InitError::Output)?);
-    init_with_writer(stdout, min_severity, format)
+    init_with_writer(UnbufferedStdout, min_severity, format)
 }
 
 /// Sends the events of the process to a writer, from the given severity upwards.
