worker: Keep time limits for runs that are yet to be found

The limit is kept with the attempt that the entry lists, until it is reconciled. adopted_run_keeps_time_limit covers both orders of the messages.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -202,25 +202,39 @@
                 }
             }
             EntryToWorker::Reconcile { keep, stop } => {
-                let listed = |keep| move |attempt| ListedAttempt { entry, attempt, keep };
+                let listed = |keep| {
+                    move |attempt| ListedAttempt {
+                        entry,
+                        attempt,
+                        keep,
+                        stop_at: None,
+                    }
+                };
                 self.unreconciled.extend(keep.into_iter().map(listed(true)));
                 self.unreconciled.extend(stop.into_iter().map(listed(false)));
                 self.reconcile_attempts(now, actions);
             }
             EntryToWorker::TimeLimits(limits) => {
                 for (key, limit) in limits {
-                    self.limit_attempt(now, entry, key, limit);
+                    if let Some(stop_at) = now.checked_add(limit) {
+                        self.limit_attempt(entry, key, stop_at);
+                    }
                 }
             }
             EntryToWorker::Losses(losses) => self.crashes.store(now, losses),
         }
     }
 
-    fn limit_attempt(&mut self, now: Instant, entry: ProcessId, key: AttemptKey, limit: Duration) {
+    /// Limits an attempt, or the run that is yet to be found for it.
+    pub(crate) fn limit_attempt(&mut self, entry: ProcessId, key: AttemptKey, stop_at: Instant) {
+        let earliest = |known: Option<Instant>| Some(known.map_or(stop_at, |known| known.min(stop_at)));
         let run = self.runs.get_mut(&key.task);
         if let Some(run) = run.filter(|run| run.key == key && run.owner == entry) {
-            let stop_at = now.checked_add(limit);
-            run.stop_at = run.stop_at.into_iter().chain(stop_at).min();
+            run.stop_at = earliest(run.stop_at);
+        }
+        let unreconciled = self.unreconciled.iter_mut();
+        for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.attempt.key == key) {
+            attempt.stop_at = earliest(attempt.stop_at);
         }
     }
 
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -24,6 +24,8 @@
     pub(crate) attempt: RecordedAttempt,
     /// Whether the entry wants the attempt to continue; otherwise it is stopped.
     pub(crate) keep: bool,
+    /// When the entry wants the run to be stopped, if it has said so.
+    pub(crate) stop_at: Option<Instant>,
 }
 
 impl WorkerCore {
@@ -47,6 +49,9 @@
                 let stop = Stop::begin_expired(now, RunOutcome::Stopped);
                 self.stop_attempt(now, listed.entry, listed.attempt.key, stop, actions);
             }
+            if let Some(stop_at) = listed.stop_at {
+                self.limit_attempt(listed.entry, listed.attempt.key, stop_at);
+            }
         }
     }
 
--- a/crates/worker/tests/adoption.rs
+++ b/crates/worker/tests/adoption.rs
@@ -99,3 +99,31 @@
     agent.start(&[attempt(1, 1), attempt(2, 1)]);
     assert_eq!(starts(&agent), 1, "two tasks fit on the worker");
 }
+
+/// Guards against a run that a restarted agent takes over without the time limit that its entry has sent, before or after the
+/// worker lists the run.
+#[test]
+fn adopted_run_keeps_time_limit() {
+    for listed_first in [false, true] {
+        let mut agent = Agent::new();
+        agent.connect();
+        agent.send(EntryToWorker::Reconcile {
+            keep: vec![recorded(attempt(0, 2))],
+            stop: Vec::new(),
+        });
+        agent.handle(Event::Announced(announcement(1, 9)));
+        let limits = EntryToWorker::TimeLimits(vec![(attempt(0, 2), millis(100))]);
+        let renewal = agent.call(is_renewal);
+        if listed_first {
+            agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+            agent.send(limits);
+        } else {
+            agent.send(limits);
+            agent.reply(renewal, CallOutcome::LeaseRenewed(list_of_run()));
+        }
+        agent.advance_to(millis(99));
+        assert!(agent.calls().iter().all(|(_, order)| !is_stop(order)));
+        agent.advance_to(millis(100));
+        assert!(agent.calls().iter().any(|(_, order)| is_stop(order)));
+    }
+}
