--- a/crates/worker/tests/time_limit.rs
+++ b/crates/worker/tests/time_limit.rs
@@ -13,6 +13,7 @@
     EntryToWorker::Start(StartOrder {
         refuse_if_full: false,
         time_limit: Some(time_limit),
+        report_interval: None,
         number: 1,
         last_heartbeat: 1,
         time_to_objective: millis(200),
