broker: Derive the state of workers once for each placement

Cause: placing tasks took 9.9% of the processor time of an entry with 52 agents, and checking whether any worker fits 1.6%.

What is chosen stays the same; the random numbers are drawn in the same order.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -44,13 +44,13 @@
 
     /// Returns whether each step fits some known worker of a pool; also true if no worker of the pool is known yet.
     pub(crate) fn any_worker_fits(&self, service: &str, steps: &[StepSpec]) -> bool {
-        let known: Vec<_> = self
-            .agents
-            .iter()
-            .filter(|(_, agent)| agent.worker.pool == service)
-            .collect();
-        let fits = |step: &StepSpec| known.iter().any(|(_, agent)| is_suitable(agent, step));
-        known.is_empty() || steps.iter().all(fits)
+        let known = || {
+            self.agents
+                .iter()
+                .filter(|(_, agent)| agent.worker.pool == service)
+        };
+        let fits = |step: &StepSpec| known().any(|(_, agent)| is_suitable(agent, step));
+        steps.iter().all(fits) || known().next().is_none()
     }
 
     /// Estimates how long a new job of a service would wait, from the backlog ahead of it and the speed of the pool.
--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -71,25 +71,20 @@
         self.link.is_some() && fresh && available && !self.worker.leaving
     }
 
-    /// Returns the reported free capacity less the orders that the report does not include.
-    pub(crate) fn free(&self) -> Resources {
-        self.minus_unreported_orders(|load| load.free)
-    }
-
-    /// Returns the share allocated to this entry less the orders that the report does not include.
-    pub(crate) fn share(&self) -> Resources {
-        self.minus_unreported_orders(|load| load.share)
-    }
-
-    fn minus_unreported_orders(&self, reported: impl Fn(&WorkerLoad) -> Resources) -> Resources {
+    /// Returns the reported free capacity and the share of this entry, both less the orders that the report does not include.
+    pub(crate) fn free_and_share(&self) -> (Resources, Resources) {
         let Some(load) = &self.load else {
-            return Resources::default();
+            return (Resources::default(), Resources::default());
         };
         let newer = self
             .outstanding
             .values()
             .filter(|run| run.order > load.last_order);
-        newer.fold(reported(load), |left, run| left.saturating_sub(run.resources))
+        let unreported = newer.fold(Resources::default(), |sum, run| sum.saturating_add(run.resources));
+        (
+            load.free.saturating_sub(unreported),
+            load.share.saturating_sub(unreported),
+        )
     }
 
     /// Returns the ratio of actual to declared run time, if the agent has reported one.
@@ -153,6 +148,11 @@
         !self.links.is_empty()
     }
 
+    /// Returns the number of agents, connected or not.
+    pub(crate) fn len(&self) -> usize {
+        self.agents.len()
+    }
+
     pub(crate) fn index_of(&self, link: LinkNumber) -> Option<AgentIndex> {
         self.links.get(&link).copied()
     }
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -43,10 +43,12 @@
     workers: Vec<WorkerSnapshot>,
 }
 
-/// Free capacity of a worker in a [`PoolSnapshot`].
+/// State of a worker in a [`PoolSnapshot`] that is the same for all tasks.
 #[derive(Clone, Copy, Debug)]
 struct WorkerSnapshot {
     agent: AgentIndex,
+    /// Extra cost of a task there, if the worker is in another failure domain.
+    domain_cost: Duration,
     free: Resources,
     /// Part of the free capacity that is allocated to this entry.
     share: Resources,
@@ -83,18 +85,29 @@
     /// Takes a snapshot of the usable workers of a pool.
     pub(crate) fn pool_snapshot(&mut self, now: Instant, service: &str) -> PoolSnapshot {
         let mean_run_time_ratio = self.mean_run_time_ratio(now, service);
-        let usable = self.agents.usable(now, self.cfg.stale_after, service);
-        let usable: Vec<AgentIndex> = usable.map(|(agent, _)| agent).collect();
-        let workers = usable.into_iter().map(|agent| WorkerSnapshot {
-            agent,
-            free: self.agents.get(agent).free(),
-            share: self.agents.get(agent).share(),
-            jitter: self.rng.random_range(0.0..JITTER),
-            has_suspect: self.has_suspect(agent),
-        });
+        let mut workers = Vec::with_capacity(self.agents.len());
+        for (index, agent) in self.agents.usable(now, self.cfg.stale_after, service) {
+            let (free, share) = agent.free_and_share();
+            let domain_cost = if agent.worker.failure_domain == self.cfg.failure_domain {
+                Duration::ZERO
+            } else {
+                self.cfg.cross_domain_cost
+            };
+            workers.push(WorkerSnapshot {
+                agent: index,
+                domain_cost,
+                free,
+                share,
+                jitter: 0.0,
+                has_suspect: self.has_suspect(index),
+            });
+        }
+        for worker in &mut workers {
+            worker.jitter = self.rng.random_range(0.0..JITTER);
+        }
         PoolSnapshot {
             mean_run_time_ratio,
-            workers: workers.collect(),
+            workers,
         }
     }
 
@@ -176,30 +189,26 @@
             let separate = !(suspect && worker.has_suspect);
             separate && is_suitable(agent, spec) && below_limit(job, step, spec, worker.agent)
         });
-        let all: Vec<Candidate> = suitable
-            .map(|worker| self.candidate(*worker, spec, pool.mean_run_time_ratio))
-            .collect();
-        let healthy = |candidate: &&Candidate| {
+        let mut candidates = Vec::with_capacity(pool.workers.len());
+        candidates.extend(suitable.map(|worker| self.candidate(*worker, spec, pool.mean_run_time_ratio)));
+        let healthy = |candidate: &Candidate| {
             let agent = self.agents.get(candidate.agent);
             agent.is_healthy() && avoid != Some(candidate.agent) && !candidate.has_suspect
         };
-        let preferred: Vec<Candidate> = all.iter().filter(healthy).copied().collect();
+        let preferred = candidates.iter().filter(|candidate| healthy(candidate)).count();
         // If more than half of the workers would be excluded, use all of them: the tasks may be at fault.
-        let enough = preferred.len() * 2 >= all.len() && !preferred.is_empty();
-        if enough { preferred } else { all }
+        if preferred * 2 >= candidates.len() && preferred > 0 {
+            candidates.retain(healthy);
+        }
+        candidates
     }
 
     fn candidate(&self, worker: WorkerSnapshot, step: &StepSpec, mean: f64) -> Candidate {
         let agent = self.agents.get(worker.agent);
         let expected = self.expected_run_time(agent, step, mean);
-        let domain_cost = if agent.worker.failure_domain == self.cfg.failure_domain {
-            Duration::ZERO
-        } else {
-            self.cfg.cross_domain_cost
-        };
         let utilisation = 1.0 - ratio(worker.free.cpu_millis, agent.worker.capacity.cpu_millis);
-        let score =
-            (expected + domain_cost).as_secs_f64() * (1.0 + UTILISATION_WEIGHT * utilisation + worker.jitter);
+        let score = (expected + worker.domain_cost).as_secs_f64()
+            * (1.0 + UTILISATION_WEIGHT * utilisation + worker.jitter);
         Candidate {
             agent: worker.agent,
             expected,
