broker: Shorten a silence by what the process reads between its stops

An entry on a busy machine refused jobs as `silence` and ended others: stops of 100 ms and more that followed one another counted from the first of them, even if the process ran long enough in between to read what had waited.

The beginning of a silence now moves on by five times the time that the process runs between two stops, as it reads what waited several times as fast as it arrives. A stop that is shorter than a pause no longer hides a cut of the network that began before it, and time limits go only to agents that have described themselves on the current link (both found by review).

--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -5,7 +5,7 @@
 //! entry can have received it.
 //!
 //! A stop that begins before the process has read what waited during the former one continues the same silence: what waits
-//! may have waited since its beginning, however short each stop is.
+//! may have waited since its beginning, however short each stop is. A process that runs for a fifth of the time keeps up.
 
 use std::time::{Duration, Instant};
 
@@ -72,13 +72,19 @@
 
     /// Records a stop that ends now.
     fn record_stop(&mut self, began_at: Instant, now: Instant) {
-        if began_at >= self.backlog_until() {
-            self.since = began_at;
-        }
+        let running = began_at.saturating_duration_since(self.ended_at);
+        self.since = if began_at < self.backlog_until() {
+            // The process has read a part of what waited, so what still waits is younger.
+            (self.since + running * (BACKLOG_DIVISOR + 1)).min(began_at)
+        } else {
+            began_at
+        };
         self.ended_at = now;
         self.handled_at = now;
-        self.reported_at = now;
-        self.lost_silently = false;
+        // A short stop does not end a cut of the network that began before it.
+        if self.is_pause() {
+            self.record_report(now);
+        }
     }
 
     fn length(&self) -> Duration {
@@ -159,7 +165,10 @@
         actions: &mut Vec<Action>,
     ) {
         let agent = self.agents.get(at);
-        let Some(link) = agent.link.filter(|_| agent.worker.reads_time_limits) else {
+        let Some(link) = agent
+            .link
+            .filter(|_| agent.attempts_listed && agent.worker.reads_time_limits)
+        else {
             return;
         };
         let attempts = agent.outstanding.iter().filter(|(_, run)| !run.stopping);
