broker: Measure the delay of an entry by whole reports

A report counts with the smallest delay of its attempts, only attempts that start at once or are refused are measured, and fewer than four recent reports show nothing. deferred_ends_are_no_processing_delay and single_attempt_is_no_processing_delay fail on the code before.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -38,9 +38,6 @@
                 run_time: run.run_time,
             }));
         }
-        if !outstanding.stopping && run.outcome != RunOutcome::Lost {
-            self.delays.record(now, outstanding.ordered_at, run.run_time);
-        }
         self.outstanding_tasks.swap_remove(&run.key.task);
         let id = run.key.task.job;
         self.apply_end(now, agent, run, outstanding, healthy, actions);
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -294,6 +294,7 @@
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
             WorkerToEntry::Ended(ended, load) => {
                 self.agents.get_mut(at).load = Some(load);
+                self.record_delay(now, at, &ended);
                 for run in ended {
                     self.on_ended(now, at, run, actions);
                 }
--- a/crates/broker/src/delays.rs
+++ b/crates/broker/src/delays.rs
@@ -1,16 +1,21 @@
 //! Delays of the latest attempts beyond their run time.
 //!
-//! A process that is short of processor time sends orders and reads reports late. Its own clock is the only witness: the
-//! workers have room and the links are up.
+//! A process that is short of processor time sends orders and reads reports late, although the workers have room and the links
+//! are up.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use chestnutfork_types::{EndedRun, RunOutcome};
+
+use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, Notice};
 
-/// Number of attempts that are considered.
+/// Number of reports that are considered.
 const MAX_SAMPLES: usize = 64;
+/// Number of recent reports below which single workers could account for the delays.
+const MIN_SAMPLES: usize = 4;
 /// Age from which an attempt says nothing about the present.
 const MAX_SAMPLE_AGE: Duration = Duration::from_millis(250);
 /// Part of the attempts, as a divisor, that had a shorter delay than the typical one. A full or slow worker delays some
@@ -21,7 +26,7 @@
 /// Delay below which the process has caught up.
 const CAUGHT_UP_BELOW: Duration = Duration::from_millis(50);
 
-/// Delays of the latest attempts that ended.
+/// Delays that the latest reports of ended attempts show.
 #[derive(Debug, Default)]
 pub(crate) struct Delays {
     samples: VecDeque<(Instant, Duration)>,
@@ -29,16 +34,14 @@
 }
 
 impl Delays {
-    /// Records an attempt that was ordered at `ordered_at`, ran for `run_time`, and is reported as ended now.
-    pub(crate) fn record(&mut self, now: Instant, ordered_at: Instant, run_time: Duration) {
+    pub(crate) fn record(&mut self, now: Instant, delay: Duration) {
         if self.samples.len() >= MAX_SAMPLES {
             self.samples.pop_front();
         }
-        let delay = now.saturating_duration_since(ordered_at).saturating_sub(run_time);
         self.samples.push_back((now, delay));
     }
 
-    /// Returns the delay that nearly every recent attempt had, or zero if none has ended recently.
+    /// Returns the delay that nearly every recent attempt had, or zero if too few have ended recently.
     pub(crate) fn typical(&self, now: Instant) -> Duration {
         let recent = self
             .samples
@@ -46,7 +49,7 @@
             .rev()
             .take_while(|(at, _)| now < *at + MAX_SAMPLE_AGE);
         let mut delays: Vec<Duration> = recent.map(|&(_, delay)| delay).collect();
-        if delays.is_empty() {
+        if delays.len() < MIN_SAMPLES {
             return Duration::ZERO;
         }
         let at = delays.len() / QUANTILE_DIVISOR;
@@ -55,7 +58,24 @@
 }
 
 impl BrokerCore {
-    /// Returns the delay that this process currently adds to each attempt, or zero if no attempt has ended recently.
+    /// Records the delay that a report of ended attempts shows.
+    ///
+    /// An agent reports the ends of a step together, so the delay is that of the attempt that ended last. Attempts that may
+    /// wait at the worker, or that were ordered to stop, show none.
+    pub(crate) fn record_delay(&mut self, now: Instant, at: AgentIndex, ended: &[EndedRun]) {
+        let outstanding = &self.agents.get(at).outstanding;
+        let delays = ended.iter().filter_map(|run| {
+            let attempt = outstanding.get(&run.key)?;
+            let measurable = attempt.refuse_if_full && !attempt.stopping && run.outcome != RunOutcome::Lost;
+            let elapsed = now.saturating_duration_since(attempt.ordered_at);
+            measurable.then(|| elapsed.saturating_sub(run.run_time))
+        });
+        if let Some(delay) = delays.min() {
+            self.delays.record(now, delay);
+        }
+    }
+
+    /// Returns the delay that this process currently adds to each attempt, or zero if too few have ended recently.
     ///
     /// # Examples
     ///
