broker: Make the test of deferred ends fail without its fix

It now reports three short runs with one long one from each of four workers, and fails there with a delay of 300 ms.

--- a/crates/broker/tests/delays.rs
+++ b/crates/broker/tests/delays.rs
@@ -58,22 +58,22 @@
 /// Guards against refusals by a calm entry: an agent reports the tasks of a step together, after the last one.
 #[test]
 fn deferred_ends_are_no_processing_delay() {
-    let mut entry = Entry::with_workers(2);
+    let mut entry = Entry::with_workers(4);
     for job in 1..=4 {
-        entry.submit(job, u128::from(job), 2);
+        entry.submit(job, u128::from(job), 4);
     }
     let attempts = entry.attempts();
-    entry.advance_to(millis(400), &[1, 2]);
-    for tasks in attempts.chunks(2) {
+    assert_eq!(attempts.len(), 16);
+    entry.advance_to(millis(400), &[1, 2, 3, 4]);
+    for link in 1..=4 {
+        let tasks = attempts.iter().filter(|&&(at, _)| at == link);
         let ended = tasks
-            .iter()
-            .zip([100, 400])
+            .zip([400, 100, 100, 100])
             .map(|(&(_, key), run_time)| EndedRun {
                 key,
                 outcome: RunOutcome::Completed,
                 run_time: millis(run_time),
             });
-        let (link, _) = tasks[0];
         let ended = WorkerToEntry::Ended(ended.collect(), Entry::load(u64::MAX));
         entry.receive(link, ended);
     }
