cli: Install signal handlers before anything else

A role set up its log and read its settings before it installed its signal handlers, so a SIGTERM in that time killed the process instead of stopping it gracefully, and a SIGHUP killed `fleet` roles.

All roles now install the handlers first and act on the signal once they have started.

--- a/crates/cli/src/roles/agent.rs
+++ b/crates/cli/src/roles/agent.rs
@@ -24,8 +24,9 @@
 }
 
 async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, AgentSettings::load)?;
-    let process = RoleProcess::new(Role::Agent, settings.process.clone())?;
+    let process = RoleProcess::new(Role::Agent, settings.process.clone(), signals)?;
     let grace = settings.process.shutdown_grace;
     let cfg = AgentConfig::builder(
         settings.process.name,
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -24,8 +24,9 @@
 }
 
 async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, ControlSettings::load)?;
-    let process = RoleProcess::new(Role::Control, settings.process.clone())?;
+    let process = RoleProcess::new(Role::Control, settings.process.clone(), signals)?;
     let grace = settings.process.shutdown_grace;
     let cfg = ControlConfig::from(&settings).with_metrics(process.metrics());
     let folder = DiskFolder::open(&settings.data_dir).map_err(|error| report_error(&error))?;
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -24,8 +24,9 @@
 }
 
 async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, EntrySettings::load)?;
-    let process = RoleProcess::new(Role::Entry, settings.process.clone())?;
+    let process = RoleProcess::new(Role::Entry, settings.process.clone(), signals)?;
     let grace = settings.process.shutdown_grace;
     let cfg = EntryConfig::builder(
         settings.process.name,
--- a/crates/cli/src/roles/fleet.rs
+++ b/crates/cli/src/roles/fleet.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use super::process::{Signals, report_error};
+use super::process::{install_signal_handlers, report_error};
 
 /// Name of the subcommand.
 pub(crate) const NAME: &str = "fleet";
@@ -72,11 +72,11 @@
 }
 
 async fn serve(matches: &ArgMatches) -> Result<ExitCode, ExitCode> {
+    let mut signals = install_signal_handlers()?;
+    let hangup = signal(SignalKind::hangup()).map_err(|error| report_error(&error))?;
     chestnutfork_events::init_stdout(Severity::Info, Format::Json).map_err(|error| report_error(&error))?;
     let bind_ip = matches.get_one::<IpAddr>("bind").copied();
     let settings = read_settings(bind_ip).map_err(|error| settings_refused(&error))?;
-    let mut signals = Signals::new().map_err(|error| report_error(&error))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|error| report_error(&error))?;
     let registry = MetricsRegistry::default();
     let metrics = Metrics::registry(&registry);
     let role = matches.get_one::<String>("role").map_or("", String::as_str);
--- a/crates/cli/src/roles/process.rs
+++ b/crates/cli/src/roles/process.rs
@@ -45,6 +45,16 @@
         .after_help(format!("{AFTER_HELP}\n\nExample:\n  {example}"))
 }
 
+/// Installs the signal handlers of a process. A role does so before anything else, because a signal without a handler
+/// kills the process instead of stopping it gracefully.
+pub(crate) fn install_signal_handlers() -> Result<Signals, ExitCode> {
+    Signals::new().map_err(|error| {
+        report_error(&format!(
+            "cannot receive signals: {error}; check the limits of the process"
+        ))
+    })
+}
+
 /// Loads the settings of a role; reports the problems of an invalid file on standard error.
 pub(crate) fn load_settings<S>(
     matches: &ArgMatches,
@@ -76,15 +86,10 @@
 }
 
 impl RoleProcess {
-    /// Sets up logging and signal handling.
-    pub(crate) fn new(role: Role, settings: ProcessSettings) -> Result<Self, ExitCode> {
+    /// Sets up logging.
+    pub(crate) fn new(role: Role, settings: ProcessSettings, signals: Signals) -> Result<Self, ExitCode> {
         let log = settings.log;
         chestnutfork_events::init(log.level, log.format).map_err(|error| report_error(&error))?;
-        let signals = Signals::new().map_err(|error| {
-            report_error(&format!(
-                "cannot receive signals: {error}; check the limits of the process"
-            ))
-        })?;
         Ok(Self {
             role,
             settings,
@@ -148,7 +153,7 @@
 }
 
 impl Signals {
-    pub(crate) fn new() -> std::io::Result<Self> {
+    fn new() -> std::io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
