--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -128,9 +128,9 @@
         let expects_reports = self.agents.any_connected() || self.silence.lost_silently;
         let cut_off = is_arrival && unreported >= SILENCE_THRESHOLD && expects_reports;
         let cut_off = cut_off.then_some(self.silence.reported_at);
-        let unread = now >= received_at + self.cfg.unverified_job_time;
-        let unread = unread.then_some(received_at);
-        let Some(began_at) = stopped.into_iter().chain(cut_off).chain(unread).min() else {
+        let delayed = now >= received_at + self.cfg.unverified_job_time;
+        let delayed = delayed.then_some(received_at);
+        let Some(began_at) = stopped.into_iter().chain(cut_off).chain(delayed).min() else {
             return;
         };
         self.silence.record_stop(began_at, now);
