broker: Space load reports by the delay of the entry that reads them

An entry asks for reports at intervals of four times the delay with which it reads them, so a calm one gets them as before and one that is behind gets few. many_entries_high_load_starts_soon passes again, and entry_behind_asks_for_fewer_reports covers both sides.

--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -21,9 +21,9 @@
 /// Full workers that may refuse a task one after the other. The next order lets it wait at the worker, because few have room.
 const MAX_REFUSALS: u32 = 3;
 
-/// Load reports a second, other than heartbeats, that an entry asks its agents for. Each costs about as much processor time as
-/// an order, and while workers are nearly full each agent has one every 20 ms.
-const MAX_REPORTS_PER_SECOND: u32 = 500;
+/// Interval between load reports that an entry asks for, as a multiple of the delay with which it reads them. Closer reports would
+/// make it later without being newer when it reads them.
+const REPORT_INTERVAL_FACTOR: u32 = 4;
 
 /// Tasks of a job that one order starts on a worker.
 #[derive(Debug, Default)]
@@ -108,12 +108,6 @@
         has_capacity
     }
 
-    /// Returns the shortest time between two load reports of one agent at which all agents together stay within the limit.
-    fn report_interval(&self) -> Duration {
-        let agents = u32::try_from(self.agents.connected()).unwrap_or(u32::MAX);
-        Duration::from_secs(1) * agents / MAX_REPORTS_PER_SECOND
-    }
-
     /// Records a new attempt at a task, and returns the order for it.
     fn record_order(
         &mut self,
@@ -169,7 +163,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let report_interval = self.report_interval();
+        let report_interval = self.processing_delay(now) * REPORT_INTERVAL_FACTOR;
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
         for task in &tasks {
--- a/crates/broker/tests/delays.rs
+++ b/crates/broker/tests/delays.rs
@@ -3,7 +3,9 @@
 mod entry;
 
 use chestnutfork_broker::{Action, Answer, Event, Notice, RefusalReason, RequestKind};
-use chestnutfork_types::{AttemptKey, EndedRun, RunOutcome, WorkerToEntry};
+use std::time::Duration;
+
+use chestnutfork_types::{AttemptKey, EndedRun, EntryToWorker, RunOutcome, WorkerToEntry};
 use entry::{Entry, millis, request, submission};
 
 /// Reports runs of 100 ms as completed.
@@ -171,3 +173,29 @@
     assert!(refused_with(0) > 0);
     assert_eq!(refused_with(8), 0);
 }
+
+fn requested_intervals(entry: &Entry) -> Vec<Duration> {
+    let interval = |action: &Action| match action {
+        Action::ToAgent(_, EntryToWorker::Start(order)) => order.report_interval,
+        _ => None,
+    };
+    entry.actions.iter().filter_map(interval).collect()
+}
+
+/// Guards against an entry that is late because it reads the load reports of many workers, each of which is old by then, and
+/// against a calm entry without the reports that keep its orders from full workers.
+#[test]
+fn entry_behind_asks_for_fewer_reports() {
+    let mut entry = Entry::with_workers(2);
+    run_jobs(&mut entry, 1, 4, 0);
+    entry.actions.clear();
+    run_jobs(&mut entry, 11, 4, 200);
+    assert!(
+        requested_intervals(&entry)
+            .iter()
+            .all(|&interval| interval < millis(20))
+    );
+    entry.actions.clear();
+    entry.submit(21, 21, 1);
+    assert!(requested_intervals(&entry)[0] >= millis(200));
+}
