broker: Let few agents report their load at any time

An entry that is behind asked for load reports at intervals of four times its delay however few agents there are.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -143,6 +143,11 @@
         Some(at)
     }
 
+    /// Returns the number of agents to which a link is open.
+    pub(crate) fn connected(&self) -> usize {
+        self.links.len()
+    }
+
     /// Returns whether a link to an agent is open.
     pub(crate) fn any_connected(&self) -> bool {
         !self.links.is_empty()
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -24,6 +24,8 @@
 /// Interval between load reports that an entry asks for, as a multiple of the delay with which it reads them. Closer reports would
 /// make it later without being newer when it reads them.
 const REPORT_INTERVAL_FACTOR: u32 = 4;
+/// Load reports a second from all agents together that an entry always accepts; few agents cannot make it late.
+const ACCEPTED_REPORTS_PER_SECOND: u32 = 500;
 
 /// Tasks of a job that one order starts on a worker.
 #[derive(Debug, Default)]
@@ -108,6 +110,13 @@
         has_capacity
     }
 
+    /// Returns the shortest time between two load reports of one agent that this process asks for.
+    fn report_interval(&self, now: Instant) -> Duration {
+        let agents = u32::try_from(self.agents.connected()).unwrap_or(u32::MAX);
+        let accepted = Duration::from_secs(1) * agents / ACCEPTED_REPORTS_PER_SECOND;
+        accepted.min(self.processing_delay(now) * REPORT_INTERVAL_FACTOR)
+    }
+
     /// Records a new attempt at a task, and returns the order for it.
     fn record_order(
         &mut self,
@@ -163,7 +172,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let report_interval = self.processing_delay(now) * REPORT_INTERVAL_FACTOR;
+        let report_interval = self.report_interval(now);
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
         for task in &tasks {
