--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -103,9 +103,9 @@
 class Runner:
     """Runner as the pages describe it. A task lasts as long as its specification says: `{"ms": 900}`."""
 
-    def __init__(self, record, ip, agent_ip, name, kind="a", cpu=16000, guards=True):
+    def __init__(self, record, ip, agent_ip, name, kind="a", cpu=16000, guards=True, port=APP):
         self.record, self.ip, self.agent_ip, self.name, self.kind = record, ip, agent_ip, name, kind
-        self.cpu, self.guards = cpu, guards
+        self.cpu, self.guards, self.port = cpu, guards, port
         self.born = int(time.time() * 1000)
         self.began = time.monotonic() - random.uniform(5, 50)
         self.token = 0
@@ -129,7 +129,7 @@
         return int((time.monotonic() - self.began) * 1000)
 
     async def begin(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, APP)
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.work())]
         self.record(f"runner {self.name} (kind {self.kind}) begins")
 
@@ -147,7 +147,7 @@
     async def heartbeat(self):
         self.sequence += 1
         body = {
-            "service": SERVICE, "address": f"{self.ip}:{APP}", "zone": "a", "version": "v1", "slots": 8,
+            "service": SERVICE, "address": f"{self.ip}:{self.port}", "zone": "a", "version": "v1", "slots": 8,
             "state": self.state, "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0}, "labels": [self.kind, "r1-1"],
             "clock_ms": self.clock(), "sequence": self.sequence, "born": self.born,
