review: a delayed heartbeat of a former life ends the runs of the present one

Cause: the agent begins a session by the clock of the former life; the reply to a stop, which names no start time, raises that clock by seconds, and all leases count as expired.

--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -107,7 +107,7 @@
         self.record, self.ip, self.agent_ip, self.name, self.kind = record, ip, agent_ip, name, kind
         self.cpu, self.guards, self.port = cpu, guards, port
         self.born = int(time.time() * 1000)
-        self.began = time.monotonic() - random.uniform(5, 50)
+        self.began = time.monotonic()
         self.token = 0
         self.until = 0
         self.running = {}  # task -> [run, end of its work on the clock, cpu, spec]
@@ -144,16 +144,18 @@
         self.running.clear()
         self.record(f"runner {self.name} (kind {self.kind}) crashes, {len(lost)} runs end with it")
 
-    async def heartbeat(self):
+    def heartbeat_body(self):
         self.sequence += 1
-        body = {
+        return {
             "service": SERVICE, "address": f"{self.ip}:{self.port}", "zone": "a", "version": "v1", "slots": 8,
             "state": self.state, "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0}, "labels": [self.kind, "r1-1"],
             "clock_ms": self.clock(), "sequence": self.sequence, "born": self.born,
         }
+
+    async def heartbeat(self):
         try:
-            await http(self.agent_ip, CONTROL, "PUT", f"/instances/{self.name}", body, timeout=1.0)
+            await http(self.agent_ip, CONTROL, "PUT", f"/instances/{self.name}", self.heartbeat_body(), timeout=1.0)
             return True
         except (OSError, EOFError, asyncio.TimeoutError):
             return False
@@ -212,6 +214,12 @@
             self.connections.discard(writer)
             writer.close()
 
+    async def finish_stop(self, task, run):
+        # A stop takes at most `stop_ms`, 50.
+        await asyncio.sleep(0.03)
+        if task in self.running and self.running[task][0] <= run:
+            self.end(task, self.running[task][0], "stopped")
+
     async def later(self, path, headers, body):
         await asyncio.sleep(self.late_stops)
         await self.answer(path, headers, body)
@@ -229,10 +237,7 @@
         task, run = body.get("task"), body.get("run_id")
         if path == "/run-stop":
             self.highest[task] = max(run, self.highest.get(task, 0))
-            if task in self.running and self.running[task][0] <= run:
-                await asyncio.sleep(0.01)
-                if task in self.running and self.running[task][0] <= run:
-                    self.end(task, self.running[task][0], "stopped")
+            asyncio.ensure_future(self.finish_stop(task, run))
             return 200, clock
         if path != "/run-start":
             return 400, clock
