--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -216,7 +216,7 @@
 
     async def finish_stop(self, task, run):
         # A stop takes at most `stop_ms`, 50.
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(0.045)
         if task in self.running and self.running[task][0] <= run:
             self.end(task, self.running[task][0], "stopped")
 
