--- a/crates/subscriber/src/actor.rs
+++ b/crates/subscriber/src/actor.rs
@@ -374,7 +374,8 @@
             ControlMessageWire::Document(..)
             | ControlMessageWire::Directory(..)
             | ControlMessageWire::Announce(_)
-            | ControlMessageWire::Part(_) => {}
+            | ControlMessageWire::Part(_)
+            | ControlMessageWire::Evacuations { .. } => {}
         }
     }
 
@@ -394,6 +395,7 @@
                 self.dialer = dial_control(&self.cfg, control_index, &self.myself);
             }
             Action::Subscribe(version) => self.send(SubscriberMessageWire::Subscribe {
+                evacuations: false,
                 version,
                 failure_domain: self.cfg.failure_domain.clone(),
             }),
--- a/crates/wire/src/raft.rs
+++ b/crates/wire/src/raft.rs
@@ -118,6 +118,9 @@
     /// Requests the newest document.
     #[serde(rename = "g")]
     GetDocument,
+    /// Evacuates a failure domain or ends its evacuation. Earlier versions do not know it.
+    #[serde(rename = "e")]
+    Evacuate(String, bool),
 }
 
 /// Wire form of [`Message`].
@@ -224,6 +227,9 @@
     /// Complete document: version and content.
     #[serde(rename = "d")]
     Document(u64, Bytes),
+    /// Evacuates a failure domain or ends its evacuation. Earlier versions do not know it.
+    #[serde(rename = "e")]
+    Evacuate(String, bool),
 }
 
 /// State of the state machine in a snapshot.
@@ -238,6 +244,9 @@
     /// Newest document: version and content.
     #[serde(rename = "d", default)]
     pub document: Option<(u64, Bytes)>,
+    /// Revision of the evacuations and the evacuated domains. Earlier versions do not write this field, and ignore it.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<(u64, Vec<String>)>,
 }
 
 /// Implements the conversion of stored records to and from bytes.
--- a/crates/wire/src/subscription.rs
+++ b/crates/wire/src/subscription.rs
@@ -20,6 +20,10 @@
         /// Failure domain of the subscriber.
         #[serde(rename = "d")]
         failure_domain: String,
+        /// Whether the message subscribes to the evacuations instead of to updates; its version is then [`u64::MAX`]. Earlier
+        /// versions ignore this field and have no update above that version, so they send nothing in reply.
+        #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
+        evacuations: bool,
     },
     /// Acknowledges an update; contains the version in force.
     #[serde(rename = "a")]
@@ -83,6 +87,19 @@
     /// Part of a document.
     #[serde(rename = "t")]
     Part(PartWire),
+    /// Evacuated failure domains, sent only to subscribers to them.
+    #[serde(rename = "e")]
+    Evacuations {
+        /// Revision of the state.
+        #[serde(rename = "r")]
+        revision: u64,
+        /// Evacuated domains.
+        #[serde(rename = "d")]
+        domains: Vec<String>,
+        /// Time for which the state has been in force at the sender, in microseconds.
+        #[serde(rename = "a")]
+        age_us: u64,
+    },
 }
 
 /// Part of a document, sent in reply to a request for it.
