events: Add events of evacuations

Each process logs the revision in force with the changed domains, entries and agents also with its age and the number of jobs or tasks that were refused for it (6026 and 7034).

--- a/crates/events/src/catalogue/control.rs
+++ b/crates/events/src/catalogue/control.rs
@@ -124,6 +124,13 @@
         }
             meaning: "This process has applied a committed document, and offers it to entries from now on.",
             remedy: "None.";
+        6026 EvacuationsApplied "evacuations_applied" Info "evacuations in force at this control process" {
+            revision: u64 = "Revision of the evacuations.",
+            domains: &'a str = "Evacuated failure domains.",
+            watchers: u64 = "Entries and agents with an older revision, to which it is sent.",
+        }
+            meaning: "This process has applied a committed change of the evacuations, or has recovered them after a start.",
+            remedy: "None.";
         6030 ViewProposed "view_proposed" Info "entry view proposed" {
             view: u64 = "Number of the view.",
             members: u64 = "Number of entries in the view.",
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -229,5 +229,15 @@
         }
             meaning: "A previous process of the agent started the run and no entry claimed it.",
             remedy: "None.";
+        7034 EvacuationsInForce "evacuations_in_force" Info "evacuations in force" {
+            revision: u64 = "Revision of the evacuations.",
+            domains: &'a str = "Evacuated failure domains.",
+            evacuated: &'a str = "Domains that were not evacuated before.",
+            returned: &'a str = "Domains that were evacuated before; entries use them in full after 2 s.",
+            refused: u64 = "Jobs (entry) or queued tasks (agent) that were refused as not started for that.",
+            age: Duration = "Time for which the state has been in force at the control process that sent it.",
+        }
+            meaning: "This entry places nothing in the evacuated domains, or this agent starts nothing if its worker is in one.",
+            remedy: "If the revision is lower than in event 6026 of control, check the links of the process to control.";
     }
 }
