control: Replicate the evacuated domains and send them to watchers

Watchers get the state before the first announcement of a document on their link. A restarted process sends neither before it has applied an entry of the current term, because its evacuations may be older than its document.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -20,6 +20,8 @@
     Config(ConfigBody),
     /// A document with this version or a higher one is durable on a quorum.
     DocumentStored,
+    /// The evacuation, or its end, is durable on a quorum.
+    EvacuationStored,
     Document(Option<Document>),
     /// The request had no effect and can be sent again.
     Unavailable {
@@ -64,7 +66,7 @@
             Self::Status(status) => reply(200, &status),
             Self::Audit(records) => reply(200, &records),
             Self::Config(config) => reply(200, &config),
-            Self::DocumentStored => Reply {
+            Self::DocumentStored | Self::EvacuationStored => Reply {
                 status: 200,
                 body: Bytes::new(),
             },
--- a/crates/control/src/convert.rs
+++ b/crates/control/src/convert.rs
@@ -116,6 +116,7 @@
             OperatorRequest::Replace { remove, add, reason } => Self::Replace(remove, add, reason),
             OperatorRequest::PutDocument(document) => Self::PutDocument(document.version, document.content),
             OperatorRequest::GetDocument => Self::GetDocument,
+            OperatorRequest::Evacuate { domain, evacuated } => Self::Evacuate(domain, evacuated),
         }
     }
 }
@@ -144,6 +145,7 @@
             OperatorRequest::PutDocument(Document { version, content })
         }
         OperatorRequestWire::GetDocument => OperatorRequest::GetDocument,
+        OperatorRequestWire::Evacuate(domain, evacuated) => OperatorRequest::Evacuate { domain, evacuated },
     })
 }
 
@@ -213,9 +215,13 @@
 impl From<SubscriberMessageWire> for SubscriberMessage {
     fn from(wire: SubscriberMessageWire) -> Self {
         match wire {
+            SubscriberMessageWire::Subscribe {
+                evacuations: true, ..
+            } => Self::WatchEvacuations,
             SubscriberMessageWire::Subscribe {
                 version: have,
                 failure_domain,
+                ..
             } => Self::Subscribe { have, failure_domain },
             SubscriberMessageWire::Ack(version) => Self::Ack(version),
             SubscriberMessageWire::Renew {
@@ -249,6 +255,11 @@
             ControlMessage::Directory { controls, entries } => Self::Directory(controls, entries),
             ControlMessage::Announce(version) => Self::Announce(version),
             ControlMessage::Part(part) => Self::Part(part.into()),
+            ControlMessage::Evacuations { state, age } => Self::Evacuations {
+                revision: state.revision,
+                domains: state.domains.into_iter().collect(),
+                age_us: micros(age),
+            },
         }
     }
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -12,10 +12,11 @@
     Action, Config, Entry, Event as RaftEvent, Membership, Message, Payload, Proposal, Raft, Role, Snapshot,
 };
 use chestnutfork_storage::{Change, StoredState};
-use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId};
+use chestnutfork_types::{ConfigVersion, LogIndex, NodeName, ReplicaId, Term};
 
 use crate::directory::Directory;
 use crate::error::ControlError;
+use crate::evacuations::EvacuationWatchers;
 use crate::formation::Formation;
 use crate::leases::Leases;
 use crate::membership_repair::MembershipRepair;
@@ -93,6 +94,9 @@
     quorum_was_connected: bool,
     pub(crate) directory: Directory,
     pub(crate) publisher: Publisher,
+    pub(crate) evacuation_watchers: EvacuationWatchers,
+    /// Term of the last applied entry.
+    pub(crate) applied_term: Term,
     /// Latest document version that was logged as applied.
     pub(crate) logged_document: ConfigVersion,
     pub(crate) membership_repair: MembershipRepair,
@@ -107,7 +111,7 @@
     pub fn new(cfg: CoreConfig, stored: StoredState, now: Instant) -> Result<Self, ControlError> {
         let durable = persist::durable_state(stored)?;
         let meta = &durable.snapshot.meta;
-        let compacted_index = meta.index;
+        let (compacted_index, applied_term) = (meta.index, meta.term);
         let state = StateMachine::from_bytes(&durable.snapshot.data, compacted_index)?;
         let raft = Raft::new(cfg.raft.clone(), durable, now)?;
         Ok(Self {
@@ -134,6 +138,8 @@
             quorum_was_connected: false,
             directory: Directory::default(),
             publisher: Publisher::default(),
+            evacuation_watchers: EvacuationWatchers::new(now),
+            applied_term,
             logged_document: 0,
             membership_repair: MembershipRepair::default(),
         })
@@ -202,6 +208,7 @@
             Event::SubscriberDown { link } => {
                 self.subscribers.remove(link);
                 self.publisher.remove(link);
+                self.evacuation_watchers.remove(link);
                 if self.directory.remove_follower(link) {
                     self.distribute_directory();
                 }
@@ -265,6 +272,7 @@
         for action in std::mem::take(&mut self.pending_actions) {
             self.execute(now, wall, action)?;
         }
+        self.distribute_evacuations(now);
         self.distribute_document();
         self.compact_if_due();
         debug_assert_eq!(self.raft.verify(), [], "the verifier finds no violation");
@@ -381,6 +389,7 @@
             SubscriberMessage::Leaving => self.subscribers.leave(now, link),
             SubscriberMessage::Follow { have } => self.on_follow(link, have),
             SubscriberMessage::Watch => self.on_watch(link),
+            SubscriberMessage::WatchEvacuations => self.on_watch_evacuations(now, link),
             SubscriberMessage::Fetch { version, offset } => self.on_fetch(link, version, offset),
         }
     }
@@ -395,6 +404,7 @@
                 for entry in entries.into_iter().filter(|entry| entry.index > known) {
                     self.bytes_since_compaction += command_size(&entry);
                     let applied = self.state.apply(&entry)?;
+                    self.applied_term = entry.term;
                     self.on_applied(now, entry.index, entry.term, applied);
                 }
             }
@@ -432,8 +442,8 @@
                 self.subscribers.distribute(&self.state, &mut self.outputs);
             }
             Applied::View => self.subscribers.distribute_view(&self.state, &mut self.outputs),
-            // `finish_batch` sends only the newest document, after all entries of the batch are applied.
-            Applied::Document | Applied::Nothing => {}
+            // `finish_batch` sends only the newest state, after all entries of the batch are applied.
+            Applied::Document | Applied::Evacuation | Applied::Nothing => {}
         }
         self.answer_applied(now, index, term, applied);
     }
@@ -441,6 +451,7 @@
     fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
         let index = snapshot.meta.index;
         self.state = StateMachine::from_bytes(&snapshot.data, index)?;
+        self.applied_term = snapshot.meta.term;
         self.compacted_index = index;
         self.bytes_since_compaction = 0;
         self.subscribers.distribute(&self.state, &mut self.outputs);
@@ -495,6 +506,11 @@
         self.raft_events.push(RaftEvent::Read { id });
     }
 
+    /// Reports whether all entries of the log are applied and no proposal is queued.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.proposals.is_empty() && self.state.index == self.raft.last_index()
+    }
+
     pub(crate) fn propose(&mut self, proposal: Proposal) {
         self.proposals.push(proposal);
     }
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -4,7 +4,7 @@
 use chestnutfork_documents::{Document, parts};
 use chestnutfork_net::LinkId;
 use chestnutfork_raft::Proposal;
-use chestnutfork_types::ConfigVersion;
+use chestnutfork_types::{ConfigVersion, FailureDomain};
 use ractor::ActorRef;
 use tokio::sync::oneshot;
 
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Evacuates a failure domain, or ends its evacuation, and reports whether that is durable on a quorum.
+    ///
+    /// If this returns `false`, the request may still take effect later; sending it again is safe.
+    pub async fn set_evacuation(&self, domain: FailureDomain, evacuated: bool) -> bool {
+        let reply = self.ask(OperatorRequest::Evacuate { domain, evacuated }).await;
+        reply.is_some_and(|reply| reply.status == HTTP_OK)
+    }
+
     async fn ask(&self, request: OperatorRequest) -> Option<Reply> {
         let (reply, answer) = oneshot::channel();
         let message = ReplicaMessage::Operator {
@@ -80,7 +88,10 @@
 
     /// Subscribes a process to announcements and to the directory.
     pub(crate) fn on_watch(&mut self, link: LinkId) {
-        self.publisher.watch(link);
+        // Otherwise the link is added once the evacuations have been sent on it.
+        if !self.evacuation_watchers.hold_announcements(link) {
+            self.publisher.watch(link);
+        }
         // Reporting the highest version keeps control from pushing documents, which this process fetches.
         self.on_follow(link, ConfigVersion::MAX);
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod disk;
 mod documents;
 mod error;
+mod evacuations;
 mod formation;
 mod http;
 mod leader;
@@ -32,6 +33,7 @@
 
 pub use crate::core::{ControlCore, CoreConfig};
 pub use chestnutfork_documents::Document;
+pub use chestnutfork_evacuation::Evacuations;
 pub use documents::{DocumentClient, DocumentReply};
 pub use error::ControlError;
 pub use http::Operator;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chestnutfork_config::Patch;
 use chestnutfork_documents::{Document, Part};
+use chestnutfork_evacuation::{Evacuations, Revision};
 use chestnutfork_net::LinkId;
 use chestnutfork_raft::{MembershipChange, Message};
 use chestnutfork_register::View;
@@ -92,6 +93,13 @@
     PutDocument(Document),
     /// Reads the newest document.
     GetDocument,
+    /// Evacuates a failure domain, or ends its evacuation.
+    Evacuate {
+        /// Domain on whose workers nothing more is started.
+        domain: FailureDomain,
+        /// Whether the domain is evacuated from now on; otherwise its evacuation ends.
+        evacuated: bool,
+    },
 }
 
 /// Encoded reply to an operator.
@@ -184,6 +192,8 @@
         /// Position of the first byte.
         offset: u64,
     },
+    /// Subscribes to the evacuations. On the link of an entry it precedes [`Self::Watch`].
+    WatchEvacuations,
 }
 
 /// View with the names and addresses of its entries.
@@ -217,6 +227,13 @@
     Announce(ConfigVersion),
     /// Part of a document.
     Part(Part),
+    /// Evacuated failure domains.
+    Evacuations {
+        /// Domains and their revision.
+        state: Evacuations,
+        /// Time for which the state has been in force at this process.
+        age: Duration,
+    },
 }
 
 /// Process at the other end of a subscriber's link.
@@ -369,6 +386,15 @@
         /// Number of entries to which it is sent or announced.
         followers: u64,
     },
+    /// A committed change of the evacuations was applied, or the evacuations were recovered from the disk.
+    EvacuationsApplied {
+        /// Revision in force.
+        revision: Revision,
+        /// Evacuated domains.
+        domains: Vec<FailureDomain>,
+        /// Number of entries and agents to which it is sent.
+        watchers: u64,
+    },
     /// The leader proposed a view.
     ViewProposed {
         /// Number of the proposed view.
--- a/crates/control/src/notices.rs
+++ b/crates/control/src/notices.rs
@@ -51,6 +51,15 @@
             bytes: *bytes,
             followers: *followers,
         }),
+        Notice::EvacuationsApplied {
+            revision,
+            domains,
+            watchers,
+        } => emit(&ControlEvent::EvacuationsApplied {
+            revision: *revision,
+            domains: &domains.join(", "),
+            watchers: *watchers,
+        }),
         Notice::ViewProposed { view, members } => emit(&ControlEvent::ViewProposed {
             view: *view,
             members: *members,
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -99,6 +99,11 @@
             OperatorRequest::PutDocument(document) if document.version > self.state.document_version() => {
                 self.propose_document(id, document);
             }
+            OperatorRequest::Evacuate { domain, evacuated }
+                if self.may_change_evacuation(&domain, evacuated) =>
+            {
+                self.propose_evacuation(id, domain, evacuated);
+            }
             _ => self.queue_read(id),
         }
     }
@@ -138,6 +143,13 @@
                 self.propose_document(id, document);
                 return;
             }
+            OperatorRequest::Evacuate { domain, evacuated }
+                if self.may_change_evacuation(&domain, evacuated) =>
+            {
+                self.propose_evacuation(id, domain, evacuated);
+                return;
+            }
+            OperatorRequest::Evacuate { .. } => Answer::EvacuationStored,
             OperatorRequest::PutDocument(_) => Answer::DocumentStored,
             OperatorRequest::GetDocument => Answer::Document(self.state.document.clone()),
             OperatorRequest::Patch { patch, .. } => Answer::Verdict(self.state.config.dry_run(&patch)),
@@ -178,6 +190,7 @@
                 Answer::Status(self.status(now))
             }
             (Applied::Document, OperatorRequest::PutDocument(_)) if won => Answer::DocumentStored,
+            (Applied::Evacuation, OperatorRequest::Evacuate { .. }) if won => Answer::EvacuationStored,
             // An entry of another leader was committed at this index, so the proposal can never be committed.
             _ => Answer::Unavailable {
                 message: "leadership changed before the change was accepted; send the request again",
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -1,10 +1,11 @@
-//! Replicated state machine: the configuration, the entry view and the document.
+//! Replicated state machine: the configuration, the entry view, the document and the evacuations.
 
 use bytes::Bytes;
 use chestnutfork_config::{ConfigStore, PatchCommand, Verdict};
 use chestnutfork_documents::Document;
+use chestnutfork_evacuation::Evacuations;
 use chestnutfork_raft::{Entry, Payload};
-use chestnutfork_types::{ConfigVersion, LogIndex};
+use chestnutfork_types::{ConfigVersion, FailureDomain, LogIndex};
 use chestnutfork_wire::{CommandWire, StateWire, ViewWire};
 
 use crate::error::ControlError;
@@ -19,6 +20,8 @@
     View(ViewRecord),
     /// Replaces the document if the new version is higher.
     Document(Document),
+    /// Evacuates a failure domain, or ends its evacuation if `evacuated` is `false`.
+    Evacuate { domain: FailureDomain, evacuated: bool },
 }
 
 /// Effect of a committed entry.
@@ -32,6 +35,8 @@
     View,
     /// The proposed document, or another one with the same or a higher version, is in force.
     Document,
+    /// The proposed evacuation, or end of one, is in force.
+    Evacuation,
 }
 
 /// Replicated state and its position in the log.
@@ -40,6 +45,7 @@
     pub(crate) config: ConfigStore,
     pub(crate) view: Option<ViewRecord>,
     pub(crate) document: Option<Document>,
+    pub(crate) evacuations: Evacuations,
     /// Index of the last applied entry.
     pub(crate) index: LogIndex,
 }
@@ -50,6 +56,7 @@
             Self::Patch(command) => CommandWire::Patch(command.encode().into()),
             Self::View(record) => CommandWire::View(ViewWire::from(record.clone())),
             Self::Document(document) => CommandWire::Document(document.version, document.content.clone()),
+            Self::Evacuate { domain, evacuated } => CommandWire::Evacuate(domain.clone(), *evacuated),
         };
         wire.to_bytes()
             .expect("numbers, strings and bytes have an encoding")
@@ -60,6 +67,7 @@
             CommandWire::Patch(command) => Self::Patch(PatchCommand::decode(&command)?),
             CommandWire::View(view) => Self::View(view.into()),
             CommandWire::Document(version, content) => Self::Document(Document { version, content }),
+            CommandWire::Evacuate(domain, evacuated) => Self::Evacuate { domain, evacuated },
         })
     }
 }
@@ -78,6 +86,10 @@
             }
             Command::View(record) => self.apply_view(record),
             Command::Document(document) => self.apply_document(document),
+            Command::Evacuate { domain, evacuated } => {
+                self.evacuations.set(&domain, evacuated);
+                Applied::Evacuation
+            }
         })
     }
 
@@ -109,10 +121,12 @@
 
     pub(crate) fn to_bytes(&self) -> Bytes {
         let document = self.document.clone();
+        let Evacuations { revision, domains } = &self.evacuations;
         let wire = StateWire {
             config: self.config.snapshot().into(),
             view: self.view.clone().map(ViewWire::from),
             document: document.map(|document| (document.version, document.content)),
+            evacuations: (*revision > 0).then(|| (*revision, domains.iter().cloned().collect())),
         };
         wire.to_bytes()
             .expect("numbers, strings and bytes have an encoding")
@@ -133,6 +147,13 @@
             document: wire
                 .document
                 .map(|(version, content)| Document { version, content }),
+            evacuations: wire
+                .evacuations
+                .map(|(revision, domains)| Evacuations {
+                    revision,
+                    domains: domains.into_iter().collect(),
+                })
+                .unwrap_or_default(),
             index,
         })
     }
--- a/crates/control/tests/group/chaos.rs
+++ b/crates/control/tests/group/chaos.rs
@@ -297,7 +297,8 @@
                     ControlMessage::Document(_)
                     | ControlMessage::Directory { .. }
                     | ControlMessage::Announce(_)
-                    | ControlMessage::Part(_) => {
+                    | ControlMessage::Part(_)
+                    | ControlMessage::Evacuations { .. } => {
                         panic!(
                             "a subscriber that does not follow documents received a document or a directory"
                         );
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -391,6 +391,12 @@
         }
     }
 
+    /// Returns a number that no other call returns.
+    pub fn next_number(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
     /// Sends an operator request to a process.
     pub fn request(&mut self, node: u64, request_id: u64, request: OperatorRequest) {
         let operator = "ann".into();
--- a/crates/control/tests/processes.rs
+++ b/crates/control/tests/processes.rs
@@ -126,6 +126,7 @@
 
     fn opened(&self, _link: LinkId, _peer: Identity, tx: LinkSender<SubscriberMessageWire>) {
         tx.send(SubscriberMessageWire::Subscribe {
+            evacuations: false,
             version: 0,
             failure_domain: "a".into(),
         });
@@ -179,7 +180,8 @@
             ControlMessageWire::Document(..)
             | ControlMessageWire::Directory(..)
             | ControlMessageWire::Announce(_)
-            | ControlMessageWire::Part(_) => {
+            | ControlMessageWire::Part(_)
+            | ControlMessageWire::Evacuations { .. } => {
                 panic!("a subscriber that does not follow documents received a document or a directory");
             }
         }
