worker: Refuse and return tasks in an evacuated domain

An agent whose worker is in an evacuated failure domain refuses orders as not started, returns queued tasks as not started and describes its worker as leaving, which entries of any version obey. Runs in progress are left to finish. A start that the worker refused for a moment is not tried again.

--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use chestnutfork_evacuation::KnownEvacuations;
 use chestnutfork_types::{
     AttemptKey, EndedRun, EntryToWorker, LinkNumber, ProcessId, Resources, RunOutcome, StartOrder, TaskKey,
     TaskOrder, WorkerName, WorkerToEntry,
@@ -12,6 +13,7 @@
 use crate::clock::MAX_WORKER_LEASE;
 use crate::config::{WorkerConfig, lease_expiry_time};
 use crate::crashes::Crashes;
+use crate::evacuation::EVACUATED;
 use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
 use crate::orders::PendingCall;
 use crate::owners::Owners;
@@ -62,6 +64,7 @@
     /// Time of the last event.
     handled_at: Instant,
     pub(crate) draining: bool,
+    pub(crate) evacuations: KnownEvacuations,
 }
 
 impl WorkerCore {
@@ -101,6 +104,7 @@
             cleanup_at: now,
             handled_at: now,
             draining: false,
+            evacuations: KnownEvacuations::default(),
         }
     }
 
@@ -136,6 +140,7 @@
             Event::FromEntry { link, message } => self.on_entry_message(now, link, message, actions),
             Event::Replied { call, reply } => self.on_reply(now, call, reply, actions),
             Event::Drain => self.drain(now, actions),
+            Event::Evacuations { state, age } => self.on_evacuations(now, state, age, actions),
         }
         self.run_due_work(now, actions);
         debug_assert_eq!(self.verify(), [], "the verifier finds no violation");
@@ -281,6 +286,7 @@
                 Some("the worker has restarted and not announced itself")
             }
             Some(session) if !session.available => Some("the worker does not answer"),
+            Some(_) if self.is_evacuated() => Some(EVACUATED),
             Some(_) => None,
         }
     }
@@ -470,6 +476,7 @@
         self.reconcile_attempts(now, actions);
         self.stop_orphans(now, actions);
         self.refuse_oversized(now, actions);
+        self.return_queued_if_evacuated(now, actions);
         self.start_waiting(now, actions);
         self.send_stops(now, actions);
         self.renew_lease(now, actions);
--- a/crates/worker/src/event.rs
+++ b/crates/worker/src/event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chestnutfork_evacuation::{EvacuationChange, Evacuations};
 use chestnutfork_types::{
     AttemptKey, EntryToWorker, LinkNumber, ProcessId, RunNumber, RunOutcome, TaskKey, WorkerDescription,
     WorkerName, WorkerToEntry,
@@ -179,6 +180,13 @@
     },
     /// The process shuts down and accepts no more tasks.
     Drain,
+    /// Evacuations arrived from control.
+    Evacuations {
+        /// Evacuated domains and their revision.
+        state: Evacuations,
+        /// Time for which the state had been in force at its sender.
+        age: Duration,
+    },
 }
 
 /// Output of the agent core.
@@ -366,4 +374,15 @@
         /// Run that is stopped.
         run: ListedRun,
     },
+    /// Evacuations with a higher revision came into force.
+    EvacuationsInForce {
+        /// Evacuated domains and their revision.
+        state: Evacuations,
+        /// Domains whose state changed.
+        change: EvacuationChange,
+        /// Number of queued tasks that were returned as not started.
+        refused: u64,
+        /// Time for which the state had been in force at its sender.
+        age: Duration,
+    },
 }
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -145,6 +145,8 @@
             .map(|session| session.worker.description.clone())
             .unwrap_or_default();
         description.leaving |= self.draining || session.is_some_and(Session::is_withdrawn);
+        // Entries, also those that do not know of the evacuation, place nothing on a worker that is leaving.
+        description.leaving |= self.is_evacuated();
         description.stores_losses = true;
         description.reads_resources = true;
         description.reads_time_limits = true;
