broker: Skip evacuated domains

Workers of evacuated failure domains are not usable: nothing is placed there, and admission does not count them. A job that fits only there is refused as `evacuated`, on arrival, when the evacuation comes into force, or once its agents have returned it. An entry that awaits evacuations holds requests until the first state, as it does for routes.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutfork_types::JobId;
+
 use crate::core::BrokerCore;
-use crate::event::{JobSubmission, RefusalReason, StepSpec};
+use crate::event::{Action, JobSubmission, RefusalReason, StepSpec};
 use crate::job::{TaskState, critical_path};
 use crate::selection::is_suitable;
 
@@ -42,15 +44,40 @@
             && submission.steps.iter().enumerate().all(ordered)
     }
 
-    /// Returns whether each step fits some known worker of a pool; also true if no worker of the pool is known yet.
-    pub(crate) fn any_worker_fits(&self, service: &str, steps: &[StepSpec]) -> bool {
+    /// Returns why some step fits no known worker of a pool; `None` also if no worker of the pool is known yet.
+    pub(crate) fn unfit_reason(&self, service: &str, steps: &[StepSpec]) -> Option<RefusalReason> {
         let known = || {
-            self.agents
-                .iter()
-                .filter(|(_, agent)| agent.worker.pool == service)
+            let agents = self.agents.iter().map(|(_, agent)| agent);
+            agents.filter(|agent| agent.worker.pool == service)
         };
-        let fits = |step: &StepSpec| known().any(|(_, agent)| is_suitable(agent, step));
-        steps.iter().all(fits) || known().next().is_none()
+        let in_use = |step: &StepSpec| known().any(|agent| !agent.evacuated && is_suitable(agent, step));
+        if steps.iter().all(in_use) || known().next().is_none() {
+            return None;
+        }
+        let anywhere = |step: &StepSpec| known().any(|agent| is_suitable(agent, step));
+        if steps.iter().all(anywhere) {
+            Some(RefusalReason::Evacuated)
+        } else {
+            Some(RefusalReason::NeverFits)
+        }
+    }
+
+    /// Refuses the waiting jobs that have not run and fit only evacuated workers, and returns their number.
+    pub(crate) fn refuse_evacuated_jobs(&mut self, now: Instant, actions: &mut Vec<Action>) -> u64 {
+        let evacuated = self.evacuations.latest();
+        if evacuated.is_none_or(|state| state.domains.is_empty()) {
+            return 0;
+        }
+        let waiting = self.waiting.values().filter_map(|id| self.jobs.get(id));
+        let unfit = waiting.filter(|job| {
+            let reason = || self.unfit_reason(&job.service, &job.steps);
+            job.placed_at.is_none() && reason() == Some(RefusalReason::Evacuated)
+        });
+        let unfit: Vec<JobId> = unfit.map(|job| job.id).collect();
+        for &id in &unfit {
+            self.refuse_job(now, id, RefusalReason::Evacuated, actions);
+        }
+        unfit.len() as u64
     }
 
     /// Estimates how long a new job of a service would wait, from the backlog ahead of it and the speed of the pool.
@@ -73,7 +100,7 @@
         let usable = self.agents.usable(now, self.cfg.stale_after, service);
         let rate: f64 = usable
             .map(|(_, agent)| {
-                as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
+                as_f64(agent.usable_capacity(now).cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
             })
             .sum();
         let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutfork_evacuation::{KnownEvacuations, ReturnRamp, ramp_position};
 use chestnutfork_types::{
     AttemptKey, HeartbeatNumber, LinkNumber, NodeName, OrderNumber, ProcessId, Resources, WorkerDescription,
     WorkerLoad,
@@ -45,6 +46,10 @@
     /// Link on which records of the losses of other workers were passed on.
     pub(crate) forwarded_on: Option<LinkNumber>,
     pub(crate) outstanding: IndexMap<AttemptKey, Outstanding>,
+    /// Whether the worker's failure domain is evacuated.
+    pub(crate) evacuated: bool,
+    /// Limits of the use of the worker after the return of its failure domain.
+    ramp: Option<ReturnRamp>,
 }
 
 impl Agent {
@@ -61,14 +66,28 @@
             attempts_listed: false,
             forwarded_on: None,
             outstanding: IndexMap::new(),
+            evacuated: false,
+            ramp: None,
         }
     }
 
+    /// Replaces the description of the worker.
+    pub(crate) fn describe(&mut self, worker: WorkerDescription, evacuations: &KnownEvacuations) {
+        self.worker = worker;
+        self.apply_evacuations(evacuations);
+    }
+
+    fn apply_evacuations(&mut self, evacuations: &KnownEvacuations) {
+        let domain = &self.worker.failure_domain;
+        self.evacuated = evacuations.is_evacuated(domain);
+        self.ramp = evacuations.ramp(domain);
+    }
+
     /// Returns whether the agent is connected, has sent a recent heartbeat, and accepts orders.
     pub(crate) fn is_usable(&self, now: Instant, stale_after: Duration) -> bool {
         let fresh = now < self.last_heartbeat_at + stale_after;
         let available = self.load.is_some_and(|load| load.available);
-        self.link.is_some() && fresh && available && !self.worker.leaving
+        self.link.is_some() && fresh && available && !self.worker.leaving && !self.evacuated
     }
 
     /// Returns the reported free capacity and the share of this entry, both less the orders that the report does not include.
@@ -87,6 +106,27 @@
         )
     }
 
+    /// Returns the free capacity and the share that an entry may use now, or `None` while it may not use the worker because the
+    /// failure domain has just returned.
+    pub(crate) fn usable_free_and_share(&self, now: Instant, entry: u64) -> Option<(Resources, Resources)> {
+        let (free, share) = self.free_and_share();
+        let Some(ramp) = self.ramp.filter(|ramp| !ramp.is_complete(now)) else {
+            return Some((free, share));
+        };
+        if !ramp.is_open(now, ramp_position(entry, &self.name)) {
+            return None;
+        }
+        let free = free.saturating_sub(ramp.withheld(now, self.worker.capacity));
+        Some((free, smaller(free, share)))
+    }
+
+    /// Returns the capacity that entries may use now.
+    pub(crate) fn usable_capacity(&self, now: Instant) -> Resources {
+        let capacity = self.worker.capacity;
+        let withheld = self.ramp.map(|ramp| ramp.withheld(now, capacity));
+        capacity.saturating_sub(withheld.unwrap_or_default())
+    }
+
     /// Returns the ratio of actual to declared run time, if the agent has reported one.
     pub(crate) fn run_time_ratio(&self) -> Option<f64> {
         let permille = self.load.map_or(0, |load| load.run_time_permille);
@@ -174,6 +214,13 @@
         self.agents.iter().enumerate()
     }
 
+    /// Applies evacuations that came into force.
+    pub(crate) fn apply_evacuations(&mut self, evacuations: &KnownEvacuations) {
+        for agent in &mut self.agents {
+            agent.apply_evacuations(evacuations);
+        }
+    }
+
     /// Iterates over the agents of a pool that accept orders.
     pub(crate) fn usable<'a>(
         &'a self,
@@ -185,3 +232,11 @@
             .filter(move |(_, agent)| agent.worker.pool == pool && agent.is_usable(now, stale_after))
     }
 }
+
+fn smaller(one: Resources, other: Resources) -> Resources {
+    Resources {
+        cpu_millis: one.cpu_millis.min(other.cpu_millis),
+        memory_mb: one.memory_mb.min(other.memory_mb),
+        gpus: one.gpus.min(other.gpus),
+    }
+}
--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -150,15 +150,21 @@
     }
 
     /// Refuses a job of which no task was ordered since its submission.
-    pub(crate) fn refuse_job(&mut self, now: Instant, id: JobId, actions: &mut Vec<Action>) {
+    pub(crate) fn refuse_job(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.swap_remove(&id) else {
             return;
         };
         self.waiting.remove(&job.order);
         let waited = now.saturating_duration_since(job.received_at);
-        self.log_refusal(id, RefusalReason::Overloaded, waited, actions);
+        self.log_refusal(id, reason, waited, actions);
         self.record_attempts(now, &job);
-        self.answer_all(&job, refusal(RefusalReason::Overloaded, RETRY_AFTER), actions);
+        self.answer_all(&job, refusal(reason, RETRY_AFTER), actions);
     }
 
     fn answer_all(&mut self, job: &Job, answer: Answer, actions: &mut Vec<Action>) {
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use chestnutfork_evacuation::{Evacuations, KnownEvacuations};
 use chestnutfork_routes::{RouteIndex, RouteTable};
 use chestnutfork_types::{
     AttemptNumber, EntryToWorker, JobId, LinkNumber, RecordedAttempt, ServiceName, TaskKey, WorkerToEntry,
@@ -61,6 +62,7 @@
     pub(crate) silence: Silence,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
+    pub(crate) evacuations: KnownEvacuations,
 }
 
 impl BrokerCore {
@@ -100,6 +102,7 @@
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
+            evacuations: KnownEvacuations::default(),
         }
     }
 
@@ -109,10 +112,10 @@
         self.jobs.len()
     }
 
-    /// Returns whether a route table is in force.
+    /// Returns whether a route table is in force and can be used.
     #[must_use]
     pub fn has_routes(&self) -> bool {
-        self.routes.is_some()
+        self.usable_routes().is_some()
     }
 
     /// Returns the number of agents that accept orders.
@@ -163,6 +166,7 @@
             }
             Event::CallerDisconnected { ticket } => self.on_caller_disconnected(now, ticket, actions),
             Event::Drain => self.draining = true,
+            Event::Evacuations { state, age } => self.on_evacuations(now, state, age, actions),
         }
         // Many agents report at about the same time, so place tasks once for all of these reports.
         if is_report && !self.waiting.is_empty() {
@@ -210,12 +214,31 @@
             }));
             self.routes = Some(RouteIndex::from(routes));
             self.routes_since = now;
-            for (_, arrival, request) in std::mem::take(&mut self.early_requests) {
-                self.on_request(now, arrival, request, actions);
-            }
+            self.serve_early_requests(now, actions);
+        }
+    }
+
+    fn serve_early_requests(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for (_, arrival, request) in std::mem::take(&mut self.early_requests) {
+            self.on_request(now, arrival, request, actions);
         }
     }
 
+    fn on_evacuations(&mut self, now: Instant, state: Evacuations, age: Duration, actions: &mut Vec<Action>) {
+        let Some(change) = self.evacuations.update(now, state.clone()) else {
+            return;
+        };
+        self.agents.apply_evacuations(&self.evacuations);
+        let refused = self.refuse_evacuated_jobs(now, actions);
+        actions.push(Action::Notice(Notice::EvacuationsInForce {
+            state,
+            change,
+            refused,
+            age,
+        }));
+        self.serve_early_requests(now, actions);
+    }
+
     /// Lists the recorded attempts to an agent, once on each link.
     fn list_attempts(
         &mut self,
@@ -272,7 +295,7 @@
                 self.forward_losses(now, link, at, worker.stores_losses, actions);
                 let agent = self.agents.get_mut(at);
                 let joined = agent.worker.worker != worker.worker && !worker.pool.is_empty();
-                agent.worker = worker;
+                agent.describe(worker, &self.evacuations);
                 if joined {
                     actions.push(Action::Notice(Notice::AgentJoined {
                         agent: agent.name.clone(),
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chestnutfork_evacuation::{EvacuationChange, Evacuations};
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::{
     AttemptKey, ConfigVersion, EntryToWorker, JobId, Label, LinkNumber, NodeName, ProcessId, Resources,
@@ -145,6 +146,8 @@
     Behind,
     /// Nothing reached this process for a while, and the caller may have submitted the job to another entry meanwhile.
     Silence,
+    /// Only workers in evacuated failure domains could run one of the tasks.
+    Evacuated,
 }
 
 impl RefusalReason {
@@ -161,6 +164,7 @@
             Self::Overloaded => "overloaded",
             Self::Behind => "behind",
             Self::Silence => "silence",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -236,6 +240,13 @@
     },
     /// The process shuts down and accepts no more submissions.
     Drain,
+    /// Evacuations arrived from control.
+    Evacuations {
+        /// Evacuated domains and their revision.
+        state: Evacuations,
+        /// Time for which the state had been in force at its sender.
+        age: Duration,
+    },
 }
 
 /// Output of the entry core.
@@ -399,4 +410,15 @@
         /// Number of attempts that ended with the leases.
         attempts: u64,
     },
+    /// Evacuations with a higher revision came into force.
+    EvacuationsInForce {
+        /// Evacuated domains and their revision.
+        state: Evacuations,
+        /// Domains whose state changed.
+        change: EvacuationChange,
+        /// Number of jobs that were refused because they fit only there.
+        refused: u64,
+        /// Time for which the state had been in force at its sender.
+        age: Duration,
+    },
 }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -32,7 +32,7 @@
         actions: &mut Vec<Action>,
     ) {
         let ticket = arrival.ticket;
-        let Some(routes) = &self.routes else {
+        let Some(routes) = self.usable_routes() else {
             self.wait_for_routes(now, arrival, request, actions);
             return;
         };
@@ -61,6 +61,12 @@
         actions.push(Action::Answer(ticket, answer));
     }
 
+    /// Returns the route table, unless the evacuations that precede it have not arrived.
+    pub(crate) fn usable_routes(&self) -> Option<&RouteIndex> {
+        let known = !self.cfg.awaits_evacuations || self.evacuations.latest().is_some();
+        self.routes.as_ref().filter(|_| known)
+    }
+
     /// Holds a request until the first route table arrives, which takes a moment after a restart.
     fn wait_for_routes(
         &mut self,
@@ -123,8 +129,8 @@
         }
         let mut refused = self.refusal_reason(&submission);
         let mut retry_after = RETRY_AFTER;
-        if refused.is_none() && !self.any_worker_fits(&route.service, &submission.steps) {
-            refused = Some(RefusalReason::NeverFits);
+        if refused.is_none() {
+            refused = self.unfit_reason(&route.service, &submission.steps);
         }
         let run_time = critical_path(&submission.steps).min(MAX_RUN_TIME);
         let objective = run_time.mul_f64(route.stretch_factor) + route.overhead;
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -87,7 +87,9 @@
         let mean_run_time_ratio = self.mean_run_time_ratio(now, service);
         let mut workers = Vec::with_capacity(self.agents.len());
         for (index, agent) in self.agents.usable(now, self.cfg.stale_after, service) {
-            let (free, share) = agent.free_and_share();
+            let Some((free, share)) = agent.usable_free_and_share(now, self.cfg.seed) else {
+                continue;
+            };
             let domain_cost = if agent.worker.failure_domain == self.cfg.failure_domain {
                 Duration::ZERO
             } else {
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -6,7 +6,7 @@
 
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
-use crate::event::{Action, JobEnd, Notice};
+use crate::event::{Action, JobEnd, Notice, RefusalReason};
 use crate::job::{Job, TaskState};
 
 /// Maximum number of attempts at one task that are stopped as overdue; after that the task is assumed to be long.
@@ -18,6 +18,8 @@
         self.expire_agents(now, actions);
         self.stop_overdue(now, actions);
         self.end_late_jobs(now, actions);
+        // Agents may have returned tasks since the evacuation came into force.
+        self.refuse_evacuated_jobs(now, actions);
         self.refuse_expired_requests(now, actions);
         self.place_waiting(now, actions);
         let retention = self.cfg.answer_retention;
@@ -40,7 +42,7 @@
             if placed {
                 self.end_job(now, id, JobEnd::TimedOut, actions);
             } else {
-                self.refuse_job(now, id, actions);
+                self.refuse_job(now, id, RefusalReason::Overloaded, actions);
             }
         }
     }
