leased: Deliver evacuations from control to entries and agents

Where operators may evacuate, entries and agents subscribe to the evacuations before anything else on each link to control. The mailbox of an entry keeps their order, so it has them before the routes that follow. Revision and number of domains are gauges, and each change is logged with its age.

--- a/crates/leased/src/agent.rs
+++ b/crates/leased/src/agent.rs
@@ -4,7 +4,7 @@
 
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Metrics};
-use chestnutfork_types::{WorkerName, WorkerToEntry};
+use chestnutfork_types::{FailureDomain, WorkerName, WorkerToEntry};
 use chestnutfork_wire::{
     ControlMessageWire, EntryToWorkerWire, Role, SubscriberMessageWire, WorkerToEntryWire,
 };
@@ -15,6 +15,7 @@
 
 use crate::clock::LeaseClock;
 use crate::control::{ControlConnections, ControlEvent, ControlObserver};
+use crate::evacuations::{ReceivedEvacuations, first_messages, received_evacuations};
 use crate::links::EntryLinkHandler;
 use crate::notices;
 use crate::timer::LeaseTimer;
@@ -113,6 +114,9 @@
     pub(crate) dial_template: DialTemplate,
     pub(crate) seeds: Vec<String>,
     pub(crate) metrics: Metrics,
+    pub(crate) failure_domain: FailureDomain,
+    /// Whether to subscribe to the evacuations.
+    pub(crate) evacuations: bool,
 }
 
 #[derive(Debug)]
@@ -128,6 +132,8 @@
     entries: IndexMap<LinkId, LinkSender<WorkerToEntryWire>>,
     drain_replies: Vec<oneshot::Sender<()>>,
     metrics: Metrics,
+    failure_domain: FailureDomain,
+    evacuations: bool,
     actions: Vec<Action>,
 }
 
@@ -159,6 +165,8 @@
             entries: IndexMap::new(),
             drain_replies: Vec::new(),
             metrics: arguments.metrics,
+            failure_domain: arguments.failure_domain,
+            evacuations: arguments.evacuations,
             actions: Vec::new(),
         };
         state.handle_event(Event::Tick, &self.worker);
@@ -179,7 +187,7 @@
 impl AgentState {
     fn handle_message<W: WorkerClient>(&mut self, message: AgentMessage, worker: &W) {
         match message {
-            AgentMessage::Control(event) => self.on_control_event(event),
+            AgentMessage::Control(event) => self.on_control_event(event, worker),
             AgentMessage::EntryUp { link, peer, tx } => {
                 self.entries.insert(link, tx);
                 let entry = peer.process;
@@ -218,16 +226,20 @@
         }
     }
 
-    fn on_control_event(&mut self, event: ControlEvent) {
+    fn on_control_event<W: WorkerClient>(&mut self, event: ControlEvent, worker: &W) {
         match event {
             // Agents need no documents. Reporting the highest version keeps control from sending any.
             ControlEvent::LinkOpened { link, tx } => {
-                self.control
-                    .link_opened(link, tx, SubscriberMessageWire::Follow(u64::MAX));
+                let follow = SubscriberMessageWire::Follow(u64::MAX);
+                let first = first_messages(self.evacuations, &self.failure_domain, follow);
+                self.control.link_opened(link, tx, first);
             }
             ControlEvent::LinkClosed { link } => self.control.link_closed(link),
             ControlEvent::Messages { messages, .. } => {
                 for message in messages {
+                    if let Some(ReceivedEvacuations { state, age }) = received_evacuations(&message) {
+                        self.handle_event(Event::Evacuations { state, age }, worker);
+                    }
                     if let ControlMessageWire::Directory(controls, entries) = message {
                         self.control.dial(controls);
                         self.dial_entries(entries);
@@ -309,6 +321,11 @@
             Notice::WorkerLost { confirmed: true, .. } => self.metrics.count("workers.crashed", 1),
             Notice::WorkerLost { .. } => self.metrics.count("workers.lapsed", 1),
             Notice::EntryLapsed { .. } => self.metrics.count("entries.lapsed", 1),
+            Notice::EvacuationsInForce { state, .. } => {
+                self.metrics.gauge("evacuation.revision", state.revision);
+                self.metrics
+                    .gauge("evacuation.domains", state.domains.len() as u64);
+            }
             _ => {}
         }
     }
--- a/crates/leased/src/configuration.rs
+++ b/crates/leased/src/configuration.rs
@@ -9,12 +9,14 @@
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_net::{DialTemplate, LinkId, Metrics};
 use chestnutfork_routes::RouteTable;
+use chestnutfork_types::FailureDomain;
 use chestnutfork_wire::{ControlMessageWire, SubscriberMessageWire};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
 use crate::clock::LeaseClock;
 use crate::control::{ControlConnections, ControlEvent, ControlObserver};
 use crate::entry::EntryMessage;
+use crate::evacuations::{first_messages, received_evacuations};
 use crate::timer::LeaseTimer;
 
 /// Decodes the documents of operators.
@@ -63,6 +65,9 @@
     pub(crate) seeds: Vec<String>,
     pub(crate) metrics: Metrics,
     pub(crate) entry: ActorRef<EntryMessage>,
+    pub(crate) failure_domain: FailureDomain,
+    /// Whether to subscribe to the evacuations.
+    pub(crate) evacuations: bool,
 }
 
 #[derive(Debug)]
@@ -72,6 +77,8 @@
     timer: LeaseTimer,
     metrics: Metrics,
     entry: ActorRef<EntryMessage>,
+    failure_domain: FailureDomain,
+    evacuations: bool,
     actions: Vec<FetchAction>,
 }
 
@@ -96,6 +103,8 @@
             timer: LeaseTimer::start(arguments.clock, notify),
             metrics: arguments.metrics,
             entry: arguments.entry,
+            failure_domain: arguments.failure_domain,
+            evacuations: arguments.evacuations,
             actions: Vec::new(),
         })
     }
@@ -123,7 +132,12 @@
     fn on_control_event(&mut self, now: Instant, event: ControlEvent) {
         match event {
             ControlEvent::LinkOpened { link, tx } => {
-                self.control.link_opened(link, tx, SubscriberMessageWire::Watch);
+                let first = first_messages(
+                    self.evacuations,
+                    &self.failure_domain,
+                    SubscriberMessageWire::Watch,
+                );
+                self.control.link_opened(link, tx, first);
             }
             ControlEvent::LinkClosed { link } => {
                 self.control.link_closed(link);
@@ -151,7 +165,12 @@
                 self.control.dial(controls);
                 self.notify_entry(EntryMessage::EntryCount(entries.len()));
             }
-            _ => {}
+            message => {
+                // The entry reads its mailbox in order, so it has the evacuations before routes that follow them.
+                if let Some(received) = received_evacuations(&message) {
+                    self.notify_entry(EntryMessage::Evacuations(received));
+                }
+            }
         }
     }
 
--- a/crates/leased/src/control.rs
+++ b/crates/leased/src/control.rs
@@ -80,15 +80,17 @@
         }
     }
 
-    /// Records an open link and sends the first message on it.
+    /// Records an open link and sends the first messages on it.
     pub(crate) fn link_opened(
         &mut self,
         link: LinkId,
         tx: LinkSender<SubscriberMessageWire>,
-        first: SubscriberMessageWire,
+        first: impl IntoIterator<Item = SubscriberMessageWire>,
     ) {
-        // If the link is closed, the handler reports that separately.
-        tx.send(first);
+        for message in first {
+            // If the link is closed, the handler reports that separately.
+            tx.send(message);
+        }
         self.links.insert(link, tx);
     }
 
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::LeaseClock;
+use crate::evacuations::ReceivedEvacuations;
 use crate::notices;
 use crate::timer::LeaseTimer;
 
@@ -33,6 +34,8 @@
     Routes(RouteTable),
     /// The number of entries that are connected to control changed.
     EntryCount(usize),
+    /// Evacuations were received.
+    Evacuations(ReceivedEvacuations),
     AgentUp {
         link: LinkId,
         peer: Identity,
@@ -193,6 +196,9 @@
                 self.handle_event(Event::Routes(routes));
             }
             EntryMessage::EntryCount(entries) => self.handle_event(Event::EntryCount(entries)),
+            EntryMessage::Evacuations(ReceivedEvacuations { state, age }) => {
+                self.handle_event(Event::Evacuations { state, age });
+            }
             EntryMessage::AgentUp { link, peer, tx } => {
                 self.agents.insert(link, tx);
                 let (agent, process) = (peer.name, peer.process);
@@ -322,6 +328,10 @@
             Notice::LossCounted { .. } => metrics.count("losses.counted", 1),
             Notice::JobGivenUp { .. } => metrics.count("jobs.given_up", 1),
             Notice::AttemptOverdue { .. } => metrics.count("attempts.overdue", 1),
+            Notice::EvacuationsInForce { state, .. } => {
+                metrics.gauge("evacuation.revision", state.revision);
+                metrics.gauge("evacuation.domains", state.domains.len() as u64);
+            }
             _ => {}
         }
     }
--- a/crates/leased/src/lib.rs
+++ b/crates/leased/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod entry;
 mod error;
+mod evacuations;
 mod links;
 mod notices;
 mod run;
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chestnutfork_broker::Notice as BrokerNotice;
+use chestnutfork_evacuation::{EvacuationChange, Evacuations};
 use chestnutfork_events::{RunsEvent, emit};
 use chestnutfork_types::{AttemptKey, JobId, RunOutcome, TaskKey};
 use chestnutfork_worker::Notice as WorkerNotice;
@@ -130,6 +131,12 @@
             silent: *silent,
             attempts: *attempts,
         }),
+        BrokerNotice::EvacuationsInForce {
+            state,
+            change,
+            refused,
+            age,
+        } => log_evacuations(state, change, *refused, *age),
     }
 }
 
@@ -258,5 +265,23 @@
             task: &format_task_key(run.task),
             run: run.number,
         }),
+        WorkerNotice::EvacuationsInForce {
+            state,
+            change,
+            refused,
+            age,
+        } => log_evacuations(state, change, *refused, *age),
     }
 }
+
+fn log_evacuations(state: &Evacuations, change: &EvacuationChange, refused: u64, age: Duration) {
+    let domains: Vec<&str> = state.domains.iter().map(String::as_str).collect();
+    emit(&RunsEvent::EvacuationsInForce {
+        revision: state.revision,
+        domains: &domains.join(", "),
+        evacuated: &change.evacuated.join(", "),
+        returned: &change.returned.join(", "),
+        refused,
+        age,
+    });
+}
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -35,6 +35,7 @@
     remote_factor: f64,
     resubmission_delay: Duration,
     metrics: Metrics,
+    evacuations: bool,
 }
 
 /// Builder of [`NodeConfig`].
@@ -69,6 +70,7 @@
             remote_factor: 1.5,
             resubmission_delay: Duration::from_millis(1_300),
             metrics: Metrics::disabled(),
+            evacuations: false,
         };
         NodeConfigBuilder { cfg }
     }
@@ -123,6 +125,11 @@
         /// Sets the destination of metrics.
         metrics: Metrics
     );
+    setter!(
+        /// Sets whether operators may evacuate failure domains. An entry then places nothing before it has received the
+        /// evacuations from control.
+        evacuations: bool
+    );
 
     /// Returns the configuration.
     #[must_use]
@@ -242,6 +249,7 @@
     let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_expiry())
         .remote_factor(cfg.remote_factor)
         .resubmission_delay(cfg.resubmission_delay)
+        .awaits_evacuations(cfg.evacuations)
         .seed(process)
         .build();
     let arguments = EntryArguments {
@@ -258,6 +266,8 @@
         seeds: cfg.seeds.clone(),
         metrics: cfg.metrics.clone(),
         entry: actor.clone(),
+        failure_domain: cfg.failure_domain.clone(),
+        evacuations: cfg.evacuations,
     };
     let (configuration, _) = Actor::spawn(None, ConfigurationActor { decoder }, arguments)
         .await
@@ -292,6 +302,8 @@
         dial_template: dial_template(&cfg, &identity),
         seeds: cfg.seeds,
         metrics: cfg.metrics,
+        failure_domain: cfg.failure_domain,
+        evacuations: cfg.evacuations,
     };
     let (actor, _) = Actor::spawn(None, AgentActor { worker }, arguments)
         .await
