--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -109,6 +109,21 @@
             agent,
             elapsed: *elapsed,
         }),
+        BrokerNotice::AgentJoined { .. }
+        | BrokerNotice::AgentLost { .. }
+        | BrokerNotice::AgentLapsed { .. } => log_agent_notice(notice),
+        BrokerNotice::EvacuationsInForce {
+            state,
+            change,
+            refused,
+            age,
+        } => log_evacuations(state, change, *refused, *age),
+    }
+}
+
+/// Logs notices about the connections to agents.
+fn log_agent_notice(notice: &BrokerNotice) {
+    match notice {
         BrokerNotice::AgentJoined {
             agent,
             pool,
@@ -131,12 +146,7 @@
             silent: *silent,
             attempts: *attempts,
         }),
-        BrokerNotice::EvacuationsInForce {
-            state,
-            change,
-            refused,
-            age,
-        } => log_evacuations(state, change, *refused, *age),
+        _ => {}
     }
 }
 
