--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use chestnutfork_events::{ControlEvent, ProcessEvent, emit};
-use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Wakeup, now};
+use chestnutfork_net::{DialTemplate, Dialer, Identity, LinkId, LinkSender, Metrics, Wakeup, now};
 use chestnutfork_storage::{LogStore, StorageError, StoredState};
 use chestnutfork_types::{ConfigVersion, NodeName, OperatorName};
 use chestnutfork_wire::{ControlMessageWire, ReplicaMessageWire, Role};
@@ -18,7 +18,7 @@
 use crate::disk::{self, DiskReply, DiskRequest};
 use crate::error::ControlError;
 use crate::links::PeerLinks;
-use crate::message::{Event, OperatorRequest, Output, Reply, RequestId, SubscriberIdentity};
+use crate::message::{Event, Notice, OperatorRequest, Output, Reply, RequestId, SubscriberIdentity};
 use crate::notices;
 
 /// Interval between attempts to repair the store after a failed write.
@@ -97,6 +97,7 @@
     ///
     /// Both sides dial, because a replacement VM may have a name that the settings of the others do not list.
     pub(crate) dial_addresses: Vec<String>,
+    pub(crate) metrics: Metrics,
 }
 
 /// State of the actor.
@@ -116,6 +117,7 @@
     last_request_id: RequestId,
     transfer_waiters: Vec<oneshot::Sender<()>>,
     last_transfer_at: Instant,
+    metrics: Metrics,
     outputs: Vec<Output>,
 }
 
@@ -144,6 +146,7 @@
         last_request_id: 0,
         transfer_waiters: Vec::new(),
         last_transfer_at: now(),
+        metrics: arguments.metrics,
         outputs: Vec::new(),
     }
 }
@@ -345,7 +348,20 @@
                 }
             }
             Output::Dial(address) => self.dial(address),
-            Output::Notice(notice) => notices::log(&self.name, self.core.replica(), &notice),
+            Output::Notice(notice) => {
+                self.count_notice(&notice);
+                notices::log(&self.name, self.core.replica(), &notice);
+            }
+        }
+    }
+
+    fn count_notice(&self, notice: &Notice) {
+        if let Notice::EvacuationsApplied {
+            revision, domains, ..
+        } = notice
+        {
+            self.metrics.gauge("evacuation.revision", *revision);
+            self.metrics.gauge("evacuation.domains", domains.len() as u64);
         }
     }
 
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -319,6 +319,7 @@
         store,
         dial,
         dial_addresses,
+        metrics: cfg.metrics.clone(),
     };
     let (actor, _) = Actor::spawn(None, ReplicaActor::new(), arguments)
         .await
