worker: Sum the demand at all entries by priority

Entries decide on refusals by their own backlog, so that callers of one failure domain were refused while others were not (docs/hard-load.md, section 3).

Entries can now state their demand by priority in the acknowledgement of a heartbeat, and agents return the sum over all entries with its age.

Tests of types, wire and worker pass; three bands add at most 32 bytes to an acknowledgement.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -289,7 +289,7 @@
                 agent.load = Some(load);
                 agent.last_heartbeat = number;
                 agent.last_heartbeat_at = now;
-                actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number)));
+                actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number, None)));
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
             WorkerToEntry::Ended(ended, load) => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod answer;
 mod crashes;
+mod demand;
 mod ids;
 mod job;
 mod policy;
@@ -17,6 +18,7 @@
 };
 pub use answer::{Answer, AnswerError, JobOutcome, TaskStatus};
 pub use crashes::{IncarnationNumber, WorkerCrash};
+pub use demand::{Demand, DemandBand, DemandSum, MAX_DEMAND_BANDS};
 pub use ids::{
     ConfigVersion, CreditId, FailureDomain, JobId, LogIndex, NodeName, OperatorName, PatchId, PoolName,
     ProcessId, ReplicaId, RouteName, ServiceName, StepIndex, TargetName, TaskIndex, TeamName, Term,
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 
 use crate::crashes::WorkerCrash;
+use crate::demand::{Demand, DemandSum};
 use crate::ids::{FailureDomain, JobId, PoolName, StepIndex, TaskIndex};
 
 /// Number of a run on one worker; it increases with each start there.
@@ -146,8 +147,9 @@
     Start(StartOrder),
     /// Requests that attempts be stopped.
     Stop(Vec<AttemptKey>),
-    /// Acknowledges a heartbeat, which renews the entry's lease on its runs.
-    HeartbeatAck(HeartbeatNumber),
+    /// Acknowledges a heartbeat, which renews the entry's lease on its runs, and states the demand for the worker's service at
+    /// the entry. The demand is only sent to agents that read it, and only where priorities differ.
+    HeartbeatAck(HeartbeatNumber, Option<Demand>),
     /// Lists the attempts that the entry has recorded for this agent; follows the first description on each link.
     Reconcile {
         /// Attempts to continue.
@@ -226,6 +228,8 @@
     pub reads_resources: bool,
     /// Whether the agent accepts time limits of attempts that it has started.
     pub reads_time_limits: bool,
+    /// Whether the agent reads the demand in acknowledgements of heartbeats.
+    pub reads_demand: bool,
 }
 
 /// Load and health of a worker as observed by its agent.
@@ -245,6 +249,8 @@
     pub available: bool,
     /// Latest start order of the receiving entry that is included in these figures.
     pub last_order: OrderNumber,
+    /// Sum of the demand at all entries; only in heartbeats to entries that state theirs.
+    pub demand: Option<DemandSum>,
 }
 
 /// Message from the agent of a worker to an entry.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod caller;
 mod codec;
+mod demand;
 mod handshake;
 mod peer;
 mod raft;
@@ -16,6 +17,7 @@
 pub use agent::{AgentToEntryWire, EntryToAgentWire};
 pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
 pub use codec::{CodecError, decode, decode_frame, encode};
+pub use demand::{DemandSumWire, DemandWire};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
 pub use peer::{PeerMessageWire, PeerWireError};
 pub use raft::{
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::demand::{DemandSumWire, DemandWire};
 use crate::raft::micros;
 
 /// Wire form of [`AttemptKey`]: high and low half of the job id, step, index and attempt.
@@ -74,6 +75,10 @@
     /// Records of lost workers. Earlier versions do not know it; agents that do say so in their description.
     #[serde(rename = "k")]
     Losses(Vec<WorkerCrashWire>),
+    /// Acknowledges a heartbeat like [`Self::HeartbeatAck`], with the demand at the entry. Earlier versions do not know it;
+    /// agents that do say so in their description.
+    #[serde(rename = "d")]
+    HeartbeatAckDemand(u64, DemandWire),
 }
 
 /// Wire form of [`WorkerToEntry`].
@@ -113,6 +118,10 @@
         /// Whether the agent accepts [`EntryToWorkerWire::TimeLimits`]. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "t", default, skip_serializing_if = "std::ops::Not::not")]
         reads_time_limits: bool,
+        /// Whether the agent accepts [`EntryToWorkerWire::HeartbeatAckDemand`]. Earlier versions do not send this field, and
+        /// ignore it.
+        #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+        reads_demand: bool,
     },
     /// Numbered heartbeat with the current load.
     #[serde(rename = "b")]
@@ -123,6 +132,10 @@
     /// Reports ended attempts (attempt, outcome and run time in microseconds), and the load without them.
     #[serde(rename = "e")]
     Ended(Vec<(AttemptWire, RunOutcomeWire, u64)>, LoadWire),
+    /// Heartbeat like [`Self::Heartbeat`], with the sum of the demand. It is only sent to entries that state their demand,
+    /// because earlier versions do not know it.
+    #[serde(rename = "m")]
+    HeartbeatDemand(u64, LoadWire, DemandSumWire),
 }
 
 /// Wire form of [`WorkerCrash`].
@@ -333,6 +346,7 @@
         failure_permille,
         available,
         last_order,
+        demand: None,
     }
 }
 
@@ -360,7 +374,10 @@
                     .collect(),
             },
             EntryToWorker::Stop(keys) => Self::Stop(attempts_to_wire(keys)),
-            EntryToWorker::HeartbeatAck(number) => Self::HeartbeatAck(number),
+            EntryToWorker::HeartbeatAck(number, None) => Self::HeartbeatAck(number),
+            EntryToWorker::HeartbeatAck(number, Some(demand)) => {
+                Self::HeartbeatAckDemand(number, (&demand).into())
+            }
             EntryToWorker::Reconcile { keep, stop } => match (sized_to_wire(&keep), sized_to_wire(&stop)) {
                 (Some(keep), Some(stop)) => Self::ReconcileSized(keep, stop),
                 _ => Self::Reconcile(recorded_to_wire(&keep), recorded_to_wire(&stop)),
@@ -408,7 +425,10 @@
                     .collect(),
             }),
             EntryToWorkerWire::Stop(keys) => Self::Stop(attempts_from_wire(keys)),
-            EntryToWorkerWire::HeartbeatAck(number) => Self::HeartbeatAck(number),
+            EntryToWorkerWire::HeartbeatAck(number) => Self::HeartbeatAck(number, None),
+            EntryToWorkerWire::HeartbeatAckDemand(number, demand) => {
+                Self::HeartbeatAck(number, Some(demand.into()))
+            }
             EntryToWorkerWire::Reconcile(keep, stop) => Self::Reconcile {
                 keep: recorded_from_wire(keep),
                 stop: recorded_from_wire(stop),
@@ -440,9 +460,13 @@
                 stores_losses: description.stores_losses,
                 reads_resources: description.reads_resources,
                 reads_time_limits: description.reads_time_limits,
+                reads_demand: description.reads_demand,
                 crashes: crashes.into_iter().map(Into::into).collect(),
             },
-            WorkerToEntry::Heartbeat(number, load) => Self::Heartbeat(number, load_to_wire(load)),
+            WorkerToEntry::Heartbeat(number, load) => match load.demand {
+                Some(sum) => Self::HeartbeatDemand(number, load_to_wire(load), (&sum).into()),
+                None => Self::Heartbeat(number, load_to_wire(load)),
+            },
             WorkerToEntry::Load(load) => Self::Load(load_to_wire(load)),
             WorkerToEntry::Ended(ended, load) => {
                 let ended = ended.into_iter();
@@ -471,6 +495,7 @@
                 stores_losses,
                 reads_resources,
                 reads_time_limits,
+                reads_demand,
             } => {
                 let description = WorkerDescription {
                     worker,
@@ -482,10 +507,16 @@
                     stores_losses,
                     reads_resources,
                     reads_time_limits,
+                    reads_demand,
                 };
                 Self::Describe(description, crashes.into_iter().map(Into::into).collect())
             }
             WorkerToEntryWire::Heartbeat(number, load) => Self::Heartbeat(number, load_from_wire(load)),
+            WorkerToEntryWire::HeartbeatDemand(number, load, sum) => {
+                let demand = Some(sum.into());
+                let load = load_from_wire(load);
+                Self::Heartbeat(number, WorkerLoad { demand, ..load })
+            }
             WorkerToEntryWire::Load(load) => Self::Load(load_from_wire(load)),
             WorkerToEntryWire::Ended(ended, load) => {
                 let ended = ended.into_iter();
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, JobId, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey,
-    TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, Demand, DemandBand, DemandSum, EndedRun, EntryToWorker, JobId, RecordedAttempt, Resources,
+    RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
 use serde::de::DeserializeOwned;
@@ -68,9 +68,22 @@
         failure_permille: 6,
         available: true,
         last_order: 7,
+        demand: None,
     }
 }
 
+fn demand() -> Demand {
+    let mut demand = Demand::default();
+    for priority in [0, 1, 2] {
+        demand.add(DemandBand {
+            priority,
+            jobs: 120 + priority,
+            work: 130_000,
+        });
+    }
+    demand
+}
+
 fn recorded(job: JobId, resources: Option<Resources>) -> RecordedAttempt {
     let key = key(job);
     RecordedAttempt { key, resources }
@@ -96,7 +109,8 @@
     let messages = [
         EntryToWorker::Start(order),
         EntryToWorker::Stop(vec![key(1)]),
-        EntryToWorker::HeartbeatAck(8),
+        EntryToWorker::HeartbeatAck(8, None),
+        EntryToWorker::HeartbeatAck(8, Some(demand())),
         EntryToWorker::Reconcile {
             keep: vec![recorded(1, Some(load().free))],
             stop: vec![recorded(2, Some(load().share))],
@@ -129,6 +143,7 @@
         stores_losses: true,
         reads_resources: true,
         reads_time_limits: true,
+        reads_demand: true,
     };
     let outcomes = [
         RunOutcome::Completed,
@@ -146,6 +161,16 @@
         WorkerToEntry::Describe(description.clone(), Vec::new()),
         WorkerToEntry::Describe(description, vec![crash()]),
         WorkerToEntry::Heartbeat(12, load()),
+        WorkerToEntry::Heartbeat(
+            13,
+            WorkerLoad {
+                demand: Some(DemandSum {
+                    demand: demand(),
+                    age: Duration::from_micros(14),
+                }),
+                ..load()
+            },
+        ),
         WorkerToEntry::Load(load()),
         WorkerToEntry::Ended(ended.to_vec(), load()),
     ];
@@ -204,6 +229,7 @@
 fn decode_malformed_message_does_not_panic() {
     decode_variants::<EntryToWorkerWire, _>(EntryToWorker::Stop(vec![key(1)]));
     decode_variants::<EntryToWorkerWire, _>(EntryToWorker::Losses(vec![crash()]));
+    decode_variants::<EntryToWorkerWire, _>(EntryToWorker::HeartbeatAck(8, Some(demand())));
     decode_variants::<WorkerToEntryWire, _>(WorkerToEntry::Heartbeat(12, load()));
     let description = WorkerDescription {
         worker: "w".to_owned(),
@@ -211,3 +237,27 @@
     };
     decode_variants::<WorkerToEntryWire, _>(WorkerToEntry::Describe(description, vec![crash()]));
 }
+
+/// Guards against messages that an entry or agent of an earlier version cannot read, although the sender states no demand, and
+/// against demand that takes more than a few bytes of an entry's link.
+#[test]
+fn demand_adds_few_bytes_and_only_where_stated() {
+    let size = |message: EntryToWorker| {
+        let mut buf = Vec::new();
+        encode(&EntryToWorkerWire::from(message), &mut buf).expect("encodes");
+        buf
+    };
+    let plain = size(EntryToWorker::HeartbeatAck(100_000, None));
+    assert_eq!(
+        decode::<EntryToWorkerWire>(&plain).expect("decodes"),
+        EntryToWorkerWire::HeartbeatAck(100_000)
+    );
+    let stated = size(EntryToWorker::HeartbeatAck(100_000, Some(demand())));
+    // Three bands of at most 10 bytes each.
+    assert!(
+        stated.len() <= plain.len() + 32,
+        "{} > {}",
+        stated.len(),
+        plain.len()
+    );
+}
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -12,6 +12,7 @@
 use crate::clock::MAX_WORKER_LEASE;
 use crate::config::{WorkerConfig, lease_expiry_time};
 use crate::crashes::Crashes;
+use crate::demand::DemandSums;
 use crate::event::{Action, CallId, Event, Evidence, FencingToken, Notice};
 use crate::orders::PendingCall;
 use crate::owners::Owners;
@@ -58,6 +59,8 @@
     pub(crate) excess: Resources,
     /// Recent losses of the worker.
     pub(crate) crashes: Crashes,
+    /// Demand at the entries.
+    pub(crate) demand: DemandSums,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -98,6 +101,7 @@
             share_rotation: 0,
             excess: Resources::default(),
             crashes: Crashes::default(),
+            demand: DemandSums::default(),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -194,7 +198,10 @@
             return;
         };
         match message {
-            EntryToWorker::HeartbeatAck(beat) => self.owners.acknowledge(entry, beat, self.cfg.entry_lease),
+            EntryToWorker::HeartbeatAck(beat, demand) => {
+                self.owners.acknowledge(entry, beat, self.cfg.entry_lease);
+                self.demand.record(now, entry, demand);
+            }
             EntryToWorker::Start(order) => self.on_start(now, entry, &order, actions),
             EntryToWorker::Stop(keys) => {
                 for key in keys {
@@ -483,6 +490,7 @@
             self.ended_runs.retain(|_, record| now < record.at + retention);
             self.owners.remove_idle(now, retention);
             self.crashes.remove_expired(now, self.cfg.crash_retention);
+            self.demand.remove_expired(now);
         }
     }
 
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -74,11 +74,12 @@
             if number.is_none() && !self.owners.has_acknowledged_within(entry, now, limit) {
                 continue;
             }
-            let load = self.load(now, entry);
+            let mut load = self.load(now, entry);
             if number.is_none() && !self.owners.is_report_due(entry, now, load.share) {
                 continue;
             }
             self.owners.record_report(entry, now, load.share);
+            load.demand = number.and_then(|_| self.demand.sum_for(now, entry));
             let message = number.map_or(WorkerToEntry::Load(load), |number| {
                 WorkerToEntry::Heartbeat(number, load)
             });
@@ -136,6 +137,7 @@
             failure_permille: health.failure_permille(now),
             available: session.is_some_and(|session| session.available && session.is_announced()),
             last_order,
+            demand: None,
         }
     }
 
@@ -148,6 +150,7 @@
         description.stores_losses = true;
         description.reads_resources = true;
         description.reads_time_limits = true;
+        description.reads_demand = true;
         description
     }
 
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -62,6 +62,7 @@
             stores_losses: false,
             reads_resources: false,
             reads_time_limits: false,
+            reads_demand: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
@@ -95,7 +96,7 @@
     }
 
     fn acknowledge(&mut self, link: LinkNumber) {
-        let message = EntryToWorker::HeartbeatAck(self.heartbeat);
+        let message = EntryToWorker::HeartbeatAck(self.heartbeat, None);
         self.handle(Event::FromEntry { link, message });
     }
 
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -68,6 +68,7 @@
             stores_losses: false,
             reads_resources: false,
             reads_time_limits: false,
+            reads_demand: false,
         },
         address: "w:1".to_owned(),
         started_at: millis(started_at),
@@ -112,6 +113,7 @@
         });
         self.send(EntryToWorker::HeartbeatAck(
             beat.expect("a link begins with a heartbeat"),
+            None,
         ));
     }
 
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -374,7 +374,7 @@
                     WorkerToEntry::Heartbeat(number, _) => {
                         beats += 1;
                         if acknowledges {
-                            agent.send(EntryToWorker::HeartbeatAck(number));
+                            agent.send(EntryToWorker::HeartbeatAck(number, None));
                         }
                     }
                     WorkerToEntry::Load(_) => loads += 1,
@@ -454,7 +454,7 @@
     /// Acknowledges a heartbeat for all sharing entries, which renews their leases.
     fn acknowledge(&mut self, beat: u64) {
         for link in 1..=SHARING_ENTRIES {
-            let message = EntryToWorker::HeartbeatAck(beat);
+            let message = EntryToWorker::HeartbeatAck(beat, None);
             self.handle(Event::FromEntry { link, message });
         }
     }
--- a/crates/worker/tests/crashes.rs
+++ b/crates/worker/tests/crashes.rs
@@ -45,7 +45,7 @@
         for action in &actions {
             match action {
                 Action::ToEntry(link, WorkerToEntry::Heartbeat(number, _)) => {
-                    let message = EntryToWorker::HeartbeatAck(*number);
+                    let message = EntryToWorker::HeartbeatAck(*number, None);
                     let link = *link;
                     all.extend(agent.handle(Event::FromEntry { link, message }));
                 }
--- a/crates/worker/tests/inferred_ends.rs
+++ b/crates/worker/tests/inferred_ends.rs
@@ -54,7 +54,7 @@
         _ => None,
     });
     if let Some(beat) = beat {
-        agent.send(EntryToWorker::HeartbeatAck(beat));
+        agent.send(EntryToWorker::HeartbeatAck(beat, None));
     }
     agent.actions.splice(0..0, before);
 }
