broker: Shed submissions by priority while demand exceeds capacity

Where the routes of a service have different priorities, an entry states its demand to the agents, takes the median of the sums that they return, and sheds on arrival while it exceeds the capacity by more than 10%. Meanwhile it counts with its part of the demand when it estimates waits, places waiting jobs by priority with ageing, and spreads retry delays that grow with the overload. Without sums of the last second the present rule applies. A metric and event 7050 report each shed job with the inputs and their age.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -2,10 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutfork_routes::Route;
+use rand::RngExt;
+
 use crate::core::BrokerCore;
 use crate::event::{JobSubmission, RefusalReason, StepSpec};
 use crate::job::{TaskState, critical_path};
+use crate::order::WaitingOrder;
 use crate::selection::is_suitable;
+use crate::shedding::Shed;
 
 /// Default delay after which a refused caller may retry, used when there is no estimate.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -54,9 +59,9 @@
     }
 
     /// Estimates how long a new job of a service would wait, from the backlog ahead of it and the speed of the pool.
-    pub(crate) fn expected_wait(&self, now: Instant, service: &str, objective_at: Instant) -> Duration {
+    pub(crate) fn expected_wait(&self, now: Instant, service: &str, last: WaitingOrder) -> Duration {
         let mut backlog = 0.0;
-        let before = self.waiting.range(..(objective_at, u64::MAX));
+        let before = self.waiting.range(..last);
         for job in before.filter_map(|(_, id)| self.jobs.get(id)) {
             if job.service != service {
                 continue;
@@ -69,22 +74,53 @@
         if backlog == 0.0 {
             return Duration::ZERO;
         }
-        let mean = self.mean_run_time_ratio(now, service);
-        let usable = self.agents.usable(now, self.cfg.stale_after, service);
-        let rate: f64 = usable
-            .map(|(_, agent)| {
-                as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
-            })
-            .sum();
+        let rate = self.capacity(now, service);
         let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
         // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
         let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
-        let rate_per_entry = equal_part.max(own_rate);
+        // While submissions are shed, each entry admits its part of the work that the workers can do.
+        let demand_part = self.shedding.own_part(now, service).unwrap_or(0.0) * rate;
+        let rate_per_entry = equal_part.max(own_rate).max(demand_part);
         if rate_per_entry <= 0.0 {
             return self.cfg.run_expiry;
         }
         Duration::from_secs_f64((backlog / rate_per_entry).min(60.0))
     }
+
+    /// Returns the capacity of the usable workers of a pool at their learned speeds, in thousandths of a core.
+    fn capacity(&self, now: Instant, service: &str) -> f64 {
+        let mean = self.mean_run_time_ratio(now, service);
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        usable
+            .map(|(_, agent)| {
+                as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
+            })
+            .sum()
+    }
+
+    /// Records the demand of a submission that could be served, and returns why it is shed, if so.
+    pub(crate) fn check_shedding(&mut self, now: Instant, route: &Route, steps: &[StepSpec]) -> Option<Shed> {
+        let work = steps
+            .iter()
+            .map(|step| declared_work(step) * f64::from(step.tasks));
+        self.shedding.record(now, route, work.sum());
+        if self.shedding.is_due(now, &route.service) {
+            let sums = self.agents.demand_sums(now, &route.service);
+            let capacity = self.capacity(now, &route.service);
+            self.shedding.update(now, &route.service, sums, capacity);
+        }
+        self.shedding.plan(now, &route.service)?;
+        let draw = self.rng.random();
+        self.shedding.check(now, route, draw)
+    }
+
+    /// Returns when the caller of a job that was refused for lack of capacity may retry.
+    pub(crate) fn overload_retry_after(&mut self, now: Instant, service: &str) -> Duration {
+        match self.shedding.plan(now, service) {
+            Some(plan) => plan.retry_after(self.rng.random()),
+            None => RETRY_AFTER,
+        }
+    }
 }
 
 /// Returns the declared work of a task of the step, in core-seconds times 1,000.
--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::{
-    AttemptKey, HeartbeatNumber, LinkNumber, NodeName, OrderNumber, ProcessId, Resources, WorkerDescription,
-    WorkerLoad,
+    AttemptKey, DemandSum, HeartbeatNumber, LinkNumber, NodeName, OrderNumber, ProcessId, Resources,
+    WorkerDescription, WorkerLoad,
 };
 use indexmap::IndexMap;
 
@@ -45,6 +45,8 @@
     /// Link on which records of the losses of other workers were passed on.
     pub(crate) forwarded_on: Option<LinkNumber>,
     pub(crate) outstanding: IndexMap<AttemptKey, Outstanding>,
+    /// Sum of the demand at all entries in the latest heartbeat.
+    pub(crate) demand_sum: Option<DemandSum>,
 }
 
 impl Agent {
@@ -61,6 +63,7 @@
             attempts_listed: false,
             forwarded_on: None,
             outstanding: IndexMap::new(),
+            demand_sum: None,
         }
     }
 
@@ -128,6 +131,7 @@
         }
         // Heartbeats and load reports on the earlier link do not cover orders on this one, so wait for a new report.
         agent.load = None;
+        agent.demand_sum = None;
         agent.attempts_listed = false;
         if let Some(old) = agent.link.replace(link) {
             self.links.swap_remove(&old);
@@ -174,6 +178,20 @@
         self.agents.iter().enumerate()
     }
 
+    /// Returns the sums of the demand for a service that its connected agents have reported, with their present age.
+    pub(crate) fn demand_sums(&self, now: Instant, pool: &str) -> Vec<DemandSum> {
+        let agents = self.agents.iter();
+        let connected = agents.filter(|agent| agent.link.is_some() && agent.worker.pool == pool);
+        let sums = connected.filter_map(|agent| {
+            let sum = agent.demand_sum?;
+            let age = sum
+                .age
+                .saturating_add(now.saturating_duration_since(agent.last_heartbeat_at));
+            Some(DemandSum { age, ..sum })
+        });
+        sums.collect()
+    }
+
     /// Iterates over the agents of a pool that accept orders.
     pub(crate) fn usable<'a>(
         &'a self,
--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -5,7 +5,7 @@
 use chestnutfork_types::{AttemptKey, EndedRun, EntryToWorker, JobId, RunOutcome};
 use indexmap::IndexMap;
 
-use crate::admission::{RETRY_AFTER, declared_work};
+use crate::admission::declared_work;
 use crate::agents::{AgentIndex, Outstanding};
 use crate::core::BrokerCore;
 use crate::event::{Action, Answer, JobEnd, Notice, RefusalReason};
@@ -158,7 +158,8 @@
         let waited = now.saturating_duration_since(job.received_at);
         self.log_refusal(id, RefusalReason::Overloaded, waited, actions);
         self.record_attempts(now, &job);
-        self.answer_all(&job, refusal(RefusalReason::Overloaded, RETRY_AFTER), actions);
+        let retry_after = self.overload_retry_after(now, &job.service);
+        self.answer_all(&job, refusal(RefusalReason::Overloaded, retry_after), actions);
     }
 
     fn answer_all(&mut self, job: &Job, answer: Answer, actions: &mut Vec<Action>) {
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -17,7 +17,9 @@
 use crate::delays::Delays;
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
+use crate::order::WaitingOrder;
 use crate::requests::Arrival;
+use crate::shedding::Shedding;
 use crate::silence::Silence;
 use crate::throughput::Throughput;
 
@@ -39,8 +41,8 @@
     pub(crate) entry_count: usize,
     pub(crate) agents: Agents,
     pub(crate) jobs: IndexMap<JobId, Job>,
-    /// Jobs with waiting tasks, by latency objective and order of arrival.
-    pub(crate) waiting: BTreeMap<(Instant, u64), JobId>,
+    /// Jobs with waiting tasks, in the order in which they are placed.
+    pub(crate) waiting: BTreeMap<WaitingOrder, JobId>,
     pub(crate) next_order: u64,
     pub(crate) tickets: IndexMap<Ticket, JobId>,
     /// Retained answers, for resubmissions of jobs that have ended.
@@ -61,6 +63,7 @@
     pub(crate) silence: Silence,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
+    pub(crate) shedding: Shedding,
 }
 
 impl BrokerCore {
@@ -100,6 +103,7 @@
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
+            shedding: Shedding::default(),
         }
     }
 
@@ -208,6 +212,7 @@
                 version: routes.version,
                 routes: routes.routes.len() as u64,
             }));
+            self.shedding.set_routes(&routes);
             self.routes = Some(RouteIndex::from(routes));
             self.routes_since = now;
             for (_, arrival, request) in std::mem::take(&mut self.early_requests) {
@@ -289,7 +294,10 @@
                 agent.load = Some(load);
                 agent.last_heartbeat = number;
                 agent.last_heartbeat_at = now;
-                actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number, None)));
+                agent.demand_sum = load.demand;
+                let reader = agent.worker.reads_demand.then_some(&agent.worker.pool);
+                let demand = reader.and_then(|pool| self.shedding.demand(now, pool));
+                actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number, demand)));
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
             WorkerToEntry::Ended(ended, load) => {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -315,6 +315,23 @@
         /// Number of jobs with tasks that wait for capacity.
         waiting: u64,
     },
+    /// A submitted job was shed, because demand at all entries exceeds the capacity; [`Self::JobRefused`] follows.
+    JobShed {
+        /// Job that was refused.
+        job: JobId,
+        /// Route that the request matched.
+        route: RouteName,
+        /// Priority as which the job counts.
+        priority: u32,
+        /// Fraction of the jobs of the priority that is admitted.
+        fraction: f64,
+        /// Work of the submissions of a second at all entries, in thousandths of a core-second.
+        demand: u64,
+        /// Capacity of the usable workers in thousandths of a core.
+        capacity: f64,
+        /// Age of the demand when the decision was made.
+        age: Duration,
+    },
     /// A job ended and its callers were answered.
     JobEnded {
         /// Job that ended.
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -7,6 +7,7 @@
 
 use crate::agents::AgentIndex;
 use crate::event::{JobState, StepSpec, Ticket};
+use crate::order::WaitingOrder;
 
 /// Progress of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,8 +64,10 @@
     pub(crate) attempts: u64,
     /// Attempts that may have started: all but those that were reported as not started.
     pub(crate) possible_starts: u64,
-    /// Key in the queue of waiting jobs: latency objective and order of arrival.
-    pub(crate) order: (Instant, u64),
+    /// Key in the queue of waiting jobs.
+    pub(crate) order: WaitingOrder,
+    /// Position of the priority when the job was accepted, before ageing.
+    pub(crate) band: u32,
 }
 
 impl Job {
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -11,6 +11,8 @@
     Action, Answer, JobEnd, JobSubmission, Notice, RefusalReason, Request, RequestKind, Ticket,
 };
 use crate::job::{Job, Task, TaskState, critical_path};
+use crate::order::WaitingOrder;
+use crate::shedding::Shed;
 
 /// Maximum time that a request waits for the first route table: about the duration of a leader election in control. A
 /// longer wait would exceed the objective of most jobs.
@@ -129,10 +131,22 @@
         let run_time = critical_path(&submission.steps).min(MAX_RUN_TIME);
         let objective = run_time.mul_f64(route.stretch_factor) + route.overhead;
         let objective_at = received_at + objective;
-        let wait = self.expected_wait(now, &route.service, objective_at);
+        if refused.is_none()
+            && let Some(shed) = self.check_shedding(now, route, &submission.steps)
+        {
+            refused = Some(RefusalReason::Overloaded);
+            retry_after = self.overload_retry_after(now, &route.service);
+            log_shed(id, shed, actions);
+        }
+        let order = WaitingOrder {
+            band: self.shedding.band_in_force(now, route),
+            objective_at,
+            number: u64::MAX,
+        };
+        let wait = self.expected_wait(now, &route.service, order);
         if refused.is_none() && now + wait + run_time > objective_at {
             refused = Some(RefusalReason::Overloaded);
-            retry_after = wait.max(RETRY_AFTER);
+            retry_after = wait.max(self.overload_retry_after(now, &route.service));
         }
         let delay = self.processing_delay(now);
         if refused.is_none() && now + wait + delay + run_time > objective_at {
@@ -188,6 +202,7 @@
         let tasks: Vec<Task> = tasks.collect();
         self.next_order += 1;
         let objective_at = received_at + objective;
+        let band = self.shedding.band_in_force(now, route);
         actions.push(Action::Notice(Notice::JobTaken {
             job: id,
             route: route.name.clone(),
@@ -211,7 +226,12 @@
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
-            order: (objective_at, self.next_order),
+            order: WaitingOrder {
+                band,
+                objective_at,
+                number: self.next_order,
+            },
+            band,
         };
         self.waiting.insert(job.order, id);
         self.jobs.insert(id, job);
@@ -274,6 +294,19 @@
     }
 }
 
+/// Reports a submission that was shed, with the inputs of the decision.
+fn log_shed(job: JobId, shed: Shed, actions: &mut Vec<Action>) {
+    actions.push(Action::Notice(Notice::JobShed {
+        job,
+        route: shed.route,
+        priority: shed.priority,
+        fraction: shed.fraction,
+        demand: shed.demand,
+        capacity: shed.capacity,
+        age: shed.age,
+    }));
+}
+
 pub(crate) fn refusal(reason: RefusalReason, retry_after: Duration) -> Answer {
     Answer::Refused { reason, retry_after }
 }
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -19,6 +19,7 @@
         self.stop_overdue(now, actions);
         self.end_late_jobs(now, actions);
         self.refuse_expired_requests(now, actions);
+        self.age_waiting_jobs(now);
         self.place_waiting(now, actions);
         let retention = self.cfg.answer_retention;
         self.retained_answers.retain(|_, (_, at)| now < *at + retention);
@@ -45,6 +46,19 @@
         }
     }
 
+    /// Moves waiting jobs of less urgent priorities ahead with the time that they wait.
+    fn age_waiting_jobs(&mut self, now: Instant) {
+        let later = self.waiting.iter().rev().take_while(|(order, _)| order.band > 0);
+        let later: Vec<JobId> = later.map(|(_, &id)| id).collect();
+        for id in later {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                self.waiting.remove(&job.order);
+                job.order = job.order.aged(now, job.received_at, job.band);
+                self.waiting.insert(job.order, id);
+            }
+        }
+    }
+
     /// Returns whether a job of which no task was placed can no longer meet its objective.
     fn cannot_meet_objective(&self, now: Instant, delay: Duration, job: &Job) -> bool {
         if job.placed_at.is_some() {
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -229,5 +229,16 @@
         }
             meaning: "A previous process of the agent started the run and no entry claimed it.",
             remedy: "None.";
+        7050 JobShed "job_shed" Info "job shed, as demand exceeds capacity" {
+            job: &'a str = "Id of the job.",
+            route: &'a str = "Route of the request.",
+            priority: u64 = "Priority as which the job counts.",
+            admitted_permille: u64 = "Jobs of the priority that are admitted, of 1,000.",
+            demand: u64 = "Work of the submissions of a second at all entries, in thousandths of a core-second.",
+            capacity: u64 = "Capacity of the usable workers, in thousandths of a core.",
+            age: Duration = "Age of the demand when the decision was made.",
+        }
+            meaning: "The job was refused on arrival, so that more urgent ones and the admitted ones of its priority are served in time. Event 7011 follows.",
+            remedy: "Add workers, or reduce the request rate of the callers of this priority.";
     }
 }
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -301,6 +301,7 @@
             Notice::JobRefused { reason, .. } => {
                 metrics.count(&format!("jobs.refused.{}", reason.as_str()), 1);
             }
+            Notice::JobShed { priority, .. } => metrics.count(&format!("jobs.shed.priority_{priority}"), 1),
             Notice::JobEnded {
                 took,
                 waited,
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -69,17 +69,7 @@
             objective: *objective,
             waiting: *waiting,
         }),
-        BrokerNotice::JobRefused {
-            job,
-            reason,
-            waited,
-            waiting,
-        } => emit(&RunsEvent::JobRefused {
-            job: &format_job_id(*job),
-            reason: reason.as_str(),
-            waited: *waited,
-            waiting: *waiting,
-        }),
+        BrokerNotice::JobRefused { .. } | BrokerNotice::JobShed { .. } => log_refusal_notice(notice),
         BrokerNotice::JobEnded {
             job,
             end,
@@ -260,3 +250,46 @@
         }),
     }
 }
+
+fn log_refusal_notice(notice: &BrokerNotice) {
+    match notice {
+        BrokerNotice::JobRefused {
+            job,
+            reason,
+            waited,
+            waiting,
+        } => emit(&RunsEvent::JobRefused {
+            job: &format_job_id(*job),
+            reason: reason.as_str(),
+            waited: *waited,
+            waiting: *waiting,
+        }),
+        BrokerNotice::JobShed {
+            job,
+            route,
+            priority,
+            fraction,
+            demand,
+            capacity,
+            age,
+        } => emit(&RunsEvent::JobShed {
+            job: &format_job_id(*job),
+            route,
+            priority: u64::from(*priority),
+            admitted_permille: rounded(*fraction * 1_000.0),
+            demand: *demand,
+            capacity: rounded(*capacity),
+            age: *age,
+        }),
+        _ => {}
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the values are positive, and a cast saturates"
+)]
+fn rounded(value: f64) -> u64 {
+    value.round() as u64
+}
