--- a/crates/limits/benches/limits.rs
+++ b/crates/limits/benches/limits.rs
@@ -3,8 +3,8 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use chestnutfork_limits::{Admission, AdmissionRequest, FairQueue, Quotas};
-use chestnutfork_types::ServicePolicy;
+use chestnutfork_limits::{Admission, AdmissionRequest, FairQueue, Quotas, ServiceShedding};
+use chestnutfork_types::{Demand, DemandBand, DemandSum, ServicePolicy};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 
 const TEAMS: usize = 190;
@@ -98,5 +98,44 @@
     });
 }
 
-criterion_group!(benches, queue, quotas, admission);
+/// Returns sums of three priorities with twice a capacity of 10,000.
+fn demand_sums(agents: usize) -> Vec<DemandSum> {
+    let mut demand = Demand::default();
+    for priority in 0..3 {
+        demand.add(DemandBand {
+            priority,
+            jobs: 10,
+            work: 6_667,
+        });
+    }
+    let age = Duration::from_millis(100);
+    vec![DemandSum { demand, age }; agents]
+}
+
+fn shedding(c: &mut Criterion) {
+    let now = Instant::now();
+    let mut shedding = ServiceShedding::default();
+    for agents in [61, 610] {
+        let sums = demand_sums(agents);
+        c.bench_function(&format!("shedding_update_{agents}"), |b| {
+            b.iter(|| shedding.update(now, black_box(sums.clone()), 10_000.0));
+        });
+    }
+    let submission = DemandBand {
+        priority: 2,
+        jobs: 1,
+        work: 400,
+    };
+    c.bench_function("shedding_submission", |b| {
+        b.iter(|| {
+            shedding.record(now, "route", submission);
+            shedding.admit(now, black_box("route"), 2, 0.5)
+        });
+    });
+    c.bench_function("shedding_demand", |b| {
+        b.iter(|| shedding.demand(black_box(now)));
+    });
+}
+
+criterion_group!(benches, queue, quotas, admission, shedding);
 criterion_main!(benches);
