--- a/crates/config/src/page.rs
+++ b/crates/config/src/page.rs
@@ -42,6 +42,14 @@
 ```
 
 Compute the hash of a token with `printf %s "$TOKEN" | sha256sum`.
+
+## Priority of routes
+
+Deployments with leased runs replace a whole table of routes instead (docs/platform.md). The `priority` of a route is a number from
+0, the most urgent, to 4294967295; a route without one has priority 0. It has an effect only if the routes of a service have different
+priorities, and only while the demand for the service exceeds the capacity of its workers by more than 10%: then submissions
+of less urgent routes are refused first, and waiting jobs are placed by priority. Only the order of the numbers counts. At most 8
+priorities of a service are told apart; the less urgent ones beyond count as the eighth. docs/design/load-shedding.md gives the rules.
 "#;
 
 /// Returns the text of `docs/CONFIGURATION.md`.
