broker: Test the wait estimate at an entry with most of the callers

Guards against the refusals by backlog that hit the callers of one failure domain: the part of the demand counts, not an equal part of the workers.

--- a/crates/broker/tests/shedding.rs
+++ b/crates/broker/tests/shedding.rs
@@ -304,3 +304,32 @@
     assert_eq!(refused.len(), 1);
     assert!(refused[0].0 == 1 && refused[0].1 > millis(1_000), "{refused:?}");
 }
+
+/// Guards against refusals by the backlog at an entry with most of the callers, as if it had an equal part of the workers. Load:
+/// 1.2 times the capacity, all of it at one of 13 entries.
+#[test]
+fn submission_waits_by_part_of_demand() {
+    let mut entry = with_priorities(0, 2);
+    entry.handle(Event::EntryCount(13));
+    let mut demand = Demand::default();
+    demand.add(DemandBand {
+        priority: 0,
+        jobs: 140,
+        work: 14_000,
+    });
+    let age = Duration::ZERO;
+    let sum = DemandSum { demand, age };
+    beat_all(&mut entry, Some(sum), false);
+    for number in 0..140 {
+        submit(&mut entry, URGENT, number);
+    }
+    entry.now += millis(60);
+    beat_all(&mut entry, Some(sum), false);
+    entry.actions.clear();
+    for number in 200..220 {
+        submit(&mut entry, URGENT, number);
+    }
+    let shed = entry.actions.iter();
+    let shed = shed.filter(|action| matches!(action, Action::Notice(Notice::JobShed { .. })));
+    assert_eq!(refusals(&entry).len(), shed.count());
+}
