--- a/crates/broker/tests/load/mod.rs
+++ b/crates/broker/tests/load/mod.rs
@@ -423,6 +423,7 @@
             failure_permille: 0,
             available: true,
             last_order: state.last_orders.get(&entry).map_or(0, |(number, _)| *number),
+            demand: None,
         }
     }
 
