net: Bound connections and unfinished requests by a budget

Each connection buffered its request whole, independently of the others, and kept the read buffer of every small chunk allocated. 60 connections with bodies that stop one byte short of 8 MiB raised the peak memory of an entry to 501 MiB.

One actor per process owns a ledger of connections and charged bytes. A connection has an allotment of 8 KiB for its body; a request that outgrows it asks the actor, which charges the capacity of the buffer and a stated factor for the decoded form. If the bytes or the connections are used up, the connection without progress for longest is asked to give up its unfinished request: it answers 503 `overloaded`, or declines with its latest progress. A request that its handler has received is never given up.

Handlers refuse unknown paths and missing tokens from the head; a body over the limit by its declared length is answered 413 before it is read. Heads are limited to 16,384 bytes and receive buffers to 32 KiB. Links that are not authenticated are limited in number and to messages of 4 KiB; an authenticated link gets the limit of links.

Evictions, refusals and dropped handshakes have metrics and the log events 2009 to 2011, at most one of each kind in 10 s.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -2,8 +2,9 @@
 
 use chestnutfork_config::TokenHash;
 use chestnutfork_events::{AgentEvent, emit};
-use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
+use chestnutfork_net::{Body, HttpHandler, header_token, json_response};
 use chestnutfork_wire::RefusalBody;
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use ractor::ActorRef;
 use serde::Deserialize;
@@ -51,23 +52,26 @@
 }
 
 impl HttpHandler for AnnouncementHandler {
-    async fn handle(&self, req: Request<bytes::Bytes>) -> Response<Body> {
-        if req.method() != Method::POST || req.uri().path() != "/v1/announce" {
+    fn refuse(&self, head: &Parts) -> Option<Response<Body>> {
+        if head.method != Method::POST || head.uri.path() != "/v1/announce" {
             let body = RefusalBody::not_run("not_found", "the only path is POST /v1/announce");
-            return json_response(StatusCode::NOT_FOUND, &body);
+            return Some(json_response(StatusCode::NOT_FOUND, &body));
         }
-        if !bearer_token(&req).is_some_and(|token| self.token.matches(&TokenHash::of(token))) {
-            let reason = "the target token is missing or wrong";
-            emit(&AgentEvent::TargetRefused {
-                address: "target",
-                reason,
-            });
-            let body = RefusalBody::not_run(
-                "unauthorized",
-                "present the agent's `target_token` as bearer token",
-            );
-            return json_response(StatusCode::UNAUTHORIZED, &body);
+        if header_token(&head.headers).is_some_and(|token| self.token.matches(&TokenHash::of(token))) {
+            return None;
         }
+        emit(&AgentEvent::TargetRefused {
+            address: "target",
+            reason: "the target token is missing or wrong",
+        });
+        let body = RefusalBody::not_run(
+            "unauthorized",
+            "present the agent's `target_token` as bearer token",
+        );
+        Some(json_response(StatusCode::UNAUTHORIZED, &body))
+    }
+
+    async fn handle(&self, req: Request<bytes::Bytes>) -> Response<Body> {
         let announcement = match serde_json::from_slice::<TargetAnnouncement>(req.body()) {
             Ok(announcement) => announcement,
             Err(error) => {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,8 @@
 
 use chestnutfork_config::TokenHash;
 use chestnutfork_net::{
-    ClusterSecret, DialTemplate, HttpServer, Identity, Metrics, http_client, random_process_id,
+    ClusterSecret, DialTemplate, HttpServer, Identity, Metrics, ProcessLimits, RequestBudget, http_client,
+    random_process_id,
 };
 use chestnutfork_slots::AgentCore;
 use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
@@ -67,6 +68,7 @@
     target_token: TokenHash,
     control_addresses: Vec<String>,
     metrics: Metrics,
+    budget: Option<RequestBudget>,
 }
 
 /// Builder of [`AgentConfig`], created by [`AgentConfig::builder`].
@@ -98,6 +100,7 @@
             target_token: TokenHash::of(""),
             control_addresses: Vec::new(),
             metrics: Metrics::disabled(),
+            budget: None,
         };
         AgentConfigBuilder { cfg }
     }
@@ -139,6 +142,13 @@
         self
     }
 
+    /// Sets the budget for the connections and unfinished requests of the process; the default has default limits.
+    #[must_use]
+    pub fn budget(mut self, budget: RequestBudget) -> Self {
+        self.cfg.budget = Some(budget);
+        self
+    }
+
     /// Builds the configuration.
     #[must_use]
     pub fn build(self) -> AgentConfig {
@@ -209,6 +219,9 @@
             address: cfg.listen.clone(),
             source,
         })?;
+    let budget = cfg
+        .budget
+        .unwrap_or_else(|| RequestBudget::start(ProcessLimits::default(), cfg.metrics.clone()));
     let process = random_process_id();
     let identity = Identity {
         role: Role::Agent,
@@ -245,6 +258,7 @@
         token: cfg.target_token,
     };
     let server = HttpServer::builder(socket)
+        .budget(budget)
         .serve(handler)
         .map_err(|source| AgentError::Listen {
             address: cfg.listen,
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -3,14 +3,15 @@
 use bytes::Bytes;
 use chestnutfork_config::TokenHash;
 use chestnutfork_events::{ControlEvent, emit};
-use chestnutfork_net::{Body, HttpHandler, bearer_token};
+use chestnutfork_net::{Body, HttpHandler, header_token};
 use chestnutfork_operator::body::{
     AUDIT_PATH, CONFIG_PATH, PATCHES_PATH, PatchBody, REPLACE_PATH, ReplaceBody, STATUS_PATH,
 };
 use chestnutfork_types::OperatorName;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ractor::ActorRef;
 use tokio::sync::oneshot;
 
@@ -35,8 +36,13 @@
 }
 
 impl HttpHandler for OperatorHandler {
+    fn refuse(&self, head: &Parts) -> Option<Response<Body>> {
+        let operator = self.authenticate(&head.headers);
+        operator.is_none().then(|| response(reject_unauthenticated()))
+    }
+
     async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
-        let reply = match self.authenticate(&req) {
+        let reply = match self.authenticate(req.headers()) {
             Some(operator) => self.route(operator, &req).await,
             None => reject_unauthenticated(),
         };
@@ -48,8 +54,8 @@
     /// Returns the operator with the request's bearer token.
     ///
     /// All tokens are compared, each in constant time, to avoid a timing side channel.
-    fn authenticate(&self, req: &Request<Bytes>) -> Option<OperatorName> {
-        let token = TokenHash::of(bearer_token(req)?);
+    fn authenticate(&self, headers: &HeaderMap) -> Option<OperatorName> {
+        let token = TokenHash::of(header_token(headers)?);
         let mut found = None;
         for operator in &self.operators {
             if operator.token.matches(&token) {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -6,8 +6,8 @@
 use chestnutfork_config::TokenHash;
 use chestnutfork_events::{ControlEvent, emit};
 use chestnutfork_net::{
-    ClusterSecret, DialTemplate, HttpServer, Identity, LinkTiming, Listener, Metrics, listen, now,
-    random_process_id,
+    ClusterSecret, DialTemplate, HttpServer, Identity, LinkTiming, Listener, Metrics, ProcessLimits,
+    RequestBudget, listen, now, random_process_id,
 };
 use chestnutfork_raft::Config;
 use chestnutfork_settings::ControlSettings;
@@ -53,6 +53,7 @@
     heartbeat: Duration,
     election_timeout: Duration,
     metrics: Metrics,
+    budget: Option<RequestBudget>,
 }
 
 /// Builder of [`ControlConfig`].
@@ -91,6 +92,7 @@
             heartbeat: Duration::from_millis(200),
             election_timeout: Duration::from_secs(1),
             metrics: Metrics::disabled(),
+            budget: None,
         };
         ControlConfigBuilder { cfg }
     }
@@ -115,6 +117,13 @@
         self.metrics = metrics;
         self
     }
+
+    /// Sets the budget of a configuration made from settings.
+    #[must_use]
+    pub fn with_budget(mut self, budget: RequestBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
 }
 
 impl From<&ControlSettings> for ControlConfig {
@@ -199,6 +208,13 @@
         self
     }
 
+    /// Sets the budget for the connections and unfinished requests of the process; the default has default limits.
+    #[must_use]
+    pub fn budget(mut self, budget: RequestBudget) -> Self {
+        self.cfg.budget = Some(budget);
+        self
+    }
+
     /// Builds the configuration.
     #[must_use]
     pub fn build(self) -> ControlConfig {
@@ -325,15 +341,23 @@
         .map_err(|error| ControlError::Actor {
             reason: error.to_string(),
         })?;
+    let budget = cfg
+        .budget
+        .unwrap_or_else(|| RequestBudget::start(ProcessLimits::default(), cfg.metrics.clone()));
     let session_actor = actor.clone();
-    let listener = listen(link_socket, identity, cfg.secret, cfg.metrics, move |session| {
-        run_session(session.timing(cfg.timing), session_actor.clone())
-    });
+    let listener = listen(
+        link_socket,
+        identity,
+        cfg.secret,
+        cfg.metrics,
+        budget.limits(),
+        move |session| run_session(session.timing(cfg.timing), session_actor.clone()),
+    );
     let handler = OperatorHandler {
         actor: actor.clone(),
         operators: cfg.operators,
     };
-    let server = HttpServer::builder(operator_socket).serve(handler);
+    let server = HttpServer::builder(operator_socket).budget(budget).serve(handler);
     let server = server.map_err(|source| ControlError::Listen {
         address: cfg.listen,
         source,
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -7,10 +7,11 @@
 use chestnutfork_config::Document;
 use chestnutfork_dispatch::{JobResult, Ticket};
 use chestnutfork_events::{EntryEvent, emit};
-use chestnutfork_net::{Body, HttpHandler, bearer_token, json_response};
+use chestnutfork_net::{Body, HttpHandler, header_token, json_response};
 use chestnutfork_types::{Execution, Refusal, RefusalCode, TeamName};
 use chestnutfork_wire::{AnswerBody, RefusalBody, SubmitBody, parse_job_id};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ractor::ActorRef;
 use tokio::sync::{oneshot, watch};
 use uuid::Uuid;
@@ -42,6 +43,20 @@
 }
 
 impl HttpHandler for CallerHandler {
+    fn refuse(&self, head: &Parts) -> Option<Response<Body>> {
+        let segments: Vec<_> = head.uri.path().trim_matches('/').split('/').collect();
+        match (&head.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "health"]) => None,
+            (&Method::GET, ["v1", "status"])
+            | (&Method::POST, ["v1", "services", _, "jobs"])
+            | (&Method::DELETE, ["v1", "services", _, "jobs", _]) => {
+                let team = self.authenticate(&head.headers);
+                team.is_none().then(unauthorized_response)
+            }
+            _ => Some(not_found_response()),
+        }
+    }
+
     async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
         let path = req.uri().path().to_owned();
         let segments: Vec<_> = path.trim_matches('/').split('/').collect();
@@ -52,18 +67,15 @@
             (&Method::DELETE, ["v1", "services", service, "jobs", job]) => {
                 self.cancel(&req, service, job).await
             }
-            _ => {
-                let body = RefusalBody::not_run("not_found", "there is no such path; see docs/API.md");
-                json_response(StatusCode::NOT_FOUND, &body)
-            }
+            _ => not_found_response(),
         }
     }
 }
 
 impl CallerHandler {
-    fn authenticate(&self, req: &Request<Bytes>) -> Option<TeamName> {
+    fn authenticate(&self, headers: &HeaderMap) -> Option<TeamName> {
         let document = Arc::clone(&self.documents.borrow());
-        let team = bearer_token(req).and_then(|token| document.team_by_token(token));
+        let team = header_token(headers).and_then(|token| document.team_by_token(token));
         let team = team.map(|team| team.name.clone());
         if team.is_none() {
             emit(&EntryEvent::CallerRejected {
@@ -75,7 +87,7 @@
     }
 
     async fn submit(&self, req: &Request<Bytes>, service: &str) -> Response<Body> {
-        let Some(team) = self.authenticate(req) else {
+        let Some(team) = self.authenticate(req.headers()) else {
             return unauthorized_response();
         };
         let context = RequestContext { service, team: &team };
@@ -113,7 +125,7 @@
     }
 
     async fn cancel(&self, req: &Request<Bytes>, service: &str, job: &str) -> Response<Body> {
-        let Some(team) = self.authenticate(req) else {
+        let Some(team) = self.authenticate(req.headers()) else {
             return unauthorized_response();
         };
         let context = RequestContext { service, team: &team };
@@ -132,7 +144,7 @@
     }
 
     async fn status(&self, req: &Request<Bytes>) -> Response<Body> {
-        let Some(team) = self.authenticate(req) else {
+        let Some(team) = self.authenticate(req.headers()) else {
             return unauthorized_response();
         };
         let (reply, status) = oneshot::channel();
@@ -178,6 +190,11 @@
     Refusal::unknown(RefusalCode::Draining, message)
 }
 
+fn not_found_response() -> Response<Body> {
+    let body = RefusalBody::not_run("not_found", "there is no such path; see docs/API.md");
+    json_response(StatusCode::NOT_FOUND, &body)
+}
+
 fn unauthorized_response() -> Response<Body> {
     let body = RefusalBody::not_run(
         "unauthorized",
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,8 +9,8 @@
 use chestnutfork_config::Document;
 use chestnutfork_dispatch::EntryCore;
 use chestnutfork_net::{
-    ClusterSecret, DialTemplate, HttpLimits, HttpServer, Identity, Listener, Metrics, Session, listen, now,
-    random_process_id,
+    ClusterSecret, DialTemplate, HttpLimits, HttpServer, Identity, Listener, Metrics, ProcessLimits,
+    RequestBudget, Session, listen, now, random_process_id,
 };
 use chestnutfork_subscriber::{Subscription, SubscriptionConfig, subscribe};
 use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
@@ -70,6 +70,7 @@
     max_records: usize,
     http_limits: HttpLimits,
     metrics: Metrics,
+    budget: Option<RequestBudget>,
 }
 
 /// Builder of [`EntryConfig`], created by [`EntryConfig::builder`].
@@ -104,6 +105,7 @@
             max_records: 1_000_000,
             http_limits: HttpLimits::default(),
             metrics: Metrics::disabled(),
+            budget: None,
         };
         EntryConfigBuilder { cfg }
     }
@@ -173,6 +175,13 @@
         self
     }
 
+    /// Sets the budget for the connections and unfinished requests of the process; the default has default limits.
+    #[must_use]
+    pub fn budget(mut self, budget: RequestBudget) -> Self {
+        self.cfg.budget = Some(budget);
+        self
+    }
+
     /// Builds the configuration.
     #[must_use]
     pub fn build(self) -> EntryConfig {
@@ -266,6 +275,9 @@
     if cfg.control_addresses.is_empty() {
         return Err(EntryError::NoControl);
     }
+    let budget = cfg
+        .budget
+        .unwrap_or_else(|| RequestBudget::start(ProcessLimits::default(), cfg.metrics.clone()));
     let caller_socket = bind(&cfg.listen).await?;
     let link_socket = bind(&cfg.peer_listen).await?;
     let local_address = link_socket.local_addr().map_err(|source| EntryError::Listen {
@@ -304,6 +316,7 @@
         identity.clone(),
         cfg.secret.clone(),
         cfg.metrics.clone(),
+        budget.limits(),
         {
             let actor = actor.clone();
             move |session| run_session(session, actor.clone())
@@ -335,6 +348,7 @@
     };
     let server = HttpServer::builder(caller_socket)
         .limits(cfg.http_limits)
+        .budget(budget)
         .serve(handler)
         .map_err(|source| EntryError::Listen {
             address: cfg.listen,
--- a/crates/events/src/catalogue/link.rs
+++ b/crates/events/src/catalogue/link.rs
@@ -59,5 +59,24 @@
         }
             meaning: "Two running processes of one role present the same name; the later one replaces the earlier one.",
             remedy: "Give each process its own `name` in its settings.";
+        2009 RequestsEvicted "requests_evicted" Warn "unfinished requests dropped" {
+            count: u64 = "Requests and idle connections dropped since the last event of this kind.",
+            charged: u64 = "Bytes of unfinished requests that remain charged.",
+            connections: u64 = "Connections that remain open.",
+        }
+            meaning: "Connections or the bytes of unfinished requests reached their limit, so those without progress for longest were dropped; none of the dropped requests has run.",
+            remedy: "Find out who sends requests that do not complete; if they are legitimate, raise the limits in the settings.";
+        2010 RequestsRefused "requests_refused" Warn "requests refused by the limits on clients" {
+            count: u64 = "Requests and connections refused since the last event of this kind.",
+            charged: u64 = "Bytes of unfinished requests that are charged.",
+            connections: u64 = "Open connections.",
+        }
+            meaning: "Connections or the bytes of unfinished requests reached their limit and all requests were in progress, so new ones were refused; none of them has run.",
+            remedy: "Check the load of the process; raise the limits in the settings or add processes.";
+        2011 HandshakesDropped "handshakes_dropped" Warn "unauthenticated links dropped" {
+            count: u64 = "Connections dropped since the last event of this kind.",
+        }
+            meaning: "Too many connections waited for authentication at once, so the oldest of them were dropped.",
+            remedy: "Find out who connects to the port for links; processes of the deployment connect again by themselves.";
     }
 }
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -4,7 +4,8 @@
 
 use chestnutfork_broker::{BrokerConfig, BrokerCore};
 use chestnutfork_net::{
-    ClusterSecret, DialTemplate, Identity, LinkTiming, Listener, Metrics, listen, random_process_id,
+    ClusterSecret, DialTemplate, Identity, LinkTiming, Listener, Metrics, ProcessLimits, listen,
+    random_process_id,
 };
 use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
 use chestnutfork_wire::Role;
@@ -35,6 +36,7 @@
     remote_factor: f64,
     resubmission_delay: Duration,
     metrics: Metrics,
+    limits: ProcessLimits,
 }
 
 /// Builder of [`NodeConfig`].
@@ -69,6 +71,7 @@
             remote_factor: 1.5,
             resubmission_delay: Duration::from_millis(1_300),
             metrics: Metrics::disabled(),
+            limits: ProcessLimits::default(),
         };
         NodeConfigBuilder { cfg }
     }
@@ -124,6 +127,11 @@
         metrics: Metrics
     );
 
+    setter!(
+        /// Sets the limits on links that are not authenticated.
+        limits: ProcessLimits
+    );
+
     /// Returns the configuration.
     #[must_use]
     pub fn build(self) -> NodeConfig {
@@ -264,9 +272,14 @@
         .map_err(|error| actor_error(&error))?;
     let links = AgentLinkHandler { actor: actor.clone() };
     let timing = cfg.timing;
-    let listener = listen(socket, identity, cfg.secret, cfg.metrics, move |session| {
-        session.timing(timing).run(links.clone())
-    });
+    let listener = listen(
+        socket,
+        identity,
+        cfg.secret,
+        cfg.metrics,
+        cfg.limits,
+        move |session| session.timing(timing).run(links.clone()),
+    );
     Ok(RunningEntry {
         process,
         address,
--- /dev/null
+++ b/crates/net/src/budget.rs
@@ -0,0 +1,392 @@
+//! Budget for the connections and the unfinished requests of a process.
+//!
+//! One actor owns the [`Ledger`]. A connection has an allotment of its own; only a request that outgrows it asks the
+//! actor for bytes. If they are not available, the actor asks the connection without progress for longest to give up its
+//! request. The connection answers with its latest progress if it is newer than the actor knows, so ordinary requests
+//! report no progress.
+
+mod ledger;
+mod limits;
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use chestnutfork_events::{LinkEvent, ProcessEvent, emit};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::metrics::Metrics;
+use crate::wakeup::now;
+pub(crate) use ledger::ConnectionNumber;
+use ledger::Ledger;
+pub use limits::ProcessLimits;
+pub(crate) use limits::{ALLOTMENT_BYTES, EVICTION_TIMEOUT, RECEIVE_BUFFER_BYTES};
+
+/// Maximum number of connections that are asked on behalf of one request; if all of them are in use, the request is
+/// refused. It bounds the work for each refusal under overload.
+const MAX_ASKED: u32 = 64;
+/// Minimum interval between log events of one kind.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Handle to the budget of a process; clones share one budget.
+#[derive(Clone, Debug)]
+pub struct RequestBudget {
+    limits: ProcessLimits,
+    messages: mpsc::UnboundedSender<BudgetMessage>,
+}
+
+/// Request to a connection to give up its unfinished request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Evict {
+    /// Latest progress that the budget knows of; a connection with newer progress declines.
+    pub(crate) known_progress: Instant,
+}
+
+/// Connection that counts towards the budget; dropping it ends that.
+#[derive(Debug)]
+pub(crate) struct BudgetedConnection {
+    pub(crate) account: Account,
+    pub(crate) evictions: mpsc::Receiver<Evict>,
+}
+
+/// Access of a connection to the budget.
+#[derive(Debug)]
+pub(crate) struct Account {
+    number: ConnectionNumber,
+    messages: mpsc::UnboundedSender<BudgetMessage>,
+}
+
+/// The budget has ended, so the server must stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BudgetEnded;
+
+#[derive(Debug)]
+enum BudgetMessage {
+    Open(oneshot::Sender<Option<BudgetedConnection>>),
+    Charge {
+        connection: ConnectionNumber,
+        bytes: usize,
+        reply: oneshot::Sender<bool>,
+    },
+    Release(ConnectionNumber),
+    /// A connection declines to give up its request.
+    Progressed {
+        connection: ConnectionNumber,
+        at: Instant,
+    },
+    Close(ConnectionNumber),
+}
+
+impl RequestBudget {
+    /// Starts the actor of a budget. It ends when the last handle has been dropped.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::{Metrics, ProcessLimits, RequestBudget};
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// let budget = RequestBudget::start(ProcessLimits::default(), Metrics::disabled());
+    /// # let _ = budget;
+    /// # });
+    /// ```
+    #[must_use]
+    pub fn start(limits: ProcessLimits, metrics: Metrics) -> Self {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let actor = BudgetActor {
+            ledger: Ledger::new(limits.max_connections(), limits.max_request_bytes()),
+            connections: HashMap::new(),
+            pending: VecDeque::new(),
+            asked: None,
+            next_number: 0,
+            // The handle of the budget keeps the actor running, not the actor itself.
+            messages: messages.downgrade(),
+            metrics,
+            evictions: Occurrences::default(),
+            refusals: Occurrences::default(),
+        };
+        tokio::spawn(actor.run(inbox));
+        Self { limits, messages }
+    }
+
+    /// Returns the limits that the budget has been started with.
+    #[must_use]
+    pub fn limits(&self) -> ProcessLimits {
+        self.limits
+    }
+
+    /// Adds a connection, or returns `None` if the limit is reached and no connection can be closed for it.
+    pub(crate) async fn open(&self) -> Result<Option<BudgetedConnection>, BudgetEnded> {
+        let (reply, opened) = oneshot::channel();
+        let sent = self.messages.send(BudgetMessage::Open(reply));
+        let opened = if sent.is_ok() { opened.await.ok() } else { None };
+        opened.ok_or_else(|| {
+            emit(&ProcessEvent::ActorFailed {
+                actor: "request budget",
+                error: "the task has ended",
+            });
+            BudgetEnded
+        })
+    }
+}
+
+impl Account {
+    /// Requests that the charge of this connection is raised to `bytes`; returns whether it is.
+    pub(crate) async fn charge(&self, bytes: usize) -> bool {
+        let (reply, granted) = oneshot::channel();
+        let connection = self.number;
+        let message = BudgetMessage::Charge {
+            connection,
+            bytes,
+            reply,
+        };
+        self.messages.send(message).is_ok() && granted.await.unwrap_or(false)
+    }
+
+    /// Ends the charge of this connection.
+    pub(crate) fn release(&self) {
+        // Without an actor there is nothing to release.
+        let _ = self.messages.send(BudgetMessage::Release(self.number));
+    }
+
+    /// Declines to give up the request, because of progress at the given time.
+    pub(crate) fn decline(&self, at: Instant) {
+        let connection = self.number;
+        let _ = self.messages.send(BudgetMessage::Progressed { connection, at });
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let _ = self.messages.send(BudgetMessage::Close(self.number));
+    }
+}
+
+/// Request that waits until another one has been given up.
+#[derive(Debug)]
+struct Pending {
+    demand: Demand,
+    since: Instant,
+    asked: u32,
+}
+
+#[derive(Debug)]
+enum Demand {
+    Connection(oneshot::Sender<Option<BudgetedConnection>>),
+    Bytes {
+        connection: ConnectionNumber,
+        bytes: usize,
+        reply: oneshot::Sender<bool>,
+    },
+}
+
+/// Number of occurrences since the last log event.
+#[derive(Debug, Default)]
+pub(crate) struct Occurrences {
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+impl Occurrences {
+    /// Counts an occurrence, and returns the count if it is to be logged now.
+    pub(crate) fn add(&mut self, now: Instant) -> Option<u64> {
+        self.count += 1;
+        let due = self
+            .logged_at
+            .is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
+        due.then(|| {
+            self.logged_at = Some(now);
+            std::mem::take(&mut self.count)
+        })
+    }
+}
+
+#[derive(Debug)]
+struct BudgetActor {
+    ledger: Ledger,
+    connections: HashMap<ConnectionNumber, mpsc::Sender<Evict>>,
+    pending: VecDeque<Pending>,
+    /// Connection that has been asked to give up its request and has not answered.
+    asked: Option<ConnectionNumber>,
+    next_number: ConnectionNumber,
+    messages: mpsc::WeakUnboundedSender<BudgetMessage>,
+    metrics: Metrics,
+    evictions: Occurrences,
+    refusals: Occurrences,
+}
+
+impl BudgetActor {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<BudgetMessage>) {
+        while let Some(message) = inbox.recv().await {
+            self.handle(message, now());
+            self.serve_pending(now());
+        }
+    }
+
+    fn handle(&mut self, message: BudgetMessage, now: Instant) {
+        match message {
+            BudgetMessage::Open(reply) => self.enqueue(Demand::Connection(reply), now),
+            BudgetMessage::Charge {
+                connection,
+                bytes,
+                reply,
+            } => {
+                let demand = Demand::Bytes {
+                    connection,
+                    bytes,
+                    reply,
+                };
+                self.enqueue(demand, now);
+            }
+            BudgetMessage::Release(connection) => {
+                self.ledger.charge(connection, 0, now);
+                self.answered(connection, true, now);
+            }
+            BudgetMessage::Progressed { connection, at } => {
+                self.ledger.progressed(connection, at);
+                self.answered(connection, false, now);
+            }
+            BudgetMessage::Close(connection) => {
+                self.ledger.close(connection);
+                self.connections.remove(&connection);
+                self.answered(connection, true, now);
+            }
+        }
+    }
+
+    fn enqueue(&mut self, demand: Demand, now: Instant) {
+        self.pending.push_back(Pending {
+            demand,
+            since: now,
+            asked: 0,
+        });
+    }
+
+    /// Records that the connection that was asked has answered.
+    fn answered(&mut self, connection: ConnectionNumber, gave_up: bool, now: Instant) {
+        if self.asked != Some(connection) {
+            return;
+        }
+        self.asked = None;
+        if !gave_up {
+            return;
+        }
+        self.metrics.count("http.evictions", 1);
+        if let Some(count) = self.evictions.add(now) {
+            emit(&LinkEvent::RequestsEvicted {
+                count,
+                charged: self.ledger.charged() as u64,
+                connections: self.ledger.connections() as u64,
+            });
+        }
+    }
+
+    /// Serves waiting requests in their order until one needs another connection to give up its request.
+    fn serve_pending(&mut self, now: Instant) {
+        while self.asked.is_none() {
+            let Some(pending) = self.pending.pop_front() else {
+                return;
+            };
+            if let Some(mut pending) = self.serve(pending, now) {
+                if self.ask(&pending) {
+                    pending.asked += 1;
+                    self.pending.push_front(pending);
+                } else {
+                    self.refuse(pending.demand, now);
+                }
+            }
+        }
+    }
+
+    /// Serves a request if it fits, and returns it otherwise.
+    fn serve(&mut self, pending: Pending, now: Instant) -> Option<Pending> {
+        let Pending { demand, since, asked } = pending;
+        let demand = match demand {
+            Demand::Connection(reply) => {
+                if self.ledger.open(self.next_number, now) {
+                    self.add_connection(reply);
+                    return None;
+                }
+                Demand::Connection(reply)
+            }
+            Demand::Bytes {
+                connection,
+                bytes,
+                reply,
+            } => {
+                if reply.is_closed() {
+                    // The request was given up while it waited.
+                    return None;
+                }
+                if self.ledger.charge(connection, bytes, now) {
+                    // A reply that is not received is followed by a release or the end of the connection.
+                    let _ = reply.send(true);
+                    return None;
+                }
+                Demand::Bytes {
+                    connection,
+                    bytes,
+                    reply,
+                }
+            }
+        };
+        Some(Pending { demand, since, asked })
+    }
+
+    fn add_connection(&mut self, reply: oneshot::Sender<Option<BudgetedConnection>>) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let Some(messages) = self.messages.upgrade() else {
+            return;
+        };
+        // At most one question is unanswered.
+        let (ask, evictions) = mpsc::channel(1);
+        self.connections.insert(number, ask);
+        self.metrics
+            .gauge("http.connections", self.ledger.connections() as u64);
+        let account = Account { number, messages };
+        // If the reply is not received, dropping the account closes it.
+        let _ = reply.send(Some(BudgetedConnection { account, evictions }));
+    }
+
+    /// Asks the connection without progress for longest to give up its request; returns whether there is one.
+    fn ask(&mut self, pending: &Pending) -> bool {
+        let (needs_bytes, own) = match pending.demand {
+            Demand::Connection(_) => (false, None),
+            Demand::Bytes { connection, .. } => (true, Some(connection)),
+        };
+        if pending.asked >= MAX_ASKED {
+            return false;
+        }
+        // A connection that does not receive the question ends soon, which closes its account.
+        let longest = self
+            .ledger
+            .longest_without_progress(pending.since, needs_bytes, |number| Some(number) == own);
+        let Some((connection, known_progress)) = longest else {
+            return false;
+        };
+        if let Some(ask) = self.connections.get(&connection) {
+            let _ = ask.try_send(Evict { known_progress });
+        }
+        self.asked = Some(connection);
+        true
+    }
+
+    fn refuse(&mut self, demand: Demand, now: Instant) {
+        self.metrics.count("http.refusals", 1);
+        if let Some(count) = self.refusals.add(now) {
+            emit(&LinkEvent::RequestsRefused {
+                count,
+                charged: self.ledger.charged() as u64,
+                connections: self.ledger.connections() as u64,
+            });
+        }
+        match demand {
+            Demand::Connection(reply) => {
+                let _ = reply.send(None);
+            }
+            Demand::Bytes { reply, .. } => {
+                let _ = reply.send(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/budget/ledger.rs
@@ -0,0 +1,175 @@
+//! Bookkeeping of the connections and of the bytes that unfinished requests have allocated.
+//!
+//! Plain data without sockets, tasks or a clock. The actor of the budget owns one ledger.
+
+use std::collections::BTreeMap;
+
+use std::time::Instant;
+
+/// Number of a connection within its budget.
+pub(crate) type ConnectionNumber = u64;
+
+/// State of one connection as far as the budget knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Account {
+    /// Bytes charged in addition to the allotment of the connection.
+    charged: usize,
+    /// Latest known progress; the connection corrects it when it is asked to give up its request.
+    progressed_at: Instant,
+}
+
+/// Connections and charged bytes of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct Ledger {
+    max_connections: usize,
+    max_bytes: usize,
+    accounts: BTreeMap<ConnectionNumber, Account>,
+    charged: usize,
+}
+
+impl Ledger {
+    pub(crate) fn new(max_connections: usize, max_bytes: usize) -> Self {
+        Self {
+            max_connections,
+            max_bytes,
+            accounts: BTreeMap::new(),
+            charged: 0,
+        }
+    }
+
+    /// Returns the charged bytes of all requests.
+    pub(crate) fn charged(&self) -> usize {
+        self.charged
+    }
+
+    /// Returns the number of connections.
+    pub(crate) fn connections(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Adds a connection, and returns false if the limit is reached.
+    pub(crate) fn open(&mut self, connection: ConnectionNumber, now: Instant) -> bool {
+        if self.accounts.len() >= self.max_connections {
+            return false;
+        }
+        let account = Account {
+            charged: 0,
+            progressed_at: now,
+        };
+        self.accounts.insert(connection, account);
+        true
+    }
+
+    /// Removes a connection with its charge.
+    pub(crate) fn close(&mut self, connection: ConnectionNumber) {
+        if let Some(account) = self.accounts.remove(&connection) {
+            self.charged -= account.charged;
+        }
+    }
+
+    /// Sets the charge of a connection, and returns false and changes nothing if it does not fit.
+    ///
+    /// A lower charge always fits. A connection that is not open gets none.
+    pub(crate) fn charge(&mut self, connection: ConnectionNumber, bytes: usize, now: Instant) -> bool {
+        let Some(account) = self.accounts.get_mut(&connection) else {
+            return false;
+        };
+        account.progressed_at = now;
+        let charged = self.charged - account.charged + bytes;
+        if charged > self.max_bytes && bytes > account.charged {
+            return false;
+        }
+        account.charged = bytes;
+        self.charged = charged;
+        true
+    }
+
+    /// Corrects the latest progress of a connection.
+    pub(crate) fn progressed(&mut self, connection: ConnectionNumber, at: Instant) {
+        if let Some(account) = self.accounts.get_mut(&connection) {
+            account.progressed_at = at;
+        }
+    }
+
+    /// Returns the connection without progress for longest, and its latest known progress.
+    ///
+    /// Only connections without progress since `before` count, and, if `charged` is set, only those with a charge.
+    /// Connections for which `excluded` is true do not count.
+    pub(crate) fn longest_without_progress(
+        &self,
+        before: Instant,
+        charged: bool,
+        excluded: impl Fn(ConnectionNumber) -> bool,
+    ) -> Option<(ConnectionNumber, Instant)> {
+        let candidates = self.accounts.iter().filter(|(number, account)| {
+            account.progressed_at < before && (!charged || account.charged > 0) && !excluded(**number)
+        });
+        let oldest = candidates.min_by_key(|(_, account)| account.progressed_at);
+        oldest.map(|(number, account)| (*number, account.progressed_at))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+
+    fn at(start: Instant, ms: u64) -> Instant {
+        start + Duration::from_millis(ms)
+    }
+
+    /// Answers the load of many large bodies at once: guards against charges beyond the limit.
+    #[test]
+    fn charge_beyond_limit() {
+        let start = Instant::now();
+        let mut ledger = Ledger::new(4, 100);
+        assert!(ledger.open(1, start) && ledger.open(2, start));
+        assert!(ledger.charge(1, 60, start));
+        assert!(!ledger.charge(2, 60, start));
+        assert!(ledger.charge(2, 40, start));
+        assert_eq!(ledger.charged(), 100);
+        ledger.close(1);
+        assert_eq!(ledger.charged(), 40);
+        assert!(ledger.charge(2, 100, start));
+        assert!(!ledger.charge(3, 0, start));
+    }
+
+    /// Answers the load of connections that stay open: guards against connections beyond the limit.
+    #[test]
+    fn open_beyond_limit() {
+        let start = Instant::now();
+        let mut ledger = Ledger::new(1, 100);
+        assert!(ledger.open(1, start));
+        assert!(!ledger.open(2, start));
+        ledger.close(1);
+        assert!(ledger.open(2, start));
+        assert_eq!(ledger.connections(), 1);
+    }
+
+    /// Answers the load of bodies that stop one byte short: guards against dropping a request that still progresses.
+    #[test]
+    fn longest_without_progress_order() {
+        let start = Instant::now();
+        let mut ledger = Ledger::new(4, 100);
+        for number in 1..=3 {
+            assert!(ledger.open(number, at(start, number)));
+        }
+        assert!(ledger.charge(3, 10, at(start, 3)) && ledger.charge(2, 10, at(start, 4)));
+        let oldest = |ledger: &Ledger, charged| {
+            let oldest = ledger.longest_without_progress(at(start, 10), charged, |_| false);
+            oldest.map(|(number, _)| number)
+        };
+        assert_eq!(oldest(&ledger, false), Some(1));
+        assert_eq!(oldest(&ledger, true), Some(3));
+        ledger.progressed(3, at(start, 5));
+        assert_eq!(oldest(&ledger, true), Some(2));
+        ledger.progressed(2, at(start, 10));
+        ledger.progressed(3, at(start, 10));
+        assert_eq!(oldest(&ledger, true), None);
+        assert_eq!(
+            ledger.longest_without_progress(at(start, 10), false, |number| number == 1),
+            None
+        );
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/connection.rs
@@ -0,0 +1,267 @@
+//! One connection of an HTTP server: its requests, its time limits and the eviction of its unfinished request.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use chestnutfork_wire::RefusalBody;
+
+use super::body::{BodyError, BodyReader, discard_later};
+use super::message::{Body, json_response};
+use super::server::{HttpHandler, HttpLimits};
+use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict};
+use crate::wakeup::now;
+
+/// Message of a refusal because of the budget.
+const OVERLOADED: &str = "the server has no memory for this request; send it again later";
+
+/// Configuration that the connections of a server share.
+#[derive(Clone, Debug)]
+pub(super) struct ConnectionConfig<H> {
+    pub(super) limits: HttpLimits,
+    /// Size of a decoded body relative to the body.
+    pub(super) decoded_factor: usize,
+    pub(super) max_head: usize,
+    pub(super) handler: H,
+}
+
+/// What a connection does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// No complete head of a request has arrived.
+    Waiting,
+    /// The body is being received.
+    Receiving,
+    /// The handler has the request, which can no longer be refused.
+    Running,
+    /// The request has been given up.
+    Evicted,
+}
+
+/// Phase of a connection and the time of its latest progress.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Activity {
+    pub(super) phase: Phase,
+    pub(super) progressed_at: Instant,
+}
+
+impl Activity {
+    pub(super) fn now(phase: Phase) -> Self {
+        Self {
+            phase,
+            progressed_at: now(),
+        }
+    }
+}
+
+/// Serves a connection until it closes; on shutdown, the request in progress is completed first.
+pub(super) async fn serve_connection<H: HttpHandler>(
+    stream: TcpStream,
+    budgeted: BudgetedConnection,
+    config: ConnectionConfig<H>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    // A failure affects only latency.
+    let _ = stream.set_nodelay(true);
+    let BudgetedConnection {
+        account,
+        mut evictions,
+    } = budgeted;
+    let account = Arc::new(account);
+    let (activity, latest_activity) = watch::channel(Activity::now(Phase::Waiting));
+    let (limits, max_head) = (config.limits, config.max_head);
+    let exchange = Exchange {
+        config,
+        account: Arc::clone(&account),
+        activity: activity.clone(),
+    };
+    let service = service_fn(move |req| {
+        let exchange = exchange.clone();
+        async move { Ok::<_, Infallible>(exchange.respond(req).await) }
+    });
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(max_head)
+        .serve_connection(TokioIo::new(stream), service);
+    let ended = loop {
+        tokio::select! {
+            ended = &mut connection => break Some(ended),
+            () = stop_requested(&mut stopped) => {
+                Pin::new(&mut connection).graceful_shutdown();
+                break Some((&mut connection).await);
+            }
+            Some(evict) = evictions.recv() => {
+                let latest = *latest_activity.borrow();
+                if !gives_up(latest, evict) {
+                    account.decline(declined_at(latest));
+                } else if latest.phase == Phase::Receiving {
+                    activity.send_replace(Activity::now(Phase::Evicted));
+                    // The body reader answers; a caller that does not read the response gets none.
+                    let _ = timeout(EVICTION_TIMEOUT, &mut connection).await;
+                    return;
+                } else {
+                    break None;
+                }
+            }
+        }
+    };
+    match ended {
+        None => {
+            let parts = connection.into_parts();
+            // A connection between two requests is closed without a response, which its caller would not expect.
+            if !parts.read_buf.is_empty() {
+                let response = Refusal {
+                    status: "503 Service Unavailable\r\nretry-after: 1",
+                    code: "overloaded",
+                    message: OVERLOADED,
+                };
+                response.send(parts.io.into_inner()).await;
+            }
+        }
+        // Any other error is a failure of the caller's connection, or hyper has answered it with 400 or 431.
+        Some(ended) if ended.as_ref().is_err_and(hyper::Error::is_timeout) => {
+            let response = Refusal {
+                status: "408 Request Timeout",
+                code: "header_timeout",
+                message: "the header did not arrive in time; send the request again",
+            };
+            response.send(connection.into_parts().io.into_inner()).await;
+        }
+        Some(_) => {}
+    }
+}
+
+/// Waits until the server stops.
+async fn stop_requested(stopped: &mut watch::Receiver<bool>) {
+    // An error means that the server has been dropped, which also shuts down the connection.
+    let _ = stopped.wait_for(|stop| *stop).await;
+}
+
+/// Returns whether a connection gives up its request.
+fn gives_up(latest: Activity, evict: Evict) -> bool {
+    latest.phase != Phase::Running && latest.progressed_at <= evict.known_progress
+}
+
+/// Returns the progress that a connection reports when it keeps its request; one that runs makes progress all the time.
+fn declined_at(latest: Activity) -> Instant {
+    match latest.phase {
+        Phase::Running => now(),
+        Phase::Waiting | Phase::Receiving | Phase::Evicted => latest.progressed_at,
+    }
+}
+
+/// Response to a request whose head is not complete. hyper closes such a connection without a response.
+struct Refusal {
+    status: &'static str,
+    code: &'static str,
+    message: &'static str,
+}
+
+impl Refusal {
+    async fn send(self, mut stream: TcpStream) {
+        let body = RefusalBody::not_run(self.code, self.message);
+        let body = serde_json::to_string(&body).unwrap_or_default();
+        let response = format!(
+            "HTTP/1.1 {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+            self.status,
+            body.len()
+        );
+        // Errors are ignored, because the caller may have disconnected. A caller that does not read earlier responses
+        // gets none.
+        let sent = async {
+            let _ = stream.write_all(response.as_bytes()).await;
+            let _ = stream.shutdown().await;
+        };
+        let _ = timeout(EVICTION_TIMEOUT, sent).await;
+    }
+}
+
+/// Requests of one connection.
+#[derive(Clone, Debug)]
+struct Exchange<H> {
+    config: ConnectionConfig<H>,
+    account: Arc<Account>,
+    activity: watch::Sender<Activity>,
+}
+
+impl<H: HttpHandler> Exchange<H> {
+    async fn respond(self, req: Request<Incoming>) -> Response<Body> {
+        self.activity.send_replace(Activity::now(Phase::Receiving));
+        let response = self.receive_and_handle(req).await;
+        self.activity.send_if_modified(|activity| {
+            let evicted = activity.phase == Phase::Evicted;
+            if !evicted {
+                *activity = Activity::now(Phase::Waiting);
+            }
+            !evicted
+        });
+        response
+    }
+
+    async fn receive_and_handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let (parts, mut body) = req.into_parts();
+        let limits = self.config.limits;
+        if let Some(response) = self.config.handler.refuse(&parts) {
+            discard_later(body, limits.body_timeout);
+            return response;
+        }
+        if body.size_hint().lower() > limits.max_body as u64 {
+            discard_later(body, limits.body_timeout);
+            return too_large(limits.max_body);
+        }
+        let mut reader = BodyReader::new(
+            &self.account,
+            &self.activity,
+            limits.max_body,
+            self.config.decoded_factor,
+        );
+        let content = match timeout(limits.body_timeout, reader.read(&mut body)).await {
+            Ok(Ok(content)) => content,
+            Ok(Err(BodyError::TooLarge)) => {
+                discard_later(body, limits.body_timeout);
+                return too_large(limits.max_body);
+            }
+            Ok(Err(BodyError::Overloaded)) => {
+                let body = RefusalBody::not_run("overloaded", OVERLOADED);
+                let mut response = json_response(StatusCode::SERVICE_UNAVAILABLE, &body);
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                return response;
+            }
+            Ok(Err(BodyError::Incomplete(error))) => {
+                let message = format!("the body is incomplete: {error}; send the request again");
+                let body = RefusalBody::not_run("body_incomplete", message);
+                return json_response(StatusCode::BAD_REQUEST, &body);
+            }
+            Err(_) => {
+                let message = "the body did not arrive in time; send the request again";
+                let body = RefusalBody::not_run("body_timeout", message);
+                return json_response(StatusCode::REQUEST_TIMEOUT, &body);
+            }
+        };
+        self.activity.send_replace(Activity::now(Phase::Running));
+        // The charge ends with the reader, after the handler has returned.
+        self.config
+            .handler
+            .handle(Request::from_parts(parts, content))
+            .await
+    }
+}
+
+fn too_large(max_body: usize) -> Response<Body> {
+    let message = format!("the body exceeds {max_body} bytes; split the job");
+    let body = RefusalBody::not_run("body_too_large", message);
+    json_response(StatusCode::PAYLOAD_TOO_LARGE, &body)
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! frames, sends heartbeats and detects a peer that has stopped responding. Roles receive link events through a
 //! [`LinkHandler`] and send messages through a [`LinkSender`]; they never access a socket or an encoding buffer.
 
+mod budget;
 mod dial;
 mod handshake;
 mod http;
@@ -16,10 +17,11 @@
 mod timing;
 mod wakeup;
 
+pub use budget::{ProcessLimits, RequestBudget};
 pub use dial::{DialConfig, DialConfigBuilder, DialTemplate, Dialer, dial};
 pub use http::{
-    Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, http_client,
-    json_response,
+    Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, header_token,
+    http_client, json_response,
 };
 pub use identity::{ClusterSecret, Identity, random_process_id};
 pub use link::{LinkError, LinkHandler, LinkId, LinkSender, Session};
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -16,12 +16,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role as SocketRole, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use chestnutfork_events::{LinkEvent, emit};
 use chestnutfork_wire::{CodecError, PROTOCOL_VERSION, decode_frame, encode};
 
+use crate::handshake::MAX_HANDSHAKE_BYTES;
 use crate::identity::Identity;
 use crate::metrics::Metrics;
 use crate::timing::LinkTiming;
@@ -52,6 +53,23 @@
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
+/// Returns the configuration of the WebSocket connection until the peer is authenticated: a larger message fails as soon
+/// as its header has arrived.
+pub(crate) fn handshake_config() -> WebSocketConfig {
+    socket_config()
+        .max_message_size(Some(MAX_HANDSHAKE_BYTES))
+        .max_frame_size(Some(MAX_HANDSHAKE_BYTES))
+}
+
+/// Raises the limit on messages of an accepted connection to that of an authenticated link.
+///
+/// The connection has no unread bytes: after its proof, the peer sends nothing until it has received the welcome, which
+/// has just been sent.
+pub(crate) async fn allow_link_messages(socket: WebSocketStream<TcpStream>) -> WebSocketStream<TcpStream> {
+    let config = Some(socket_config());
+    WebSocketStream::from_raw_socket(socket.into_inner(), SocketRole::Server, config).await
+}
+
 /// Reason why a link could not be opened or was closed.
 #[derive(Debug, Error)]
 pub enum LinkError {
--- a/crates/net/tests/link.rs
+++ b/crates/net/tests/link.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use chestnutfork_net::{
-    ClusterSecret, DialConfig, Identity, LinkError, LinkHandler, LinkId, LinkSender, Listener, Metrics, dial,
-    listen,
+    ClusterSecret, DialConfig, Identity, LinkError, LinkHandler, LinkId, LinkSender, Listener, Metrics,
+    ProcessLimits, dial, listen,
 };
 use chestnutfork_wire::Role;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,9 +54,14 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let local = identity(Role::Entry, "entry-1", 1);
     let secret = ClusterSecret::new(secret);
-    let listener = listen(socket, local, secret, Metrics::disabled(), move |session| {
-        session.run(Recorder(tx.clone()))
-    });
+    let listener = listen(
+        socket,
+        local,
+        secret,
+        Metrics::disabled(),
+        ProcessLimits::default(),
+        move |session| session.run(Recorder(tx.clone())),
+    );
     (listener, address, rx)
 }
 
