settings: Add the limits of a process

The limits on connections and unfinished requests had no settings. The entry, agent and control roles get `limits.memory_mb`, `limits.max_fds` and `limits.max_header_bytes`; the bounds derive from them.

--- a/crates/cli/src/roles/agent.rs
+++ b/crates/cli/src/roles/agent.rs
@@ -27,6 +27,7 @@
     let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, AgentSettings::load)?;
     let process = RoleProcess::new(Role::Agent, settings.process.clone(), signals)?;
+    let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
     let cfg = AgentConfig::builder(
         settings.process.name,
@@ -36,7 +37,8 @@
     .listen(settings.listen.to_string())
     .target_token(settings.target_token.expose())
     .control_addresses(settings.control.iter().map(ToString::to_string).collect())
-    .metrics(process.metrics())
+    .metrics(metrics.clone())
+    .budget(process::start_budget(settings.limits, metrics))
     .build();
     let agent = start(cfg).await.map_err(|error| match &error {
         AgentError::Listen { address, source } => report_listen_failure(address, source),
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -27,8 +27,11 @@
     let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, ControlSettings::load)?;
     let process = RoleProcess::new(Role::Control, settings.process.clone(), signals)?;
+    let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
-    let cfg = ControlConfig::from(&settings).with_metrics(process.metrics());
+    let cfg = ControlConfig::from(&settings)
+        .with_metrics(metrics.clone())
+        .with_budget(process::start_budget(settings.limits, metrics));
     let folder = DiskFolder::open(&settings.data_dir).map_err(|error| report_error(&error))?;
     let control = start(cfg, folder).await.map_err(|error| match &error {
         ControlError::Listen { address, source } => report_listen_failure(address, source),
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -27,6 +27,7 @@
     let signals = process::install_signal_handlers()?;
     let settings = process::load_settings(matches, EntrySettings::load)?;
     let process = RoleProcess::new(Role::Entry, settings.process.clone(), signals)?;
+    let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
     let cfg = EntryConfig::builder(
         settings.process.name,
@@ -39,7 +40,8 @@
     .control_addresses(settings.control.iter().map(ToString::to_string).collect())
     .max_records(settings.register.max_records)
     .retention(settings.register.retention)
-    .metrics(process.metrics())
+    .metrics(metrics.clone())
+    .budget(process::start_budget(settings.limits, metrics))
     .build();
     let entry = start(cfg).await.map_err(|error| match &error {
         EntryError::Listen { address, source } => report_listen_failure(address, source),
--- a/crates/cli/src/roles/fleet.rs
+++ b/crates/cli/src/roles/fleet.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use chestnutfork_events::{Format, ProcessEvent, Severity, emit};
-use chestnutfork_net::{HttpServer, Metrics, MetricsRegistry};
+use chestnutfork_net::{HttpServer, Metrics, MetricsRegistry, ProcessLimits, RequestBudget};
 use chestnutfork_platform::nodes::{
     Node, StartError, start_agent_node, start_control_node, start_entry_node,
 };
@@ -135,7 +135,8 @@
 ) -> Option<HttpServer> {
     let address = settings.bind_address(SocketAddr::new(settings.link_address.ip(), port?));
     let socket = TcpListener::bind(address).await;
-    match socket.and_then(|socket| HttpServer::builder(socket).serve(registry)) {
+    let budget = RequestBudget::start(ProcessLimits::monitoring(), Metrics::disabled());
+    match socket.and_then(|socket| HttpServer::builder(socket).budget(budget).serve(registry)) {
         Ok(server) => Some(server),
         Err(error) => {
             emit(&ProcessEvent::MetricsFailed {
--- a/crates/cli/src/roles/process.rs
+++ b/crates/cli/src/roles/process.rs
@@ -6,8 +6,8 @@
 use std::process::ExitCode;
 
 use chestnutfork_events::{Format, ProcessEvent, Severity, emit};
-use chestnutfork_net::Metrics;
-use chestnutfork_settings::{ProcessSettings, Role, SettingsError};
+use chestnutfork_net::{Metrics, ProcessLimits, RequestBudget};
+use chestnutfork_settings::{LimitSettings, ProcessSettings, Role, SettingsError};
 use chestnutfork_types::ProcessId;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -182,3 +182,9 @@
     });
     ExitCode::FAILURE
 }
+
+/// Starts the budget for the connections and unfinished requests of a process.
+pub(crate) fn start_budget(limits: LimitSettings, metrics: Metrics) -> RequestBudget {
+    let process = ProcessLimits::new(limits.memory_mb, limits.max_fds).max_head(limits.max_header_bytes);
+    RequestBudget::start(process, metrics)
+}
--- a/crates/settings/src/builder.rs
+++ b/crates/settings/src/builder.rs
@@ -162,6 +162,27 @@
             /// Sets the retention time of job ids; fractions of a second are dropped.
             retention(time: Duration) => ["register", "retention_s"] = time.as_secs()
         );
+
+        /// Sets the memory in MiB that the process may use.
+        #[must_use]
+        pub fn memory_mb(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "memory_mb"], size);
+            self
+        }
+
+        /// Sets the number of descriptors that the process may open.
+        #[must_use]
+        pub fn max_fds(mut self, count: u64) -> Self {
+            self.tree.set(&["limits", "max_fds"], count);
+            self
+        }
+
+        /// Sets the maximum size of the head of a request in bytes.
+        #[must_use]
+        pub fn max_header_bytes(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "max_header_bytes"], size);
+            self
+        }
     }
 );
 
@@ -191,6 +212,27 @@
             /// Sets the token that the target presents to the agent.
             target_token(token: &str) => ["target_token"] = token
         );
+
+        /// Sets the memory in MiB that the process may use.
+        #[must_use]
+        pub fn memory_mb(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "memory_mb"], size);
+            self
+        }
+
+        /// Sets the number of descriptors that the process may open.
+        #[must_use]
+        pub fn max_fds(mut self, count: u64) -> Self {
+            self.tree.set(&["limits", "max_fds"], count);
+            self
+        }
+
+        /// Sets the maximum size of the head of a request in bytes.
+        #[must_use]
+        pub fn max_header_bytes(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "max_header_bytes"], size);
+            self
+        }
     }
 );
 
@@ -242,6 +284,27 @@
             self.tree.set(&["operators", name, "token_sha256"], token_sha256);
             self
         }
+
+        /// Sets the memory in MiB that the process may use.
+        #[must_use]
+        pub fn memory_mb(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "memory_mb"], size);
+            self
+        }
+
+        /// Sets the number of descriptors that the process may open.
+        #[must_use]
+        pub fn max_fds(mut self, count: u64) -> Self {
+            self.tree.set(&["limits", "max_fds"], count);
+            self
+        }
+
+        /// Sets the maximum size of the head of a request in bytes.
+        #[must_use]
+        pub fn max_header_bytes(mut self, size: u64) -> Self {
+            self.tree.set(&["limits", "max_header_bytes"], size);
+            self
+        }
     }
 );
 
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -114,6 +114,41 @@
     "Address at which other processes reach `peer_listen`; defaults to `peer_listen`.",
 );
 
+const LIMITS: Key = section(
+    "limits",
+    "Limits of the process; the bounds on connections and unfinished requests derive from them.",
+);
+const LIMIT_MEMORY: Key = key(
+    "limits.memory_mb",
+    Kind::Integer {
+        min: 48,
+        max: 1_048_576,
+        unit: "MiB",
+    },
+    Presence::Default("256"),
+    "Memory that the process may use. A quarter is for unfinished requests, and connections are limited to 4 for each MiB.",
+);
+const LIMIT_FDS: Key = key(
+    "limits.max_fds",
+    Kind::Integer {
+        min: 64,
+        max: 1_000_000,
+        unit: "",
+    },
+    Presence::Default("4096"),
+    "Descriptors that the process may open. Half of them are for HTTP connections, an eighth for links that are not authenticated.",
+);
+const LIMIT_HEADER: Key = key(
+    "limits.max_header_bytes",
+    Kind::Integer {
+        min: 8_192,
+        max: 1_048_576,
+        unit: "bytes",
+    },
+    Presence::Default("16384"),
+    "Maximum size of the head of a request; a larger one is answered with 431.",
+);
+
 const ENTRY_KEYS: &[Key] = &[
     FAILURE_DOMAIN,
     key(
@@ -149,6 +184,10 @@
         Presence::Default("600"),
         "Retention time of job ids.",
     ),
+    LIMITS,
+    LIMIT_MEMORY,
+    LIMIT_FDS,
+    LIMIT_HEADER,
 ];
 
 const AGENT_KEYS: &[Key] = &[
@@ -164,6 +203,10 @@
     CLUSTER_SECRET_FILE,
     TARGET_TOKEN,
     TARGET_TOKEN_FILE,
+    LIMITS,
+    LIMIT_MEMORY,
+    LIMIT_FDS,
+    LIMIT_HEADER,
 ];
 
 const CONTROL_KEYS: &[Key] = &[
@@ -216,6 +259,10 @@
         Presence::Required,
         "SHA-256 of the operator's bearer token; must be unique.",
     ),
+    LIMITS,
+    LIMIT_MEMORY,
+    LIMIT_FDS,
+    LIMIT_HEADER,
 ];
 
 const TARGET_KEYS: &[Key] = &[
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -33,7 +33,7 @@
 pub use error::SettingsError;
 pub use keys::keys;
 pub use page::reference_page;
-pub use process::{LogSettings, ProcessSettings};
+pub use process::{LimitSettings, LogSettings, ProcessSettings};
 pub use read::effective_yaml;
 pub use role::{Role, Settings};
 pub use roles::{
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -17,6 +17,34 @@
     pub format: Format,
 }
 
+/// Limits of a process on what clients may make it hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: usize,
+    /// Number of descriptors that the process may open.
+    pub max_fds: usize,
+    /// Maximum size of the head of a request in bytes.
+    pub max_header_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(crate) struct LimitModel {
+    memory_mb: usize,
+    max_fds: usize,
+    max_header_bytes: usize,
+}
+
+impl From<LimitModel> for LimitSettings {
+    fn from(model: LimitModel) -> Self {
+        Self {
+            memory_mb: model.memory_mb,
+            max_fds: model.max_fds,
+            max_header_bytes: model.max_header_bytes,
+        }
+    }
+}
+
 /// Settings common to all roles.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProcessSettings {
--- a/crates/settings/src/roles/agent.rs
+++ b/crates/settings/src/roles/agent.rs
@@ -9,7 +9,7 @@
 
 use crate::builder::AgentBuilder;
 use crate::error::SettingsError;
-use crate::process::ProcessSettings;
+use crate::process::{LimitModel, LimitSettings, ProcessSettings};
 use crate::read::{RoleModel, load};
 use crate::role::Role;
 use crate::secret::Secret;
@@ -29,6 +29,8 @@
     pub cluster_secret: Secret,
     /// Token that the target presents to the agent.
     pub target_token: Secret,
+    /// Limits of the process.
+    pub limits: LimitSettings,
 }
 
 impl AgentSettings {
@@ -68,6 +70,7 @@
     control: Vec<SocketAddr>,
     cluster_secret: String,
     target_token: String,
+    limits: LimitModel,
 }
 
 impl RoleModel for AgentModel {
@@ -92,6 +95,7 @@
             failure_domain: self.failure_domain,
             listen: self.listen,
             control: self.control,
+            limits: self.limits.into(),
             cluster_secret: Secret::new(self.cluster_secret),
             target_token: Secret::new(self.target_token),
         }
--- a/crates/settings/src/roles/control.rs
+++ b/crates/settings/src/roles/control.rs
@@ -10,7 +10,7 @@
 
 use crate::builder::ControlBuilder;
 use crate::error::SettingsError;
-use crate::process::ProcessSettings;
+use crate::process::{LimitModel, LimitSettings, ProcessSettings};
 use crate::read::{RoleModel, load};
 use crate::role::Role;
 use crate::roles::check_advertised;
@@ -57,6 +57,8 @@
     pub initial_members: Vec<InitialMember>,
     /// Operators, sorted by name.
     pub operators: Vec<Operator>,
+    /// Limits of the process.
+    pub limits: LimitSettings,
 }
 
 impl ControlSettings {
@@ -99,6 +101,7 @@
     data_dir: PathBuf,
     initial_members: BTreeMap<String, SocketAddr>,
     operators: BTreeMap<String, OperatorModel>,
+    limits: LimitModel,
 }
 
 #[derive(Deserialize)]
@@ -148,6 +151,7 @@
             peer_listen: self.peer_listen,
             advertise_operators: self.advertise.operators.unwrap_or(self.listen),
             advertise_peers: self.advertise.peers.unwrap_or(self.peer_listen),
+            limits: self.limits.into(),
             cluster_secret: Secret::new(self.cluster_secret),
             data_dir: base_dir.join(self.data_dir),
             initial_members: members
--- a/crates/settings/src/roles/entry.rs
+++ b/crates/settings/src/roles/entry.rs
@@ -10,7 +10,7 @@
 
 use crate::builder::EntryBuilder;
 use crate::error::SettingsError;
-use crate::process::ProcessSettings;
+use crate::process::{LimitModel, LimitSettings, ProcessSettings};
 use crate::read::{RoleModel, load};
 use crate::role::Role;
 use crate::roles::check_advertised;
@@ -44,6 +44,8 @@
     pub cluster_secret: Secret,
     /// Limits of the job register.
     pub register: RegisterSettings,
+    /// Limits of the process.
+    pub limits: LimitSettings,
 }
 
 impl EntrySettings {
@@ -85,6 +87,7 @@
     control: Vec<SocketAddr>,
     cluster_secret: String,
     register: RegisterModel,
+    limits: LimitModel,
 }
 
 #[derive(Deserialize)]
@@ -116,6 +119,7 @@
             peer_listen: self.peer_listen,
             advertise_peers: self.advertise.peers.unwrap_or(self.peer_listen),
             control: self.control,
+            limits: self.limits.into(),
             cluster_secret: Secret::new(self.cluster_secret),
             register: RegisterSettings {
                 max_records: self.register.max_records,
