net: Bound the memory of unauthenticated links

The number of links that are not authenticated derived from the descriptors alone: at 120 MiB and 3,075 descriptors, 384 links with receive buffers of 128 KiB are 48 MiB. It is now also limited to a fifth of the memory (170 links there). A connection that is asked to give up its request answers also while the server stops; before, the demand waited until the connection ended.

--- a/crates/net/src/budget/limits.rs
+++ b/crates/net/src/budget/limits.rs
@@ -14,6 +14,11 @@
 const CONNECTION_FD_SHARE: usize = 2;
 /// Part of the descriptors of the process for links that are not authenticated, as a divisor.
 const LINK_FD_SHARE: usize = 8;
+/// Part of the memory of the process for links that are not authenticated, in percent.
+const LINK_SHARE_PERCENT: usize = 20;
+/// Largest memory of a link that is not authenticated: its receive buffer, which Linux gives 128 KiB before the process
+/// has read from it, and the buffers of a message of 4 KiB.
+const LINK_BYTES: usize = 144 * 1024;
 /// Smallest limit on heads that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Size of the receive buffer of a connection in bytes. At a round trip of 1 ms it permits 32 MB/s, above what the
@@ -82,18 +87,20 @@
     /// Returns the limit on HTTP connections.
     #[must_use]
     pub fn max_connections(self) -> usize {
-        let memory = self
-            .memory_mb
-            .saturating_mul(1024 * 1024 * CONNECTION_SHARE_PERCENT)
-            / 100;
-        let by_memory = memory / CONNECTION_BYTES;
+        let by_memory = self.memory_share(CONNECTION_SHARE_PERCENT) / CONNECTION_BYTES;
         by_memory.min(self.max_fds / CONNECTION_FD_SHARE).max(1)
     }
 
     /// Returns the limit on links that are not authenticated.
     #[must_use]
     pub fn max_unauthenticated_links(self) -> usize {
-        (self.max_fds / LINK_FD_SHARE).max(1)
+        let by_memory = self.memory_share(LINK_SHARE_PERCENT) / LINK_BYTES;
+        by_memory.min(self.max_fds / LINK_FD_SHARE).max(1)
+    }
+
+    /// Returns a part of the memory in bytes.
+    const fn memory_share(self, percent: usize) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024).saturating_mul(percent) / 100
     }
 
     /// Returns the limit on the head of a request in bytes.
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of an HTTP server: its requests, its time limits and the eviction of its unfinished request.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -95,12 +96,13 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), service);
+    let mut stopping = false;
     let ended = loop {
         tokio::select! {
             ended = &mut connection => break Some(ended),
-            () = stop_requested(&mut stopped) => {
+            () = stop_requested(&mut stopped), if !stopping => {
                 Pin::new(&mut connection).graceful_shutdown();
-                break Some((&mut connection).await);
+                stopping = true;
             }
             Some(evict) = evictions.recv() => {
                 let latest = *latest_activity.borrow();
