--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -193,6 +193,38 @@
     }
 }
 
+/// Guards against limits that are ignored or accepted outside their range.
+#[test]
+fn builder_checks_limits() {
+    let agent = || {
+        AgentSettings::builder("agent-1", "fd-a")
+            .listen(address(7400))
+            .control(&[address(7101)])
+            .cluster_secret("change-me-change-me")
+            .target_token("change-me-target-token")
+    };
+    let limits = agent().memory_mb(120).max_fds(3_075).build().unwrap().limits;
+    assert_eq!(
+        (limits.memory_mb, limits.max_fds, limits.max_header_bytes),
+        (120, 3_075, 16_384)
+    );
+    let error = agent()
+        .memory_mb(1)
+        .max_fds(1)
+        .max_header_bytes(1)
+        .build()
+        .unwrap_err();
+    let paths: Vec<_> = error
+        .violations
+        .iter()
+        .map(|violation| violation.path.as_str())
+        .collect();
+    assert_eq!(
+        paths,
+        ["limits.memory_mb", "limits.max_fds", "limits.max_header_bytes"]
+    );
+}
+
 /// Guards against builders whose settings differ from those loaded from an equivalent file.
 #[test]
 fn builder_equals_file() {
