--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -1,7 +1,6 @@
 //! One connection of an HTTP server: its requests, its time limits and the eviction of its unfinished request.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -101,7 +100,7 @@
         tokio::select! {
             ended = &mut connection => break Some(ended),
             () = stop_requested(&mut stopped), if !stopping => {
-                Pin::new(&mut connection).graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
                 stopping = true;
             }
             Some(evict) = evictions.recv() => {
