leased: Shed submissions in the randomised run

The rule that nothing which may have started is refused was not checked while submissions are shed and waiting jobs are placed by priority.

The new class priorities gives the routes different priorities.

--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -62,6 +62,15 @@
     );
 }
 
+/// Guards against refusals of jobs that have started, and against concurrent runs, while submissions are shed and waiting jobs are
+/// placed by priority. Load: workers that are too few while others are lost.
+#[test]
+fn shedding_refuses_no_started_job() {
+    let total = run_seeds("standard,priorities");
+    // The check is only meaningful if submissions are shed and jobs complete.
+    assert!(total.shed > SEEDS && total.completed > SEEDS * 100, "{total:?}");
+}
+
 /// Guards against a task that crashes one worker after another, with jobs that are submitted again at any entry and with killed
 /// entries and agents.
 #[test]
--- a/crates/leased/tests/sim/callers.rs
+++ b/crates/leased/tests/sim/callers.rs
@@ -58,7 +58,7 @@
         self.trace(|| format!("job {id} is submitted to entry {entry}"));
         let request = Request {
             host: "h".to_owned(),
-            queue: "/q/".to_owned(),
+            queue: if id.is_multiple_of(2) { "/q/" } else { "/batch/" }.to_owned(),
             job: Some(id),
             timeout: Some(CALLER_TIMEOUT),
             kind: RequestKind::Submit(submission(tasks)),
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -25,6 +25,8 @@
     starts,
     late_orders,
     faults,
+    /// Submissions that were shed, because demand exceeded capacity.
+    shed,
     /// Workers that started again under their former name.
     name_reuses,
     /// Runs started on an incarnation before it announced itself.
--- a/crates/leased/tests/sim/entries.rs
+++ b/crates/leased/tests/sim/entries.rs
@@ -11,7 +11,7 @@
 use chestnutfork_worker::WorkerConfig;
 use rand::RngExt;
 
-use super::{AGENTS, InjectedDefect, LINK_DELAY, ScheduledEvent, Sim};
+use super::{AGENTS, InjectedDefect, LINK_DELAY, Scenario, ScheduledEvent, Sim};
 
 /// Source of events whose order an entry preserves; events of different channels may overtake each other after a pause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,9 +80,10 @@
             _ => WorkerConfig::builder().build().run_expiry(),
         };
         let mut core = BrokerCore::new(BrokerConfig::builder("zone-a", run_expiry).build(), self.now);
+        let less_urgent = u32::from(self.scenarios.contains(Scenario::Priorities));
         let table = RouteTable {
             version: 1,
-            routes: vec![route()],
+            routes: vec![route("/q/", 0), route("/batch/", less_urgent)],
             services: [("pool".to_owned(), ServiceRule::default())].into(),
         };
         core.handle(self.now, EntryEvent::Routes(table), &mut Vec::new());
@@ -123,6 +124,8 @@
                 }
                 EntryAction::Answer(ticket, answer) => self.on_answer(entry, ticket, answer),
                 EntryAction::Notice(notice) => {
+                    let shed = matches!(notice, EntryNotice::JobShed { .. });
+                    self.counts.shed += u64::from(shed);
                     if let EntryNotice::AttemptEnded { key, outcome, .. } = &notice {
                         self.attempts.end((process, *key), *outcome);
                     }
@@ -280,13 +283,13 @@
     }
 }
 
-fn route() -> Route {
+fn route(prefix: &str, priority: u32) -> Route {
     Route {
-        name: "r".to_owned(),
+        name: prefix.to_owned(),
         host: "h".to_owned(),
-        prefix: "/q/".to_owned(),
+        prefix: prefix.to_owned(),
         service: "pool".to_owned(),
-        priority: 0,
+        priority,
         max_attempts: 3,
         stretch_factor: 2.0,
         overhead: Duration::from_millis(500),
--- a/crates/leased/tests/sim/scenario.rs
+++ b/crates/leased/tests/sim/scenario.rs
@@ -43,11 +43,13 @@
     SilentCallers,
     /// Entries run for a few milliseconds between short stops, for seconds, so that events wait for them.
     EntryLags,
+    /// Routes have different priorities, so entries shed submissions.
+    Priorities,
 }
 
 impl Scenario {
     /// Returns all classes.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::LinkFaults,
         Self::ProcessKills,
         Self::WorkerReplacement,
@@ -68,6 +70,7 @@
         Self::ForeignAnnouncements,
         Self::SilentCallers,
         Self::EntryLags,
+        Self::Priorities,
     ];
 
     /// Returns the name on the command line.
@@ -93,6 +96,7 @@
             Self::ForeignAnnouncements => "foreign",
             Self::SilentCallers => "silent",
             Self::EntryLags => "lagging",
+            Self::Priorities => "priorities",
         }
     }
 }
@@ -119,16 +123,20 @@
 
     /// Returns the set that comma-separated names list, in which `standard` and `all` stand for several classes.
     ///
-    /// `all` leaves out orders across restarts, which a worker forgets when it crashes, and tasks that crash their workers;
-    /// `across` and `crashing` add them.
+    /// `all` leaves out orders across restarts, which a worker forgets when it crashes, tasks that crash their workers, and
+    /// priorities, which are no fault; `across`, `crashing` and `priorities` add them.
     pub fn parse(names: &str) -> Option<Self> {
         let mut set = 0;
         for name in names.split(',') {
             set |= match name {
                 "standard" => Self::standard().0,
                 "all" => {
-                    let left_out = bit(Scenario::OrdersAcrossRestarts) | bit(Scenario::CrashingTasks);
-                    Self::of(&Scenario::ALL).0 & !left_out
+                    let left_out = [
+                        Scenario::OrdersAcrossRestarts,
+                        Scenario::CrashingTasks,
+                        Scenario::Priorities,
+                    ];
+                    Self::of(&Scenario::ALL).0 & !Self::of(&left_out).0
                 }
                 _ => bit(Scenario::ALL
                     .into_iter()
