--- a/crates/worker/tests/demand.rs
+++ b/crates/worker/tests/demand.rs
@@ -12,14 +12,14 @@
 /// Link of a second entry.
 const OTHER_LINK: LinkNumber = 2;
 
-fn demand(priority: u32, work: u64) -> Option<Demand> {
+fn demand(priority: u32, work: u64) -> Demand {
     let mut demand = Demand::default();
     demand.add(DemandBand {
         priority,
         jobs: 1,
         work,
     });
-    Some(demand)
+    demand
 }
 
 /// Connects an entry, and returns an agent with two.
@@ -57,8 +57,8 @@
 #[test]
 fn heartbeat_returns_sum_of_entries() {
     let mut agent = with_two_entries();
-    acknowledge(&mut agent, LINK, demand(0, 300));
-    acknowledge(&mut agent, OTHER_LINK, demand(2, 500));
+    acknowledge(&mut agent, LINK, Some(demand(0, 300)));
+    acknowledge(&mut agent, OTHER_LINK, Some(demand(2, 500)));
     let sum = next_sum(&mut agent, LINK).expect("the entry states its demand");
     assert_eq!((sum.demand.band(0).work, sum.demand.band(2).work), (300, 500));
     assert!(
@@ -72,7 +72,7 @@
 #[test]
 fn heartbeat_has_no_sum_for_entry_without_demand() {
     let mut agent = with_two_entries();
-    acknowledge(&mut agent, LINK, demand(0, 300));
+    acknowledge(&mut agent, LINK, Some(demand(0, 300)));
     acknowledge(&mut agent, OTHER_LINK, None);
     assert_eq!(next_sum(&mut agent, OTHER_LINK), None);
 }
@@ -81,10 +81,10 @@
 #[test]
 fn heartbeat_omits_lost_entry_after_one_second() {
     let mut agent = with_two_entries();
-    acknowledge(&mut agent, OTHER_LINK, demand(0, 500));
+    acknowledge(&mut agent, OTHER_LINK, Some(demand(0, 500)));
     agent.handle(Event::EntryDown { link: OTHER_LINK });
     agent.now += millis(700);
-    acknowledge(&mut agent, LINK, demand(0, 300));
+    acknowledge(&mut agent, LINK, Some(demand(0, 300)));
     let sum = next_sum(&mut agent, LINK).expect("the entry states its demand");
     assert_eq!(sum.demand.work(), 800);
     agent.now += millis(300);
@@ -96,7 +96,7 @@
 #[test]
 fn heartbeat_states_age_of_sum() {
     let mut agent = Agent::ready();
-    acknowledge(&mut agent, LINK, demand(0, 300));
+    acknowledge(&mut agent, LINK, Some(demand(0, 300)));
     agent.now += millis(600);
     let sum = next_sum(&mut agent, LINK).expect("the entry states its demand");
     assert!(sum.age >= millis(600), "{:?}", sum.age);
