interference: Learn slowdowns of pairs of kinds from run times

Cause: tasks that run side by side can slow each other down, and nothing measures it (docs/hard-load.md, section 5).

The types crate gets the plain data of the messages.

--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod crashes;
 mod ids;
+mod interference;
 mod job;
 mod policy;
 mod refusal;
@@ -22,6 +23,7 @@
     ProcessId, ReplicaId, RouteName, ServiceName, StepIndex, TargetName, TaskIndex, TeamName, Term,
     ViewNumber, job_timestamp,
 };
+pub use interference::{InterferenceReport, KindId, KindPair, OrderKinds, PairEvidence};
 pub use job::{JobSpec, TaskSpec};
 pub use policy::{
     EjectionPolicy, HedgePolicy, OptimizationGoal, Placement, RetryPolicy, ServicePolicy,
