worker: Report interference between kinds of tasks

Cause: only the agent sees which tasks run side by side on its worker and how long they take.

Change: start orders state the kinds of their tasks (optional fields), and the agent observes the runs of such orders.

--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -10,6 +10,7 @@
 
 use crate::crashes::WorkerCrash;
 use crate::ids::{FailureDomain, JobId, PoolName, StepIndex, TaskIndex};
+use crate::interference::{InterferenceReport, OrderKinds};
 
 /// Number of a run on one worker; it increases with each start there.
 pub type RunNumber = u64;
@@ -128,6 +129,9 @@
     pub tasks: Vec<TaskOrder>,
     /// Whether the agent refuses tasks that cannot start at once; otherwise they wait for capacity.
     pub refuse_if_full: bool,
+    /// Kinds of the tasks, for the agent to learn which of them slow each other down; empty if that is not enabled, and from
+    /// entries of earlier versions.
+    pub kinds: OrderKinds,
 }
 
 /// Attempt that an entry has recorded for an agent.
@@ -258,10 +262,12 @@
     Load(WorkerLoad),
     /// Reports ended attempts, and the load without them.
     Ended(Vec<EndedRun>, WorkerLoad),
+    /// Reports interference between kinds of tasks; sent only to entries that state the kinds of their tasks.
+    Interference(InterferenceReport),
 }
 
 impl WorkerToEntry {
-    /// Returns whether the message reports the load and nothing else.
+    /// Returns whether the message reports the load, or interference, and nothing else.
     ///
     /// # Examples
     ///
@@ -272,6 +278,6 @@
     /// ```
     #[must_use]
     pub fn is_load_report(&self) -> bool {
-        matches!(self, Self::Heartbeat(..) | Self::Load(_))
+        matches!(self, Self::Heartbeat(..) | Self::Load(_) | Self::Interference(_))
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod codec;
 mod handshake;
+mod interference;
 mod peer;
 mod raft;
 mod register;
@@ -17,6 +18,7 @@
 pub use caller::{AnswerBody, RefusalBody, Submission, SubmitBody, SubmitError, parse_job_id};
 pub use codec::{CodecError, decode, decode_frame, encode};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
+pub use interference::PairEvidenceWire;
 pub use peer::{PeerMessageWire, PeerWireError};
 pub use raft::{
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey,
-    TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, EndedRun, EntryToWorker, OrderKinds, RecordedAttempt, Resources, RunOutcome, StartOrder,
+    TaskKey, TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::interference::{PairEvidenceWire, report_from_wire, report_to_wire};
 use crate::raft::micros;
 
 /// Wire form of [`AttemptKey`]: high and low half of the job id, step, index and attempt.
@@ -53,6 +54,12 @@
         /// it.
         #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
         report_interval_us: Option<u64>,
+        /// Kinds of the tasks. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+        kinds: Vec<u64>,
+        /// Kinds that the agent reports on. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+        watched_kinds: Vec<u64>,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -123,6 +130,17 @@
     /// Reports ended attempts (attempt, outcome and run time in microseconds), and the load without them.
     #[serde(rename = "e")]
     Ended(Vec<(AttemptWire, RunOutcomeWire, u64)>, LoadWire),
+    /// Reports evidence of interference, and the number of running tasks of each kind. Earlier versions do not know it; entries
+    /// that do state the kinds of their tasks.
+    #[serde(rename = "i")]
+    Interference {
+        /// Evidence of pairs, if it is due.
+        #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+        pairs: Option<Vec<PairEvidenceWire>>,
+        /// Kinds with their numbers of running tasks.
+        #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+        running: Vec<(u64, u32)>,
+    },
 }
 
 /// Wire form of [`WorkerCrash`].
@@ -347,6 +365,8 @@
                 refuse_if_full: order.refuse_if_full,
                 time_limit_us: order.time_limit.map(micros),
                 report_interval_us: order.report_interval.map(micros),
+                kinds: order.kinds.tasks,
+                watched_kinds: order.kinds.watched,
                 tasks: order
                     .tasks
                     .into_iter()
@@ -390,11 +410,17 @@
                 refuse_if_full,
                 time_limit_us,
                 report_interval_us,
+                kinds,
+                watched_kinds,
             } => Self::Start(StartOrder {
                 number,
                 refuse_if_full,
                 time_limit: time_limit_us.map(Duration::from_micros),
                 report_interval: report_interval_us.map(Duration::from_micros),
+                kinds: OrderKinds {
+                    tasks: kinds,
+                    watched: watched_kinds,
+                },
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
@@ -453,6 +479,10 @@
                     load_to_wire(load),
                 )
             }
+            WorkerToEntry::Interference(report) => {
+                let (pairs, running) = report_to_wire(report);
+                Self::Interference { pairs, running }
+            }
         }
     }
 }
@@ -500,6 +530,9 @@
                     load_from_wire(load),
                 )
             }
+            WorkerToEntryWire::Interference { pairs, running } => {
+                Self::Interference(report_from_wire(pairs, running))
+            }
         }
     }
 }
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, JobId, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey,
-    TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, EndedRun, EntryToWorker, InterferenceReport, JobId, KindPair, OrderKinds, PairEvidence,
+    RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerCrash, WorkerDescription,
+    WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
 use serde::de::DeserializeOwned;
@@ -71,6 +72,23 @@
     }
 }
 
+fn interference() -> InterferenceReport {
+    let evidence = PairEvidence {
+        pair: KindPair {
+            slowed: u64::MAX - 2,
+            beside: u64::MAX - 3,
+        },
+        log_permille: -21,
+        precision: 22,
+        runs: 23,
+        age: Duration::from_millis(24),
+    };
+    InterferenceReport {
+        pairs: Some(vec![evidence]),
+        running: vec![(u64::MAX - 4, 25)],
+    }
+}
+
 fn recorded(job: JobId, resources: Option<Resources>) -> RecordedAttempt {
     let key = key(job);
     RecordedAttempt { key, resources }
@@ -81,6 +99,10 @@
 fn entry_to_worker_round_trips() {
     let order = StartOrder {
         refuse_if_full: true,
+        kinds: OrderKinds {
+            tasks: vec![u64::MAX - 1],
+            watched: vec![u64::MAX],
+        },
         time_limit: Some(Duration::from_micros(4)),
         report_interval: Some(Duration::from_micros(5)),
         number: 1,
@@ -148,6 +170,8 @@
         WorkerToEntry::Heartbeat(12, load()),
         WorkerToEntry::Load(load()),
         WorkerToEntry::Ended(ended.to_vec(), load()),
+        WorkerToEntry::Interference(interference()),
+        WorkerToEntry::Interference(InterferenceReport::default()),
     ];
     for message in messages {
         let mut buf = Vec::new();
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -5,7 +5,7 @@
 
 use chestnutfork_types::{
     AttemptKey, EndedRun, EntryToWorker, LinkNumber, ProcessId, Resources, RunOutcome, StartOrder, TaskKey,
-    TaskOrder, WorkerName, WorkerToEntry,
+    WorkerName, WorkerToEntry,
 };
 use indexmap::IndexMap;
 
@@ -19,6 +19,7 @@
 use crate::replacement::Candidate;
 use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, Stop};
 use crate::session::Session;
+use crate::sharing::Sharing;
 
 /// Interval at which expired records of runs and entries are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,6 +59,8 @@
     pub(crate) excess: Resources,
     /// Recent losses of the worker.
     pub(crate) crashes: Crashes,
+    /// What ran side by side, and which kinds of tasks slowed each other down.
+    pub(crate) sharing: Sharing,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -98,6 +101,7 @@
             share_rotation: 0,
             excess: Resources::default(),
             crashes: Crashes::default(),
+            sharing: Sharing::new(now),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -245,15 +249,17 @@
             owner.last_order = owner.last_order.max(order.number);
             owner.last_order_at = Some(now);
             owner.report_interval = order.report_interval.unwrap_or_default();
+            owner.reads_interference = !order.kinds.tasks.is_empty();
         }
+        self.sharing.watch(now, &order.kinds.watched);
         let refusal = self.refusal(now, entry);
-        for &task in &order.tasks {
+        for (position, &task) in order.tasks.iter().enumerate() {
             let busy = self.runs.contains_key(&task.key.task) || self.is_orphan(task.key.task);
             let busy = busy.then_some("another run of the task has not ended");
             let full = order.refuse_if_full && !self.can_start_now(now, task.resources);
             match refusal.or(busy).or(full.then_some("the worker is full")) {
                 Some(reason) => self.refuse(entry, task.key, reason, actions),
-                None => self.accept(now, entry, order, task),
+                None => self.accept(now, entry, order, position),
             }
         }
     }
@@ -285,7 +291,8 @@
         }
     }
 
-    fn accept(&mut self, now: Instant, owner: ProcessId, order: &StartOrder, task: TaskOrder) {
+    fn accept(&mut self, now: Instant, owner: ProcessId, order: &StartOrder, position: usize) {
+        let task = order.tasks[position];
         let last = self
             .ended_runs
             .get(&task.key.task)
@@ -304,6 +311,7 @@
             confirmed: false,
             refusals: 0,
             former_incarnation: false,
+            kind: order.kinds.kind_of(position),
         };
         self.runs.insert(task.key.task, run);
     }
@@ -374,6 +382,7 @@
             return;
         };
         self.lower_excess();
+        self.sharing.on_end(now, task, outcome);
         let run_time = run.run_time(now);
         let ended = EndedRun {
             key: run.key,
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -24,6 +24,7 @@
 mod run;
 mod session;
 mod shares;
+mod sharing;
 mod verify;
 
 pub use crate::core::WorkerCore;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -72,6 +72,7 @@
 
     fn start(&mut self, now: Instant, task: TaskKey, actions: &mut Vec<Action>) {
         let lease = self.cfg.worker_lease;
+        self.observe_start(now, task);
         let call = self.begin_call(Call::Start(task));
         let (Some(session), Some(run)) = (self.session.as_mut(), self.runs.get_mut(&task)) else {
             return;
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -28,6 +28,10 @@
     pub(crate) last_order_at: Option<Instant>,
     /// Ended runs not yet reported, because there is no link or a report can be deferred.
     pub(crate) outbox: Vec<EndedRun>,
+    /// Whether the latest start order states the kinds of its tasks, so that the entry reads reports on interference.
+    pub(crate) reads_interference: bool,
+    /// Whether the latest report on interference to the entry states any.
+    pub(crate) reported_interference: bool,
 }
 
 /// Entries by process, and the send times of recent heartbeats.
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -133,6 +133,7 @@
             confirmed: true,
             refusals: 0,
             former_incarnation: false,
+            kind: None,
         };
         self.runs.insert(key.task, run);
         self.record_excess();
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -69,6 +69,9 @@
             .iter()
             .filter_map(|(entry, owner)| Some((owner.link?, entry)))
             .collect();
+        if number.is_some() {
+            self.send_interference(now, actions);
+        }
         let limit = self.cfg.heartbeat_interval + ACKNOWLEDGEMENT_SLACK;
         for (link, entry) in links {
             if number.is_none() && !self.owners.has_acknowledged_within(entry, now, limit) {
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chestnutfork_types::{AttemptKey, EndedRun, ProcessId, Resources, RunNumber, RunOutcome};
+use chestnutfork_types::{AttemptKey, EndedRun, KindId, ProcessId, Resources, RunNumber, RunOutcome};
 
 use crate::event::CallId;
 
@@ -87,6 +87,8 @@
     /// Whether the order was sent to a former incarnation of the same name, so that the run is lost unless the current
     /// one lists it.
     pub(crate) former_incarnation: bool,
+    /// Kind of the task, if its order states it.
+    pub(crate) kind: Option<KindId>,
 }
 
 impl Run {
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EntryToWorker, HeartbeatNumber, LinkNumber, Resources, StartOrder, TaskKey, TaskOrder,
-    WorkerDescription, WorkerToEntry,
+    AttemptKey, EntryToWorker, HeartbeatNumber, LinkNumber, OrderKinds, Resources, StartOrder, TaskKey,
+    TaskOrder, WorkerDescription, WorkerToEntry,
 };
 use chestnutfork_worker::{
     Action, Announcement, CallId, CallOutcome, Event, Order, Reply, RunList, WorkerConfig, WorkerCore,
@@ -140,6 +140,7 @@
         });
         let message = EntryToWorker::Start(StartOrder {
             refuse_if_full: false,
+            kinds: OrderKinds::default(),
             time_limit: None,
             report_interval: None,
             number: 1,
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, RecordedAttempt, Resources, StartOrder, TaskKey, TaskOrder,
-    WorkerDescription, WorkerToEntry,
+    AttemptKey, EndedRun, EntryToWorker, OrderKinds, RecordedAttempt, Resources, StartOrder, TaskKey,
+    TaskOrder, WorkerDescription, WorkerToEntry,
 };
 use chestnutfork_worker::{
     Action, Announcement, CallId, CallOutcome, Event, ListedRun, Order, Reply, RunList, WorkerConfig,
@@ -142,6 +142,7 @@
         });
         self.send(EntryToWorker::Start(StartOrder {
             refuse_if_full,
+            kinds: OrderKinds::default(),
             time_limit: None,
             report_interval: None,
             number: 1,
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EntryToWorker, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerToEntry,
+    AttemptKey, EntryToWorker, OrderKinds, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder,
+    WorkerToEntry,
 };
 use chestnutfork_worker::{
     Action, CallOutcome, Event, ListedEnd, ListedRun, Notice, Order, Refusal, RunList, WorkerConfig,
@@ -439,6 +440,7 @@
         });
         let order = StartOrder {
             refuse_if_full: false,
+            kinds: OrderKinds::default(),
             time_limit: None,
             report_interval,
             number,
--- a/crates/worker/tests/time_limit.rs
+++ b/crates/worker/tests/time_limit.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnutfork_types::{EntryToWorker, StartOrder, TaskOrder};
+use chestnutfork_types::{EntryToWorker, OrderKinds, StartOrder, TaskOrder};
 use chestnutfork_worker::CallOutcome;
 use common::{Agent, TASK_RESOURCES, attempt, is_start, is_stop, millis};
 
 fn start_order(time_limit: Duration) -> EntryToWorker {
     EntryToWorker::Start(StartOrder {
         refuse_if_full: false,
+        kinds: OrderKinds::default(),
         time_limit: Some(time_limit),
         report_interval: None,
         number: 1,
