broker: Place tasks apart that slow each other down

Cause: selection regards speed, domain and utilisation only, so kinds that slow each other down share workers while others have room.

Change: with the contract sharing, entries merge the reports of agents and replace the selected worker by one with the same kind of capacity where the task costs less; never to wait or to refuse, and not if the latency objective would be missed for it. Event 7050 names the pair, slowdown, count and age. Without the contract nothing is stated, reported or computed.

--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::{
-    AttemptKey, HeartbeatNumber, LinkNumber, NodeName, OrderNumber, ProcessId, Resources, WorkerDescription,
-    WorkerLoad,
+    AttemptKey, HeartbeatNumber, KindId, LinkNumber, NodeName, OrderNumber, ProcessId, Resources,
+    WorkerDescription, WorkerLoad,
 };
 use indexmap::IndexMap;
 
@@ -26,6 +26,8 @@
     pub(crate) stopping: bool,
     /// Whether the agent refuses the attempt if it cannot start at once.
     pub(crate) refuse_if_full: bool,
+    /// Kind of the task, if placement regards it.
+    pub(crate) kind: Option<KindId>,
 }
 
 /// Agent and the reported state of its worker.
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -18,6 +18,7 @@
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
 use crate::requests::Arrival;
+use crate::sharing::Sharing;
 use crate::silence::Silence;
 use crate::throughput::Throughput;
 
@@ -61,6 +62,8 @@
     pub(crate) silence: Silence,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
+    /// Kinds of tasks that slow each other down.
+    pub(crate) sharing: Sharing,
 }
 
 impl BrokerCore {
@@ -100,6 +103,7 @@
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
+            sharing: Sharing::default(),
         }
     }
 
@@ -142,7 +146,8 @@
             Event::EntryCount(entries) => self.entry_count = entries.max(1),
             Event::AgentUp { link, agent, process } => {
                 self.silence.record_report(now);
-                self.agents.connect(now, link, agent, process);
+                let at = self.agents.connect(now, link, agent, process);
+                self.sharing.on_agent_up(at, process);
             }
             Event::AgentDown { link } => {
                 self.silence.record_lost_link(now);
@@ -292,6 +297,7 @@
                 actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number)));
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
+            WorkerToEntry::Interference(report) => self.sharing.on_report(now, at, report),
             WorkerToEntry::Ended(ended, load) => {
                 self.agents.get_mut(at).load = Some(load);
                 self.record_delay(now, at, &ended);
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -31,6 +31,8 @@
     pub max_per_worker: Option<u16>,
     /// Whether all tasks must run at the same time.
     pub gang: bool,
+    /// Image that the tasks run. Steps without one are told apart by their route.
+    pub image: Option<String>,
 }
 
 /// Job as submitted by a caller.
@@ -365,6 +367,25 @@
         /// Whether this submission of the job was in progress; otherwise it was answered on arrival.
         ordered: bool,
     },
+    /// Tasks of a job were placed away from runs that slow them down, or that they slow down.
+    InterferenceAvoided {
+        /// Job of the tasks.
+        job: JobId,
+        /// Number of the tasks.
+        tasks: u64,
+        /// Agent of the worker that the first of them would have been placed on.
+        agent: NodeName,
+        /// Kind that is slowed down: its image or its route.
+        slowed: String,
+        /// Kind beside it.
+        beside: String,
+        /// Factor on the run time of the slowed kind, in thousandths.
+        slowdown_permille: u64,
+        /// Number of runs that show the slowdown.
+        runs: u64,
+        /// Time since the latest of these runs.
+        age: Duration,
+    },
     /// An attempt takes much longer than expected and is stopped.
     AttemptOverdue {
         /// Attempt that is stopped.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod requests;
 mod selection;
+mod sharing;
 mod silence;
 mod throughput;
 mod timers;
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{AttemptKey, EntryToWorker, JobId, ServiceName, StartOrder, TaskOrder};
+use chestnutfork_types::{AttemptKey, EntryToWorker, JobId, KindId, ServiceName, StartOrder, TaskOrder};
 use indexmap::IndexMap;
 
 use crate::agents::{AgentIndex, Outstanding};
@@ -10,6 +10,7 @@
 use crate::event::Action;
 use crate::job::TaskState;
 use crate::selection::{Choice, PoolSnapshot};
+use crate::sharing::AvoidedTasks;
 
 /// Maximum number of waiting jobs examined at a time; free capacity rarely suffices for more.
 const MAX_SCANNED_JOBS: usize = 64;
@@ -72,6 +73,7 @@
     ) -> bool {
         let mut orders: IndexMap<AgentIndex, PendingOrder> = IndexMap::new();
         let mut has_capacity = true;
+        let mut avoided_tasks = AvoidedTasks::default();
         let count = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
         for task in 0..count {
             let Some(job) = self.jobs.get(&id) else {
@@ -86,9 +88,16 @@
             let refusals = job.tasks[task].refusals;
             let ordered: Vec<AgentIndex> = orders.keys().copied().collect();
             match self.select_worker(now, pool, job, task, &ordered) {
-                Choice::Place { agent, expected } => {
-                    if let Some(task) = self.record_order(now, id, task, agent, expected) {
+                Choice::Place {
+                    agent,
+                    expected,
+                    avoided,
+                } => {
+                    let kind = self.kind_of(job, job.tasks[task].step);
+                    if let Some(task) = self.record_order(now, id, task, agent, expected, kind) {
                         pool.reserve(agent, task.resources, suspect);
+                        pool.neighbours.add(agent, kind);
+                        avoided_tasks.add(avoided);
                         let order = orders.entry(agent).or_default();
                         order.tasks.push(task);
                         order.refuse_if_full |= refusals < MAX_REFUSALS;
@@ -101,6 +110,7 @@
                 }
             }
         }
+        self.log_avoided_interference(id, &avoided_tasks, actions);
         for (agent, order) in orders {
             self.send_order(now, id, agent, order, actions);
         }
@@ -125,6 +135,7 @@
         task: usize,
         agent: AgentIndex,
         expected: Duration,
+        kind: Option<KindId>,
     ) -> Option<TaskOrder> {
         let job = self.jobs.get_mut(&id)?;
         let key = job.key(task);
@@ -148,6 +159,7 @@
             overdue_at: now + expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_SLACK,
             stopping: false,
             refuse_if_full: false,
+            kind,
         };
         agent_state.outstanding.insert(key, outstanding);
         self.outstanding_tasks.insert(key.task, agent);
@@ -173,6 +185,7 @@
             return;
         };
         let report_interval = self.report_interval(now);
+        let kinds = self.order_kinds(job, &tasks);
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
         for task in &tasks {
@@ -189,6 +202,7 @@
             report_interval: Some(report_interval),
             tasks,
             refuse_if_full,
+            kinds,
         };
         if let Some(link) = agent_state.link {
             actions.push(Action::ToAgent(link, EntryToWorker::Start(order)));
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -9,6 +9,7 @@
 use crate::core::BrokerCore;
 use crate::event::StepSpec;
 use crate::job::{Job, Task, TaskState};
+use crate::sharing::{Avoided, Neighbours};
 
 /// Ratio of actual to declared run time assumed until a worker of the pool reports one.
 const DEFAULT_RUN_TIME_RATIO: f64 = 1.0;
@@ -29,7 +30,12 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
     /// Place the task on a worker with free capacity; `expected` is the expected run time.
-    Place { agent: AgentIndex, expected: Duration },
+    Place {
+        agent: AgentIndex,
+        expected: Duration,
+        /// Interference that decided against another worker.
+        avoided: Option<Avoided>,
+    },
     /// Wait for a faster worker, which is full but could still meet the objective, or for one without another suspect.
     Wait,
     /// No suitable worker has free capacity.
@@ -41,6 +47,8 @@
 pub(crate) struct PoolSnapshot {
     mean_run_time_ratio: f64,
     workers: Vec<WorkerSnapshot>,
+    /// Kinds of the tasks on the workers.
+    pub(crate) neighbours: Neighbours,
 }
 
 /// State of a worker in a [`PoolSnapshot`] that is the same for all tasks.
@@ -60,12 +68,12 @@
 
 /// Worker that could run a task.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
-    agent: AgentIndex,
-    expected: Duration,
-    score: f64,
-    has_capacity: bool,
-    in_share: bool,
+pub(crate) struct Candidate {
+    pub(crate) agent: AgentIndex,
+    pub(crate) expected: Duration,
+    pub(crate) score: f64,
+    pub(crate) has_capacity: bool,
+    pub(crate) in_share: bool,
     /// Whether a task that may crash the worker was ordered there.
     has_suspect: bool,
 }
@@ -108,6 +116,7 @@
         PoolSnapshot {
             mean_run_time_ratio,
             workers,
+            neighbours: self.neighbours(now),
         }
     }
 
@@ -150,9 +159,11 @@
         {
             return Choice::Wait;
         }
+        let (placed, avoided) = self.avoid_interference(pool, job, task, &candidates, *placed, left);
         Choice::Place {
             agent: placed.agent,
             expected: placed.expected,
+            avoided,
         }
     }
 
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -229,5 +229,17 @@
         }
             meaning: "A previous process of the agent started the run and no entry claimed it.",
             remedy: "None.";
+        7050 InterferenceAvoided "interference_avoided" Info "tasks placed away from interference" {
+            job: &'a str = "Id of the job.",
+            tasks: u64 = "Tasks of the job that were placed on another worker for it.",
+            agent: &'a str = "Agent of the worker that the first of them would have been placed on.",
+            slowed: &'a str = "Kind of task that is slowed down: its image, or its route.",
+            beside: &'a str = "Kind of task that slows it down.",
+            slowdown_permille: u64 = "Factor on the run time of the slowed kind, in thousandths.",
+            runs: u64 = "Recent runs that show it, at all agents.",
+            age: Duration = "Time since the latest of these runs.",
+        }
+            meaning: "The entry placed tasks apart from others because run times show that their kinds slow each other down.",
+            remedy: "None; if it is frequent, find out why the named kinds slow each other down.";
     }
 }
--- a/crates/interference/src/merge.rs
+++ b/crates/interference/src/merge.rs
@@ -54,6 +54,8 @@
 pub struct MergedTable {
     reports: IndexMap<SourceId, SourceReport>,
     pairs: IndexMap<KindPair, MergedPair>,
+    /// Kinds of the pairs that interfere.
+    interfering: IndexSet<KindId>,
     /// Kinds of all reported pairs.
     suspected: IndexSet<KindId>,
     merge_at: Option<Instant>,
@@ -124,6 +126,7 @@
             }
         }
         self.pairs.clear();
+        self.interfering.clear();
         for (pair, sums) in sums {
             let log = sums.log / sums.weight;
             let certain = log * sums.weight.sqrt() >= MIN_SIGNIFICANCE;
@@ -138,6 +141,7 @@
                 age,
             };
             self.pairs.insert(pair, merged);
+            self.interfering.extend([pair.slowed, pair.beside]);
         }
         self.merge_at = (!self.reports.is_empty()).then(|| now + MERGE_INTERVAL);
     }
@@ -153,6 +157,12 @@
         self.pairs.values()
     }
 
+    /// Returns whether a kind interferes with some kind, in either direction.
+    #[must_use]
+    pub fn is_interfering(&self, kind: KindId) -> bool {
+        self.interfering.contains(&kind)
+    }
+
     /// Returns whether a kind may interfere with some kind according to any agent, in either direction.
     #[must_use]
     pub fn is_suspected(&self, kind: KindId) -> bool {
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -233,6 +233,9 @@
                 let delay = self.core.processing_delay(self.timer.now());
                 let delay = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
                 self.metrics.gauge("entry.processing_delay_ms", delay);
+                if let Some(pairs) = self.core.interfering_pairs() {
+                    self.metrics.gauge("interference.pairs", pairs as u64);
+                }
             }
             EntryMessage::Status(reply) => {
                 // The requester may have dropped the receiver.
@@ -322,6 +325,7 @@
             Notice::LossCounted { .. } => metrics.count("losses.counted", 1),
             Notice::JobGivenUp { .. } => metrics.count("jobs.given_up", 1),
             Notice::AttemptOverdue { .. } => metrics.count("attempts.overdue", 1),
+            Notice::InterferenceAvoided { tasks, .. } => metrics.count("interference.avoided", *tasks),
             _ => {}
         }
     }
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -125,11 +125,42 @@
             agent,
             silent,
             attempts,
-        } => emit(&RunsEvent::AgentLapsed {
+        } => log_agent_lapsed(agent, *silent, *attempts),
+        BrokerNotice::InterferenceAvoided { .. } => log_interference_notice(notice),
+    }
+}
+
+fn log_agent_lapsed(agent: &str, silent: Duration, attempts: u64) {
+    emit(&RunsEvent::AgentLapsed {
+        agent,
+        silent,
+        attempts,
+    });
+}
+
+/// Logs a notice about tasks that were placed apart because their kinds slow each other down.
+fn log_interference_notice(notice: &BrokerNotice) {
+    if let BrokerNotice::InterferenceAvoided {
+        job,
+        tasks,
+        agent,
+        slowed,
+        beside,
+        slowdown_permille,
+        runs,
+        age,
+    } = notice
+    {
+        emit(&RunsEvent::InterferenceAvoided {
+            job: &format_job_id(*job),
+            tasks: *tasks,
             agent,
-            silent: *silent,
-            attempts: *attempts,
-        }),
+            slowed,
+            beside,
+            slowdown_permille: *slowdown_permille,
+            runs: *runs,
+            age: *age,
+        });
     }
 }
 
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -35,6 +35,7 @@
     remote_factor: f64,
     resubmission_delay: Duration,
     metrics: Metrics,
+    sharing: bool,
 }
 
 /// Builder of [`NodeConfig`].
@@ -69,6 +70,7 @@
             remote_factor: 1.5,
             resubmission_delay: Duration::from_millis(1_300),
             metrics: Metrics::disabled(),
+            sharing: false,
         };
         NodeConfigBuilder { cfg }
     }
@@ -123,6 +125,10 @@
         /// Sets the destination of metrics.
         metrics: Metrics
     );
+    setter!(
+        /// Sets whether entries keep kinds of tasks apart that slow each other down; default `false`.
+        sharing: bool
+    );
 
     /// Returns the configuration.
     #[must_use]
@@ -243,6 +249,7 @@
         .remote_factor(cfg.remote_factor)
         .resubmission_delay(cfg.resubmission_delay)
         .seed(process)
+        .sharing(cfg.sharing)
         .build();
     let arguments = EntryArguments {
         core: BrokerCore::new(broker, clock.now()),
