--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -235,3 +235,33 @@
     };
     decode_variants::<WorkerToEntryWire, _>(WorkerToEntry::Describe(description, vec![crash()]));
 }
+
+/// Guards against a report of interference that takes a noticeable part of an entry's link: the largest one that an agent sends,
+/// and one of a deployment with one interfering pair.
+#[test]
+fn interference_report_is_small() {
+    let report = |pairs: u64, kinds: u64| {
+        let evidence = (0..pairs).map(|pair| PairEvidence {
+            pair: KindPair {
+                slowed: u64::MAX - pair,
+                beside: u64::MAX / 2 - pair,
+            },
+            ..interference().pairs.expect("pairs")[0]
+        });
+        let report = InterferenceReport {
+            pairs: Some(evidence.collect()),
+            running: (0..kinds).map(|kind| (u64::MAX - kind, 40)).collect(),
+        };
+        let mut buf = Vec::new();
+        encode(
+            &WorkerToEntryWire::from(WorkerToEntry::Interference(report)),
+            &mut buf,
+        )
+        .expect("encodes");
+        buf.len()
+    };
+    let (largest, usual) = (report(24, 16), report(2, 2));
+    println!("largest {largest} bytes, usual {usual} bytes, without pairs {}", report(0, 2));
+    assert!(largest <= 1_024, "{largest} bytes");
+    assert!(usual <= 128, "{usual} bytes");
+}
