interference: Test that general load is not taken for a pair

Cause: no test failed when runs at different utilisation were compared.

Change: a load whose jobs fill half of the places of workers on which all tasks take twice as long when full.

--- a/crates/interference/tests/evidence.rs
+++ b/crates/interference/tests/evidence.rs
@@ -146,6 +146,29 @@
     }
 }
 
+/// Load: workers on which all tasks take twice as long when they are full, and jobs of one kind that fill half of the places at
+/// once. Guards against a kind that is blamed for the general load that it brings.
+#[test]
+fn evidence_general_load_finds_no_pair() {
+    let kind = |kind, tasks, millis, share| Load {
+        kind,
+        tasks,
+        run_time: Duration::from_millis(millis),
+        declared_factor: 1.0,
+        share,
+    };
+    let load = [kind(1, 1, 60, 0.15), kind(2, 6, 300, 0.12), kind(3, 1, 50, 0.05)];
+    let mut fleet = Fleet::new(3, &load);
+    for machine in &mut fleet.machines {
+        machine.contention = 1.0;
+        machine.speed = 1.0;
+    }
+    while fleet.seconds < 300 {
+        fleet.advance();
+        assert_eq!(fleet.pairs(), [], "after {} s", fleet.seconds);
+    }
+}
+
 /// Load: a pair that interferes for two minutes, and then no longer, while both kinds go on side by side. Guards against workers
 /// that are avoided for a cause that has gone.
 #[test]
--- a/crates/interference/tests/machine/mod.rs
+++ b/crates/interference/tests/machine/mod.rs
@@ -48,6 +48,8 @@
     pub evidence: Evidence,
     pub observer: Observer,
     pub speed: f64,
+    /// Part by which tasks on a full machine take longer than on an idle one.
+    pub contention: f64,
     pub slowdowns: Vec<Slowdown>,
     /// Completed runs of each kind in the load.
     pub completed: Vec<u32>,
@@ -70,6 +72,7 @@
             evidence: Evidence::new(now),
             observer: Observer::new(now),
             speed: 1.0,
+            contention: 0.33,
             slowdowns: Vec::new(),
             completed: vec![0; load.len()],
             coupled: false,
@@ -118,7 +121,6 @@
         1.0 / (1.25 + 0.25 * cycle.sin())
     }
 
-    /// Tasks of a full machine run a third slower than on an idle one.
     fn rate(&self, task: &Task) -> f64 {
         let others = |kind| {
             let mut running = self.running.iter();
@@ -132,7 +134,7 @@
             .filter(|slowdown| others(slowdown.beside))
             .map(|slowdown| slowdown.factor)
             .product();
-        self.speed * self.conditions() / (1.0 + 0.33 * self.utilisation()) / factor
+        self.speed * self.conditions() / (1.0 + self.contention * self.utilisation()) / factor
     }
 
     #[expect(clippy::cast_precision_loss, reason = "the numbers of places are small")]
