--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -22,6 +22,7 @@
     pub(crate) crash_retention: Duration,
     pub(crate) seed: u64,
     pub(crate) awaits_evacuations: bool,
+    pub(crate) sharing: bool,
 }
 
 /// Builds a [`BrokerConfig`] from the defaults and overrides.
@@ -60,6 +61,7 @@
             crash_retention: Duration::from_secs(30),
             seed: 0,
             awaits_evacuations: false,
+            sharing: false,
         };
         BrokerConfigBuilder { cfg }
     }
@@ -115,6 +117,10 @@
         /// Sets whether requests wait for the evacuations as they do for the first route table; default `false`.
         awaits_evacuations: bool
     );
+    setter!(
+        /// Sets whether placement keeps kinds of tasks apart that slow each other down; default `false`.
+        sharing: bool
+    );
 
     /// Sets the shortest time after which a caller that has lost its connection submits its job again; default 1.3 s.
     ///
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -20,6 +20,7 @@
 use crate::job::Job;
 use crate::order::WaitingOrder;
 use crate::requests::Arrival;
+use crate::sharing::Sharing;
 use crate::shedding::Shedding;
 use crate::silence::Silence;
 use crate::throughput::Throughput;
@@ -66,6 +67,8 @@
     placement_at: Option<Instant>,
     pub(crate) evacuations: KnownEvacuations,
     pub(crate) shedding: Shedding,
+    /// Kinds of tasks that slow each other down.
+    pub(crate) sharing: Sharing,
 }
 
 impl BrokerCore {
@@ -107,6 +110,7 @@
             placement_at: None,
             evacuations: KnownEvacuations::default(),
             shedding: Shedding::default(),
+            sharing: Sharing::default(),
         }
     }
 
@@ -149,7 +153,8 @@
             Event::EntryCount(entries) => self.entry_count = entries.max(1),
             Event::AgentUp { link, agent, process } => {
                 self.silence.record_report(now);
-                self.agents.connect(now, link, agent, process);
+                let at = self.agents.connect(now, link, agent, process);
+                self.sharing.on_agent_up(at, process);
             }
             Event::AgentDown { link } => {
                 self.silence.record_lost_link(now);
@@ -323,6 +328,7 @@
                 actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number, demand)));
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
+            WorkerToEntry::Interference(report) => self.sharing.on_report(now, at, report),
             WorkerToEntry::Ended(ended, load) => {
                 self.agents.get_mut(at).load = Some(load);
                 self.record_delay(now, at, &ended);
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -17,6 +17,7 @@
 mod placement;
 mod requests;
 mod selection;
+mod sharing;
 mod shedding;
 mod silence;
 mod throughput;
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -239,6 +239,9 @@
                 let delay = self.core.processing_delay(self.timer.now());
                 let delay = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
                 self.metrics.gauge("entry.processing_delay_ms", delay);
+                if let Some(pairs) = self.core.interfering_pairs() {
+                    self.metrics.gauge("interference.pairs", pairs as u64);
+                }
             }
             EntryMessage::Status(reply) => {
                 // The requester may have dropped the receiver.
@@ -333,6 +336,7 @@
                 metrics.gauge("evacuation.revision", state.revision);
                 metrics.gauge("evacuation.domains", state.domains.len() as u64);
             }
+            Notice::InterferenceAvoided { tasks, .. } => metrics.count("interference.avoided", *tasks),
             _ => {}
         }
     }
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -108,6 +108,7 @@
             refused,
             age,
         } => log_evacuations(state, change, *refused, *age),
+        BrokerNotice::InterferenceAvoided { .. } => log_interference_notice(notice),
     }
 }
 
@@ -131,15 +132,45 @@
             agent,
             silent,
             attempts,
-        } => emit(&RunsEvent::AgentLapsed {
-            agent,
-            silent: *silent,
-            attempts: *attempts,
-        }),
+        } => log_agent_lapsed(agent, *silent, *attempts),
         _ => {}
     }
 }
 
+fn log_agent_lapsed(agent: &str, silent: Duration, attempts: u64) {
+    emit(&RunsEvent::AgentLapsed {
+        agent,
+        silent,
+        attempts,
+    });
+}
+
+/// Logs a notice about tasks that were placed apart because their kinds slow each other down.
+fn log_interference_notice(notice: &BrokerNotice) {
+    if let BrokerNotice::InterferenceAvoided {
+        job,
+        tasks,
+        agent,
+        slowed,
+        beside,
+        slowdown_permille,
+        runs,
+        age,
+    } = notice
+    {
+        emit(&RunsEvent::InterferenceAvoided {
+            job: &format_job_id(*job),
+            tasks: *tasks,
+            agent,
+            slowed,
+            beside,
+            slowdown_permille: *slowdown_permille,
+            runs: *runs,
+            age: *age,
+        });
+    }
+}
+
 /// Logs notices about workers that were lost under tasks.
 fn log_loss_notice(notice: &BrokerNotice) {
     match notice {
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -38,6 +38,7 @@
     metrics: Metrics,
     evacuations: bool,
     limits: ProcessLimits,
+    sharing: bool,
 }
 
 /// Builder of [`NodeConfig`].
@@ -74,6 +75,7 @@
             metrics: Metrics::disabled(),
             evacuations: false,
             limits: ProcessLimits::default(),
+            sharing: false,
         };
         NodeConfigBuilder { cfg }
     }
@@ -138,6 +140,10 @@
         /// Sets the limits on links that are not authenticated.
         limits: ProcessLimits
     );
+    setter!(
+        /// Sets whether entries keep kinds of tasks apart that slow each other down; default `false`.
+        sharing: bool
+    );
 
     /// Returns the configuration.
     #[must_use]
@@ -259,6 +265,7 @@
         .resubmission_delay(cfg.resubmission_delay)
         .awaits_evacuations(cfg.evacuations)
         .seed(process)
+        .sharing(cfg.sharing)
         .build();
     let arguments = EntryArguments {
         core: BrokerCore::new(broker, clock.now()),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod demand;
 mod ids;
+mod interference;
 mod job;
 mod policy;
 mod refusal;
@@ -24,6 +25,7 @@
     ProcessId, ReplicaId, RouteName, ServiceName, StepIndex, TargetName, TaskIndex, TeamName, Term,
     ViewNumber, job_timestamp,
 };
+pub use interference::{InterferenceReport, KindId, KindPair, OrderKinds, PairEvidence};
 pub use job::{JobSpec, TaskSpec};
 pub use policy::{
     EjectionPolicy, HedgePolicy, OptimizationGoal, Placement, RetryPolicy, ServicePolicy,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod demand;
 mod handshake;
+mod interference;
 mod peer;
 mod raft;
 mod register;
@@ -19,6 +20,7 @@
 pub use codec::{CodecError, decode, decode_frame, encode};
 pub use demand::{DemandSumWire, DemandWire};
 pub use handshake::{Challenge, Hello, PROTOCOL_VERSION, Proof, Role, Welcome};
+pub use interference::PairEvidenceWire;
 pub use peer::{PeerMessageWire, PeerWireError};
 pub use raft::{
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, Demand, DemandBand, DemandSum, EndedRun, EntryToWorker, JobId, RecordedAttempt, Resources,
-    RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, Demand, DemandBand, DemandSum, EndedRun, EntryToWorker, InterferenceReport, JobId, KindPair,
+    OrderKinds, PairEvidence, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder,
+    WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
 use serde::de::DeserializeOwned;
@@ -84,6 +85,23 @@
     demand
 }
 
+fn interference() -> InterferenceReport {
+    let evidence = PairEvidence {
+        pair: KindPair {
+            slowed: u64::MAX - 2,
+            beside: u64::MAX - 3,
+        },
+        log_permille: -21,
+        precision: 22,
+        runs: 23,
+        age: Duration::from_millis(24),
+    };
+    InterferenceReport {
+        pairs: Some(vec![evidence]),
+        running: vec![(u64::MAX - 4, 25)],
+    }
+}
+
 fn recorded(job: JobId, resources: Option<Resources>) -> RecordedAttempt {
     let key = key(job);
     RecordedAttempt { key, resources }
@@ -94,6 +112,10 @@
 fn entry_to_worker_round_trips() {
     let order = StartOrder {
         refuse_if_full: true,
+        kinds: OrderKinds {
+            tasks: vec![u64::MAX - 1],
+            watched: vec![u64::MAX],
+        },
         time_limit: Some(Duration::from_micros(4)),
         report_interval: Some(Duration::from_micros(5)),
         number: 1,
@@ -173,6 +195,8 @@
         ),
         WorkerToEntry::Load(load()),
         WorkerToEntry::Ended(ended.to_vec(), load()),
+        WorkerToEntry::Interference(interference()),
+        WorkerToEntry::Interference(InterferenceReport::default()),
     ];
     for message in messages {
         let mut buf = Vec::new();
@@ -261,3 +285,36 @@
         plain.len()
     );
 }
+
+/// Guards against a report of interference that takes a noticeable part of an entry's link: the largest one that an agent sends,
+/// and one of a deployment with one interfering pair.
+#[test]
+fn interference_report_is_small() {
+    let report = |pairs: u64, kinds: u64| {
+        let evidence = (0..pairs).map(|pair| PairEvidence {
+            pair: KindPair {
+                slowed: u64::MAX - pair,
+                beside: u64::MAX / 2 - pair,
+            },
+            ..interference().pairs.expect("pairs")[0]
+        });
+        let report = InterferenceReport {
+            pairs: Some(evidence.collect()),
+            running: (0..kinds).map(|kind| (u64::MAX - kind, 40)).collect(),
+        };
+        let mut buf = Vec::new();
+        encode(
+            &WorkerToEntryWire::from(WorkerToEntry::Interference(report)),
+            &mut buf,
+        )
+        .expect("encodes");
+        buf.len()
+    };
+    let (largest, usual) = (report(24, 16), report(2, 2));
+    println!(
+        "largest {largest} bytes, usual {usual} bytes, without pairs {}",
+        report(0, 2)
+    );
+    assert!(largest <= 1_024, "{largest} bytes");
+    assert!(usual <= 128, "{usual} bytes");
+}
