--- a/crates/interference/tests/machine/mod.rs
+++ b/crates/interference/tests/machine/mod.rs
@@ -53,7 +53,7 @@
     pub slowdowns: Vec<Slowdown>,
     /// Completed runs of each kind in the load.
     pub completed: Vec<u32>,
-    /// Share of jobs of the second kind that arrive together with a job of the third one.
+    /// Whether a job of the third kind arrives with each job of the second one.
     pub coupled: bool,
     start: Instant,
     places: usize,
