--- a/crates/broker/benches/placement.rs
+++ b/crates/broker/benches/placement.rs
@@ -42,6 +42,7 @@
         failure_permille: 0,
         available: true,
         last_order: u64::MAX,
+        demand: None,
     }
 }
 
