--- a/crates/interference/tests/evidence.rs
+++ b/crates/interference/tests/evidence.rs
@@ -205,7 +205,11 @@
         declared_factor: 1.0,
         share,
     };
-    let load = [kind(1, 2, 200, 0.4), kind(2, 2, 400, 0.06), kind(3, 1, 400, 0.001)];
+    let load = [
+        kind(1, 2, 200, 0.4),
+        kind(2, 2, 400, 0.06),
+        kind(3, 1, 400, 0.001),
+    ];
     let mut fleet = Fleet::new(1, &load);
     let cause = Slowdown {
         slowed: 1,
