broker, worker: Limit orders beyond the share after a return (trial)

Cause: after a return all entries order from every worker with reported free capacity, and full workers refuse most of these orders.

Change: for the time after a change of much of the usable capacity an entry sends 4% of its orders beyond its share. It says so in its orders; agents then divide exactly among all connected entries and report each change. Agents keep the size of the last task, and grant a worker to one entry while entries connect and no size is known.

--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -92,7 +92,10 @@
         match run.outcome {
             RunOutcome::Failed if !healthy => task.unhealthy_worker_failures += 1,
             RunOutcome::Failed => task.failures += 1,
-            RunOutcome::NotStarted if outstanding.refuse_if_full => task.refusals += 1,
+            RunOutcome::NotStarted if outstanding.refuse_if_full => {
+                task.refusals += 1;
+                self.returns.record_refusal();
+            }
             RunOutcome::NotStarted => task.retry_at = Some(now + NOT_STARTED_RETRY_DELAY),
             _ => {}
         }
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -18,6 +18,7 @@
 use crate::event::{Action, Answer, Event, Notice, Request, Ticket};
 use crate::job::Job;
 use crate::requests::Arrival;
+use crate::returns::Returns;
 use crate::silence::Silence;
 use crate::throughput::Throughput;
 
@@ -61,6 +62,8 @@
     pub(crate) silence: Silence,
     /// When waiting tasks are placed because of load reports.
     placement_at: Option<Instant>,
+    /// Limit of orders beyond the share after a return or a loss.
+    pub(crate) returns: Returns,
 }
 
 impl BrokerCore {
@@ -100,6 +103,7 @@
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
+            returns: Returns::new(now),
         }
     }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 mod job;
 mod placement;
 mod requests;
+mod returns;
 mod selection;
 mod silence;
 mod throughput;
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -86,9 +86,14 @@
             let refusals = job.tasks[task].refusals;
             let ordered: Vec<AgentIndex> = orders.keys().copied().collect();
             match self.select_worker(now, pool, job, task, &ordered) {
-                Choice::Place { agent, expected } => {
+                Choice::Place {
+                    agent,
+                    expected,
+                    in_share,
+                } => {
                     if let Some(task) = self.record_order(now, id, task, agent, expected) {
                         pool.reserve(agent, task.resources, suspect);
+                        self.returns.record_order(in_share);
                         let order = orders.entry(agent).or_default();
                         order.tasks.push(task);
                         order.refuse_if_full |= refusals < MAX_REFUSALS;
@@ -189,6 +194,7 @@
             report_interval: Some(report_interval),
             tasks,
             refuse_if_full,
+            within_share: self.returns.is_active(),
         };
         if let Some(link) = agent_state.link {
             actions.push(Action::ToAgent(link, EntryToWorker::Start(order)));
--- /dev/null
+++ b/crates/broker/src/returns.rs
@@ -0,0 +1,145 @@
+//! The time after a change of much of the usable capacity, in which orders beyond the share of this entry are limited.
+//!
+//! After a restart, a cut or a loss all entries have a backlog at the same time. If each of them orders from every worker with
+//! reported free capacity, most of these orders reach a worker that another entry has filled. In normal operation few entries
+//! need more than their share at the same time, and such orders save waits.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Period over which changes of the usable capacity add up. The links of a restarted process open within a quarter of it.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Divisor of the usable capacity that gives the smallest change that counts: a rack has a sixth of the smallest pool.
+const CHANGE_DIVISOR: u64 = 8;
+/// Time without a change and without waiting tasks after which the time ends: two heartbeats, so that each agent has divided
+/// its capacity again.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+/// Time after the latest change after which it ends although tasks wait: the load is then high for another reason.
+const MAX_DURATION: Duration = Duration::from_secs(10);
+/// Part of the orders, in tasks, that may be sent beyond the share meanwhile. All of them may be refused.
+const BEYOND_SHARE: f64 = 0.04;
+/// Orders beyond the share that can be saved up: one job of two tasks.
+const MAX_SAVED: f64 = 2.0;
+
+/// Start or end of the time after a change, to be logged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Transition {
+    /// Capacity changed by much.
+    Began {
+        /// Smallest usable capacity within the window, in thousandths of a core.
+        least: u64,
+        /// Largest usable capacity within the window, in thousandths of a core.
+        most: u64,
+        /// Age of the oldest observation.
+        age: Duration,
+    },
+    /// No tasks have waited for a while, or the longest duration is over.
+    Ended {
+        /// Time since it began.
+        lasted: Duration,
+        /// Tasks that were ordered beyond the share.
+        beyond_share: u64,
+        /// Orders that full workers refused.
+        refused: u64,
+    },
+}
+
+/// Recognises returns and losses of much of the usable capacity, and limits orders beyond the share after them.
+#[derive(Debug)]
+pub(crate) struct Returns {
+    /// Usable capacity at each change within the window, with at least one observation.
+    observed: VecDeque<(Instant, u64)>,
+    began_at: Option<Instant>,
+    changed_at: Instant,
+    /// Time from which there was no change and no task waited.
+    quiet_since: Instant,
+    /// Tasks that may be ordered beyond the share.
+    saved: f64,
+    beyond_share: u64,
+    refused: u64,
+}
+
+impl Returns {
+    /// Creates the state of a process that knows no worker yet.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            observed: VecDeque::from([(now, 0)]),
+            began_at: None,
+            changed_at: now,
+            quiet_since: now,
+            saved: 0.0,
+            beyond_share: 0,
+            refused: 0,
+        }
+    }
+
+    /// Processes the usable capacity, and whether tasks wait although placement was attempted.
+    pub(crate) fn observe(&mut self, now: Instant, capacity: u64, has_waiting: bool) -> Option<Transition> {
+        if self.observed.back().is_none_or(|&(_, latest)| latest != capacity) {
+            self.observed.push_back((now, capacity));
+        }
+        // The oldest observation kept is the one in force at the beginning of the window.
+        while self.observed.get(1).is_some_and(|&(at, _)| now >= at + WINDOW) {
+            self.observed.pop_front();
+        }
+        let amounts = || self.observed.iter().map(|&(_, amount)| amount);
+        let (least, most) = (amounts().min().unwrap_or(0), amounts().max().unwrap_or(0));
+        let oldest = self.observed.front().map_or(now, |&(at, _)| at);
+        let changed = most - least > most / CHANGE_DIVISOR;
+        if changed || has_waiting {
+            self.quiet_since = now;
+        }
+        if changed {
+            self.changed_at = now;
+            // Later changes are measured from here.
+            self.observed = VecDeque::from([(now, capacity)]);
+        }
+        match self.began_at {
+            None if changed => {
+                self.began_at = Some(now);
+                (self.saved, self.beyond_share, self.refused) = (0.0, 0, 0);
+                let age = now.saturating_duration_since(oldest);
+                Some(Transition::Began { least, most, age })
+            }
+            Some(began_at)
+                if now >= self.quiet_since + QUIET_TIME || now >= self.changed_at + MAX_DURATION =>
+            {
+                self.began_at = None;
+                Some(Transition::Ended {
+                    lasted: now.saturating_duration_since(began_at),
+                    beyond_share: self.beyond_share,
+                    refused: self.refused,
+                })
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns whether orders beyond the share are limited.
+    pub(crate) fn is_active(&self) -> bool {
+        self.began_at.is_some()
+    }
+
+    /// Returns whether a task may be ordered beyond the share.
+    pub(crate) fn allows_beyond_share(&self) -> bool {
+        !self.is_active() || self.saved >= 1.0
+    }
+
+    /// Records that a task was ordered.
+    pub(crate) fn record_order(&mut self, in_share: bool) {
+        if !self.is_active() {
+            return;
+        }
+        if in_share {
+            self.saved = (self.saved + BEYOND_SHARE).min(MAX_SAVED);
+        } else {
+            self.saved -= 1.0;
+            self.beyond_share += 1;
+        }
+    }
+
+    /// Records that a full worker refused a task.
+    pub(crate) fn record_refusal(&mut self) {
+        self.refused += 1;
+    }
+}
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -29,7 +29,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
     /// Place the task on a worker with free capacity; `expected` is the expected run time.
-    Place { agent: AgentIndex, expected: Duration },
+    Place {
+        agent: AgentIndex,
+        expected: Duration,
+        in_share: bool,
+    },
     /// Wait for a faster worker, which is full but could still meet the objective, or for one without another suspect.
     Wait,
     /// No suitable worker has free capacity.
@@ -133,8 +137,10 @@
             eligible.min_by(|a, b| a.score.total_cmp(&b.score))
         };
         // Another entry may use capacity outside the share first, and the worker then refuses the task.
-        let placed =
-            best(|candidate| candidate.in_share).or_else(|| best(|candidate| candidate.has_capacity));
+        let placed = best(|candidate| candidate.in_share).or_else(|| {
+            let beyond = best(|candidate| candidate.has_capacity);
+            beyond.filter(|_| self.returns.allows_beyond_share())
+        });
         let Some(placed) = placed else {
             // Other tasks may use the workers that a suspect can't.
             return if self.crashes.is_suspect(job.key(task)) {
@@ -153,6 +159,7 @@
         Choice::Place {
             agent: placed.agent,
             expected: placed.expected,
+            in_share: placed.in_share,
         }
     }
 
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -128,6 +128,9 @@
     pub tasks: Vec<TaskOrder>,
     /// Whether the agent refuses tasks that cannot start at once; otherwise they wait for capacity.
     pub refuse_if_full: bool,
+    /// Whether the entry orders almost only within its share at present, so that the agent divides its free capacity exactly and
+    /// reports each change; `false` from entries of earlier versions.
+    pub within_share: bool,
 }
 
 /// Attempt that an entry has recorded for an agent.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -53,6 +53,9 @@
         /// it.
         #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
         report_interval_us: Option<u64>,
+        /// Whether the entry orders almost only within its share. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+        within_share: bool,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -347,6 +350,7 @@
                 refuse_if_full: order.refuse_if_full,
                 time_limit_us: order.time_limit.map(micros),
                 report_interval_us: order.report_interval.map(micros),
+                within_share: order.within_share,
                 tasks: order
                     .tasks
                     .into_iter()
@@ -390,11 +394,13 @@
                 refuse_if_full,
                 time_limit_us,
                 report_interval_us,
+                within_share,
             } => Self::Start(StartOrder {
                 number,
                 refuse_if_full,
                 time_limit: time_limit_us.map(Duration::from_micros),
                 report_interval: report_interval_us.map(Duration::from_micros),
+                within_share,
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -80,6 +80,7 @@
 #[test]
 fn entry_to_worker_round_trips() {
     let order = StartOrder {
+        within_share: true,
         refuse_if_full: true,
         time_limit: Some(Duration::from_micros(4)),
         report_interval: Some(Duration::from_micros(5)),
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -58,6 +58,8 @@
     pub(crate) excess: Resources,
     /// Recent losses of the worker.
     pub(crate) crashes: Crashes,
+    /// Size of the largest of the runs that were on the worker last, or zero before the first one.
+    pub(crate) last_unit: Resources,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -98,6 +100,7 @@
             share_rotation: 0,
             excess: Resources::default(),
             crashes: Crashes::default(),
+            last_unit: Resources::default(),
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -144,7 +147,7 @@
     /// Returns when the core needs the next [`Event::Tick`].
     #[must_use]
     pub fn next_wakeup(&self) -> Instant {
-        let report = self.load_changed().then_some(self.load_report_at);
+        let report = self.load_changed(self.handled_at).then_some(self.load_report_at);
         let runs = self.runs.values().filter_map(|run| match run.phase {
             Phase::Waiting { not_before } => Some(not_before),
             Phase::Stopping(stop) if stop.call.is_none() && stop.confirmed_at.is_none() => {
@@ -176,7 +179,7 @@
     }
 
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
-        self.owners.connect(link, entry);
+        self.owners.connect(now, link, entry);
         actions.push(Action::ToEntry(link, self.describe(now)));
         let number = self.owners.next_heartbeat(now);
         let load = self.load(now, entry);
@@ -245,6 +248,7 @@
             owner.last_order = owner.last_order.max(order.number);
             owner.last_order_at = Some(now);
             owner.report_interval = order.report_interval.unwrap_or_default();
+            owner.within_share = order.within_share;
         }
         let refusal = self.refusal(now, entry);
         for &task in &order.tasks {
@@ -306,6 +310,7 @@
             former_incarnation: false,
         };
         self.runs.insert(task.key.task, run);
+        self.retain_unit();
     }
 
     fn refuse(&mut self, entry: ProcessId, key: AttemptKey, reason: &'static str, actions: &mut Vec<Action>) {
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod core;
 mod crashes;
+mod division;
 mod event;
 mod health;
 mod orders;
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -26,23 +26,40 @@
     pub(crate) report_interval: Duration,
     /// Arrival of the latest start order.
     pub(crate) last_order_at: Option<Instant>,
+    /// Whether the latest start order states that the entry orders within its share only.
+    pub(crate) within_share: bool,
     /// Ended runs not yet reported, because there is no link or a report can be deferred.
     pub(crate) outbox: Vec<EndedRun>,
 }
 
+impl Owner {
+    /// Returns whether the latest start order arrived at most `period` ago.
+    pub(crate) fn has_ordered_since(&self, now: Instant, period: Duration) -> bool {
+        self.last_order_at.is_some_and(|at| now < at + period)
+    }
+}
+
 /// Entries by process, and the send times of recent heartbeats.
 #[derive(Debug, Default)]
 pub(crate) struct Owners {
     entries: IndexMap<ProcessId, Owner>,
     heartbeats: VecDeque<(HeartbeatNumber, Instant)>,
     last_heartbeat: HeartbeatNumber,
+    /// When the latest link opened.
+    connected_at: Option<Instant>,
 }
 
 impl Owners {
-    pub(crate) fn connect(&mut self, link: LinkNumber, entry: ProcessId) {
+    pub(crate) fn connect(&mut self, now: Instant, link: LinkNumber, entry: ProcessId) {
+        self.connected_at = Some(now);
         self.entries.entry(entry).or_default().link = Some(link);
     }
 
+    /// Returns when the latest link opened.
+    pub(crate) fn connected_at(&self) -> Option<Instant> {
+        self.connected_at
+    }
+
     /// Removes a link and returns its entry, unless a later link has replaced it.
     pub(crate) fn disconnect(&mut self, link: LinkNumber) -> Option<ProcessId> {
         let (&entry, owner) = self
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -53,7 +53,7 @@
 
     pub(crate) fn send_heartbeats(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let due = now >= self.heartbeat_at;
-        let changed = self.load_changed() && now >= self.load_report_at;
+        let changed = self.load_changed(now) && now >= self.load_report_at;
         if !due && !changed {
             return;
         }
@@ -90,14 +90,16 @@
     ///
     /// The report of an ended run includes the load, so its entry already knows the freed capacity. Only larger changes
     /// justify a report to all entries.
-    pub(crate) fn load_changed(&self) -> bool {
+    pub(crate) fn load_changed(&self, now: Instant) -> bool {
         let Some(session) = self.session.as_ref() else {
             return false;
         };
         let capacity = session.worker.description.capacity.cpu_millis;
         let (free, reported) = (self.free(), self.reported_free);
         let scarce = self.is_scarce(free) || self.is_scarce(reported);
-        scarce && free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR
+        // Entries that order within their shares only need the units that others have left.
+        let is_needed = scarce || self.orders_within_shares(now);
+        is_needed && free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR
     }
 
     /// Returns whether so little capacity is free that entries could fill it twice between two heartbeats.
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -10,13 +10,14 @@
 use chestnutfork_types::{ProcessId, Resources};
 
 use crate::core::WorkerCore;
+use crate::division::{Division, allocated_units};
 
 /// Time after its latest order during which an entry takes part in the division: five heartbeats.
 const COMPETITOR_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Number of entries to which each unit is allocated while capacity is not scarce, because few entries use their entire
-/// share before the next report.
-const OVERCOMMIT_FACTOR: u64 = 2;
+/// Time after the latest link opened in which the size of tasks need not be known yet: entries connect within 250 ms after a
+/// restart of everything, and the first tasks follow at once.
+const CONNECTING_TIME: Duration = Duration::from_millis(500);
 
 impl WorkerCore {
     /// Returns the part of the free capacity that is allocated to an entry until the next report to all entries.
@@ -24,36 +25,64 @@
         let (free, unit) = (self.free(), self.allocation_unit());
         let competitors = self.competitors(now, entry);
         let position = competitors.iter().position(|&other| other == entry);
-        let (Some(position), Some(units)) = (position, units_in(free, unit)) else {
+        let Some(position) = position else {
             return free;
         };
-        let allocated = if self.is_scarce(free) {
-            units
+        let units = match units_in(free, unit) {
+            Some(units) => units,
+            // Before the first task its size is not known. All entries connect at about the same time after a return, and each
+            // would fill the worker, so it is allocated to a single one.
+            None if self.is_connecting(now) => 1,
+            None => return free,
+        };
+        let is_exact = self.is_scarce(free) || unit == Resources::default() || self.orders_within_shares(now);
+        let division = if is_exact {
+            Division::Exact
         } else {
-            units.saturating_mul(OVERCOMMIT_FACTOR)
+            Division::Overcommitted
         };
-        let count = competitors.len() as u64;
-        let rank = (position as u64 + self.share_rotation) % count;
-        let own = allocated / count + u64::from(rank < allocated % count);
+        let own = allocated_units(division, units, position, competitors.len(), self.share_rotation);
         if own >= units { free } else { scale(unit, own) }
     }
 
-    /// Returns the connected entries that have sent an order recently, and always includes `entry` if it is connected.
+    /// Returns whether an entry has recently stated that it orders within its shares only, as all do after a return.
+    pub(crate) fn orders_within_shares(&self, now: Instant) -> bool {
+        let mut owners = self.owners.iter();
+        owners.any(|(_, owner)| owner.within_share && owner.has_ordered_since(now, COMPETITOR_TIMEOUT))
+    }
+
+    /// Returns whether a link to an entry opened so recently that others may still be connecting.
+    fn is_connecting(&self, now: Instant) -> bool {
+        self.owners
+            .connected_at()
+            .is_some_and(|at| now < at + CONNECTING_TIME)
+    }
+
+    /// Returns the connected entries that have sent an order recently, and always includes `entry` if it is connected. After a
+    /// return these are all connected entries.
     fn competitors(&self, now: Instant, entry: ProcessId) -> Vec<ProcessId> {
+        // Entries that order within their shares wait for one, and each must get a part although it has not ordered yet.
+        let all = self.is_connecting(now) || self.orders_within_shares(now);
         let competing = self.owners.iter().filter(|(other, owner)| {
-            let recent = owner
-                .last_order_at
-                .is_some_and(|at| now < at + COMPETITOR_TIMEOUT);
-            owner.link.is_some() && (recent || *other == entry)
+            let recent = owner.has_ordered_since(now, COMPETITOR_TIMEOUT);
+            owner.link.is_some() && (all || recent || *other == entry)
         });
         competing.map(|(other, _)| other).collect()
     }
 
-    /// Returns the size of the largest running or waiting task, as an estimate for future tasks.
+    /// Returns the size of the largest running or waiting task, or of the last one, as an estimate for future tasks.
     fn allocation_unit(&self) -> Resources {
+        if self.runs.is_empty() {
+            return self.last_unit;
+        }
         let used = self.runs.values().map(|run| run.resources);
         used.fold(Resources::default(), largest)
     }
+
+    /// Retains the size of the largest task, so that the division goes on when the last run ends.
+    pub(crate) fn retain_unit(&mut self) {
+        self.last_unit = self.allocation_unit();
+    }
 }
 
 fn largest(one: Resources, other: Resources) -> Resources {
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -139,6 +139,7 @@
             declared_run_time: millis(100),
         });
         let message = EntryToWorker::Start(StartOrder {
+            within_share: false,
             refuse_if_full: false,
             time_limit: None,
             report_interval: None,
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -141,6 +141,7 @@
             declared_run_time: millis(100),
         });
         self.send(EntryToWorker::Start(StartOrder {
+            within_share: false,
             refuse_if_full,
             time_limit: None,
             report_interval: None,
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -438,6 +438,7 @@
             declared_run_time: millis(100),
         });
         let order = StartOrder {
+            within_share: false,
             refuse_if_full: false,
             time_limit: None,
             report_interval,
--- a/crates/worker/tests/time_limit.rs
+++ b/crates/worker/tests/time_limit.rs
@@ -11,6 +11,7 @@
 
 fn start_order(time_limit: Duration) -> EntryToWorker {
     EntryToWorker::Start(StartOrder {
+        within_share: false,
         refuse_if_full: false,
         time_limit: Some(time_limit),
         report_interval: None,
