--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -93,7 +93,7 @@
                 } => {
                     if let Some(task) = self.record_order(now, id, task, agent, expected) {
                         pool.reserve(agent, task.resources, suspect);
-                        self.returns.record_order(in_share);
+                        self.returns.record_order(now, in_share);
                         let order = orders.entry(agent).or_default();
                         order.tasks.push(task);
                         order.refuse_if_full |= refusals < MAX_REFUSALS;
--- a/crates/broker/src/returns.rs
+++ b/crates/broker/src/returns.rs
@@ -11,15 +11,19 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// Divisor of the usable capacity that gives the smallest change that counts: a rack has a sixth of the smallest pool.
 const CHANGE_DIVISOR: u64 = 8;
-/// Time without a change and without waiting tasks after which the time ends: two heartbeats, so that each agent has divided
-/// its capacity again.
-const QUIET_TIME: Duration = Duration::from_millis(500);
+/// Time without a change and without waiting tasks after which the time ends. Tasks that were lost or repeated have ended by
+/// then, and most of the longest ones that started meanwhile.
+const QUIET_TIME: Duration = Duration::from_secs(3);
+/// The same for a process that has ordered nothing since the change: two heartbeats, so that each agent has reported.
+const IDLE_TIME: Duration = Duration::from_millis(500);
 /// Time after the latest change after which it ends although tasks wait: the load is then high for another reason.
 const MAX_DURATION: Duration = Duration::from_secs(10);
-/// Part of the orders, in tasks, that may be sent beyond the share meanwhile. All of them may be refused.
-const BEYOND_SHARE: f64 = 0.04;
-/// Orders beyond the share that can be saved up: one job of two tasks.
-const MAX_SAVED: f64 = 2.0;
+/// Part of the orders, in tasks, that full workers may refuse meanwhile.
+const MAX_REFUSED: f64 = 0.03;
+/// Refusals that can be saved up, and owed: the tasks of one job.
+const MAX_SAVED: f64 = 8.0;
+/// Time within which a refusal of an order arrives: a round trip to another failure domain, with some slack.
+const REFUSAL_TIME: Duration = Duration::from_millis(10);
 
 /// Start or end of the time after a change, to be logged.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,8 +57,12 @@
     changed_at: Instant,
     /// Time from which there was no change and no task waited.
     quiet_since: Instant,
-    /// Tasks that may be ordered beyond the share.
+    /// Refusals that the orders so far allow.
     saved: f64,
+    /// Whether a task was ordered.
+    has_ordered: bool,
+    /// When tasks were ordered beyond the share that may still be refused.
+    unconfirmed: VecDeque<Instant>,
     beyond_share: u64,
     refused: u64,
 }
@@ -68,6 +76,8 @@
             changed_at: now,
             quiet_since: now,
             saved: 0.0,
+            has_ordered: false,
+            unconfirmed: VecDeque::new(),
             beyond_share: 0,
             refused: 0,
         }
@@ -94,15 +104,17 @@
             // Later changes are measured from here.
             self.observed = VecDeque::from([(now, capacity)]);
         }
+        let quiet_time = if self.has_ordered { QUIET_TIME } else { IDLE_TIME };
         match self.began_at {
             None if changed => {
                 self.began_at = Some(now);
                 (self.saved, self.beyond_share, self.refused) = (0.0, 0, 0);
+                self.has_ordered = false;
                 let age = now.saturating_duration_since(oldest);
                 Some(Transition::Began { least, most, age })
             }
             Some(began_at)
-                if now >= self.quiet_since + QUIET_TIME || now >= self.changed_at + MAX_DURATION =>
+                if now >= self.quiet_since + quiet_time || now >= self.changed_at + MAX_DURATION =>
             {
                 self.began_at = None;
                 Some(Transition::Ended {
@@ -121,19 +133,21 @@
     }
 
     /// Returns whether a task may be ordered beyond the share.
-    pub(crate) fn allows_beyond_share(&self) -> bool {
-        !self.is_active() || self.saved >= 1.0
+    pub(crate) fn allows_beyond_share(&self, now: Instant) -> bool {
+        let recent = self.unconfirmed.iter().rev().take_while(|&&at| now < at + REFUSAL_TIME);
+        !self.is_active() || self.saved >= 1.0 + recent.count() as f64
     }
 
     /// Records that a task was ordered.
-    pub(crate) fn record_order(&mut self, in_share: bool) {
+    pub(crate) fn record_order(&mut self, now: Instant, in_share: bool) {
         if !self.is_active() {
             return;
         }
-        if in_share {
-            self.saved = (self.saved + BEYOND_SHARE).min(MAX_SAVED);
-        } else {
-            self.saved -= 1.0;
+        self.has_ordered = true;
+        self.saved = (self.saved + MAX_REFUSED).min(MAX_SAVED);
+        if !in_share {
+            while self.unconfirmed.pop_front_if(|at| now >= *at + REFUSAL_TIME).is_some() {}
+            self.unconfirmed.push_back(now);
             self.beyond_share += 1;
         }
     }
@@ -141,5 +155,6 @@
     /// Records that a full worker refused a task.
     pub(crate) fn record_refusal(&mut self) {
         self.refused += 1;
+        self.saved = (self.saved - 1.0).max(-MAX_SAVED);
     }
 }
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -60,6 +60,8 @@
     pub(crate) crashes: Crashes,
     /// Size of the largest of the runs that were on the worker last, or zero before the first one.
     pub(crate) last_unit: Resources,
+    /// Whether the latest report withdrew shares that the next one grants to other entries.
+    pub(crate) withdrawing: bool,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -101,6 +103,7 @@
             excess: Resources::default(),
             crashes: Crashes::default(),
             last_unit: Resources::default(),
+            withdrawing: false,
             cleanup_at: now,
             handled_at: now,
             draining: false,
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Returns the part of a new share that an entry already has.
+    pub(crate) fn retained_share(&self, entry: ProcessId, share: Resources) -> Resources {
+        let known = self.entries.get(&entry).map_or(Resources::default(), |owner| owner.share);
+        Resources {
+            cpu_millis: share.cpu_millis.min(known.cpu_millis),
+            memory_mb: share.memory_mb.min(known.memory_mb),
+            gpus: share.gpus.min(known.gpus),
+        }
+    }
+
     /// Returns whether a share differs from the one last reported to an entry, and the entry accepts a report now.
     pub(crate) fn is_report_due(&self, entry: ProcessId, now: Instant, share: Resources) -> bool {
         self.entries.get(&entry).is_some_and(|owner| {
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -21,6 +21,13 @@
 /// heartbeats only.
 const ACKNOWLEDGEMENT_SLACK: Duration = Duration::from_millis(50);
 
+/// Time from the withdrawal of a share until it is granted to another entry: a round trip between failure domains, with some
+/// slack, after which no order of the former entry is in flight.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(4);
+/// Time for which a share is granted before it passes on, while entries order within their shares only. A longer time leaves
+/// capacity unused by entries that have no tasks.
+const GRANT_TIME: Duration = Duration::from_millis(6);
+
 impl WorkerCore {
     /// Reports ended runs to the connected entries.
     pub(crate) fn send_reports(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -57,9 +64,8 @@
         if !due && !changed {
             return;
         }
-        self.load_report_at = now + self.cfg.load_report_interval;
+        let withdraws = self.begin_report(now);
         self.reported_free = self.free();
-        self.share_rotation += 1;
         let number = due.then(|| {
             self.heartbeat_at = now + self.cfg.heartbeat_interval;
             self.owners.next_heartbeat(now)
@@ -74,7 +80,10 @@
             if number.is_none() && !self.owners.has_acknowledged_within(entry, now, limit) {
                 continue;
             }
-            let load = self.load(now, entry);
+            let mut load = self.load(now, entry);
+            if withdraws {
+                load.share = self.owners.retained_share(entry, load.share);
+            }
             if number.is_none() && !self.owners.is_report_due(entry, now, load.share) {
                 continue;
             }
@@ -86,6 +95,27 @@
         }
     }
 
+    /// Schedules the report after this one, and returns whether this one only withdraws shares.
+    ///
+    /// While entries order within their shares only, a unit passes to another entry in two reports, so that an order of the
+    /// former one does not meet an order of the next one.
+    fn begin_report(&mut self, now: Instant) -> bool {
+        let strict = self.orders_within_shares(now);
+        self.withdrawing = strict && !self.withdrawing;
+        if !strict || self.withdrawing {
+            self.share_rotation += 1;
+        }
+        self.load_report_at = now
+            + if self.withdrawing {
+                WITHDRAWAL_TIME
+            } else if strict {
+                GRANT_TIME
+            } else {
+                self.cfg.load_report_interval
+            };
+        self.withdrawing
+    }
+
     /// Returns whether the load has changed enough to affect the placement decisions of entries.
     ///
     /// The report of an ended run includes the load, so its entry already knows the freed capacity. Only larger changes
@@ -96,10 +126,13 @@
         };
         let capacity = session.worker.description.capacity.cpu_millis;
         let (free, reported) = (self.free(), self.reported_free);
+        let is_different = free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR;
+        if self.orders_within_shares(now) {
+            // A unit that its entry does not use must pass to the next one soon.
+            return is_different || self.withdrawing || self.has_free_unit();
+        }
         let scarce = self.is_scarce(free) || self.is_scarce(reported);
-        // Entries that order within their shares only need the units that others have left.
-        let is_needed = scarce || self.orders_within_shares(now);
-        is_needed && free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR
+        scarce && is_different
     }
 
     /// Returns whether so little capacity is free that entries could fill it twice between two heartbeats.
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -51,6 +51,11 @@
         owners.any(|(_, owner)| owner.within_share && owner.has_ordered_since(now, COMPETITOR_TIMEOUT))
     }
 
+    /// Returns whether there is room for another task of the present size.
+    pub(crate) fn has_free_unit(&self) -> bool {
+        units_in(self.free(), self.allocation_unit()).is_some_and(|units| units > 0)
+    }
+
     /// Returns whether a link to an entry opened so recently that others may still be connecting.
     fn is_connecting(&self, now: Instant) -> bool {
         self.owners
