--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts: u64,
     /// Attempts that may have started: all but those that were reported as not started.
     pub(crate) possible_starts: u64,
+    /// Attempts that were ordered beyond the share of this entry.
+    pub(crate) beyond_share: u32,
     /// Key in the queue of waiting jobs: latency objective and order of arrival.
     pub(crate) order: (Instant, u64),
 }
@@ -84,6 +86,11 @@
             .position(|task| task.step == key.step && task.index == key.index)
     }
 
+    /// Returns the number of attempts that full workers refused.
+    pub(crate) fn refusals(&self) -> u32 {
+        self.tasks.iter().map(|task| task.refusals).sum()
+    }
+
     pub(crate) fn has_waiting(&self) -> bool {
         self.tasks.iter().any(|task| task.state == TaskState::Waiting)
     }
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -83,7 +83,8 @@
                 continue;
             }
             let suspect = self.crashes.is_suspect(job.key(task));
-            let refusals = job.tasks[task].refusals;
+            let may_refuse =
+                job.tasks[task].refusals < MAX_REFUSALS && self.returns.allows_refusal(job.refusals());
             let ordered: Vec<AgentIndex> = orders.keys().copied().collect();
             match self.select_worker(now, pool, job, task, &ordered) {
                 Choice::Place {
@@ -93,10 +94,10 @@
                 } => {
                     if let Some(task) = self.record_order(now, id, task, agent, expected) {
                         pool.reserve(agent, task.resources, suspect);
-                        self.returns.record_order(now, in_share);
+                        self.record_share(now, id, in_share);
                         let order = orders.entry(agent).or_default();
                         order.tasks.push(task);
-                        order.refuse_if_full |= refusals < MAX_REFUSALS;
+                        order.refuse_if_full |= may_refuse;
                     }
                 }
                 Choice::Wait => {}
@@ -115,6 +116,14 @@
         has_capacity
     }
 
+    /// Records whether a task of a job was ordered within the share of this entry.
+    fn record_share(&mut self, now: Instant, id: JobId, in_share: bool) {
+        self.returns.record_order(now, in_share);
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| !in_share) {
+            job.beyond_share += 1;
+        }
+    }
+
     /// Returns the shortest time between two load reports of one agent that this process asks for.
     fn report_interval(&self, now: Instant) -> Duration {
         let agents = u32::try_from(self.agents.connected()).unwrap_or(u32::MAX);
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -211,6 +211,7 @@
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
+            beyond_share: 0,
             order: (objective_at, self.next_order),
         };
         self.waiting.insert(job.order, id);
--- a/crates/broker/src/returns.rs
+++ b/crates/broker/src/returns.rs
@@ -19,9 +19,11 @@
 /// Time after the latest change after which it ends although tasks wait: the load is then high for another reason.
 const MAX_DURATION: Duration = Duration::from_secs(10);
 /// Part of the orders, in tasks, that full workers may refuse meanwhile.
-const MAX_REFUSED: f64 = 0.03;
+const MAX_REFUSED: f64 = 0.02;
 /// Refusals that can be saved up, and owed: the tasks of one job.
 const MAX_SAVED: f64 = 8.0;
+/// Attempts at a job that full workers may refuse meanwhile, unless several are refused at once.
+const MAX_REFUSALS_OF_JOB: u32 = 3;
 /// Time within which a refusal of an order arrives: a round trip to another failure domain, with some slack.
 const REFUSAL_TIME: Duration = Duration::from_millis(10);
 
@@ -133,9 +135,20 @@
     }
 
     /// Returns whether a task may be ordered beyond the share.
-    pub(crate) fn allows_beyond_share(&self, now: Instant) -> bool {
-        let recent = self.unconfirmed.iter().rev().take_while(|&&at| now < at + REFUSAL_TIME);
-        !self.is_active() || self.saved >= 1.0 + recent.count() as f64
+    ///
+    /// `of_job` is the number of attempts at the same job that were ordered beyond the share before.
+    pub(crate) fn allows_beyond_share(&self, now: Instant, of_job: u32) -> bool {
+        let recent = self
+            .unconfirmed
+            .iter()
+            .rev()
+            .take_while(|&&at| now < at + REFUSAL_TIME);
+        !self.is_active() || of_job < MAX_REFUSALS_OF_JOB && self.saved >= 1.0 + recent.count() as f64
+    }
+
+    /// Returns whether a job may be refused by another full worker; otherwise its next order waits at the worker.
+    pub(crate) fn allows_refusal(&self, of_job: u32) -> bool {
+        !self.is_active() || of_job < MAX_REFUSALS_OF_JOB
     }
 
     /// Records that a task was ordered.
@@ -146,7 +159,11 @@
         self.has_ordered = true;
         self.saved = (self.saved + MAX_REFUSED).min(MAX_SAVED);
         if !in_share {
-            while self.unconfirmed.pop_front_if(|at| now >= *at + REFUSAL_TIME).is_some() {}
+            while self
+                .unconfirmed
+                .pop_front_if(|at| now >= *at + REFUSAL_TIME)
+                .is_some()
+            {}
             self.unconfirmed.push_back(now);
             self.beyond_share += 1;
         }
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -139,7 +139,7 @@
         // Another entry may use capacity outside the share first, and the worker then refuses the task.
         let placed = best(|candidate| candidate.in_share).or_else(|| {
             let beyond = best(|candidate| candidate.has_capacity);
-            beyond.filter(|_| self.returns.allows_beyond_share(now))
+            beyond.filter(|_| self.returns.allows_beyond_share(now, job.beyond_share))
         });
         let Some(placed) = placed else {
             // Other tasks may use the workers that a suspect can't.
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -101,7 +101,10 @@
 
     /// Returns the part of a new share that an entry already has.
     pub(crate) fn retained_share(&self, entry: ProcessId, share: Resources) -> Resources {
-        let known = self.entries.get(&entry).map_or(Resources::default(), |owner| owner.share);
+        let known = self
+            .entries
+            .get(&entry)
+            .map_or(Resources::default(), |owner| owner.share);
         Resources {
             cpu_millis: share.cpu_millis.min(known.cpu_millis),
             memory_mb: share.memory_mb.min(known.memory_mb),
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -26,7 +26,7 @@
 const WITHDRAWAL_TIME: Duration = Duration::from_millis(4);
 /// Time for which a share is granted before it passes on, while entries order within their shares only. A longer time leaves
 /// capacity unused by entries that have no tasks.
-const GRANT_TIME: Duration = Duration::from_millis(6);
+const GRANT_TIME: Duration = Duration::from_millis(4);
 
 impl WorkerCore {
     /// Reports ended runs to the connected entries.
@@ -126,7 +126,8 @@
         };
         let capacity = session.worker.description.capacity.cpu_millis;
         let (free, reported) = (self.free(), self.reported_free);
-        let is_different = free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR;
+        let is_different =
+            free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR;
         if self.orders_within_shares(now) {
             // A unit that its entry does not use must pass to the next one soon.
             return is_different || self.withdrawing || self.has_free_unit();
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -28,14 +28,14 @@
         let Some(position) = position else {
             return free;
         };
-        let units = match units_in(free, unit) {
-            Some(units) => units,
+        let Some(units) = units_in(free, unit) else {
             // Before the first task its size is not known. All entries connect at about the same time after a return, and each
             // would fill the worker, so it is allocated to a single one.
-            None if self.is_connecting(now) => 1,
-            None => return free,
+            let holder = self.share_rotation % competitors.len() as u64;
+            let holds = !self.is_connecting(now) || position as u64 == holder;
+            return if holds { free } else { Resources::default() };
         };
-        let is_exact = self.is_scarce(free) || unit == Resources::default() || self.orders_within_shares(now);
+        let is_exact = self.is_scarce(free) || self.orders_within_shares(now);
         let division = if is_exact {
             Division::Exact
         } else {
