broker, events: Report the time after a return

Cause: nothing shows when orders beyond the share are limited.

Change: events 7008 and 7009 and the metrics returns.began, returns.lasted, returns.beyond_share and returns.refused. The change of capacity is noticed with the first heartbeat on a link and with each description. The budget of refusals falls to 1.5% of the orders, that of a job to two attempts.

--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -287,13 +287,17 @@
                 if is_first {
                     self.send_time_limits(now, at, |_| true, actions);
                 }
+                self.observe_capacity(now, actions);
             }
             WorkerToEntry::Heartbeat(number, load) => {
                 let agent = self.agents.get_mut(at);
-                agent.load = Some(load);
+                let is_first = agent.load.replace(load).is_none();
                 agent.last_heartbeat = number;
                 agent.last_heartbeat_at = now;
                 actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number)));
+                if is_first {
+                    self.observe_capacity(now, actions);
+                }
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
             WorkerToEntry::Ended(ended, load) => {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -271,6 +271,24 @@
         /// Time since it fell behind.
         lasted: Duration,
     },
+    /// Much of the usable capacity has returned or was lost, and orders beyond the share of this entry are limited.
+    ReturnBegan {
+        /// Smallest usable capacity within the last second, in thousandths of a core.
+        least: u64,
+        /// Largest usable capacity within the last second, in thousandths of a core.
+        most: u64,
+        /// Age of the oldest of these observations.
+        age: Duration,
+    },
+    /// Orders beyond the share of this entry are no longer limited.
+    ReturnEnded {
+        /// Time since the limit began.
+        lasted: Duration,
+        /// Attempts that were ordered beyond the share meanwhile.
+        beyond_share: u64,
+        /// Attempts that full workers refused meanwhile.
+        refused: u64,
+    },
     /// A route table came into force.
     RoutesInForce {
         /// Version of the table.
--- a/crates/broker/src/returns.rs
+++ b/crates/broker/src/returns.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::event::Notice;
+
 /// Period over which changes of the usable capacity add up. The links of a restarted process open within a quarter of it.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Divisor of the usable capacity that gives the smallest change that counts: a rack has a sixth of the smallest pool.
@@ -19,11 +21,12 @@
 /// Time after the latest change after which it ends although tasks wait: the load is then high for another reason.
 const MAX_DURATION: Duration = Duration::from_secs(10);
 /// Part of the orders, in tasks, that full workers may refuse meanwhile.
-const MAX_REFUSED: f64 = 0.02;
+const MAX_REFUSED: f64 = 0.015;
 /// Refusals that can be saved up, and owed: the tasks of one job.
 const MAX_SAVED: f64 = 8.0;
-/// Attempts at a job that full workers may refuse meanwhile, unless several are refused at once.
-const MAX_REFUSALS_OF_JOB: u32 = 3;
+/// Attempts at a job that may be ordered beyond the share meanwhile, and refusals after which its next order waits at the worker.
+/// Three are allowed, and one order may hold several attempts.
+const MAX_REFUSALS_OF_JOB: u32 = 2;
 /// Time within which a refusal of an order arrives: a round trip to another failure domain, with some slack.
 const REFUSAL_TIME: Duration = Duration::from_millis(10);
 
@@ -50,6 +53,23 @@
     },
 }
 
+impl From<Transition> for Notice {
+    fn from(transition: Transition) -> Self {
+        match transition {
+            Transition::Began { least, most, age } => Self::ReturnBegan { least, most, age },
+            Transition::Ended {
+                lasted,
+                beyond_share,
+                refused,
+            } => Self::ReturnEnded {
+                lasted,
+                beyond_share,
+                refused,
+            },
+        }
+    }
+}
+
 /// Recognises returns and losses of much of the usable capacity, and limits orders beyond the share after them.
 #[derive(Debug)]
 pub(crate) struct Returns {
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -20,7 +20,7 @@
         self.end_late_jobs(now, actions);
         self.refuse_expired_requests(now, actions);
         self.place_waiting(now, actions);
-        self.observe_capacity(now);
+        self.observe_capacity(now, actions);
         let retention = self.cfg.answer_retention;
         self.retained_answers.retain(|_, (_, at)| now < *at + retention);
         self.last_attempts.retain(|_, (_, at)| now < *at + retention);
@@ -28,13 +28,14 @@
     }
 
     /// Recognises returns and losses of much of the usable capacity.
-    pub(crate) fn observe_capacity(&mut self, now: Instant) {
+    pub(crate) fn observe_capacity(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let usable = self
             .agents
             .iter()
             .filter(|(_, agent)| agent.is_usable(now, self.cfg.stale_after));
         let capacity = usable.map(|(_, agent)| agent.worker.capacity.cpu_millis).sum();
-        self.returns.observe(now, capacity, !self.waiting.is_empty());
+        let transition = self.returns.observe(now, capacity, !self.waiting.is_empty());
+        actions.extend(transition.map(|transition| Action::Notice(Notice::from(transition))));
     }
 
     /// Ends jobs at their deadline, and refuses unplaced jobs that can no longer meet their objective.
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -51,6 +51,20 @@
         }
             meaning: "Orders leave and reports are read in time again.",
             remedy: "None.";
+        7008 ReturnBegan "return_began" Info "much capacity has returned or was lost" {
+            least: u64 = "Smallest usable capacity within the last second, in thousandths of a core.",
+            most: u64 = "Largest usable capacity within the last second, in thousandths of a core.",
+            age: Duration = "Age of the oldest of these observations.",
+        }
+            meaning: "All entries may have a backlog now, so this entry orders almost only within its shares of the workers.",
+            remedy: "None; look for the cause in events 7015 to 7017.";
+        7009 ReturnEnded "return_ended" Info "orders beyond the share are no longer limited" {
+            lasted: Duration = "Time since event 7008.",
+            beyond_share: u64 = "Attempts that were ordered beyond the share meanwhile.",
+            refused: u64 = "Attempts that full workers refused meanwhile.",
+        }
+            meaning: "No tasks have waited for a while, or ten seconds have passed since the last change.",
+            remedy: "If tasks still wait, add workers.";
         7010 JobTaken "job_taken" Info "job accepted" {
             job: &'a str = "Id of the job.",
             route: &'a str = "Route of the request.",
--- a/crates/leased/src/entry.rs
+++ b/crates/leased/src/entry.rs
@@ -319,6 +319,16 @@
             Notice::AttemptEnded { outcome, .. } => {
                 metrics.count(&format!("attempts.{}", outcome.as_str()), 1);
             }
+            Notice::ReturnBegan { .. } => metrics.count("returns.began", 1),
+            Notice::ReturnEnded {
+                lasted,
+                beyond_share,
+                refused,
+            } => {
+                metrics.time("returns.lasted", *lasted);
+                metrics.count("returns.beyond_share", *beyond_share);
+                metrics.count("returns.refused", *refused);
+            }
             Notice::LossCounted { .. } => metrics.count("losses.counted", 1),
             Notice::JobGivenUp { .. } => metrics.count("jobs.given_up", 1),
             Notice::AttemptOverdue { .. } => metrics.count("attempts.overdue", 1),
--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -42,6 +42,20 @@
             jobs: *jobs,
             waiting: *waiting,
         }),
+        BrokerNotice::ReturnBegan { least, most, age } => emit(&RunsEvent::ReturnBegan {
+            least: *least,
+            most: *most,
+            age: *age,
+        }),
+        BrokerNotice::ReturnEnded {
+            lasted,
+            beyond_share,
+            refused,
+        } => emit(&RunsEvent::ReturnEnded {
+            lasted: *lasted,
+            beyond_share: *beyond_share,
+            refused: *refused,
+        }),
         BrokerNotice::CaughtUp { lasted } => emit(&RunsEvent::EntryCaughtUp { lasted: *lasted }),
         BrokerNotice::RouteMissing {
             host,
