broker, worker, leased, platform: Enable the limit after returns by a setting

Cause: a part takes effect only where a deployment enables it, and two tests of normal operation failed right after the connection of their workers.

Change: bounds.limit_returns of the platform's settings (default false) enables the limit in entries and the division before the first task in agents.

--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -21,6 +21,7 @@
     pub(crate) answer_retention: Duration,
     pub(crate) crash_retention: Duration,
     pub(crate) seed: u64,
+    pub(crate) limit_returns: bool,
 }
 
 /// Builds a [`BrokerConfig`] from the defaults and overrides.
@@ -58,6 +59,7 @@
             answer_retention: Duration::from_secs(30),
             crash_retention: Duration::from_secs(30),
             seed: 0,
+            limit_returns: false,
         };
         BrokerConfigBuilder { cfg }
     }
@@ -109,6 +111,11 @@
         /// Sets the seed for the random selection among similar workers; entries need different seeds. Default 0.
         seed: u64
     );
+    setter!(
+        /// Sets whether orders beyond the share of this entry are limited after a return or a loss of much of the capacity;
+        /// default false.
+        limit_returns: bool
+    );
 
     /// Sets the shortest time after which a caller that has lost its connection submits its job again; default 1.3 s.
     ///
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -83,6 +83,7 @@
     pub fn new(cfg: BrokerConfig, now: Instant) -> Self {
         Self {
             rng: StdRng::seed_from_u64(cfg.seed),
+            returns: Returns::new(now, cfg.limit_returns),
             cfg,
             routes: None,
             routes_since: now,
@@ -103,7 +104,6 @@
             tick_at: now,
             silence: Silence::new(now),
             placement_at: None,
-            returns: Returns::new(now),
         }
     }
 
--- a/crates/broker/src/returns.rs
+++ b/crates/broker/src/returns.rs
@@ -73,6 +73,7 @@
 /// Recognises returns and losses of much of the usable capacity, and limits orders beyond the share after them.
 #[derive(Debug)]
 pub(crate) struct Returns {
+    is_enabled: bool,
     /// Usable capacity at each change within the window, with at least one observation.
     observed: VecDeque<(Instant, u64)>,
     began_at: Option<Instant>,
@@ -91,8 +92,9 @@
 
 impl Returns {
     /// Creates the state of a process that knows no worker yet.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant, is_enabled: bool) -> Self {
         Self {
+            is_enabled,
             observed: VecDeque::from([(now, 0)]),
             began_at: None,
             changed_at: now,
@@ -107,6 +109,9 @@
 
     /// Processes the usable capacity, and whether tasks wait although placement was attempted.
     pub(crate) fn observe(&mut self, now: Instant, capacity: u64, has_waiting: bool) -> Option<Transition> {
+        if !self.is_enabled {
+            return None;
+        }
         if self.observed.back().is_none_or(|&(_, latest)| latest != capacity) {
             self.observed.push_back((now, capacity));
         }
@@ -163,7 +168,8 @@
             .iter()
             .rev()
             .take_while(|&&at| now < at + REFUSAL_TIME);
-        !self.is_active() || of_job < MAX_REFUSALS_OF_JOB && self.saved >= 1.0 + recent.count() as f64
+        let needed = recent.fold(1.0, |sum, _| sum + 1.0);
+        !self.is_active() || (of_job < MAX_REFUSALS_OF_JOB && self.saved >= needed)
     }
 
     /// Returns whether a job may be refused by another full worker; otherwise its next order waits at the worker.
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -34,6 +34,7 @@
     worker: WorkerConfig,
     remote_factor: f64,
     resubmission_delay: Duration,
+    limit_returns: bool,
     metrics: Metrics,
 }
 
@@ -68,6 +69,7 @@
             worker: WorkerConfig::builder().build(),
             remote_factor: 1.5,
             resubmission_delay: Duration::from_millis(1_300),
+            limit_returns: false,
             metrics: Metrics::disabled(),
         };
         NodeConfigBuilder { cfg }
@@ -119,6 +121,11 @@
         /// Sets the shortest time after which a caller that has lost its connection submits its job again.
         resubmission_delay: Duration
     );
+    setter!(
+        /// Sets whether orders beyond the share of an entry are limited after a return or a loss of much of the capacity;
+        /// default false. Agents need the same in their timing.
+        limit_returns: bool
+    );
     setter!(
         /// Sets the destination of metrics.
         metrics: Metrics
@@ -242,6 +249,7 @@
     let broker = BrokerConfig::builder(cfg.failure_domain.clone(), cfg.worker.run_expiry())
         .remote_factor(cfg.remote_factor)
         .resubmission_delay(cfg.resubmission_delay)
+        .limit_returns(cfg.limit_returns)
         .seed(process)
         .build();
     let arguments = EntryArguments {
--- a/crates/worker/src/config.rs
+++ b/crates/worker/src/config.rs
@@ -14,6 +14,7 @@
     pub(crate) ended_run_retention: Duration,
     pub(crate) orphan_grace_period: Duration,
     pub(crate) crash_retention: Duration,
+    pub(crate) limit_returns: bool,
 }
 
 /// Builds a [`WorkerConfig`] from the defaults and overrides.
@@ -54,6 +55,7 @@
             // Twice the time an agent needs to discover the entries through control.
             orphan_grace_period: Duration::from_millis(250),
             crash_retention: Duration::from_secs(30),
+            limit_returns: false,
         };
         WorkerConfigBuilder { cfg }
     }
@@ -139,6 +141,14 @@
         ended_run_retention
     );
 
+    /// Sets whether a worker on which nothing has run yet is allocated to one entry while the entries connect, and the size of its
+    /// last task still divides its capacity when it is empty; default false.
+    #[must_use]
+    pub fn limit_returns(mut self, limit_returns: bool) -> Self {
+        self.cfg.limit_returns = limit_returns;
+        self
+    }
+
     /// Returns the configuration.
     #[must_use]
     pub fn build(self) -> WorkerConfig {
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -58,9 +58,8 @@
 
     /// Returns whether a link to an entry opened so recently that others may still be connecting.
     fn is_connecting(&self, now: Instant) -> bool {
-        self.owners
-            .connected_at()
-            .is_some_and(|at| now < at + CONNECTING_TIME)
+        let connected_at = self.owners.connected_at().filter(|_| self.cfg.limit_returns);
+        connected_at.is_some_and(|at| now < at + CONNECTING_TIME)
     }
 
     /// Returns the connected entries that have sent an order recently, and always includes `entry` if it is connected. After a
@@ -86,7 +85,9 @@
 
     /// Retains the size of the largest task, so that the division goes on when the last run ends.
     pub(crate) fn retain_unit(&mut self) {
-        self.last_unit = self.allocation_unit();
+        if self.cfg.limit_returns {
+            self.last_unit = self.allocation_unit();
+        }
     }
 }
 
