broker: Refuse hopeless jobs at once after a return

Cause: jobs that have not run wait for up to 0.7 s after a restart of everything although the work before them already makes them miss their objective.

Change: while the limit after a return is in force, each check estimates for all waiting jobs of which nothing was ever ordered when the work before them is done, and refuses those that would end too late (module hopeless).

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -53,6 +53,21 @@
         steps.iter().all(fits) || known().next().is_none()
     }
 
+    /// Estimates the work that this entry completes in a second, from its part of the workers and its recent work.
+    pub(crate) fn service_rate(&self, now: Instant, service: &str) -> f64 {
+        let mean = self.mean_run_time_ratio(now, service);
+        let usable = self.agents.usable(now, self.cfg.stale_after, service);
+        let rate: f64 = usable
+            .map(|(_, agent)| {
+                as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
+            })
+            .sum();
+        let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
+        // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
+        let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
+        equal_part.max(own_rate)
+    }
+
     /// Estimates how long a new job of a service would wait, from the backlog ahead of it and the speed of the pool.
     pub(crate) fn expected_wait(&self, now: Instant, service: &str, objective_at: Instant) -> Duration {
         let mut backlog = 0.0;
@@ -69,17 +84,7 @@
         if backlog == 0.0 {
             return Duration::ZERO;
         }
-        let mean = self.mean_run_time_ratio(now, service);
-        let usable = self.agents.usable(now, self.cfg.stale_after, service);
-        let rate: f64 = usable
-            .map(|(_, agent)| {
-                as_f64(agent.worker.capacity.cpu_millis) / agent.run_time_ratio().unwrap_or(mean)
-            })
-            .sum();
-        let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
-        // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
-        let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
-        let rate_per_entry = equal_part.max(own_rate);
+        let rate_per_entry = self.service_rate(now, service);
         if rate_per_entry <= 0.0 {
             return self.cfg.run_expiry;
         }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod delays;
 mod event;
+mod hopeless;
 mod job;
 mod placement;
 mod requests;
--- a/crates/broker/src/timers.rs
+++ b/crates/broker/src/timers.rs
@@ -3,11 +3,14 @@
 use std::time::{Duration, Instant};
 
 use chestnutfork_types::{AttemptKey, JobId};
+use indexmap::IndexMap;
 
+use crate::admission::declared_work;
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, JobEnd, Notice};
-use crate::job::{Job, TaskState};
+use crate::hopeless::{WaitingJob, hopeless_jobs};
+use crate::job::{Job, TaskState, critical_path};
 
 /// Maximum number of attempts at one task that are stopped as overdue; after that the task is assumed to be long.
 const MAX_OVERDUE_STOPS: u32 = 1;
@@ -47,7 +50,8 @@
             .filter(|job| now >= job.deadline || self.cannot_meet_objective(now, delay, job))
             .map(|job| job.id)
             .collect();
-        for id in expired {
+        let hopeless = self.hopeless_after_return(now);
+        for id in expired.into_iter().chain(hopeless) {
             let placed = self.jobs.get(&id).is_some_and(|job| job.placed_at.is_some());
             if placed {
                 self.end_job(now, id, JobEnd::TimedOut, actions);
@@ -57,6 +61,32 @@
         }
     }
 
+    /// Returns the jobs that would wait in vain after a return or a loss, when many jobs wait at the same time.
+    fn hopeless_after_return(&self, now: Instant) -> Vec<JobId> {
+        if !self.returns.is_active() {
+            return Vec::new();
+        }
+        let mut queues: IndexMap<&str, Vec<(JobId, WaitingJob)>> = IndexMap::new();
+        for job in self.waiting.values().filter_map(|id| self.jobs.get(id)) {
+            let waiting = job.tasks.iter().filter(|task| task.state == TaskState::Waiting);
+            let steps = waiting.map(|task| &job.steps[usize::from(task.step)]);
+            let waiting = WaitingJob {
+                work: steps.map(declared_work).sum(),
+                run_time: critical_path(&job.steps),
+                objective_at: job.objective_at,
+                is_refusable: job.attempts == 0,
+            };
+            queues.entry(&job.service).or_default().push((job.id, waiting));
+        }
+        let mut hopeless = Vec::new();
+        for (service, queue) in queues {
+            let jobs: Vec<WaitingJob> = queue.iter().map(|&(_, job)| job).collect();
+            let positions = hopeless_jobs(now, self.service_rate(now, service), &jobs);
+            hopeless.extend(positions.into_iter().map(|position| queue[position].0));
+        }
+        hopeless
+    }
+
     /// Returns whether a job of which no task was placed can no longer meet its objective.
     fn cannot_meet_objective(&self, now: Instant, delay: Duration, job: &Job) -> bool {
         if job.placed_at.is_some() {
