--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -130,7 +130,7 @@
             free.cpu_millis.abs_diff(reported.cpu_millis) >= capacity / REPORTED_CHANGE_DIVISOR;
         if self.orders_within_shares(now) {
             // A unit that its entry does not use must pass to the next one soon.
-            return is_different || self.withdrawing || self.has_free_unit();
+            return is_different || self.withdrawing || self.has_free_unit(now);
         }
         let scarce = self.is_scarce(free) || self.is_scarce(reported);
         scarce && is_different
--- a/crates/worker/src/shares.rs
+++ b/crates/worker/src/shares.rs
@@ -22,7 +22,7 @@
 impl WorkerCore {
     /// Returns the part of the free capacity that is allocated to an entry until the next report to all entries.
     pub(crate) fn share(&self, now: Instant, entry: ProcessId) -> Resources {
-        let (free, unit) = (self.free(), self.allocation_unit());
+        let (free, unit) = (self.free(), self.allocation_unit(now));
         let competitors = self.competitors(now, entry);
         let position = competitors.iter().position(|&other| other == entry);
         let Some(position) = position else {
@@ -52,8 +52,8 @@
     }
 
     /// Returns whether there is room for another task of the present size.
-    pub(crate) fn has_free_unit(&self) -> bool {
-        units_in(self.free(), self.allocation_unit()).is_some_and(|units| units > 0)
+    pub(crate) fn has_free_unit(&self, now: Instant) -> bool {
+        units_in(self.free(), self.allocation_unit(now)).is_some_and(|units| units > 0)
     }
 
     /// Returns whether a link to an entry opened so recently that others may still be connecting.
@@ -75,8 +75,11 @@
     }
 
     /// Returns the size of the largest running or waiting task, or of the last one, as an estimate for future tasks.
-    fn allocation_unit(&self) -> Resources {
-        if self.runs.is_empty() {
+    ///
+    /// The last one counts only after a return. In normal operation any entry may fill an empty worker, because few have enough
+    /// tasks to do so.
+    fn allocation_unit(&self, now: Instant) -> Resources {
+        if self.runs.is_empty() && self.orders_within_shares(now) {
             return self.last_unit;
         }
         let used = self.runs.values().map(|run| run.resources);
@@ -86,7 +89,8 @@
     /// Retains the size of the largest task, so that the division goes on when the last run ends.
     pub(crate) fn retain_unit(&mut self) {
         if self.cfg.limit_returns {
-            self.last_unit = self.allocation_unit();
+            let used = self.runs.values().map(|run| run.resources);
+            self.last_unit = used.fold(Resources::default(), largest);
         }
     }
 }
