--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -421,6 +421,17 @@
 
     /// Sends such an order from an entry that asks for an interval between load reports.
     fn send_order_with(&mut self, entry: u64, number: u64, tasks: u16, report_interval: Option<Duration>) {
+        self.send_order_stating(entry, number, tasks, report_interval, false);
+    }
+
+    fn send_order_stating(
+        &mut self,
+        entry: u64,
+        number: u64,
+        tasks: u16,
+        report_interval: Option<Duration>,
+        within_share: bool,
+    ) {
         let tasks = (0..tasks).map(|index| TaskOrder {
             key: AttemptKey {
                 task: TaskKey {
@@ -438,7 +449,7 @@
             declared_run_time: millis(100),
         });
         let order = StartOrder {
-            within_share: false,
+            within_share,
             refuse_if_full: false,
             time_limit: None,
             report_interval,
@@ -522,6 +533,19 @@
     assert_eq!(total, 24, "twelve cores are free: {shares:?}");
 }
 
+/// Guards against entries that all fill the units of each other after a return: orders that state it end the overcommitment.
+#[test]
+fn share_is_exact_while_entries_keep_to_it() {
+    let mut agent = Agent::with_sharing_entries();
+    agent.send_order_stating(1, 9, 0, None, true);
+    agent.advance_to(millis(200));
+    agent.acknowledge(SHARING_ENTRIES + 1);
+    agent.advance_to(millis(204));
+    let shares = agent.reported();
+    let total: u64 = shares.iter().map(|(_, share)| share.cpu_millis / 1_000).sum();
+    assert!(total <= 12, "twelve cores are free: {shares:?}");
+}
+
 /// Guards against reports without new information, which cost the smallest entries processor time.
 #[test]
 fn report_skips_entries_with_unchanged_share() {
