--- a/crates/leased/src/notices.rs
+++ b/crates/leased/src/notices.rs
@@ -37,26 +37,10 @@
             routes: *routes,
         }),
         BrokerNotice::Paused { paused } => emit(&RunsEvent::EntryPaused { paused: *paused }),
-        BrokerNotice::Behind { delay, jobs, waiting } => emit(&RunsEvent::EntryBehind {
-            delay: *delay,
-            jobs: *jobs,
-            waiting: *waiting,
-        }),
-        BrokerNotice::ReturnBegan { least, most, age } => emit(&RunsEvent::ReturnBegan {
-            least: *least,
-            most: *most,
-            age: *age,
-        }),
-        BrokerNotice::ReturnEnded {
-            lasted,
-            beyond_share,
-            refused,
-        } => emit(&RunsEvent::ReturnEnded {
-            lasted: *lasted,
-            beyond_share: *beyond_share,
-            refused: *refused,
-        }),
-        BrokerNotice::CaughtUp { lasted } => emit(&RunsEvent::EntryCaughtUp { lasted: *lasted }),
+        BrokerNotice::Behind { .. }
+        | BrokerNotice::CaughtUp { .. }
+        | BrokerNotice::ReturnBegan { .. }
+        | BrokerNotice::ReturnEnded { .. } => log_load_notice(notice),
         BrokerNotice::RouteMissing {
             host,
             queue,
@@ -147,6 +131,33 @@
     }
 }
 
+/// Logs notices about the load of the process, and the limit of its orders after a return.
+fn log_load_notice(notice: &BrokerNotice) {
+    match notice {
+        BrokerNotice::Behind { delay, jobs, waiting } => emit(&RunsEvent::EntryBehind {
+            delay: *delay,
+            jobs: *jobs,
+            waiting: *waiting,
+        }),
+        BrokerNotice::CaughtUp { lasted } => emit(&RunsEvent::EntryCaughtUp { lasted: *lasted }),
+        BrokerNotice::ReturnBegan { least, most, age } => emit(&RunsEvent::ReturnBegan {
+            least: *least,
+            most: *most,
+            age: *age,
+        }),
+        BrokerNotice::ReturnEnded {
+            lasted,
+            beyond_share,
+            refused,
+        } => emit(&RunsEvent::ReturnEnded {
+            lasted: *lasted,
+            beyond_share: *beyond_share,
+            refused: *refused,
+        }),
+        _ => {}
+    }
+}
+
 /// Logs notices about workers that were lost under tasks.
 fn log_loss_notice(notice: &BrokerNotice) {
     match notice {
--- a/crates/leased/tests/many_entries.rs
+++ b/crates/leased/tests/many_entries.rs
@@ -50,7 +50,7 @@
 /// Runs a load with a fault that is noticed after two seconds, and checks the part of the attempts that full workers refuse from
 /// then on. Normal operation before has no bound: its placement must not change.
 fn check_return(scenario: Scenario, noticed_after: Duration, fault: Fault) {
-    let outcome = Sim::run(&scenario.fault(COUNTED_FROM - noticed_after, fault));
+    let outcome = Sim::run(&scenario.fault(COUNTED_FROM.saturating_sub(noticed_after), fault));
     println!("{}", BySecond(&outcome));
     let (second, part) = outcome.worst_second();
     assert!(
