--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -84,6 +84,17 @@
         unfit.len() as u64
     }
 
+    /// Estimates the work that this entry completes in a second, from its part of the workers and its recent work.
+    pub(crate) fn service_rate(&self, now: Instant, service: &str) -> f64 {
+        let rate = self.capacity(now, service);
+        let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
+        // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
+        let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
+        // While submissions are shed, each entry admits its part of the work that the workers can do.
+        let demand_part = self.shedding.own_part(now, service).unwrap_or(0.0) * rate;
+        equal_part.max(own_rate).max(demand_part)
+    }
+
     /// Estimates how long a new job of a service would wait, from the backlog ahead of it and the speed of the pool.
     pub(crate) fn expected_wait(&self, now: Instant, service: &str, last: WaitingOrder) -> Duration {
         let mut backlog = 0.0;
@@ -100,13 +111,7 @@
         if backlog == 0.0 {
             return Duration::ZERO;
         }
-        let rate = self.capacity(now, service);
-        let equal_part = rate / as_f64(self.entry_count.max(1) as u64);
-        // Callers are spread unevenly over the entries, and one with more callers gets a larger part of the workers.
-        let own_rate = self.throughput.get(service).map_or(0.0, |done| done.rate(now));
-        // While submissions are shed, each entry admits its part of the work that the workers can do.
-        let demand_part = self.shedding.own_part(now, service).unwrap_or(0.0) * rate;
-        let rate_per_entry = equal_part.max(own_rate).max(demand_part);
+        let rate_per_entry = self.service_rate(now, service);
         if rate_per_entry <= 0.0 {
             return self.cfg.run_expiry;
         }
--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -23,6 +23,7 @@
     pub(crate) seed: u64,
     pub(crate) awaits_evacuations: bool,
     pub(crate) sharing: bool,
+    pub(crate) limit_returns: bool,
 }
 
 /// Builds a [`BrokerConfig`] from the defaults and overrides.
@@ -62,6 +63,7 @@
             seed: 0,
             awaits_evacuations: false,
             sharing: false,
+            limit_returns: false,
         };
         BrokerConfigBuilder { cfg }
     }
@@ -121,6 +123,11 @@
         /// Sets whether placement keeps kinds of tasks apart that slow each other down; default `false`.
         sharing: bool
     );
+    setter!(
+        /// Sets whether orders beyond the share of this entry are limited after a return or a loss of much of the capacity;
+        /// default false.
+        limit_returns: bool
+    );
 
     /// Sets the shortest time after which a caller that has lost its connection submits its job again; default 1.3 s.
     ///
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -20,6 +20,7 @@
 use crate::job::Job;
 use crate::order::WaitingOrder;
 use crate::requests::Arrival;
+use crate::returns::Returns;
 use crate::sharing::Sharing;
 use crate::shedding::Shedding;
 use crate::silence::Silence;
@@ -69,6 +70,8 @@
     pub(crate) shedding: Shedding,
     /// Kinds of tasks that slow each other down.
     pub(crate) sharing: Sharing,
+    /// Limit of orders beyond the share after a return or a loss.
+    pub(crate) returns: Returns,
 }
 
 impl BrokerCore {
@@ -88,6 +91,7 @@
     pub fn new(cfg: BrokerConfig, now: Instant) -> Self {
         Self {
             rng: StdRng::seed_from_u64(cfg.seed),
+            returns: Returns::new(now, cfg.limit_returns),
             cfg,
             routes: None,
             routes_since: now,
@@ -316,16 +320,20 @@
                 if is_first {
                     self.send_time_limits(now, at, |_| true, actions);
                 }
+                self.observe_capacity(now, actions);
             }
             WorkerToEntry::Heartbeat(number, load) => {
                 let agent = self.agents.get_mut(at);
-                agent.load = Some(load);
+                let is_first = agent.load.replace(load).is_none();
                 agent.last_heartbeat = number;
                 agent.last_heartbeat_at = now;
                 agent.demand_sum = load.demand;
                 let reader = agent.worker.reads_demand.then_some(&agent.worker.pool);
                 let demand = reader.and_then(|pool| self.shedding.demand(now, pool));
                 actions.push(Action::ToAgent(link, EntryToWorker::HeartbeatAck(number, demand)));
+                if is_first {
+                    self.observe_capacity(now, actions);
+                }
             }
             WorkerToEntry::Load(load) => self.agents.get_mut(at).load = Some(load),
             WorkerToEntry::Interference(report) => self.sharing.on_report(now, at, report),
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -64,6 +64,8 @@
     pub(crate) attempts: u64,
     /// Attempts that may have started: all but those that were reported as not started.
     pub(crate) possible_starts: u64,
+    /// Attempts that were ordered beyond the share of this entry.
+    pub(crate) beyond_share: u32,
     /// Key in the queue of waiting jobs.
     pub(crate) order: WaitingOrder,
     /// Position of the priority when the job was accepted, before ageing.
@@ -87,6 +89,11 @@
             .position(|task| task.step == key.step && task.index == key.index)
     }
 
+    /// Returns the number of attempts that full workers refused.
+    pub(crate) fn refusals(&self) -> u32 {
+        self.tasks.iter().map(|task| task.refusals).sum()
+    }
+
     pub(crate) fn has_waiting(&self) -> bool {
         self.tasks.iter().any(|task| task.state == TaskState::Waiting)
     }
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -232,6 +232,7 @@
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
+            beyond_share: 0,
             order: WaitingOrder {
                 band,
                 objective_at,
--- a/crates/broker/src/selection.rs
+++ b/crates/broker/src/selection.rs
@@ -35,6 +35,7 @@
         expected: Duration,
         /// Interference that decided against another worker.
         avoided: Option<Avoided>,
+        in_share: bool,
     },
     /// Wait for a faster worker, which is full but could still meet the objective, or for one without another suspect.
     Wait,
@@ -144,8 +145,10 @@
             eligible.min_by(|a, b| a.score.total_cmp(&b.score))
         };
         // Another entry may use capacity outside the share first, and the worker then refuses the task.
-        let placed =
-            best(|candidate| candidate.in_share).or_else(|| best(|candidate| candidate.has_capacity));
+        let placed = best(|candidate| candidate.in_share).or_else(|| {
+            let beyond = best(|candidate| candidate.has_capacity);
+            beyond.filter(|_| self.returns.allows_beyond_share(now, job.beyond_share))
+        });
         let Some(placed) = placed else {
             // Other tasks may use the workers that a suspect can't.
             return if self.crashes.is_suspect(job.key(task)) {
@@ -166,6 +169,7 @@
             agent: placed.agent,
             expected: placed.expected,
             avoided,
+            in_share: placed.in_share,
         }
     }
 
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -35,6 +35,7 @@
     worker: WorkerConfig,
     remote_factor: f64,
     resubmission_delay: Duration,
+    limit_returns: bool,
     metrics: Metrics,
     evacuations: bool,
     limits: ProcessLimits,
@@ -72,6 +73,7 @@
             worker: WorkerConfig::builder().build(),
             remote_factor: 1.5,
             resubmission_delay: Duration::from_millis(1_300),
+            limit_returns: false,
             metrics: Metrics::disabled(),
             evacuations: false,
             limits: ProcessLimits::default(),
@@ -126,6 +128,11 @@
         /// Sets the shortest time after which a caller that has lost its connection submits its job again.
         resubmission_delay: Duration
     );
+    setter!(
+        /// Sets whether orders beyond the share of an entry are limited after a return or a loss of much of the capacity;
+        /// default false. Agents need the same in their timing.
+        limit_returns: bool
+    );
     setter!(
         /// Sets the destination of metrics.
         metrics: Metrics
@@ -264,6 +271,7 @@
         .remote_factor(cfg.remote_factor)
         .resubmission_delay(cfg.resubmission_delay)
         .awaits_evacuations(cfg.evacuations)
+        .limit_returns(cfg.limit_returns)
         .seed(process)
         .sharing(cfg.sharing)
         .build();
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -133,6 +133,9 @@
     /// Kinds of the tasks, for the agent to learn which of them slow each other down; empty if that is not enabled, and from
     /// entries of earlier versions.
     pub kinds: OrderKinds,
+    /// Whether the entry orders almost only within its share at present, so that the agent divides its free capacity exactly and
+    /// reports each change; `false` from entries of earlier versions.
+    pub within_share: bool,
 }
 
 /// Attempt that an entry has recorded for an agent.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -61,6 +61,9 @@
         /// Kinds that the agent reports on. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
         watched_kinds: Vec<u64>,
+        /// Whether the entry orders almost only within its share. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+        within_share: bool,
     },
     /// Requests that attempts be stopped.
     #[serde(rename = "x")]
@@ -381,6 +384,7 @@
                 report_interval_us: order.report_interval.map(micros),
                 kinds: order.kinds.tasks,
                 watched_kinds: order.kinds.watched,
+                within_share: order.within_share,
                 tasks: order
                     .tasks
                     .into_iter()
@@ -429,6 +433,7 @@
                 report_interval_us,
                 kinds,
                 watched_kinds,
+                within_share,
             } => Self::Start(StartOrder {
                 number,
                 refuse_if_full,
@@ -438,6 +443,7 @@
                     tasks: kinds,
                     watched: watched_kinds,
                 },
+                within_share,
                 last_heartbeat,
                 time_to_objective: Duration::from_micros(time_to_objective_us),
                 spec,
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -111,6 +111,7 @@
 #[test]
 fn entry_to_worker_round_trips() {
     let order = StartOrder {
+        within_share: true,
         refuse_if_full: true,
         kinds: OrderKinds {
             tasks: vec![u64::MAX - 1],
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -66,6 +66,10 @@
     pub(crate) demand: DemandSums,
     /// What ran side by side, and which kinds of tasks slowed each other down.
     pub(crate) sharing: Sharing,
+    /// Size of the largest of the runs that were on the worker last, or zero before the first one.
+    pub(crate) last_unit: Resources,
+    /// Whether the latest report withdrew shares that the next one grants to other entries.
+    pub(crate) withdrawing: bool,
     cleanup_at: Instant,
     /// Time of the last event.
     handled_at: Instant,
@@ -109,6 +113,8 @@
             crashes: Crashes::default(),
             demand: DemandSums::default(),
             sharing: Sharing::new(now),
+            last_unit: Resources::default(),
+            withdrawing: false,
             cleanup_at: now,
             handled_at: now,
             draining: false,
@@ -157,7 +163,7 @@
     /// Returns when the core needs the next [`Event::Tick`].
     #[must_use]
     pub fn next_wakeup(&self) -> Instant {
-        let report = self.load_changed().then_some(self.load_report_at);
+        let report = self.load_changed(self.handled_at).then_some(self.load_report_at);
         let runs = self.runs.values().filter_map(|run| match run.phase {
             Phase::Waiting { not_before } => Some(not_before),
             Phase::Stopping(stop) if stop.call.is_none() && stop.confirmed_at.is_none() => {
@@ -189,7 +195,7 @@
     }
 
     fn on_entry_up(&mut self, now: Instant, link: LinkNumber, entry: ProcessId, actions: &mut Vec<Action>) {
-        self.owners.connect(link, entry);
+        self.owners.connect(now, link, entry);
         actions.push(Action::ToEntry(link, self.describe(now)));
         let number = self.owners.next_heartbeat(now);
         let load = self.load(now, entry);
@@ -262,6 +268,7 @@
             owner.last_order_at = Some(now);
             owner.report_interval = order.report_interval.unwrap_or_default();
             owner.reads_interference = !order.kinds.tasks.is_empty();
+            owner.within_share = order.within_share;
         }
         self.sharing.watch(now, &order.kinds.watched);
         let refusal = self.refusal(now, entry);
@@ -327,6 +334,7 @@
             kind: order.kinds.kind_of(position),
         };
         self.runs.insert(task.key.task, run);
+        self.retain_unit();
     }
 
     fn refuse(&mut self, entry: ProcessId, key: AttemptKey, reason: &'static str, actions: &mut Vec<Action>) {
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod crashes;
 mod demand;
+mod division;
 mod evacuation;
 mod event;
 mod health;
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -26,6 +26,8 @@
     pub(crate) report_interval: Duration,
     /// Arrival of the latest start order.
     pub(crate) last_order_at: Option<Instant>,
+    /// Whether the latest start order states that the entry orders within its share only.
+    pub(crate) within_share: bool,
     /// Ended runs not yet reported, because there is no link or a report can be deferred.
     pub(crate) outbox: Vec<EndedRun>,
     /// Whether the latest start order states the kinds of its tasks, so that the entry reads reports on interference.
@@ -34,19 +36,34 @@
     pub(crate) reported_interference: bool,
 }
 
+impl Owner {
+    /// Returns whether the latest start order arrived at most `period` ago.
+    pub(crate) fn has_ordered_since(&self, now: Instant, period: Duration) -> bool {
+        self.last_order_at.is_some_and(|at| now < at + period)
+    }
+}
+
 /// Entries by process, and the send times of recent heartbeats.
 #[derive(Debug, Default)]
 pub(crate) struct Owners {
     entries: IndexMap<ProcessId, Owner>,
     heartbeats: VecDeque<(HeartbeatNumber, Instant)>,
     last_heartbeat: HeartbeatNumber,
+    /// When the latest link opened.
+    connected_at: Option<Instant>,
 }
 
 impl Owners {
-    pub(crate) fn connect(&mut self, link: LinkNumber, entry: ProcessId) {
+    pub(crate) fn connect(&mut self, now: Instant, link: LinkNumber, entry: ProcessId) {
+        self.connected_at = Some(now);
         self.entries.entry(entry).or_default().link = Some(link);
     }
 
+    /// Returns when the latest link opened.
+    pub(crate) fn connected_at(&self) -> Option<Instant> {
+        self.connected_at
+    }
+
     /// Removes a link and returns its entry, unless a later link has replaced it.
     pub(crate) fn disconnect(&mut self, link: LinkNumber) -> Option<ProcessId> {
         let (&entry, owner) = self
@@ -86,6 +103,19 @@
         }
     }
 
+    /// Returns the part of a new share that an entry already has.
+    pub(crate) fn retained_share(&self, entry: ProcessId, share: Resources) -> Resources {
+        let known = self
+            .entries
+            .get(&entry)
+            .map_or(Resources::default(), |owner| owner.share);
+        Resources {
+            cpu_millis: share.cpu_millis.min(known.cpu_millis),
+            memory_mb: share.memory_mb.min(known.memory_mb),
+            gpus: share.gpus.min(known.gpus),
+        }
+    }
+
     /// Returns whether a share differs from the one last reported to an entry, and the entry accepts a report now.
     pub(crate) fn is_report_due(&self, entry: ProcessId, now: Instant, share: Resources) -> bool {
         self.entries.get(&entry).is_some_and(|owner| {
--- a/crates/worker/tests/agent/mod.rs
+++ b/crates/worker/tests/agent/mod.rs
@@ -140,6 +140,7 @@
             declared_run_time: millis(100),
         });
         let message = EntryToWorker::Start(StartOrder {
+            within_share: false,
             refuse_if_full: false,
             kinds: OrderKinds::default(),
             time_limit: None,
--- a/crates/worker/tests/common/mod.rs
+++ b/crates/worker/tests/common/mod.rs
@@ -143,6 +143,7 @@
             declared_run_time: millis(100),
         });
         self.send(EntryToWorker::Start(StartOrder {
+            within_share: false,
             refuse_if_full,
             kinds: OrderKinds::default(),
             time_limit: None,
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -422,6 +422,17 @@
 
     /// Sends such an order from an entry that asks for an interval between load reports.
     fn send_order_with(&mut self, entry: u64, number: u64, tasks: u16, report_interval: Option<Duration>) {
+        self.send_order_stating(entry, number, tasks, report_interval, false);
+    }
+
+    fn send_order_stating(
+        &mut self,
+        entry: u64,
+        number: u64,
+        tasks: u16,
+        report_interval: Option<Duration>,
+        within_share: bool,
+    ) {
         let tasks = (0..tasks).map(|index| TaskOrder {
             key: AttemptKey {
                 task: TaskKey {
@@ -439,6 +450,7 @@
             declared_run_time: millis(100),
         });
         let order = StartOrder {
+            within_share,
             refuse_if_full: false,
             kinds: OrderKinds::default(),
             time_limit: None,
@@ -523,6 +535,20 @@
     assert_eq!(total, 24, "twelve cores are free: {shares:?}");
 }
 
+/// Guards against entries that all fill the units of each other after a return: orders that state it end the overcommitment.
+#[test]
+fn share_is_exact_while_entries_keep_to_it() {
+    let mut agent = Agent::with_sharing_entries();
+    agent.send_order_stating(1, 9, 0, None, true);
+    agent.advance_to(millis(200));
+    let mut shares: std::collections::BTreeMap<_, _> = agent.shares().into_iter().collect();
+    agent.acknowledge(SHARING_ENTRIES + 1);
+    agent.advance_to(millis(204));
+    shares.extend(agent.shares());
+    let total: u64 = shares.values().sum();
+    assert_eq!(total, 12, "twelve cores are free: {shares:?}");
+}
+
 /// Guards against reports without new information, which cost the smallest entries processor time.
 #[test]
 fn report_skips_entries_with_unchanged_share() {
--- a/crates/worker/tests/sharing.rs
+++ b/crates/worker/tests/sharing.rs
@@ -21,6 +21,7 @@
     agent.send(EntryToWorker::Start(StartOrder {
         refuse_if_full: false,
         kinds,
+        within_share: false,
         time_limit: None,
         report_interval: None,
         number: 1,
