broker: Name the propagation delay in the evacuation load test

The test called the time in which evacuations reach entries and agents a delay of news, which is not a term of the field.

--- a/crates/broker/tests/evacuation_load.rs
+++ b/crates/broker/tests/evacuation_load.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use chestnutfork_broker::RefusalReason;
-use load::{BEGIN, END, EVACUATED_AT, NEWS_DELAY, RECOVERED_AT, RETURNED_AT, Sim, is_bound, objective};
+use load::{
+    BEGIN, END, EVACUATED_AT, PROPAGATION_DELAY, RECOVERED_AT, RETURNED_AT, Sim, is_bound, objective,
+};
 
 /// The run that all tests examine; it is deterministic.
 static SIM: LazyLock<Sim> = LazyLock::new(Sim::run);
@@ -19,7 +21,7 @@
 #[test]
 fn evacuation_under_load_keeps_domain_empty() {
     let sim = &*SIM;
-    let known = EVACUATED_AT + NEWS_DELAY;
+    let known = EVACUATED_AT + PROPAGATION_DELAY;
     let during = sim
         .starts_in_domain
         .iter()
@@ -38,7 +40,7 @@
 #[test]
 fn evacuation_under_load_refuses_at_once_what_does_not_fit() {
     let sim = &*SIM;
-    let known = EVACUATED_AT + NEWS_DELAY;
+    let known = EVACUATED_AT + PROPAGATION_DELAY;
     let (mut bound, mut others) = (0, 0);
     for refused in &sim.refused {
         let (submitted_at, kind) = sim.submitted[&u64::try_from(refused.job).expect("few jobs")];
@@ -64,7 +66,7 @@
     let after = sim
         .refused
         .iter()
-        .filter(|refused| refused.at > RETURNED_AT + NEWS_DELAY);
+        .filter(|refused| refused.at > RETURNED_AT + PROPAGATION_DELAY);
     assert!(
         after
             .clone()
--- a/crates/broker/tests/load/mod.rs
+++ b/crates/broker/tests/load/mod.rs
@@ -32,7 +32,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(20);
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time in which a change of the evacuations reaches a process that is connected.
-pub const NEWS_DELAY: Duration = Duration::from_millis(20);
+pub const PROPAGATION_DELAY: Duration = Duration::from_millis(20);
 pub const BEGIN: Duration = Duration::from_secs(1);
 pub const EVACUATED_AT: Duration = Duration::from_secs(3);
 pub const RETURNED_AT: Duration = Duration::from_secs(6);
@@ -195,8 +195,8 @@
         };
         sim.connect();
         sim.draw_jobs();
-        sim.schedule_news(EVACUATED_AT, 1, &[EVACUATED]);
-        sim.schedule_news(RETURNED_AT, 2, &[]);
+        sim.schedule_evacuations(EVACUATED_AT, 1, &[EVACUATED]);
+        sim.schedule_evacuations(RETURNED_AT, 2, &[]);
         sim.schedule(start, ScheduledEvent::Tick);
         sim.schedule(start, ScheduledEvent::Heartbeat);
         sim.schedule(start, ScheduledEvent::Reports);
@@ -246,8 +246,8 @@
         }
     }
 
-    fn schedule_news(&mut self, at: Duration, revision: u64, domains: &[&str]) {
-        let delay = |rng: &mut StdRng| NEWS_DELAY.mul_f64(rng.random());
+    fn schedule_evacuations(&mut self, at: Duration, revision: u64, domains: &[&str]) {
+        let delay = |rng: &mut StdRng| PROPAGATION_DELAY.mul_f64(rng.random());
         for entry in 0..ENTRIES {
             let domains = domains.iter().map(|&domain| domain.to_owned()).collect();
             let state = Evacuations { revision, domains };
