net: Let the connection furthest behind a minimum rate give way

Callers saw their connections reset, and workers their heartbeats and operators their configurations, while clients that send a body a byte at a time held all connections of a process.

Cause: a connection gave way only if it had made no progress since the demand for it arrived, and one byte counted as progress. With some bytes on every connection, none gave way and each new one was closed.

Change: each byte earns the time that it takes at 64 KiB/s. A request that is slower falls behind, however evenly its bytes arrive, and the one that is furthest behind gives way. Differences of less than 100 ms do not count, because each slow request would otherwise have to be asked twice.

Why it works: a new connection is on schedule and a slow one never is for long, so an ordinary caller always finds one to replace, and a caller that sends its request at once is not replaced for others.

--- a/crates/events/src/catalogue/link.rs
+++ b/crates/events/src/catalogue/link.rs
@@ -64,7 +64,7 @@
             charged: u64 = "Bytes of unfinished requests that remain charged.",
             connections: u64 = "Connections that remain open.",
         }
-            meaning: "Connections or the bytes of unfinished requests reached their limit, so those without progress for longest were dropped; none of the dropped requests has run.",
+            meaning: "Connections or the bytes of unfinished requests reached their limit, so those furthest behind the minimum rate were dropped; none of the dropped requests has run.",
             remedy: "Find out who sends requests that do not complete; if they are legitimate, raise the limits in the settings.";
         2010 RequestsRefused "requests_refused" Warn "requests refused by the limits on clients" {
             count: u64 = "Requests and connections refused since the last event of this kind.",
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -1,12 +1,12 @@
 //! Budget for the connections and the unfinished requests of a process.
 //!
 //! One actor owns the [`Ledger`]. A connection has an allotment of its own; only a request that outgrows it asks the
-//! actor for bytes. If they are not available, the actor asks the connection without progress for longest to give up its
-//! request. The connection answers with its latest progress if it is newer than the actor knows, so ordinary requests
-//! report no progress.
+//! actor for bytes. If they are not available, the actor asks the connection that is furthest behind to give up its
+//! request. The connection declines if it is further on than the actor knows, so ordinary requests report no progress.
 
 mod ledger;
 mod limits;
+mod progress;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -20,10 +20,14 @@
 use ledger::Ledger;
 pub use limits::ProcessLimits;
 pub(crate) use limits::{ALLOTMENT_BYTES, EVICTION_TIMEOUT, RECEIVE_BUFFER_BYTES};
+pub(crate) use progress::Progress;
 
 /// Maximum number of connections that are asked on behalf of one request; if all of them are in use, the request is
 /// refused. It bounds the work for each refusal under overload.
 const MAX_ASKED: u32 = 64;
+/// Difference in progress below which connections are equally far behind. Slow requests progress all the time, and each
+/// would otherwise have to be asked twice.
+const PROGRESS_TOLERANCE: Duration = Duration::from_millis(100);
 /// Minimum interval between log events of one kind.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -37,8 +41,8 @@
 /// Request to a connection to give up its unfinished request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Evict {
-    /// Latest progress that the budget knows of; a connection with newer progress declines.
-    pub(crate) known_progress: Instant,
+    /// A connection that is on schedule beyond this time declines.
+    pub(crate) behind: Instant,
 }
 
 /// Connection that counts towards the budget; dropping it ends that.
@@ -65,13 +69,14 @@
     Charge {
         connection: ConnectionNumber,
         bytes: usize,
+        on_schedule_until: Instant,
         reply: oneshot::Sender<bool>,
     },
     Release(ConnectionNumber),
     /// A connection declines to give up its request.
-    Progressed {
+    Declined {
         connection: ConnectionNumber,
-        at: Instant,
+        on_schedule_until: Instant,
     },
     Close(ConnectionNumber),
 }
@@ -131,12 +136,12 @@
 
 impl Account {
     /// Requests that the charge of this connection is raised to `bytes`; returns whether it is.
-    pub(crate) async fn charge(&self, bytes: usize) -> bool {
+    pub(crate) async fn charge(&self, bytes: usize, progress: Progress) -> bool {
         let (reply, granted) = oneshot::channel();
-        let connection = self.number;
         let message = BudgetMessage::Charge {
-            connection,
+            connection: self.number,
             bytes,
+            on_schedule_until: progress.on_schedule_until(),
             reply,
         };
         self.messages.send(message).is_ok() && granted.await.unwrap_or(false)
@@ -148,10 +153,12 @@
         let _ = self.messages.send(BudgetMessage::Release(self.number));
     }
 
-    /// Declines to give up the request, because of progress at the given time.
-    pub(crate) fn decline(&self, at: Instant) {
-        let connection = self.number;
-        let _ = self.messages.send(BudgetMessage::Progressed { connection, at });
+    /// Declines to give up the request, which is on schedule until the given time.
+    pub(crate) fn decline(&self, on_schedule_until: Instant) {
+        let _ = self.messages.send(BudgetMessage::Declined {
+            connection: self.number,
+            on_schedule_until,
+        });
     }
 }
 
@@ -175,6 +182,7 @@
     Bytes {
         connection: ConnectionNumber,
         bytes: usize,
+        on_schedule_until: Instant,
         reply: oneshot::Sender<bool>,
     },
 }
@@ -228,11 +236,13 @@
             BudgetMessage::Charge {
                 connection,
                 bytes,
+                on_schedule_until,
                 reply,
             } => {
                 let demand = Demand::Bytes {
                     connection,
                     bytes,
+                    on_schedule_until,
                     reply,
                 };
                 self.enqueue(demand, now);
@@ -241,8 +251,11 @@
                 self.ledger.charge(connection, 0, now);
                 self.answered(connection, true, now);
             }
-            BudgetMessage::Progressed { connection, at } => {
-                self.ledger.progressed(connection, at);
+            BudgetMessage::Declined {
+                connection,
+                on_schedule_until,
+            } => {
+                self.ledger.progressed(connection, on_schedule_until);
                 self.answered(connection, false, now);
             }
             BudgetMessage::Close(connection) => {
@@ -311,13 +324,14 @@
             Demand::Bytes {
                 connection,
                 bytes,
+                on_schedule_until,
                 reply,
             } => {
                 if reply.is_closed() {
                     // The request was given up while it waited.
                     return None;
                 }
-                if self.ledger.charge(connection, bytes, now) {
+                if self.ledger.charge(connection, bytes, on_schedule_until) {
                     // A reply that is not received is followed by a release or the end of the connection.
                     let _ = reply.send(true);
                     return None;
@@ -325,6 +339,7 @@
                 Demand::Bytes {
                     connection,
                     bytes,
+                    on_schedule_until,
                     reply,
                 }
             }
@@ -348,7 +363,7 @@
         let _ = reply.send(Some(BudgetedConnection { account, evictions }));
     }
 
-    /// Asks the connection without progress for longest to give up its request; returns whether there is one.
+    /// Asks the connection that is furthest behind to give up its request; returns whether there is one.
     fn ask(&mut self, pending: &Pending) -> bool {
         let (needs_bytes, own) = match pending.demand {
             Demand::Connection(_) => (false, None),
@@ -358,14 +373,15 @@
             return false;
         }
         // A connection that does not receive the question ends soon, which closes its account.
-        let longest = self
+        let furthest = self
             .ledger
-            .longest_without_progress(pending.since, needs_bytes, |number| Some(number) == own);
-        let Some((connection, known_progress)) = longest else {
+            .furthest_behind(pending.since, needs_bytes, |number| Some(number) == own);
+        let Some((connection, on_schedule_until)) = furthest else {
             return false;
         };
+        let behind = (on_schedule_until + PROGRESS_TOLERANCE).min(pending.since);
         if let Some(ask) = self.connections.get(&connection) {
-            let _ = ask.try_send(Evict { known_progress });
+            let _ = ask.try_send(Evict { behind });
         }
         self.asked = Some(connection);
         true
--- a/crates/net/src/budget/ledger.rs
+++ b/crates/net/src/budget/ledger.rs
@@ -14,8 +14,9 @@
 struct Account {
     /// Bytes charged in addition to the allotment of the connection.
     charged: usize,
-    /// Latest known progress; the connection corrects it when it is asked to give up its request.
-    progressed_at: Instant,
+    /// Time up to which its request is known to be on schedule; the connection corrects it when it is asked to give up
+    /// the request.
+    on_schedule_until: Instant,
 }
 
 /// Connections and charged bytes of a process.
@@ -54,7 +55,7 @@
         }
         let account = Account {
             charged: 0,
-            progressed_at: now,
+            on_schedule_until: now,
         };
         self.accounts.insert(connection, account);
         true
@@ -70,11 +71,16 @@
     /// Sets the charge of a connection, and returns false and changes nothing if it does not fit.
     ///
     /// A lower charge always fits. A connection that is not open gets none.
-    pub(crate) fn charge(&mut self, connection: ConnectionNumber, bytes: usize, now: Instant) -> bool {
+    pub(crate) fn charge(
+        &mut self,
+        connection: ConnectionNumber,
+        bytes: usize,
+        on_schedule_until: Instant,
+    ) -> bool {
         let Some(account) = self.accounts.get_mut(&connection) else {
             return false;
         };
-        account.progressed_at = now;
+        account.on_schedule_until = on_schedule_until;
         let charged = self.charged - account.charged + bytes;
         if charged > self.max_bytes && bytes > account.charged {
             return false;
@@ -84,28 +90,28 @@
         true
     }
 
-    /// Corrects the latest progress of a connection.
-    pub(crate) fn progressed(&mut self, connection: ConnectionNumber, at: Instant) {
+    /// Corrects the time up to which a connection is on schedule.
+    pub(crate) fn progressed(&mut self, connection: ConnectionNumber, on_schedule_until: Instant) {
         if let Some(account) = self.accounts.get_mut(&connection) {
-            account.progressed_at = at;
+            account.on_schedule_until = on_schedule_until;
         }
     }
 
-    /// Returns the connection without progress for longest, and its latest known progress.
+    /// Returns the connection that is furthest behind, and the time up to which it is known to be on schedule.
     ///
-    /// Only connections without progress since `before` count, and, if `charged` is set, only those with a charge.
+    /// Only connections that are not on schedule at `before` count, and, if `charged` is set, only those with a charge.
     /// Connections for which `excluded` is true do not count.
-    pub(crate) fn longest_without_progress(
+    pub(crate) fn furthest_behind(
         &self,
         before: Instant,
         charged: bool,
         excluded: impl Fn(ConnectionNumber) -> bool,
     ) -> Option<(ConnectionNumber, Instant)> {
         let candidates = self.accounts.iter().filter(|(number, account)| {
-            account.progressed_at < before && (!charged || account.charged > 0) && !excluded(**number)
+            account.on_schedule_until < before && (!charged || account.charged > 0) && !excluded(**number)
         });
-        let oldest = candidates.min_by_key(|(_, account)| account.progressed_at);
-        oldest.map(|(number, account)| (*number, account.progressed_at))
+        let furthest = candidates.min_by_key(|(_, account)| account.on_schedule_until);
+        furthest.map(|(number, account)| (*number, account.on_schedule_until))
     }
 }
 
@@ -149,7 +155,7 @@
 
     /// Answers the load of bodies that stop one byte short: guards against dropping a request that still progresses.
     #[test]
-    fn longest_without_progress_order() {
+    fn furthest_behind_order() {
         let start = Instant::now();
         let mut ledger = Ledger::new(4, 100);
         for number in 1..=3 {
@@ -157,7 +163,7 @@
         }
         assert!(ledger.charge(3, 10, at(start, 3)) && ledger.charge(2, 10, at(start, 4)));
         let oldest = |ledger: &Ledger, charged| {
-            let oldest = ledger.longest_without_progress(at(start, 10), charged, |_| false);
+            let oldest = ledger.furthest_behind(at(start, 10), charged, |_| false);
             oldest.map(|(number, _)| number)
         };
         assert_eq!(oldest(&ledger, false), Some(1));
@@ -168,7 +174,7 @@
         ledger.progressed(3, at(start, 10));
         assert_eq!(oldest(&ledger, true), None);
         assert_eq!(
-            ledger.longest_without_progress(at(start, 10), false, |number| number == 1),
+            ledger.furthest_behind(at(start, 10), false, |number| number == 1),
             None
         );
     }
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -10,6 +10,7 @@
 
 use super::connection::{Activity, Phase};
 use crate::budget::{ALLOTMENT_BYTES, Account};
+use crate::wakeup::now;
 
 /// Limit on the bytes of a refused body that are read and discarded, so that the caller receives the response; a caller
 /// that sends more may see a connection reset instead.
@@ -82,6 +83,12 @@
             let Some(data) = frame.data_ref() else {
                 continue;
             };
+            self.activity.send_if_modified(|activity| {
+                if activity.phase == Phase::Receiving {
+                    activity.progress.receive(data.len(), now());
+                }
+                false
+            });
             let length = content.len() + data.len();
             if length > self.max_body {
                 return Err(BodyError::TooLarge);
@@ -91,12 +98,6 @@
                 self.reserve(&mut content, capacity).await?;
             }
             content.extend_from_slice(data);
-            self.activity.send_if_modified(|activity| {
-                if activity.phase == Phase::Receiving {
-                    *activity = Activity::now(Phase::Receiving);
-                }
-                false
-            });
         }
         Ok(Bytes::from(content))
     }
@@ -116,7 +117,8 @@
             // Even an attempt that is not granted must be released, because the grant may be on its way.
             self.charged = true;
             let bytes = capacity.saturating_mul(1 + self.decoded_factor);
-            if !self.account.charge(bytes).await {
+            let progress = self.activity.borrow().progress;
+            if !self.account.charge(bytes, progress).await {
                 return Err(BodyError::Overloaded);
             }
         }
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -20,7 +20,7 @@
 use super::body::{BodyError, BodyReader, discard_later};
 use super::message::{Body, json_response};
 use super::server::{HttpHandler, HttpLimits};
-use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict};
+use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict, Progress};
 use crate::wakeup::now;
 
 /// Message of a refusal because of the budget.
@@ -49,18 +49,31 @@
     Evicted,
 }
 
-/// Phase of a connection and the time of its latest progress.
+/// Phase of a connection and the progress of its request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Activity {
     pub(super) phase: Phase,
-    pub(super) progressed_at: Instant,
+    pub(super) progress: Progress,
 }
 
 impl Activity {
-    pub(super) fn now(phase: Phase) -> Self {
+    pub(super) fn start(phase: Phase) -> Self {
         Self {
             phase,
-            progressed_at: now(),
+            progress: Progress::start(now()),
+        }
+    }
+
+    /// Returns whether the connection gives up its request.
+    fn gives_up(self, evict: Evict) -> bool {
+        self.phase != Phase::Running && self.progress.on_schedule_until() <= evict.behind
+    }
+
+    /// Returns the time up to which the request is on schedule; one that runs always is.
+    fn on_schedule_until(self) -> Instant {
+        match self.phase {
+            Phase::Running => now(),
+            Phase::Waiting | Phase::Receiving | Phase::Evicted => self.progress.on_schedule_until(),
         }
     }
 }
@@ -79,7 +92,7 @@
         mut evictions,
     } = budgeted;
     let account = Arc::new(account);
-    let (activity, latest_activity) = watch::channel(Activity::now(Phase::Waiting));
+    let (activity, latest_activity) = watch::channel(Activity::start(Phase::Waiting));
     let (limits, max_head) = (config.limits, config.max_head);
     let exchange = Exchange {
         config,
@@ -105,10 +118,10 @@
             }
             Some(evict) = evictions.recv() => {
                 let latest = *latest_activity.borrow();
-                if !gives_up(latest, evict) {
-                    account.decline(declined_at(latest));
+                if !latest.gives_up(evict) {
+                    account.decline(latest.on_schedule_until());
                 } else if latest.phase == Phase::Receiving {
-                    activity.send_replace(Activity::now(Phase::Evicted));
+                    activity.send_replace(Activity::start(Phase::Evicted));
                     // The body reader answers; a caller that does not read the response gets none.
                     let _ = timeout(EVICTION_TIMEOUT, &mut connection).await;
                     return;
@@ -150,19 +163,6 @@
     let _ = stopped.wait_for(|stop| *stop).await;
 }
 
-/// Returns whether a connection gives up its request.
-fn gives_up(latest: Activity, evict: Evict) -> bool {
-    latest.phase != Phase::Running && latest.progressed_at <= evict.known_progress
-}
-
-/// Returns the progress that a connection reports when it keeps its request; one that runs makes progress all the time.
-fn declined_at(latest: Activity) -> Instant {
-    match latest.phase {
-        Phase::Running => now(),
-        Phase::Waiting | Phase::Receiving | Phase::Evicted => latest.progressed_at,
-    }
-}
-
 /// Response to a request whose head is not complete. hyper closes such a connection without a response.
 struct Refusal {
     status: &'static str,
@@ -199,12 +199,12 @@
 
 impl<H: HttpHandler> Exchange<H> {
     async fn respond(self, req: Request<Incoming>) -> Response<Body> {
-        self.activity.send_replace(Activity::now(Phase::Receiving));
+        self.activity.send_replace(Activity::start(Phase::Receiving));
         let response = self.receive_and_handle(req).await;
         self.activity.send_if_modified(|activity| {
             let evicted = activity.phase == Phase::Evicted;
             if !evicted {
-                *activity = Activity::now(Phase::Waiting);
+                *activity = Activity::start(Phase::Waiting);
             }
             !evicted
         });
@@ -252,7 +252,7 @@
                 return json_response(StatusCode::REQUEST_TIMEOUT, &body);
             }
         };
-        self.activity.send_replace(Activity::now(Phase::Running));
+        self.activity.send_replace(Activity::start(Phase::Running));
         // The charge ends with the reader, after the handler has returned.
         self.config
             .handler
