net, platform: Charge the state of jobs to the budget of the process

Callers in the limits could end an entry: whole legal jobs of 8 KiB, one on each connection, took a multiple of their size.

Cause: a body of up to 8 KiB was not charged, although its decoded form takes up to 13 times as much, and the state of the tasks was not charged at all. A step of 12 bytes may have 1,024 tasks.

Change: the allotment counts the decoded form (16 KiB with it).

Why it works: all that a request makes the process hold counts towards one limit, whether it is received, decoded or accepted.

--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -32,6 +32,9 @@
 }
 
 impl BrokerConfig {
+    /// Maximum number of tasks of one job, unless the configuration sets another.
+    pub const DEFAULT_MAX_TASKS: usize = 1_024;
+
     /// Returns a builder for an entry in a failure domain.
     ///
     /// `run_expiry` is the time after the last heartbeat of an agent by which all runs of this entry there have ended; it
@@ -55,7 +58,7 @@
             stale_after: Duration::from_millis(550),
             cross_domain_cost: Duration::from_millis(3),
             remote_factor: 1.5,
-            max_tasks: 1_024,
+            max_tasks: Self::DEFAULT_MAX_TASKS,
             max_jobs: 4_096,
             answer_retention: Duration::from_secs(30),
             crash_retention: Duration::from_secs(30),
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -7,9 +7,20 @@
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::{
     AttemptKey, ConfigVersion, EntryToWorker, JobId, Label, LinkNumber, NodeName, ProcessId, Resources,
-    RouteName, RunOutcome, StepIndex, TaskKey, WorkerName, WorkerToEntry,
+    RouteName, RunOutcome, StepIndex, TaskKey, TaskOrder, WorkerName, WorkerToEntry,
 };
 
+use crate::agents::{AgentIndex, Outstanding};
+use crate::config::BrokerConfig;
+use crate::job::Task;
+
+/// Memory of a task and of its attempt: its state, an outstanding attempt, an entry of the index of outstanding tasks, and
+/// the task in a start order. The two tables have up to twice the capacity that they need.
+const TASK_STATE_BYTES: usize = size_of::<Task>()
+    + 2 * size_of::<(AttemptKey, Outstanding)>()
+    + 2 * size_of::<(TaskKey, AgentIndex)>()
+    + size_of::<TaskOrder>();
+
 /// Identifies a request that waits for its answer.
 pub type Ticket = u64;
 
@@ -51,6 +62,31 @@
     pub recurring: bool,
 }
 
+impl JobSubmission {
+    /// Returns an upper bound on the memory of the job's tasks and their attempts, which does not follow from the size of
+    /// the submission.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_broker::{JobSubmission, StepSpec};
+    ///
+    /// let step = StepSpec { tasks: 8, ..StepSpec::default() };
+    /// let job = JobSubmission { steps: vec![step], ..JobSubmission::default() };
+    /// assert!(job.state_bytes() > 0);
+    /// ```
+    #[must_use]
+    pub fn state_bytes(&self) -> usize {
+        let tasks = self
+            .steps
+            .iter()
+            .map(|step| usize::from(step.tasks))
+            .sum::<usize>();
+        // A job with more tasks is refused before any state is built.
+        tasks.min(BrokerConfig::DEFAULT_MAX_TASKS) * TASK_STATE_BYTES
+    }
+}
+
 /// Operation that a request performs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -136,7 +172,7 @@
     Draining,
     /// The job needs a feature that this system does not offer, such as durability.
     Unsupported,
-    /// The job has no tasks, has too many, or has inconsistent dependencies.
+    /// The job has no tasks, a run time that is too long, or inconsistent dependencies.
     Malformed,
     /// No worker of the pool could ever run one of the tasks.
     NeverFits,
--- a/crates/cli/tests/untrusted_clients/main.rs
+++ b/crates/cli/tests/untrusted_clients/main.rs
@@ -6,6 +6,7 @@
 //! The clients in [`slow`] still send when the ordinary request is made.
 
 mod clients;
+mod jobs;
 mod server;
 mod slow;
 
--- a/crates/cli/tests/untrusted_clients/server.rs
+++ b/crates/cli/tests/untrusted_clients/server.rs
@@ -24,6 +24,8 @@
 
 /// Memory of a platform entry in its settings, in MiB. It lies above what an idle process uses several times.
 const ENTRY_MEMORY_MB: u64 = 48;
+/// Memory of a platform entry with routes in its settings, in MiB.
+const ROUTED_ENTRY_MEMORY_MB: u64 = 32;
 /// Memory of a platform agent or control process in its settings, in MiB; they accept bodies of 4 MiB.
 const LARGE_BODY_MEMORY_MB: u64 = 64;
 /// Memory of an entry with default settings, in MiB.
@@ -60,6 +62,8 @@
     memory_mb: u64,
     max_fds: usize,
     folder: TempDir,
+    /// Control process of an entry with routes.
+    control: Option<(Child, TempDir)>,
     peak_fds: usize,
     _lock: MutexGuard<'static, ()>,
 }
@@ -109,6 +113,7 @@
             memory_mb,
             max_fds: MAX_FDS,
             folder,
+            control: None,
             peak_fds: 0,
             _lock: lock,
         };
@@ -142,6 +147,7 @@
             memory_mb: DEFAULT_MEMORY_MB,
             max_fds: DEFAULT_MAX_FDS,
             folder,
+            control: None,
             peak_fds: 0,
             _lock: lock,
         };
@@ -149,6 +155,57 @@
         server
     }
 
+    /// Starts an entry on the users' platform that has routes but no workers, with a control process.
+    pub(crate) async fn fleet_entry_with_routes() -> Self {
+        let control = Self::fleet(FleetRole::Control).await;
+        let config = json!({
+            "version": 1,
+            "routes": [{"name": "r", "host": "jobs", "path_prefix": "/jobs/", "timeout_ms": 1_500, "service": "desk", "stretch_factor": 2.0}],
+            "services": [{"name": "desk"}],
+        });
+        control.put_configuration(&config.to_string()).await;
+        let seed = control.address.ip();
+        let folder = TempDir::new().unwrap();
+        let ip = next_ip();
+        let settings = json!({
+            "node_name": "entry-1", "ip": ip, "zone": "a", "internal_ports": [7_720, 7_735],
+            "listen_addrs": { "frontend": format!("{ip}:8080"), "readiness": format!("{ip}:8081") },
+            "seeds": [format!("{seed}:8166")],
+            "limits": { "memory_mb": ROUTED_ENTRY_MEMORY_MB, "max_fds": MAX_FDS },
+        });
+        let file = folder.path().join("settings.json");
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chestnutfork"));
+        command.args(["fleet", "entry"]).env("CHESTNUTFORK_CONFIG", &file);
+        let entry = spawn(command, folder.path());
+        let mut server = control;
+        server.control = Some((
+            std::mem::replace(&mut server.child, entry),
+            std::mem::replace(&mut server.folder, folder),
+        ));
+        server.address = format!("{ip}:8080").parse().unwrap();
+        server.links = format!("{ip}:7720").parse().unwrap();
+        server.probe = "GET /jobs/";
+        server.answer = "\"pending\"";
+        server.memory_mb = ROUTED_ENTRY_MEMORY_MB;
+        server.wait_until_answered().await;
+        server
+    }
+
+    /// Sends a configuration to a control process until it is acknowledged.
+    async fn put_configuration(&self, config: &str) {
+        let request = format!(
+            "PUT /config HTTP/1.1\r\nhost: control\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{config}",
+            config.len()
+        );
+        let acknowledged = timeout(ANSWER_TIMEOUT, async {
+            while !self.answers(&request, "HTTP/1.1 200").await {
+                sleep(POLL_INTERVAL).await;
+            }
+        });
+        assert!(acknowledged.await.is_ok(), "no acknowledgement: {}", self.log());
+    }
+
     async fn wait_until_answered(&self) {
         let answered = timeout(ANSWER_TIMEOUT, async {
             while !self.answers_ordinary_request().await {
@@ -168,6 +225,11 @@
             "{} HTTP/1.1\r\nhost: jobs\r\nconnection: close\r\n\r\n",
             self.probe
         );
+        self.answers(&request, self.answer).await
+    }
+
+    /// Sends a request on a connection of its own and returns whether the response contains a text.
+    async fn answers(&self, request: &str, expected: &str) -> bool {
         let exchange = async {
             let mut stream = TcpStream::connect(self.address).await?;
             stream.write_all(request.as_bytes()).await?;
@@ -176,16 +238,23 @@
             Ok::<_, std::io::Error>(response)
         };
         match timeout(ANSWER_TIMEOUT, exchange).await {
-            Ok(Ok(response)) => String::from_utf8_lossy(&response).contains(self.answer),
+            Ok(Ok(response)) => String::from_utf8_lossy(&response).contains(expected),
             Ok(Err(_)) | Err(_) => false,
         }
     }
 
     /// Lets clients send a pattern at the same time, and checks the process while their connections are open.
     pub(crate) async fn withstands(&mut self, address: SocketAddr, clients: usize, pattern: &Pattern) {
+        self.withstands_each(address, vec![pattern.clone(); clients])
+            .await;
+    }
+
+    /// Lets one client send each of the patterns at the same time, and checks the process while their connections are
+    /// open.
+    pub(crate) async fn withstands_each(&mut self, address: SocketAddr, patterns: Vec<Pattern>) {
         let mut tasks = JoinSet::new();
-        for _ in 0..clients {
-            tasks.spawn(send(address, pattern.clone()));
+        for pattern in patterns {
+            tasks.spawn(send(address, pattern));
         }
         let mut open = Vec::new();
         while !tasks.is_empty() {
@@ -277,8 +346,11 @@
 impl Drop for Server {
     fn drop(&mut self) {
         // A process that has already exited needs no signal.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let control = self.control.as_mut().map(|(control, _)| control);
+        for child in std::iter::once(&mut self.child).chain(control) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -6,6 +6,7 @@
 
 mod ledger;
 mod limits;
+mod memory;
 mod progress;
 
 use std::collections::{HashMap, VecDeque};
@@ -16,10 +17,11 @@
 
 use crate::metrics::Metrics;
 use crate::wakeup::now;
-pub(crate) use ledger::ConnectionNumber;
 use ledger::Ledger;
+pub(crate) use ledger::{ConnectionNumber, Part};
 pub use limits::ProcessLimits;
 pub(crate) use limits::{ALLOTMENT_BYTES, EVICTION_TIMEOUT, RECEIVE_BUFFER_BYTES};
+pub use memory::{HeldMemory, RequestMemory};
 pub(crate) use progress::Progress;
 
 /// Maximum number of connections that are asked on behalf of one request; if all of them are in use, the request is
@@ -68,11 +70,12 @@
     Open(oneshot::Sender<Option<BudgetedConnection>>),
     Charge {
         connection: ConnectionNumber,
+        part: Part,
         bytes: usize,
         on_schedule_until: Instant,
         reply: oneshot::Sender<bool>,
     },
-    Release(ConnectionNumber),
+    Release(ConnectionNumber, Part),
     /// A connection declines to give up its request.
     Declined {
         connection: ConnectionNumber,
@@ -135,22 +138,22 @@
 }
 
 impl Account {
-    /// Requests that the charge of this connection is raised to `bytes`; returns whether it is.
-    pub(crate) async fn charge(&self, bytes: usize, progress: Progress) -> bool {
+    /// Requests that the charge for a part of this connection's request is raised to `bytes`; returns whether it is.
+    pub(crate) async fn charge(&self, part: Part, bytes: usize, on_schedule_until: Instant) -> bool {
         let (reply, granted) = oneshot::channel();
         let message = BudgetMessage::Charge {
             connection: self.number,
             bytes,
-            on_schedule_until: progress.on_schedule_until(),
+            on_schedule_until,
             reply,
         };
         self.messages.send(message).is_ok() && granted.await.unwrap_or(false)
     }
 
-    /// Ends the charge of this connection.
-    pub(crate) fn release(&self) {
+    /// Ends the charge for a part of this connection's request.
+    pub(crate) fn release(&self, part: Part) {
         // Without an actor there is nothing to release.
-        let _ = self.messages.send(BudgetMessage::Release(self.number));
+        let _ = self.messages.send(BudgetMessage::Release(self.number, part));
     }
 
     /// Declines to give up the request, which is on schedule until the given time.
@@ -158,6 +161,7 @@
         let _ = self.messages.send(BudgetMessage::Declined {
             connection: self.number,
             on_schedule_until,
+            part,
         });
     }
 }
@@ -199,6 +203,7 @@
     pub(crate) fn add(&mut self, now: Instant) -> Option<u64> {
         self.count += 1;
         let due = self
+        part: Part,
             .logged_at
             .is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
         due.then(|| {
@@ -247,18 +252,20 @@
                 };
                 self.enqueue(demand, now);
             }
-            BudgetMessage::Release(connection) => {
-                self.ledger.charge(connection, 0, now);
+            BudgetMessage::Release(connection, part) => {
+                self.ledger.charge(connection, part, 0, now);
                 self.answered(connection, true, now);
             }
             BudgetMessage::Declined {
                 connection,
+                part,
                 on_schedule_until,
             } => {
                 self.ledger.progressed(connection, on_schedule_until);
                 self.answered(connection, false, now);
             }
             BudgetMessage::Close(connection) => {
+                    part,
                 self.ledger.close(connection);
                 self.connections.remove(&connection);
                 self.answered(connection, true, now);
@@ -331,7 +338,7 @@
                     // The request was given up while it waited.
                     return None;
                 }
-                if self.ledger.charge(connection, bytes, on_schedule_until) {
+                if self.ledger.charge(connection, part, bytes, on_schedule_until) {
                     // A reply that is not received is followed by a release or the end of the connection.
                     let _ = reply.send(true);
                     return None;
@@ -341,6 +348,7 @@
                     bytes,
                     on_schedule_until,
                     reply,
+                part,
                 }
             }
         };
@@ -356,6 +364,7 @@
         // At most one question is unanswered.
         let (ask, evictions) = mpsc::channel(1);
         self.connections.insert(number, ask);
+                    part,
         self.metrics
             .gauge("http.connections", self.ledger.connections() as u64);
         let account = Account { number, messages };
--- a/crates/net/src/budget/ledger.rs
+++ b/crates/net/src/budget/ledger.rs
@@ -9,16 +9,33 @@
 /// Number of a connection within its budget.
 pub(crate) type ConnectionNumber = u64;
 
+/// Part of a request that is charged separately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// Buffer of the body with its decoded form.
+    Body,
+    /// State that the handler holds beyond it.
+    State,
+}
+
 /// State of one connection as far as the budget knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Account {
-    /// Bytes charged in addition to the allotment of the connection.
-    charged: usize,
+    /// Bytes charged for the body in addition to the allotment of the connection.
+    body: usize,
+    /// Bytes charged for the state of the request.
+    state: usize,
     /// Time up to which its request is known to be on schedule; the connection corrects it when it is asked to give up
     /// the request.
     on_schedule_until: Instant,
 }
 
+impl Account {
+    fn charged(&self) -> usize {
+        self.body + self.state
+    }
+}
+
 /// Connections and charged bytes of a process.
 #[derive(Clone, Debug)]
 pub(crate) struct Ledger {
@@ -54,7 +71,8 @@
             return false;
         }
         let account = Account {
-            charged: 0,
+            body: 0,
+            state: 0,
             on_schedule_until: now,
         };
         self.accounts.insert(connection, account);
@@ -64,16 +82,17 @@
     /// Removes a connection with its charge.
     pub(crate) fn close(&mut self, connection: ConnectionNumber) {
         if let Some(account) = self.accounts.remove(&connection) {
-            self.charged -= account.charged;
+            self.charged -= account.charged();
         }
     }
 
-    /// Sets the charge of a connection, and returns false and changes nothing if it does not fit.
+    /// Sets the charge for a part of a connection's request, and returns false and changes nothing if it does not fit.
     ///
     /// A lower charge always fits. A connection that is not open gets none.
     pub(crate) fn charge(
         &mut self,
         connection: ConnectionNumber,
+        part: Part,
         bytes: usize,
         on_schedule_until: Instant,
     ) -> bool {
@@ -81,11 +100,15 @@
             return false;
         };
         account.on_schedule_until = on_schedule_until;
-        let charged = self.charged - account.charged + bytes;
-        if charged > self.max_bytes && bytes > account.charged {
+        let present = match part {
+            Part::Body => &mut account.body,
+            Part::State => &mut account.state,
+        };
+        let charged = self.charged - *present + bytes;
+        if charged > self.max_bytes && bytes > *present {
             return false;
         }
-        account.charged = bytes;
+        *present = bytes;
         self.charged = charged;
         true
     }
@@ -108,7 +131,7 @@
         excluded: impl Fn(ConnectionNumber) -> bool,
     ) -> Option<(ConnectionNumber, Instant)> {
         let candidates = self.accounts.iter().filter(|(number, account)| {
-            account.on_schedule_until < before && (!charged || account.charged > 0) && !excluded(**number)
+            account.on_schedule_until < before && (!charged || account.charged() > 0) && !excluded(**number)
         });
         let furthest = candidates.min_by_key(|(_, account)| account.on_schedule_until);
         furthest.map(|(number, account)| (*number, account.on_schedule_until))
@@ -131,14 +154,29 @@
         let start = Instant::now();
         let mut ledger = Ledger::new(4, 100);
         assert!(ledger.open(1, start) && ledger.open(2, start));
-        assert!(ledger.charge(1, 60, start));
-        assert!(!ledger.charge(2, 60, start));
-        assert!(ledger.charge(2, 40, start));
+        assert!(ledger.charge(1, Part::Body, 60, start));
+        assert!(!ledger.charge(2, Part::Body, 60, start));
+        assert!(ledger.charge(2, Part::Body, 40, start));
         assert_eq!(ledger.charged(), 100);
         ledger.close(1);
         assert_eq!(ledger.charged(), 40);
-        assert!(ledger.charge(2, 100, start));
-        assert!(!ledger.charge(3, 0, start));
+        assert!(ledger.charge(2, Part::Body, 100, start));
+        assert!(!ledger.charge(3, Part::Body, 0, start));
+    }
+
+    /// Answers the load of whole jobs with large states: guards against a state that is not counted beside the bodies, or
+    /// that stays charged after the answer.
+    #[test]
+    fn charge_state_beside_body() {
+        let start = Instant::now();
+        let mut ledger = Ledger::new(4, 100);
+        assert!(ledger.open(1, start) && ledger.open(2, start));
+        assert!(ledger.charge(1, Part::Body, 30, start));
+        assert!(ledger.charge(1, Part::State, 50, start));
+        assert!(!ledger.charge(2, Part::State, 30, start));
+        assert!(ledger.charge(1, Part::State, 0, start));
+        assert_eq!(ledger.charged(), 30);
+        assert!(ledger.charge(2, Part::State, 30, start));
     }
 
     /// Answers the load of connections that stay open: guards against connections beyond the limit.
@@ -161,7 +199,9 @@
         for number in 1..=3 {
             assert!(ledger.open(number, at(start, number)));
         }
-        assert!(ledger.charge(3, 10, at(start, 3)) && ledger.charge(2, 10, at(start, 4)));
+        assert!(
+            ledger.charge(3, Part::Body, 10, at(start, 3)) && ledger.charge(2, Part::Body, 10, at(start, 4))
+        );
         let oldest = |ledger: &Ledger, charged| {
             let oldest = ledger.furthest_behind(at(start, 10), charged, |_| false);
             oldest.map(|(number, _)| number)
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::connection::{Activity, Phase};
-use crate::budget::{ALLOTMENT_BYTES, Account};
+use crate::budget::{ALLOTMENT_BYTES, Account, Part};
 use crate::wakeup::now;
 
 /// Limit on the bytes of a refused body that are read and discarded, so that the caller receives the response; a caller
@@ -40,7 +40,7 @@
 impl Drop for BodyReader<'_> {
     fn drop(&mut self) {
         if self.charged {
-            self.account.release();
+            self.account.release(Part::Body);
         }
     }
 }
@@ -113,12 +113,12 @@
     /// The charge includes the decoded form from the start, which covers the second copy of the content while the buffer
     /// grows.
     async fn reserve(&mut self, content: &mut Vec<u8>, capacity: usize) -> Result<(), BodyError> {
-        if capacity > ALLOTMENT_BYTES {
+        let bytes = capacity.saturating_mul(1 + self.decoded_factor);
+        if bytes > ALLOTMENT_BYTES {
             // Even an attempt that is not granted must be released, because the grant may be on its way.
             self.charged = true;
-            let bytes = capacity.saturating_mul(1 + self.decoded_factor);
-            let progress = self.activity.borrow().progress;
-            if !self.account.charge(bytes, progress).await {
+            let on_schedule_until = self.activity.borrow().progress.on_schedule_until();
+            if !self.account.charge(Part::Body, bytes, on_schedule_until).await {
                 return Err(BodyError::Overloaded);
             }
         }
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -20,7 +20,7 @@
 use super::body::{BodyError, BodyReader, discard_later};
 use super::message::{Body, json_response};
 use super::server::{HttpHandler, HttpLimits};
-use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict, Progress};
+use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict, Progress, RequestMemory};
 use crate::wakeup::now;
 
 /// Message of a refusal because of the budget.
@@ -253,11 +253,11 @@
             }
         };
         self.activity.send_replace(Activity::start(Phase::Running));
+        let mut req = Request::from_parts(parts, content);
+        req.extensions_mut()
+            .insert(RequestMemory::new(Arc::clone(&self.account)));
         // The charge ends with the reader, after the handler has returned.
-        self.config
-            .handler
-            .handle(Request::from_parts(parts, content))
-            .await
+        self.config.handler.handle(req).await
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,7 +17,7 @@
 mod timing;
 mod wakeup;
 
-pub use budget::{ProcessLimits, RequestBudget};
+pub use budget::{HeldMemory, ProcessLimits, RequestBudget, RequestMemory};
 pub use dial::{DialConfig, DialConfigBuilder, DialTemplate, Dialer, dial};
 pub use http::{
     Body, HttpClient, HttpHandler, HttpLimits, HttpServer, HttpServerBuilder, bearer_token, header_token,
