net, cli: End the process when the budget for requests has failed

Callers would see every new connection refused, for as long as the process runs: without the actor of the budget its servers accept nothing, and the process stayed. docs/EVENTS.md (1006) and docs/hard-load.md say that it shuts down.

Cause: only the accepting tasks noticed the end of the actor, and they just stopped.

Change: a role waits for the end of its budgets beside its signals, logs event 1006, shuts down gracefully and exits with 1, so that it is started again. The budget for readiness checks of a platform entry counts as well.

Result: ended_after_actor_has_gone ends the actor with its runtime and waits for RequestBudget::ended, which did not exist before. The exit itself is shown by reading only: nothing outside can end the actor of a running process.

--- a/crates/cli/src/roles/agent.rs
+++ b/crates/cli/src/roles/agent.rs
@@ -29,6 +29,7 @@
     let process = RoleProcess::new(Role::Agent, settings.process.clone(), signals)?;
     let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
+    let budget = process::start_budget(settings.limits, metrics.clone());
     let cfg = AgentConfig::builder(
         settings.process.name,
         ClusterSecret::new(settings.cluster_secret.expose()),
@@ -37,12 +38,14 @@
     .listen(settings.listen.to_string())
     .target_token(settings.target_token.expose())
     .control_addresses(settings.control.iter().map(ToString::to_string).collect())
-    .metrics(metrics.clone())
-    .budget(process::start_budget(settings.limits, metrics))
+    .metrics(metrics)
+    .budget(budget.clone())
     .build();
     let agent = start(cfg).await.map_err(|error| match &error {
         AgentError::Listen { address, source } => report_listen_failure(address, source),
         _ => report_error(&error),
     })?;
-    Ok(process.serve(agent.process(), || agent.shutdown(grace)).await)
+    Ok(process
+        .serve(agent.process(), &budget, || agent.shutdown(grace))
+        .await)
 }
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -29,9 +29,10 @@
     let process = RoleProcess::new(Role::Control, settings.process.clone(), signals)?;
     let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
+    let budget = process::start_budget(settings.limits, metrics.clone());
     let cfg = ControlConfig::from(&settings)
-        .with_metrics(metrics.clone())
-        .with_budget(process::start_budget(settings.limits, metrics));
+        .with_metrics(metrics)
+        .with_budget(budget.clone());
     let folder = DiskFolder::open(&settings.data_dir).map_err(|error| report_error(&error))?;
     let control = start(cfg, folder).await.map_err(|error| match &error {
         ControlError::Listen { address, source } => report_listen_failure(address, source),
@@ -43,5 +44,5 @@
         // Acknowledged writes are durable, so a shutdown leaves no work unfinished.
         0
     };
-    Ok(process.serve(id, shutdown).await)
+    Ok(process.serve(id, &budget, shutdown).await)
 }
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -29,6 +29,7 @@
     let process = RoleProcess::new(Role::Entry, settings.process.clone(), signals)?;
     let metrics = process.metrics();
     let grace = settings.process.shutdown_grace;
+    let budget = process::start_budget(settings.limits, metrics.clone());
     let cfg = EntryConfig::builder(
         settings.process.name,
         ClusterSecret::new(settings.cluster_secret.expose()),
@@ -40,12 +41,14 @@
     .control_addresses(settings.control.iter().map(ToString::to_string).collect())
     .max_records(settings.register.max_records)
     .retention(settings.register.retention)
-    .metrics(metrics.clone())
-    .budget(process::start_budget(settings.limits, metrics))
+    .metrics(metrics)
+    .budget(budget.clone())
     .build();
     let entry = start(cfg).await.map_err(|error| match &error {
         EntryError::Listen { address, source } => report_listen_failure(address, source),
         _ => report_error(&error),
     })?;
-    Ok(process.serve(entry.process(), || entry.shutdown(grace)).await)
+    Ok(process
+        .serve(entry.process(), &budget, || entry.shutdown(grace))
+        .await)
 }
--- a/crates/cli/src/roles/fleet.rs
+++ b/crates/cli/src/roles/fleet.rs
@@ -90,10 +90,11 @@
         node: &settings.name,
         process: node.process(),
     });
-    tokio::select! {
-        () = signals.next() => {}
-        () = log_settings_changes(hangup, &settings) => {}
-    }
+    let failed = tokio::select! {
+        () = signals.next() => false,
+        () = log_settings_changes(hangup, &settings) => false,
+        () = node.failed() => true,
+    };
     emit(&ProcessEvent::Draining {
         node: &settings.name,
         grace: settings.shutdown_grace,
@@ -110,6 +111,9 @@
         node: &settings.name,
         unfinished,
     });
+    if failed {
+        return Ok(ExitCode::FAILURE);
+    }
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/src/roles/process.rs
+++ b/crates/cli/src/roles/process.rs
@@ -111,8 +111,14 @@
         })
     }
 
-    /// Serves until a signal arrives, then shuts down; `shutdown` resolves to the number of unfinished jobs or tasks.
-    pub(crate) async fn serve<F>(mut self, process: ProcessId, shutdown: impl FnOnce() -> F) -> ExitCode
+    /// Serves until a signal arrives or the budget has ended, then shuts down; `shutdown` resolves to the number of
+    /// unfinished jobs or tasks.
+    pub(crate) async fn serve<F>(
+        mut self,
+        process: ProcessId,
+        budget: &RequestBudget,
+        shutdown: impl FnOnce() -> F,
+    ) -> ExitCode
     where
         F: Future<Output = u64>,
     {
@@ -122,7 +128,10 @@
             node,
             process,
         });
-        self.signals.next().await;
+        let failed = tokio::select! {
+            () = self.signals.next() => false,
+            () = budget.ended() => true,
+        };
         emit(&ProcessEvent::Draining {
             node,
             grace: self.settings.shutdown_grace,
@@ -138,7 +147,7 @@
             emit(&ProcessEvent::Interrupted { node, unfinished });
         }
         emit(&ProcessEvent::Stopped { node, unfinished });
-        if unfinished > 0 {
+        if failed || unfinished > 0 {
             return ExitCode::FAILURE;
         }
         ExitCode::SUCCESS
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -122,18 +122,36 @@
         self.limits
     }
 
+    /// Waits until the actor of the budget has ended, after which its servers accept no connection.
+    ///
+    /// This is a failure of the process, which has to end so that it is restarted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use chestnutfork_net::{Metrics, ProcessLimits, RequestBudget};
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+    /// let budget = RequestBudget::start(ProcessLimits::default(), Metrics::disabled());
+    /// let ended = tokio::time::timeout(Duration::from_millis(1), budget.ended());
+    /// assert!(ended.await.is_err());
+    /// # });
+    /// ```
+    pub async fn ended(&self) {
+        self.messages.closed().await;
+        emit(&ProcessEvent::ActorFailed {
+            actor: "request budget",
+            error: "the task has ended",
+        });
+    }
+
     /// Adds a connection, or returns `None` if the limit is reached and no connection can be closed for it.
     pub(crate) async fn open(&self) -> Result<Option<BudgetedConnection>, BudgetEnded> {
         let (reply, opened) = oneshot::channel();
         let sent = self.messages.send(BudgetMessage::Open(reply));
         let opened = if sent.is_ok() { opened.await.ok() } else { None };
-        opened.ok_or_else(|| {
-            emit(&ProcessEvent::ActorFailed {
-                actor: "request budget",
-                error: "the task has ended",
-            });
-            BudgetEnded
-        })
+        opened.ok_or(BudgetEnded)
     }
 }
 
@@ -143,6 +161,7 @@
         let (reply, granted) = oneshot::channel();
         let message = BudgetMessage::Charge {
             connection: self.number,
+            part,
             bytes,
             on_schedule_until,
             reply,
@@ -161,7 +180,6 @@
         let _ = self.messages.send(BudgetMessage::Declined {
             connection: self.number,
             on_schedule_until,
-            part,
         });
     }
 }
@@ -185,6 +203,7 @@
     Connection(oneshot::Sender<Option<BudgetedConnection>>),
     Bytes {
         connection: ConnectionNumber,
+        part: Part,
         bytes: usize,
         on_schedule_until: Instant,
         reply: oneshot::Sender<bool>,
@@ -203,7 +222,6 @@
     pub(crate) fn add(&mut self, now: Instant) -> Option<u64> {
         self.count += 1;
         let due = self
-        part: Part,
             .logged_at
             .is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
         due.then(|| {
@@ -240,12 +258,14 @@
             BudgetMessage::Open(reply) => self.enqueue(Demand::Connection(reply), now),
             BudgetMessage::Charge {
                 connection,
+                part,
                 bytes,
                 on_schedule_until,
                 reply,
             } => {
                 let demand = Demand::Bytes {
                     connection,
+                    part,
                     bytes,
                     on_schedule_until,
                     reply,
@@ -258,14 +278,12 @@
             }
             BudgetMessage::Declined {
                 connection,
-                part,
                 on_schedule_until,
             } => {
                 self.ledger.progressed(connection, on_schedule_until);
                 self.answered(connection, false, now);
             }
             BudgetMessage::Close(connection) => {
-                    part,
                 self.ledger.close(connection);
                 self.connections.remove(&connection);
                 self.answered(connection, true, now);
@@ -330,6 +348,7 @@
             }
             Demand::Bytes {
                 connection,
+                part,
                 bytes,
                 on_schedule_until,
                 reply,
@@ -345,10 +364,10 @@
                 }
                 Demand::Bytes {
                     connection,
+                    part,
                     bytes,
                     on_schedule_until,
                     reply,
-                part,
                 }
             }
         };
@@ -364,7 +383,6 @@
         // At most one question is unanswered.
         let (ask, evictions) = mpsc::channel(1);
         self.connections.insert(number, ask);
-                    part,
         self.metrics
             .gauge("http.connections", self.ledger.connections() as u64);
         let account = Account { number, messages };
--- a/crates/net/tests/budget.rs
+++ b/crates/net/tests/budget.rs
@@ -107,6 +107,23 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a process that continues without its budget, and so without accepting connections.
+#[test]
+fn ended_after_actor_has_gone() {
+    let runtime = || {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap()
+    };
+    let failed = runtime();
+    let budget =
+        failed.block_on(async { RequestBudget::start(ProcessLimits::default(), Metrics::disabled()) });
+    // The actor ends with its runtime.
+    drop(failed);
+    runtime().block_on(budget.ended());
+}
+
 /// Guards against idle connections that keep later ones from being served.
 #[tokio::test]
 async fn server_closes_idle_connection_at_limit() {
