broker, platform: Name the limit on tasks in the refusal of a job

Callers that sent a job with too many tasks, such as 4,000 steps, were answered 400 malformed with a Retry-After, so they could neither see what to change nor that repeating the job is useless.

Cause: the limit on tasks was one of the checks of a well-formed job, and each refusal carries a delay.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -34,18 +34,21 @@
         if self.jobs.len() >= self.cfg.max_jobs {
             return Some(RefusalReason::TooManyJobs);
         }
-        (!self.is_well_formed(submission)).then_some(RefusalReason::Malformed)
+        self.fault(submission)
     }
 
-    fn is_well_formed(&self, submission: &JobSubmission) -> bool {
+    /// Returns what makes a submission unacceptable whatever the state of the entry.
+    fn fault(&self, submission: &JobSubmission) -> Option<RefusalReason> {
         let tasks: usize = submission.steps.iter().map(|step| usize::from(step.tasks)).sum();
+        if tasks > self.cfg.max_tasks {
+            return Some(RefusalReason::TooManyTasks);
+        }
         let ordered =
             |(at, step): (usize, &StepSpec)| step.depends_on.iter().all(|&before| usize::from(before) < at);
-        let run_time = critical_path(&submission.steps);
-        tasks > 0
-            && tasks <= self.cfg.max_tasks
-            && run_time <= MAX_RUN_TIME
-            && submission.steps.iter().enumerate().all(ordered)
+        let well_formed = tasks > 0
+            && critical_path(&submission.steps) <= MAX_RUN_TIME
+            && submission.steps.iter().enumerate().all(ordered);
+        (!well_formed).then_some(RefusalReason::Malformed)
     }
 
     /// Returns why some step fits no known worker of a pool; `None` also if no worker of the pool is known yet.
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -174,6 +174,8 @@
     Unsupported,
     /// The job has no tasks, a run time that is too long, or inconsistent dependencies.
     Malformed,
+    /// The job has more tasks than an entry accepts in one job.
+    TooManyTasks,
     /// No worker of the pool could ever run one of the tasks.
     NeverFits,
     /// Too many jobs are in progress.
@@ -197,6 +199,7 @@
             Self::Draining => "draining",
             Self::Unsupported => "unsupported",
             Self::Malformed => "malformed",
+            Self::TooManyTasks => "too_many_tasks",
             Self::NeverFits => "never_fits",
             Self::TooManyJobs => "too_many",
             Self::Overloaded => "overloaded",
@@ -205,6 +208,21 @@
             Self::Evacuated => "evacuated",
         }
     }
+
+    /// Returns whether the job is at fault, so that it would be refused again whatever the state of the system.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_broker::RefusalReason;
+    ///
+    /// assert!(RefusalReason::TooManyTasks.is_permanent());
+    /// assert!(!RefusalReason::Overloaded.is_permanent());
+    /// ```
+    #[must_use]
+    pub fn is_permanent(self) -> bool {
+        matches!(self, Self::Malformed | Self::TooManyTasks)
+    }
 }
 
 /// Answer to a request.
--- a/crates/broker/tests/core.rs
+++ b/crates/broker/tests/core.rs
@@ -551,3 +551,16 @@
         );
     }
 }
+
+/// Guards against a job beyond the limit on tasks whose caller is told that it is malformed, or to repeat it.
+#[test]
+fn submit_too_many_tasks() {
+    let mut entry = Entry::with_workers(1);
+    entry.submit(1, 1, 1_025);
+    let answers = entry.answers();
+    let [(1, Answer::Refused { reason, .. })] = answers[..] else {
+        panic!("{answers:?}");
+    };
+    assert_eq!(reason, RefusalReason::TooManyTasks);
+    assert!(reason.is_permanent());
+}
--- a/crates/events/src/catalogue/runs.rs
+++ b/crates/events/src/catalogue/runs.rs
@@ -63,7 +63,7 @@
             remedy: "None.";
         7011 JobRefused "job_not_taken" Info "job refused" {
             job: &'a str = "Id of the job.",
-            reason: &'a str = "Reason: `overloaded`, `draining`, `no_routes`, `unsupported`, `malformed`, `never_fits`, `too_many`, `behind`, `silence` or `evacuated`.",
+            reason: &'a str = "Reason: `overloaded`, `draining`, `no_routes`, `unsupported`, `malformed`, `too_many_tasks`, `never_fits`, `too_many`, `behind`, `silence` or `evacuated`.",
             waited: Duration = "Time that the job waited, zero if it was refused at once.",
             waiting: u64 = "Jobs that are waiting for capacity at this entry.",
         }
