net, platform: Apply the configuration's limits on callers

Operators could set limits on heads, bodies and times in the configuration, and callers met others: the fields were ignored, and a head had the 20 s of an idle connection.

Cause: the decoder of configurations did not read them, and the HTTP library has one time limit for a head and for the wait for it.

Change: the decoder reads the four limits, the configuration actor passes them to the server through a watch channel, and a connection checks the time of a head (from its first byte) and of an idle connection itself. What has arrived is read before a limit is checked, because the process may have been paused. Limits are kept within what the memory allows; absent and zero ones have the defaults (10 s for a head, 20 s idle as before).

--- a/crates/leased/src/configuration.rs
+++ b/crates/leased/src/configuration.rs
@@ -7,29 +7,40 @@
 
 use chestnutfork_documents::{Document, FetchAction, Fetcher, Part};
 use chestnutfork_events::{RunsEvent, emit};
-use chestnutfork_net::{DialTemplate, LinkId, Metrics};
+use chestnutfork_net::{DialTemplate, HttpLimits, LinkId, Metrics};
 use chestnutfork_routes::RouteTable;
 use chestnutfork_types::FailureDomain;
 use chestnutfork_wire::{ControlMessageWire, SubscriberMessageWire};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
 
 use crate::clock::LeaseClock;
 use crate::control::{ControlConnections, ControlEvent, ControlObserver};
 use crate::entry::EntryMessage;
 use crate::evacuations::{first_messages, received_evacuations};
+use crate::limits::CallerLimits;
 use crate::timer::LeaseTimer;
 
+/// Content of a document of operators.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Routes and services.
+    pub routes: RouteTable,
+    /// Limits on the requests of callers.
+    pub limits: CallerLimits,
+}
+
 /// Decodes the documents of operators.
 pub trait RouteDecoder: Send + Sync + 'static {
     /// Reason why a document cannot be used.
     type Error: Display;
 
-    /// Decodes a document to a route table.
+    /// Decodes a document.
     ///
     /// # Errors
     ///
-    /// Returns an error if the document cannot be decoded or violates an invariant of the table.
-    fn decode(&self, content: &[u8]) -> Result<RouteTable, Self::Error>;
+    /// Returns an error if the document cannot be decoded or violates an invariant of the route table.
+    fn decode(&self, content: &[u8]) -> Result<Configuration, Self::Error>;
 }
 
 /// Message to the actor.
@@ -68,6 +79,8 @@
     pub(crate) failure_domain: FailureDomain,
     /// Whether to subscribe to the evacuations.
     pub(crate) evacuations: bool,
+    /// Limits in force; the first value holds the defaults.
+    pub(crate) http_limits: watch::Sender<HttpLimits>,
 }
 
 #[derive(Debug)]
@@ -79,6 +92,8 @@
     entry: ActorRef<EntryMessage>,
     failure_domain: FailureDomain,
     evacuations: bool,
+    http_limits: watch::Sender<HttpLimits>,
+    default_limits: HttpLimits,
     actions: Vec<FetchAction>,
 }
 
@@ -95,6 +110,7 @@
         let tick_target = myself.clone();
         let notify = move || drop(tick_target.cast(ConfigurationMessage::Tick));
         let observer = ConfigurationObserver { actor: myself };
+        let default_limits = *arguments.http_limits.borrow();
         let mut control = ControlConnections::new(arguments.dial_template, observer);
         control.dial(arguments.seeds);
         Ok(ConfigurationState {
@@ -105,6 +121,8 @@
             entry: arguments.entry,
             failure_domain: arguments.failure_domain,
             evacuations: arguments.evacuations,
+            default_limits,
+            http_limits: arguments.http_limits,
             actions: Vec::new(),
         })
     }
@@ -204,7 +222,11 @@
             behind,
         });
         match decoder.decode(&document.content) {
-            Ok(routes) => self.notify_entry(EntryMessage::Routes(routes)),
+            Ok(Configuration { routes, limits }) => {
+                // Without a server nothing needs the limits.
+                let _ = self.http_limits.send(limits.or(self.default_limits));
+                self.notify_entry(EntryMessage::Routes(routes));
+            }
             Err(error) => emit(&RunsEvent::DocumentUnreadable {
                 version,
                 error: &error.to_string(),
--- a/crates/leased/src/lib.rs
+++ b/crates/leased/src/lib.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod error;
 mod evacuations;
+mod limits;
 mod links;
 mod notices;
 mod run;
@@ -20,7 +21,8 @@
 
 pub use agent::{AgentClient, WorkerClient};
 pub use clock::LeaseClock;
-pub use configuration::RouteDecoder;
+pub use configuration::{Configuration, RouteDecoder};
 pub use entry::{EntryClient, EntryStatus};
 pub use error::LeasedError;
+pub use limits::CallerLimits;
 pub use run::{NodeConfig, NodeConfigBuilder, RunningAgent, RunningEntry, start_agent, start_entry};
--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -4,7 +4,7 @@
 
 use chestnutfork_broker::{BrokerConfig, BrokerCore};
 use chestnutfork_net::{
-    ClusterSecret, DialTemplate, Identity, LinkTiming, Listener, Metrics, ProcessLimits, listen,
+    ClusterSecret, DialTemplate, HttpLimits, Identity, LinkTiming, Listener, Metrics, ProcessLimits, listen,
     random_process_id,
 };
 use chestnutfork_types::{FailureDomain, NodeName, ProcessId};
@@ -12,7 +12,7 @@
 use chestnutfork_worker::{WorkerConfig, WorkerCore};
 use ractor::{Actor, ActorRef};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::agent::{AgentActor, AgentArguments, AgentClient, AgentMessage, WorkerClient};
@@ -38,6 +38,7 @@
     metrics: Metrics,
     evacuations: bool,
     limits: ProcessLimits,
+    caller_limits: HttpLimits,
     sharing: bool,
 }
 
@@ -75,6 +76,7 @@
             metrics: Metrics::disabled(),
             evacuations: false,
             limits: ProcessLimits::default(),
+            caller_limits: HttpLimits::default(),
             sharing: false,
         };
         NodeConfigBuilder { cfg }
@@ -140,6 +142,10 @@
         /// Sets the limits on links that are not authenticated.
         limits: ProcessLimits
     );
+    setter!(
+        /// Sets the limits on the requests of callers that the configuration does not state.
+        caller_limits: HttpLimits
+    );
     setter!(
         /// Sets whether entries keep kinds of tasks apart that slow each other down; default `false`.
         sharing: bool
@@ -160,6 +166,7 @@
     actor: ActorRef<EntryMessage>,
     clock: LeaseClock,
     configuration: ActorRef<ConfigurationMessage>,
+    caller_limits: watch::Receiver<HttpLimits>,
     _listener: Listener,
 }
 
@@ -182,6 +189,12 @@
         EntryClient::new(self.actor.clone(), self.clock)
     }
 
+    /// Returns the limits on the requests of callers that are in force, which change with the configuration.
+    #[must_use]
+    pub fn caller_limits(&self) -> watch::Receiver<HttpLimits> {
+        self.caller_limits.clone()
+    }
+
     /// Reports the entry as not ready and continues to serve for `duration`, so that callers can be routed to
     /// other entries.
     pub async fn report_unready(&self, duration: Duration) {
@@ -275,6 +288,7 @@
     let (actor, _) = Actor::spawn(None, EntryActor, arguments)
         .await
         .map_err(|error| actor_error(&error))?;
+    let (http_limits, caller_limits) = watch::channel(cfg.caller_limits);
     let arguments = ConfigurationArguments {
         clock,
         dial_template: dial_template(&cfg, &identity),
@@ -283,6 +297,7 @@
         entry: actor.clone(),
         failure_domain: cfg.failure_domain.clone(),
         evacuations: cfg.evacuations,
+        http_limits,
     };
     let (configuration, _) = Actor::spawn(None, ConfigurationActor { decoder }, arguments)
         .await
@@ -303,6 +318,7 @@
         actor,
         clock,
         configuration,
+        caller_limits,
         _listener: listener,
     })
 }
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -20,7 +20,7 @@
 use ledger::Ledger;
 pub(crate) use ledger::{ConnectionNumber, Part};
 pub use limits::ProcessLimits;
-pub(crate) use limits::{ALLOTMENT_BYTES, EVICTION_TIMEOUT, RECEIVE_BUFFER_BYTES};
+pub(crate) use limits::{ALLOTMENT_BYTES, EVICTION_TIMEOUT, RECEIVE_BUFFER_BYTES, clamp_head};
 pub use memory::{HeldMemory, RequestMemory};
 pub(crate) use progress::Progress;
 
--- a/crates/net/src/budget/limits.rs
+++ b/crates/net/src/budget/limits.rs
@@ -21,6 +21,8 @@
 const LINK_BYTES: usize = 144 * 1024;
 /// Smallest limit on heads that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
+/// Largest limit on heads that may be set while the process runs, in bytes; the memory of a connection allows for it.
+const MAX_CHANGED_HEAD_BYTES: usize = 32 * 1024;
 /// Size of the receive buffer of a connection in bytes. At a round trip of 1 ms it permits 32 MB/s, above what the
 /// network of any machine carries.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
@@ -109,6 +111,11 @@
     }
 }
 
+/// Returns the limit on heads that is in force for one that was set while the process runs.
+pub(crate) fn clamp_head(bytes: usize) -> usize {
+    bytes.clamp(MIN_HEAD_BYTES, MAX_CHANGED_HEAD_BYTES)
+}
+
 impl Default for ProcessLimits {
     fn default() -> Self {
         Self::new(Self::DEFAULT_MEMORY_MB, Self::DEFAULT_MAX_FDS)
--- a/crates/net/src/budget/progress.rs
+++ b/crates/net/src/budget/progress.rs
@@ -30,6 +30,10 @@
         }
     }
 
+    pub(crate) fn started_at(self) -> Instant {
+        self.started_at
+    }
+
     /// Records bytes that have arrived.
     pub(crate) fn receive(&mut self, bytes: usize, now: Instant) {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::connection::{Activity, Phase};
+use super::activity::{Activity, Phase};
 use crate::budget::{ALLOTMENT_BYTES, Account, Part};
 use crate::wakeup::now;
 
@@ -130,10 +130,7 @@
 /// Reads and discards the rest of a refused body while its response is sent, up to [`MAX_DISCARDED_BYTES`].
 ///
 /// Closing a connection with unread data resets it, and the caller may then lose the response that states the reason.
-pub(super) fn discard_later(mut body: Incoming, limit: Duration) {
-    if body.is_end_stream() {
-        return;
-    }
+pub(super) fn discard_later(mut body: Incoming, limit: Duration, activity: watch::Sender<Activity>) {
     tokio::spawn(async move {
         let discard = async {
             let mut discarded = 0;
@@ -146,5 +143,9 @@
         };
         // The rest of a slower body is not read, which closes the connection.
         let _ = timeout(limit, discard).await;
+        activity.send_if_modified(|activity| {
+            activity.discarded();
+            false
+        });
     });
 }
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -2,26 +2,26 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Instant;
 
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 use chestnutfork_wire::RefusalBody;
 
+use super::activity::{Activity, Phase};
 use super::body::{BodyError, BodyReader, discard_later};
 use super::message::{Body, json_response};
 use super::server::{HttpHandler, HttpLimits};
-use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, Evict, Progress, RequestMemory};
-use crate::wakeup::now;
+use super::stream::RecordedStream;
+use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, RequestMemory, clamp_head};
 
 /// Message of a refusal because of the budget.
 const OVERLOADED: &str = "the server has no memory for this request; send it again later";
@@ -29,55 +29,16 @@
 /// Configuration that the connections of a server share.
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionConfig<H> {
-    pub(super) limits: HttpLimits,
+    pub(super) limits: watch::Receiver<HttpLimits>,
     /// Size of a decoded body relative to the body.
     pub(super) decoded_factor: usize,
+    /// Limit on heads, unless `limits` state one.
     pub(super) max_head: usize,
+    /// Largest body that the budget has room for with its decoded form.
+    pub(super) largest_body: usize,
     pub(super) handler: H,
 }
 
-/// What a connection does at present.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// No complete head of a request has arrived.
-    Waiting,
-    /// The body is being received.
-    Receiving,
-    /// The handler has the request, which can no longer be refused.
-    Running,
-    /// The request has been given up.
-    Evicted,
-}
-
-/// Phase of a connection and the progress of its request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Activity {
-    pub(super) phase: Phase,
-    pub(super) progress: Progress,
-}
-
-impl Activity {
-    pub(super) fn start(phase: Phase) -> Self {
-        Self {
-            phase,
-            progress: Progress::start(now()),
-        }
-    }
-
-    /// Returns whether the connection gives up its request.
-    fn gives_up(self, evict: Evict) -> bool {
-        self.phase != Phase::Running && self.progress.on_schedule_until() <= evict.behind
-    }
-
-    /// Returns the time up to which the request is on schedule; one that runs always is.
-    fn on_schedule_until(self) -> Instant {
-        match self.phase {
-            Phase::Running => now(),
-            Phase::Waiting | Phase::Receiving | Phase::Evicted => self.progress.on_schedule_until(),
-        }
-    }
-}
-
 /// Serves a connection until it closes; on shutdown, the request in progress is completed first.
 pub(super) async fn serve_connection<H: HttpHandler>(
     stream: TcpStream,
@@ -92,8 +53,9 @@
         mut evictions,
     } = budgeted;
     let account = Arc::new(account);
-    let (activity, latest_activity) = watch::channel(Activity::start(Phase::Waiting));
-    let (limits, max_head) = (config.limits, config.max_head);
+    let (activity, latest_activity) = watch::channel(Activity::start(Phase::Idle));
+    let limits = config.limits.clone();
+    let max_head = limits.borrow().max_head.map_or(config.max_head, clamp_head);
     let exchange = Exchange {
         config,
         account: Arc::clone(&account),
@@ -104,14 +66,20 @@
         async move { Ok::<_, Infallible>(exchange.respond(req).await) }
     });
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
+        // Heads and idle connections have different time limits, which the loop below checks.
+        .header_read_timeout(None)
         .max_buf_size(max_head)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(RecordedStream::new(stream, activity.clone())),
+            service,
+        );
+    let mut check = std::pin::pin!(sleep(latest_activity.borrow().next_check(&limits.borrow())));
     let mut stopping = false;
     let ended = loop {
         tokio::select! {
-            ended = &mut connection => break Some(ended),
+            // What has arrived is read before a time limit is checked, because the process may have been paused.
+            biased;
+            _ = &mut connection => break Ended::Closed,
             () = stop_requested(&mut stopped), if !stopping => {
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
                 stopping = true;
@@ -126,37 +94,57 @@
                     let _ = timeout(EVICTION_TIMEOUT, &mut connection).await;
                     return;
                 } else {
-                    break None;
+                    break Ended::Evicted(latest.phase);
                 }
             }
+            () = &mut check => {
+                let latest = *latest_activity.borrow();
+                let limits = limits.borrow();
+                if latest.has_expired(&limits) {
+                    break Ended::Expired(latest.phase);
+                }
+                check.as_mut().reset(Instant::now() + latest.next_check(&limits));
+            }
         }
     };
     match ended {
-        None => {
-            let parts = connection.into_parts();
-            // A connection between two requests is closed without a response, which its caller would not expect.
-            if !parts.read_buf.is_empty() {
-                let response = Refusal {
-                    status: "503 Service Unavailable\r\nretry-after: 1",
-                    code: "overloaded",
-                    message: OVERLOADED,
-                };
-                response.send(parts.io.into_inner()).await;
-            }
+        Ended::Evicted(Phase::Head) => {
+            let response = Refusal {
+                status: "503 Service Unavailable\r\nretry-after: 1",
+                code: "overloaded",
+                message: OVERLOADED,
+            };
+            response
+                .send(connection.into_parts().io.into_inner().into_inner())
+                .await;
         }
-        // Any other error is a failure of the caller's connection, or hyper has answered it with 400 or 431.
-        Some(ended) if ended.as_ref().is_err_and(hyper::Error::is_timeout) => {
+        Ended::Expired(Phase::Head) => {
             let response = Refusal {
                 status: "408 Request Timeout",
                 code: "header_timeout",
                 message: "the header did not arrive in time; send the request again",
             };
-            response.send(connection.into_parts().io.into_inner()).await;
+            response
+                .send(connection.into_parts().io.into_inner().into_inner())
+                .await;
         }
-        Some(_) => {}
+        // A connection between two requests is closed without a response, which its caller would not expect. Any error is a
+        // failure of the caller's connection, or hyper has answered it with 400 or 431.
+        Ended::Evicted(_) | Ended::Expired(_) | Ended::Closed => {}
     }
 }
 
+/// How the loop of a connection ended.
+#[derive(Debug)]
+enum Ended {
+    /// The connection was closed or has failed.
+    Closed,
+    /// The budget has asked for the connection in this phase.
+    Evicted(Phase),
+    /// The time limit on the phase has expired.
+    Expired(Phase),
+}
+
 /// Waits until the server stops.
 async fn stop_requested(stopped: &mut watch::Receiver<bool>) {
     // An error means that the server has been dropped, which also shuts down the connection.
@@ -199,40 +187,49 @@
 
 impl<H: HttpHandler> Exchange<H> {
     async fn respond(self, req: Request<Incoming>) -> Response<Body> {
-        self.activity.send_replace(Activity::start(Phase::Receiving));
+        self.activity.send_if_modified(|activity| {
+            activity.begin_body();
+            false
+        });
         let response = self.receive_and_handle(req).await;
         self.activity.send_if_modified(|activity| {
-            let evicted = activity.phase == Phase::Evicted;
-            if !evicted {
-                *activity = Activity::start(Phase::Waiting);
-            }
-            !evicted
+            activity.answered();
+            false
         });
         response
     }
 
+    /// Reads and discards the rest of a refused body while its response is sent.
+    fn discard(&self, body: Incoming, limits: HttpLimits) {
+        if !body.is_end_stream() {
+            self.activity.send_replace(Activity::start(Phase::Discarding));
+            discard_later(body, limits.body_timeout, self.activity.clone());
+        }
+    }
+
     async fn receive_and_handle(&self, req: Request<Incoming>) -> Response<Body> {
         let (parts, mut body) = req.into_parts();
-        let limits = self.config.limits;
+        let limits = *self.config.limits.borrow();
+        let max_body = limits.max_body.min(self.config.largest_body);
         if let Some(response) = self.config.handler.refuse(&parts) {
-            discard_later(body, limits.body_timeout);
+            self.discard(body, limits);
             return response;
         }
-        if body.size_hint().lower() > limits.max_body as u64 {
-            discard_later(body, limits.body_timeout);
-            return too_large(limits.max_body);
+        if body.size_hint().lower() > max_body as u64 {
+            self.discard(body, limits);
+            return too_large(max_body);
         }
         let mut reader = BodyReader::new(
             &self.account,
             &self.activity,
-            limits.max_body,
+            max_body,
             self.config.decoded_factor,
         );
         let content = match timeout(limits.body_timeout, reader.read(&mut body)).await {
             Ok(Ok(content)) => content,
             Ok(Err(BodyError::TooLarge)) => {
-                discard_later(body, limits.body_timeout);
-                return too_large(limits.max_body);
+                self.discard(body, limits);
+                return too_large(max_body);
             }
             Ok(Err(BodyError::Overloaded)) => {
                 let body = RefusalBody::not_run("overloaded", OVERLOADED);
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -29,8 +29,13 @@
 pub struct HttpLimits {
     /// Maximum size of a body in bytes; a larger one is answered with 413.
     pub max_body: usize,
+    /// Maximum size of a head in bytes, of which 8 KiB to 32 KiB are in force; a larger head is answered with 431. `None`
+    /// means the limit of the process.
+    pub max_head: Option<usize>,
     /// Limit on the time to receive the header; a slower request is answered with 408 and the connection is closed.
     pub header_timeout: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle_timeout: Duration,
     /// Limit on the time to receive the body; a slower request is answered with 408.
     pub body_timeout: Duration,
 }
@@ -39,6 +44,8 @@
     fn default() -> Self {
         Self {
             max_body: 8 * 1024 * 1024,
+            max_head: None,
+            idle_timeout: Duration::from_secs(20),
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
         }
@@ -71,7 +78,7 @@
 #[derive(Debug)]
 pub struct HttpServerBuilder {
     socket: TcpListener,
-    limits: HttpLimits,
+    limits: watch::Receiver<HttpLimits>,
     decoded_factor: usize,
     budget: Option<RequestBudget>,
 }
@@ -82,7 +89,7 @@
     pub fn builder(socket: TcpListener) -> HttpServerBuilder {
         HttpServerBuilder {
             socket,
-            limits: HttpLimits::default(),
+            limits: watch::channel(HttpLimits::default()).1,
             decoded_factor: DEFAULT_DECODED_FACTOR,
             budget: None,
         }
@@ -107,6 +114,30 @@
     /// Sets the limits on requests.
     #[must_use]
     pub fn limits(mut self, limits: HttpLimits) -> Self {
+        self.limits = watch::channel(limits).1;
+        self
+    }
+
+    /// Sets limits that may change while the server runs. The size of heads applies to new connections, the other limits
+    /// to each request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_net::{HttpLimits, HttpServer};
+    /// use tokio::net::TcpListener;
+    /// use tokio::sync::watch;
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let (limits, latest_limits) = watch::channel(HttpLimits::default());
+    /// let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let builder = HttpServer::builder(socket).changing_limits(latest_limits);
+    /// limits.send_replace(HttpLimits { max_body: 1_024, ..HttpLimits::default() });
+    /// # let _ = builder;
+    /// # });
+    /// ```
+    #[must_use]
+    pub fn changing_limits(mut self, limits: watch::Receiver<HttpLimits>) -> Self {
         self.limits = limits;
         self
     }
@@ -146,6 +177,7 @@
                 limits: self.limits,
                 decoded_factor: self.decoded_factor,
                 max_head: budget.limits().head_bytes(),
+                largest_body: budget.limits().max_request_bytes() / (1 + self.decoded_factor),
                 handler,
             };
             accept_loop(self.socket, budget, server, stopped).await;
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -54,7 +54,9 @@
     HttpLimits {
         max_body: 1_024,
         header_timeout: LONG_TIMEOUT,
+        idle_timeout: LONG_TIMEOUT,
         body_timeout: LONG_TIMEOUT,
+        ..HttpLimits::default()
     }
 }
 
@@ -161,6 +163,58 @@
     assert_serves(&server).await;
 }
 
+/// Guards against connections without a request that are kept forever.
+#[tokio::test]
+async fn server_closes_idle_connection() {
+    let limits = HttpLimits {
+        idle_timeout: SHORT_TIMEOUT,
+        ..limits()
+    };
+    let server = serve(limits).await;
+    assert_eq!(read_all(connect(&server).await).await, "");
+}
+
+/// Guards against idle connections that are closed by the shorter limit on heads.
+#[tokio::test]
+async fn server_keeps_idle_connection_beyond_header_limit() {
+    let limits = HttpLimits {
+        header_timeout: SHORT_TIMEOUT,
+        ..limits()
+    };
+    let server = serve(limits).await;
+    let mut idle = connect(&server).await;
+    // The response to the slow head shows that the limit has passed.
+    let response = exchange(&server, b"POST / HTTP/1.1\r\ncontent-le").await;
+    assert!(response.starts_with("HTTP/1.1 408"), "{response}");
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc";
+    idle.write_all(request).await.unwrap();
+    let response = read_all(idle).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
+
+/// Guards against limits of an earlier configuration that stay in force.
+#[tokio::test]
+async fn server_applies_changed_limits() {
+    let (latest, changing) = watch::channel(limits());
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let handler = BodyLength {
+        gate: watch::channel(true).1,
+        received: Arc::default(),
+    };
+    let server = HttpServer::builder(socket)
+        .changing_limits(changing)
+        .serve(handler)
+        .unwrap();
+    assert_serves(&server).await;
+    latest.send_replace(HttpLimits {
+        max_body: 2,
+        ..limits()
+    });
+    let request = b"POST / HTTP/1.1\r\ncontent-length: 3\r\nconnection: close\r\n\r\nabc";
+    let response = exchange(&server, request).await;
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+}
+
 /// Guards against a body that never ends and keeps a request open indefinitely.
 #[tokio::test]
 async fn server_refuses_slow_body() {
