net: Answer a connection that is refused for want of connections

Callers saw a reset when every connection of a server had a request in progress, and could not tell it from a lost answer: they had to repeat the job at once, at another entry, although it is known that it has not run.

Cause: the accepting task dropped the new connection.

The responses to incomplete heads move to a module of their own.

Result: server_refuses_connection_while_others_run; with the new connection dropped as before, the test fails, because the caller's connection is reset.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -4,6 +4,7 @@
 mod body;
 mod connection;
 mod message;
+mod refusal;
 mod server;
 mod stream;
 
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -9,7 +9,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
@@ -19,13 +18,11 @@
 use super::activity::{Activity, Phase};
 use super::body::{BodyError, BodyReader, discard_later};
 use super::message::{Body, json_response};
+use super::refusal::{OVERLOADED, Refusal};
 use super::server::{HttpHandler, HttpLimits};
 use super::stream::RecordedStream;
 use crate::budget::{Account, BudgetedConnection, EVICTION_TIMEOUT, RequestMemory, clamp_head};
 
-/// Message of a refusal because of the budget.
-const OVERLOADED: &str = "the server has no memory for this request; send it again later";
-
 /// Configuration that the connections of a server share.
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionConfig<H> {
@@ -109,24 +106,12 @@
     };
     match ended {
         Ended::Evicted(Phase::Head) => {
-            let response = Refusal {
-                status: "503 Service Unavailable\r\nretry-after: 1",
-                code: "overloaded",
-                message: OVERLOADED,
-            };
-            response
-                .send(connection.into_parts().io.into_inner().into_inner())
-                .await;
+            let mut stream = connection.into_parts().io.into_inner().into_inner();
+            Refusal::overloaded().send(&mut stream).await;
         }
         Ended::Expired(Phase::Head) => {
-            let response = Refusal {
-                status: "408 Request Timeout",
-                code: "header_timeout",
-                message: "the header did not arrive in time; send the request again",
-            };
-            response
-                .send(connection.into_parts().io.into_inner().into_inner())
-                .await;
+            let mut stream = connection.into_parts().io.into_inner().into_inner();
+            Refusal::header_timeout().send(&mut stream).await;
         }
         // A connection between two requests is closed without a response, which its caller would not expect. Any error is a
         // failure of the caller's connection, or hyper has answered it with 400 or 431.
@@ -151,32 +136,6 @@
     let _ = stopped.wait_for(|stop| *stop).await;
 }
 
-/// Response to a request whose head is not complete. hyper closes such a connection without a response.
-struct Refusal {
-    status: &'static str,
-    code: &'static str,
-    message: &'static str,
-}
-
-impl Refusal {
-    async fn send(self, mut stream: TcpStream) {
-        let body = RefusalBody::not_run(self.code, self.message);
-        let body = serde_json::to_string(&body).unwrap_or_default();
-        let response = format!(
-            "HTTP/1.1 {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-            self.status,
-            body.len()
-        );
-        // Errors are ignored, because the caller may have disconnected. A caller that does not read earlier responses
-        // gets none.
-        let sent = async {
-            let _ = stream.write_all(response.as_bytes()).await;
-            let _ = stream.shutdown().await;
-        };
-        let _ = timeout(EVICTION_TIMEOUT, sent).await;
-    }
-}
-
 /// Requests of one connection.
 #[derive(Clone, Debug)]
 struct Exchange<H> {
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{ConnectionConfig, serve_connection};
 use super::message::Body;
+use super::refusal::RefusedConnections;
 use crate::budget::{BudgetEnded, ProcessLimits, RECEIVE_BUFFER_BYTES, RequestBudget};
 use crate::metrics::Metrics;
 
@@ -200,6 +201,7 @@
 ) {
     // Each connection task owns a sender, so the channel closes when the last connection ends.
     let (guard, mut all_closed) = mpsc::channel::<Infallible>(1);
+    let mut refused = RefusedConnections::new(budget.limits().max_connections());
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
@@ -219,7 +221,7 @@
                     drop(guard);
                 });
             }
-            Ok(None) => drop(stream),
+            Ok(None) => refused.refuse(stream),
             Err(BudgetEnded) => break,
         }
     }
--- a/crates/net/tests/budget.rs
+++ b/crates/net/tests/budget.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// Time limit that no request of these tests exceeds.
 const LONG_TIMEOUT: Duration = Duration::from_hours(1);
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 struct BodyLength {
     gate: watch::Receiver<bool>,
+    /// Receives a message for each request that the handler has.
+    running: mpsc::UnboundedSender<()>,
 }
 
 impl HttpHandler for BodyLength {
@@ -32,6 +34,7 @@
     }
 
     async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
+        let _ = self.running.send(());
         let mut gate = self.gate.clone();
         gate.wait_for(|open| *open).await.unwrap();
         json_response(StatusCode::OK, &req.body().len())
@@ -39,17 +42,27 @@
 }
 
 async fn serve(limits: ProcessLimits, gate: watch::Receiver<bool>) -> HttpServer {
+    serve_reporting(limits, gate).await.0
+}
+
+/// Starts a server that reports each request that its handler has.
+async fn serve_reporting(
+    limits: ProcessLimits,
+    gate: watch::Receiver<bool>,
+) -> (HttpServer, mpsc::UnboundedReceiver<()>) {
+    let (running, reports) = mpsc::unbounded_channel();
     let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let limits_on_time = HttpLimits {
         header_timeout: LONG_TIMEOUT,
         body_timeout: LONG_TIMEOUT,
         ..HttpLimits::default()
     };
-    HttpServer::builder(socket)
+    let server = HttpServer::builder(socket)
         .limits(limits_on_time)
         .budget(RequestBudget::start(limits, Metrics::disabled()))
-        .serve(BodyLength { gate })
-        .unwrap()
+        .serve(BodyLength { gate, running })
+        .unwrap();
+    (server, reports)
 }
 
 /// Sends the head of a request and all but `missing` bytes of its body.
@@ -124,6 +137,26 @@
     runtime().block_on(budget.ended());
 }
 
+/// Guards against callers that are disconnected without an answer when all connections have requests in progress.
+#[tokio::test]
+async fn server_refuses_connection_while_others_run() {
+    let (open, gate) = watch::channel(false);
+    let (server, mut reports) = serve_reporting(ProcessLimits::new(MEMORY_MB * 4, 4), gate).await;
+    let mut running = [send(&server, "/", 0).await, send(&server, "/", 0).await];
+    for _ in 0..running.len() {
+        reports.recv().await.unwrap();
+    }
+    let mut refused = send(&server, "/", 0).await;
+    let answer = read_until(&mut refused, "never").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    open.send_replace(true);
+    for stream in &mut running {
+        let answer = read_until(stream, &BODY_BYTES.to_string()).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
 /// Guards against idle connections that keep later ones from being served.
 #[tokio::test]
 async fn server_closes_idle_connection_at_limit() {
