soak: Add crowds of clients that complete no request

Cause: nothing showed whether processes are stopped, killed, paused and reloaded in time while clients outside the limits stand, and whether links and heartbeats go on beside them.

Change: one to three crowds in ten seconds, each of 160 clients at one process, which send a body a byte at a time or stop short of its end and connect again whenever they are closed; seven crowds in ten stand while their process is disturbed.

--- a/deploy/soak/src/dialect.rs
+++ b/deploy/soak/src/dialect.rs
@@ -21,6 +21,10 @@
 pub(crate) const CALLER_PORT: u16 = 8_161;
 pub(crate) const READY_PORT: u16 = 8_167;
 
+/// Memory of a process in its settings, in MiB, and its descriptors.
+pub(crate) const MEMORY_MB: u64 = 64;
+const MAX_FDS: u64 = 256;
+
 /// Host and path of the only queue.
 const HOST: &str = "desk.example";
 const QUEUE: &str = "/q/";
@@ -47,10 +51,20 @@
         },
         "data_dir": machine.folder, "app": worker,
         "fault_tolerance": {"machines": controls.len() / 2},
+        "limits": {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS},
         "bounds": {"grace_s": 6, "hold_max_ms": 1000, "remote_factor": 1.5}
     })
 }
 
+/// Returns the port of a role that is open to others, and the first words of a request there.
+pub(crate) fn crowded_port(role: &str) -> (u16, &'static str) {
+    match role {
+        "entry" => (CALLER_PORT, "POST /q/00000000000000ff"),
+        "agent" => (CONTROL_PORT, "PUT /instances/crowd"),
+        _ => (CONTROL_PORT, "PUT /config"),
+    }
+}
+
 /// Returns a configuration, which has a queue of its own for its version.
 pub(crate) fn configuration(version: u64) -> Value {
     let route = |name: &str, prefix: &str| {
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod announcements;
 mod callers;
+mod crowd;
 mod dialect;
 mod error;
 mod ledger;
@@ -22,6 +23,6 @@
 
 pub use error::SoakError;
 pub use ledger::{Counts, Ledger, Report};
-pub use plan::{Fault, Plan, Restart, Size, Step};
+pub use plan::{Fault, Manners, Plan, Restart, Size, Step};
 pub use run::{SoakConfig, soak};
 pub use seen::{Answer, Seen, Timing, WorkerIncarnation};
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -32,6 +32,12 @@
 const DEPARTURES: Range<u64> = 1..4;
 const CAPACITY_STREAM: u64 = 3;
 const KILL_STREAM: u64 = 4;
+const CROWD_STREAM: u64 = 5;
+/// Fewest and most crowds of clients in ten seconds, and how long each stays.
+const CROWDS: Range<u64> = 1..4;
+const CROWD_MS: Range<u64> = 1_000..6_000;
+/// Share of the crowds that stand while their process is stopped, restarted or reloaded.
+const CROWDED_FAULT_SHARE: f64 = 0.7;
 /// Share of the plans in which all entries or all agents are killed one after the other.
 const KILL_SHARE: f64 = 0.5;
 /// Time between two kills of such a series, and from a kill to the start.
@@ -108,6 +114,15 @@
     }
 }
 
+/// How the clients of a crowd send their requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manners {
+    /// A byte at a time.
+    Slow,
+    /// All but the last byte at once.
+    Stalled,
+}
+
 /// What is done to a process, to its connections or to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -141,6 +156,10 @@
     Reset,
     /// Makes all open connections silent for good; new ones work.
     Silence,
+    /// Clients hold the connections of the process with requests that they never complete.
+    Crowd(Manners),
+    /// Those clients leave.
+    CrowdLeaves,
     /// The worker crashes and comes back as another incarnation.
     WorkerCrash,
     /// The worker crashes and comes back as given.
@@ -237,6 +256,11 @@
         if rng.random_bool(KILL_SHARE) {
             plan.add_kills(&mut rng, length);
         }
+        rng.set_stream(CROWD_STREAM);
+        let crowds = rng.random_range(CROWDS) * length.as_secs().max(1) / 10;
+        for _ in 0..crowds {
+            plan.add_crowd(&mut rng, length);
+        }
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -340,6 +364,30 @@
         }
     }
 
+    /// Adds a crowd at a process, which is mostly stopped, killed or reloaded while the clients return again and again.
+    fn add_crowd(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
+        let target = rng.random_range(0..self.size.processes());
+        let manners = if rng.random_bool(0.5) {
+            Manners::Slow
+        } else {
+            Manners::Stalled
+        };
+        let at = length.mul_f64(rng.random_range(0.0..0.7));
+        let stay = Duration::from_millis(rng.random_range(CROWD_MS));
+        self.pair(at, at + stay, target, Fault::Crowd(manners), Fault::CrowdLeaves);
+        if !rng.random_bool(CROWDED_FAULT_SHARE) {
+            return;
+        }
+        let from = at + stay.mul_f64(rng.random_range(0.2..0.8));
+        let to = from + Duration::from_millis(rng.random_range(LENGTH_MS));
+        match rng.random_range(0..4) {
+            0 => self.pair(from, to, target, Fault::Terminate, Fault::Start),
+            1 => self.pair(from, to, target, Fault::Kill, Fault::Start),
+            2 => self.pair(from, to, target, Fault::Pause, Fault::Resume),
+            _ => self.push(from, target, Fault::HangUp),
+        }
+    }
+
     fn pair(&mut self, from: Duration, to: Duration, target: usize, begin: Fault, end: Fault) {
         self.push(from, target, begin);
         self.push(to, target, end);
--- a/deploy/soak/src/process.rs
+++ b/deploy/soak/src/process.rs
@@ -112,6 +112,19 @@
         Some((status, explained))
     }
 
+    pub(crate) fn role(&self) -> &'static str {
+        self.role
+    }
+
+    /// Returns the largest memory that the running process has used, in MiB.
+    pub(crate) fn peak_memory_mb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = peak.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kib.div_ceil(1_024))
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
     }
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -12,10 +12,11 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::callers::{self, Traffic, exchange};
+use crate::crowd::Crowd;
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
 use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report};
-use crate::plan::{FULL_CAPACITY, Fault, Plan, Size, Step};
+use crate::plan::{FULL_CAPACITY, Fault, Manners, Plan, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
 use crate::seen::Seen;
@@ -102,6 +103,7 @@
     settings: Value,
     weather: watch::Sender<Weather>,
     _proxies: Vec<Proxy>,
+    crowd: Option<Crowd>,
     asked_to_end: Option<Instant>,
 }
 
@@ -373,6 +375,7 @@
         for node in &mut self.nodes {
             node.inject(Fault::Resume)?;
             node.inject(Fault::Clear)?;
+            node.inject(Fault::CrowdLeaves)?;
         }
         self.watch_for(END_WITHIN).await;
         for node in &mut self.nodes {
@@ -407,6 +410,8 @@
     }
 
     async fn report(&self) -> Report {
+        let exceeded = self.nodes.iter().filter_map(Node::check_memory);
+        exceeded.for_each(|text| self.tell(Seen::Violated(text)));
         let (reply, report) = oneshot::channel();
         self.tell(Seen::Report(reply));
         report.await.unwrap_or_default()
@@ -436,6 +441,7 @@
             settings,
             weather,
             _proxies: proxies,
+            crowd: None,
             asked_to_end: None,
         })
     }
@@ -481,12 +487,34 @@
                 weather.generation += 1;
                 weather.silent_below = weather.generation;
             }),
+            Fault::Crowd(manners) => self.crowd = Some(self.start_crowd(manners)),
+            Fault::CrowdLeaves => self.crowd = None,
             // Faults of workers and operators are not those of a process.
             _ => {}
         }
         Ok(())
     }
 
+    /// Starts a crowd at the port whose requests come from outside. It does not pass the proxy, which has connections of its
+    /// own.
+    fn start_crowd(&self, manners: Manners) -> Crowd {
+        let (port, line) = dialect::crowded_port(self.process.role());
+        Crowd::start(self.machine.local(port), line, manners)
+    }
+
+    /// Returns by how much the process has exceeded the memory in its settings, if at all.
+    fn check_memory(&self) -> Option<String> {
+        let peak = self.process.peak_memory_mb()?;
+        let exceeds = peak > dialect::MEMORY_MB;
+        exceeds.then(|| {
+            format!(
+                "{} has used {peak} MiB of {}",
+                self.machine.name,
+                dialect::MEMORY_MB
+            )
+        })
+    }
+
     /// Returns what is wrong with the end of the process, or with its lack.
     fn check_end(&mut self) -> Option<String> {
         if let Some((status, explained)) = self.process.ended() {
