net: Keep the connections of the budget in an IndexMap

Cause: the house rules name indexmap for collections, and the map of connections was the last HashMap of the crate's budget.

Change: IndexMap with swap_remove; no order depends on it.

Result: the tests of the crate pass.

--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -9,10 +9,11 @@
 mod memory;
 mod progress;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use chestnutfork_events::{LinkEvent, ProcessEvent, emit};
+use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::metrics::Metrics;
@@ -102,7 +103,7 @@
         let (messages, inbox) = mpsc::unbounded_channel();
         let actor = BudgetActor {
             ledger: Ledger::new(limits.max_connections(), limits.max_request_bytes()),
-            connections: HashMap::new(),
+            connections: IndexMap::new(),
             pending: VecDeque::new(),
             asked: None,
             next_number: 0,
@@ -234,7 +235,7 @@
 #[derive(Debug)]
 struct BudgetActor {
     ledger: Ledger,
-    connections: HashMap<ConnectionNumber, mpsc::Sender<Evict>>,
+    connections: IndexMap<ConnectionNumber, mpsc::Sender<Evict>>,
     pending: VecDeque<Pending>,
     /// Connection that has been asked to give up its request and has not answered.
     asked: Option<ConnectionNumber>,
@@ -285,7 +286,7 @@
             }
             BudgetMessage::Close(connection) => {
                 self.ledger.close(connection);
-                self.connections.remove(&connection);
+                self.connections.swap_remove(&connection);
                 self.answered(connection, true, now);
             }
         }
