net: Bound the wake-ups of idle connections under a short limit on heads

Cause: an idle connection checks its time limits at the interval of the limit on heads, which a configuration may set to a millisecond.

Change: at least 50 ms between two checks; a head that has begun is still checked when its limit expires.

--- a/crates/net/src/http/activity.rs
+++ b/crates/net/src/http/activity.rs
@@ -6,6 +6,9 @@
 use crate::budget::{Evict, Progress};
 use crate::wakeup::now;
 
+/// Shortest interval between two checks of an idle connection, so that a short limit on heads costs few wake-ups.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What a connection does at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -106,11 +109,11 @@
     /// A head may begin at any time, so its limit is checked at that interval.
     pub(super) fn next_check(self, limits: &HttpLimits) -> Duration {
         let spent = now().saturating_duration_since(self.progress.started_at());
-        let left = match self.phase {
-            Phase::Idle => limits.idle_timeout.saturating_sub(spent),
-            Phase::Head => return limits.header_timeout.saturating_sub(spent),
-            Phase::Receiving | Phase::Running | Phase::Discarding | Phase::Evicted => limits.header_timeout,
-        };
-        left.min(limits.header_timeout)
+        let interval = limits.header_timeout.max(MIN_CHECK_INTERVAL);
+        match self.phase {
+            Phase::Idle => limits.idle_timeout.saturating_sub(spent).min(interval),
+            Phase::Head => limits.header_timeout.saturating_sub(spent),
+            Phase::Receiving | Phase::Running | Phase::Discarding | Phase::Evicted => interval,
+        }
     }
 }
