cli: Read the platform's messages in the tests of untrusted clients from fixtures

Cause: two documents of the new test spelled out the platform's field names outside its adapter.

Change: the configuration and the job are files of platform/tests; the job has the same bytes as before.

--- a/crates/cli/tests/untrusted_clients/jobs.rs
+++ b/crates/cli/tests/untrusted_clients/jobs.rs
@@ -3,29 +3,17 @@
 use crate::clients::Pattern;
 use crate::server::Server;
 
-/// Largest body of a job here.
-const BODY_BYTES: usize = 8 * 1024;
-/// Tasks of a job, the most that an entry accepts.
-const TASKS: usize = 1_024;
+/// Job of 8 KiB with 1,024 tasks, the most that an entry accepts, that waits for a worker.
+const LARGEST_JOB: &str = include_str!("../../../../platform/tests/fixtures/largest_job.json");
 /// Fewer clients than the process has connections for, so that it accepts each of them.
 const CLIENTS: usize = 120;
 
-/// A job with many steps and tasks that waits for a worker.
 fn largest_job(number: usize) -> Pattern {
-    let step = r#"{"count":1},"#;
-    let waiting =
-        |tasks: usize| format!(r#"{{"best_effort":true,"steps":[{{"count":{tasks},"estimate_ms":600000}}"#);
-    let steps = (BODY_BYTES - waiting(TASKS).len() - 2) / step.len();
-    let body = format!(
-        "{},{}]}}",
-        waiting(TASKS - steps),
-        step.repeat(steps).trim_end_matches(',')
-    );
-    let length = body.len();
+    let length = LARGEST_JOB.len();
     let head = format!(
         "POST /jobs/{number:016x} HTTP/1.1\r\nhost: jobs\r\ndeadline-ms: 600000\r\ncontent-length: {length}\r\n\r\n"
     );
-    Pattern::whole(head, body.into_bytes())
+    Pattern::whole(head, LARGEST_JOB.into())
 }
 
 /// Guards against accepted jobs whose tasks take a multiple of the bytes that the caller sent.
--- a/crates/cli/tests/untrusted_clients/server.rs
+++ b/crates/cli/tests/untrusted_clients/server.rs
@@ -22,6 +22,8 @@
 static LOCK: Mutex<()> = Mutex::const_new(());
 static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(0);
 
+/// Configuration with the queue of the jobs.
+const ONE_QUEUE: &str = include_str!("../../../../platform/tests/fixtures/one_queue.json");
 /// Memory of a platform entry in its settings, in MiB. It lies above what an idle process uses several times.
 const ENTRY_MEMORY_MB: u64 = 48;
 /// Memory of a platform entry with routes in its settings, in MiB.
@@ -158,12 +160,7 @@
     /// Starts an entry on the users' platform that has routes but no workers, with a control process.
     pub(crate) async fn fleet_entry_with_routes() -> Self {
         let control = Self::fleet(FleetRole::Control).await;
-        let config = json!({
-            "version": 1,
-            "routes": [{"name": "r", "host": "jobs", "path_prefix": "/jobs/", "timeout_ms": 1_500, "service": "desk", "stretch_factor": 2.0}],
-            "services": [{"name": "desk"}],
-        });
-        control.put_configuration(&config.to_string()).await;
+        control.put_configuration(ONE_QUEUE).await;
         let seed = control.address.ip();
         let folder = TempDir::new().unwrap();
         let ip = next_ip();
