--- a/crates/leased/src/run.rs
+++ b/crates/leased/src/run.rs
@@ -190,6 +190,30 @@
     }
 
     /// Returns the limits on the requests of callers that are in force, which change with the configuration.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutfork_leased::{Configuration, NodeConfig, RouteDecoder, start_entry};
+    /// use chestnutfork_net::{ClusterSecret, HttpLimits};
+    ///
+    /// struct Decoder;
+    ///
+    /// impl RouteDecoder for Decoder {
+    ///     type Error = std::convert::Infallible;
+    ///
+    ///     fn decode(&self, _content: &[u8]) -> Result<Configuration, Self::Error> {
+    ///         Ok(Configuration::default())
+    ///     }
+    /// }
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let cfg = NodeConfig::builder("entry-1", ClusterSecret::new("s")).build();
+    /// let entry = start_entry(cfg, Decoder).await?;
+    /// assert_eq!(*entry.caller_limits().borrow(), HttpLimits::default());
+    /// # Ok::<(), chestnutfork_leased::LeasedError>(())
+    /// # }).unwrap();
+    /// ```
     #[must_use]
     pub fn caller_limits(&self) -> watch::Receiver<HttpLimits> {
         self.caller_limits.clone()
