--- a/deploy/soak/src/crowd.rs
+++ b/deploy/soak/src/crowd.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::plan::Manners;
+use crate::plan::SendPattern;
 
 /// Clients of a crowd; a process has fewer connections under the limits in its settings.
 const CLIENTS: usize = 160;
@@ -25,7 +25,7 @@
 
 impl Crowd {
     /// Starts the clients, which connect again whenever their connection is closed.
-    pub(crate) fn start(address: SocketAddr, line: &str, manners: Manners) -> Self {
+    pub(crate) fn start(address: SocketAddr, line: &str, pattern: SendPattern) -> Self {
         let mut clients = JoinSet::new();
         for _ in 0..CLIENTS {
             let head =
@@ -33,7 +33,7 @@
             clients.spawn(async move {
                 loop {
                     // The process may be down or may close the connection at any time.
-                    let _ = send(address, &head, manners).await;
+                    let _ = send(address, &head, pattern).await;
                     sleep(PAUSE).await;
                 }
             });
@@ -43,10 +43,10 @@
 }
 
 /// Sends a request without its last byte, and keeps the connection until it is closed.
-async fn send(address: SocketAddr, head: &str, manners: Manners) -> std::io::Result<()> {
+async fn send(address: SocketAddr, head: &str, pattern: SendPattern) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(head.as_bytes()).await?;
-    if manners == Manners::Stalled {
+    if pattern == SendPattern::Stalled {
         stream.write_all(&vec![b' '; BODY_BYTES - 1]).await?;
         // Only the server ends this wait.
         return stream.readable().await;
--- a/deploy/soak/src/lib.rs
+++ b/deploy/soak/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use error::SoakError;
 pub use ledger::{Counts, Ledger, Report};
-pub use plan::{Fault, Manners, Plan, Restart, Size, Step};
+pub use plan::{Fault, Plan, Restart, SendPattern, Size, Step};
 pub use run::{SoakConfig, soak};
 pub use seen::{Answer, Seen, Timing, WorkerIncarnation};
--- a/deploy/soak/src/plan.rs
+++ b/deploy/soak/src/plan.rs
@@ -116,7 +116,7 @@
 
 /// How the clients of a crowd send their requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manners {
+pub enum SendPattern {
     /// A byte at a time.
     Slow,
     /// All but the last byte at once.
@@ -157,7 +157,7 @@
     /// Makes all open connections silent for good; new ones work.
     Silence,
     /// Clients hold the connections of the process with requests that they never complete.
-    Crowd(Manners),
+    Crowd(SendPattern),
     /// Those clients leave.
     CrowdLeaves,
     /// The worker crashes and comes back as another incarnation.
@@ -367,14 +367,14 @@
     /// Adds a crowd at a process, which is mostly stopped, killed or reloaded while the clients return again and again.
     fn add_crowd(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
         let target = rng.random_range(0..self.size.processes());
-        let manners = if rng.random_bool(0.5) {
-            Manners::Slow
+        let pattern = if rng.random_bool(0.5) {
+            SendPattern::Slow
         } else {
-            Manners::Stalled
+            SendPattern::Stalled
         };
         let at = length.mul_f64(rng.random_range(0.0..0.7));
         let stay = Duration::from_millis(rng.random_range(CROWD_MS));
-        self.pair(at, at + stay, target, Fault::Crowd(manners), Fault::CrowdLeaves);
+        self.pair(at, at + stay, target, Fault::Crowd(pattern), Fault::CrowdLeaves);
         if !rng.random_bool(CROWDED_FAULT_SHARE) {
             return;
         }
--- a/deploy/soak/src/run.rs
+++ b/deploy/soak/src/run.rs
@@ -16,7 +16,7 @@
 use crate::dialect::{self, CALLER_PORT, CONTROL_PORT, LINK_PORT, READY_PORT};
 use crate::error::SoakError;
 use crate::ledger::{CONFIGURATION_BOUND, Ledger, Report};
-use crate::plan::{FULL_CAPACITY, Fault, Manners, Plan, Size, Step};
+use crate::plan::{FULL_CAPACITY, Fault, Plan, SendPattern, Size, Step};
 use crate::process::Process;
 use crate::proxy::{Proxy, Weather};
 use crate::seen::Seen;
@@ -487,7 +487,7 @@
                 weather.generation += 1;
                 weather.silent_below = weather.generation;
             }),
-            Fault::Crowd(manners) => self.crowd = Some(self.start_crowd(manners)),
+            Fault::Crowd(pattern) => self.crowd = Some(self.start_crowd(pattern)),
             Fault::CrowdLeaves => self.crowd = None,
             // Faults of workers and operators are not those of a process.
             _ => {}
@@ -497,9 +497,9 @@
 
     /// Starts a crowd at the port whose requests come from outside. It does not pass the proxy, which has connections of its
     /// own.
-    fn start_crowd(&self, manners: Manners) -> Crowd {
+    fn start_crowd(&self, pattern: SendPattern) -> Crowd {
         let (port, line) = dialect::crowded_port(self.process.role());
-        Crowd::start(self.machine.local(port), line, manners)
+        Crowd::start(self.machine.local(port), line, pattern)
     }
 
     /// Returns by how much the process has exceeded the memory in its settings, if at all.
