net, platform: Charge small bodies by their steps instead of their size

Cause: the decoded form of each body was assumed to take 13 times its size, which only bodies of many short steps do.

Change: a body of up to 8 KiB is not charged, as before. Reads of one head take the time once.

Result: fleet_entry_withstands_accepted_jobs passes with a peak of 24 MiB of 32, and the four tests beside slow clients pass.

--- a/crates/net/src/budget/limits.rs
+++ b/crates/net/src/budget/limits.rs
@@ -122,8 +122,7 @@
     }
 }
 
-/// Bytes of a body and of its decoded form that a connection holds without asking the budget. Ordinary requests are
-/// smaller.
-pub(crate) const ALLOTMENT_BYTES: usize = 16 * 1024;
+/// Bytes of a body that a connection holds without asking the budget. Bodies of ordinary requests are smaller.
+pub(crate) const ALLOTMENT_BYTES: usize = 8 * 1024;
 /// Time in which an evicted connection must send its response.
 pub(crate) const EVICTION_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/net/src/budget/memory.rs
+++ b/crates/net/src/budget/memory.rs
@@ -23,12 +23,10 @@
 /// impl HttpHandler for Expander {
 ///     async fn handle(&self, req: Request<Bytes>) -> Response<Body> {
 ///         let expanded_bytes = req.body().len() * 100;
-///         let memory = req.extensions().get::<RequestMemory>();
-///         let held = match memory {
-///             Some(memory) => memory.hold(expanded_bytes).await,
-///             None => None,
-///         };
-///         if held.is_none() {
+///         let mut held = req.extensions().get::<RequestMemory>().map(RequestMemory::hold);
+///         if let Some(held) = &mut held
+///             && !held.raise(expanded_bytes).await
+///         {
 ///             return json_response(StatusCode::SERVICE_UNAVAILABLE, &"overloaded");
 ///         }
 ///         // The charge ends with `held`.
@@ -41,17 +39,18 @@
     account: Arc<Account>,
 }
 
-/// Memory that is charged to the budget; dropping it ends the charge. The default is no charge.
-#[derive(Debug, Default)]
+/// Charge for the memory that a handler holds; dropping it ends the charge.
+#[derive(Debug)]
 #[must_use = "dropping it ends the charge"]
 pub struct HeldMemory {
-    account: Option<Arc<Account>>,
+    account: Arc<Account>,
+    charged: bool,
 }
 
 impl Drop for HeldMemory {
     fn drop(&mut self) {
-        if let Some(account) = &self.account {
-            account.release(Part::State);
+        if self.charged {
+            self.account.release(Part::State);
         }
     }
 }
@@ -61,19 +60,23 @@
         Self { account }
     }
 
-    /// Charges memory that the handler holds until the request is answered, and returns `None` if the process has no
-    /// room for it.
-    ///
-    /// A request holds one such charge at a time.
-    pub async fn hold(&self, bytes: usize) -> Option<HeldMemory> {
+    /// Returns a charge of zero. A request holds one charge at a time.
+    pub fn hold(&self) -> HeldMemory {
+        HeldMemory {
+            account: Arc::clone(&self.account),
+            charged: false,
+        }
+    }
+}
+
+impl HeldMemory {
+    /// Raises the charge to `bytes`, and returns false if the process has no room for it.
+    pub async fn raise(&mut self, bytes: usize) -> bool {
         if bytes <= STATE_ALLOTMENT_BYTES {
-            return Some(HeldMemory::default());
+            return true;
         }
         // Even an attempt that is not granted must be released, because the grant may be on its way.
-        let held = HeldMemory {
-            account: Some(Arc::clone(&self.account)),
-        };
-        let granted = self.account.charge(Part::State, bytes, now()).await;
-        granted.then_some(held)
+        self.charged = true;
+        self.account.charge(Part::State, bytes, now()).await
     }
 }
--- a/crates/net/src/http/activity.rs
+++ b/crates/net/src/http/activity.rs
@@ -57,12 +57,15 @@
 
     /// Records bytes that were read from the connection. Those of a body are recorded when the body is received.
     pub(super) fn read(&mut self, bytes: usize) {
-        if self.phase == Phase::Idle {
-            *self = Self::start(Phase::Head);
+        if !matches!(self.phase, Phase::Idle | Phase::Head) {
+            return;
         }
-        if self.phase == Phase::Head {
-            self.progress.receive(bytes, now());
+        let now = now();
+        if self.phase == Phase::Idle {
+            self.phase = Phase::Head;
+            self.progress = Progress::start(now);
         }
+        self.progress.receive(bytes, now);
     }
 
     /// Records that a part of a response was written. An idle connection counts as such from then on.
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -113,10 +113,10 @@
     /// The charge includes the decoded form from the start, which covers the second copy of the content while the buffer
     /// grows.
     async fn reserve(&mut self, content: &mut Vec<u8>, capacity: usize) -> Result<(), BodyError> {
-        let bytes = capacity.saturating_mul(1 + self.decoded_factor);
-        if bytes > ALLOTMENT_BYTES {
+        if capacity > ALLOTMENT_BYTES {
             // Even an attempt that is not granted must be released, because the grant may be on its way.
             self.charged = true;
+            let bytes = capacity.saturating_mul(1 + self.decoded_factor);
             let on_schedule_until = self.activity.borrow().progress.on_schedule_until();
             if !self.account.charge(Part::Body, bytes, on_schedule_until).await {
                 return Err(BodyError::Overloaded);
