review: Shorten the rounds of case 11 and format the stand-ins

Cause: with rounds of 6.5 s one of five runs of case 11 held, because only every sixth delayed heartbeat had the effect. Change: shorter cuts, and lists that take the stand-in 1 ms longer than the answer to a stop.

--- a/review/common-3/cases.rs
+++ b/review/common-3/cases.rs
@@ -16,8 +16,14 @@
     /// Callers with short jobs, which stay.
     const STAYING: usize = 60;
     let mut fleet = small_deployment(world, 2, 11)?;
-    let long = job_body("{\"count\":4,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":2400}", "w2400 c1600");
-    let short = job_body("{\"count\":1,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":60}", "w60 c1600");
+    let long = job_body(
+        "{\"count\":4,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":2400}",
+        "w2400 c1600",
+    );
+    let short = job_body(
+        "{\"count\":1,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":60}",
+        "w60 c1600",
+    );
     let mut broken = Vec::new();
     let mut round = 0;
     while world.record.begun.elapsed() < Duration::from_secs(100) && broken.is_empty() {
@@ -41,7 +47,9 @@
         if trouble {
             world.late_permille.store(500, Ordering::Relaxed);
             fleet.signal(FIRST_ENTRY + own, SIGSTOP);
-            world.record.add(format!("entry {own} freezes; workers leave half of the start and stop orders unanswered"));
+            world.record.add(format!(
+                "entry {own} freezes; workers leave half of the start and stop orders unanswered"
+            ));
         }
         thread::sleep(Duration::from_millis(5));
         let left_at = Instant::now();
@@ -81,10 +89,18 @@
     let line = |(one, two, overlap): (Seen, Seen, Duration)| {
         let text = |run: &Seen| {
             let begun = world.record.ms(run.begun);
-            format!("run {} on worker {} from {begun:.1} ms ({})", run.run, run.worker, run.how)
+            format!(
+                "run {} on worker {} from {begun:.1} ms ({})",
+                run.run, run.worker, run.how
+            )
         };
         let together = overlap.as_secs_f64() * 1_000.0;
-        format!("TWICE: {}: {} and {}, together for {together:.1} ms", one.task, text(&one), text(&two))
+        format!(
+            "TWICE: {}: {} and {}, together for {together:.1} ms",
+            one.task,
+            text(&one),
+            text(&two)
+        )
     };
     concurrent_runs(&world.seen()).into_iter().map(line).collect()
 }
@@ -107,17 +123,29 @@
     let steps = "{\"count\":1,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":4500},{\"count\":2,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":1500,\"after\":[0]}";
     let body = job_body(steps, "w4500 v1500 c1600");
     let id = new_id(world);
-    let caller = submit(world, fleet.caller_address(0), &id, &body, 12_000).map_err(|error| error.to_string())?;
+    let caller =
+        submit(world, fleet.caller_address(0), &id, &body, 12_000).map_err(|error| error.to_string())?;
     thread::sleep(Duration::from_millis(700));
     let entry = usize::from(trouble);
     if trouble {
-        world.record.add("caller: moves to the zone of entry 1; its open connection stays with entry 0");
+        world
+            .record
+            .add("caller: moves to the zone of entry 1; its open connection stays with entry 0");
     }
     let to = fleet.caller_address(entry);
-    let answer = call(to, "DELETE", &format!("{QUEUE}{id}"), "", "", Duration::from_secs(4));
+    let answer = call(
+        to,
+        "DELETE",
+        &format!("{QUEUE}{id}"),
+        "",
+        "",
+        Duration::from_secs(4),
+    );
     let acknowledged = Instant::now();
     let (code, _) = answer.map_err(|error| format!("DELETE: {error}"))?;
-    world.record.add(format!("caller: DELETE {id} at entry {entry} -> {code}"));
+    world
+        .record
+        .add(format!("caller: DELETE {id} at entry {entry} -> {code}"));
     if !(code == 410 || (200..300).contains(&code)) {
         return Err(format!("the cancelling was not acknowledged: {code}"));
     }
@@ -128,12 +156,18 @@
         let limit = acknowledged + Duration::from_millis(CANCEL_MS);
         if run.begun > limit {
             let after = run.begun.duration_since(acknowledged).as_millis();
-            broken.push(format!("UNASKED: {} run {} started {after} ms after the cancelling was acknowledged", run.task, run.run));
+            broken.push(format!(
+                "UNASKED: {} run {} started {after} ms after the cancelling was acknowledged",
+                run.task, run.run
+            ));
         }
         let ended = run.ended.unwrap_or_else(Instant::now);
         if ended > limit + Duration::from_millis(STOP_MS) {
             let after = ended.duration_since(acknowledged).as_millis();
-            broken.push(format!("UNASKED: {} run {} ran until {after} ms after the cancelling was acknowledged", run.task, run.run));
+            broken.push(format!(
+                "UNASKED: {} run {} ran until {after} ms after the cancelling was acknowledged",
+                run.task, run.run
+            ));
         }
     }
     broken.extend(fleet.ended());
@@ -144,7 +178,10 @@
 pub fn foreign_heartbeat(world: &Arc<World>, trouble: bool) -> Result<Vec<String>, String> {
     const WORKER: usize = 0;
     let mut fleet = small_deployment(world, 1, 3)?;
-    let body = job_body("{\"count\":2,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":200}", "w200 c1600");
+    let body = job_body(
+        "{\"count\":2,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":200}",
+        "w200 c1600",
+    );
     let begun = Instant::now();
     let mut callers = Vec::new();
     let mut steps = 0;
@@ -171,12 +208,18 @@
     let acknowledged = world.workers.lock().unwrap()[WORKER].drain_acknowledged;
     let acknowledged = acknowledged.ok_or("the drain was not acknowledged")?;
     let seen = world.seen();
-    let before = seen.iter().filter(|run| run.worker == WORKER && run.begun < acknowledged).count();
+    let before = seen
+        .iter()
+        .filter(|run| run.worker == WORKER && run.begun < acknowledged)
+        .count();
     if before == 0 {
         return Err("nothing ran on the worker before it drained".to_owned());
     }
     let limit = acknowledged + Duration::from_millis(DRAIN_MS);
-    let late: Vec<&Seen> = seen.iter().filter(|run| run.worker == WORKER && run.begun > limit).collect();
+    let late: Vec<&Seen> = seen
+        .iter()
+        .filter(|run| run.worker == WORKER && run.begun > limit)
+        .collect();
     let mut broken = Vec::new();
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
         broken.push(format!(
@@ -188,7 +231,10 @@
             last.begun.duration_since(acknowledged).as_millis()
         ));
     }
-    world.record.add(format!("{before} starts on worker {WORKER} before the acknowledgement, {} later than the bound", late.len()));
+    world.record.add(format!(
+        "{before} starts on worker {WORKER} before the acknowledgement, {} later than the bound",
+        late.len()
+    ));
     broken.extend(fleet.ended());
     Ok(broken)
 }
@@ -210,7 +256,7 @@
     while world.record.begun.elapsed() < Duration::from_secs(98) && broken.is_empty() {
         rounds += 1;
         if !trouble {
-            thread::sleep(Duration::from_millis(6_500));
+            thread::sleep(Duration::from_millis(3_600));
             broken.extend(twice(world));
             continue;
         }
@@ -222,26 +268,41 @@
         };
         change("is cut off from all machines", &|worker| worker.cut = true);
         thread::sleep(Duration::from_millis(200));
-        change("crashes behind the cut and starts again", &|worker| worker.crash(Instant::now()));
+        change("crashes behind the cut and starts again", &|worker| {
+            worker.crash(Instant::now())
+        });
         let held = CUT.map(|index| {
             let ip = fleet.agent_ip(index);
             let worker = &world.workers.lock().unwrap()[index];
             (index, ip, worker.name.clone(), worker.heartbeat(index, ip, 1))
         });
         for (index, .., heartbeat) in &held {
-            world.record.add(format!("worker {index}: its first heartbeat is held up: {heartbeat}"));
+            world.record.add(format!(
+                "worker {index}: its first heartbeat is held up: {heartbeat}"
+            ));
         }
-        thread::sleep(Duration::from_millis(2_200));
-        change("crashes behind the cut and starts again", &|worker| worker.crash(Instant::now()));
-        thread::sleep(Duration::from_millis(2_200));
+        thread::sleep(Duration::from_millis(600));
+        change("crashes behind the cut and starts again", &|worker| {
+            worker.crash(Instant::now())
+        });
+        thread::sleep(Duration::from_millis(600));
         change("is reached again", &|worker| worker.cut = false);
-        thread::sleep(Duration::from_millis(1_300));
+        thread::sleep(Duration::from_millis(1_800));
         for (index, ip, name, heartbeat) in held {
             let agent = SocketAddr::new(IpAddr::V4(ip), CONTROL_PORT);
-            let answer = call(agent, "PUT", &format!("/instances/{name}"), "", &heartbeat, Duration::from_secs(1));
-            world.record.add(format!("worker {index}: the heartbeat of its former life arrives -> {answer:?}"));
+            let answer = call(
+                agent,
+                "PUT",
+                &format!("/instances/{name}"),
+                "",
+                &heartbeat,
+                Duration::from_secs(1),
+            );
+            world.record.add(format!(
+                "worker {index}: the heartbeat of its former life arrives -> {answer:?}"
+            ));
         }
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(400));
         broken.extend(twice(world));
     }
     over.store(true, Ordering::Relaxed);
@@ -257,7 +318,10 @@
 
 /// Sends 141 jobs a second, of 2 tasks of 0.2 s; one caller in three leaves after 0.1 s.
 fn leaving_traffic(world: &Arc<World>, over: &AtomicBool, entries: [SocketAddr; 2]) {
-    let body = job_body("{\"count\":2,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":200}", "w200 c1600");
+    let body = job_body(
+        "{\"count\":2,\"cpu\":1600,\"mem_mb\":64,\"estimate_ms\":200}",
+        "w200 c1600",
+    );
     let mut callers = Vec::new();
     let mut number = 0;
     let begun = Instant::now();
--- a/review/common-3/standin.rs
+++ b/review/common-3/standin.rs
@@ -251,7 +251,10 @@
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
     }
-    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
     Ok(Message {
@@ -261,7 +264,13 @@
     })
 }
 
-fn write_request(stream: &mut TcpStream, method: &str, path: &str, headers: &str, body: &str) -> io::Result<()> {
+fn write_request(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> io::Result<()> {
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
@@ -270,7 +279,14 @@
 }
 
 /// Sends a request on a connection of its own and returns the status and the body.
-fn call(to: SocketAddr, method: &str, path: &str, headers: &str, body: &str, limit: Duration) -> io::Result<(u16, String)> {
+fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    limit: Duration,
+) -> io::Result<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(500))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit))?;
@@ -280,7 +296,12 @@
 }
 
 fn status(answer: &Message) -> u16 {
-    answer.first_line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+    answer
+        .first_line
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or(0)
 }
 
 // ---------------------------------------------------------------- workers
@@ -342,13 +363,22 @@
             .collect();
         for key in &over {
             let run = self.active.remove(key).unwrap();
-            let (how, at) = if run.ends_at <= lapses { (run.how, run.ends_at) } else { ("lapsed", lapses) };
+            let (how, at) = if run.ends_at <= lapses {
+                (run.how, run.ends_at)
+            } else {
+                ("lapsed", lapses)
+            };
             self.last_end += 1;
             self.ended.push((self.last_end, key.0.clone(), key.1, how));
             let highest = self.highest.entry(key.0.clone()).or_default();
             *highest = key.1.max(*highest);
             let _ = index;
-            if let Some(seen) = self.seen.iter_mut().rev().find(|seen| seen.task == key.0 && seen.run == key.1) {
+            if let Some(seen) = self
+                .seen
+                .iter_mut()
+                .rev()
+                .find(|seen| seen.task == key.0 && seen.run == key.1)
+            {
                 seen.ended = Some(at);
                 seen.how = how;
             }
@@ -358,18 +388,30 @@
 
     /// Returns the body of a heartbeat.
     fn heartbeat(&self, index: usize, ip: Ipv4Addr, sequence: u64) -> String {
-        let (state, remaining) =
-            if self.draining { ("draining", "\"remaining_ms\":2000,") } else { ("ready", "") };
+        let (state, remaining) = if self.draining {
+            ("draining", "\"remaining_ms\":2000,")
+        } else {
+            ("ready", "")
+        };
         format!(
             "{{\"service\":\"{SERVICE}\",\"address\":\"{ip}:{WORKER_PORT}\",\"zone\":\"z-{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"{state}\",{remaining}\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[\"a\",\"r1-{}\"],\"clock_ms\":{},\"born\":{},\"sequence\":{sequence}}}",
-            ["a", "b", "c"][index % 3], self.cpu, index / 3, self.clock(Instant::now()), self.born
+            ["a", "b", "c"][index % 3],
+            self.cpu,
+            index / 3,
+            self.clock(Instant::now()),
+            self.born
         )
     }
 
     /// Crashes and starts again under its name; the new life knows nothing of before.
     fn crash(&mut self, now: Instant) {
         for (key, _) in std::mem::take(&mut self.active) {
-            if let Some(seen) = self.seen.iter_mut().rev().find(|seen| seen.task == key.0 && seen.run == key.1) {
+            if let Some(seen) = self
+                .seen
+                .iter_mut()
+                .rev()
+                .find(|seen| seen.task == key.0 && seen.run == key.1)
+            {
                 seen.ended = Some(now);
                 seen.how = "crashed";
             }
@@ -390,9 +432,11 @@
     }
 
     fn start(&mut self, index: usize, now: Instant, order: &Json) -> (u16, &'static str) {
-        let (Some(task), Some(run), Some(until)) =
-            (order.text("task"), order.number("run_id"), order.number("until_ms"))
-        else {
+        let (Some(task), Some(run), Some(until)) = (
+            order.text("task"),
+            order.number("run_id"),
+            order.number("until_ms"),
+        ) else {
             return (400, "");
         };
         let key = (task.to_owned(), run);
@@ -404,7 +448,12 @@
             return (409, "late");
         }
         self.extend(now, until);
-        if run <= self.highest.get(task).copied().unwrap_or(0) || self.active.keys().any(|(name, number)| name == task && *number >= run) {
+        if run <= self.highest.get(task).copied().unwrap_or(0)
+            || self
+                .active
+                .keys()
+                .any(|(name, number)| name == task && *number >= run)
+        {
             return (409, "old");
         }
         // The spec of a task states its work in ms and its CPU: "w2400 c1600".
@@ -413,14 +462,30 @@
             let word = spec.split(' ').find(|word| word.starts_with(letter));
             word.and_then(|word| word[1..].parse::<u64>().ok()).unwrap_or(0)
         };
-        let step = task.split('.').nth(2).and_then(|step| step.parse::<u32>().ok()).unwrap_or(0);
+        let step = task
+            .split('.')
+            .nth(2)
+            .and_then(|step| step.parse::<u32>().ok())
+            .unwrap_or(0);
         let work = if step == 0 { figure('w') } else { figure('v') };
         let used: u64 = self.active.values().map(|run| run.cpu).sum();
         if used + figure('c') > self.cpu {
             return (409, "room");
         }
-        let active = Active { begun: now, ends_at: now + Duration::from_millis(work), how: "done", cpu: figure('c') };
-        self.seen.push(Seen { task: task.to_owned(), run, worker: index, begun: active.begun, ended: None, how: "runs" });
+        let active = Active {
+            begun: now,
+            ends_at: now + Duration::from_millis(work),
+            how: "done",
+            cpu: figure('c'),
+        };
+        self.seen.push(Seen {
+            task: task.to_owned(),
+            run,
+            worker: index,
+            begun: active.begun,
+            ended: None,
+            how: "runs",
+        });
         self.active.insert(key, active);
         (200, "")
     }
@@ -433,7 +498,7 @@
         *highest = run.max(*highest);
         for ((name, number), active) in &mut self.active {
             // A stop takes up to `STOP_MS`.
-        let stopped = now + Duration::from_millis(STOP_MS - 10);
+            let stopped = now + Duration::from_millis(STOP_MS - 10);
             if name == task && *number <= run && active.ends_at > stopped {
                 active.ends_at = stopped;
                 active.how = "stopped";
@@ -443,8 +508,11 @@
     }
 
     fn lists(&self, now: Instant) -> String {
-        let running: Vec<String> =
-            self.active.keys().map(|(task, run)| format!("[\"{task}\",{run},\"\",50,0]")).collect();
+        let running: Vec<String> = self
+            .active
+            .keys()
+            .map(|(task, run)| format!("[\"{task}\",{run},\"\",50,0]"))
+            .collect();
         let ended: Vec<String> = self
             .ended
             .iter()
@@ -475,7 +543,10 @@
 impl World {
     fn new() -> Arc<Self> {
         Arc::new(Self {
-            record: Record { begun: Instant::now(), lines: Mutex::new(Vec::new()) },
+            record: Record {
+                begun: Instant::now(),
+                lines: Mutex::new(Vec::new()),
+            },
             random: Random::new(),
             workers: Mutex::new(Vec::new()),
             changed: Condvar::new(),
@@ -525,18 +596,37 @@
             let (name, body, draining, life, cut) = {
                 let workers = self.workers.lock().unwrap();
                 let worker = &workers[index];
-                sequence = if worker.life == known_life { sequence + 1 } else { 1 };
+                sequence = if worker.life == known_life {
+                    sequence + 1
+                } else {
+                    1
+                };
                 known_life = worker.life;
-                (worker.name.clone(), worker.heartbeat(index, ip, sequence), worker.draining, worker.life, worker.cut)
+                (
+                    worker.name.clone(),
+                    worker.heartbeat(index, ip, sequence),
+                    worker.draining,
+                    worker.life,
+                    worker.cut,
+                )
             };
             let acknowledged = !cut && {
                 let to = SocketAddr::new(IpAddr::V4(ip), CONTROL_PORT);
-                let sent = call(to, "PUT", &format!("/instances/{name}"), "", &body, Duration::from_secs(1));
+                let sent = call(
+                    to,
+                    "PUT",
+                    &format!("/instances/{name}"),
+                    "",
+                    &body,
+                    Duration::from_secs(1),
+                );
                 matches!(sent, Ok((200, _)))
             };
             if draining {
                 let mut workers = self.workers.lock().unwrap();
-                self.record.add(format!("worker {index}: heartbeat {sequence} says draining, acknowledged: {acknowledged}"));
+                self.record.add(format!(
+                    "worker {index}: heartbeat {sequence} says draining, acknowledged: {acknowledged}"
+                ));
                 if acknowledged {
                     workers[index].drain_acknowledged.get_or_insert(Instant::now());
                 }
@@ -560,13 +650,24 @@
             let worker = &workers[index];
             let body = format!(
                 "{{\"service\":\"{SERVICE}\",\"address\":\"{ip}:{WORKER_PORT}\",\"zone\":\"z-{}\",\"state\":\"ready\",\"capacity\":{{\"cpu\":{},\"mem_mb\":65536}},\"born\":{},\"sequence\":4000}}",
-                ["a", "b", "c"][index % 3], worker.cpu, worker.born
+                ["a", "b", "c"][index % 3],
+                worker.cpu,
+                worker.born
             );
             (worker.name.clone(), body)
         };
         let to = SocketAddr::new(IpAddr::V4(ip), CONTROL_PORT);
-        let answer = call(to, "PUT", &format!("/instances/{name}"), "", &body, Duration::from_secs(1));
-        self.record.add(format!("another writer: heartbeat for {name} without some fields: {body} -> {answer:?}"));
+        let answer = call(
+            to,
+            "PUT",
+            &format!("/instances/{name}"),
+            "",
+            &body,
+            Duration::from_secs(1),
+        );
+        self.record.add(format!(
+            "another writer: heartbeat for {name} without some fields: {body} -> {answer:?}"
+        ));
         answer.map(|_| ()).map_err(|error| error.to_string())
     }
 
@@ -577,9 +678,18 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(request) = read_message(&mut reader) {
-            let path = request.first_line.split(' ').nth(1).unwrap_or_default().to_owned();
+            let path = request
+                .first_line
+                .split(' ')
+                .nth(1)
+                .unwrap_or_default()
+                .to_owned();
             let order = Json::parse(&request.body).unwrap_or(Json::Null);
-            let instance = request.headers.get("expect-instance").cloned().unwrap_or_default();
+            let instance = request
+                .headers
+                .get("expect-instance")
+                .cloned()
+                .unwrap_or_default();
             let late = self.late_permille.load(Ordering::Relaxed);
             let is_order = path == "/run-start" || path == "/run-stop";
             if self.workers.lock().unwrap()[index].cut {
@@ -590,7 +700,10 @@
             }
             if is_order && self.random.unit() * 1_000.0 < late as f64 {
                 let delay = 2_000 + (self.random.unit() * 10_000.0) as u64;
-                self.record.add(format!("worker {index}: no answer to {path} {}, carried out {delay} ms later", describe(&order)));
+                self.record.add(format!(
+                    "worker {index}: no answer to {path} {}, carried out {delay} ms later",
+                    describe(&order)
+                ));
                 thread::scope(|scope| {
                     scope.spawn(|| {
                         let until = Instant::now() + Duration::from_millis(delay);
@@ -630,7 +743,11 @@
         let token = order.number("fencing_token").unwrap_or(0);
         let answer = |worker: &Worker, code: u16, reason: &str| {
             let clock = worker.clock(Instant::now());
-            let reason = if reason.is_empty() { String::new() } else { format!(",\"reason\":\"{reason}\"") };
+            let reason = if reason.is_empty() {
+                String::new()
+            } else {
+                format!(",\"reason\":\"{reason}\"")
+            };
             (code, format!("{{\"clock_ms\":{clock}{reason}}}"))
         };
         if token < worker.token {
@@ -640,12 +757,16 @@
         match path {
             "/run-start" => {
                 let (code, reason) = worker.start(index, now, order);
-                self.record.add(format!("worker {index}: start {} -> {code} {reason}", describe(order)));
+                self.record.add(format!(
+                    "worker {index}: start {} -> {code} {reason}",
+                    describe(order)
+                ));
                 answer(worker, code, reason)
             }
             "/run-stop" => {
                 let (code, reason) = worker.stop(now, order);
-                self.record.add(format!("worker {index}: stop {} -> {code}", describe(order)));
+                self.record
+                    .add(format!("worker {index}: stop {} -> {code}", describe(order)));
                 answer(worker, code, reason)
             }
             "/hold" => {
@@ -660,9 +781,16 @@
                     let now = Instant::now();
                     workers[index].advance(index, now);
                     if !workers[index].ended.is_empty() || now >= until {
-                        return (200, workers[index].lists(now));
+                        let lists = workers[index].lists(now);
+                        drop(workers);
+                        // The lists are long, so that shorter answers may overtake them.
+                        thread::sleep(Duration::from_millis(1));
+                        return (200, lists);
                     }
-                    let (guard, _) = self.changed.wait_timeout(workers, (until - now).min(Duration::from_millis(3))).unwrap();
+                    let (guard, _) = self
+                        .changed
+                        .wait_timeout(workers, (until - now).min(Duration::from_millis(3)))
+                        .unwrap();
                     workers = guard;
                 }
             }
@@ -684,7 +812,11 @@
 }
 
 fn describe(order: &Json) -> String {
-    format!("{} run {}", order.text("task").unwrap_or("?"), order.number("run_id").unwrap_or(0))
+    format!(
+        "{} run {}",
+        order.text("task").unwrap_or("?"),
+        order.number("run_id").unwrap_or(0)
+    )
 }
 
 /// Returns the pairs of runs of one task that were in progress at the same time, on two workers.
@@ -730,11 +862,18 @@
         // A network whose first address has no listener on the usual ports.
         let free = |net: &u8| {
             let ports = [LINK_PORT, CONTROL_PORT, CALLER_PORT];
-            ports.iter().all(|&port| TcpListener::bind((Ipv4Addr::new(127, *net, 0, 1), port)).is_ok())
+            ports
+                .iter()
+                .all(|&port| TcpListener::bind((Ipv4Addr::new(127, *net, 0, 1), port)).is_ok())
         };
         let first = 20 + (std::process::id() % 200) as u8;
         let net = (first..=240).find(free).ok_or(io::ErrorKind::AddrInUse)?;
-        Ok(Self { folder, net, controls, processes: Vec::new() })
+        Ok(Self {
+            folder,
+            net,
+            controls,
+            processes: Vec::new(),
+        })
     }
 
     fn control_ip(&self, index: usize) -> Ipv4Addr {
@@ -752,8 +891,9 @@
     fn start(&mut self, role: &str, class: &str, index: usize, ip: Ipv4Addr) -> io::Result<usize> {
         let zone = ["a", "b", "c"][index % 3];
         let name = format!("{class}-z-{zone}-{index}");
-        let seeds: Vec<String> =
-            (0..self.controls.min(3)).map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.control_ip(seed))).collect();
+        let seeds: Vec<String> = (0..self.controls.min(3))
+            .map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.control_ip(seed)))
+            .collect();
         let data = self.folder.join(format!("data-{name}"));
         let data_dir = if role == "control" {
             std::fs::create_dir_all(&data)?;
@@ -762,11 +902,18 @@
             "null".to_owned()
         };
         let (listen, memory) = match role {
-            "entry" => (format!("\"frontend\":\"{ip}:{CALLER_PORT}\",\"readiness\":\"{ip}:{READY_PORT}\""), 260),
+            "entry" => (
+                format!("\"frontend\":\"{ip}:{CALLER_PORT}\",\"readiness\":\"{ip}:{READY_PORT}\""),
+                260,
+            ),
             "agent" => (format!("\"control\":\"{ip}:{CONTROL_PORT}\""), 128),
             _ => (format!("\"control\":\"{ip}:{CONTROL_PORT}\""), 256),
         };
-        let app = if role == "agent" { format!("\"app\":\"{ip}:{WORKER_PORT}\",\"service\":\"{SERVICE}\",") } else { String::new() };
+        let app = if role == "agent" {
+            format!("\"app\":\"{ip}:{WORKER_PORT}\",\"service\":\"{SERVICE}\",")
+        } else {
+            String::new()
+        };
         let settings = format!(
             "{{\"node_name\":\"{name}\",\"role\":\"{role}\",\"machine_class\":\"{class}\",\"ip\":\"{ip}\",\"zone\":\"z-{zone}\",\"region\":\"z\",\
              \"zones\":{{\"z-a\":\"z\",\"z-b\":\"z\",\"z-c\":\"z\"}},\"listen_addrs\":{{{listen}}},\"internal_ports\":[{LINK_PORT},{}],\
@@ -845,7 +992,11 @@
 /// Starts a small deployment and waits until both entries are ready.
 fn small_deployment(world: &Arc<World>, entries: usize, workers: usize) -> Result<Fleet, String> {
     let mut fleet = Fleet::new(3).map_err(|error| format!("no free addresses: {error}"))?;
-    let started = |result: io::Result<usize>| result.map(|_| ()).map_err(|error| format!("cannot start: {error}"));
+    let started = |result: io::Result<usize>| {
+        result
+            .map(|_| ())
+            .map_err(|error| format!("cannot start: {error}"))
+    };
     for index in 0..3 {
         let ip = fleet.control_ip(index);
         started(fleet.start("control", "core", index, ip))?;
@@ -858,7 +1009,9 @@
         let ip = fleet.agent_ip(index);
         started(fleet.start("agent", "side", index, ip))?;
         let cpu = if index % 3 == 2 { 24_000 } else { 16_000 };
-        world.add_worker(ip, cpu).map_err(|error| format!("worker: {error}"))?;
+        world
+            .add_worker(ip, cpu)
+            .map_err(|error| format!("worker: {error}"))?;
     }
     let begun = Instant::now();
     let mut next = 0;
@@ -875,7 +1028,10 @@
     for entry in 0..entries {
         let to = SocketAddr::new(IpAddr::V4(fleet.entry_ip(entry)), READY_PORT);
         loop {
-            if matches!(call(to, "GET", "/ready", "", "", Duration::from_secs(1)), Ok((200, _))) {
+            if matches!(
+                call(to, "GET", "/ready", "", "", Duration::from_secs(1)),
+                Ok((200, _))
+            ) {
                 break;
             }
             if begun.elapsed() > Duration::from_secs(15) {
@@ -908,7 +1064,10 @@
     let headers = format!("Deadline-Ms: {deadline_ms}\r\n");
     write_request(&mut stream, "POST", &format!("{QUEUE}{id}"), &headers, body)?;
     world.record.add(format!("caller: POST {id} at {to}"));
-    Ok(Caller { id: id.to_owned(), stream })
+    Ok(Caller {
+        id: id.to_owned(),
+        stream,
+    })
 }
 
 impl Caller {
@@ -916,11 +1075,18 @@
         let answer = read_message(&mut BufReader::new(&self.stream));
         match answer {
             Ok(answer) => {
-                world.record.add(format!("caller: {} answered {} {}", self.id, status(&answer), answer.body));
+                world.record.add(format!(
+                    "caller: {} answered {} {}",
+                    self.id,
+                    status(&answer),
+                    answer.body
+                ));
                 Some(status(&answer))
             }
             Err(error) => {
-                world.record.add(format!("caller: {} got no answer ({error})", self.id));
+                world
+                    .record
+                    .add(format!("caller: {} got no answer ({error})", self.id));
                 None
             }
         }
