--- a/crates/broker/src/agents.rs
+++ b/crates/broker/src/agents.rs
@@ -4,8 +4,8 @@
 
 use chestnutfork_evacuation::{KnownEvacuations, ReturnRamp, ramp_position};
 use chestnutfork_types::{
-    AttemptKey, DemandSum, HeartbeatNumber, KindId, LinkNumber, NodeName, OrderNumber, ProcessId, Resources,
-    WorkerDescription, WorkerLoad,
+    AttemptKey, DemandSum, EndLimit, HeartbeatNumber, KindId, LinkNumber, NodeName, OrderNumber, ProcessId,
+    Resources, WorkerDescription, WorkerLoad,
 };
 use indexmap::IndexMap;
 
@@ -15,6 +15,9 @@
 /// Failure rate, in thousandths, from which a worker is avoided while other workers can run its tasks.
 const MAX_FAILURE_PERMILLE: u32 = 350;
 
+/// Age up to which a heartbeat is a reference for the time of its agent; agents retain the send times of later ones.
+const MAX_REFERENCE_AGE: Duration = Duration::from_secs(5);
+
 /// Attempt that was ordered and has not been reported as ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Outstanding {
@@ -42,6 +45,8 @@
     pub(crate) last_heartbeat: HeartbeatNumber,
     /// Arrival of the latest heartbeat.
     pub(crate) last_heartbeat_at: Instant,
+    /// Latest heartbeat that did not wait for this process, and its arrival.
+    pub(crate) reference_heartbeat: Option<(HeartbeatNumber, Instant)>,
     pub(crate) last_order: OrderNumber,
     /// Whether the recorded attempts were listed on the current link.
     pub(crate) attempts_listed: bool,
@@ -66,6 +71,7 @@
             load: None,
             last_heartbeat: 0,
             last_heartbeat_at: now,
+            reference_heartbeat: None,
             last_order: 0,
             attempts_listed: false,
             forwarded_on: None,
@@ -88,6 +94,28 @@
         self.ramp = evacuations.ramp(domain);
     }
 
+    /// Records a heartbeat. One that may have waited for this process does not replace a recent reference, because the time since
+    /// it was sent is not known.
+    pub(crate) fn record_heartbeat(&mut self, now: Instant, number: HeartbeatNumber, may_have_waited: bool) {
+        self.last_heartbeat = number;
+        self.last_heartbeat_at = now;
+        let is_recent = |&(_, at): &(HeartbeatNumber, Instant)| now < at + MAX_REFERENCE_AGE;
+        if !may_have_waited || !self.reference_heartbeat.as_ref().is_some_and(is_recent) {
+            self.reference_heartbeat = Some((number, now));
+        }
+    }
+
+    /// Expresses the time by which a run must have ended in terms that the agent can resolve.
+    pub(crate) fn end_limit(&self, now: Instant, end_by: Instant) -> EndLimit {
+        let (heartbeat, from) = self
+            .reference_heartbeat
+            .map_or((None, now), |(number, at)| (Some(number), at));
+        EndLimit {
+            heartbeat,
+            after: end_by.saturating_duration_since(from),
+        }
+    }
+
     /// Returns whether the agent is connected, has sent a recent heartbeat, and accepts orders.
     pub(crate) fn is_usable(&self, now: Instant, stale_after: Duration) -> bool {
         let fresh = now < self.last_heartbeat_at + stale_after;
@@ -170,6 +198,7 @@
         if agent.process != process {
             agent.process = process;
             agent.last_heartbeat = 0;
+            agent.reference_heartbeat = None;
         }
         // Heartbeats and load reports on the earlier link do not cover orders on this one, so wait for a new report.
         agent.load = None;
--- a/crates/broker/src/completion.rs
+++ b/crates/broker/src/completion.rs
@@ -92,7 +92,10 @@
         match run.outcome {
             RunOutcome::Failed if !healthy => task.unhealthy_worker_failures += 1,
             RunOutcome::Failed => task.failures += 1,
-            RunOutcome::NotStarted if outstanding.refuse_if_full => task.refusals += 1,
+            // A limit on the end of the runs may keep them from every worker, so these are not tried in quick succession.
+            RunOutcome::NotStarted if outstanding.refuse_if_full && job.unverified_since.is_none() => {
+                task.refusals += 1;
+            }
             RunOutcome::NotStarted => task.retry_at = Some(now + NOT_STARTED_RETRY_DELAY),
             _ => {}
         }
@@ -127,7 +130,7 @@
             return;
         };
         self.waiting.remove(&job.order);
-        self.stop_attempts(&job, actions);
+        self.stop_attempts(now, &job, actions);
         let waited = job
             .placed_at
             .unwrap_or(now)
@@ -180,7 +183,9 @@
         self.last_attempts.insert(job.id, (attempts, now));
     }
 
-    fn stop_attempts(&mut self, job: &Job, actions: &mut Vec<Action>) {
+    /// Stops the attempts of a job, whose callers may submit it again.
+    fn stop_attempts(&mut self, now: Instant, job: &Job, actions: &mut Vec<Action>) {
+        let end_by = self.callers_left_since(now, job) + self.cfg.run_end_time;
         let mut stops: IndexMap<AgentIndex, Vec<AttemptKey>> = IndexMap::new();
         for (at, task) in job.tasks.iter().enumerate() {
             if let TaskState::Placed(agent) = task.state {
@@ -193,10 +198,28 @@
             }
         }
         for (agent, keys) in stops {
+            self.limit_ends(now, agent, &keys, end_by, actions);
             self.stop_on(agent, keys, actions);
         }
     }
 
+    /// Tells an agent when attempts must have ended, in case that their worker confirms no stop.
+    fn limit_ends(
+        &self,
+        now: Instant,
+        agent: AgentIndex,
+        keys: &[AttemptKey],
+        end_by: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let agent = self.agents.get(agent);
+        if let Some(link) = agent.link.filter(|_| agent.worker.reads_end_limits) {
+            let limit = agent.end_limit(now, end_by);
+            let limits = keys.iter().map(|&key| (key, limit)).collect();
+            actions.push(Action::ToAgent(link, EntryToWorker::EndLimits(limits)));
+        }
+    }
+
     /// Orders an agent to stop attempts. A disconnected agent stops them when this entry's lease expires, or on
     /// the `Reconcile` message of the next link, which lists them to be stopped.
     pub(crate) fn stop_on(&mut self, agent: AgentIndex, keys: Vec<AttemptKey>, actions: &mut Vec<Action>) {
--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -7,12 +7,17 @@
 /// Time for which a run continues after it was ordered to stop: a round trip, and the time that the worker takes.
 const STOP_ALLOWANCE: Duration = Duration::from_millis(100);
 
+/// Time by which a run ends before its caller can have submitted the job elsewhere.
+const END_MARGIN: Duration = Duration::from_millis(20);
+
 /// Limits, timing and location of the entry core.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BrokerConfig {
     pub(crate) failure_domain: FailureDomain,
     pub(crate) run_expiry: Duration,
     pub(crate) unverified_job_time: Duration,
+    /// Time after a caller has left by which the runs of its job must have ended.
+    pub(crate) run_end_time: Duration,
     pub(crate) stale_after: Duration,
     pub(crate) cross_domain_cost: Duration,
     pub(crate) remote_factor: f64,
@@ -55,6 +60,7 @@
             failure_domain: failure_domain.into(),
             run_expiry,
             unverified_job_time: Duration::from_millis(1_300).saturating_sub(STOP_ALLOWANCE),
+            run_end_time: Duration::from_millis(1_300).saturating_sub(END_MARGIN),
             stale_after: Duration::from_millis(550),
             cross_domain_cost: Duration::from_millis(3),
             remote_factor: 1.5,
@@ -131,6 +137,7 @@
     #[must_use]
     pub fn resubmission_delay(mut self, resubmission_delay: Duration) -> Self {
         self.cfg.unverified_job_time = resubmission_delay.saturating_sub(STOP_ALLOWANCE);
+        self.cfg.run_end_time = resubmission_delay.saturating_sub(END_MARGIN);
         self
     }
 
--- a/crates/broker/src/core.rs
+++ b/crates/broker/src/core.rs
@@ -314,14 +314,14 @@
                     }));
                 }
                 if is_first {
-                    self.send_time_limits(now, at, |_| true, actions);
+                    self.send_limits(now, at, |_| true, actions);
                 }
             }
             WorkerToEntry::Heartbeat(number, load) => {
+                let may_have_waited = self.silence.may_have_waited(now);
                 let agent = self.agents.get_mut(at);
                 agent.load = Some(load);
-                agent.last_heartbeat = number;
-                agent.last_heartbeat_at = now;
+                agent.record_heartbeat(now, number, may_have_waited);
                 agent.demand_sum = load.demand;
                 let reader = agent.worker.reads_demand.then_some(&agent.worker.pool);
                 let demand = reader.and_then(|pool| self.shedding.demand(now, pool));
--- a/crates/broker/src/job.rs
+++ b/crates/broker/src/job.rs
@@ -59,6 +59,8 @@
     pub(crate) received_at: Instant,
     pub(crate) objective_at: Instant,
     pub(crate) deadline: Instant,
+    /// Since when the callers may have left without the knowledge of this process.
+    pub(crate) unverified_since: Option<Instant>,
     /// When the first task was placed.
     pub(crate) placed_at: Option<Instant>,
     pub(crate) attempts: u64,
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -186,6 +186,8 @@
         };
         let report_interval = self.report_interval(now);
         let kinds = self.order_kinds(job, &tasks);
+        let ends_by = job.unverified_since.map(|since| since + self.cfg.run_end_time);
+        let end_limit = ends_by.map(|at| self.agents.get(agent).end_limit(now, at));
         let agent_state = self.agents.get_mut(agent);
         agent_state.last_order += 1;
         for task in &tasks {
@@ -198,6 +200,7 @@
             last_heartbeat: agent_state.last_heartbeat,
             time_to_objective: job.objective_at.saturating_duration_since(now),
             time_limit: Some(job.deadline.saturating_duration_since(now)),
+            end_limit,
             spec: job.spec.clone(),
             report_interval: Some(report_interval),
             tasks,
--- a/crates/broker/src/requests.rs
+++ b/crates/broker/src/requests.rs
@@ -114,6 +114,7 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.tickets.push(ticket);
             job.deadline = job.deadline.max(deadline);
+            job.unverified_since = self.silence.backlog_since(received_at);
             self.tickets.insert(ticket, id);
             return;
         }
@@ -229,6 +230,7 @@
             received_at,
             objective_at,
             deadline: self.unverified_deadline(received_at, received_at + timeout),
+            unverified_since: self.silence.backlog_since(received_at),
             placed_at: None,
             attempts: 0,
             possible_starts: 0,
--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -15,6 +15,7 @@
 use crate::agents::AgentIndex;
 use crate::core::BrokerCore;
 use crate::event::{Action, Notice};
+use crate::job::Job;
 
 /// Delay of the timer from which the process counts as stopped; a quota of processor time delays it by less than 100 ms.
 const STOP_THRESHOLD: Duration = Duration::from_millis(100);
@@ -102,6 +103,11 @@
         self.ended_at + backlog_time.clamp(PAUSE_SETTLE_TIME, MAX_BACKLOG_TIME)
     }
 
+    /// Returns whether what the process reads now may have waited during a silence, also during one too short for a pause.
+    pub(crate) fn may_have_waited(&self, now: Instant) -> bool {
+        now < self.backlog_until()
+    }
+
     /// Returns when the silence began if a submission that reached the process at the given time may have waited during it.
     pub(crate) fn backlog_since(&self, received_at: Instant) -> Option<Instant> {
         let waited = self.is_pause() && received_at < self.backlog_until();
@@ -138,15 +144,22 @@
             return;
         }
         // Callers of jobs in progress may have left as well.
-        let deadline = self.silence.since + self.cfg.unverified_job_time;
-        let mut shortened = IndexSet::new();
-        for job in self.jobs.values_mut().filter(|job| deadline < job.deadline) {
-            job.deadline = deadline;
-            shortened.insert(job.id);
+        let since = self.silence.since;
+        let deadline = since + self.cfg.unverified_job_time;
+        let mut limited = IndexSet::new();
+        for job in self.jobs.values_mut() {
+            if job.unverified_since.is_none_or(|known| since < known) {
+                job.unverified_since = Some(since);
+                limited.insert(job.id);
+            }
+            if deadline < job.deadline {
+                job.deadline = deadline;
+                limited.insert(job.id);
+            }
         }
-        if !shortened.is_empty() {
+        if !limited.is_empty() {
             for (at, _) in self.agents.iter() {
-                self.send_time_limits(now, at, |job| shortened.contains(&job), actions);
+                self.send_limits(now, at, |job| limited.contains(&job), actions);
             }
         }
         actions.push(Action::Notice(Notice::Paused {
@@ -154,10 +167,10 @@
         }));
     }
 
-    /// Sends an agent the deadlines of the selected jobs of which it runs attempts.
+    /// Sends an agent the deadlines of the selected jobs of which it runs attempts, and when these must have ended.
     ///
     /// The process may be stopped again when they pass, and the orders of these attempts carried later ones.
-    pub(crate) fn send_time_limits(
+    pub(crate) fn send_limits(
         &self,
         now: Instant,
         at: AgentIndex,
@@ -172,14 +185,34 @@
             return;
         };
         let attempts = agent.outstanding.iter().filter(|(_, run)| !run.stopping);
-        let limits = attempts.filter_map(|(&key, _)| {
+        let attempts = attempts.filter_map(|(&key, _)| {
             let job = self.jobs.get(&key.task.job).filter(|job| is_selected(job.id))?;
-            Some((key, job.deadline.saturating_duration_since(now)))
+            Some((key, job))
         });
-        let limits: Vec<_> = limits.collect();
-        if !limits.is_empty() {
-            actions.push(Action::ToAgent(link, EntryToWorker::TimeLimits(limits)));
+        let (mut deadlines, mut ends) = (Vec::new(), Vec::new());
+        for (key, job) in attempts {
+            deadlines.push((key, job.deadline.saturating_duration_since(now)));
+            if let Some(since) = job.unverified_since.filter(|_| agent.worker.reads_end_limits) {
+                ends.push((key, agent.end_limit(now, since + self.cfg.run_end_time)));
+            }
         }
+        if !deadlines.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::TimeLimits(deadlines)));
+        }
+        if !ends.is_empty() {
+            actions.push(Action::ToAgent(link, EntryToWorker::EndLimits(ends)));
+        }
+    }
+
+    /// Returns the earliest time at which the callers of a job may have left that is ended now.
+    ///
+    /// What ends the job may have waited for the process, also during a stop that is too short to be noticed.
+    pub(crate) fn callers_left_since(&self, now: Instant, job: &Job) -> Instant {
+        let delay = self.processing_delay(now).max(STOP_THRESHOLD);
+        let read = now.checked_sub(delay).unwrap_or(now);
+        let silence = self.silence.may_have_waited(now).then_some(self.silence.since);
+        let known = [silence, job.unverified_since, Some(job.deadline)];
+        known.into_iter().flatten().fold(read, Instant::min)
     }
 
     /// Returns the deadline of a submission, which is earlier if it may have waited during a silence.
--- a/crates/broker/tests/entry/mod.rs
+++ b/crates/broker/tests/entry/mod.rs
@@ -123,6 +123,7 @@
             stores_losses: true,
             reads_resources: true,
             reads_time_limits: true,
+            reads_end_limits: true,
             reads_demand: true,
         };
         self.receive(link, WorkerToEntry::Describe(worker, crashes));
--- a/crates/leased/tests/interference.rs
+++ b/crates/leased/tests/interference.rs
@@ -497,6 +497,7 @@
             stores_losses: false,
             reads_resources: false,
             reads_time_limits: false,
+            reads_end_limits: false,
             reads_demand: false,
         },
         address: "w:1".to_owned(),
--- a/crates/leased/tests/pool_sim/faults.rs
+++ b/crates/leased/tests/pool_sim/faults.rs
@@ -256,6 +256,7 @@
                 stores_losses: false,
                 reads_resources: false,
                 reads_time_limits: false,
+                reads_end_limits: false,
                 reads_demand: false,
             },
             address: "w:1".to_owned(),
--- a/crates/leased/tests/random_run.rs
+++ b/crates/leased/tests/random_run.rs
@@ -21,21 +21,37 @@
 fn run_seeds(scenarios: &str) -> Counts {
     let mut total = Counts::default();
     for seed in 0..SEEDS {
-        let sim = Sim::run(seed, options(scenarios));
-        if !sim.violations.is_empty() {
-            let traced = RunOptions {
-                trace: true,
-                ..options(scenarios)
-            };
-            let lines: Vec<String> = Sim::run(seed, traced).trace.lines().collect();
-            let last = &lines[lines.len().saturating_sub(TRACED_LINES)..];
-            panic!("seed {seed}: {:?}\n{}", sim.violations, last.join("\n"));
-        }
-        total.add(&sim.counts);
+        total.add(&run_seed(scenarios, seed));
     }
     total
 }
 
+/// Runs single seeds that have failed.
+fn run_each(cases: &[(&str, u64)]) {
+    for &(scenarios, seed) in cases {
+        run_seed(scenarios, seed);
+    }
+}
+
+/// Runs a seed, fails with its trace if it breaks a rule, and returns what occurred.
+fn run_seed(scenarios: &str, seed: u64) -> Counts {
+    let sim = Sim::run(seed, options(scenarios));
+    if !sim.violations.is_empty() {
+        let traced = RunOptions {
+            trace: true,
+            ..options(scenarios)
+        };
+        let lines: Vec<String> = Sim::run(seed, traced).trace.lines().collect();
+        let last = &lines[lines.len().saturating_sub(TRACED_LINES)..];
+        panic!(
+            "seed {seed} of {scenarios}: {:?}\n{}",
+            sim.violations,
+            last.join("\n")
+        );
+    }
+    sim.counts
+}
+
 /// Returns whether a seed finds two runs of a task at a time with a defect.
 fn detects(defect: InjectedDefect) -> bool {
     (0..SEEDS).any(|seed| {
@@ -221,6 +237,26 @@
     assert!(total.silent_callers > SEEDS * 5, "{total:?}");
 }
 
+/// Guards against runs that outlast the next submission of their callers: a paused or lagging entry learns late that callers have
+/// left, or not at all, and workers leave the stops unanswered.
+#[test]
+fn unanswered_stops_of_paused_entry_end_in_time() {
+    let total = run_seeds("pauses,stops,silent");
+    assert!(
+        total.unanswered_stops > SEEDS * 10 && total.silent_callers > SEEDS * 5,
+        "{total:?}"
+    );
+    run_each(&[
+        ("pauses,stops", 555_051),
+        ("pauses,stops", 810_222),
+        ("pauses,stops,silent", 810_028),
+        ("pauses,stops,notices", 810_022),
+        ("pauses,lagging,stops,reuse,links", 810_230),
+        ("pauses,links,stops", 820_098),
+        ("lagging,stops", 810_014),
+    ]);
+}
+
 /// Guards against reporting the runs of a worker as lost because another sender's announcement reached its agent.
 #[test]
 fn foreign_announcements_end_no_run() {
--- a/crates/leased/tests/sim/checks.rs
+++ b/crates/leased/tests/sim/checks.rs
@@ -80,6 +80,9 @@
         let mut runs: Vec<(ListedRun, usize)> = Vec::new();
         for (agent, worker) in self.workers.iter_mut().enumerate() {
             worker.model.advance(self.now);
+            let ended = worker.model.take_past();
+            let lapsed = ended.iter().filter(|past| past.end == RunOutcome::Lost);
+            self.counts.lapsed_runs += lapsed.count() as u64;
             runs.extend(worker.model.runs().map(|run| (run, agent)));
         }
         for (at, &(run, agent)) in runs.iter().enumerate() {
--- a/crates/leased/tests/sim/counts.rs
+++ b/crates/leased/tests/sim/counts.rs
@@ -65,4 +65,6 @@
     foreign_announcements,
     /// Events that an entry processed after a pause.
     backlog_events,
+    /// Runs that ended with the lease of a worker that was up.
+    lapsed_runs,
 }
--- a/crates/leased/tests/sim/workers.rs
+++ b/crates/leased/tests/sim/workers.rs
@@ -64,6 +64,7 @@
             stores_losses: false,
             reads_resources: false,
             reads_time_limits: false,
+            reads_end_limits: false,
             reads_demand: false,
         },
         address: "worker:1".to_owned(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -33,7 +33,7 @@
 };
 pub use refusal::{Execution, Refusal, RefusalCode};
 pub use runs::{
-    AttemptKey, AttemptNumber, EndedRun, EntryToWorker, HeartbeatNumber, Label, LinkNumber, OrderNumber,
-    RecordedAttempt, Resources, RunNumber, RunOutcome, StartOrder, TaskKey, TaskOrder, WorkerDescription,
-    WorkerLoad, WorkerName, WorkerToEntry,
+    AttemptKey, AttemptNumber, EndLimit, EndedRun, EntryToWorker, HeartbeatNumber, Label, LinkNumber,
+    OrderNumber, RecordedAttempt, Resources, RunNumber, RunOutcome, StartOrder, TaskKey, TaskOrder,
+    WorkerDescription, WorkerLoad, WorkerName, WorkerToEntry,
 };
--- a/crates/types/src/runs.rs
+++ b/crates/types/src/runs.rs
@@ -123,6 +123,8 @@
     pub spec: Bytes,
     /// Time left until the runs are stopped, also if the entry sends no stop; `None` from entries of earlier versions.
     pub time_limit: Option<Duration>,
+    /// When the runs must have ended, if their callers may have left already; `None` also from entries of earlier versions.
+    pub end_limit: Option<EndLimit>,
     /// Shortest time between two reports of the load to the entry, other than heartbeats; `None` from entries of earlier
     /// versions.
     pub report_interval: Option<Duration>,
@@ -135,6 +137,18 @@
     pub kinds: OrderKinds,
 }
 
+/// Time by which a run must have ended, because its caller may submit the job elsewhere from then on.
+///
+/// It counts from the sending of a heartbeat by the agent, so that a message that is delayed on its way does not prolong the
+/// run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndLimit {
+    /// Heartbeat of the agent, or `None` to count from the arrival of the message, if the entry has received none.
+    pub heartbeat: Option<HeartbeatNumber>,
+    /// Time from the heartbeat to the limit.
+    pub after: Duration,
+}
+
 /// Attempt that an entry has recorded for an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RecordedAttempt {
@@ -163,6 +177,8 @@
     },
     /// Sets the time left until attempts are stopped, also if the entry sends no stop. A limit is never extended.
     TimeLimits(Vec<(AttemptKey, Duration)>),
+    /// Sets when attempts must have ended, also if the worker confirms no stop. A limit is never extended.
+    EndLimits(Vec<(AttemptKey, EndLimit)>),
     /// Records of lost workers that other agents have reported, which the agent passes on to the entries.
     Losses(Vec<WorkerCrash>),
 }
@@ -232,6 +248,8 @@
     pub reads_resources: bool,
     /// Whether the agent accepts time limits of attempts that it has started.
     pub reads_time_limits: bool,
+    /// Whether the agent accepts limits on the ends of attempts.
+    pub reads_end_limits: bool,
     /// Whether the agent reads the demand in acknowledgements of heartbeats.
     pub reads_demand: bool,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,7 +26,9 @@
     CommandWire, MembershipWire, OperatorRequestWire, PayloadWire, RaftWire, RenewalWire, ReplicaConfirmWire,
     ReplicaHelloWire, ReplicaMessageWire, StateWire,
 };
-pub use runs::{EntryToWorkerWire, LoadWire, RunOutcomeWire, WorkerCrashWire, WorkerToEntryWire};
+pub use runs::{
+    EndLimitWire, EntryToWorkerWire, LoadWire, RunOutcomeWire, WorkerCrashWire, WorkerToEntryWire,
+};
 pub use subscription::{
     ConfirmWire, ControlMessageWire, EntryInfoWire, PartWire, SubscriberMessageWire, ViewWire,
 };
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, EndedRun, EntryToWorker, OrderKinds, RecordedAttempt, Resources, RunOutcome, StartOrder,
-    TaskKey, TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, EndLimit, EndedRun, EntryToWorker, OrderKinds, RecordedAttempt, Resources, RunOutcome,
+    StartOrder, TaskKey, TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +24,10 @@
 /// Wire form of [`RecordedAttempt`] with its resources.
 type SizedAttemptWire = (AttemptWire, ResourcesWire);
 
+/// Wire form of [`EndLimit`]: heartbeat and microseconds after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndLimitWire(Option<u64>, u64);
+
 /// Wire form of [`EntryToWorker`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryToWorkerWire {
@@ -51,6 +55,9 @@
         /// Time left until the runs are stopped, in microseconds. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
         time_limit_us: Option<u64>,
+        /// When the runs must have ended. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+        end_limit: Option<EndLimitWire>,
         /// Shortest time between two reports of the load, in microseconds. Earlier versions do not send this field, and ignore
         /// it.
         #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
@@ -79,6 +86,9 @@
     /// description.
     #[serde(rename = "l")]
     TimeLimits(Vec<(AttemptWire, u64)>),
+    /// Sets when attempts must have ended. Earlier versions do not know it; agents that do say so in their description.
+    #[serde(rename = "e")]
+    EndLimits(Vec<(AttemptWire, EndLimitWire)>),
     /// Records of lost workers. Earlier versions do not know it; agents that do say so in their description.
     #[serde(rename = "k")]
     Losses(Vec<WorkerCrashWire>),
@@ -125,6 +135,9 @@
         /// Whether the agent accepts [`EntryToWorkerWire::TimeLimits`]. Earlier versions do not send this field, and ignore it.
         #[serde(rename = "t", default, skip_serializing_if = "std::ops::Not::not")]
         reads_time_limits: bool,
+        /// Whether the agent accepts [`EntryToWorkerWire::EndLimits`]. Earlier versions do not send this field, and ignore it.
+        #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
+        reads_end_limits: bool,
         /// Whether the agent accepts [`EntryToWorkerWire::HeartbeatAckDemand`]. Earlier versions do not send this field, and
         /// ignore it.
         #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
@@ -333,6 +346,21 @@
     }
 }
 
+impl From<EndLimit> for EndLimitWire {
+    fn from(limit: EndLimit) -> Self {
+        Self(limit.heartbeat, micros(limit.after))
+    }
+}
+
+impl From<EndLimitWire> for EndLimit {
+    fn from(EndLimitWire(heartbeat, after_us): EndLimitWire) -> Self {
+        Self {
+            heartbeat,
+            after: Duration::from_micros(after_us),
+        }
+    }
+}
+
 fn load_to_wire(load: WorkerLoad) -> LoadWire {
     let (free, share) = (resources_to_wire(load.free), resources_to_wire(load.share));
     let WorkerLoad {
@@ -378,6 +406,7 @@
                 spec: order.spec,
                 refuse_if_full: order.refuse_if_full,
                 time_limit_us: order.time_limit.map(micros),
+                end_limit: order.end_limit.map(Into::into),
                 report_interval_us: order.report_interval.map(micros),
                 kinds: order.kinds.tasks,
                 watched_kinds: order.kinds.watched,
@@ -410,6 +439,11 @@
                         .collect(),
                 )
             }
+            EntryToWorker::EndLimits(limits) => {
+                let limits = limits.into_iter();
+                let limit = |(key, limit)| (attempt_to_wire(key), EndLimitWire::from(limit));
+                Self::EndLimits(limits.map(limit).collect())
+            }
             EntryToWorker::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
@@ -426,6 +460,7 @@
                 tasks,
                 refuse_if_full,
                 time_limit_us,
+                end_limit,
                 report_interval_us,
                 kinds,
                 watched_kinds,
@@ -433,6 +468,7 @@
                 number,
                 refuse_if_full,
                 time_limit: time_limit_us.map(Duration::from_micros),
+                end_limit: end_limit.map(Into::into),
                 report_interval: report_interval_us.map(Duration::from_micros),
                 kinds: OrderKinds {
                     tasks: kinds,
@@ -468,6 +504,11 @@
                 let limit = |(key, limit)| (attempt_from_wire(key), Duration::from_micros(limit));
                 Self::TimeLimits(limits.map(limit).collect())
             }
+            EntryToWorkerWire::EndLimits(limits) => {
+                let limits = limits.into_iter();
+                let limit = |(key, limit)| (attempt_from_wire(key), EndLimit::from(limit));
+                Self::EndLimits(limits.map(limit).collect())
+            }
             EntryToWorkerWire::Losses(losses) => Self::Losses(losses.into_iter().map(Into::into).collect()),
         }
     }
@@ -486,6 +527,7 @@
                 stores_losses: description.stores_losses,
                 reads_resources: description.reads_resources,
                 reads_time_limits: description.reads_time_limits,
+                reads_end_limits: description.reads_end_limits,
                 reads_demand: description.reads_demand,
                 crashes: crashes.into_iter().map(Into::into).collect(),
             },
@@ -525,6 +567,7 @@
                 stores_losses,
                 reads_resources,
                 reads_time_limits,
+                reads_end_limits,
                 reads_demand,
             } => {
                 let description = WorkerDescription {
@@ -537,6 +580,7 @@
                     stores_losses,
                     reads_resources,
                     reads_time_limits,
+                    reads_end_limits,
                     reads_demand,
                 };
                 Self::Describe(description, crashes.into_iter().map(Into::into).collect())
--- a/crates/wire/tests/runs.rs
+++ b/crates/wire/tests/runs.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use chestnutfork_types::{
-    AttemptKey, Demand, DemandBand, DemandSum, EndedRun, EntryToWorker, InterferenceReport, JobId, KindPair,
-    OrderKinds, PairEvidence, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey, TaskOrder,
-    WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
+    AttemptKey, Demand, DemandBand, DemandSum, EndLimit, EndedRun, EntryToWorker, InterferenceReport, JobId,
+    KindPair, OrderKinds, PairEvidence, RecordedAttempt, Resources, RunOutcome, StartOrder, TaskKey,
+    TaskOrder, WorkerCrash, WorkerDescription, WorkerLoad, WorkerToEntry,
 };
 use chestnutfork_wire::{EntryToWorkerWire, WorkerToEntryWire, decode, encode};
 use serde::de::DeserializeOwned;
@@ -102,6 +102,13 @@
     }
 }
 
+fn end_limit(heartbeat: Option<u64>) -> EndLimit {
+    EndLimit {
+        heartbeat,
+        after: Duration::from_micros(12),
+    }
+}
+
 fn recorded(job: JobId, resources: Option<Resources>) -> RecordedAttempt {
     let key = key(job);
     RecordedAttempt { key, resources }
@@ -117,6 +124,7 @@
             watched: vec![u64::MAX],
         },
         time_limit: Some(Duration::from_micros(4)),
+        end_limit: Some(end_limit(Some(10))),
         report_interval: Some(Duration::from_micros(5)),
         number: 1,
         last_heartbeat: 2,
@@ -142,6 +150,7 @@
             stop: vec![recorded(2, None)],
         },
         EntryToWorker::TimeLimits(vec![(key(1), Duration::from_micros(5))]),
+        EntryToWorker::EndLimits(vec![(key(1), end_limit(Some(6))), (key(2), end_limit(None))]),
         EntryToWorker::Losses(vec![crash()]),
     ];
     for message in messages {
@@ -165,6 +174,7 @@
         stores_losses: true,
         reads_resources: true,
         reads_time_limits: true,
+        reads_end_limits: true,
         reads_demand: true,
     };
     let outcomes = [
--- a/crates/worker/src/capacity.rs
+++ b/crates/worker/src/capacity.rs
@@ -2,10 +2,10 @@
 
 use std::time::Instant;
 
-use chestnutfork_types::{Resources, RunOutcome, TaskKey};
+use chestnutfork_types::{Resources, TaskKey};
 
 use crate::core::WorkerCore;
-use crate::event::{Action, Evidence, Notice};
+use crate::event::Action;
 use crate::run::Run;
 
 impl WorkerCore {
@@ -53,11 +53,8 @@
             .map(|run| run.key.task)
             .collect();
         for task in tasks {
-            if let Some(run) = self.runs.get(&task) {
-                let (key, reason) = (run.key, "the task needs more than the capacity of the worker");
-                actions.push(Action::Notice(Notice::StartRefused { key, reason }));
-            }
-            self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
+            let reason = "the task needs more than the capacity of the worker";
+            self.refuse_run(now, task, reason, actions);
         }
     }
 }
--- a/crates/worker/src/clock.rs
+++ b/crates/worker/src/clock.rs
@@ -53,8 +53,29 @@
     }
 
     /// Returns the end of a lease that begins now, and records it as requested.
-    pub fn grant(&mut self, now: Instant, lease: Duration) -> Duration {
-        let until = self.estimate(now) + lease;
+    ///
+    /// The lease is shorter if it could otherwise last beyond `limit`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use chestnutfork_worker::WorkerClock;
+    ///
+    /// let now = Instant::now();
+    /// let mut clock = WorkerClock::new(now, Duration::from_secs(5));
+    /// let limit = now + Duration::from_millis(205);
+    /// let until = clock.grant(now, Duration::from_millis(400), Some(limit));
+    /// assert_eq!(until, Duration::from_millis(5_200));
+    /// assert!(clock.latest_expiry() <= limit);
+    /// ```
+    pub fn grant(&mut self, now: Instant, lease: Duration, limit: Option<Instant>) -> Duration {
+        let mut until = self.estimate(now) + lease;
+        if let Some(limit) = limit {
+            let left = limit.saturating_duration_since(self.read_at);
+            let tolerance = left / (CLOCK_TOLERANCE_DIVISOR + 1);
+            until = until.min(self.value + left.saturating_sub(tolerance));
+        }
         self.latest_lease_end = self.latest_lease_end.max(until);
         until
     }
@@ -69,7 +90,7 @@
     ///
     /// let now = Instant::now();
     /// let mut clock = WorkerClock::new(now, Duration::from_secs(5));
-    /// clock.grant(now, Duration::from_millis(400));
+    /// clock.grant(now, Duration::from_millis(400), None);
     /// assert_eq!(clock.latest_expiry(), now + Duration::from_millis(410));
     /// ```
     #[must_use]
--- a/crates/worker/src/core.rs
+++ b/crates/worker/src/core.rs
@@ -20,9 +20,10 @@
 use crate::owners::Owners;
 use crate::reconcile::ListedAttempt;
 use crate::replacement::Candidate;
-use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, Stop};
+use crate::run::{EndedRunRecord, NO_OWNER, Phase, Run, earliest};
 use crate::session::Session;
 use crate::sharing::Sharing;
+use crate::stops::stop_time;
 
 /// Interval at which expired records of runs and entries are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
@@ -214,7 +215,7 @@
             EntryToWorker::Start(order) => self.on_start(now, entry, &order, actions),
             EntryToWorker::Stop(keys) => {
                 for key in keys {
-                    self.stop_attempt(now, entry, key, Stop::begin(now, RunOutcome::Stopped), actions);
+                    self.stop_attempt(now, entry, key, actions);
                 }
             }
             EntryToWorker::Reconcile { keep, stop } => {
@@ -224,6 +225,7 @@
                         attempt,
                         keep,
                         stop_at: None,
+                        end_by: None,
                     }
                 };
                 self.unreconciled.extend(keep.into_iter().map(listed(true)));
@@ -237,23 +239,17 @@
                     }
                 }
             }
+            EntryToWorker::EndLimits(limits) => {
+                for (key, limit) in limits {
+                    let end_by = self.owners.end_of(now, limit);
+                    self.limit_end(entry, key, end_by);
+                    self.limit_attempt(entry, key, stop_time(now, end_by));
+                }
+            }
             EntryToWorker::Losses(losses) => self.crashes.store(now, losses),
         }
     }
 
-    /// Limits an attempt, or the run that is yet to be found for it.
-    pub(crate) fn limit_attempt(&mut self, entry: ProcessId, key: AttemptKey, stop_at: Instant) {
-        let earliest = |known: Option<Instant>| Some(known.map_or(stop_at, |known| known.min(stop_at)));
-        let run = self.runs.get_mut(&key.task);
-        if let Some(run) = run.filter(|run| run.key == key && run.owner == entry) {
-            run.stop_at = earliest(run.stop_at);
-        }
-        let unreconciled = self.unreconciled.iter_mut();
-        for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.attempt.key == key) {
-            attempt.stop_at = earliest(attempt.stop_at);
-        }
-    }
-
     fn on_start(&mut self, now: Instant, entry: ProcessId, order: &StartOrder, actions: &mut Vec<Action>) {
         self.owners
             .acknowledge(entry, order.last_heartbeat, self.cfg.entry_lease);
@@ -310,6 +306,8 @@
             .ended_runs
             .get(&task.key.task)
             .map_or(0, |record| record.number);
+        let stop_at = order.time_limit.and_then(|limit| now.checked_add(limit));
+        let end_by = order.end_limit.map(|limit| self.owners.end_of(now, limit));
         let run = Run {
             key: task.key,
             owner,
@@ -317,7 +315,8 @@
             resources: task.resources,
             declared_run_time: task.declared_run_time,
             objective_at: now + order.time_to_objective,
-            stop_at: order.time_limit.and_then(|limit| now.checked_add(limit)),
+            stop_at: end_by.map(|at| earliest(stop_at, stop_time(now, at))).or(stop_at),
+            end_by,
             spec: order.spec.clone(),
             phase: Phase::Waiting { not_before: now },
             started_at: None,
@@ -345,43 +344,6 @@
         }
     }
 
-    pub(crate) fn stop_attempt(
-        &mut self,
-        now: Instant,
-        entry: ProcessId,
-        key: AttemptKey,
-        stop: Stop,
-        actions: &mut Vec<Action>,
-    ) {
-        let known = self
-            .runs
-            .get(&key.task)
-            .is_some_and(|run| run.key == key && run.owner == entry);
-        if known {
-            self.stop(now, key.task, stop, actions);
-        }
-        let unreconciled = self.unreconciled.iter_mut();
-        for attempt in unreconciled.filter(|attempt| attempt.entry == entry && attempt.attempt.key == key) {
-            attempt.keep = false;
-        }
-    }
-
-    /// Stops a run; a waiting run ends immediately.
-    pub(crate) fn stop(&mut self, now: Instant, task: TaskKey, stop: Stop, actions: &mut Vec<Action>) {
-        let Some(run) = self.runs.get_mut(&task) else {
-            return;
-        };
-        match &mut run.phase {
-            Phase::Waiting { .. } => {
-                self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
-            }
-            Phase::Stopping(known) => known.renew_until = known.renew_until.min(stop.renew_until),
-            Phase::Starting { .. } | Phase::Unconfirmed { .. } | Phase::Running { .. } => {
-                run.phase = Phase::Stopping(stop);
-            }
-        }
-    }
-
     /// Ends a run and reports it to its owner.
     pub(crate) fn end_run(
         &mut self,
@@ -433,14 +395,21 @@
         let waiting = self.runs.values().filter(|run| run.is_waiting());
         let keys: Vec<AttemptKey> = waiting.map(|run| run.key).collect();
         for key in keys {
+            self.refuse_run(now, key.task, reason, actions);
+        }
+    }
+
+    /// Ends a waiting run without starting it.
+    pub(crate) fn refuse_run(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        reason: &'static str,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(key) = self.runs.get(&task).map(|run| run.key) {
             actions.push(Action::Notice(Notice::StartRefused { key, reason }));
-            self.end_run(
-                now,
-                key.task,
-                RunOutcome::NotStarted,
-                Evidence::NotOrdered,
-                actions,
-            );
+            self.end_run(now, task, RunOutcome::NotStarted, Evidence::NotOrdered, actions);
         }
     }
 
@@ -451,8 +420,8 @@
             if run.owner == NO_OWNER || self.owners.has_lease(run.owner, now) {
                 continue;
             }
-            if let Phase::Stopping(stop) = &mut run.phase {
-                stop.renew_until = stop.renew_until.min(now);
+            if run.is_stopping() {
+                run.limit_end(now);
             } else {
                 expired.entry(run.owner).or_default().push(task);
             }
@@ -461,23 +430,11 @@
             let runs = tasks.len() as u64;
             actions.push(Action::Notice(Notice::EntryLapsed { entry, runs }));
             for task in tasks {
-                self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
+                self.stop_expired(now, task, actions);
             }
         }
     }
 
-    /// Stops the runs whose time limit has passed; their entry may be paused, and their callers may have submitted elsewhere.
-    fn stop_expired_runs(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let expired = self
-            .runs
-            .iter()
-            .filter(|(_, run)| !run.is_stopping() && run.stop_at.is_some_and(|at| at <= now));
-        let expired: Vec<TaskKey> = expired.map(|(&task, _)| task).collect();
-        for task in expired {
-            self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
-        }
-    }
-
     fn drain(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.draining = true;
         self.refuse_waiting(now, "the agent is shutting down", actions);
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -27,6 +27,7 @@
 mod session;
 mod shares;
 mod sharing;
+mod stops;
 mod verify;
 
 pub use crate::core::WorkerCore;
--- a/crates/worker/src/orders.rs
+++ b/crates/worker/src/orders.rs
@@ -8,12 +8,15 @@
 use crate::config::lease_expiry_time;
 use crate::core::WorkerCore;
 use crate::event::{Action, CallId, Evidence, ListedRun, Notice, Order};
-use crate::run::{NO_OWNER, Phase, Run, Stop};
+use crate::run::{NO_OWNER, Phase, Run};
 use crate::session::Session;
 
 /// Longest delay with which an order that got no answer is carried out.
 const LATE_ORDER_LIMIT: Duration = Duration::from_secs(15);
 
+/// Shortest time that the worker's lease can last for runs to start; a shorter one could end before the worker confirms them.
+const MIN_START_LEASE: Duration = Duration::from_millis(100);
+
 /// Call in flight to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Call {
@@ -38,8 +41,7 @@
 impl WorkerCore {
     /// Starts waiting runs, most urgent first, while they fit into the worker's capacity.
     pub(crate) fn start_waiting(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        // A start renews the lease of every run on the worker.
-        if !self.may_renew(now) {
+        if !self.may_start(now) {
             return;
         }
         let ready = |session: &Session| session.available && session.is_announced();
@@ -48,13 +50,26 @@
             return;
         }
         while let Some(task) = self.next_start(now) {
-            self.start(now, task, actions);
+            if self.ends_in_time(task) {
+                self.start(now, task, actions);
+            } else {
+                self.refuse_run(now, task, "the lease of the worker outlasts the run", actions);
+            }
         }
     }
 
+    /// Returns whether a run that starts now would end by its limit without a stop, although the worker has a lease already.
+    fn ends_in_time(&self, task: TaskKey) -> bool {
+        let run = self.runs.get(&task);
+        let end_by = run.and_then(|run| run.end_by);
+        let session = self.session.as_ref();
+        let leased = session.map(|session| session.clock.latest_expiry());
+        end_by.is_none_or(|end_by| leased.is_none_or(|leased| leased <= end_by))
+    }
+
     /// Returns whether a task could start at once.
     pub(crate) fn can_start_now(&self, now: Instant, resources: Resources) -> bool {
-        self.may_renew(now) && resources.fits_within(self.free())
+        self.may_start(now) && resources.fits_within(self.free())
     }
 
     /// Returns the most urgent waiting run if it fits; smaller, less urgent runs do not overtake it.
@@ -71,7 +86,7 @@
     }
 
     fn start(&mut self, now: Instant, task: TaskKey, actions: &mut Vec<Action>) {
-        let lease = self.cfg.worker_lease;
+        let (lease, limit) = (self.cfg.worker_lease, self.lease_limit());
         self.observe_start(now, task);
         let call = self.begin_call(Call::Start(task));
         let (Some(session), Some(run)) = (self.session.as_mut(), self.runs.get_mut(&task)) else {
@@ -80,11 +95,12 @@
         run.phase = Phase::Starting { call };
         run.confirmed = false;
         run.started_at = Some(now);
+        let limit = [run.lease_limit(), limit].into_iter().flatten().min();
         let order = Order::Start {
             task,
             run: run.number,
             spec: run.spec.clone(),
-            until: session.clock.grant(now, lease),
+            until: session.clock.grant(now, lease, limit),
             token: session.token,
         };
         push_call(session, call, order, actions);
@@ -131,22 +147,34 @@
         uncertain || self.has_started()
     }
 
+    /// Returns the latest end of a lease that may be granted.
+    fn lease_limit(&self) -> Option<Instant> {
+        self.runs.values().filter_map(Run::lease_limit).min()
+    }
+
     /// Returns whether the worker's lease may be renewed.
     ///
-    /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose
-    /// entry's lease has expired, whose stop is not confirmed, that no entry has listed, or whose worker is about to end.
+    /// It covers everything on the worker, so a renewal would also prolong a run that has to end at a known time: one whose end is
+    /// limited, whose stop is not confirmed, that no entry has listed, or whose worker is about to end.
     fn may_renew(&self, now: Instant) -> bool {
         let session = self.session.as_ref();
         let unknown = |session: &Session| session.synced_at.is_none() || !session.orphans.is_empty();
         if session.is_some_and(|session| session.is_withdrawn() || unknown(session)) {
             return false;
         }
-        self.runs.values().all(|run| match run.phase {
-            Phase::Stopping(stop) if stop.confirmed_at.is_none() => {
-                now < stop.renew_until && self.owners.has_lease(run.owner, now)
-            }
-            _ => true,
-        })
+        self.runs.values().all(|run| run.may_renew(now))
+    }
+
+    /// Returns whether runs may start. A start renews the lease of every run on the worker.
+    ///
+    /// While a stop is not confirmed, nothing starts that would probably end with the run to be stopped.
+    fn may_start(&self, now: Instant) -> bool {
+        let lease = self.cfg.worker_lease;
+        let lasts = |run: &Run| {
+            let needed = if run.is_stopping() { lease } else { MIN_START_LEASE };
+            run.lease_limit().is_none_or(|limit| now + needed <= limit)
+        };
+        self.may_renew(now) && self.runs.values().all(lasts)
     }
 
     /// Renews the worker's lease with a long poll, which returns when a run ends.
@@ -172,13 +200,14 @@
         let available = self.session.as_ref().is_some_and(|session| session.available);
         let renews = available && self.may_renew(now);
         let lease = renews.then_some(self.cfg.worker_lease);
+        let limit = self.lease_limit();
         let call = self.begin_call(Call::RenewLease { sent_at: now });
         let Some(session) = self.session.as_mut() else {
             return;
         };
         session.renewal_pending = true;
         let order = Order::RenewLease {
-            until: lease.map(|lease| session.clock.grant(now, lease)),
+            until: lease.map(|lease| session.clock.grant(now, lease, limit)),
             last_received_end: session.last_received_end,
             wait,
             token: session.token,
@@ -216,7 +245,7 @@
                 resources: None,
             };
             self.adopt(now, NO_OWNER, unclaimed, listed);
-            self.stop(now, task, Stop::begin_expired(now, RunOutcome::Stopped), actions);
+            self.stop_expired(now, task, actions);
         }
     }
 
--- a/crates/worker/src/owners.rs
+++ b/crates/worker/src/owners.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use chestnutfork_types::{EndedRun, HeartbeatNumber, LinkNumber, OrderNumber, ProcessId, Resources};
+use chestnutfork_types::{
+    EndLimit, EndedRun, HeartbeatNumber, LinkNumber, OrderNumber, ProcessId, Resources,
+};
 use indexmap::IndexMap;
 
 /// Number of heartbeats whose send time is retained; even at the shortest interval they span more than an entry's lease.
@@ -112,13 +114,25 @@
         self.last_heartbeat
     }
 
+    /// Returns the time that a limit of an entry refers to. If the heartbeat that it counts from is not known any more, the limit
+    /// has passed.
+    pub(crate) fn end_of(&self, now: Instant, limit: EndLimit) -> Instant {
+        let counted_from = limit.heartbeat.map_or(Some(now), |number| self.sent_at(number));
+        counted_from
+            .and_then(|at| at.checked_add(limit.after))
+            .unwrap_or(now)
+    }
+
+    fn sent_at(&self, heartbeat: HeartbeatNumber) -> Option<Instant> {
+        let mut heartbeats = self.heartbeats.iter();
+        heartbeats
+            .find(|(number, _)| *number == heartbeat)
+            .map(|&(_, at)| at)
+    }
+
     /// Renews the lease of an entry that acknowledged a heartbeat; the lease counts from the time it was sent.
     pub(crate) fn acknowledge(&mut self, entry: ProcessId, heartbeat: HeartbeatNumber, lease: Duration) {
-        let sent = self
-            .heartbeats
-            .iter()
-            .find(|(number, _)| *number == heartbeat)
-            .map(|&(_, at)| at);
+        let sent = self.sent_at(heartbeat);
         if let Some((owner, sent)) = self.entries.get_mut(&entry).zip(sent) {
             owner.lease_until = owner.lease_until.max(Some(sent + lease));
             owner.acknowledged_at = owner.acknowledged_at.max(Some(sent));
--- a/crates/worker/src/reconcile.rs
+++ b/crates/worker/src/reconcile.rs
@@ -7,7 +7,7 @@
 
 use crate::core::WorkerCore;
 use crate::event::{Action, Evidence, ListedRun};
-use crate::run::{NO_OWNER, Phase, Run, Stop};
+use crate::run::{NO_OWNER, Phase, Run};
 use crate::session::Session;
 
 /// Resources of a run that are not known; they exceed every capacity.
@@ -26,6 +26,8 @@
     pub(crate) keep: bool,
     /// When the entry wants the run to be stopped, if it has said so.
     pub(crate) stop_at: Option<Instant>,
+    /// When the run must have ended, if the entry has limited its end.
+    pub(crate) end_by: Option<Instant>,
 }
 
 impl WorkerCore {
@@ -44,13 +46,17 @@
                 self.unreconciled.push(listed);
                 continue;
             }
+            let (entry, key) = (listed.entry, listed.attempt.key);
+            if let Some(stop_at) = listed.stop_at {
+                self.limit_attempt(entry, key, stop_at);
+            }
+            if let Some(end_by) = listed.end_by {
+                self.limit_end(entry, key, end_by);
+            }
             if !listed.keep {
                 // The stop was ordered before this link opened, so its time may have expired.
-                let stop = Stop::begin_expired(now, RunOutcome::Stopped);
-                self.stop_attempt(now, listed.entry, listed.attempt.key, stop, actions);
-            }
-            if let Some(stop_at) = listed.stop_at {
-                self.limit_attempt(listed.entry, listed.attempt.key, stop_at);
+                self.limit_end(entry, key, now);
+                self.stop_attempt(now, entry, key, actions);
             }
         }
     }
@@ -127,6 +133,7 @@
             declared_run_time: Duration::ZERO,
             objective_at: now,
             stop_at: None,
+            end_by: None,
             spec: bytes::Bytes::new(),
             phase: Phase::Running { since: now },
             started_at: Some(now),
--- a/crates/worker/src/report.rs
+++ b/crates/worker/src/report.rs
@@ -155,6 +155,7 @@
         description.stores_losses = true;
         description.reads_resources = true;
         description.reads_time_limits = true;
+        description.reads_end_limits = true;
         description.reads_demand = true;
         description
     }
--- a/crates/worker/src/run.rs
+++ b/crates/worker/src/run.rs
@@ -10,8 +10,9 @@
 /// Owner of runs that an earlier agent process started and no entry has listed.
 pub(crate) const NO_OWNER: ProcessId = 0;
 
-/// Time for which the worker's lease is renewed although a stop is not confirmed. With the worker's lease after it, a run
-/// ends within the 1.3 s after which a caller that got no answer submits its job again.
+/// Time for which the worker's lease is renewed although a stop is not confirmed, if the entry has not limited the end of the
+/// run. With the worker's lease after it, the run ends within the 1.3 s after which a caller that got no answer submits its job
+/// again.
 const UNCONFIRMED_STOP_GRACE: Duration = Duration::from_millis(500);
 
 /// Progress of a run.
@@ -38,28 +39,20 @@
     pub(crate) retry_at: Instant,
     /// When the worker confirmed the stop order.
     pub(crate) confirmed_at: Option<Instant>,
-    /// Until when the worker's lease may be renewed although the stop is not confirmed.
+    /// Until when the worker's lease may be renewed although the stop is not confirmed, if the end of the run is not limited.
     pub(crate) renew_until: Instant,
     /// End to report if the worker lists neither the run nor its end.
     pub(crate) outcome_if_unlisted: RunOutcome,
 }
 
 impl Stop {
-    /// Creates a stop whose order is due immediately, of a run whose entry still has its lease.
+    /// Creates a stop whose order is due immediately.
     pub(crate) fn begin(now: Instant, outcome_if_unlisted: RunOutcome) -> Self {
         Self {
-            renew_until: now + UNCONFIRMED_STOP_GRACE,
-            ..Self::begin_expired(now, outcome_if_unlisted)
-        }
-    }
-
-    /// Creates a stop of a run whose time has expired, so that the worker's lease is not renewed before it is confirmed.
-    pub(crate) fn begin_expired(now: Instant, outcome_if_unlisted: RunOutcome) -> Self {
-        Self {
-            renew_until: now,
             call: None,
             retry_at: now,
             confirmed_at: None,
+            renew_until: now + UNCONFIRMED_STOP_GRACE,
             outcome_if_unlisted,
         }
     }
@@ -77,6 +70,8 @@
     pub(crate) objective_at: Instant,
     /// When the run is stopped although its entry has not ordered it.
     pub(crate) stop_at: Option<Instant>,
+    /// When the run must have ended, also if the worker confirms no stop.
+    pub(crate) end_by: Option<Instant>,
     pub(crate) spec: Bytes,
     pub(crate) phase: Phase,
     pub(crate) started_at: Option<Instant>,
@@ -100,6 +95,34 @@
         matches!(self.phase, Phase::Stopping(_))
     }
 
+    /// Lowers the time by which the run must have ended.
+    pub(crate) fn limit_end(&mut self, at: Instant) {
+        self.end_by = Some(earliest(self.end_by, at));
+    }
+
+    /// Returns whether a lease of the worker would prolong the run.
+    fn is_prolonged_by_lease(&self) -> bool {
+        match self.phase {
+            Phase::Waiting { .. } => false,
+            Phase::Stopping(stop) => stop.confirmed_at.is_none(),
+            _ => true,
+        }
+    }
+
+    /// Returns the latest end of a lease that may be granted to the worker.
+    pub(crate) fn lease_limit(&self) -> Option<Instant> {
+        self.end_by.filter(|_| self.is_prolonged_by_lease())
+    }
+
+    /// Returns whether the worker's lease may be renewed.
+    pub(crate) fn may_renew(&self, now: Instant) -> bool {
+        match (self.phase, self.lease_limit()) {
+            (_, Some(limit)) => now < limit,
+            (Phase::Stopping(stop), None) => !self.is_prolonged_by_lease() || now < stop.renew_until,
+            _ => true,
+        }
+    }
+
     pub(crate) fn run_time(&self, now: Instant) -> Duration {
         self.started_at
             .map_or(Duration::ZERO, |started| now.saturating_duration_since(started))
@@ -113,3 +136,8 @@
     pub(crate) ended: EndedRun,
     pub(crate) at: Instant,
 }
+
+/// Returns the earlier of a limit that may be known and another one.
+pub(crate) fn earliest(known: Option<Instant>, other: Instant) -> Instant {
+    known.map_or(other, |known| known.min(other))
+}
--- a/crates/worker/tests/core.rs
+++ b/crates/worker/tests/core.rs
@@ -442,6 +442,7 @@
             refuse_if_full: false,
             kinds: OrderKinds::default(),
             time_limit: None,
+            end_limit: None,
             report_interval,
             number,
             last_heartbeat: entry,
--- a/crates/worker/tests/sharing.rs
+++ b/crates/worker/tests/sharing.rs
@@ -22,6 +22,7 @@
         refuse_if_full: false,
         kinds,
         time_limit: None,
+        end_limit: None,
         report_interval: None,
         number: 1,
         last_heartbeat: 1,
--- a/crates/worker/tests/time_limit.rs
+++ b/crates/worker/tests/time_limit.rs
@@ -14,6 +14,7 @@
         refuse_if_full: false,
         kinds: OrderKinds::default(),
         time_limit: Some(time_limit),
+        end_limit: None,
         report_interval: None,
         number: 1,
         last_heartbeat: 1,
