--- a/crates/broker/src/silence.rs
+++ b/crates/broker/src/silence.rs
@@ -204,15 +204,15 @@
         }
     }
 
-    /// Returns the earliest time at which the callers of a job may have left that is ended now.
+    /// Returns the earliest time at which the callers of a job that ends now may have left.
     ///
-    /// What ends the job may have waited for the process, also during a stop that is too short to be noticed.
+    /// The event that ends the job may have waited for the process, also during a stop that is too short to be noticed.
     pub(crate) fn callers_left_since(&self, now: Instant, job: &Job) -> Instant {
         let delay = self.processing_delay(now).max(STOP_THRESHOLD);
-        let read = now.checked_sub(delay).unwrap_or(now);
+        let arrived = now.checked_sub(delay).unwrap_or(now);
         let silence = self.silence.may_have_waited(now).then_some(self.silence.since);
-        let known = [silence, job.unverified_since, Some(job.deadline)];
-        known.into_iter().flatten().fold(read, Instant::min)
+        let bounds = [silence, job.unverified_since, Some(job.deadline)];
+        bounds.into_iter().flatten().fold(arrived, Instant::min)
     }
 
     /// Returns the deadline of a submission, which is earlier if it may have waited during a silence.
--- a/crates/worker/src/stops.rs
+++ b/crates/worker/src/stops.rs
@@ -9,7 +9,7 @@
 use crate::reconcile::ListedAttempt;
 use crate::run::{Phase, Run, Stop, earliest};
 
-/// Time before the latest end of a run at which it is stopped: a call to the worker, and the time that the stop takes.
+/// Time before the latest end of a run at which it is stopped: a call to the worker, and the 50 ms that a stop takes.
 const STOP_LEAD_TIME: Duration = Duration::from_millis(80);
 
 impl WorkerCore {
